--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# `make demo` and `make test` each take a fresh machine all the way.
+PACKAGES = cmake ninja-build g++ ccache clang-format clang-tidy \
+    libpoco-dev libnghttp2-dev libprotobuf-dev libcli11-dev \
+    libgoogle-glog-dev libexpected-dev libtomlplusplus-dev libboost-dev \
+    libssl-dev libgtest-dev libgmock-dev librapidcheck-dev
+BUILD = build
+JOBS ?= $(shell nproc)
+
+.PHONY: deps build test demo soak format tidy schema
+
+deps:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || scripts/install-packages $(PACKAGES)
+
+build: deps
+	cmake -S . -B $(BUILD) -G Ninja >$(BUILD).cmake.log || \
+	    (cat $(BUILD).cmake.log; exit 1)
+	cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j $(JOBS)
+
+demo: build
+	scripts/demo $(BUILD)/bin
+
+soak: build
+	CYCLAMENRUN_SOAK_RUNS=10000 $(BUILD)/bin/test_faults \
+	    --gtest_filter='*random*'
+
+format:
+	scripts/format
+
+# Only needed after a change of the schema: generated code is committed.
+schema:
+	cd schema && protoc --cpp_out=generated *.proto
--- /dev/null
+++ b/src/libcyclamenrun/generation_id.cpp
@@ -0,0 +1,68 @@
+#include "generation_id.hpp"
+
+#include <array>
+#include <charconv>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr char separator = ':';
+constexpr std::size_t longest_upstream = 64;
+
+std::string hex(std::uint64_t number)
+{
+    std::array<char, 16> digits{};
+    const auto end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
+    return {digits.data(), end.ptr};
+}
+
+/** Reads one number up to the separator or the end, and moves past it. */
+std::optional<std::uint64_t> take_number(std::string_view& text, int base)
+{
+    const auto field = text.substr(0, text.find(separator));
+    std::uint64_t number = 0;
+    const auto* end = field.data() + field.size();
+    const auto read = std::from_chars(field.data(), end, number, base);
+    if (read.ec != std::errc{} || read.ptr != end || field.empty())
+        return std::nullopt;
+    text.remove_prefix(std::min(text.size(), field.size() + 1));
+    return number;
+}
+
+} // namespace
+
+std::string to_string(const generation_id& id)
+{
+    return id.upstream + separator + hex(id.incarnation) + separator +
+           std::to_string(id.sequence) + separator + hex(id.secret);
+}
+
+std::string to_string(const stream_position& position)
+{
+    return to_string(position.generation) + separator +
+           std::to_string(position.index);
+}
+
+std::optional<stream_position> parse_stream_position(std::string_view text)
+{
+    const auto upstream = text.substr(0, text.find(separator));
+    if (upstream.empty() || upstream.size() > longest_upstream ||
+        upstream.size() == text.size())
+        return std::nullopt;
+    text.remove_prefix(upstream.size() + 1);
+
+    const auto incarnation = take_number(text, 16);
+    const auto sequence = take_number(text, 10);
+    const auto secret = take_number(text, 16);
+    const auto index = take_number(text, 10);
+    if (!incarnation || !sequence || !secret || !index || !text.empty())
+        return std::nullopt;
+    return stream_position{
+        {std::string(upstream), *incarnation, *sequence, *secret}, *index};
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/refusal.hpp
@@ -0,0 +1,100 @@
+#ifndef CYCLAMENRUN_REFUSAL_HPP
+#define CYCLAMENRUN_REFUSAL_HPP
+
+#include "clock.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace cyclamenrun
+{
+
+/** What a caller may conclude from a refusal. */
+enum class refusal_kind : std::uint8_t {
+    not_run = 1,         ///< The work did not run and never will.
+    outcome_unknown = 2, ///< The work may have run.
+    failed = 3,          ///< The work ran and did not end well.
+};
+
+/** Why a request was refused. The numbers travel on links: only add. */
+enum class refusal_reason : std::uint8_t {
+    bad_request = 1,
+    unauthenticated = 2,
+    forbidden = 3,
+    unknown_service = 4,
+    too_large = 5,
+    deadline_passed = 6,
+    queue_full = 7,
+    team_limit = 8,
+    no_upstream = 9,
+    draining = 10,
+    wrong_incarnation = 11,
+    duplicate_request = 12,
+    cancelled = 13,
+    engine_lost = 14,
+    engine_error = 15,
+    upstream_lost = 16,
+    agent_lost = 17,
+    ticket_invalid = 18,
+    ticket_expired = 19,
+    ticket_used = 20,
+    poison = 21,
+    generation_unknown = 22,
+    resume_out_of_range = 23,
+    protocol_error = 24,
+    not_ready = 25,
+    retry_budget_spent = 26,
+    reclaimed = 27,
+    answer_too_large = 28,
+    internal = 29,
+};
+
+/** A typed refusal, as callers, links and logs carry it. */
+struct refusal {
+    refusal_kind kind = refusal_kind::not_run;
+    refusal_reason reason = refusal_reason::internal;
+    /** How long the caller should wait before it tries again. */
+    std::optional<milliseconds> retry_after;
+    /** For people; never holds prompt text or keys. */
+    std::string detail;
+
+    bool operator==(const refusal&) const = default;
+};
+
+std::string_view name_of(refusal_kind kind);
+std::string_view name_of(refusal_reason reason);
+std::optional<refusal_kind> refusal_kind_of(std::uint32_t number);
+std::optional<refusal_reason> refusal_reason_of(std::uint32_t number);
+
+/** The status with which HTTP says this reason. */
+int http_status(refusal_reason reason);
+
+template <typename Value>
+using outcome = tl::expected<Value, refusal>;
+
+/** A refusal of work that is known not to have run. */
+inline refusal not_run(refusal_reason reason, std::string detail = {},
+                       std::optional<milliseconds> retry_after = {})
+{
+    return {refusal_kind::not_run, reason, retry_after, std::move(detail)};
+}
+
+/** A refusal of work that may have run. */
+inline refusal outcome_unknown(refusal_reason reason, std::string detail = {})
+{
+    return {refusal_kind::outcome_unknown, reason, {}, std::move(detail)};
+}
+
+/** A refusal of work that ran and did not end well. */
+inline refusal failed(refusal_reason reason, std::string detail = {},
+                      std::optional<milliseconds> retry_after = {})
+{
+    return {refusal_kind::failed, reason, retry_after, std::move(detail)};
+}
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REFUSAL_HPP
