Refuse a stream position that ends in a separator

Cause: the number reader swallowed the last separator, seen by the test of refused texts, which failed. Change: such a text is refused up front.

--- a/src/libcyclamenrun/generation_id.cpp
+++ b/src/libcyclamenrun/generation_id.cpp
@@ -51,7 +51,7 @@
 {
     const auto upstream = text.substr(0, text.find(separator));
     if (upstream.empty() || upstream.size() > longest_upstream ||
-        upstream.size() == text.size())
+        upstream.size() == text.size() || text.back() == separator)
         return std::nullopt;
     text.remove_prefix(upstream.size() + 1);
 
