Carry frames between our processes on HTTP/2 streams

Entry and agent need a transport on which one stream a request flows, a slow reader holds only its own stream, and it is known whether a request may have left. nghttp2 over non-blocking POCO sockets, one thread a loop, epoll with an eventfd to wake it: POCO's PollSet allocates a map at each wait.

--- /dev/null
+++ b/src/libcyclamenrun/client_stream.cpp
@@ -0,0 +1,121 @@
+#include "client_stream.hpp"
+
+#include "link_client_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+client_stream::client_stream(std::shared_ptr<link_reactor> reactor,
+                             std::string path, std::string request,
+                             client_handlers handlers,
+                             const link_limits& limits)
+    : reactor_(std::move(reactor)), path_(std::move(path)),
+      request_(std::move(request)), handlers_(std::move(handlers)),
+      decoder_(limits.max_frame_bytes), large_frame_(limits.stream_window / 2)
+{
+}
+
+void client_stream::consumed(std::size_t bytes)
+{
+    if (bytes == 0 || consumed_.fetch_add(bytes) != 0)
+        return;
+    reactor_->post([self = shared_from_this()] { self->give_back_consumed(); });
+}
+
+void client_stream::cancel()
+{
+    reactor_->post([self = shared_from_this()] {
+        if (self->ended_)
+            return;
+        const auto connection = self->connection_.lock();
+        if (connection)
+            connection->cancel(self);
+        else
+            self->end({.failure = link_failure::cancelled});
+    });
+}
+
+void client_stream::end(const stream_end& how)
+{
+    if (std::exchange(ended_, true))
+        return;
+    request_ = {};
+    const client_handlers handlers = std::exchange(handlers_, {});
+    if (handlers.on_end)
+        handlers.on_end(how);
+}
+
+void client_stream::give_back_consumed()
+{
+    const std::size_t bytes = consumed_.exchange(0);
+    const std::size_t paid = std::min(bytes, debt_);
+    debt_ -= paid;
+    give_back(bytes - paid);
+}
+
+void client_stream::give_back(std::size_t bytes)
+{
+    const auto connection = connection_.lock();
+    if (connection && !ended_)
+        connection->give_back_window(id_, bytes);
+}
+
+bool client_stream::take_data(std::string_view data)
+{
+    while (!data.empty()) {
+        const std::size_t before = data.size();
+        auto frame = decoder_.next(data);
+        if (!frame)
+            return false;
+        hold(before - data.size());
+        if (*frame)
+            deliver(std::move(**frame));
+    }
+    return true;
+}
+
+void client_stream::hold(std::size_t bytes)
+{
+    held_ += bytes;
+    // Failure: a frame larger than the window stands still for ever, since
+    // its first part fills the window and can't be consumed without the
+    // rest. nghttp2 gives window back in halves, so from half a window on
+    // the bytes are given back before the frame is whole; the bound on frames
+    // bounds the memory in place of the window.
+    const auto size = decoder_.frame_size();
+    if (!size || *size + frame_prefix_bytes <= large_frame_)
+        return;
+    give_back(held_);
+    early_ += std::exchange(held_, 0);
+}
+
+void client_stream::deliver(std::string frame)
+{
+    if (early_ == 0)
+        give_back(frame_prefix_bytes);
+    else
+        debt_ += early_ - frame_prefix_bytes;
+    held_ = 0;
+    early_ = 0;
+    if (handlers_.on_frame)
+        handlers_.on_frame(std::move(frame));
+}
+
+link_chunk client_stream::read_request(std::span<char> room)
+{
+    const std::size_t size =
+        std::min(request_.size() - request_offset_, room.size());
+    std::copy_n(request_.data() + request_offset_, size, room.data());
+    request_offset_ += size;
+    const bool all = request_offset_ == request_.size();
+    if (all)
+        request_ = {};
+    if (all)
+        request_offset_ = 0;
+    return {.size = size, .end = all};
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/link_connection.hpp
@@ -0,0 +1,126 @@
+#ifndef CYCLAMENRUN_LINK_CONNECTION_HPP
+#define CYCLAMENRUN_LINK_CONNECTION_HPP
+
+#include "link_failure.hpp"
+#include "link_keepalive.hpp"
+#include "link_limits.hpp"
+#include "link_output.hpp"
+#include "link_reactor.hpp"
+#include "link_watcher.hpp"
+
+#include <Poco/Net/StreamSocket.h>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+struct nghttp2_session;
+
+namespace cyclamenrun
+{
+
+/** Header bytes of one stream; our own need a tenth of it. */
+constexpr std::uint32_t max_header_bytes = 2048;
+
+/** What a stream has to send just now. */
+struct link_chunk {
+    std::size_t size = 0;
+    bool end = false;
+    /** The stream is gone or broken: reset it. */
+    bool broken = false;
+};
+
+/**
+ * One HTTP/2 connection between two of our processes: the socket, the nghttp2
+ * session and the keepalive, without the roles of client and server. It lives
+ * on its loop's thread and is kept alive by the loop until it closes.
+ */
+class link_connection : public link_watcher,
+                        public std::enable_shared_from_this<link_connection>
+{
+public:
+    ~link_connection() override;
+
+    void ready(bool readable, bool writable) final;
+    void flush() final;
+    void loop_stopping() final;
+
+    /** Closes at the end of this turn; the first reason counts. */
+    void fail(link_failure failure);
+    bool is_closed() const { return closed_; }
+
+    // Called from within nghttp2; they must not close the connection.
+
+    virtual void stream_opened(std::int32_t stream) = 0;
+    virtual void header_received(std::int32_t stream, std::string_view name,
+                                 std::string_view value) = 0;
+    virtual void data_received(std::int32_t stream, std::string_view data) = 0;
+    /** The peer has sent all that it will send on the stream. */
+    virtual void stream_half_closed(std::int32_t stream) = 0;
+    virtual void stream_closed(std::int32_t stream,
+                               std::uint32_t error_code) = 0;
+    virtual void request_sent(std::int32_t stream) = 0;
+    virtual void goaway_received() = 0;
+    virtual link_chunk read_data(std::int32_t stream, std::span<char> room) = 0;
+
+protected:
+    link_connection(std::shared_ptr<link_reactor> reactor,
+                    const link_limits& limits, Poco::Net::StreamSocket socket);
+
+    /** Takes over the session of the role and sends the first SETTINGS. */
+    void begin(nghttp2_session* session, bool connecting);
+
+    /** The socket is connected. */
+    virtual void connected() = 0;
+    /** Called once, after the socket has closed. */
+    virtual void closed(link_failure failure) = 0;
+    /** Whether the keepalive is to look often. */
+    virtual bool busy() const = 0;
+    /** Looks at the role's own deadlines. */
+    virtual void check_deadlines(time_point now) = 0;
+
+    nghttp2_session* session() const { return session_; }
+    const link_limits& limits() const { return limits_; }
+    link_reactor& reactor() const { return *reactor_; }
+    const std::shared_ptr<link_reactor>& shared_reactor() const
+    {
+        return reactor_;
+    }
+    const link_output& output() const { return output_; }
+
+    /** Sends what the session has, at the end of this turn. */
+    void flush_later();
+    /** Makes the timer look at the deadlines by `when`. */
+    void check_by(time_point when);
+    /** The keepalive's next look, after a change of busy(). */
+    void check_keepalive();
+    /** Gives back window of the stream, never more than was used. */
+    void give_back(std::int32_t stream, std::size_t bytes);
+    void reset_stream(std::int32_t stream, std::uint32_t error_code);
+
+private:
+    void finish_connect();
+    void receive();
+    bool fill_output();
+    bool send_output();
+    void timer_fired(time_point when);
+    void close_now(link_failure failure);
+
+    std::shared_ptr<link_reactor> reactor_;
+    link_limits limits_;
+    Poco::Net::StreamSocket socket_;
+    nghttp2_session* session_ = nullptr;
+    link_output output_;
+    link_keepalive keepalive_;
+    link_reactor::watch_id watch_ = 0;
+    std::optional<time_point> timer_;
+    std::optional<link_failure> failure_;
+    bool connecting_ = false;
+    bool flush_pending_ = false;
+    bool closed_ = false;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LINK_CONNECTION_HPP
--- /dev/null
+++ b/src/libcyclamenrun/link_listener.cpp
@@ -0,0 +1,117 @@
+#include "link_listener.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketImpl.h>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Rest after a failed accept. */
+constexpr milliseconds accept_pause{100};
+
+} // namespace
+
+link_listener::link_listener(std::shared_ptr<link_reactor> reactor,
+                             std::shared_ptr<const link_server_shared> shared,
+                             Poco::Net::ServerSocket socket)
+    : reactor_(std::move(reactor)), shared_(std::move(shared)),
+      socket_(std::move(socket))
+{
+}
+
+void link_listener::start()
+{
+    if (reactor_->stopping())
+        return;
+    const auto number = static_cast<int>(socket_.impl()->sockfd());
+    watch_ = reactor_->watch(number, shared_from_this(), false);
+    accepting_ = true;
+}
+
+void link_listener::stop_accepting()
+{
+    if (!accepting_)
+        return;
+    accepting_ = false;
+    reactor_->unwatch(watch_);
+    socket_.close();
+}
+
+void link_listener::close_all()
+{
+    stop_accepting();
+    for (connections* list : {&known_, &unknown_}) {
+        const connections closing = std::exchange(*list, {});
+        for (const auto& [number, connection] : closing)
+            connection->loop_stopping();
+    }
+}
+
+void link_listener::ready(bool /*readable*/, bool /*writable*/)
+{
+    if (accepting_)
+        accept_one();
+}
+
+void link_listener::flush() {}
+
+void link_listener::loop_stopping()
+{
+    close_all();
+}
+
+void link_listener::accept_one()
+{
+    try {
+        Poco::Net::StreamSocket socket = socket_.acceptConnection();
+        socket.setBlocking(false);
+        socket.setNoDelay(true);
+        add(socket);
+    } catch (const Poco::Exception&) {
+        // Without a free descriptor the socket stays readable, and the loop
+        // would spin on it: look away for a while.
+        pause();
+    }
+}
+
+void link_listener::pause()
+{
+    reactor_->set_interest(watch_, false, false);
+    reactor_->post_at(
+        reactor_->now() + accept_pause, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && self->accepting_)
+                self->reactor_->set_interest(self->watch_, true, false);
+        });
+}
+
+void link_listener::add(const Poco::Net::StreamSocket& socket)
+{
+    if (known_.size() >= shared_->limits.max_connections)
+        return;
+    if (unknown_.size() >= shared_->limits.max_unauthenticated)
+        unknown_.begin()->second->loop_stopping();
+    const std::uint64_t number = next_connection_++;
+    const auto weak = weak_from_this();
+    link_server_connection::hooks hooks;
+    hooks.authenticated = [weak, number] {
+        if (const auto self = weak.lock())
+            self->known_.insert(self->unknown_.extract(number));
+    };
+    hooks.closed = [weak, number] {
+        if (const auto self = weak.lock()) {
+            self->known_.erase(number);
+            self->unknown_.erase(number);
+        }
+    };
+    const auto connection = std::make_shared<link_server_connection>(
+        reactor_, shared_, socket, std::move(hooks));
+    unknown_[number] = connection;
+    connection->start();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/link_listener.hpp
@@ -0,0 +1,56 @@
+#ifndef CYCLAMENRUN_LINK_LISTENER_HPP
+#define CYCLAMENRUN_LINK_LISTENER_HPP
+
+#include "link_server_connection.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <map>
+#include <memory>
+
+namespace cyclamenrun
+{
+
+/**
+ * Accepts a server's connections and bounds them. Unknown peers have their
+ * own, small bound: when it is reached the oldest goes, so that a crowd of
+ * silent connections can't keep a true peer out.
+ */
+class link_listener final : public link_watcher,
+                            public std::enable_shared_from_this<link_listener>
+{
+public:
+    link_listener(std::shared_ptr<link_reactor> reactor,
+                  std::shared_ptr<const link_server_shared> shared,
+                  Poco::Net::ServerSocket socket);
+
+    // On the loop's thread.
+
+    void start();
+    void stop_accepting();
+    void close_all();
+
+    void ready(bool readable, bool writable) override;
+    void flush() override;
+    void loop_stopping() override;
+
+private:
+    using connections =
+        std::map<std::uint64_t, std::shared_ptr<link_server_connection>>;
+
+    void accept_one();
+    void pause();
+    void add(const Poco::Net::StreamSocket& socket);
+
+    std::shared_ptr<link_reactor> reactor_;
+    std::shared_ptr<const link_server_shared> shared_;
+    Poco::Net::ServerSocket socket_;
+    link_reactor::watch_id watch_ = 0;
+    bool accepting_ = false;
+    std::uint64_t next_connection_ = 0;
+    connections known_;
+    connections unknown_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LINK_LISTENER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/link_output.cpp
@@ -0,0 +1,26 @@
+#include "link_output.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** A buffer that a burst made larger than this is given back. */
+constexpr std::size_t kept_capacity = std::size_t{16} << 10;
+
+} // namespace
+
+void link_output::handed_over(std::size_t count)
+{
+    offset_ += count;
+    sent_ += count;
+    if (offset_ < buffer_.size())
+        return;
+    offset_ = 0;
+    buffer_.clear();
+    if (buffer_.capacity() > kept_capacity)
+        buffer_.shrink_to_fit();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/link_reactor.cpp
@@ -0,0 +1,246 @@
+#include "link_reactor.hpp"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::size_t read_buffer_bytes = std::size_t{64} << 10;
+constexpr std::size_t events_a_turn = 256;
+constexpr link_reactor::watch_id wake_up_id = 0;
+
+int checked(int result, const char* what)
+{
+    if (result < 0)
+        throw std::system_error(errno, std::generic_category(), what);
+    return result;
+}
+
+std::uint32_t events_for(bool read, bool write)
+{
+    return (read ? EPOLLIN : 0U) | (write ? EPOLLOUT : 0U);
+}
+
+epoll_event event_of(link_reactor::watch_id id, std::uint32_t events)
+{
+    epoll_event event{};
+    event.events = events;
+    event.data.u64 = id;
+    return event;
+}
+
+} // namespace
+
+link_reactor::link_reactor()
+    : epoll_(checked(epoll_create1(EPOLL_CLOEXEC), "epoll")),
+      wake_up_(checked(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd")),
+      now_(steady_now()), read_buffer_(read_buffer_bytes)
+{
+    epoll_event event = event_of(wake_up_id, EPOLLIN);
+    checked(epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_up_, &event), "epoll");
+}
+
+link_reactor::~link_reactor()
+{
+    ::close(wake_up_);
+    ::close(epoll_);
+}
+
+bool link_reactor::on_loop_thread() const
+{
+    return thread_.load(std::memory_order_relaxed) ==
+           std::this_thread::get_id();
+}
+
+bool link_reactor::post(task work)
+{
+    const std::lock_guard lock(mutex_);
+    if (stopped_)
+        return false;
+    tasks_.push_back(std::move(work));
+    // The loop looks at the queue before it sleeps, so its own thread needs
+    // no wake-up, and one wake-up serves all posts until it has run.
+    if (wake_up_pending_ || on_loop_thread())
+        return true;
+    wake_up_pending_ = true;
+    const std::uint64_t one = 1;
+    return ::write(wake_up_, &one, sizeof one) == sizeof one;
+}
+
+bool link_reactor::post_at(time_point when, task work)
+{
+    if (on_loop_thread()) {
+        timers_.emplace(when, std::move(work));
+        return true;
+    }
+    return post([this, when, work = std::move(work)]() mutable {
+        timers_.emplace(when, std::move(work));
+    });
+}
+
+void link_reactor::stop()
+{
+    post([this] { stopping_ = true; });
+}
+
+link_reactor::watch_id
+link_reactor::watch(int socket, std::shared_ptr<link_watcher> watcher,
+                    bool write_interest)
+{
+    const watch_id id = next_watch_++;
+    epoll_event event = event_of(id, events_for(true, write_interest));
+    checked(epoll_ctl(epoll_, EPOLL_CTL_ADD, socket, &event), "epoll");
+    watches_[id] = {socket, std::move(watcher), event.events};
+    return id;
+}
+
+void link_reactor::set_interest(watch_id id, bool read, bool write)
+{
+    const auto found = watches_.find(id);
+    if (found == watches_.end())
+        return;
+    watch_entry& entry = found->second;
+    const std::uint32_t events = events_for(read, write);
+    if (entry.events == events)
+        return;
+    entry.events = events;
+    epoll_event event = event_of(id, events);
+    checked(epoll_ctl(epoll_, EPOLL_CTL_MOD, entry.socket, &event), "epoll");
+}
+
+void link_reactor::unwatch(watch_id id)
+{
+    const auto found = watches_.find(id);
+    if (found == watches_.end())
+        return;
+    epoll_ctl(epoll_, EPOLL_CTL_DEL, found->second.socket, nullptr);
+    watches_.erase(found);
+}
+
+void link_reactor::flush_later(std::shared_ptr<link_watcher> watcher)
+{
+    unflushed_.push_back(std::move(watcher));
+}
+
+void link_reactor::run()
+{
+    thread_ = std::this_thread::get_id();
+    while (!stopping_)
+        turn();
+    finish();
+}
+
+void link_reactor::turn()
+{
+    std::array<epoll_event, events_a_turn> events{};
+    const int count =
+        epoll_wait(epoll_, events.data(), events_a_turn, wait_milliseconds());
+    now_ = steady_now();
+    for (int i = 0; i < count; ++i)
+        handle_event(events.at(i).data.u64, events.at(i).events);
+    // After the sockets: data that waited while this process was paused
+    // counts before any deadline that passed meanwhile.
+    run_timers();
+    run_tasks();
+    flush_watchers();
+}
+
+void link_reactor::handle_event(watch_id id, std::uint32_t events)
+{
+    if (id == wake_up_id) {
+        clear_wake_up();
+        return;
+    }
+    // An id is never used twice, so an event of a socket that was closed
+    // earlier in this turn finds nothing, even if its number lives on.
+    const auto found = watches_.find(id);
+    if (found == watches_.end())
+        return;
+    const auto watcher = found->second.watcher;
+    const bool broken = (events & (EPOLLERR | EPOLLHUP)) != 0;
+    watcher->ready(broken || (events & EPOLLIN) != 0,
+                   broken || (events & EPOLLOUT) != 0);
+}
+
+int link_reactor::wait_milliseconds()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        if (!tasks_.empty())
+            return 0;
+    }
+    if (!unflushed_.empty())
+        return 0;
+    if (timers_.empty())
+        return -1;
+    const duration left = timers_.begin()->first - steady_now();
+    if (left <= duration::zero())
+        return 0;
+    const auto whole = std::chrono::ceil<milliseconds>(left).count();
+    constexpr auto longest = std::numeric_limits<int>::max();
+    return static_cast<int>(std::min<std::int64_t>(whole, longest));
+}
+
+void link_reactor::clear_wake_up() const
+{
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto size = ::read(wake_up_, &count, sizeof count);
+}
+
+void link_reactor::run_timers()
+{
+    while (!timers_.empty() && timers_.begin()->first <= now_)
+        timers_.extract(timers_.begin()).mapped()();
+}
+
+void link_reactor::run_tasks()
+{
+    std::vector<task> tasks;
+    {
+        const std::lock_guard lock(mutex_);
+        tasks.swap(tasks_);
+        wake_up_pending_ = false;
+    }
+    for (task& work : tasks) {
+        work();
+        work = nullptr;
+    }
+}
+
+void link_reactor::flush_watchers()
+{
+    const auto watchers = std::exchange(unflushed_, {});
+    for (const auto& watcher : watchers)
+        watcher->flush();
+}
+
+void link_reactor::finish()
+{
+    bool empty = false;
+    while (!empty) {
+        while (!watches_.empty()) {
+            const auto watcher = watches_.begin()->second.watcher;
+            const watch_id id = watches_.begin()->first;
+            watcher->loop_stopping();
+            unwatch(id);
+        }
+        run_tasks();
+        flush_watchers();
+        const std::lock_guard lock(mutex_);
+        empty = tasks_.empty() && unflushed_.empty() && watches_.empty();
+        stopped_ = empty;
+    }
+    timers_.clear();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/link_reactor.hpp
@@ -0,0 +1,98 @@
+#ifndef CYCLAMENRUN_LINK_REACTOR_HPP
+#define CYCLAMENRUN_LINK_REACTOR_HPP
+
+#include "clock.hpp"
+#include "link_watcher.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <span>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * What a link_loop runs: sockets, tasks and timers on one thread. Everything
+ * made on a loop shares it, so that a late call after the loop's end finds a
+ * stopped reactor in place of freed memory.
+ */
+class link_reactor
+{
+public:
+    using task = std::function<void()>;
+    using watch_id = std::uint64_t;
+
+    link_reactor();
+    link_reactor(const link_reactor&) = delete;
+    link_reactor& operator=(const link_reactor&) = delete;
+    ~link_reactor();
+
+    /** Serves until stop(); then closes every socket and empties the queue. */
+    void run();
+
+    // From any thread.
+
+    void stop();
+    /** False once the loop has ended: the task is dropped. */
+    bool post(task work);
+    bool post_at(time_point when, task work);
+    bool on_loop_thread() const;
+
+    // On the loop's thread only.
+
+    watch_id watch(int socket, std::shared_ptr<link_watcher> watcher,
+                   bool write_interest);
+    void set_interest(watch_id id, bool read, bool write);
+    void unwatch(watch_id id);
+    /** Asks for flush() once, after all other work of this turn. */
+    void flush_later(std::shared_ptr<link_watcher> watcher);
+    bool stopping() const { return stopping_; }
+    /** Time at the start of this turn. */
+    time_point now() const { return now_; }
+    /** Room for one read, shared by all sockets of the loop. */
+    std::span<char> read_buffer() { return read_buffer_; }
+
+private:
+    struct watch_entry {
+        int socket;
+        std::shared_ptr<link_watcher> watcher;
+        std::uint32_t events;
+    };
+
+    void turn();
+    int wait_milliseconds();
+    void handle_event(watch_id id, std::uint32_t events);
+    void run_timers();
+    void run_tasks();
+    void flush_watchers();
+    void finish();
+    void clear_wake_up() const;
+
+    int epoll_ = -1;
+    int wake_up_ = -1;
+    std::atomic<std::thread::id> thread_;
+
+    std::mutex mutex_;
+    std::vector<task> tasks_;      // under mutex_
+    bool stopped_ = false;         // under mutex_
+    bool wake_up_pending_ = false; // under mutex_
+
+    bool stopping_ = false;
+    time_point now_;
+    std::uint64_t next_watch_ = 1;
+    std::unordered_map<watch_id, watch_entry> watches_;
+    std::multimap<time_point, task> timers_;
+    std::vector<std::shared_ptr<link_watcher>> unflushed_;
+    std::vector<char> read_buffer_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LINK_REACTOR_HPP
