Stop reading what a closing link still receives

A handler could be called after its server had ended, if the server ended within a callback of the same read. The session's callbacks now stop the read.

--- a/src/libcyclamenrun/link_client.cpp
+++ b/src/libcyclamenrun/link_client.cpp
@@ -10,9 +10,9 @@
 {
 
 link_client::link_client(std::shared_ptr<link_reactor> reactor,
-                         Poco::Net::SocketAddress address, std::string link_key,
-                         const link_limits& limits)
-    : reactor_(std::move(reactor)), address_(std::move(address)),
+                         const Poco::Net::SocketAddress& address,
+                         std::string link_key, const link_limits& limits)
+    : reactor_(std::move(reactor)), address_(address),
       link_key_(std::move(link_key)), limits_(limits)
 {
 }
@@ -40,7 +40,7 @@
     std::string request;
     request.reserve(request_frame.size() + frame_prefix_bytes);
     append_frame(request, request_frame);
-    const auto stream = std::shared_ptr<client_stream>(
+    auto stream = std::shared_ptr<client_stream>(
         new client_stream(reactor_, std::move(path), std::move(request),
                           std::move(handlers), limits_));
     const bool posted = reactor_->post(
--- a/src/libcyclamenrun/link_client.hpp
+++ b/src/libcyclamenrun/link_client.hpp
@@ -42,7 +42,7 @@
 
 private:
     link_client(std::shared_ptr<link_reactor> reactor,
-                Poco::Net::SocketAddress address, std::string link_key,
+                const Poco::Net::SocketAddress& address, std::string link_key,
                 const link_limits& limits);
 
     void start(const std::shared_ptr<client_stream>& stream);
--- a/src/libcyclamenrun/link_client_connection.cpp
+++ b/src/libcyclamenrun/link_client_connection.cpp
@@ -45,8 +45,9 @@
 
 link_client_connection::link_client_connection(
     std::shared_ptr<link_reactor> reactor, const link_limits& limits,
-    Poco::Net::StreamSocket socket, std::string link_key, hooks owner_hooks)
-    : link_connection(std::move(reactor), limits, std::move(socket)),
+    const Poco::Net::StreamSocket& socket, std::string link_key,
+    hooks owner_hooks)
+    : link_connection(std::move(reactor), limits, socket),
       link_key_(std::move(link_key)), hooks_(std::move(owner_hooks)),
       handshake_deadline_(this->reactor().now() + limits.handshake_time)
 {
--- a/src/libcyclamenrun/link_client_connection.hpp
+++ b/src/libcyclamenrun/link_client_connection.hpp
@@ -28,8 +28,8 @@
 
     link_client_connection(std::shared_ptr<link_reactor> reactor,
                            const link_limits& limits,
-                           Poco::Net::StreamSocket socket, std::string link_key,
-                           hooks owner_hooks);
+                           const Poco::Net::StreamSocket& socket,
+                           std::string link_key, hooks owner_hooks);
 
     void start();
 
--- a/src/libcyclamenrun/link_connection.cpp
+++ b/src/libcyclamenrun/link_connection.cpp
@@ -25,8 +25,8 @@
 
 link_connection::link_connection(std::shared_ptr<link_reactor> reactor,
                                  const link_limits& limits,
-                                 Poco::Net::StreamSocket socket)
-    : reactor_(std::move(reactor)), limits_(limits), socket_(std::move(socket)),
+                                 const Poco::Net::StreamSocket& socket)
+    : reactor_(std::move(reactor)), limits_(limits), socket_(socket),
       keepalive_(limits, reactor_->now())
 {
 }
--- a/src/libcyclamenrun/link_connection.hpp
+++ b/src/libcyclamenrun/link_connection.hpp
@@ -48,7 +48,8 @@
 
     /** Closes at the end of this turn; the first reason counts. */
     void fail(link_failure failure);
-    bool is_closed() const { return closed_; }
+    /** Nothing that still arrives counts any more. */
+    bool closing() const { return closed_ || failure_; }
 
     // Called from within nghttp2; they must not close the connection.
 
@@ -66,7 +67,8 @@
 
 protected:
     link_connection(std::shared_ptr<link_reactor> reactor,
-                    const link_limits& limits, Poco::Net::StreamSocket socket);
+                    const link_limits& limits,
+                    const Poco::Net::StreamSocket& socket);
 
     /** Takes over the session of the role and sends the first SETTINGS. */
     void begin(nghttp2_session* session, bool connecting);
--- a/src/libcyclamenrun/link_listener.cpp
+++ b/src/libcyclamenrun/link_listener.cpp
@@ -17,9 +17,8 @@
 
 link_listener::link_listener(std::shared_ptr<link_reactor> reactor,
                              std::shared_ptr<const link_server_shared> shared,
-                             Poco::Net::ServerSocket socket)
-    : reactor_(std::move(reactor)), shared_(std::move(shared)),
-      socket_(std::move(socket))
+                             const Poco::Net::ServerSocket& socket)
+    : reactor_(std::move(reactor)), shared_(std::move(shared)), socket_(socket)
 {
 }
 
--- a/src/libcyclamenrun/link_listener.hpp
+++ b/src/libcyclamenrun/link_listener.hpp
@@ -21,7 +21,7 @@
 public:
     link_listener(std::shared_ptr<link_reactor> reactor,
                   std::shared_ptr<const link_server_shared> shared,
-                  Poco::Net::ServerSocket socket);
+                  const Poco::Net::ServerSocket& socket);
 
     // On the loop's thread.
 
--- a/src/libcyclamenrun/link_server_connection.cpp
+++ b/src/libcyclamenrun/link_server_connection.cpp
@@ -20,7 +20,7 @@
 link_server_connection::link_server_connection(
     std::shared_ptr<link_reactor> reactor,
     std::shared_ptr<const link_server_shared> shared,
-    Poco::Net::StreamSocket socket, hooks owner_hooks)
+    const Poco::Net::StreamSocket& socket, hooks owner_hooks)
     : link_connection(std::move(reactor), shared->limits, socket),
       shared_(std::move(shared)), peer_(std::make_shared<const std::string>(
                                       socket.peerAddress().toString())),
--- a/src/libcyclamenrun/link_server_connection.hpp
+++ b/src/libcyclamenrun/link_server_connection.hpp
@@ -35,7 +35,8 @@
 
     link_server_connection(std::shared_ptr<link_reactor> reactor,
                            std::shared_ptr<const link_server_shared> shared,
-                           Poco::Net::StreamSocket socket, hooks owner_hooks);
+                           const Poco::Net::StreamSocket& socket,
+                           hooks owner_hooks);
 
     void start();
 
--- a/src/libcyclamenrun/link_session.cpp
+++ b/src/libcyclamenrun/link_session.cpp
@@ -24,8 +24,11 @@
 int on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                      void* user_data)
 {
+    link_connection& connection = connection_of(user_data);
+    if (connection.closing())
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
     if (frame->headers.cat == NGHTTP2_HCAT_REQUEST)
-        connection_of(user_data).stream_opened(frame->hd.stream_id);
+        connection.stream_opened(frame->hd.stream_id);
     return 0;
 }
 
@@ -44,10 +47,13 @@
                   std::int32_t stream, const std::uint8_t* data,
                   std::size_t size, void* user_data)
 {
+    link_connection& connection = connection_of(user_data);
+    if (connection.closing())
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
     // The connection's window is given back at once, so that a stream whose
     // reader is slow holds only its own window and never the other streams.
     nghttp2_session_consume_connection(session, size);
-    connection_of(user_data).data_received(stream, text_of(data, size));
+    connection.data_received(stream, text_of(data, size));
     return 0;
 }
 
@@ -55,6 +61,8 @@
                       void* user_data)
 {
     link_connection& connection = connection_of(user_data);
+    if (connection.closing())
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
     if (frame->hd.type == NGHTTP2_GOAWAY)
         connection.goaway_received();
     const bool message =
--- a/src/libcyclamenrun/server_stream.cpp
+++ b/src/libcyclamenrun/server_stream.cpp
@@ -42,7 +42,7 @@
     reactor_->post([self = shared_from_this()] { self->woken(); });
 }
 
-void server_stream::on_closed(std::function<void()> callback)
+void server_stream::on_closed(const std::function<void()>& callback)
 {
     const auto self = shared_from_this();
     const bool posted = reactor_->post([self, callback] {
--- a/src/libcyclamenrun/server_stream.hpp
+++ b/src/libcyclamenrun/server_stream.hpp
@@ -57,7 +57,7 @@
      * Sets what is called once when the stream is over: answered to the end,
      * reset by the peer or cut with its connection.
      */
-    void on_closed(std::function<void()> callback);
+    void on_closed(const std::function<void()>& callback);
 
 private:
     friend class link_server_connection;
--- a/tests/links/test_streams.cpp
+++ b/tests/links/test_streams.cpp
@@ -21,28 +21,28 @@
 protected:
     void serve(request_handler handler)
     {
-        server_.emplace(server_loop_, any_port(), "key", limits_,
-                        std::move(handler));
-        client_ = link_client::create(client_loop_, server_->address(), "key",
-                                      limits_);
+        server.emplace(server_loop, any_port(), "key", limits,
+                       std::move(handler));
+        client =
+            link_client::create(client_loop, server->address(), "key", limits);
     }
 
-    link_limits limits_;
-    link_loop server_loop_;
-    link_loop client_loop_;
-    std::optional<link_server> server_;
-    std::shared_ptr<link_client> client_;
+    link_limits limits;
+    link_loop server_loop;
+    link_loop client_loop;
+    std::optional<link_server> server;
+    std::shared_ptr<link_client> client;
 };
 
 TEST_F(link_streams, a_request_gets_its_answer)
 {
     serve(answer_reversed);
     received_answer answer;
-    client_->open("/dispatch", "abc", answer.handlers());
+    client->open("/dispatch", "abc", answer.handlers());
     ASSERT_TRUE(answer.wait_end());
     EXPECT_TRUE(answer.wait_end()->clean);
     EXPECT_EQ(answer.frames(), std::vector<std::string>{"cba"});
-    EXPECT_TRUE(client_->connected());
+    EXPECT_TRUE(client->connected());
 }
 
 TEST_F(link_streams, a_thousand_streams_each_get_their_own_answer)
@@ -56,7 +56,7 @@
     });
     std::vector<received_answer> answers(1000);
     for (std::size_t i = 0; i < answers.size(); ++i)
-        client_->open("/dispatch", std::to_string(i), answers[i].handlers());
+        client->open("/dispatch", std::to_string(i), answers[i].handlers());
     for (std::size_t i = 0; i < answers.size(); ++i) {
         ASSERT_TRUE(answers[i].wait_end()) << i;
         EXPECT_TRUE(answers[i].wait_end()->clean) << i;
