Test what links promise when peers fail, stall or are strangers

The tests found one fault: the handshake's stream counted against the bound on streams, so that a request that waited for the handshake was refused at a small bound. It no longer counts.

--- a/src/libcyclamenrun/link_client_connection.cpp
+++ b/src/libcyclamenrun/link_client_connection.cpp
@@ -79,9 +79,11 @@
     };
     link_limits bounds = limits();
     bounds.max_frame_bytes = handshake_frame_bytes;
-    submit(std::shared_ptr<client_stream>(
+    const auto stream = std::shared_ptr<client_stream>(
         new client_stream(shared_reactor(), std::string(path),
-                          std::move(request), std::move(handlers), bounds)));
+                          std::move(request), std::move(handlers), bounds));
+    submit(stream);
+    handshake_stream_ = stream->id_;
 }
 
 void link_client_connection::hello_answered(std::string_view answer)
@@ -196,7 +198,8 @@
 
 std::size_t link_client_connection::streams() const
 {
-    return streams_.size() + waiting_.size();
+    const std::size_t all = streams_.size() + waiting_.size();
+    return all - streams_.count(handshake_stream_);
 }
 
 bool link_client_connection::takes_streams() const
--- a/src/libcyclamenrun/link_client_connection.hpp
+++ b/src/libcyclamenrun/link_client_connection.hpp
@@ -36,6 +36,7 @@
     void open(const std::shared_ptr<client_stream>& stream);
     void cancel(const std::shared_ptr<client_stream>& stream);
     void give_back_window(std::int32_t stream, std::size_t bytes);
+    /** Streams of the owner, those that wait for the handshake included. */
     std::size_t streams() const;
     bool takes_streams() const;
     /** Closes once no stream is left. */
@@ -78,6 +79,7 @@
     phase phase_ = phase::connecting;
     time_point handshake_deadline_;
     time_point idle_deadline_;
+    std::int32_t handshake_stream_ = 0;
     bool retired_ = false;
     bool leaving_ = false;
     link_nonces nonces_;
--- /dev/null
+++ b/tests/links/test_link_failures.cpp
@@ -0,0 +1,227 @@
+#include "link_streams.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+// A caller asks, the agent's VM is gone: nobody listens. No byte of the
+// request has left, so the entry may say that it was not run.
+TEST_F(link_streams, a_request_to_nobody_has_not_left)
+{
+    Poco::Net::ServerSocket reserved(any_port());
+    client =
+        link_client::create(client_loop, reserved.address(), "key", limits);
+    reserved.close();
+    received_answer answer;
+    const stream_end how = ask(answer, "x");
+    EXPECT_FALSE(how.clean);
+    EXPECT_EQ(how.failure, link_failure::connect_failed);
+    EXPECT_FALSE(how.request_may_have_left);
+    EXPECT_FALSE(client->connected());
+}
+
+// A dossier streams and its agent dies. The caller's stream must end exactly
+// once, as lost, and the request counts as one that may have run.
+TEST_F(link_streams, a_peer_that_dies_mid_stream_ends_each_stream_once)
+{
+    serve(answer_and_stay);
+    std::vector<received_answer> answers(50);
+    for (received_answer& answer : answers)
+        client->open("/dispatch", "", answer.handlers());
+    for (received_answer& answer : answers)
+        ASSERT_TRUE(answer.wait_frames(1));
+    server.reset();
+    for (received_answer& answer : answers) {
+        ASSERT_TRUE(answer.wait_end());
+        EXPECT_FALSE(answer.wait_end()->clean);
+        EXPECT_EQ(answer.wait_end()->failure, link_failure::connection_lost);
+        EXPECT_TRUE(answer.wait_end()->request_may_have_left);
+    }
+    client->close();
+    settle(client_loop);
+    for (const received_answer& answer : answers)
+        EXPECT_EQ(answer.ends(), 1U);
+}
+
+// An agent's process freezes with a dossier half sent: the connection stands
+// and nothing comes. Without a keepalive the caller would wait for minutes.
+TEST_F(link_streams, a_frozen_peer_is_found_by_the_keepalive)
+{
+    limits.busy_ping_after = milliseconds(20);
+    limits.ping_time = milliseconds(50);
+    serve(answer_and_stay);
+    received_answer answer;
+    client->open("/dispatch", "", answer.handlers());
+    ASSERT_TRUE(answer.wait_frames(1));
+    event_count thaw;
+    server_loop.post([&thaw] { thaw.wait(1); });
+    ASSERT_TRUE(answer.wait_end());
+    EXPECT_EQ(answer.wait_end()->failure, link_failure::timed_out);
+    EXPECT_TRUE(answer.wait_end()->request_may_have_left);
+    thaw.add();
+    settle(server_loop);
+}
+
+// An entry's process freezes or its link stalls while an answer is held back
+// for it: the agent must learn that nobody reads any more.
+TEST_F(link_streams, a_frozen_client_is_found_by_the_server)
+{
+    limits.busy_ping_after = milliseconds(20);
+    limits.ping_time = milliseconds(50);
+    event_count closed;
+    serve([&](const auto& stream) {
+        stream->on_closed([&] { closed.add(); });
+        answer_and_stay(stream);
+    });
+    received_answer answer;
+    client->open("/dispatch", "", answer.handlers());
+    ASSERT_TRUE(answer.wait_frames(1));
+    event_count thaw;
+    client_loop.post([&thaw] { thaw.wait(1); });
+    EXPECT_TRUE(closed.wait(1));
+    thaw.add();
+    settle(client_loop);
+    ASSERT_TRUE(answer.wait_end());
+}
+
+// The peer accepts and says nothing: frozen before the handshake.
+TEST_F(link_streams, a_peer_that_never_proves_the_key_is_given_up)
+{
+    limits.handshake_time = milliseconds(50);
+    Poco::Net::ServerSocket silent(any_port());
+    client = link_client::create(client_loop, silent.address(), "key", limits);
+    received_answer answer;
+    const stream_end how = ask(answer, "x");
+    EXPECT_EQ(how.failure, link_failure::timed_out);
+    EXPECT_FALSE(how.request_may_have_left);
+}
+
+TEST_F(link_streams, a_wrong_key_is_refused_before_a_request_leaves)
+{
+    event_count handled;
+    serve([&](const auto&) { handled.add(); });
+    client =
+        link_client::create(client_loop, server->address(), "other", limits);
+    received_answer answer;
+    const stream_end how = ask(answer, "x");
+    EXPECT_EQ(how.failure, link_failure::unauthenticated);
+    EXPECT_FALSE(how.request_may_have_left);
+    EXPECT_EQ(handled.count(), 0U);
+}
+
+TEST_F(link_streams, a_request_over_the_clients_bound_does_not_leave)
+{
+    limits.max_frame_bytes = 100;
+    serve(answer_reversed);
+    received_answer answer;
+    const stream_end how = ask(answer, std::string(101, 'x'));
+    EXPECT_EQ(how.failure, link_failure::too_large);
+    EXPECT_FALSE(how.request_may_have_left);
+}
+
+// Two releases disagree on the bound: the server refuses the request unread,
+// and the client may say that it has not run.
+TEST_F(link_streams, a_request_over_the_servers_bound_is_known_not_to_have_run)
+{
+    event_count handled;
+    limits.max_frame_bytes = 100;
+    serve([&](const auto&) { handled.add(); });
+    limits.max_frame_bytes = 100000;
+    client = link_client::create(client_loop, server->address(), "key", limits);
+    received_answer answer;
+    const stream_end how = ask(answer, std::string(90000, 'x'));
+    EXPECT_EQ(how.failure, link_failure::too_large);
+    EXPECT_FALSE(how.request_may_have_left);
+    EXPECT_EQ(handled.count(), 0U);
+}
+
+TEST_F(link_streams, an_answer_over_the_bound_ends_its_stream)
+{
+    event_count closed;
+    serve([&](const auto& stream) {
+        stream->on_closed([&] { closed.add(); });
+        stream->respond_once(std::string(50000, 'x'));
+    });
+    limits.max_frame_bytes = 100;
+    client = link_client::create(client_loop, server->address(), "key", limits);
+    received_answer answer;
+    const stream_end how = ask(answer, "x");
+    EXPECT_EQ(how.failure, link_failure::too_large);
+    EXPECT_TRUE(how.request_may_have_left);
+    EXPECT_TRUE(closed.wait(1));
+}
+
+TEST_F(link_streams, a_refused_stream_is_known_not_to_have_run)
+{
+    event_count handled;
+    serve([&](const auto&) { handled.add(); });
+    received_answer answer;
+    client->open("/" + std::string(3000, 'x'), "", answer.handlers());
+    ASSERT_TRUE(answer.wait_end());
+    EXPECT_EQ(answer.wait_end()->failure, link_failure::reset_by_peer);
+    EXPECT_FALSE(answer.wait_end()->request_may_have_left);
+    EXPECT_EQ(handled.count(), 0U);
+}
+
+TEST_F(link_streams, streams_over_the_bound_are_refused_by_type)
+{
+    limits.max_streams = 2;
+    serve(answer_and_stay);
+    received_answer first;
+    received_answer second;
+    client->open("/dispatch", "", first.handlers());
+    client->open("/dispatch", "", second.handlers());
+    received_answer third;
+    const stream_end how = ask(third, "x");
+    EXPECT_EQ(how.failure, link_failure::too_many_streams);
+    EXPECT_FALSE(how.request_may_have_left);
+    client->close();
+    ASSERT_TRUE(first.wait_end());
+    ASSERT_TRUE(second.wait_end());
+    EXPECT_EQ(second.wait_end()->failure, link_failure::cancelled);
+}
+
+// A process stops: its loops end with streams open. Each owner of a stream
+// must hear of its end, also one that asks too late.
+TEST(link_loop, its_end_ends_every_stream_once)
+{
+    link_loop server_loop;
+    link_server server(server_loop, any_port(), "key", {}, answer_and_stay);
+    received_answer running;
+    received_answer late;
+    {
+        auto loop = std::make_unique<link_loop>();
+        const auto client =
+            link_client::create(*loop, server.address(), "key", {});
+        client->open("/dispatch", "", running.handlers());
+        ASSERT_TRUE(running.wait_frames(1));
+        loop.reset();
+        client->open("/dispatch", "", late.handlers());
+    }
+    EXPECT_EQ(running.ends(), 1U);
+    EXPECT_EQ(late.ends(), 1U);
+    EXPECT_FALSE(late.wait_end()->request_may_have_left);
+}
+
+TEST(link_loop, timers_run_in_the_order_of_their_deadlines)
+{
+    link_loop loop;
+    std::vector<int> order;
+    event_count done;
+    const time_point now = steady_now();
+    loop.post_at(now + milliseconds(20), [&] {
+        order.push_back(2);
+        done.add();
+    });
+    loop.post_at(now + milliseconds(10), [&] { order.push_back(1); });
+    ASSERT_TRUE(done.wait(1));
+    EXPECT_GE(steady_now(), now + milliseconds(20));
+    EXPECT_EQ(order, (std::vector<int>{1, 2}));
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/links/test_strangers.cpp
@@ -0,0 +1,180 @@
+#include "link_streams.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Timespan.h>
+#include <array>
+#include <deque>
+#include <nghttp2/nghttp2.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+constexpr std::string_view preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+/** A peer that does not speak as ours do. */
+class stranger
+{
+public:
+    explicit stranger(const Poco::Net::SocketAddress& address)
+        : socket_(address)
+    {
+        socket_.setReceiveTimeout(
+            Poco::Timespan(std::chrono::seconds(generous).count(), 0));
+    }
+
+    void send(std::string_view bytes)
+    {
+        try {
+            socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()),
+                              MSG_NOSIGNAL);
+        } catch (const Poco::Exception&) {
+            // The server closed first, which wait_closed() will see.
+        }
+    }
+
+    /** Reads to the end; false if the server kept the connection. */
+    bool wait_closed()
+    {
+        std::array<char, 4096> room{};
+        try {
+            while (socket_.receiveBytes(room.data(), room.size()) > 0) {
+            }
+        } catch (const Poco::TimeoutException&) {
+            return false;
+        } catch (const Poco::Exception&) {
+            return true;
+        }
+        return true;
+    }
+
+private:
+    Poco::Net::StreamSocket socket_;
+};
+
+class link_strangers : public link_streams
+{
+protected:
+    void SetUp() override
+    {
+        limits.handshake_time = milliseconds(100);
+        serve([this](const auto& stream) {
+            handled.add();
+            answer_reversed(stream);
+        });
+    }
+
+    void expect_still_serving()
+    {
+        received_answer answer;
+        EXPECT_TRUE(ask(answer, "ab").clean);
+        EXPECT_EQ(handled.count(), 1U);
+    }
+
+    event_count handled;
+};
+
+TEST_F(link_strangers, a_silent_peer_is_closed)
+{
+    stranger silent(server->address());
+    EXPECT_TRUE(silent.wait_closed());
+    expect_still_serving();
+}
+
+TEST_F(link_strangers, a_half_open_peer_is_closed)
+{
+    stranger half(server->address());
+    half.send(preface.substr(0, 10));
+    EXPECT_TRUE(half.wait_closed());
+    expect_still_serving();
+}
+
+TEST_F(link_strangers, random_bytes_are_closed_and_run_nothing)
+{
+    rc::check("after the preface or in its place", [this] {
+        stranger guest(server->address());
+        if (*rc::gen::arbitrary<bool>())
+            guest.send(preface);
+        guest.send(*rc::gen::resize(400, rc::gen::arbitrary<std::string>()));
+        guest.send(std::string(64, '\xff'));
+        RC_ASSERT(guest.wait_closed());
+    });
+    expect_still_serving();
+}
+
+/** What a stranger that speaks HTTP/2 sends to open a stream at once. */
+std::string request_without_handshake(std::string_view path)
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session* session = nullptr;
+    nghttp2_session_client_new(&session, callbacks, nullptr);
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, nullptr, 0);
+    std::array<std::string, 8> text{":method", "POST",           ":scheme",
+                                    "http",    ":authority",     "x",
+                                    ":path",   std::string(path)};
+    std::vector<nghttp2_nv> headers;
+    for (std::size_t i = 0; i < text.size(); i += 2)
+        headers.push_back({reinterpret_cast<std::uint8_t*>(text[i].data()),
+                           reinterpret_cast<std::uint8_t*>(text[i + 1].data()),
+                           text[i].size(), text[i + 1].size(),
+                           NGHTTP2_NV_FLAG_NONE});
+    std::string frame;
+    append_frame(frame, std::string(32, 'x'));
+    nghttp2_data_provider provider{};
+    provider.source.ptr = &frame;
+    provider.read_callback =
+        [](nghttp2_session*, std::int32_t, std::uint8_t* room, std::size_t,
+           std::uint32_t* flags, nghttp2_data_source* source, void*) {
+            const auto& bytes = *static_cast<const std::string*>(source->ptr);
+            std::copy(bytes.begin(), bytes.end(), room);
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return static_cast<ssize_t>(bytes.size());
+        };
+    nghttp2_submit_request(session, nullptr, headers.data(), headers.size(),
+                           &provider, nullptr);
+    std::string wire;
+    const std::uint8_t* data = nullptr;
+    while (const auto size = nghttp2_session_mem_send(session, &data))
+        wire.append(reinterpret_cast<const char*>(data), size);
+    nghttp2_session_del(session);
+    nghttp2_session_callbacks_del(callbacks);
+    return wire;
+}
+
+// A process without the key speaks the protocol and skips the handshake, or
+// guesses a proof: nothing of what it sends may reach the handler.
+TEST_F(link_strangers, a_request_or_a_proof_out_of_turn_is_refused)
+{
+    for (const std::string_view path : {"/dispatch", "/prove"}) {
+        stranger guest(server->address());
+        guest.send(request_without_handshake(path));
+        EXPECT_TRUE(guest.wait_closed()) << path;
+    }
+    expect_still_serving();
+}
+
+// Someone opens connections and says nothing: the oldest go, so that memory
+// stays bounded and a peer with the key still gets in.
+TEST_F(link_strangers, a_crowd_can_not_keep_a_true_peer_out)
+{
+    server.reset();
+    limits.handshake_time = generous;
+    limits.max_unauthenticated = 4;
+    serve([this](const auto& stream) {
+        handled.add();
+        answer_reversed(stream);
+    });
+    std::deque<stranger> crowd;
+    for (int i = 0; i < 20; ++i)
+        crowd.emplace_back(server->address());
+    for (int i = 0; i < 16; ++i)
+        EXPECT_TRUE(crowd[i].wait_closed()) << i;
+    expect_still_serving();
+}
+
+} // namespace
+} // namespace cyclamenrun
--- a/tests/links/test_streams.cpp
+++ b/tests/links/test_streams.cpp
@@ -1,46 +1,17 @@
-#include "link_fixture.hpp"
+#include "link_streams.hpp"
 
 #include <atomic>
-#include <gtest/gtest.h>
 
 namespace cyclamenrun
 {
 namespace
 {
 
-/** Answers with the request, reversed. */
-void answer_reversed(const std::shared_ptr<server_stream>& stream)
-{
-    stream->respond_once(
-        {stream->request().rbegin(), stream->request().rend()});
-}
-
-/** A client and a server, each on its own loop. */
-class link_streams : public testing::Test
-{
-protected:
-    void serve(request_handler handler)
-    {
-        server.emplace(server_loop, any_port(), "key", limits,
-                       std::move(handler));
-        client =
-            link_client::create(client_loop, server->address(), "key", limits);
-    }
-
-    link_limits limits;
-    link_loop server_loop;
-    link_loop client_loop;
-    std::optional<link_server> server;
-    std::shared_ptr<link_client> client;
-};
-
 TEST_F(link_streams, a_request_gets_its_answer)
 {
     serve(answer_reversed);
     received_answer answer;
-    client->open("/dispatch", "abc", answer.handlers());
-    ASSERT_TRUE(answer.wait_end());
-    EXPECT_TRUE(answer.wait_end()->clean);
+    EXPECT_TRUE(ask(answer, "abc").clean);
     EXPECT_EQ(answer.frames(), std::vector<std::string>{"cba"});
     EXPECT_TRUE(client->connected());
 }
@@ -48,10 +19,8 @@
 TEST_F(link_streams, a_thousand_streams_each_get_their_own_answer)
 {
     serve([](const auto& stream) {
-        auto count = std::make_shared<int>(0);
-        stream->respond([stream, count](std::size_t) {
-            ++*count;
-            return pulled{{stream->request()}, *count == 5};
+        stream->respond([stream, count = 0](std::size_t) mutable {
+            return pulled{{stream->request()}, ++count == 5};
         });
     });
     std::vector<received_answer> answers(1000);
@@ -65,5 +34,154 @@
     }
 }
 
+TEST_F(link_streams, an_answer_that_comes_later_is_sent_on_wake)
+{
+    std::mutex mutex;
+    std::string ready;
+    std::shared_ptr<server_stream> asked;
+    event_count pulls;
+    serve([&](const auto& stream) {
+        asked = stream;
+        stream->respond([&](std::size_t) {
+            const std::lock_guard lock(mutex);
+            pulls.add();
+            return ready.empty() ? pulled{} : pulled{{ready}, true};
+        });
+    });
+    received_answer answer;
+    client->open("/dispatch", "", answer.handlers());
+    ASSERT_TRUE(pulls.wait(1));
+    {
+        const std::lock_guard lock(mutex);
+        ready = "done";
+    }
+    asked->wake();
+    ASSERT_TRUE(answer.wait_end());
+    EXPECT_TRUE(answer.wait_end()->clean);
+    EXPECT_EQ(answer.frames(), std::vector<std::string>{"done"});
+}
+
+// A caller reads slowly. The entry must not collect its answer in memory, and
+// other callers on the same connection must not wait for it. The window of
+// its stream stays closed until what came is consumed.
+TEST_F(link_streams, a_slow_reader_holds_its_own_answer_and_no_other)
+{
+    limits.connection_window = 128U << 10;
+    const std::string frame(996, 'x'); // 1000 bytes with its length
+    std::atomic<std::size_t> made = 0;
+    serve([&](const auto& stream) {
+        if (stream->request() == "quick") {
+            answer_reversed(stream);
+            return;
+        }
+        stream->respond([&](std::size_t) {
+            made += 1000;
+            return pulled{{frame}, false};
+        });
+    });
+    received_answer slow[20];
+    std::shared_ptr<client_stream> streams[20];
+    for (int i = 0; i < 20; ++i)
+        streams[i] = client->open("/dispatch", "", slow[i].handlers());
+    const std::size_t whole_frames = limits.stream_window / 1000;
+    for (received_answer& answer : slow)
+        ASSERT_TRUE(answer.wait_frames(whole_frames));
+
+    // All windows are full; together they are larger than the connection's.
+    received_answer quick;
+    EXPECT_TRUE(ask(quick, "quick").clean);
+    settle(server_loop);
+    EXPECT_LE(made, 20 * (limits.stream_window + 1000));
+    EXPECT_EQ(slow[0].frames().size(), whole_frames);
+
+    streams[0]->consumed(whole_frames * frame.size());
+    EXPECT_TRUE(slow[0].wait_frames(2 * whole_frames));
+    EXPECT_EQ(slow[1].frames().size(), whole_frames);
+    for (const auto& stream : streams)
+        stream->cancel();
+    for (received_answer& answer : slow)
+        ASSERT_TRUE(answer.wait_end());
+    server.reset();
+}
+
+// An answer in frames larger than the window would stand still for ever: the
+// first part fills the window and can't be consumed before the rest has come.
+TEST_F(link_streams, frames_larger_than_the_window_arrive)
+{
+    const std::string large(10 * limits.stream_window, 'x');
+    serve([&](const auto& stream) {
+        stream->respond([&, count = 0](std::size_t) mutable {
+            return pulled{{large}, ++count == 3};
+        });
+    });
+    received_answer answer;
+    std::shared_ptr<client_stream> stream;
+    std::mutex mutex;
+    auto handlers = answer.handlers();
+    handlers.on_frame = [&, keep = handlers.on_frame](std::string frame) {
+        const std::lock_guard lock(mutex);
+        stream->consumed(frame.size());
+        keep(std::move(frame));
+    };
+    {
+        const std::lock_guard lock(mutex);
+        stream = client->open("/dispatch", large, handlers);
+    }
+    ASSERT_TRUE(answer.wait_end());
+    EXPECT_TRUE(answer.wait_end()->clean);
+    EXPECT_EQ(answer.frames(), std::vector<std::string>(3, large));
+}
+
+TEST_F(link_streams, a_cancelled_stream_is_closed_at_the_server)
+{
+    event_count closed;
+    serve([&](const auto& stream) {
+        stream->on_closed([&] { closed.add(); });
+        answer_and_stay(stream);
+    });
+    received_answer answer;
+    const auto stream = client->open("/dispatch", "", answer.handlers());
+    ASSERT_TRUE(answer.wait_frames(1));
+    stream->cancel();
+    stream->cancel();
+    ASSERT_TRUE(answer.wait_end());
+    EXPECT_EQ(answer.wait_end()->failure, link_failure::cancelled);
+    EXPECT_TRUE(answer.wait_end()->request_may_have_left);
+    EXPECT_TRUE(closed.wait(1));
+    settle(client_loop);
+    settle(server_loop);
+    EXPECT_EQ(answer.ends(), 1U);
+    EXPECT_EQ(closed.count(), 1U);
+}
+
+TEST_F(link_streams, an_answered_stream_is_closed_once_at_the_server)
+{
+    event_count closed;
+    serve([&](const auto& stream) {
+        stream->on_closed([&] { closed.add(); });
+        answer_reversed(stream);
+    });
+    received_answer answer;
+    EXPECT_TRUE(ask(answer, "").clean);
+    EXPECT_TRUE(closed.wait(1));
+    server.reset();
+    EXPECT_EQ(closed.count(), 1U);
+}
+
+TEST_F(link_streams, a_client_connects_again_to_a_peer_that_came_back)
+{
+    serve(answer_reversed);
+    received_answer before;
+    EXPECT_TRUE(ask(before, "a").clean);
+    const auto address = server->address();
+    server.reset();
+    server.emplace(server_loop, address, "key", limits, answer_reversed);
+    // The first request may still meet the end of the old connection.
+    received_answer first;
+    ask(first, "b");
+    received_answer after;
+    EXPECT_TRUE(ask(after, "c").clean);
+}
+
 } // namespace
 } // namespace cyclamenrun
