--- a/tests/links/test_strangers.cpp
+++ b/tests/links/test_strangers.cpp
@@ -105,25 +105,18 @@
     expect_still_serving();
 }
 
-/** What a stranger that speaks HTTP/2 sends to open a stream at once. */
-std::string request_without_handshake(std::string_view path)
+/** Opens a stream for a frame of 32 bytes, as long as a nonce or a proof. */
+void submit_request(nghttp2_session* session, const std::string& path,
+                    std::string& frame)
 {
-    nghttp2_session_callbacks* callbacks = nullptr;
-    nghttp2_session_callbacks_new(&callbacks);
-    nghttp2_session* session = nullptr;
-    nghttp2_session_client_new(&session, callbacks, nullptr);
-    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, nullptr, 0);
-    std::array<std::string, 8> text{":method", "POST",           ":scheme",
-                                    "http",    ":authority",     "x",
-                                    ":path",   std::string(path)};
+    std::array<std::string, 8> text{":method", "POST", ":scheme",    "http",
+                                    ":path",   path,   ":authority", "x"};
     std::vector<nghttp2_nv> headers;
     for (std::size_t i = 0; i < text.size(); i += 2)
         headers.push_back({reinterpret_cast<std::uint8_t*>(text[i].data()),
                            reinterpret_cast<std::uint8_t*>(text[i + 1].data()),
                            text[i].size(), text[i + 1].size(),
                            NGHTTP2_NV_FLAG_NONE});
-    std::string frame;
-    append_frame(frame, std::string(32, 'x'));
     nghttp2_data_provider provider{};
     provider.source.ptr = &frame;
     provider.read_callback =
@@ -136,6 +129,20 @@
         };
     nghttp2_submit_request(session, nullptr, headers.data(), headers.size(),
                            &provider, nullptr);
+}
+
+/** What a stranger that speaks HTTP/2 sends without waiting for answers. */
+std::string requests_at_once(const std::vector<std::string>& paths)
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session* session = nullptr;
+    nghttp2_session_client_new(&session, callbacks, nullptr);
+    nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, nullptr, 0);
+    std::string frame;
+    append_frame(frame, std::string(32, 'x'));
+    for (const std::string& path : paths)
+        submit_request(session, path, frame);
     std::string wire;
     const std::uint8_t* data = nullptr;
     while (const auto size = nghttp2_session_mem_send(session, &data))
@@ -147,12 +154,19 @@
 
 // A process without the key speaks the protocol and skips the handshake, or
 // guesses a proof: nothing of what it sends may reach the handler.
-TEST_F(link_strangers, a_request_or_a_proof_out_of_turn_is_refused)
+TEST_F(link_strangers, a_request_before_a_true_proof_is_refused)
 {
-    for (const std::string_view path : {"/dispatch", "/prove"}) {
+    const std::vector<std::vector<std::string>> attempts{
+        {"/dispatch"},
+        {"/prove", "/dispatch"},
+        {"/hello", "/dispatch"},
+        {"/hello", "/prove", "/dispatch"},
+    };
+    for (const auto& paths : attempts) {
         stranger guest(server->address());
-        guest.send(request_without_handshake(path));
-        EXPECT_TRUE(guest.wait_closed()) << path;
+        guest.send(requests_at_once(paths));
+        EXPECT_TRUE(guest.wait_closed());
+        EXPECT_EQ(handled.count(), 0U);
     }
     expect_still_serving();
 }
