Read settings by table and log events as JSON lines

Cause: the daemons need typed settings and one way to log. Ruled out: defaults written in the table as well as in the structs, since the two drift; glog's own prefix format, since it cannot be made JSON and splits messages of several lines. Change: a row names key, target, range, unit and meaning; the target's initial value is the default. All errors of a file are told at once with line and what is allowed. Events go through glog to a sink of our own; texts of libraries are wrapped. Keys are of a type that no log field takes, and a generation's secret is left out of its log field.

--- /dev/null
+++ b/src/libcyclamenrun/agent_settings.cpp
@@ -0,0 +1,152 @@
+#include "agent_settings.hpp"
+
+#include "settings_file.hpp"
+#include "settings_link_key.hpp"
+#include "settings_reader.hpp"
+#include "settings_writer.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr auto required = settings_presence::required;
+constexpr auto optional = settings_presence::optional;
+constexpr double mebibyte = 1048576;
+constexpr double minute_ms = 60000;
+constexpr double hour_ms = 60 * minute_ms;
+constexpr double day_ms = 24 * hour_ms;
+constexpr double longest_name = 63;
+
+void append(settings_table& table, const settings_table& rows)
+{
+    table.insert(table.end(), rows.begin(), rows.end());
+}
+
+settings_table own_rows(agent_settings& settings)
+{
+    return {
+        {"service", &settings.service, required, 1, longest_name, "",
+         "Service that the upstream belongs to."},
+        {"listen", &settings.listen, optional, 0, 0, "",
+         "Where entries connect."},
+    };
+}
+
+settings_table upstream_rows(upstream_settings& upstream)
+{
+    return {
+        {"upstream.address", &upstream.address, required, 0, 0, "",
+         "Where the upstream listens."},
+        {"upstream.kind", &upstream.kind, optional, 0, 0, "",
+         "Whether it is a model engine or an application runner."},
+        {"upstream.honours_fence", &upstream.honours_fence, optional, 0, 0, "",
+         "Whether the engine refuses orders with an old fencing number; if "
+         "not, a new agent waits out the old one's lease."},
+        {"upstream.memory_tokens", &upstream.memory_tokens, optional, 1, 1e9,
+         "tokens", "Tokens that the engine's memory holds; models only."},
+        {"upstream.max_running", &upstream.max_running, optional, 1, 65536,
+         "requests", "Requests that run on the upstream at once."},
+        {"upstream.max_queued", &upstream.max_queued, optional, 0, 65536,
+         "requests", "Requests that wait at the agent at once."},
+        {"upstream.connect_timeout_ms", &upstream.connect_timeout, optional, 10,
+         minute_ms, "ms", "Time for the upstream to accept a connection."},
+        {"upstream.idle_timeout_ms", &upstream.idle_timeout, optional, 100,
+         hour_ms, "ms",
+         "Silence in an answer after which the upstream counts as lost."},
+    };
+}
+
+settings_table replay_rows(replay_settings& replay)
+{
+    return {
+        {"replay.tokens_per_generation", &replay.tokens_per_generation,
+         optional, 1, 1048576, "tokens",
+         "Tokens kept of one generation until its answer is acknowledged."},
+        {"replay.total_bytes", &replay.total_bytes, optional, mebibyte,
+         1024 * mebibyte, "bytes", "Memory for the tokens of all generations."},
+        {"replay.resume_grace_ms", &replay.resume_grace, optional, 0, hour_ms,
+         "ms",
+         "Time for which a generation runs on and is kept after its caller "
+         "has gone."},
+    };
+}
+
+settings_table ticket_rows(ticket_settings& tickets)
+{
+    return {
+        {"tickets.lifetime_ms", &tickets.lifetime, optional, 1000, day_ms, "ms",
+         "Time for which a ticket may be used."},
+        {"tickets.tombstone_lifetime_ms", &tickets.tombstone_lifetime, optional,
+         1000, 2 * day_ms, "ms",
+         "Time for which a used or refused id is remembered; longer than "
+         "tickets.lifetime_ms."},
+        {"tickets.max_tombstones", &tickets.max_tombstones, optional, 1000,
+         10e6, "ids", "Used or refused ids remembered at once."},
+    };
+}
+
+settings_table drain_rows(agent_settings& settings)
+{
+    return {
+        {"drain.timeout_ms", &settings.drain_timeout, optional, 0, day_ms, "ms",
+         "Time for running work to end and be fetched in a planned stop."},
+    };
+}
+
+/**
+ * Guards against a ticket that outlives the memory of its use: a late copy
+ * of the call would then pass as new and run a second time.
+ */
+settings_errors check_together(const agent_settings& settings,
+                               const std::string& file)
+{
+    if (settings.tickets.tombstone_lifetime > settings.tickets.lifetime)
+        return {};
+    return {{settings_problem::contradictory, file, 0,
+             "tickets.tombstone_lifetime_ms", "more than tickets.lifetime_ms"}};
+}
+
+} // namespace
+
+settings_table agent_rows(agent_settings& settings)
+{
+    auto table = process_rows(settings);
+    append(table, own_rows(settings));
+    append(table, platform_rows(settings));
+    append(table, upstream_rows(settings.upstream));
+    append(table, replay_rows(settings.replay));
+    append(table, ticket_rows(settings.tickets));
+    append(table, drain_rows(settings));
+    return table;
+}
+
+settings_outcome<agent_settings> parse_agent_settings(std::string_view text,
+                                                      const std::string& file)
+{
+    agent_settings settings;
+    auto errors = read_settings(agent_rows(settings), text, file);
+    if (errors.empty())
+        errors = resolve_link_key(settings, file);
+    if (errors.empty())
+        errors = check_together(settings, file);
+    if (!errors.empty())
+        return tl::unexpected(std::move(errors));
+    return settings;
+}
+
+settings_outcome<agent_settings> read_agent_settings(const std::string& file)
+{
+    return read_settings_file(file).and_then([&](const std::string& text) {
+        return parse_agent_settings(text, file);
+    });
+}
+
+std::string default_agent_settings()
+{
+    agent_settings settings;
+    return write_settings(agent_rows(settings));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/entry_settings.cpp
@@ -0,0 +1,157 @@
+#include "entry_settings.hpp"
+
+#include "settings_file.hpp"
+#include "settings_link_key.hpp"
+#include "settings_reader.hpp"
+#include "settings_writer.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr auto required = settings_presence::required;
+constexpr auto optional = settings_presence::optional;
+constexpr double mebibyte = 1048576;
+constexpr double minute_ms = 60000;
+constexpr double hour_ms = 60 * minute_ms;
+constexpr double day_ms = 24 * hour_ms;
+constexpr double most_operator_keys = 16;
+
+void append(settings_table& table, const settings_table& rows)
+{
+    table.insert(table.end(), rows.begin(), rows.end());
+}
+
+settings_table listener_rows(entry_settings& settings)
+{
+    return {
+        {"listen", &settings.listen, optional, 0, 0, "",
+         "Where callers connect."},
+        {"operator_listen", &settings.operator_listen, optional, 0, 0, "",
+         "Where operators connect."},
+        {"operator_keys", &settings.operator_keys, required, 1,
+         most_operator_keys, "",
+         "Salted hashes of the keys that operators may use."},
+    };
+}
+
+settings_table limit_rows(entry_limits& limits)
+{
+    return {
+        {"limits.header_bytes", &limits.header_bytes, optional, 1024, mebibyte,
+         "bytes", "Largest request line and headers together."},
+        {"limits.body_bytes", &limits.body_bytes, optional, 1024, 64 * mebibyte,
+         "bytes", "Largest request body."},
+        {"limits.prompt_bytes", &limits.prompt_bytes, optional, 1,
+         64 * mebibyte, "bytes", "Largest prompt within a body."},
+        {"limits.answer_bytes", &limits.answer_bytes, optional, 1024,
+         256 * mebibyte, "bytes",
+         "Largest answer that is held back to be delivered whole."},
+        {"limits.connections", &limits.connections, optional, 1, 65536,
+         "connections", "Callers' connections open at once."},
+        {"limits.threads", &limits.threads, optional, 1, 8192, "threads",
+         "Threads that serve callers."},
+        {"limits.request_timeout_ms", &limits.request_timeout, optional, 100,
+         10 * minute_ms, "ms",
+         "Time for a caller to send the whole of a request."},
+        {"limits.idle_timeout_ms", &limits.idle_timeout, optional, 100, hour_ms,
+         "ms", "Time after which an idle connection is closed."},
+        {"limits.write_timeout_ms", &limits.write_timeout, optional, 100,
+         hour_ms, "ms",
+         "Time for a caller to take any part of an answer; the connection is "
+         "closed then, the generation can be resumed."},
+    };
+}
+
+settings_table routing_rows(entry_routing& routing)
+{
+    return {
+        {"routing.subset_size", &routing.subset_size, optional, 1, 1024,
+         "upstreams", "Upstreams of a service that this entry uses."},
+        {"routing.retry_share", &routing.retry_share, optional, 0, 1, "",
+         "Retries allowed for each first attempt, on average per team."},
+        {"routing.heartbeat_interval_ms", &routing.heartbeat_interval, optional,
+         100, minute_ms, "ms",
+         "Time between heartbeats to an agent when nothing else flows."},
+        {"routing.vm_list_interval_ms", &routing.vm_list_interval, optional,
+         100, minute_ms, "ms",
+         "Time between readings of the platform's list of VMs."},
+    };
+}
+
+settings_table time_rows(entry_settings& settings)
+{
+    auto& deadlines = settings.deadlines;
+    auto& drain = settings.drain;
+    return {
+        {"deadlines.default_ms", &deadlines.by_default, optional, 100, day_ms,
+         "ms",
+         "Deadline of a request that names none, unless its service "
+         "does."},
+        {"deadlines.longest_ms", &deadlines.longest, optional, 100, day_ms,
+         "ms", "Longest deadline that a request may name."},
+        {"drain.balancer_wait_ms", &drain.balancer_wait, optional, 0,
+         10 * minute_ms, "ms",
+         "Time between readiness going false and the listener closing."},
+        {"drain.timeout_ms", &drain.timeout, optional, 0, day_ms, "ms",
+         "Time for running requests to end in a planned stop."},
+    };
+}
+
+settings_errors check_together(const entry_settings& settings,
+                               const std::string& file)
+{
+    settings_errors errors;
+    if (settings.limits.prompt_bytes > settings.limits.body_bytes)
+        errors.push_back({settings_problem::contradictory, file, 0,
+                          "limits.prompt_bytes", "at most limits.body_bytes"});
+    if (settings.deadlines.by_default > settings.deadlines.longest)
+        errors.push_back({settings_problem::contradictory, file, 0,
+                          "deadlines.default_ms",
+                          "at most deadlines.longest_ms"});
+    return errors;
+}
+
+} // namespace
+
+settings_table entry_rows(entry_settings& settings)
+{
+    auto table = process_rows(settings);
+    append(table, listener_rows(settings));
+    append(table, platform_rows(settings));
+    append(table, limit_rows(settings.limits));
+    append(table, routing_rows(settings.routing));
+    append(table, time_rows(settings));
+    return table;
+}
+
+settings_outcome<entry_settings> parse_entry_settings(std::string_view text,
+                                                      const std::string& file)
+{
+    entry_settings settings;
+    auto errors = read_settings(entry_rows(settings), text, file);
+    if (errors.empty())
+        errors = resolve_link_key(settings, file);
+    if (errors.empty())
+        errors = check_together(settings, file);
+    if (!errors.empty())
+        return tl::unexpected(std::move(errors));
+    return settings;
+}
+
+settings_outcome<entry_settings> read_entry_settings(const std::string& file)
+{
+    return read_settings_file(file).and_then([&](const std::string& text) {
+        return parse_entry_settings(text, file);
+    });
+}
+
+std::string default_entry_settings()
+{
+    entry_settings settings;
+    return write_settings(entry_rows(settings));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/entry_settings.hpp
@@ -0,0 +1,71 @@
+#ifndef CYCLAMENRUN_ENTRY_SETTINGS_HPP
+#define CYCLAMENRUN_ENTRY_SETTINGS_HPP
+
+#include "process_settings.hpp"
+#include "settings_error.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** Bounds on what callers may use of an entry. */
+struct entry_limits {
+    std::uint64_t header_bytes = 16384;
+    std::uint64_t body_bytes = 1048576;
+    std::uint64_t prompt_bytes = 524288;
+    std::uint64_t answer_bytes = 4194304;
+    std::uint64_t connections = 1024;
+    std::uint64_t threads = 512;
+    milliseconds request_timeout{10000};
+    milliseconds idle_timeout{60000};
+    milliseconds write_timeout{30000};
+};
+
+/** How an entry chooses upstreams and tries again. */
+struct entry_routing {
+    std::uint64_t subset_size = 64;
+    double retry_share = 0.1;
+    milliseconds heartbeat_interval{1000};
+    milliseconds vm_list_interval{2000};
+};
+
+struct entry_deadlines {
+    milliseconds by_default{600000};
+    milliseconds longest{3600000};
+};
+
+struct entry_drain {
+    milliseconds balancer_wait{5000};
+    milliseconds timeout{600000};
+};
+
+/** Settings of `cyclamenrun-entry`. */
+struct entry_settings : process_settings {
+    ip_endpoint listen{"0.0.0.0", 8080};
+    ip_endpoint operator_listen{"127.0.0.1", 8081};
+    std::vector<key_hash> operator_keys;
+    entry_limits limits;
+    entry_routing routing;
+    entry_deadlines deadlines;
+    entry_drain drain;
+};
+
+/** The rows that fill `settings`, which must outlive them. */
+settings_table entry_rows(entry_settings& settings);
+
+/** `file` is for messages and for finding the link key's file. */
+settings_outcome<entry_settings> parse_entry_settings(std::string_view text,
+                                                      const std::string& file);
+
+settings_outcome<entry_settings> read_entry_settings(const std::string& file);
+
+/** A settings file with all defaults, to start from. */
+std::string default_entry_settings();
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_ENTRY_SETTINGS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/json_text.cpp
@@ -0,0 +1,32 @@
+#include "json_text.hpp"
+
+#include <Poco/JSONString.h>
+#include <Poco/TextConverter.h>
+#include <Poco/UTF8Encoding.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr int replacement_character = 0xfffd;
+
+/** Drops what is not UTF-8: POCO's converter puts its default in its place. */
+std::string valid_utf8(std::string_view text)
+{
+    const Poco::UTF8Encoding utf8;
+    Poco::TextConverter converter(utf8, utf8, replacement_character);
+    std::string valid;
+    converter.convert(text.data(), static_cast<int>(text.size()), valid);
+    return valid;
+}
+
+} // namespace
+
+std::string json_quoted(std::string_view text)
+{
+    return Poco::toJSON(valid_utf8(text), Poco::JSON_WRAP_STRINGS);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/log_event.hpp
@@ -0,0 +1,25 @@
+#ifndef CYCLAMENRUN_LOG_EVENT_HPP
+#define CYCLAMENRUN_LOG_EVENT_HPP
+
+#include "log_event_name.hpp"
+#include "log_field.hpp"
+#include "log_severity.hpp"
+
+#include <initializer_list>
+
+namespace cyclamenrun
+{
+
+/**
+ * Logs one event as one JSON line on standard error, from any thread. Prompt
+ * text is never passed as a field; keys are of type `secret`, which no field
+ * takes. Texts are cut at `longest_log_text` bytes.
+ */
+void log_event(log_severity severity, log_event_name event,
+               std::initializer_list<log_field> fields = {});
+
+inline constexpr std::size_t longest_log_text = 1024;
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOG_EVENT_HPP
--- /dev/null
+++ b/src/libcyclamenrun/log_event_name.cpp
@@ -0,0 +1,130 @@
+#include "log_event_name.hpp"
+
+#include <array>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::array rows{
+    log_event_row{log_event_name::process_started, "process_started",
+                  "The process runs; its settings were read."},
+    log_event_row{
+        log_event_name::process_ready, "process_ready",
+        "It serves: it has a configuration and its listeners are open."},
+    log_event_row{log_event_name::process_not_ready, "process_not_ready",
+                  "It does not serve for now; reason says why."},
+    log_event_row{log_event_name::process_stopping, "process_stopping",
+                  "A planned stop has begun."},
+    log_event_row{log_event_name::process_stopped, "process_stopped",
+                  "The process ends."},
+    log_event_row{log_event_name::signal_received, "signal_received",
+                  "A signal asked for something."},
+    log_event_row{log_event_name::settings_refused, "settings_refused",
+                  "The settings file is not usable; one line for each error."},
+    log_event_row{log_event_name::request_started, "request_started",
+                  "A caller's request was accepted for work."},
+    log_event_row{log_event_name::request_finished, "request_finished",
+                  "A request was answered completely."},
+    log_event_row{log_event_name::request_refused, "request_refused",
+                  "A request ended with a typed refusal."},
+    log_event_row{
+        log_event_name::request_retried, "request_retried",
+        "A request goes to another upstream; nothing of it was seen."},
+    log_event_row{log_event_name::request_cancelled, "request_cancelled",
+                  "The caller closed or gave up."},
+    log_event_row{log_event_name::generation_resumed, "generation_resumed",
+                  "A caller fetches the rest of a generation."},
+    log_event_row{log_event_name::generation_lost, "generation_lost",
+                  "A generation ended before it was complete."},
+    log_event_row{log_event_name::call_finished, "call_finished",
+                  "A call to an application runner was answered."},
+    log_event_row{log_event_name::ticket_minted, "ticket_minted",
+                  "A ticket for a non-idempotent call was given out."},
+    log_event_row{log_event_name::ticket_refused, "ticket_refused",
+                  "A ticket was used again, too late or by the wrong team."},
+    log_event_row{log_event_name::caller_refused, "caller_refused",
+                  "A caller's bytes were no acceptable request."},
+    log_event_row{log_event_name::caller_timed_out, "caller_timed_out",
+                  "A caller was too slow to send or to read."},
+    log_event_row{log_event_name::operator_refused, "operator_refused",
+                  "An operator's call had no valid key or no valid body."},
+    log_event_row{log_event_name::change_accepted, "change_accepted",
+                  "A change of configuration is in force at this entry."},
+    log_event_row{log_event_name::change_conflicted, "change_conflicted",
+                  "A change lost against another one."},
+    log_event_row{log_event_name::change_uncertain, "change_uncertain",
+                  "The log did not answer; the change may come into force."},
+    log_event_row{log_event_name::configuration_applied,
+                  "configuration_applied",
+                  "This process has a newer revision in force."},
+    log_event_row{log_event_name::configuration_stale, "configuration_stale",
+                  "The configuration could not be brought up to date."},
+    log_event_row{log_event_name::snapshot_written, "snapshot_written",
+                  "The whole configuration was written to the log again."},
+    log_event_row{log_event_name::log_service_unavailable,
+                  "log_service_unavailable",
+                  "The platform's log does not answer."},
+    log_event_row{log_event_name::log_service_recovered,
+                  "log_service_recovered", "The platform's log answers again."},
+    log_event_row{log_event_name::vm_list_unavailable, "vm_list_unavailable",
+                  "The platform's list of VMs does not answer."},
+    log_event_row{log_event_name::vm_list_recovered, "vm_list_recovered",
+                  "The platform's list of VMs answers again."},
+    log_event_row{log_event_name::upstream_found, "upstream_found",
+                  "An upstream was added to those in use."},
+    log_event_row{log_event_name::upstream_leaving, "upstream_leaving",
+                  "An upstream gets no new work because it leaves."},
+    log_event_row{log_event_name::upstream_removed, "upstream_removed",
+                  "An upstream is no longer in use."},
+    log_event_row{log_event_name::upstream_lost, "upstream_lost",
+                  "An upstream or its agent does not answer."},
+    log_event_row{log_event_name::upstream_recovered, "upstream_recovered",
+                  "A lost upstream answers again."},
+    log_event_row{log_event_name::link_connected, "link_connected",
+                  "A link between an entry and an agent is open."},
+    log_event_row{log_event_name::link_closed, "link_closed",
+                  "A link between an entry and an agent has ended."},
+    log_event_row{log_event_name::link_refused, "link_refused",
+                  "A peer did not prove that it has the link key."},
+    log_event_row{log_event_name::drain_started, "drain_started",
+                  "No new work is taken; running work goes on."},
+    log_event_row{log_event_name::drain_finished, "drain_finished",
+                  "All running work has ended."},
+    log_event_row{log_event_name::drain_timed_out, "drain_timed_out",
+                  "The drain's time is over and work was still running."},
+    log_event_row{log_event_name::claim_made, "claim_made",
+                  "An agent has claimed its upstream on the log."},
+    log_event_row{log_event_name::claim_lost, "claim_lost",
+                  "A newer claim to the upstream was found."},
+    log_event_row{log_event_name::order_given, "order_given",
+                  "An order was given to an engine."},
+    log_event_row{log_event_name::order_refused, "order_refused",
+                  "An engine refused an order or its fencing number."},
+    log_event_row{log_event_name::poison_marked, "poison_marked",
+                  "A request was running when its upstream was lost."},
+    log_event_row{log_event_name::poison_refused, "poison_refused",
+                  "A request is refused since it brings upstreams down."},
+    log_event_row{log_event_name::limit_reached, "limit_reached",
+                  "A bound of the settings was reached."},
+    log_event_row{log_event_name::library_message, "library_message",
+                  "A line from a library, kept as text."},
+    log_event_row{log_event_name::internal_error, "internal_error",
+                  "A defect; please report it with the line."},
+};
+
+} // namespace
+
+std::span<const log_event_row> log_event_table()
+{
+    return rows;
+}
+
+std::string_view name_of(log_event_name event)
+{
+    return rows.at(static_cast<std::size_t>(event)).name;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/log_field.cpp
@@ -0,0 +1,70 @@
+#include "log_field.hpp"
+
+#include <array>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+struct key_row {
+    log_key key;
+    std::string_view name;
+};
+
+constexpr std::array keys{
+    key_row{log_key::address, "address"},
+    key_row{log_key::attempt, "attempt"},
+    key_row{log_key::bytes, "bytes"},
+    key_row{log_key::change_id, "change_id"},
+    key_row{log_key::count, "count"},
+    key_row{log_key::deadline_ms, "deadline_ms"},
+    key_row{log_key::detail, "detail"},
+    key_row{log_key::duration_ms, "duration_ms"},
+    key_row{log_key::failure_domain, "failure_domain"},
+    key_row{log_key::fence, "fence"},
+    key_row{log_key::generation, "generation"},
+    key_row{log_key::incarnation, "incarnation"},
+    key_row{log_key::kind, "kind"},
+    key_row{log_key::offset, "offset"},
+    key_row{log_key::path, "path"},
+    key_row{log_key::process, "process"},
+    key_row{log_key::queued, "queued"},
+    key_row{log_key::reason, "reason"},
+    key_row{log_key::request_id, "request_id"},
+    key_row{log_key::revision, "revision"},
+    key_row{log_key::running, "running"},
+    key_row{log_key::service, "service"},
+    key_row{log_key::signal, "signal"},
+    key_row{log_key::status, "status"},
+    key_row{log_key::team, "team"},
+    key_row{log_key::tokens, "tokens"},
+    key_row{log_key::upstream, "upstream"},
+    key_row{log_key::version, "version"},
+};
+
+/** Upstream, incarnation and sequence: enough to find it, not to fetch it. */
+std::string public_part(const generation_id& generation)
+{
+    return generation.upstream + '.' + std::to_string(generation.incarnation) +
+           '.' + std::to_string(generation.sequence);
+}
+
+} // namespace
+
+std::string_view name_of(log_key key)
+{
+    for (const auto& row : keys) {
+        if (row.key == key)
+            return row.name;
+    }
+    return "other";
+}
+
+log_field::log_field(log_key key, const generation_id& generation)
+    : log_field(key, public_part(generation))
+{
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/log_field.hpp
@@ -0,0 +1,104 @@
+#ifndef CYCLAMENRUN_LOG_FIELD_HPP
+#define CYCLAMENRUN_LOG_FIELD_HPP
+
+#include "clock.hpp"
+#include "generation_id.hpp"
+#include "refusal.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace cyclamenrun
+{
+
+/** Names of the fields that log events carry; see log_field.cpp. */
+enum class log_key : std::uint8_t {
+    address,
+    attempt,
+    bytes,
+    change_id,
+    count,
+    deadline_ms,
+    detail,
+    duration_ms,
+    failure_domain,
+    fence,
+    generation,
+    incarnation,
+    kind,
+    offset,
+    path,
+    process,
+    queued,
+    reason,
+    request_id,
+    revision,
+    running,
+    service,
+    signal,
+    status,
+    team,
+    tokens,
+    upstream,
+    version,
+};
+
+std::string_view name_of(log_key key);
+
+/** One typed field of a log event. */
+class log_field
+{
+public:
+    using value_type =
+        std::variant<std::string, std::int64_t, std::uint64_t, double, bool>;
+
+    log_field(log_key key, std::string_view text)
+        : key_(key), value_(std::string(text))
+    {
+    }
+    log_field(log_key key, const std::string& text)
+        : log_field(key, std::string_view(text))
+    {
+    }
+    log_field(log_key key, const char* text)
+        : log_field(key, std::string_view(text))
+    {
+    }
+    log_field(log_key key, bool flag) : key_(key), value_(flag) {}
+    log_field(log_key key, double number) : key_(key), value_(number) {}
+    template <std::signed_integral Number>
+    log_field(log_key key, Number number)
+        : key_(key), value_(std::int64_t{number})
+    {
+    }
+    template <std::unsigned_integral Number>
+    requires(!std::same_as<Number, bool>) log_field(log_key key, Number number)
+        : key_(key), value_(std::uint64_t{number})
+    {
+    }
+    log_field(log_key key, milliseconds time)
+        : key_(key), value_(std::int64_t{time.count()})
+    {
+    }
+    log_field(log_key key, refusal_reason reason)
+        : log_field(key, name_of(reason))
+    {
+    }
+    log_field(log_key key, refusal_kind kind) : log_field(key, name_of(kind)) {}
+    /** Without the id's secret, by which a reader of logs could resume it. */
+    log_field(log_key key, const generation_id& generation);
+
+    log_key key() const { return key_; }
+    const value_type& value() const { return value_; }
+
+private:
+    log_key key_;
+    value_type value_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOG_FIELD_HPP
--- /dev/null
+++ b/src/libcyclamenrun/process_settings.cpp
@@ -0,0 +1,51 @@
+#include "process_settings.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr auto required = settings_presence::required;
+constexpr auto optional = settings_presence::optional;
+constexpr double longest_name = 63;
+constexpr double longest_path = 4096;
+
+} // namespace
+
+settings_table process_rows(process_settings& settings)
+{
+    return {
+        {"name", &settings.name, required, 1, longest_name, "",
+         "Name of this process, unique in the system."},
+        {"region", &settings.region, required, 1, longest_name, "",
+         "Region of this VM."},
+        {"failure_domain", &settings.failure_domain, required, 1, longest_name,
+         "", "Failure domain of this VM."},
+        {"log_level", &settings.log_level, optional, 0, 0, "",
+         "Least severity that is logged."},
+        {"link_key", &settings.link_key, optional, smallest_link_key,
+         largest_link_key, "",
+         "Key shared by all processes of the system; give this or "
+         "link_key_file."},
+        {"link_key_file", &settings.link_key_file, optional, 1, longest_path,
+         "",
+         "File that holds the link key; a relative path starts at the folder "
+         "of the settings file."},
+    };
+}
+
+settings_table platform_rows(process_settings& settings)
+{
+    auto& platform = settings.platform;
+    return {
+        {"platform.address", &platform.address, required, 0, 0, "",
+         "Where the platform's services listen."},
+        {"platform.log", &platform.log, optional, 1, longest_name, "",
+         "Name of the platform's log that carries the configuration."},
+        {"platform.vm_list", &platform.vm_list, optional, 1, longest_name, "",
+         "Name of the platform's list of VMs."},
+    };
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/process_settings.hpp
@@ -0,0 +1,42 @@
+#ifndef CYCLAMENRUN_PROCESS_SETTINGS_HPP
+#define CYCLAMENRUN_PROCESS_SETTINGS_HPP
+
+#include "ip_endpoint.hpp"
+#include "log_severity.hpp"
+#include "secret.hpp"
+#include "settings_row.hpp"
+
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** Where the platform's services are found. */
+struct platform_settings {
+    ip_endpoint address;
+    std::string log = "cyclamenrun"; ///< name of the append-only log
+    std::string vm_list = "vms";     ///< name of the list of VMs
+};
+
+/** What the settings of every process of the system hold. */
+struct process_settings {
+    std::string name;
+    std::string region;
+    std::string failure_domain;
+    log_severity log_level = log_severity::info;
+    secret link_key;           ///< at least `smallest_link_key` bytes
+    std::string link_key_file; ///< where link_key came from, or empty
+    platform_settings platform;
+};
+
+/** 256 bits: the key is used as that of HMAC-SHA256. */
+inline constexpr std::size_t smallest_link_key = 32;
+inline constexpr std::size_t largest_link_key = 1024;
+
+/** Rows of the keys that stand above the first section. */
+settings_table process_rows(process_settings& settings);
+settings_table platform_rows(process_settings& settings);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_PROCESS_SETTINGS_HPP
