Add operators' calls, keys, metrics, state dumps and cyclamenrunctl

Cause: operators drive the system by unary calls; the daemons need keys, measurements and a dump. Ruled out: gRPC, which needs a second HTTP/2 stack beside nghttp2 for no gain to operators; a key format without the team's name, where 350 hashes would be compared for each request; taking a failed call for a change that was not made, since its answer may be lost after it took effect. Change: rpc_router decodes and encodes without I/O, rpc_http_handler serves it by POCO with a bound on the body; change_sender settles a lost answer by the change's id; team_authenticator compares one hash, also for an unknown team. Metrics keep two windows, so quantiles are recent. Sections of a dump and its lists are bounded. Shown: ctest below; the client is run as a process against a fake entry.

--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,188 @@
+#include "command_line.hpp"
+
+#include "build_info.hpp"
+#include "commands.hpp"
+#include "ctl_options.hpp"
+#include "message_printer.hpp"
+#include "settings_file.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr const char* key_variable = "CYCLAMENRUN_OPERATOR_KEY";
+constexpr const char* entry_variable = "CYCLAMENRUN_ENTRY";
+constexpr std::uint64_t longest_timeout_s = 3600;
+
+std::string exit_codes_text()
+{
+    std::string text = "Exit codes:\n";
+    for (const auto& row : exit_code_table())
+        text += "  " + std::to_string(to_status(row.code)) + "  " +
+                std::string(row.doc) + '\n';
+    return text;
+}
+
+v1::ResourceKind kind_of(const std::string& word)
+{
+    if (word.starts_with("service"))
+        return v1::RESOURCE_KIND_SERVICE;
+    if (word.starts_with("team"))
+        return v1::RESOURCE_KIND_TEAM;
+    return v1::RESOURCE_KIND_ASSIGNMENT;
+}
+
+/** For CLI11: what is wrong with a resource's name, empty for nothing. */
+std::string check_name(const std::string& name)
+{
+    constexpr std::size_t longest = 63;
+    constexpr const char* allowed = "abcdefghijklmnopqrstuvwxyz0123456789-";
+    const bool is_good = !name.empty() && name.size() <= longest &&
+                         name.find_first_not_of(allowed) == std::string::npos;
+    return is_good ? "" : "a name has 1 to 63 of a-z, 0-9 and '-'";
+}
+
+std::string without_line_end(std::string text)
+{
+    text.erase(text.find_last_not_of("\r\n") + 1);
+    return text;
+}
+
+/** From the file, or else from the environment: never from arguments, which
+ * other users of the machine can list. */
+settings_outcome<secret> read_key(const std::string& key_file)
+{
+    if (!key_file.empty())
+        return read_settings_file(key_file).map([](const std::string& text) {
+            return secret(without_line_end(text));
+        });
+    const char* key = std::getenv(key_variable);
+    return secret(key == nullptr ? "" : key);
+}
+
+} // namespace
+
+command_line::command_line()
+    : app_("Operates cyclamenrun: configuration, drain, state of processes.",
+           "cyclamenrunctl")
+{
+    app_.set_version_flag("--version", version_text("cyclamenrunctl"));
+    app_.footer(exit_codes_text());
+    app_.require_subcommand(1);
+    app_.fallthrough();
+    add_connection_options();
+    add_change_commands();
+    add_query_commands();
+    add_key_command();
+}
+
+exit_code command_line::run(int argument_count, const char* const* arguments)
+{
+    try {
+        app_.parse(argument_count, arguments);
+    } catch (const CLI::ParseError& error) {
+        const auto status = app_.exit(error);
+        return status == 0 ? exit_code::ok : exit_code::usage;
+    }
+    return run_chosen();
+}
+
+void command_line::add_connection_options()
+{
+    app_.add_option("--entry", entry_,
+                    "IP:PORT of an entry's operator address; any entry will do")
+        ->envname(entry_variable)
+        ->capture_default_str();
+    app_.add_option("--key-file", key_file_,
+                    "file with the operator's key; else the variable "
+                    "CYCLAMENRUN_OPERATOR_KEY");
+    app_.add_option("--timeout", timeout_s_, "seconds for the whole command")
+        ->check(CLI::Range(std::uint64_t{1}, longest_timeout_s))
+        ->capture_default_str();
+    app_.add_flag("--json", json_, "print the response as JSON");
+}
+
+void command_line::add_change_commands()
+{
+    const auto kinds = CLI::IsMember({"service", "team", "assignment"});
+    auto* apply = app_.add_subcommand(
+        "apply", "bring services, teams and assignments to what a file says");
+    apply->add_option("FILE", file_, "TOML, see docs/settings.md")->required();
+    apply->add_flag("--wait", wait_, "until in force in every process known");
+    auto* remove = app_.add_subcommand("delete", "delete one resource");
+    remove->add_option("KIND", kind_)->required()->check(kinds);
+    remove->add_option("NAME", name_)->required();
+    remove->add_flag("--wait", wait_, "until in force in every process known");
+    auto* drain = app_.add_subcommand(
+        "drain", "give an upstream no new work and let the rest finish");
+    drain->add_option("UPSTREAM", name_)->required();
+}
+
+void command_line::add_query_commands()
+{
+    const auto kinds = CLI::IsMember({"services", "teams", "assignments"});
+    auto* show = app_.add_subcommand("show", "list what is in force");
+    show->add_option("KIND", kind_)->required()->check(kinds);
+    auto* find = app_.add_subcommand("find-change",
+                                     "tell what became of a change by its id");
+    find->add_option("CHANGE-ID", name_)->required();
+    app_.add_subcommand("revisions",
+                        "list which process has which revision in force");
+    auto* dump = app_.add_subcommand("dump", "print the state of a process");
+    dump->add_option("--upstream", name_,
+                     "of this upstream's agent, not of the entry");
+}
+
+void command_line::add_key_command()
+{
+    auto* key = app_.add_subcommand("key", "make keys");
+    key->require_subcommand(1);
+    auto* team = key->add_subcommand("new", "make a key for a team");
+    team->add_option("TEAM", name_)->required()->check(check_name);
+    key->add_subcommand("new-operator", "make a key for operators");
+}
+
+exit_code command_line::run_chosen()
+{
+    if (app_.got_subcommand("key"))
+        return run_new_key(name_);
+    return connected([this](const ctl_options& options) {
+        const auto& chosen = app_.get_subcommands().front()->get_name();
+        if (chosen == "apply")
+            return run_apply(options, file_, wait_);
+        if (chosen == "delete")
+            return run_delete(options, kind_of(kind_), name_, wait_);
+        if (chosen == "show")
+            return run_show(options, kind_of(kind_));
+        if (chosen == "find-change")
+            return run_find_change(options, name_);
+        if (chosen == "drain")
+            return run_drain(options, name_);
+        if (chosen == "dump")
+            return run_dump(options, name_);
+        return run_revisions(options);
+    });
+}
+
+template <typename Command>
+exit_code command_line::connected(Command command) const
+{
+    const auto entry = parse_ip_endpoint(entry_);
+    if (!entry) {
+        std::cerr << "error: --entry " << entry_
+                  << " is no IP:PORT such as 127.0.0.1:8081\n";
+        return exit_code::usage;
+    }
+    const auto key = read_key(key_file_);
+    if (!key)
+        return report_file_errors(key.error());
+    return command(ctl_options{
+        *entry, *key, json_, steady_now() + std::chrono::seconds(timeout_s_)});
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/ctl/command_line.hpp
@@ -0,0 +1,45 @@
+#ifndef CYCLAMENRUN_COMMAND_LINE_HPP
+#define CYCLAMENRUN_COMMAND_LINE_HPP
+
+#include "exit_code.hpp"
+
+#include <CLI/App.hpp>
+#include <CLI/Config.hpp>
+#include <CLI/Formatter.hpp>
+#include <cstdint>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** What the user typed; runs the command that was chosen. */
+class command_line
+{
+public:
+    command_line();
+
+    exit_code run(int argument_count, const char* const* arguments);
+
+private:
+    void add_connection_options();
+    void add_change_commands();
+    void add_query_commands();
+    void add_key_command();
+    exit_code run_chosen();
+    template <typename Command>
+    exit_code connected(Command command) const;
+
+    CLI::App app_;
+    std::string entry_ = "127.0.0.1:8081";
+    std::string key_file_;
+    std::uint64_t timeout_s_ = 30;
+    bool json_ = false;
+    bool wait_ = false;
+    std::string file_;
+    std::string kind_;
+    std::string name_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_COMMAND_LINE_HPP
--- /dev/null
+++ b/src/ctl/operator_session.hpp
@@ -0,0 +1,51 @@
+#ifndef CYCLAMENRUN_OPERATOR_SESSION_HPP
+#define CYCLAMENRUN_OPERATOR_SESSION_HPP
+
+#include "ctl_options.hpp"
+#include "operator.pb.h"
+#include "rpc_client.hpp"
+
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** The operators' calls to one entry, typed. */
+class operator_session
+{
+public:
+    explicit operator_session(const ctl_options& options);
+
+    /** Sends the change until its outcome is known; see change_sender. */
+    rpc_outcome<v1::ApplyChangeResponse>
+    apply_change(const v1::ChangeRecord& change) const;
+    rpc_outcome<v1::DrainUpstreamResponse>
+    drain_upstream(const std::string& upstream) const;
+
+    rpc_outcome<v1::ListResourcesResponse>
+    list_resources(v1::ResourceKind kind) const;
+    rpc_outcome<v1::FindChangeResponse>
+    find_change(const std::string& change_id) const;
+    rpc_outcome<v1::ListRevisionsResponse> list_revisions() const;
+    rpc_outcome<v1::DumpStateResponse>
+    dump_state(const std::string& upstream) const;
+
+    time_point deadline() const { return deadline_; }
+
+private:
+    template <typename Response>
+    rpc_outcome<Response> command(std::string_view method,
+                                  const google::protobuf::Message& request,
+                                  time_point deadline) const;
+    template <typename Response>
+    rpc_outcome<Response> query(std::string_view method,
+                                const google::protobuf::Message& request,
+                                time_point deadline) const;
+
+    rpc_client client_;
+    time_point deadline_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_OPERATOR_SESSION_HPP
--- /dev/null
+++ b/src/ctl/revision_printer.hpp
@@ -0,0 +1,17 @@
+#ifndef CYCLAMENRUN_REVISION_PRINTER_HPP
+#define CYCLAMENRUN_REVISION_PRINTER_HPP
+
+#include "operator.pb.h"
+
+#include <ostream>
+
+namespace cyclamenrun
+{
+
+/** A table of which process has which revision in force. */
+void print_revisions(const v1::ListRevisionsResponse& response,
+                     std::ostream& stream);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REVISION_PRINTER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/bearer_token.cpp
@@ -0,0 +1,43 @@
+#include "bearer_token.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::string_view scheme = "bearer ";
+
+bool same_letter(char left, char right)
+{
+    return std::tolower(static_cast<unsigned char>(left)) == right;
+}
+
+bool is_token_character(unsigned char character)
+{
+    return character > 0x20 && character < 0x7f;
+}
+
+} // namespace
+
+std::optional<std::string_view> parse_bearer_token(std::string_view value)
+{
+    if (value.size() <= scheme.size() ||
+        value.size() > scheme.size() + longest_bearer_token)
+        return std::nullopt;
+    // The name of the scheme is not case-sensitive.
+    if (!std::equal(scheme.begin(), scheme.end(), value.begin(),
+                    [](char expected, char given) {
+                        return same_letter(given, expected);
+                    }))
+        return std::nullopt;
+    const auto token = value.substr(scheme.size());
+    if (!std::all_of(token.begin(), token.end(), is_token_character))
+        return std::nullopt;
+    return token;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/metrics.hpp
@@ -0,0 +1,54 @@
+#ifndef CYCLAMENRUN_METRICS_HPP
+#define CYCLAMENRUN_METRICS_HPP
+
+#include "clock.hpp"
+#include "metric.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** What a metric's samples come to. */
+struct metric_summary {
+    std::uint64_t count = 0; ///< since the process started
+    double mean = 0;         ///< since the process started
+    double maximum = 0;      ///< since the process started
+    std::uint64_t recent_count = 0;
+    /** Of the last one to two windows; empty for too few samples. */
+    std::optional<double> recent_p50;
+    std::optional<double> recent_p99;
+};
+
+/**
+ * A process's measurements. Each metric is a shard with a lock of its own, so
+ * that threads which measure different things do not meet. Memory is fixed:
+ * quantiles are estimates of the P-square method.
+ */
+class metrics
+{
+public:
+    metrics();
+    ~metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void record(metric what, double value, time_point now);
+    void record(metric what, duration value, time_point now);
+
+    metric_summary summary(metric what, time_point now) const;
+
+    /** Quantiles are over at least this much time, and at most twice. */
+    static constexpr milliseconds window{60000};
+
+private:
+    class shard;
+    std::vector<std::unique_ptr<shard>> shards_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_METRICS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/resource_file.cpp
@@ -0,0 +1,264 @@
+#include "resource_file.hpp"
+
+#include "settings_table_reader.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr auto required = settings_presence::required;
+constexpr auto optional = settings_presence::optional;
+constexpr double longest_name = 63;
+constexpr double longest_model = 128;
+constexpr double most_services = 256;
+constexpr double day_ms = 86400000;
+
+std::string_view name_in_file(v1::Objective objective)
+{
+    switch (objective) {
+    case v1::OBJECTIVE_STALL_TIME:
+        return "stall_time";
+    case v1::OBJECTIVE_TOKEN_LATENCY:
+        return "token_latency";
+    default:
+        return "";
+    }
+}
+
+std::optional<v1::Objective> parse_objective(std::string_view text)
+{
+    for (const auto objective :
+         {v1::OBJECTIVE_UNSPECIFIED, v1::OBJECTIVE_STALL_TIME,
+          v1::OBJECTIVE_TOKEN_LATENCY}) {
+        if (name_in_file(objective) == text)
+            return objective;
+    }
+    return std::nullopt;
+}
+
+/** Moves an entry's values into a resource; empty: no error. */
+settings_errors convert(const service_entry& entry, v1::Resource& resource,
+                        const settings_error& where)
+{
+    auto& service = *resource.mutable_service();
+    const bool is_model = entry.kind == upstream_kind::model;
+    const auto objective = parse_objective(entry.objective);
+    if (!objective)
+        return {{settings_problem::not_allowed, where.file, where.line,
+                 where.key + "objective",
+                 "\"stall_time\" or \"token_latency\""}};
+    service.set_name(entry.name);
+    service.set_kind(is_model ? v1::SERVICE_KIND_MODEL
+                              : v1::SERVICE_KIND_APPLICATION);
+    service.set_objective(*objective);
+    service.set_model(entry.model);
+    service.set_max_output_tokens(entry.max_output_tokens);
+    service.set_max_prompt_tokens(entry.max_prompt_tokens);
+    service.set_default_deadline_ms(entry.default_deadline_ms);
+    return {};
+}
+
+settings_errors convert(const team_entry& entry, v1::Resource& resource,
+                        const settings_error& where)
+{
+    auto& team = *resource.mutable_team();
+    const auto hash = parse_key_hash(entry.key_hash);
+    if (!hash)
+        return {{settings_problem::not_allowed, where.file, where.line,
+                 where.key + "key_hash",
+                 "SALT:HASH from `cyclamenrunctl key new TEAM`"}};
+    team.set_name(entry.name);
+    team.set_key_salt(hash->salt);
+    team.set_key_hash(hash->hash);
+    team.set_weight(entry.weight);
+    team.set_max_concurrent(entry.max_concurrent);
+    team.set_tokens_per_second(entry.tokens_per_second);
+    for (const auto& service : entry.services)
+        team.add_services(service);
+    return {};
+}
+
+settings_errors convert(const assignment_entry& entry, v1::Resource& resource,
+                        const settings_error& /*where*/)
+{
+    auto& assignment = *resource.mutable_assignment();
+    assignment.set_name(entry.name);
+    assignment.set_service(entry.service);
+    assignment.set_model(entry.model);
+    assignment.set_adapter(entry.adapter);
+    assignment.set_version(entry.version);
+    assignment.set_role(entry.role);
+    return {};
+}
+
+/** Reads a whole resource file. */
+class file_reader
+{
+public:
+    file_reader(const toml::table& document, const std::string& file)
+        : document_(document), file_(file)
+    {
+    }
+
+    settings_outcome<std::vector<v1::Resource>> read()
+    {
+        read_kind<service_entry>("service", service_rows);
+        read_kind<team_entry>("team", team_rows);
+        read_kind<assignment_entry>("assignment", assignment_rows);
+        check_keys();
+        if (!errors_.empty())
+            return tl::unexpected(std::move(errors_));
+        return std::move(resources_);
+    }
+
+private:
+    template <typename Entry>
+    void read_kind(std::string_view kind, settings_table (*rows)(Entry&))
+    {
+        const auto* node = document_.get(kind);
+        if (node == nullptr)
+            return;
+        const auto* list = node->as_array();
+        if (list == nullptr || !list->is_array_of_tables()) {
+            report({settings_problem::wrong_type, file_,
+                    node->source().begin.line, std::string(kind),
+                    "[[" + std::string(kind) + "]]"});
+            return;
+        }
+        for (const auto& element : *list)
+            read_entry(*element.as_table(), kind, rows);
+    }
+
+    template <typename Entry>
+    void read_entry(const toml::table& table, std::string_view kind,
+                    settings_table (*rows)(Entry&))
+    {
+        Entry entry;
+        const auto line = table.source().begin.line;
+        const auto prefix = std::string(kind) + '.';
+        const auto row_table = rows(entry);
+        auto errors =
+            settings_table_reader(row_table, file_, prefix).read(table, line);
+        v1::Resource resource;
+        if (errors.empty())
+            errors = convert(entry, resource, {{}, file_, line, prefix, {}});
+        for (auto& error : errors)
+            report(std::move(error));
+        resources_.push_back(std::move(resource));
+    }
+
+    void check_keys()
+    {
+        for (const auto& [key, node] : document_) {
+            const auto name = key.str();
+            if (name != "service" && name != "team" && name != "assignment")
+                report({settings_problem::unknown_key, file_,
+                        key.source().begin.line, std::string(name),
+                        "[[service]], [[team]] and [[assignment]]"});
+        }
+    }
+
+    void report(settings_error error) { errors_.push_back(std::move(error)); }
+
+    const toml::table& document_;
+    const std::string& file_;
+    std::vector<v1::Resource> resources_;
+    settings_errors errors_;
+};
+
+} // namespace
+
+settings_table service_rows(service_entry& entry)
+{
+    return {
+        {"name", &entry.name, required, 1, longest_name, "",
+         "Name, of a-z, 0-9 and '-'."},
+        {"kind", &entry.kind, required, 0, 0, "",
+         "Whether its upstreams are model engines or application runners."},
+        {"objective", &entry.objective, optional, 0, 32, "",
+         "What its decisions weigh most: stall_time or token_latency; models "
+         "only."},
+        {"model", &entry.model, optional, 0, longest_model, "",
+         "Name of the model as callers give it; models only."},
+        {"max_output_tokens", &entry.max_output_tokens, optional, 0, 1048576,
+         "tokens", "Longest answer; 0 is 65536."},
+        {"max_prompt_tokens", &entry.max_prompt_tokens, optional, 0, 4194304,
+         "tokens", "Longest prompt; 0 is 131072."},
+        {"default_deadline_ms", &entry.default_deadline_ms, optional, 0, day_ms,
+         "ms", "Deadline of a request that names none; 0 is 600000."},
+    };
+}
+
+settings_table team_rows(team_entry& entry)
+{
+    return {
+        {"name", &entry.name, required, 1, longest_name, "",
+         "Name, of a-z, 0-9 and '-'."},
+        {"key_hash", &entry.key_hash, required, 1, 128, "",
+         "Salted hash of its key, from `cyclamenrunctl key new TEAM`."},
+        {"weight", &entry.weight, optional, 1, 1000, "",
+         "Share where teams compete."},
+        {"max_concurrent", &entry.max_concurrent, optional, 0, 1e6, "requests",
+         "Requests at once; 0 is no limit."},
+        {"tokens_per_second", &entry.tokens_per_second, optional, 0, 1e9,
+         "tokens/s", "Prompt and output together; 0 is no limit."},
+        {"services", &entry.services, optional, 0, most_services, "",
+         "Services that it may use; empty is all."},
+    };
+}
+
+settings_table assignment_rows(assignment_entry& entry)
+{
+    return {
+        {"name", &entry.name, required, 1, longest_name, "",
+         "Name, of a-z, 0-9 and '-'."},
+        {"service", &entry.service, required, 1, longest_name, "",
+         "Service whose engines are meant."},
+        {"model", &entry.model, required, 1, longest_model, "",
+         "Model to be loaded."},
+        {"adapter", &entry.adapter, optional, 0, longest_model, "",
+         "Adapter to be loaded, if any."},
+        {"version", &entry.version, optional, 0, longest_model, "",
+         "Version of the model."},
+        {"role", &entry.role, optional, 0, 16, "",
+         "mixed, prefill or decode; empty is mixed."},
+    };
+}
+
+settings_outcome<std::vector<v1::Resource>>
+parse_resource_file(std::string_view text, const std::string& file)
+{
+    const auto document = toml::parse(text, file);
+    if (!document)
+        return tl::unexpected(
+            settings_errors{{settings_problem::syntax,
+                             file,
+                             document.error().source().begin.line,
+                             {},
+                             std::string(document.error().description())}});
+    return file_reader(document.table(), file).read();
+}
+
+v1::ResourceKind resource_kind(const v1::Resource& resource)
+{
+    if (resource.has_service())
+        return v1::RESOURCE_KIND_SERVICE;
+    if (resource.has_team())
+        return v1::RESOURCE_KIND_TEAM;
+    if (resource.has_assignment())
+        return v1::RESOURCE_KIND_ASSIGNMENT;
+    return v1::RESOURCE_KIND_UNSPECIFIED;
+}
+
+const std::string& resource_name(const v1::Resource& resource)
+{
+    if (resource.has_team())
+        return resource.team().name();
+    if (resource.has_assignment())
+        return resource.assignment().name();
+    return resource.service().name();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/resource_file.hpp
@@ -0,0 +1,61 @@
+#ifndef CYCLAMENRUN_RESOURCE_FILE_HPP
+#define CYCLAMENRUN_RESOURCE_FILE_HPP
+
+#include "config.pb.h"
+#include "settings_error.hpp"
+#include "settings_row.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** The members of one `[[service]]`, `[[team]]` or `[[assignment]]`. */
+struct service_entry {
+    std::string name;
+    upstream_kind kind = upstream_kind::model;
+    std::string objective;
+    std::string model;
+    std::uint64_t max_output_tokens = 0;
+    std::uint64_t max_prompt_tokens = 0;
+    std::uint64_t default_deadline_ms = 0;
+};
+
+struct team_entry {
+    std::string name;
+    std::string key_hash;
+    std::uint64_t weight = 1;
+    std::uint64_t max_concurrent = 0;
+    std::uint64_t tokens_per_second = 0;
+    std::vector<std::string> services;
+};
+
+struct assignment_entry {
+    std::string name;
+    std::string service;
+    std::string model;
+    std::string adapter;
+    std::string version;
+    std::string role;
+};
+
+settings_table service_rows(service_entry& entry);
+settings_table team_rows(team_entry& entry);
+settings_table assignment_rows(assignment_entry& entry);
+
+/**
+ * Resources as operators write them for `cyclamenrunctl apply`, in an order
+ * in which they can be applied: services first, since the others name them.
+ * Only the form is checked here; the entry checks the rules.
+ */
+settings_outcome<std::vector<v1::Resource>>
+parse_resource_file(std::string_view text, const std::string& file);
+
+v1::ResourceKind resource_kind(const v1::Resource& resource);
+const std::string& resource_name(const v1::Resource& resource);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RESOURCE_FILE_HPP
--- /dev/null
+++ b/src/libcyclamenrun/rpc_http_handler.cpp
@@ -0,0 +1,98 @@
+#include "rpc_http_handler.hpp"
+
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/NumberParser.h>
+#include <algorithm>
+#include <istream>
+#include <optional>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr int method_not_allowed = 405;
+constexpr int content_too_large = 413;
+constexpr milliseconds default_timeout{10000};
+constexpr milliseconds longest_timeout{60000};
+
+rpc_response error_response(int status, rpc_code code, std::string message)
+{
+    return {status, "application/json",
+            write_rpc_error({code, std::move(message)})};
+}
+
+/** Empty for a body of more than `largest` bytes, of which no more is read. */
+std::optional<std::string> read_body(std::istream& stream, std::size_t largest)
+{
+    constexpr std::size_t piece_size = 16384;
+    std::string body;
+    std::string piece(piece_size, '\0');
+    while (stream.read(piece.data(), piece_size) || stream.gcount() > 0) {
+        body.append(piece, 0, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > largest)
+            return std::nullopt;
+    }
+    return body;
+}
+
+/** What the client asks for, within bounds; else the default. */
+milliseconds timeout_of(const std::string& header)
+{
+    Poco::UInt64 asked = 0;
+    if (!Poco::NumberParser::tryParseUnsigned64(header, asked))
+        return default_timeout;
+    return std::min(milliseconds(asked), longest_timeout);
+}
+
+/** In whole seconds, as the header wants it, and never too early. */
+std::string retry_after_text(milliseconds time)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(time);
+    return std::to_string(seconds.count());
+}
+
+} // namespace
+
+rpc_http_handler::rpc_http_handler(std::shared_ptr<const rpc_router> router,
+                                   std::size_t largest_body)
+    : router_(std::move(router)), largest_body_(largest_body)
+{
+}
+
+void rpc_http_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
+                                     Poco::Net::HTTPServerResponse& response)
+{
+    const auto answer = respond(request);
+    using status_type = Poco::Net::HTTPResponse::HTTPStatus;
+    response.setStatusAndReason(static_cast<status_type>(answer.status));
+    response.setContentType(answer.content_type);
+    if (answer.retry_after)
+        response.set("Retry-After", retry_after_text(*answer.retry_after));
+    // What is left of a refused body would be read as the next request.
+    if (answer.status == content_too_large ||
+        answer.status == method_not_allowed)
+        response.setKeepAlive(false);
+    response.sendBuffer(answer.body.data(), answer.body.size());
+}
+
+rpc_response
+rpc_http_handler::respond(Poco::Net::HTTPServerRequest& request) const
+{
+    if (request.getMethod() != Poco::Net::HTTPRequest::HTTP_POST)
+        return error_response(method_not_allowed, rpc_code::unimplemented,
+                              "calls are sent by POST");
+    auto body = read_body(request.stream(), largest_body_);
+    if (!body)
+        return error_response(content_too_large, rpc_code::resource_exhausted,
+                              "a body has at most " +
+                                  std::to_string(largest_body_) + " bytes");
+    return router_->handle(
+        {request.getURI(), request.getContentType(),
+         request.get("Authorization", ""), std::move(*body),
+         steady_now() + timeout_of(request.get("Connect-Timeout-Ms", ""))});
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/settings_row.cpp
+++ b/src/libcyclamenrun/settings_row.cpp
@@ -55,6 +55,10 @@
     {
         return "list of texts";
     }
+    std::string operator()(const std::vector<std::string>*) const
+    {
+        return "list of texts";
+    }
     std::string operator()(const log_severity*) const { return "word"; }
     std::string operator()(const upstream_kind*) const { return "word"; }
 };
@@ -92,6 +96,10 @@
         return "list of " + range_text(row) +
                " texts SALT:HASH from `cyclamenrunctl key new`";
     }
+    std::string operator()(const std::vector<std::string>*) const
+    {
+        return "list of " + range_text(row) + " texts";
+    }
     std::string operator()(const log_severity*) const
     {
         return "\"info\", \"warning\" or \"error\"";
@@ -138,6 +146,13 @@
             list += (list.empty() ? "" : ", ") + quoted(to_string(hash));
         return '[' + list + ']';
     }
+    std::string operator()(const std::vector<std::string>* texts) const
+    {
+        std::string list;
+        for (const auto& text : *texts)
+            list += (list.empty() ? "" : ", ") + quoted(text);
+        return '[' + list + ']';
+    }
     std::string operator()(const log_severity* severity) const
     {
         return quoted(name_of(*severity));
--- a/src/libcyclamenrun/settings_row.hpp
+++ b/src/libcyclamenrun/settings_row.hpp
@@ -20,8 +20,8 @@
 /** The member of a settings struct that a row fills; its type is the row's. */
 using settings_target =
     std::variant<std::string*, std::uint64_t*, double*, bool*, milliseconds*,
-                 ip_endpoint*, secret*, std::vector<key_hash>*, log_severity*,
-                 upstream_kind*>;
+                 ip_endpoint*, secret*, std::vector<key_hash>*,
+                 std::vector<std::string>*, log_severity*, upstream_kind*>;
 
 enum class settings_presence : std::uint8_t {
     optional, ///< The struct's initial value is the default.
--- /dev/null
+++ b/src/libcyclamenrun/settings_table_reader.cpp
@@ -0,0 +1,249 @@
+#include "settings_table_reader.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+using problem = std::optional<settings_problem>;
+
+bool in_range(const settings_row& row, double number)
+{
+    return number >= row.minimum && number <= row.maximum;
+}
+
+/** Control characters have no place in names, paths or addresses. */
+bool is_printable(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char character) {
+        return character >= 0x20 && character != 0x7f;
+    });
+}
+
+/** Stores one value in a row's target, or says why it cannot. */
+class value_reader
+{
+public:
+    value_reader(const settings_row& row, const toml::node& node)
+        : row_(row), node_(node)
+    {
+    }
+
+    problem operator()(std::string* target) const
+    {
+        const auto text = node_.value_exact<std::string>();
+        if (!text)
+            return settings_problem::wrong_type;
+        if (!in_range(row_, static_cast<double>(text->size())) ||
+            !is_printable(*text))
+            return settings_problem::not_allowed;
+        *target = *text;
+        return {};
+    }
+
+    problem operator()(std::uint64_t* target) const
+    {
+        const auto number = node_.value_exact<std::int64_t>();
+        if (!number)
+            return settings_problem::wrong_type;
+        if (!in_range(row_, static_cast<double>(*number)))
+            return settings_problem::not_allowed;
+        *target = static_cast<std::uint64_t>(*number);
+        return {};
+    }
+
+    problem operator()(double* target) const
+    {
+        const auto number = node_.value<double>();
+        if (!number || !node_.is_number())
+            return settings_problem::wrong_type;
+        if (!in_range(row_, *number))
+            return settings_problem::not_allowed;
+        *target = *number;
+        return {};
+    }
+
+    problem operator()(bool* target) const
+    {
+        const auto flag = node_.value_exact<bool>();
+        if (!flag)
+            return settings_problem::wrong_type;
+        *target = *flag;
+        return {};
+    }
+
+    problem operator()(milliseconds* target) const
+    {
+        std::uint64_t number = 0;
+        const auto wrong = (*this)(&number);
+        if (!wrong)
+            *target = milliseconds(number);
+        return wrong;
+    }
+
+    problem operator()(ip_endpoint* target) const
+    {
+        return parse_text(target, parse_ip_endpoint);
+    }
+
+    problem operator()(log_severity* target) const
+    {
+        return parse_text(target, parse_log_severity);
+    }
+
+    problem operator()(upstream_kind* target) const
+    {
+        return parse_text(target, parse_upstream_kind);
+    }
+
+    problem operator()(secret* target) const
+    {
+        std::string text;
+        const auto wrong = (*this)(&text);
+        if (!wrong)
+            *target = secret(std::move(text));
+        return wrong;
+    }
+
+    problem operator()(std::vector<std::string>* target) const
+    {
+        const auto* list = node_.as_array();
+        if (list == nullptr)
+            return settings_problem::wrong_type;
+        if (!in_range(row_, static_cast<double>(list->size())))
+            return settings_problem::not_allowed;
+        for (const auto& element : *list) {
+            const auto text = element.value_exact<std::string>();
+            if (!text)
+                return settings_problem::wrong_type;
+            target->push_back(*text);
+        }
+        return {};
+    }
+
+    problem operator()(std::vector<key_hash>* target) const
+    {
+        std::vector<std::string> texts;
+        const auto wrong = (*this)(&texts);
+        if (wrong)
+            return wrong;
+        for (const auto& text : texts) {
+            const auto hash = parse_key_hash(text);
+            if (!hash)
+                return settings_problem::not_allowed;
+            target->push_back(*hash);
+        }
+        return {};
+    }
+
+private:
+    template <typename Value, typename Parser>
+    problem parse_text(Value* target, Parser parser) const
+    {
+        const auto text = node_.value_exact<std::string>();
+        if (!text)
+            return settings_problem::wrong_type;
+        const auto value = parser(*text);
+        if (!value)
+            return settings_problem::not_allowed;
+        *target = *value;
+        return {};
+    }
+
+    const settings_row& row_;
+    const toml::node& node_;
+};
+
+} // namespace
+
+settings_table_reader::settings_table_reader(const settings_table& table,
+                                             const std::string& file,
+                                             std::string name)
+    : table_(table), file_(file), name_(std::move(name))
+{
+}
+
+settings_errors settings_table_reader::read(const toml::table& document,
+                                            std::uint32_t line)
+{
+    read_level(document, {});
+    for (const auto& row : table_) {
+        if (row.presence == settings_presence::required &&
+            !seen_.contains(row.key))
+            report(settings_problem::missing, line, row.key, allowed_by(row));
+    }
+    return std::move(errors_);
+}
+
+// TOML nests at most 256 deep in toml++, and a level that the table does
+// not know is not entered, so the depth is bound by the table's keys.
+void settings_table_reader::read_level(
+    const toml::table& level, // NOLINT(misc-no-recursion)
+    const std::string& prefix)
+{
+    for (const auto& [name, node] : level) {
+        const auto key = prefix + std::string(name.str());
+        const auto line = name.source().begin.line;
+        const auto* row = find_row(key);
+        const auto* inner = node.as_table();
+        if (row != nullptr)
+            read_value(*row, node, line);
+        else if (inner != nullptr && is_section(key))
+            read_level(*inner, key + '.');
+        else
+            report(settings_problem::unknown_key, line, key,
+                   keys_beside(prefix));
+    }
+}
+
+void settings_table_reader::read_value(const settings_row& row,
+                                       const toml::node& node,
+                                       std::uint32_t line)
+{
+    seen_.insert(row.key);
+    const auto wrong = std::visit(value_reader(row, node), row.target);
+    if (wrong)
+        report(*wrong, line, row.key, allowed_by(row));
+}
+
+const settings_row* settings_table_reader::find_row(std::string_view key) const
+{
+    for (const auto& row : table_) {
+        if (row.key == key)
+            return &row;
+    }
+    return nullptr;
+}
+
+bool settings_table_reader::is_section(const std::string& key) const
+{
+    return std::any_of(table_.begin(), table_.end(), [&](const auto& row) {
+        return row.key.starts_with(key + '.');
+    });
+}
+
+/** The keys that are known where an unknown one was found. */
+std::string settings_table_reader::keys_beside(const std::string& prefix) const
+{
+    std::string keys;
+    for (const auto& row : table_) {
+        if (!row.key.starts_with(prefix))
+            continue;
+        keys += keys.empty() ? "known are " : ", ";
+        keys += row.key;
+    }
+    return keys;
+}
+
+void settings_table_reader::report(settings_problem what, std::uint32_t line,
+                                   std::string_view key, std::string allowed)
+{
+    errors_.push_back(
+        {what, file_, line, name_ + std::string(key), std::move(allowed)});
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/settings_table_reader.hpp
@@ -0,0 +1,45 @@
+#ifndef CYCLAMENRUN_SETTINGS_TABLE_READER_HPP
+#define CYCLAMENRUN_SETTINGS_TABLE_READER_HPP
+
+#include "settings_error.hpp"
+#include "settings_row.hpp"
+#include "toml_parser.hpp"
+
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+/** Walks a TOML table against a settings table and collects what is wrong. */
+class settings_table_reader
+{
+public:
+    /** `name` goes before each key in messages; `file` likewise. */
+    settings_table_reader(const settings_table& table, const std::string& file,
+                          std::string name = {});
+
+    /** `line` is that of the table, for keys that it lacks. */
+    settings_errors read(const toml::table& document, std::uint32_t line = 0);
+
+private:
+    void read_level(const toml::table& level, const std::string& prefix);
+    void read_value(const settings_row& row, const toml::node& node,
+                    std::uint32_t line);
+    const settings_row* find_row(std::string_view key) const;
+    bool is_section(const std::string& key) const;
+    std::string keys_beside(const std::string& prefix) const;
+    void report(settings_problem what, std::uint32_t line, std::string_view key,
+                std::string allowed);
+
+    const settings_table& table_;
+    const std::string& file_;
+    std::string name_;
+    std::set<std::string_view> seen_;
+    settings_errors errors_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_SETTINGS_TABLE_READER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/state_dump.hpp
@@ -0,0 +1,46 @@
+#ifndef CYCLAMENRUN_STATE_DUMP_HPP
+#define CYCLAMENRUN_STATE_DUMP_HPP
+
+#include <Poco/JSON/Object.h>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * Builds the JSON text of a process's state. Whoever holds state adds a
+ * section with a hook that is called for each dump, from the thread that
+ * asked. Sections are written one after another, so a dump is no snapshot of
+ * one instant.
+ */
+class state_dump
+{
+public:
+    /** Fills in one section; called without any lock of the dump. */
+    using section_writer = std::function<void(Poco::JSON::Object&)>;
+
+    /** A section of more than `section_bytes` is left out, and said so. */
+    explicit state_dump(std::size_t section_bytes = default_section_bytes);
+
+    void add_section(std::string name, section_writer writer);
+    std::string write() const;
+
+    static constexpr std::size_t default_section_bytes = 262144;
+
+private:
+    struct section {
+        std::string name;
+        section_writer writer;
+    };
+
+    const std::size_t section_bytes_;
+    mutable std::mutex mutex_;
+    std::vector<section> sections_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_STATE_DUMP_HPP
--- /dev/null
+++ b/src/libcyclamenrun/state_dump_list.hpp
@@ -0,0 +1,39 @@
+#ifndef CYCLAMENRUN_STATE_DUMP_LIST_HPP
+#define CYCLAMENRUN_STATE_DUMP_LIST_HPP
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/**
+ * A list in a state dump that shows its first items and counts the rest, so
+ * that a dump of a busy process stays readable and bounded.
+ */
+class state_dump_list
+{
+public:
+    explicit state_dump_list(std::size_t most_shown = default_most_shown);
+
+    /** Whether another item would be shown: saves building it if not. */
+    bool shows_more() const { return items_->size() < most_shown_; }
+    void add(const Poco::JSON::Object& item);
+    /** Counts an item without showing it. */
+    void count() { ++total_; }
+
+    /** Writes `NAME: {"total": N, "items": [...]}` into `object`. */
+    void write(Poco::JSON::Object& object, const std::string& name) const;
+
+    static constexpr std::size_t default_most_shown = 200;
+
+private:
+    const std::size_t most_shown_;
+    std::size_t total_ = 0;
+    Poco::JSON::Array::Ptr items_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_STATE_DUMP_LIST_HPP
--- /dev/null
+++ b/src/libcyclamenrun/state_dump_sections.hpp
@@ -0,0 +1,25 @@
+#ifndef CYCLAMENRUN_STATE_DUMP_SECTIONS_HPP
+#define CYCLAMENRUN_STATE_DUMP_SECTIONS_HPP
+
+#include "clock.hpp"
+#include "state_dump.hpp"
+
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+class metrics;
+struct process_settings;
+
+/** Section `process`: name, role, place, version, uptime. */
+void add_process_section(state_dump& dump, const process_settings& settings,
+                         std::string_view role, clock_function now);
+
+/** Section `metrics`: each metric that has samples, with its unit. */
+void add_metrics_section(state_dump& dump, const metrics& measured,
+                         clock_function now);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_STATE_DUMP_SECTIONS_HPP
--- /dev/null
+++ b/tests/product/fake_entry.cpp
@@ -0,0 +1,179 @@
+#include "fake_entry.hpp"
+
+#include "key_hash.hpp"
+#include "operator_authorizer.hpp"
+#include "resource_file.hpp"
+#include "rpc_http_handler.hpp"
+
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::size_t largest_body = 4096;
+
+class handler_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit handler_factory(std::shared_ptr<const rpc_router> router)
+        : router_(std::move(router))
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler*
+    createRequestHandler(const Poco::Net::HTTPServerRequest&) override
+    {
+        return new rpc_http_handler(router_, largest_body);
+    }
+
+private:
+    std::shared_ptr<const rpc_router> router_;
+};
+
+} // namespace
+
+fake_entry::fake_entry() : key_(make_key())
+{
+    const std::string commands = "cyclamenrun.v1.CommandService";
+    const std::string queries = "cyclamenrun.v1.QueryService";
+    auto router = std::make_shared<rpc_router>(
+        operator_authorizer({make_key_hash(key_)}));
+    router->add_method<v1::ApplyChangeRequest, v1::ApplyChangeResponse>(
+        commands, "ApplyChange", [this](const v1::ApplyChangeRequest& request) {
+            return apply(request);
+        });
+    router->add_method<v1::FindChangeRequest, v1::FindChangeResponse>(
+        queries, "FindChange",
+        [this](const v1::FindChangeRequest& request) { return find(request); });
+    router->add_method<v1::ListResourcesRequest, v1::ListResourcesResponse>(
+        queries, "ListResources",
+        [this](const v1::ListResourcesRequest& request) {
+            return list(request);
+        });
+    router->add_method<v1::ListRevisionsRequest, v1::ListRevisionsResponse>(
+        queries, "ListRevisions",
+        [this](const v1::ListRevisionsRequest&) { return revisions(); });
+    server_ = std::make_unique<Poco::Net::HTTPServer>(
+        new handler_factory(std::move(router)),
+        Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)),
+        new Poco::Net::HTTPServerParams);
+    server_->start();
+}
+
+fake_entry::~fake_entry()
+{
+    server_->stopAll(true);
+}
+
+ip_endpoint fake_entry::address() const
+{
+    return {"127.0.0.1", server_->port()};
+}
+
+void fake_entry::lose_answers(int count)
+{
+    const std::lock_guard lock(mutex_);
+    lost_answers_ = count;
+}
+
+void fake_entry::change_before_next_apply(const v1::Resource& resource)
+{
+    const std::lock_guard lock(mutex_);
+    racing_change_ = std::make_unique<v1::Resource>(resource);
+}
+
+int fake_entry::records() const
+{
+    const std::lock_guard lock(mutex_);
+    return records_;
+}
+
+std::uint64_t fake_entry::revision_of(const std::string& name) const
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = states_.find(name);
+    return found == states_.end() ? 0 : found->second.revision();
+}
+
+outcome<v1::ApplyChangeResponse>
+fake_entry::apply(const v1::ApplyChangeRequest& request)
+{
+    const std::lock_guard lock(mutex_);
+    const auto& change = request.change();
+    if (racing_change_) {
+        put(change.name(), change.kind(), *racing_change_);
+        racing_change_.reset();
+    }
+    v1::ApplyChangeResponse response;
+    auto& state = states_[change.name()];
+    if (change.base_revision() != state.revision()) {
+        response.mutable_conflict()->set_current_revision(state.revision());
+        if (state.has_resource())
+            *response.mutable_conflict()->mutable_winner() = state.resource();
+        return response;
+    }
+    put(change.name(), change.kind(), change.resource());
+    if (!change.has_resource())
+        state.clear_resource();
+    auto& known = outcomes_[change.change_id()];
+    known.set_accepted(true);
+    known.set_revision(revision_);
+    response.mutable_accepted()->set_revision(revision_);
+    if (lost_answers_-- > 0)
+        return tl::unexpected(
+            outcome_unknown(refusal_reason::internal, "the log is slow"));
+    return response;
+}
+
+outcome<v1::FindChangeResponse>
+fake_entry::find(const v1::FindChangeRequest& request) const
+{
+    const std::lock_guard lock(mutex_);
+    v1::FindChangeResponse response;
+    const auto known = outcomes_.find(request.change_id());
+    response.set_found(known != outcomes_.end());
+    if (response.found())
+        *response.mutable_outcome() = known->second;
+    response.set_revision(revision_);
+    return response;
+}
+
+outcome<v1::ListResourcesResponse>
+fake_entry::list(const v1::ListResourcesRequest& request) const
+{
+    const std::lock_guard lock(mutex_);
+    v1::ListResourcesResponse response;
+    response.set_revision(revision_);
+    for (const auto& [name, state] : states_) {
+        if (state.kind() == request.kind() && state.has_resource())
+            *response.add_resources() = state;
+    }
+    return response;
+}
+
+outcome<v1::ListRevisionsResponse> fake_entry::revisions() const
+{
+    const std::lock_guard lock(mutex_);
+    v1::ListRevisionsResponse response;
+    auto& self = *response.add_processes();
+    self.set_process("entry-1");
+    self.set_role("entry");
+    self.set_revision(revision_);
+    return response;
+}
+
+void fake_entry::put(const std::string& name, v1::ResourceKind kind,
+                     const v1::Resource& resource)
+{
+    ++records_;
+    auto& state = states_[name];
+    state.set_revision(++revision_);
+    state.set_name(name);
+    state.set_kind(kind);
+    *state.mutable_resource() = resource;
+}
+
+} // namespace cyclamenrun
