Speak to engines, runners and the platform, with stand-ins

Cause: nothing answered the daemons on loopback, and the library had no clients for what stands outside it.

Change: three programs take the place of a model engine (continuous batch, preemption with recompute, hidden lengths, fencing), of an application runner and of the platform (log, list of VMs, weights), each with a history and faults for tests. The library gains clients with deadlines, bounds and typed failures. Each exchange has a connection of its own: a session with keep-alive would connect and send again by itself when a write fails, and a call could run twice.

Ruled out: a timeout for each read, since a peer that sends a byte now and then would hold a call for ever; the socket holds one deadline.

--- /dev/null
+++ b/src/libcyclamenrun/engine_stream.cpp
@@ -0,0 +1,70 @@
+#include "engine_stream.hpp"
+
+#include "http_json.hpp"
+
+#include <Poco/JSON/Array.h>
+#include <utility>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+constexpr std::string_view end_mark = "[DONE]";
+
+/** The text is in `text` or, for a chat, in `delta.content`. */
+std::string text_of(const Poco::JSON::Object& choice)
+{
+    if (auto text = json_string(choice, "text"))
+        return std::move(*text);
+    const auto delta = json_object(choice, "delta");
+    if (!delta)
+        return {};
+    return json_string(*delta, "content").value_or("");
+}
+
+} // namespace
+
+engine_stream::engine_stream(std::string request_id,
+                             const engine_events& events)
+    : request_id_(std::move(request_id)), events_(events)
+{
+}
+
+bool engine_stream::take(const sse_event& event)
+{
+    if (event.data == end_mark) {
+        done_ = true;
+        return result_.finish_reason.empty() ? fail("no finish reason") : false;
+    }
+    const auto chunk = parse_json_object(event.data);
+    if (!chunk)
+        return fail("chunk is not JSON");
+    // An answer to another request must not reach this one's caller.
+    if (json_string(*chunk, "id") != request_id_)
+        return fail("chunk of another request");
+    const auto choices = json_array(*chunk, "choices");
+    const auto choice =
+        choices ? choices->getObject(0) : Poco::JSON::Object::Ptr{};
+    if (!choice)
+        return fail("chunk without choice");
+    if (!result_.finish_reason.empty())
+        return fail("chunk after the finish");
+    auto text = text_of(*choice);
+    if (!text.empty()) {
+        ++result_.tokens;
+        events_.on_token(std::move(text));
+    }
+    if (auto reason = json_string(*choice, "finish_reason"))
+        result_.finish_reason = std::move(*reason);
+    return true;
+}
+
+bool engine_stream::fail(std::string detail)
+{
+    error_ =
+        engine_error{engine_failure::malformed, 0, true, std::move(detail)};
+    return false;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/http_deadline_socket.cpp
@@ -0,0 +1,80 @@
+#include "http_deadline_socket.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Timespan.h>
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+#include <utility>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+constexpr std::size_t tail_size = 5;
+
+bool would_block(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+http_deadline_socket::http_deadline_socket(time_point deadline,
+                                           milliseconds max_silence,
+                                           clock_function clock)
+    : deadline_(deadline), max_silence_(max_silence), clock_(std::move(clock))
+{
+}
+
+int http_deadline_socket::sendBytes(const void* buffer, int length, int flags)
+{
+    const auto* bytes = static_cast<const char*>(buffer);
+    int sent = 0;
+    while (sent < length) {
+        wait_until_ready(SELECT_WRITE);
+        const auto count = ::send(sockfd(), bytes + sent, length - sent,
+                                  flags | MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (count >= 0)
+            sent += static_cast<int>(count);
+        else if (!would_block(errno))
+            throw Poco::Net::NetException("send", errno);
+    }
+    return sent;
+}
+
+int http_deadline_socket::receiveBytes(void* buffer, int length, int flags)
+{
+    for (;;) {
+        wait_until_ready(SELECT_READ);
+        const auto count =
+            ::recv(sockfd(), buffer, length, flags | MSG_DONTWAIT);
+        if (count >= 0) {
+            note_received({static_cast<const char*>(buffer),
+                           static_cast<std::size_t>(count)});
+            return static_cast<int>(count);
+        }
+        if (!would_block(errno))
+            throw Poco::Net::NetException("receive", errno);
+    }
+}
+
+void http_deadline_socket::wait_until_ready(int mode)
+{
+    const auto wait = std::min(time_left(deadline_, clock_()), max_silence_);
+    const Poco::Timespan span(wait.count() * Poco::Timespan::MILLISECONDS);
+    if (wait.count() == 0 || !poll(span, mode))
+        throw Poco::TimeoutException("deadline or silence");
+}
+
+void http_deadline_socket::note_received(std::string_view bytes)
+{
+    closed_by_peer_ = bytes.empty();
+    tail_.append(
+        bytes.substr(bytes.size() - std::min(bytes.size(), tail_size)));
+    tail_.erase(0, tail_.size() - std::min(tail_.size(), tail_size));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/http_exchange.hpp
@@ -0,0 +1,126 @@
+#ifndef CYCLAMENRUN_HTTP_EXCHANGE_HPP
+#define CYCLAMENRUN_HTTP_EXCHANGE_HPP
+
+#include "clock.hpp"
+
+#include <cstdint>
+#include <iosfwd>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace Poco::Net
+{
+class HTTPClientSession;
+}
+
+namespace cyclamenrun
+{
+
+class cancellation;
+class http_deadline_socket;
+
+enum class http_failure : std::uint8_t {
+    connect_failed,
+    lost_before_answer, ///< closed before the status line
+    lost_mid_answer,    ///< closed before the end of the body
+    malformed,
+    timed_out, ///< deadline, or silence for too long
+    cancelled,
+    too_large,
+};
+
+std::string_view name_of(http_failure failure);
+
+struct http_error {
+    http_failure failure = http_failure::connect_failed;
+    /** False only if no byte of the request can have arrived. */
+    bool may_have_run = false;
+    std::string detail;
+};
+
+struct http_limits {
+    milliseconds connect_timeout = milliseconds(1000);
+    /** The longest wait for a byte of an answer. */
+    milliseconds max_silence = milliseconds(30000);
+    std::size_t max_answer_bytes = std::size_t(16) << 20;
+};
+
+struct http_request {
+    std::string method;
+    std::string path;
+    std::string content_type;
+    std::string body;
+    std::map<std::string, std::string> headers;
+    time_point deadline;
+};
+
+struct http_head {
+    int status = 0;
+    std::string content_type;
+    std::map<std::string, std::string> headers; ///< names in lower case
+};
+
+struct http_answer {
+    http_head head;
+    std::string body;
+};
+
+/**
+ * One HTTP exchange on a connection of its own, closed at its end. Since no
+ * connection is used twice, a late answer to an earlier request can't be
+ * taken for the answer to a later one.
+ */
+class http_exchange
+{
+public:
+    /** `address` is IP:PORT. */
+    http_exchange(std::string address, http_limits limits,
+                  clock_function clock);
+    ~http_exchange();
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+
+    /** Sends the request and waits for status and headers. Call once. */
+    tl::expected<http_head, http_error> start(const http_request& request,
+                                              cancellation* cancel = nullptr);
+
+    /**
+     * Waits for the next bytes of the body; an empty view is its end. The
+     * view holds until the next call.
+     */
+    tl::expected<std::string_view, http_error> read();
+
+    /** start() and the whole body. */
+    tl::expected<http_answer, http_error> run(const http_request& request,
+                                              cancellation* cancel = nullptr);
+
+private:
+    bool connect(time_point deadline);
+    void attach(cancellation* cancel);
+    void send(const http_request& request);
+    http_head receive_head();
+    bool complete() const;
+    http_error error(http_failure failure, std::string detail) const;
+    http_error current_error(http_failure lost) const;
+
+    std::string address_;
+    http_limits limits_;
+    clock_function clock_;
+    std::unique_ptr<Poco::Net::HTTPClientSession> session_;
+    http_deadline_socket* socket_ = nullptr; ///< owned by the session
+    std::istream* body_ = nullptr;
+    cancellation* cancellation_ = nullptr;
+    std::string buffer_;
+    std::size_t received_ = 0;
+    std::optional<std::size_t> expected_;
+    bool chunked_ = false;
+    bool sent_ = false;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_HTTP_EXCHANGE_HPP
--- /dev/null
+++ b/src/libcyclamenrun/http_json.cpp
@@ -0,0 +1,73 @@
+#include "http_json.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Parser.h>
+#include <sstream>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+/** Deeper text could exhaust the stack of the parser. */
+constexpr int max_depth = 32;
+
+} // namespace
+
+Poco::JSON::Object::Ptr parse_json_object(const std::string& text)
+{
+    try {
+        Poco::JSON::Parser parser;
+        parser.setDepth(max_depth);
+        const auto value = parser.parse(text);
+        if (value.type() != typeid(Poco::JSON::Object::Ptr))
+            return {};
+        return value.extract<Poco::JSON::Object::Ptr>();
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+std::optional<std::string> json_string(const Poco::JSON::Object& object,
+                                       const std::string& name)
+{
+    const auto value = object.get(name);
+    if (!value.isString())
+        return {};
+    return value.extract<std::string>();
+}
+
+std::optional<std::uint64_t> json_u64(const Poco::JSON::Object& object,
+                                      const std::string& name)
+{
+    const auto value = object.get(name);
+    if (!value.isInteger())
+        return {};
+    try {
+        return value.convert<std::uint64_t>();
+    } catch (const Poco::Exception&) {
+        return {}; // below zero
+    }
+}
+
+Poco::JSON::Object::Ptr json_object(const Poco::JSON::Object& object,
+                                    const std::string& name)
+{
+    return object.getObject(name);
+}
+
+Poco::JSON::Array::Ptr json_array(const Poco::JSON::Object& object,
+                                  const std::string& name)
+{
+    return object.getArray(name);
+}
+
+std::string to_string(const Poco::JSON::Object& object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/http_json.hpp
@@ -0,0 +1,29 @@
+#ifndef CYCLAMENRUN_HTTP_JSON_HPP
+#define CYCLAMENRUN_HTTP_JSON_HPP
+
+#include <Poco/JSON/Object.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** Null for anything but a JSON object of moderate depth. */
+Poco::JSON::Object::Ptr parse_json_object(const std::string& text);
+
+/** Empty unless the member is there and of this type. */
+std::optional<std::string> json_string(const Poco::JSON::Object& object,
+                                       const std::string& name);
+std::optional<std::uint64_t> json_u64(const Poco::JSON::Object& object,
+                                      const std::string& name);
+Poco::JSON::Object::Ptr json_object(const Poco::JSON::Object& object,
+                                    const std::string& name);
+Poco::JSON::Array::Ptr json_array(const Poco::JSON::Object& object,
+                                  const std::string& name);
+
+std::string to_string(const Poco::JSON::Object& object);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_HTTP_JSON_HPP
--- /dev/null
+++ b/src/libcyclamenrun/platform_log_client.hpp
@@ -0,0 +1,42 @@
+#ifndef CYCLAMENRUN_PLATFORM_LOG_CLIENT_HPP
+#define CYCLAMENRUN_PLATFORM_LOG_CLIENT_HPP
+
+#include "http_exchange.hpp"
+#include "platform_log.hpp"
+
+#include <string>
+
+namespace cyclamenrun
+{
+
+class cancellation;
+
+/** A log of the platform's service, over HTTP. */
+class platform_log_client : public platform_log
+{
+public:
+    /** `call_limit` bounds each call, on top of what a read may wait. */
+    platform_log_client(std::string address, std::string log,
+                        http_limits limits, milliseconds call_limit,
+                        clock_function clock, cancellation* stop = nullptr);
+
+    tl::expected<std::uint64_t, log_error>
+    append(std::string_view data) override;
+    tl::expected<log_page, log_error>
+    read(std::uint64_t from, std::uint32_t max, milliseconds wait) override;
+
+private:
+    tl::expected<http_answer, log_error> call(http_request request,
+                                              milliseconds limit);
+
+    std::string address_;
+    std::string path_;
+    http_limits limits_;
+    milliseconds call_limit_;
+    clock_function clock_;
+    cancellation* stop_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_PLATFORM_LOG_CLIENT_HPP
--- /dev/null
+++ b/src/libcyclamenrun/runner_client.hpp
@@ -0,0 +1,49 @@
+#ifndef CYCLAMENRUN_RUNNER_CLIENT_HPP
+#define CYCLAMENRUN_RUNNER_CLIENT_HPP
+
+#include "clock.hpp"
+#include "http_exchange.hpp"
+
+#include <string>
+#include <tl/expected.hpp>
+
+namespace cyclamenrun
+{
+
+class cancellation;
+
+/** A call to an application runner; sent at most once. */
+struct runner_request {
+    std::string request_id; ///< also sent as X-Request-Id
+    std::string path;
+    std::string content_type;
+    std::string body;
+    time_point deadline;
+};
+
+/** Whatever the runner answered, errors of its own included. */
+struct runner_answer {
+    int status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/** Speaks to one application runner, each call on a connection of its own. */
+class runner_client
+{
+public:
+    runner_client(std::string address, http_limits limits,
+                  clock_function clock);
+
+    tl::expected<runner_answer, http_error> call(const runner_request& request,
+                                                 cancellation& cancel);
+
+private:
+    std::string address_;
+    http_limits limits_;
+    clock_function clock_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RUNNER_CLIENT_HPP
--- /dev/null
+++ b/src/libcyclamenrun/sse_parser.hpp
@@ -0,0 +1,60 @@
+#ifndef CYCLAMENRUN_SSE_PARSER_HPP
+#define CYCLAMENRUN_SSE_PARSER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace cyclamenrun
+{
+
+struct sse_event {
+    std::string id;
+    std::string type; ///< empty: message
+    std::string data;
+
+    bool operator==(const sse_event&) const = default;
+};
+
+struct sse_limits {
+    std::size_t max_line_bytes = std::size_t(64) << 10;
+    std::size_t max_event_bytes = std::size_t(256) << 10;
+};
+
+enum class sse_failure : std::uint8_t { line_too_long, event_too_large };
+
+std::string_view name_of(sse_failure failure);
+
+/**
+ * Reads server-sent events from bytes that come in any pieces. Holds one line
+ * and one event, both bounded; after a failure it stays failed.
+ */
+class sse_parser
+{
+public:
+    /** Returning false ends the feeding of the piece at hand. */
+    using event_function = std::function<bool(sse_event&&)>;
+
+    explicit sse_parser(sse_limits limits = {});
+
+    tl::expected<void, sse_failure> feed(std::string_view bytes,
+                                         const event_function& on_event);
+
+private:
+    bool end_line(const event_function& on_event);
+    void take_field(std::string_view name, std::string_view value);
+
+    sse_limits limits_;
+    std::string line_;
+    sse_event event_;
+    bool has_data_ = false;
+    bool after_return_ = false;
+    tl::expected<void, sse_failure> state_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_SSE_PARSER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/weight_store_client.hpp
@@ -0,0 +1,59 @@
+#ifndef CYCLAMENRUN_WEIGHT_STORE_CLIENT_HPP
+#define CYCLAMENRUN_WEIGHT_STORE_CLIENT_HPP
+
+#include "clock.hpp"
+#include "http_exchange.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace cyclamenrun
+{
+
+class cancellation;
+
+enum class weight_store_failure : std::uint8_t {
+    unavailable,
+    not_found,
+    timed_out, ///< still limited at the deadline
+    cancelled,
+};
+
+std::string_view name_of(weight_store_failure failure);
+
+/**
+ * Fetches from the rate-limited weight store. After a refusal it waits as
+ * told, plus a random share: when a whole failure domain restarts, its VMs
+ * then come back spread out and not all at the same moment.
+ */
+class weight_store_client
+{
+public:
+    /** A number drawn evenly from [0, 1). */
+    using random_function = std::function<double()>;
+    /** Waits that long; false ends the fetch. */
+    using wait_function = std::function<bool(milliseconds)>;
+
+    weight_store_client(std::string address, http_limits limits,
+                        clock_function clock, random_function random,
+                        wait_function wait);
+
+    tl::expected<std::string, weight_store_failure>
+    fetch(const std::string& name, time_point deadline);
+
+private:
+    milliseconds pause_after(const http_head& head, int attempt) const;
+
+    std::string address_;
+    http_limits limits_;
+    clock_function clock_;
+    random_function random_;
+    wait_function wait_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_WEIGHT_STORE_CLIENT_HPP
--- /dev/null
+++ b/tests/standins/engine/engine_api.hpp
@@ -0,0 +1,48 @@
+#ifndef CYCLAMENRUN_TESTS_ENGINE_API_HPP
+#define CYCLAMENRUN_TESTS_ENGINE_API_HPP
+
+#include "../stand_in_server.hpp"
+#include "engine_core.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace cyclamenrun::stand_in
+{
+
+/** The engine's HTTP side. */
+class engine_api
+{
+public:
+    engine_api(engine_core& core, history& events);
+
+    void handle(server_request& request, server_response& response);
+
+private:
+    void complete(server_request& request, server_response& response);
+    void stream(server_request& request, server_response& response,
+                engine_run& run, bool chat);
+    void whole(server_request& request, server_response& response,
+               engine_run& run, bool chat);
+    void cancel(server_request& request, server_response& response);
+    void order(server_request& request, server_response& response);
+    void runs(server_response& response);
+    void load(server_response& response);
+    void cache_events(server_request& request, server_response& response);
+    void set_fault(server_request& request, server_response& response);
+
+    engine_core& core_;
+    history& events_;
+    const std::uint64_t epoch_;
+    std::mutex fence_lock_;
+    std::uint64_t highest_fence_ = 0;
+    std::atomic<std::uint64_t> end_at_token_ = 0; ///< 0: off
+    std::atomic<int> refuse_status_ = 0;          ///< 0: off
+    std::atomic<bool> foreign_id_ = false;
+};
+
+} // namespace cyclamenrun::stand_in
+
+#endif // CYCLAMENRUN_TESTS_ENGINE_API_HPP
--- /dev/null
+++ b/tests/standins/engine/engine_run.hpp
@@ -0,0 +1,88 @@
+#ifndef CYCLAMENRUN_TESTS_ENGINE_RUN_HPP
+#define CYCLAMENRUN_TESTS_ENGINE_RUN_HPP
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun::stand_in
+{
+
+struct run_order {
+    std::string request_id;
+    std::string prompt;
+    std::uint64_t max_tokens = 0;
+    std::int64_t priority = 0;
+    std::optional<std::uint64_t> output_tokens;
+    std::optional<std::uint64_t> crash_at_token;
+};
+
+/** What the handler of a run is told next. */
+struct run_step {
+    std::optional<std::string> token;
+    std::string finish_reason; ///< not empty at the end
+};
+
+/**
+ * One request in the engine. What stands above the lock belongs to the
+ * engine's batch; the handler takes tokens from below it.
+ */
+class engine_run
+{
+public:
+    explicit engine_run(run_order wanted) : order(std::move(wanted)) {}
+
+    const run_order order;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t target_tokens = 0;
+    std::uint64_t made = 0;
+    std::uint64_t prefill_left = 0;
+    std::uint64_t sequence = 0; ///< order of arrival
+    bool active = false;        ///< in the batch, holds memory
+
+    std::uint64_t memory_tokens() const { return prompt_tokens + made; }
+
+    void push(std::string token)
+    {
+        const std::lock_guard guard(lock_);
+        tokens_.push_back(std::move(token));
+        changed_.notify_one();
+    }
+
+    void finish(std::string reason)
+    {
+        const std::lock_guard guard(lock_);
+        finish_reason_ = std::move(reason);
+        changed_.notify_one();
+    }
+
+    /** Empty if nothing has come within `wait`. */
+    std::optional<run_step> next(std::chrono::milliseconds wait)
+    {
+        std::unique_lock guard(lock_);
+        const auto ready = [this] {
+            return !tokens_.empty() || !finish_reason_.empty();
+        };
+        if (!changed_.wait_for(guard, wait, ready))
+            return {};
+        if (tokens_.empty())
+            return run_step{{}, finish_reason_};
+        run_step step{std::move(tokens_.front()), {}};
+        tokens_.pop_front();
+        return step;
+    }
+
+private:
+    std::mutex lock_;
+    std::condition_variable changed_;
+    std::deque<std::string> tokens_;
+    std::string finish_reason_;
+};
+
+} // namespace cyclamenrun::stand_in
+
+#endif // CYCLAMENRUN_TESTS_ENGINE_RUN_HPP
--- /dev/null
+++ b/tests/standins/platform/listed_vms.hpp
@@ -0,0 +1,47 @@
+#ifndef CYCLAMENRUN_TESTS_LISTED_VMS_HPP
+#define CYCLAMENRUN_TESTS_LISTED_VMS_HPP
+
+#include "vm_list.hpp"
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+
+namespace cyclamenrun::stand_in
+{
+
+/** The list of VMs; readers see each change only after the lag. */
+class listed_vms
+{
+public:
+    explicit listed_vms(std::chrono::milliseconds lag);
+
+    void put(vm entry);
+    void remove(const std::string& id);
+    /** Waits up to `wait` for a revision above `after`. */
+    vm_list read(std::uint64_t after, std::chrono::milliseconds wait);
+    void stop();
+
+private:
+    using clock = std::chrono::steady_clock;
+    struct version {
+        clock::time_point visible;
+        vm_list list;
+    };
+
+    void publish(vm_list next);
+    void drop_old();
+
+    const std::chrono::milliseconds lag_;
+    std::mutex lock_;
+    std::condition_variable changed_;
+    std::deque<version> versions_; ///< the first is what readers see
+    bool stopping_ = false;
+};
+
+} // namespace cyclamenrun::stand_in
+
+#endif // CYCLAMENRUN_TESTS_LISTED_VMS_HPP
--- /dev/null
+++ b/tests/standins/platform/stored_log.hpp
@@ -0,0 +1,52 @@
+#ifndef CYCLAMENRUN_TESTS_STORED_LOG_HPP
+#define CYCLAMENRUN_TESTS_STORED_LOG_HPP
+
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::stand_in
+{
+
+struct stored_record {
+    std::uint64_t offset = 0;
+    std::string data;
+};
+
+struct stored_page {
+    std::uint64_t first_retained = 0;
+    std::uint64_t next = 0;
+    std::vector<stored_record> records;
+};
+
+/** One append-only log that keeps its newest records. */
+class stored_log
+{
+public:
+    explicit stored_log(std::uint64_t retain) : retain_(retain) {}
+
+    std::uint64_t append(std::string data);
+    /** Waits up to `wait` for a record at `from`. */
+    stored_page read(std::uint64_t from, std::uint64_t max,
+                     std::chrono::milliseconds wait);
+    /** Drops all but the newest `count`, as time would. */
+    void retain(std::uint64_t count);
+    void stop();
+
+private:
+    const std::uint64_t retain_;
+    std::mutex lock_;
+    std::condition_variable changed_;
+    std::deque<std::string> records_;
+    std::uint64_t first_ = 0;
+    bool stopping_ = false;
+};
+
+} // namespace cyclamenrun::stand_in
+
+#endif // CYCLAMENRUN_TESTS_STORED_LOG_HPP
--- /dev/null
+++ b/tests/standins/runner/main.cpp
@@ -0,0 +1,20 @@
+#include "runner_api.hpp"
+
+int main(int argc, char** argv)
+{
+    using namespace cyclamenrun::stand_in;
+    std::string listen = "127.0.0.1:0";
+    std::uint64_t delay_ms = 5;
+    CLI::App app("Stand-in for an application runner");
+    app.add_option("--listen", listen, "IP:PORT, port 0 for any");
+    app.add_option("--delay-ms", delay_ms, "time that a call takes");
+    CLI11_PARSE(app, argc, argv);
+    server http;
+    runner_api api{std::chrono::milliseconds(delay_ms)};
+    return http.run(
+        listen,
+        [&api](server_request& request, server_response& response) {
+            api.handle(request, response);
+        },
+        [&api] { api.stop(); });
+}
--- /dev/null
+++ b/tests/standins/runner/runner_api.cpp
@@ -0,0 +1,108 @@
+#include "runner_api.hpp"
+
+namespace cyclamenrun::stand_in
+{
+namespace
+{
+
+/** From the body, or else from the header. */
+std::string request_id_of(const server_request& request,
+                          const std::string& body)
+{
+    const auto document = parse_json_object(body);
+    if (document) {
+        if (auto id = json_string(*document, "request_id"))
+            return *id;
+    }
+    return request.get("X-Request-Id", "");
+}
+
+} // namespace
+
+void runner_api::handle(server_request& request, server_response& response)
+{
+    const auto path = path_of(request);
+    if (path == "/stand-in/history")
+        return answer(response, 200, events_.text(), "application/x-ndjson");
+    if (path == "/stand-in/fault")
+        return set_fault(request, response);
+    if (request.getMethod() != "POST")
+        return answer(response, 404, "{}");
+    call(request, response);
+}
+
+void runner_api::stop()
+{
+    const std::lock_guard guard(lock_);
+    stopping_ = true;
+    stopped_.notify_all();
+}
+
+void runner_api::call(server_request& request, server_response& response)
+{
+    const auto id = request_id_of(request, body_of(request));
+    const auto run = count_run();
+    const auto faults = take_faults();
+    record("run", id, run);
+    wait(delay_ + std::chrono::milliseconds(faults.late_ms));
+    if (faults.lose_answers != 0) {
+        record("answer_lost", id, run);
+        return close_unanswered(request);
+    }
+    record("answered", id, run);
+    Poco::JSON::Object body;
+    body.set("request_id", id);
+    body.set("run", run);
+    body.set("result", faults.error_status == 0 ? "ok" : "error");
+    answer(response,
+           faults.error_status == 0 ? 200
+                                    : static_cast<int>(faults.error_status),
+           to_string(body));
+}
+
+void runner_api::set_fault(server_request& request, server_response& response)
+{
+    const auto body = parse_json_object(body_of(request));
+    if (!body)
+        return answer(response, 400, "{}");
+    const std::lock_guard guard(lock_);
+    faults_.lose_answers =
+        json_u64(*body, "lose_answers").value_or(faults_.lose_answers);
+    faults_.late_ms = json_u64(*body, "late_ms").value_or(faults_.late_ms);
+    faults_.error_status =
+        json_u64(*body, "error_status").value_or(faults_.error_status);
+    answer(response, 200, "{}");
+}
+
+std::uint64_t runner_api::count_run()
+{
+    const std::lock_guard guard(lock_);
+    return ++runs_;
+}
+
+runner_faults runner_api::take_faults()
+{
+    const std::lock_guard guard(lock_);
+    const auto taken = faults_;
+    if (faults_.lose_answers != 0)
+        --faults_.lose_answers;
+    return taken;
+}
+
+void runner_api::wait(std::chrono::milliseconds span)
+{
+    std::unique_lock guard(lock_);
+    stopped_.wait_for(guard, span, [this] { return stopping_; });
+}
+
+void runner_api::record(const char* event, const std::string& request_id,
+                        std::uint64_t run)
+{
+    Poco::JSON::Object line;
+    line.set("event", event);
+    line.set("request_id", request_id);
+    line.set("run", run);
+    events_.add(line);
+}
+
+} // namespace cyclamenrun::stand_in
--- /dev/null
+++ b/tests/standins/token_text.hpp
@@ -0,0 +1,35 @@
+#ifndef CYCLAMENRUN_TESTS_TOKEN_TEXT_HPP
+#define CYCLAMENRUN_TESTS_TOKEN_TEXT_HPP
+
+#include "digest.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace cyclamenrun::stand_in
+{
+
+/**
+ * The token that the stand-in engine makes at `index`, from 0. It depends on
+ * the prompt alone, so that a test can tell a whole answer of its own from a
+ * cut one, from another's and from a mixture.
+ */
+inline std::string token_text(std::string_view prompt, std::uint64_t index)
+{
+    constexpr std::uint64_t words = 100000;
+    return " w" + std::to_string(hash64(prompt, index) % words);
+}
+
+/** The first `count` tokens. */
+inline std::string answer_text(std::string_view prompt, std::uint64_t count)
+{
+    std::string text;
+    for (std::uint64_t index = 0; index < count; ++index)
+        text += token_text(prompt, index);
+    return text;
+}
+
+} // namespace cyclamenrun::stand_in
+
+#endif // CYCLAMENRUN_TESTS_TOKEN_TEXT_HPP
