Decide admission and choice of upstream, first version

Survival curves of output length per service and team with a prior, a projection of memory from them, fair share by virtual token counters, queue bounds with a retry_after from the drain rate, load views with own dispatches since the report, prefix homes, retry budget and team limits.

--- /dev/null
+++ b/src/libcyclamenrun/fair_share.cpp
@@ -0,0 +1,58 @@
+#include "fair_share.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+fair_share::account& fair_share::open(const std::string& team,
+                                      std::uint32_t weight)
+{
+    auto [found, is_new] = accounts_.try_emplace(team);
+    account& opened = found->second;
+    if (is_new)
+        opened.team = team;
+    else if (opened.holders == 0)
+        --idle_;
+    opened.weight = std::max(weight, 1U);
+    if (opened.holders == 0)
+        opened.counter = std::max(opened.counter, floor_);
+    ++opened.holders;
+    return opened;
+}
+
+void fair_share::close(account& of)
+{
+    if (--of.holders > 0)
+        return;
+    ++idle_;
+    if (idle_ > max_idle_)
+        drop_idle();
+}
+
+void fair_share::drop_idle()
+{
+    // One that stands at the floor would start there anyway. If none does,
+    // all debts are forgotten, which keeps the bound.
+    const auto paid_up = [this](const auto& item) {
+        return item.second.holders == 0 && item.second.counter <= floor_;
+    };
+    const auto unheld = [](const auto& item) {
+        return item.second.holders == 0;
+    };
+    idle_ -= std::erase_if(accounts_, paid_up);
+    if (idle_ > max_idle_)
+        idle_ -= std::erase_if(accounts_, unheld);
+}
+
+void fair_share::charge(account& of, double tokens)
+{
+    of.counter += tokens / of.weight;
+}
+
+void fair_share::served(const account& of)
+{
+    floor_ = std::max(floor_, of.counter);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/length_predictor.cpp
@@ -0,0 +1,93 @@
+#include "length_predictor.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+// How many of the latest answers a curve remembers, roughly.
+constexpr float team_memory = 150.0F;
+constexpr float service_memory = 400.0F;
+constexpr float overall_memory = 800.0F;
+
+// For how many answers the curve above counts.
+constexpr float prior_weight_of_service = 8.0F;
+constexpr float prior_weight_of_overall = 8.0F;
+constexpr float prior_weight_stated = 2.0F;
+
+// A service's curve and a team's must both fit.
+constexpr std::size_t least_curves = 2;
+
+} // namespace
+
+length_predictor::length_predictor(std::size_t max_curves)
+    : max_curves_(std::max(max_curves, least_curves)), overall_(overall_memory)
+{
+}
+
+const survival_curve& length_predictor::curve(std::string_view service,
+                                              std::string_view team)
+{
+    const survival_curve& overall = refreshed_overall();
+    const survival_curve& of_service =
+        refreshed(find(service, {}), overall, prior_weight_of_overall);
+    return refreshed(find(service, team), of_service, prior_weight_of_service);
+}
+
+void length_predictor::learn(std::string_view service, std::string_view team,
+                             std::uint32_t tokens, bool complete)
+{
+    overall_.learn(tokens, complete);
+    find(service, {}).curve.learn(tokens, complete);
+    find(service, team).curve.learn(tokens, complete);
+}
+
+length_predictor::entry& length_predictor::find(std::string_view service,
+                                                std::string_view team)
+{
+    // Names hold no slash, so that no two pairs make the same key.
+    key_buffer_.assign(service).append("/").append(team);
+    const auto found = index_.find(key_buffer_);
+    if (found != index_.end()) {
+        entries_.splice(entries_.begin(), entries_, found->second);
+        return entries_.front();
+    }
+    if (entries_.size() >= max_curves_) {
+        index_.erase(entries_.back().key);
+        entries_.pop_back();
+    }
+    entries_.push_front(
+        {key_buffer_,
+         survival_curve(team.empty() ? service_memory : team_memory)});
+    index_.emplace(entries_.front().key, entries_.begin());
+    return entries_.front();
+}
+
+const survival_curve& length_predictor::refreshed(entry& of,
+                                                  const survival_curve& prior,
+                                                  float prior_weight)
+{
+    // Versions start at 0 and grow, so that + 1 tells "never" from "at 0".
+    const std::uint64_t own = of.curve.version() + 1;
+    const std::uint64_t above = overall_.version() + 1;
+    if (of.own_version != own || of.prior_version != above) {
+        of.curve.refresh(prior, prior_weight);
+        of.own_version = own;
+        of.prior_version = above;
+    }
+    return of.curve;
+}
+
+const survival_curve& length_predictor::refreshed_overall()
+{
+    if (overall_version_ != overall_.version() + 1) {
+        overall_.refresh_with_stated_prior(prior_weight_stated);
+        overall_version_ = overall_.version() + 1;
+    }
+    return overall_;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/load_report.hpp
@@ -0,0 +1,28 @@
+#ifndef CYCLAMENRUN_LOAD_REPORT_HPP
+#define CYCLAMENRUN_LOAD_REPORT_HPP
+
+#include "clock.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** What an agent tells of its load; mirrors link.proto. */
+struct load_report {
+    std::string upstream;
+    std::uint64_t incarnation = 0;
+    milliseconds uptime{0}; ///< of the agent, when it made the report
+    bool leaving = false;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint64_t memory_tokens_used = 0;
+    std::uint64_t memory_tokens_total = 0;
+    milliseconds expected_wait{0};
+    std::uint64_t queued_tokens = 0;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOAD_REPORT_HPP
--- /dev/null
+++ b/src/libcyclamenrun/memory_projection.cpp
@@ -0,0 +1,71 @@
+#include "memory_projection.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+// An answer this unlikely to last so long no longer counts.
+constexpr float negligible = 0.002F;
+
+/** P(a normal variable exceeds `limit`). */
+double tail(double mean, double variance, double limit)
+{
+    // Half a token keeps the certain case (no variance) a plain comparison.
+    const double deviation = std::sqrt(std::max(variance, 0.25));
+    return 0.5 * std::erfc((limit - mean) / (deviation * std::sqrt(2.0)));
+}
+
+} // namespace
+
+void memory_projection::add(const answer& of, const survival_curve& curve)
+{
+    const float now = curve.survival(of.made);
+    for (std::size_t i = 0; i < horizons.size(); ++i) {
+        const std::uint32_t length = of.made + horizons[i];
+        if (i > 0 && length >= of.max_output)
+            return;
+        const float alive = curve.survival(length) / now;
+        if (alive < negligible)
+            return;
+        add_at(i, of, static_cast<double>(alive));
+    }
+}
+
+void memory_projection::add_known(const answer& of, std::uint32_t length)
+{
+    for (std::size_t i = 0; i < horizons.size(); ++i) {
+        if (i > 0 && of.made + horizons[i] >= length)
+            return;
+        add_at(i, of, 1.0);
+    }
+}
+
+void memory_projection::add_at(std::size_t horizon, const answer& of,
+                               double alive)
+{
+    // Answers grow on until the next horizon, and a peak in between must not
+    // be missed: who is alive at the start is taken to last to the end.
+    const bool is_now = horizon == 0;
+    const bool is_last = horizon + 1 == horizons.size();
+    const std::uint32_t ahead =
+        is_now || is_last ? horizons[horizon] : horizons[horizon + 1];
+    const auto tokens = static_cast<double>(of.held_tokens + ahead);
+    mean_[horizon] += tokens * alive;
+    variance_[horizon] += tokens * tokens * alive * (1.0 - alive);
+}
+
+double memory_projection::overflow_risk(double memory_tokens) const
+{
+    double highest = 0.0;
+    for (std::size_t i = 0; i < horizons.size(); ++i)
+        highest =
+            std::max(highest, tail(mean_[i], variance_[i], memory_tokens));
+    return highest;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/router.cpp
@@ -0,0 +1,234 @@
+#include "router.hpp"
+
+#include "digest.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+// Prompt blocks remembered for each upstream.
+constexpr std::size_t cache_blocks = 4'096;
+
+// What a full memory costs a new request, in time, before anything queues:
+// decode steps grow longer with the batch.
+constexpr double full_memory_ms = 400.0;
+constexpr double full_memory_ms_token_latency = 1'200.0;
+
+// An upstream that has told nothing yet is tried, but after known idle ones.
+constexpr double unknown_ms = 20.0;
+
+// A suspect goes to one of this many upstreams, the same for each entry, so
+// that what it may crash stays few.
+constexpr std::size_t quarantine_upstreams = 2;
+
+std::uint64_t mix(std::uint64_t left, std::uint64_t right)
+{
+    std::uint64_t value = left ^ (right * 0x9E3779B97F4A7C15U);
+    value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9U;
+    value = (value ^ (value >> 27)) * 0x94D049BB133111EBU;
+    return value ^ (value >> 31);
+}
+
+std::uint64_t hash_of(const candidate& of)
+{
+    return of.hash != 0 ? of.hash : hash64(of.upstream);
+}
+
+bool contains(const std::vector<std::string>& names, const std::string& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+router::router(router_settings settings, std::uint64_t seed)
+    : settings_(settings), random_(seed)
+{
+}
+
+void router::report(const load_report& latest, time_point now)
+{
+    state_of(latest.upstream).load.report(latest, now);
+}
+
+void router::cached(const std::string& upstream,
+                    std::span<const std::uint64_t> blocks)
+{
+    state_of(upstream).cache.used(blocks);
+}
+
+void router::evicted(const std::string& upstream, std::uint64_t block)
+{
+    state_of(upstream).cache.evicted(block);
+}
+
+void router::dispatched(const std::string& upstream,
+                        const route_request& request, time_point now)
+{
+    upstream_state& state = state_of(upstream);
+    state.load.dispatched(request.prompt_tokens, now);
+    state.cache.used(request.prefix_blocks);
+}
+
+void router::settled(const std::string& upstream, time_point)
+{
+    const auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end())
+        found->second.load.settled();
+}
+
+void router::forget(const std::string& upstream)
+{
+    upstreams_.erase(upstream);
+}
+
+router::upstream_state& router::state_of(const std::string& upstream)
+{
+    const auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end())
+        return found->second;
+    // Beyond the bound any one is dropped: it is learnt again by its next
+    // report, and an entry is given fewer upstreams than this.
+    if (upstreams_.size() >= settings_.max_upstreams)
+        upstreams_.erase(upstreams_.begin());
+    return upstreams_.try_emplace(upstream, cache_blocks).first->second;
+}
+
+const router::upstream_state* router::find(const std::string& upstream) const
+{
+    const auto found = upstreams_.find(upstream);
+    return found == upstreams_.end() ? nullptr : &found->second;
+}
+
+outcome<std::size_t> router::choose(const route_request& request,
+                                    std::span<const candidate> candidates,
+                                    time_point)
+{
+    sample(request, candidates);
+    std::optional<std::size_t> best;
+    double best_cost = std::numeric_limits<double>::max();
+    milliseconds least_wait = milliseconds::max();
+    for (const std::size_t index : sampled_) {
+        const candidate& of = candidates[index];
+        if (!usable(request, of))
+            continue;
+        const double cost = cost_ms(request, of);
+        if (const upstream_state* state = find(of.upstream))
+            least_wait = std::min(least_wait, state->load.expected_wait());
+        else
+            least_wait = milliseconds(0);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = index;
+        }
+    }
+    if (!best)
+        return tl::unexpected(not_run(refusal_reason::no_upstream));
+    if (least_wait > settings_.max_wait)
+        return tl::unexpected(not_run(refusal_reason::queue_full,
+                                      "every upstream",
+                                      least_wait - settings_.max_wait));
+    return *best;
+}
+
+void router::sample(const route_request& request,
+                    std::span<const candidate> candidates)
+{
+    sampled_.clear();
+    if (request.suspect) {
+        add_homes(request, candidates);
+        return;
+    }
+    if (candidates.size() <= settings_.sample) {
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            sampled_.push_back(i);
+        return;
+    }
+    if (settings_.prefix && !request.prefix_blocks.empty())
+        add_homes(request, candidates);
+    std::uniform_int_distribution<std::size_t> any(0, candidates.size() - 1);
+    // Some may be unusable; a bounded number of further draws makes up.
+    for (std::size_t i = 0;
+         i < 4 * settings_.sample && sampled_.size() < settings_.sample; ++i) {
+        const std::size_t drawn = any(random_);
+        if (usable(request, candidates[drawn]))
+            sampled_.push_back(drawn);
+    }
+    if (!sampled_.empty())
+        return;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        sampled_.push_back(i);
+}
+
+void router::add_homes(const route_request& request,
+                       std::span<const candidate> candidates)
+{
+    std::uint64_t key = request.fingerprint;
+    std::size_t homes = quarantine_upstreams;
+    if (!request.suspect) {
+        const std::size_t blocks =
+            std::min(settings_.affinity_blocks, request.prefix_blocks.size());
+        key = request.prefix_blocks[blocks - 1];
+        homes = settings_.prefix_homes;
+    }
+    std::vector<std::pair<std::uint64_t, std::size_t>> best;
+    best.reserve(homes + 1);
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const std::uint64_t rank = mix(key, hash_of(candidates[i]));
+        if (best.size() == homes && rank <= best.back().first)
+            continue;
+        if (!usable(request, candidates[i]))
+            continue;
+        best.emplace_back(rank, i);
+        std::sort(best.rbegin(), best.rend());
+        if (best.size() > homes)
+            best.pop_back();
+    }
+    for (const auto& [rank, index] : best)
+        sampled_.push_back(index);
+}
+
+bool router::usable(const route_request& request, const candidate& of) const
+{
+    if (contains(request.excluded, of.upstream))
+        return false;
+    const upstream_state* state = find(of.upstream);
+    return !state || !state->load.leaving();
+}
+
+double router::cost_ms(const route_request& request, const candidate& of) const
+{
+    double cost = 0.0;
+    double uncached = request.prompt_tokens;
+    if (const upstream_state* state = find(of.upstream)) {
+        cost += load_cost_ms(state->load, request.goal);
+        if (settings_.prefix)
+            uncached -=
+                static_cast<double>(settings_.block_tokens *
+                                    state->cache.held(request.prefix_blocks));
+    } else {
+        cost += unknown_ms;
+    }
+    cost += std::max(uncached, 0.0) * settings_.prefill_ms_per_token;
+    if (of.region != request.own_region)
+        cost += static_cast<double>(settings_.region_cost.count());
+    else if (of.failure_domain != request.own_failure_domain)
+        cost += static_cast<double>(settings_.failure_domain_cost.count());
+    return cost;
+}
+
+double router::load_cost_ms(const load_view& load, objective goal) const
+{
+    const double full = goal == objective::token_latency
+                            ? full_memory_ms_token_latency
+                            : full_memory_ms;
+    return static_cast<double>(load.expected_wait().count()) +
+           full * load.memory_share();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/router_settings.hpp
@@ -0,0 +1,35 @@
+#ifndef CYCLAMENRUN_ROUTER_SETTINGS_HPP
+#define CYCLAMENRUN_ROUTER_SETTINGS_HPP
+
+#include "clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace cyclamenrun
+{
+
+struct router_settings {
+    /** Upstreams whose load is remembered. */
+    std::size_t max_upstreams = 2'048;
+    /** Looked at per choice, when there are more; the rest is luck. */
+    std::size_t sample = 12;
+    /** Upstreams a prefix is at home on, by rendezvous hashing. */
+    std::size_t prefix_homes = 2;
+    /** Blocks hashed into the home of a prefix, and tokens for each. */
+    std::size_t affinity_blocks = 4;
+    std::uint32_t block_tokens = 64;
+    /** Time an engine takes to read a prompt token that it has not cached. */
+    double prefill_ms_per_token = 0.1;
+    /** Added cost of another failure domain, and of another region. */
+    milliseconds failure_domain_cost{2};
+    milliseconds region_cost{50};
+    /** When every upstream would keep work waiting longer, it is refused. */
+    milliseconds max_wait{20'000};
+    bool prefix = true;     ///< affinity; false to measure its worth
+    bool own_counts = true; ///< own dispatches; false to measure their worth
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_ROUTER_SETTINGS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/team_limiter.cpp
@@ -0,0 +1,112 @@
+#include "team_limiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+// A full bucket holds this many seconds of tokens.
+constexpr double burst_s = 10.0;
+
+constexpr milliseconds least_retry_after{100};
+constexpr milliseconds longest_retry_after{600'000};
+
+// How long a place of max_concurrent takes to come free; there is no better
+// knowledge of it than that answers take seconds.
+constexpr milliseconds place_retry_after{1'000};
+
+milliseconds clamp(double seconds)
+{
+    const double most = static_cast<double>(longest_retry_after.count());
+    const double ms = std::min(seconds * 1000.0, most);
+    return std::max(milliseconds(std::llround(std::ceil(ms))),
+                    least_retry_after);
+}
+
+refusal over_limit(const char* which, milliseconds after)
+{
+    return not_run(refusal_reason::team_limit, which, after);
+}
+
+} // namespace
+
+team_limiter::team_limiter(std::size_t max_teams) : max_teams_(max_teams) {}
+
+void team_limiter::entries(std::uint32_t count)
+{
+    entries_ = std::max(count, 1U);
+}
+
+std::uint32_t team_limiter::share_of(std::uint32_t limit) const
+{
+    return std::max((limit + entries_ - 1) / entries_, 1U);
+}
+
+outcome<void> team_limiter::start(const std::string& team,
+                                  const team_limits& limits,
+                                  std::uint32_t prompt_tokens, time_point now)
+{
+    auto found = teams_.find(team);
+    if (found == teams_.end()) {
+        if (!make_room())
+            return tl::unexpected(
+                over_limit("teams at this entry", place_retry_after));
+        found = teams_.emplace(team, state{}).first;
+    }
+    state& of = found->second;
+    if (limits.max_concurrent > 0 &&
+        of.running >= share_of(limits.max_concurrent))
+        return tl::unexpected(over_limit("max_concurrent", place_retry_after));
+    fill(of, limits, now);
+    if (of.rate > 0.0) {
+        if (of.tokens <= 0.0)
+            return tl::unexpected(
+                over_limit("tokens_per_second", clamp(-of.tokens / of.rate)));
+        of.tokens -= prompt_tokens;
+    }
+    ++of.running;
+    return {};
+}
+
+void team_limiter::fill(state& of, const team_limits& limits,
+                        time_point now) const
+{
+    const bool is_new = of.rate == 0.0;
+    of.rate = static_cast<double>(limits.tokens_per_second) / entries_;
+    const double most = of.rate * burst_s;
+    const double elapsed =
+        std::chrono::duration<double>(now - of.filled).count();
+    of.filled = now;
+    of.tokens = is_new ? most : std::min(of.tokens + elapsed * of.rate, most);
+}
+
+bool team_limiter::make_room()
+{
+    if (teams_.size() < max_teams_)
+        return true;
+    // Whoever is in debt stays, or it would be forgiven by others coming.
+    std::erase_if(teams_, [](const auto& item) {
+        return item.second.running == 0 && item.second.tokens >= 0.0;
+    });
+    return teams_.size() < max_teams_;
+}
+
+void team_limiter::output(const std::string& team, std::uint32_t tokens)
+{
+    const auto found = teams_.find(team);
+    if (found != teams_.end() && found->second.rate > 0.0)
+        found->second.tokens -= tokens;
+}
+
+void team_limiter::finished(const std::string& team)
+{
+    const auto found = teams_.find(team);
+    if (found != teams_.end() && found->second.running > 0)
+        --found->second.running;
+}
+
+} // namespace cyclamenrun
