Apply configuration from the log, and know who is there

Operators' changes race on a log whose answers get lost and whose records expire; entries need one outcome everywhere.

Not covered by tests yet.

--- /dev/null
+++ b/src/libcyclamenrun/change_submitter.cpp
@@ -0,0 +1,167 @@
+#include "change_submitter.hpp"
+
+#include "change_validation.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+void add_error(v1::Invalid& invalid, const field_error& error)
+{
+    auto* added = invalid.add_errors();
+    added->set_field(error.field);
+    added->set_problem(std::string(name_of(error.problem)) + ": " +
+                       error.allowed);
+}
+
+v1::ApplyChangeResponse invalid_for(const std::vector<field_error>& errors)
+{
+    v1::ApplyChangeResponse response;
+    response.mutable_invalid();
+    for (const auto& error : errors)
+        add_error(*response.mutable_invalid(), error);
+    return response;
+}
+
+/** Why the change was judged invalid, as far as it can still be seen. */
+std::vector<field_error> errors_of(const v1::ChangeRecord& change,
+                                   const configuration_resources& resources)
+{
+    auto errors = check_change(change);
+    if (errors.empty())
+        errors = check_references(change, resources);
+    if (errors.empty())
+        errors.push_back({"resource", change_problem::unknown_reference,
+                          "names that existed when the change was read"});
+    return errors;
+}
+
+bool may_have_been_appended(log_failure failure)
+{
+    return failure == log_failure::timed_out ||
+           failure == log_failure::malformed;
+}
+
+} // namespace
+
+change_submitter::change_submitter(v1::ChangeRecord change, time_point deadline,
+                                   submit_settings settings)
+    : change_(std::move(change)), record_(log_record_of(change_)),
+      deadline_(deadline), settings_(settings)
+{
+    const auto errors = check_change(change_);
+    if (errors.empty())
+        return;
+    result_ = invalid_for(errors);
+    done_ = true;
+}
+
+submit_step change_submitter::next(const change_progress& progress,
+                                   time_point now)
+{
+    if (done_ || settle(progress))
+        return submit_step::done;
+    if (now >= deadline_) {
+        finish_at_deadline();
+        return submit_step::done;
+    }
+    if (!offset_ && now >= append_at_)
+        return submit_step::append;
+    return submit_step::wait;
+}
+
+void change_submitter::on_append(
+    const tl::expected<std::uint64_t, log_error>& answer, time_point now)
+{
+    if (answer) {
+        offset_ = *answer;
+        may_be_on_log_ = true;
+        return;
+    }
+    // The answer was lost: the record may be on the log. A second copy is
+    // harmless, since readers know the change's id, but the first is given
+    // time to be read back.
+    if (may_have_been_appended(answer.error().failure)) {
+        may_be_on_log_ = true;
+        append_at_ = now + settings_.resend_after;
+        return;
+    }
+    append_at_ =
+        now + std::max(settings_.retry_after, answer.error().retry_after);
+}
+
+time_point change_submitter::wake_at() const
+{
+    return offset_ ? deadline_ : std::min(append_at_, deadline_);
+}
+
+bool change_submitter::settle(const change_progress& progress)
+{
+    if (progress.outcome) {
+        finish_by(*progress.outcome, progress);
+        return true;
+    }
+    // Revisions of a resource only grow: a base that is below the current
+    // one can never apply, wherever copies of the record may still be.
+    if (progress.current &&
+        progress.current->revision() > change_.base_revision()) {
+        finish_conflict(progress);
+        return true;
+    }
+    return false;
+}
+
+void change_submitter::finish_by(const v1::ChangeOutcome& known,
+                                 const change_progress& progress)
+{
+    done_ = true;
+    if (known.fingerprint() != fingerprint_of(change_)) {
+        result_ = invalid_for({{"change_id", change_problem::duplicate,
+                                "an id that no other change has"}});
+        return;
+    }
+    if (known.result() == v1::CHANGE_RESULT_CONFLICT) {
+        finish_conflict(progress);
+        return;
+    }
+    if (known.result() == v1::CHANGE_RESULT_INVALID) {
+        result_ = invalid_for(errors_of(change_, progress.resources));
+        return;
+    }
+    v1::ApplyChangeResponse response;
+    response.mutable_accepted()->set_revision(known.offset() + 1);
+    result_ = std::move(response);
+}
+
+void change_submitter::finish_conflict(const change_progress& progress)
+{
+    done_ = true;
+    v1::ApplyChangeResponse response;
+    auto* conflict = response.mutable_conflict();
+    if (progress.current) {
+        conflict->set_current_revision(progress.current->revision());
+        if (progress.current->has_resource())
+            *conflict->mutable_winner() = progress.current->resource();
+    }
+    result_ = std::move(response);
+}
+
+void change_submitter::finish_at_deadline()
+{
+    done_ = true;
+    if (!may_be_on_log_) {
+        result_ = tl::unexpected(not_run(refusal_reason::not_ready,
+                                         "the log takes no records",
+                                         settings_.retry_after));
+        return;
+    }
+    v1::ApplyChangeResponse response;
+    response.mutable_unknown()->set_change_id(change_.change_id());
+    result_ = std::move(response);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/change_validation.hpp
@@ -0,0 +1,73 @@
+#ifndef CYCLAMENRUN_CHANGE_VALIDATION_HPP
+#define CYCLAMENRUN_CHANGE_VALIDATION_HPP
+
+#include "config.pb.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+class configuration_resources;
+
+/** What is wrong with a field of a change. */
+enum class change_problem : std::uint8_t {
+    missing,
+    malformed,
+    too_long,
+    out_of_range,
+    not_allowed_here,
+    mismatch,
+    duplicate,
+    too_many,
+    unknown_reference,
+    still_referenced,
+};
+
+std::string_view name_of(change_problem problem);
+
+/** One field that keeps a change from being accepted. */
+struct field_error {
+    std::string field; ///< path, e.g. team.weight
+    change_problem problem = change_problem::malformed;
+    std::string allowed; ///< for people: what may stand there
+
+    bool operator==(const field_error&) const = default;
+};
+
+/**
+ * Bounds of what a change may hold. Readers judge records on the log by
+ * them, so that a new value needs a new schema number of the record.
+ */
+namespace change_limits
+{
+constexpr std::size_t change_id_length = 64;
+constexpr std::size_t name_length = 63;
+constexpr std::size_t model_length = 128;
+constexpr std::size_t team_services = 256;
+constexpr std::size_t resources_of_kind = 4096;
+constexpr std::size_t record_bytes = 64UL * 1024;
+constexpr std::uint32_t output_tokens = 1U << 20U;
+constexpr std::uint32_t prompt_tokens = 1U << 22U;
+constexpr std::uint64_t deadline_ms = 24ULL * 60 * 60 * 1000;
+constexpr std::uint32_t weight = 1000;
+constexpr std::uint32_t concurrent = 1'000'000;
+constexpr std::uint64_t tokens_per_second = 1'000'000'000;
+constexpr std::size_t salt_bytes = 16;
+constexpr std::size_t hash_bytes = 32;
+} // namespace change_limits
+
+/** Checks that need the change alone: the verdict never changes. */
+std::vector<field_error> check_change(const v1::ChangeRecord& change);
+
+/** Checks against what is in force when the change is applied. */
+std::vector<field_error>
+check_references(const v1::ChangeRecord& change,
+                 const configuration_resources& resources);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CHANGE_VALIDATION_HPP
--- /dev/null
+++ b/src/libcyclamenrun/configuration_resources.hpp
@@ -0,0 +1,68 @@
+#ifndef CYCLAMENRUN_CONFIGURATION_RESOURCES_HPP
+#define CYCLAMENRUN_CONFIGURATION_RESOURCES_HPP
+
+#include "config.pb.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * Services, teams and assignments by kind and name, with the tombstones of
+ * deleted ones. Copies share the resources, so that a copy per change is
+ * cheap.
+ */
+class configuration_resources
+{
+public:
+    using resource_pointer = std::shared_ptr<const v1::ResourceState>;
+
+    /** A tombstone counts as found; null for what never was. */
+    resource_pointer find(v1::ResourceKind kind, const std::string& name) const;
+
+    /** Null for what is deleted or never was. */
+    const v1::Service* service(const std::string& name) const;
+    const v1::Team* team(const std::string& name) const;
+    const v1::Assignment* assignment(const std::string& name) const;
+
+    std::vector<const v1::Service*> services() const;
+    std::vector<const v1::Team*> teams() const;
+    std::vector<const v1::Assignment*> assignments() const;
+
+    /** Sorted by name; the kind unspecified stands for all kinds. */
+    std::vector<resource_pointer> of_kind(v1::ResourceKind kind,
+                                          bool include_deleted = false) const;
+
+    /** Revision that a change of the resource must name; 0: never was. */
+    std::uint64_t revision_of(v1::ResourceKind kind,
+                              const std::string& name) const;
+
+    std::size_t live_count(v1::ResourceKind kind) const;
+    std::size_t size() const { return resources_.size(); }
+
+    /**
+     * Adds or replaces. The oldest tombstones go when there are more than
+     * max_tombstones: every reader drops the same ones.
+     */
+    void put(v1::ResourceState state);
+
+    static constexpr std::size_t max_tombstones = 1024;
+
+private:
+    using resource_key = std::pair<v1::ResourceKind, std::string>;
+
+    void drop_oldest_tombstone();
+
+    std::map<resource_key, resource_pointer> resources_;
+    std::size_t tombstones_ = 0;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CONFIGURATION_RESOURCES_HPP
--- /dev/null
+++ b/src/libcyclamenrun/log_tail_cursor.cpp
@@ -0,0 +1,109 @@
+#include "log_tail_cursor.hpp"
+
+#include "configuration_store.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 2> state_names{"following",
+                                                      "behind_gap"};
+
+} // namespace
+
+std::string_view name_of(tail_state state)
+{
+    return state_names.at(static_cast<std::size_t>(state));
+}
+
+log_tail_cursor::log_tail_cursor(configuration_store& store) : store_(store) {}
+
+std::uint64_t log_tail_cursor::next() const
+{
+    return state_ == tail_state::following ? store_.revision() : scan_from_;
+}
+
+void log_tail_cursor::take(const log_page& page)
+{
+    end_ = page.next;
+    note_first_retained(page.first_retained);
+    if (state_ == tail_state::behind_gap)
+        scan(page);
+    else
+        follow(page);
+}
+
+void log_tail_cursor::take(const log_error& error)
+{
+    if (error.failure == log_failure::retained_away)
+        note_first_retained(error.first_retained);
+}
+
+void log_tail_cursor::note_first_retained(std::uint64_t first_retained)
+{
+    first_retained_ = std::max(first_retained_, first_retained);
+    if (first_retained_ <= store_.revision()) {
+        // Also the way out of a gap by a peer's state.
+        state_ = tail_state::following;
+        return;
+    }
+    // Records ran out of retention while this reader could not read, so
+    // that changes told accepted may be among them. Going on behind the gap
+    // would drop them here and nowhere else.
+    if (state_ == tail_state::following) {
+        state_ = tail_state::behind_gap;
+        scan_from_ = first_retained_;
+        ++gaps_;
+    }
+    scan_from_ = std::max(scan_from_, first_retained_);
+}
+
+void log_tail_cursor::scan(const log_page& page)
+{
+    for (const auto& record : page.records) {
+        if (record.offset < scan_from_)
+            continue;
+        look_for_snapshot(record);
+        scan_from_ = record.offset + 1;
+        if (state_ == tail_state::following)
+            return;
+    }
+}
+
+void log_tail_cursor::follow(const log_page& page)
+{
+    const std::uint64_t before = store_.revision();
+    if (!store_.apply(page.records))
+        ++broken_pages_;
+    for (const auto& record : page.records) {
+        if (record.offset >= before && record.offset < store_.revision())
+            look_for_snapshot(record);
+    }
+    if (store_.revision() >= page.next)
+        store_.set_ready();
+}
+
+void log_tail_cursor::look_for_snapshot(const log_entry& record)
+{
+    v1::LogRecord parsed;
+    if (!parsed.ParseFromString(record.data) || !parsed.has_snapshot() ||
+        parsed.schema() != configuration_state::schema)
+        return;
+    const auto whole = assembler_.add(parsed.snapshot());
+    if (!whole)
+        return;
+    if (snapshot_hook_)
+        snapshot_hook_(whole->next_offset(), record.offset);
+    const bool closes_gap = whole->next_offset() >= first_retained_ &&
+                            whole->next_offset() <= record.offset;
+    if (state_ == tail_state::behind_gap && closes_gap &&
+        store_.restore(*whole))
+        state_ = tail_state::following;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/log_tailer.cpp
@@ -0,0 +1,128 @@
+#include "log_tailer.hpp"
+
+#include "configuration_store.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Doubles with each failure in a row, then spreads evenly over the half. */
+milliseconds backoff(const tail_settings& settings, std::uint32_t failures,
+                     double random)
+{
+    const auto doublings = std::min<std::uint32_t>(failures, 16) - 1;
+    const auto longest = std::min(settings.max_backoff,
+                                  settings.first_backoff * (1 << doublings));
+    return longest / 2 +
+           milliseconds(static_cast<std::int64_t>(
+               random * static_cast<double>(longest.count()) / 2));
+}
+
+} // namespace
+
+log_tailer::log_tailer(platform_log& log, configuration_store& store,
+                       tail_settings settings, clock_function clock,
+                       random_function random)
+    : log_(log), store_(store), settings_(settings), clock_(std::move(clock)),
+      random_(std::move(random)), cursor_(store)
+{
+}
+
+log_tailer::~log_tailer()
+{
+    stop();
+}
+
+void log_tailer::write_snapshots_by(std::shared_ptr<snapshot_writer> writer)
+{
+    writer_ = std::move(writer);
+    cursor_.on_snapshot(
+        [this](std::uint64_t next_offset, std::uint64_t offset) {
+            writer_->on_snapshot(next_offset, offset, clock_());
+        });
+}
+
+void log_tailer::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void log_tailer::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    stopped_.notify_all();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void log_tailer::run()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopping_) {
+        lock.unlock();
+        const milliseconds pause = pass(settings_.read_wait);
+        lock.lock();
+        stopped_.wait_for(lock, pause, [this] { return stopping_; });
+    }
+}
+
+milliseconds log_tailer::pass(milliseconds wait)
+{
+    const auto page = log_.read(cursor_.next(), settings_.page_records, wait);
+    return page ? on_page(*page) : on_error(page.error());
+}
+
+milliseconds log_tailer::on_page(const log_page& page)
+{
+    note_first_end(page.next);
+    cursor_.take(page);
+    if (writer_)
+        writer_->poll(cursor_, clock_());
+    const std::lock_guard lock(mutex_);
+    status_.state = cursor_.state();
+    status_.first_retained = cursor_.first_retained();
+    status_.end = cursor_.end();
+    status_.gaps = cursor_.gaps();
+    status_.broken_pages = cursor_.broken_pages();
+    status_.failures_in_a_row = 0;
+    // A log that gives nothing without having waited isn't asked in a loop.
+    return page.records.empty() ? settings_.first_backoff : milliseconds(0);
+}
+
+milliseconds log_tailer::on_error(const log_error& error)
+{
+    cursor_.take(error);
+    const std::lock_guard lock(mutex_);
+    status_.state = cursor_.state();
+    status_.first_retained = cursor_.first_retained();
+    status_.gaps = cursor_.gaps();
+    if (error.failure == log_failure::retained_away)
+        return settings_.first_backoff;
+    ++status_.failures;
+    ++status_.failures_in_a_row;
+    return std::max(error.retry_after,
+                    backoff(settings_, status_.failures_in_a_row, random_()));
+}
+
+void log_tailer::note_first_end(std::uint64_t end)
+{
+    if (saw_end_ || !writer_)
+        return;
+    saw_end_ = true;
+    writer_->on_first_end(end);
+}
+
+tail_status log_tailer::status() const
+{
+    const std::lock_guard lock(mutex_);
+    return status_;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/membership.cpp
@@ -0,0 +1,292 @@
+#include "membership.hpp"
+
+#include "digest.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 4> result_names{
+    "taken", "kept_for_empty", "kept_for_older", "cut_short"};
+
+candidate candidate_of(const upstream_view& view)
+{
+    const vm& listed = view.listed();
+    return {listed.id,     listed.address,     listed.failure_domain,
+            listed.region, view.incarnation(), view.state()};
+}
+
+} // namespace
+
+std::string_view name_of(list_result result)
+{
+    return result_names.at(static_cast<std::size_t>(result));
+}
+
+membership::membership(membership_settings settings)
+    : settings_(std::move(settings)),
+      subsets_(std::make_shared<const member_lists>())
+{
+}
+
+list_result membership::on_list(const vm_list& list, time_point now)
+{
+    std::vector<vm> vms = list.vms;
+    list_result result = list_result::taken;
+    {
+        const std::lock_guard lock(list_mutex_);
+        result = judge(list, now);
+        if (result != list_result::taken && result != list_result::cut_short)
+            return result;
+        if (vms.size() > max_vms)
+            vms.resize(max_vms);
+        list_revision_ = list.revision;
+        list_taken_at_ = now;
+        listed_ = vms;
+    }
+    take_views(vms, now);
+    choose_subsets();
+    return result;
+}
+
+list_result membership::judge(const vm_list& list, time_point now) const
+{
+    // A list service that comes back empty would have every upstream stop
+    // at once; that all VMs are gone would show by other signs.
+    if (list.vms.empty() && !listed_.empty())
+        return list_result::kept_for_empty;
+    // A lagging copy would bring back what is leaving. If lower revisions
+    // go on, the service has started anew and is believed.
+    if (list.revision < list_revision_ &&
+        now < list_taken_at_ + settings_.older_list_for)
+        return list_result::kept_for_older;
+    return list.vms.size() > max_vms ? list_result::cut_short
+                                     : list_result::taken;
+}
+
+void membership::take_views(const std::vector<vm>& vms, time_point now)
+{
+    std::set<std::string> listed;
+    for (const auto& listed_vm : vms) {
+        listed.insert(listed_vm.id);
+        shard& home = shard_of(listed_vm.id);
+        const std::lock_guard lock(home.mutex);
+        home.views[listed_vm.id].on_listed(listed_vm);
+    }
+    std::vector<vm> lost_suspects;
+    for (auto& home : shards_) {
+        const std::lock_guard lock(home.mutex);
+        for (auto& [id, view] : home.views) {
+            if (listed.contains(id))
+                continue;
+            view.on_unlisted(now + settings_.forget_after);
+            if (view.signals().suspected())
+                lost_suspects.push_back(view.listed());
+        }
+        std::erase_if(home.views, [now](const auto& known) {
+            return known.second.is_forgotten(now);
+        });
+    }
+    for (const auto& lost : lost_suspects)
+        note_suspicion(lost, false, now);
+}
+
+void membership::choose_subsets()
+{
+    const std::lock_guard lock(list_mutex_);
+    std::map<std::string, std::vector<vm>> by_service;
+    std::map<std::string, vm> by_id;
+    std::size_t entries = 0;
+    for (const auto& listed : listed_) {
+        if (listed.service == settings_.entry_service) {
+            ++entries;
+            continue;
+        }
+        const auto known = find(listed.id);
+        if (!known || !takes_work(known->state))
+            continue;
+        by_service[listed.service].push_back(listed);
+        by_id[listed.id] = listed;
+    }
+    auto chosen = std::make_shared<member_lists>();
+    for (const auto& [service, upstreams] : by_service)
+        (*chosen)[service] = choose_subset(
+            settings_.entry, upstreams,
+            subset_size(settings_.subset, upstreams.size(), entries));
+    count_domains(*chosen, by_id);
+    subsets_ = std::move(chosen);
+}
+
+void membership::count_domains(const member_lists& chosen,
+                               const std::map<std::string, vm>& members)
+{
+    std::map<std::string, std::size_t> counts;
+    for (const auto& listed : listed_)
+        counts[listed.failure_domain] = 0;
+    for (const auto& [service, ids] : chosen) {
+        for (const auto& id : ids)
+            ++counts[members.at(id).failure_domain];
+    }
+    const std::lock_guard lock(cut_mutex_);
+    for (const auto& [domain, count] : counts)
+        cut_.on_known(domain, count);
+}
+
+void membership::on_connected(const std::string& upstream)
+{
+    shard& home = shard_of(upstream);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.views.find(upstream);
+    if (found != home.views.end())
+        found->second.signals().on_connected();
+}
+
+template <typename Change>
+void membership::change_view(const std::string& upstream, time_point now,
+                             Change change)
+{
+    shard& home = shard_of(upstream);
+    vm listed;
+    bool before = false;
+    bool after = false;
+    {
+        const std::lock_guard lock(home.mutex);
+        const auto found = home.views.find(upstream);
+        if (found == home.views.end())
+            return;
+        upstream_view& view = found->second;
+        before = view.signals().suspected();
+        change(view);
+        after = view.signals().suspected();
+        listed = view.listed();
+    }
+    if (before != after)
+        note_suspicion(listed, after, now);
+}
+
+void membership::note_suspicion(const vm& listed, bool suspected,
+                                time_point now)
+{
+    const std::lock_guard lock(cut_mutex_);
+    if (suspected)
+        cut_.on_suspected(listed.failure_domain, listed.id, now);
+    else
+        cut_.on_cleared(listed.failure_domain, listed.id);
+}
+
+void membership::on_connection_lost(const std::string& upstream, time_point now)
+{
+    change_view(upstream, now, [now](upstream_view& view) {
+        view.signals().on_connection_lost(now);
+    });
+}
+
+void membership::on_missed_heartbeat(const std::string& upstream,
+                                     time_point now)
+{
+    change_view(upstream, now, [now](upstream_view& view) {
+        view.signals().on_missed_heartbeat(now);
+    });
+}
+
+void membership::on_failure(const std::string& upstream, time_point now)
+{
+    change_view(upstream, now,
+                [now](upstream_view& view) { view.signals().on_failure(now); });
+}
+
+void membership::on_reply(const std::string& upstream,
+                          const agent_report& report, time_point now)
+{
+    bool choose_again = false;
+    change_view(upstream, now, [&](upstream_view& view) {
+        const bool took_work = takes_work(view.state());
+        if (!view.on_report(report))
+            return;
+        view.signals().on_reply(now);
+        choose_again = took_work != takes_work(view.state());
+    });
+    if (choose_again)
+        choose_subsets();
+}
+
+std::vector<candidate> membership::candidates(const std::string& service) const
+{
+    const auto chosen = subsets();
+    const auto members = chosen->find(service);
+    std::vector<candidate> found;
+    if (members != chosen->end())
+        add_known(found, members->second);
+    std::erase_if(
+        found, [](const candidate& each) { return !takes_work(each.state); });
+    return found;
+}
+
+std::optional<candidate> membership::find(const std::string& upstream) const
+{
+    const shard& home = shard_of(upstream);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.views.find(upstream);
+    if (found == home.views.end())
+        return {};
+    return candidate_of(found->second);
+}
+
+std::vector<candidate> membership::subset() const
+{
+    const auto chosen = subsets();
+    std::vector<candidate> found;
+    for (const auto& [service, members] : *chosen)
+        add_known(found, members);
+    return found;
+}
+
+std::vector<std::string> membership::entries() const
+{
+    std::set<std::string> live{settings_.entry};
+    const std::lock_guard lock(list_mutex_);
+    for (const auto& listed : listed_) {
+        if (listed.service == settings_.entry_service &&
+            listed.state == vm_state::live)
+            live.insert(listed.id);
+    }
+    return {live.begin(), live.end()};
+}
+
+bool membership::is_cut(const std::string& failure_domain) const
+{
+    const std::lock_guard lock(cut_mutex_);
+    return cut_.is_cut(failure_domain);
+}
+
+void membership::add_known(std::vector<candidate>& found,
+                           const member_list& members) const
+{
+    for (const auto& id : members) {
+        if (auto known = find(id))
+            found.push_back(std::move(*known));
+    }
+}
+
+std::shared_ptr<const membership::member_lists> membership::subsets() const
+{
+    const std::lock_guard lock(list_mutex_);
+    return subsets_;
+}
+
+const membership::shard& membership::shard_of(const std::string& upstream) const
+{
+    return shards_.at(hash64(upstream) % shard_count);
+}
+
+membership::shard& membership::shard_of(const std::string& upstream)
+{
+    return shards_.at(hash64(upstream) % shard_count);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/operator_commands.hpp
@@ -0,0 +1,44 @@
+#ifndef CYCLAMENRUN_OPERATOR_COMMANDS_HPP
+#define CYCLAMENRUN_OPERATOR_COMMANDS_HPP
+
+#include "change_submitter.hpp"
+#include "clock.hpp"
+#include "operator.pb.h"
+#include "refusal.hpp"
+
+#include <atomic>
+
+namespace cyclamenrun
+{
+
+class configuration_store;
+class platform_log;
+
+/** Operators' commands on the configuration, without the HTTP around. */
+class operator_commands
+{
+public:
+    operator_commands(platform_log& log, configuration_store& store,
+                      clock_function clock, submit_settings settings = {});
+
+    /** Blocks until the change's outcome is known, or until `deadline`. */
+    outcome<v1::ApplyChangeResponse>
+    apply_change(const v1::ApplyChangeRequest& request, time_point deadline);
+
+    /** Changes that may be waited for at once. */
+    static constexpr int max_at_once = 64;
+
+private:
+    outcome<v1::ApplyChangeResponse>
+    submit(const v1::ApplyChangeRequest& request, time_point deadline);
+
+    platform_log& log_;
+    configuration_store& store_;
+    clock_function clock_;
+    submit_settings settings_;
+    std::atomic<int> running_{0};
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_OPERATOR_COMMANDS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/snapshot_schedule.cpp
@@ -0,0 +1,84 @@
+#include "snapshot_schedule.hpp"
+
+#include "digest.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+snapshot_schedule::snapshot_schedule(std::string entry,
+                                     snapshot_settings settings, time_point now)
+    : entry_(std::move(entry)), settings_(settings),
+      refresh_at_(now + settings.first_after)
+{
+}
+
+void snapshot_schedule::on_snapshot(std::uint64_t next_offset,
+                                    std::uint64_t offset, time_point now)
+{
+    if (seen_ && next_offset <= snapshot_next_offset_)
+        return;
+    // One that was on the log before this process came may be close to its
+    // end of retention. Where entries are replaced more often than a
+    // snapshot is due, nobody would ever see it as old.
+    const bool fresh = offset >= first_end_;
+    refresh_at_ = now + (fresh ? settings_.max_age : settings_.first_after);
+    seen_ = true;
+    snapshot_offset_ = offset;
+    snapshot_next_offset_ = next_offset;
+    wanted_since_ = time_point::max();
+}
+
+void snapshot_schedule::on_entries(std::vector<std::string> entries)
+{
+    entries_ = std::move(entries);
+}
+
+bool snapshot_schedule::is_due(std::uint64_t revision,
+                               std::uint64_t first_retained, time_point now)
+{
+    if (!is_wanted(revision, first_retained, now)) {
+        wanted_since_ = time_point::max();
+        return false;
+    }
+    if (wanted_since_ == time_point::max())
+        wanted_since_ = now;
+    const auto my_turn = wanted_since_ + settings_.stagger * rank();
+    return now >= my_turn && now >= not_before_;
+}
+
+bool snapshot_schedule::is_wanted(std::uint64_t revision,
+                                  std::uint64_t first_retained,
+                                  time_point now) const
+{
+    if (revision == 0)
+        return false;
+    if (!seen_)
+        return first_retained > 0 || revision >= settings_.max_records ||
+               now >= refresh_at_;
+    // A fresh reader needs the snapshot's record and all after the offset
+    // that it stands for.
+    if (snapshot_next_offset_ < first_retained)
+        return true;
+    return now >= refresh_at_ ||
+           revision >= snapshot_next_offset_ + settings_.max_records;
+}
+
+void snapshot_schedule::on_written(time_point now)
+{
+    not_before_ = now + settings_.stagger;
+}
+
+std::size_t snapshot_schedule::rank() const
+{
+    const std::uint64_t own = hash64(entry_, snapshot_offset_);
+    std::size_t before = 0;
+    for (const auto& other : entries_) {
+        if (other != entry_ && hash64(other, snapshot_offset_) > own)
+            ++before;
+    }
+    return before;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/snapshot_writer.cpp
@@ -0,0 +1,66 @@
+#include "snapshot_writer.hpp"
+
+#include "configuration_store.hpp"
+#include "log_tail_cursor.hpp"
+#include "platform_log.hpp"
+#include "snapshot_parts.hpp"
+
+namespace cyclamenrun
+{
+
+snapshot_writer::snapshot_writer(platform_log& log,
+                                 const configuration_store& store,
+                                 std::string entry, snapshot_settings settings,
+                                 id_function draw_id, time_point now)
+    : log_(log), store_(store), draw_id_(std::move(draw_id)),
+      schedule_(std::move(entry), settings, now)
+{
+}
+
+void snapshot_writer::on_entries(std::vector<std::string> entries)
+{
+    const std::lock_guard lock(mutex_);
+    schedule_.on_entries(std::move(entries));
+}
+
+void snapshot_writer::on_first_end(std::uint64_t end)
+{
+    const std::lock_guard lock(mutex_);
+    schedule_.on_first_end(end);
+}
+
+void snapshot_writer::on_snapshot(std::uint64_t next_offset,
+                                  std::uint64_t offset, time_point now)
+{
+    const std::lock_guard lock(mutex_);
+    schedule_.on_snapshot(next_offset, offset, now);
+}
+
+bool snapshot_writer::poll(const log_tail_cursor& cursor, time_point now)
+{
+    // Behind a gap the state is old: a snapshot of it helps nobody.
+    if (cursor.state() != tail_state::following || !store_.ready())
+        return false;
+    {
+        const std::lock_guard lock(mutex_);
+        if (!schedule_.is_due(store_.revision(), cursor.first_retained(), now))
+            return false;
+        schedule_.on_written(now);
+    }
+    return write();
+}
+
+bool snapshot_writer::write()
+{
+    const auto records =
+        snapshot_records(store_.snapshot(), draw_id_(), part_bytes);
+    for (const auto& record : records) {
+        // A part that got lost leaves a snapshot that no reader takes; the
+        // next one is written when this one isn't seen.
+        if (!log_.append(record))
+            return false;
+    }
+    return true;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/snapshot_writer.hpp
@@ -0,0 +1,55 @@
+#ifndef CYCLAMENRUN_SNAPSHOT_WRITER_HPP
+#define CYCLAMENRUN_SNAPSHOT_WRITER_HPP
+
+#include "snapshot_schedule.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+class configuration_store;
+class log_tail_cursor;
+class platform_log;
+
+/** Writes the configuration's snapshots of one entry onto the log. */
+class snapshot_writer
+{
+public:
+    using id_function = std::function<std::uint64_t()>;
+
+    snapshot_writer(platform_log& log, const configuration_store& store,
+                    std::string entry, snapshot_settings settings,
+                    id_function draw_id, time_point now);
+
+    /** Live entries, from the platform's list; from any thread. */
+    void on_entries(std::vector<std::string> entries);
+
+    /** Told by the tail of the log. */
+    void on_first_end(std::uint64_t end);
+    void on_snapshot(std::uint64_t next_offset, std::uint64_t offset,
+                     time_point now);
+
+    /** Writes a snapshot if one is due; true if it was written whole. */
+    bool poll(const log_tail_cursor& cursor, time_point now);
+
+    /** Bytes of one record, under the limit of the log. */
+    static constexpr std::size_t part_bytes = 48UL * 1024;
+
+private:
+    bool write();
+
+    platform_log& log_;
+    const configuration_store& store_;
+    id_function draw_id_;
+    std::mutex mutex_;
+    snapshot_schedule schedule_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_SNAPSHOT_WRITER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/suspicion.cpp
@@ -0,0 +1,78 @@
+#include "suspicion.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr int connection_points = 2;
+constexpr std::uint32_t max_failure_points = 2;
+
+} // namespace
+
+void suspicion::on_connection_lost(time_point now)
+{
+    connection_lost_ = true;
+    weigh(now);
+}
+
+void suspicion::on_connected()
+{
+    connection_lost_ = false;
+}
+
+void suspicion::on_missed_heartbeat(time_point now)
+{
+    ++missed_;
+    weigh(now);
+}
+
+void suspicion::on_failure(time_point now)
+{
+    if (now >= failures_lapse_at_)
+        failures_ = 0;
+    ++failures_;
+    failures_lapse_at_ = now + failures_count_for;
+    weigh(now);
+}
+
+void suspicion::on_reply(time_point now)
+{
+    connection_lost_ = false;
+    missed_ = 0;
+    ++replies_;
+    // One answer may have lain in a buffer since before the fault.
+    if (suspected_ && replies_ >= replies_to_clear && points(now) < threshold)
+        suspected_ = false;
+}
+
+void suspicion::weigh(time_point now)
+{
+    replies_ = 0;
+    if (suspected_ || points(now) < threshold)
+        return;
+    suspected_ = true;
+    since_ = now;
+}
+
+int suspicion::points(time_point now) const
+{
+    int sum = silence_points();
+    if (connection_lost_)
+        sum += connection_points;
+    if (now < failures_lapse_at_)
+        sum += static_cast<int>(std::min(failures_, max_failure_points));
+    return sum;
+}
+
+int suspicion::silence_points() const
+{
+    if (missed_ >= long_silence)
+        return threshold;
+    return static_cast<int>(std::min<std::uint32_t>(missed_, 2));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/suspicion.hpp
@@ -0,0 +1,51 @@
+#ifndef CYCLAMENRUN_SUSPICION_HPP
+#define CYCLAMENRUN_SUSPICION_HPP
+
+#include "clock.hpp"
+
+#include <cstdint>
+
+namespace cyclamenrun
+{
+
+/**
+ * Weighs the signs against one upstream. A lost connection alone may be the
+ * network's, a missed heartbeat a pause, a refusal the load's: no sign of one
+ * kind makes a suspect, save a long silence. Two answers in a row clear it.
+ */
+class suspicion
+{
+public:
+    void on_connection_lost(time_point now);
+    void on_connected();
+    void on_missed_heartbeat(time_point now);
+    /** Refused or left unanswered for reasons other than load. */
+    void on_failure(time_point now);
+    void on_reply(time_point now);
+
+    bool suspected() const { return suspected_; }
+    /** When it became a suspect. */
+    time_point since() const { return since_; }
+
+    static constexpr int threshold = 3;
+    static constexpr std::uint32_t long_silence = 5; ///< heartbeats
+    static constexpr std::uint32_t replies_to_clear = 2;
+    static constexpr milliseconds failures_count_for{30'000};
+
+private:
+    void weigh(time_point now);
+    int points(time_point now) const;
+    int silence_points() const;
+
+    bool connection_lost_ = false;
+    std::uint32_t missed_ = 0;
+    std::uint32_t failures_ = 0;
+    time_point failures_lapse_at_{};
+    std::uint32_t replies_ = 0;
+    bool suspected_ = false;
+    time_point since_{};
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_SUSPICION_HPP
