--- /dev/null
+++ b/src/agent/main.cpp
@@ -0,0 +1,24 @@
+#include "agent_process.hpp"
+#include "daemon_main.hpp"
+
+using namespace cyclamenrun;
+
+int main(int argc, char** argv)
+{
+    agent_settings settings;
+    daemon_program program;
+    program.name = "cyclamenrun-agent";
+    program.description = "The gate of one upstream.";
+    program.default_settings = default_agent_settings;
+    program.read_settings = [&](const std::string& file) {
+        return read_agent_settings(file).map([&](agent_settings read) {
+            settings = std::move(read);
+            return settings.log_level;
+        });
+    };
+    program.serve = [&](const stop_signal& stop) {
+        agent_process process(settings);
+        return serve_until_stopped(process, stop);
+    };
+    return daemon_main(program, argc, argv);
+}
--- /dev/null
+++ b/src/libcyclamenrun/agent_links.cpp
@@ -0,0 +1,203 @@
+#include "agent_links.hpp"
+
+#include "digest.hpp"
+#include "link_client.hpp"
+#include "link_loop.hpp"
+
+#include <Poco/Net/SocketAddress.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Between tries to reach an agent that did not answer. */
+constexpr milliseconds retry_pause{500};
+
+} // namespace
+
+/**
+ * Kept alive by each callback under way, so that one which comes late finds
+ * its state, and `closed` in it.
+ */
+class agent_links::shared_state
+    : public std::enable_shared_from_this<shared_state>
+{
+public:
+    shared_state(std::vector<std::shared_ptr<link_loop>> loops,
+                 std::string link_key, const link_limits& limits,
+                 agent_links_hooks hooks, clock_function clock)
+        : loops_(std::move(loops)), link_key_(std::move(link_key)),
+          limits_(limits), hooks_(std::move(hooks)), clock_(std::move(clock))
+    {
+    }
+
+    void watch(const std::vector<agent_address>& agents);
+    std::shared_ptr<link_client> client_of(const std::string& address);
+    void close();
+
+private:
+    bool watched(const agent_address& agent) const;
+    void beat(const agent_address& agent);
+    void beat_later(const agent_address& agent);
+    void on_reply(const agent_address& agent, const std::string& frame);
+    link_loop& loop_of(const std::string& address);
+
+    std::vector<std::shared_ptr<link_loop>> loops_;
+    std::string link_key_;
+    link_limits limits_;
+    agent_links_hooks hooks_;
+    clock_function clock_;
+
+    mutable std::mutex mutex_;
+    std::unordered_map<std::string, std::shared_ptr<link_client>> clients_;
+    std::map<std::string, std::string> watched_; // address by upstream
+    bool closed_ = false;
+};
+
+void agent_links::shared_state::watch(const std::vector<agent_address>& agents)
+{
+    std::vector<agent_address> added;
+    {
+        const std::scoped_lock lock(mutex_);
+        std::map<std::string, std::string> wanted;
+        for (const auto& agent : agents)
+            wanted[agent.upstream] = agent.address;
+        for (const auto& [upstream, address] : wanted) {
+            const auto known = watched_.find(upstream);
+            if (known == watched_.end() || known->second != address)
+                added.push_back({upstream, address});
+        }
+        watched_ = std::move(wanted);
+    }
+    for (const auto& agent : added)
+        beat(agent);
+}
+
+std::shared_ptr<link_client>
+agent_links::shared_state::client_of(const std::string& address)
+{
+    const std::scoped_lock lock(mutex_);
+    if (closed_)
+        return nullptr;
+    auto& client = clients_[address];
+    if (!client)
+        client = link_client::create(loop_of(address),
+                                     Poco::Net::SocketAddress(address),
+                                     link_key_, limits_);
+    return client;
+}
+
+void agent_links::shared_state::close()
+{
+    std::unordered_map<std::string, std::shared_ptr<link_client>> clients;
+    {
+        const std::scoped_lock lock(mutex_);
+        closed_ = true;
+        watched_.clear();
+        clients.swap(clients_);
+    }
+    for (const auto& [address, client] : clients)
+        client->close();
+}
+
+bool agent_links::shared_state::watched(const agent_address& agent) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto known = watched_.find(agent.upstream);
+    return !closed_ && known != watched_.end() &&
+           known->second == agent.address;
+}
+
+void agent_links::shared_state::beat(const agent_address& agent)
+{
+    if (!watched(agent))
+        return;
+    const auto client = client_of(agent.address);
+    if (!client)
+        return;
+    client_handlers handlers;
+    handlers.on_frame = [self = shared_from_this(),
+                         agent](const std::string& frame) {
+        self->on_reply(agent, frame);
+    };
+    handlers.on_end = [self = shared_from_this(), agent](stream_end end) {
+        if (end.clean) {
+            self->beat(agent);
+            return;
+        }
+        if (self->watched(agent))
+            self->hooks_.failure(agent.upstream, end.failure);
+        self->beat_later(agent);
+    };
+    client->open("/heartbeat",
+                 hooks_.request(agent.upstream).SerializeAsString(),
+                 std::move(handlers));
+}
+
+void agent_links::shared_state::beat_later(const agent_address& agent)
+{
+    loop_of(agent.address)
+        .post_at(clock_() + retry_pause,
+                 [self = shared_from_this(), agent] { self->beat(agent); });
+}
+
+void agent_links::shared_state::on_reply(const agent_address& agent,
+                                         const std::string& frame)
+{
+    link::HeartbeatReply reply;
+    if (watched(agent) && reply.ParseFromString(frame))
+        hooks_.reply(agent.upstream, reply);
+}
+
+link_loop& agent_links::shared_state::loop_of(const std::string& address)
+{
+    return *loops_[hash64(address) % loops_.size()];
+}
+
+agent_links::agent_links(std::vector<std::shared_ptr<link_loop>> loops,
+                         std::string link_key, const link_limits& limits,
+                         agent_links_hooks hooks, clock_function clock)
+    : state_(std::make_shared<shared_state>(std::move(loops),
+                                            std::move(link_key), limits,
+                                            std::move(hooks), std::move(clock)))
+{
+}
+
+agent_links::~agent_links()
+{
+    close();
+}
+
+void agent_links::watch(const std::vector<agent_address>& agents)
+{
+    state_->watch(agents);
+}
+
+std::shared_ptr<client_stream> agent_links::open(const agent_address& agent,
+                                                 const std::string& path,
+                                                 std::string frame,
+                                                 client_handlers handlers)
+{
+    const auto client = state_->client_of(agent.address);
+    if (!client) {
+        handlers.on_end({false, link_failure::cancelled, false});
+        return nullptr;
+    }
+    return client->open(path, std::move(frame), std::move(handlers));
+}
+
+void agent_links::send(const agent_address& agent, const std::string& path,
+                       std::string frame)
+{
+    open(agent, path, std::move(frame),
+         {[](const std::string&) {}, [](stream_end) {}});
+}
+
+void agent_links::close()
+{
+    state_->close();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/agent_process.cpp
@@ -0,0 +1,171 @@
+#include "agent_process.hpp"
+
+#include "agent_server.hpp"
+#include "build_info.hpp"
+#include "digest.hpp"
+#include "log_event.hpp"
+#include "upstream_driver.hpp"
+
+#include <Poco/JSON/Array.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/Net/SocketAddress.h>
+#include <thread>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr milliseconds drain_poll{50};
+/** Sessions listed one by one in a dump; more are only counted. */
+constexpr std::size_t most_dumped_sessions = 200;
+
+gate_settings gate_settings_of(const agent_settings& settings,
+                               std::uint64_t incarnation)
+{
+    gate_settings gate;
+    gate.upstream = settings.name;
+    gate.incarnation = incarnation;
+    gate.started_at = steady_now();
+    gate.link_key = settings.link_key.reveal();
+    gate.admission.memory_tokens = settings.upstream.memory_tokens;
+    gate.admission.max_running =
+        static_cast<std::uint32_t>(settings.upstream.max_running);
+    gate.admission.max_queued =
+        static_cast<std::uint32_t>(settings.upstream.max_queued);
+    gate.max_kept_bytes = settings.replay.total_bytes;
+    gate.replay_window_tokens = settings.replay.tokens_per_generation;
+    gate.resume_grace = settings.replay.resume_grace;
+    gate.tombstone_capacity = settings.tickets.max_tombstones;
+    gate.tombstone_life = settings.tickets.tombstone_lifetime;
+    return gate;
+}
+
+upstream_driver_settings driver_settings_of(const agent_settings& settings)
+{
+    upstream_driver_settings driver;
+    driver.address = to_string(settings.upstream.address);
+    driver.kind = settings.upstream.kind;
+    driver.max_running =
+        static_cast<std::uint32_t>(settings.upstream.max_running);
+    driver.http.connect_timeout = settings.upstream.connect_timeout;
+    driver.http.max_silence = settings.upstream.idle_timeout;
+    return driver;
+}
+
+Poco::JSON::Object::Ptr describe(work_id work, const work_session& session,
+                                 time_point now)
+{
+    Poco::JSON::Object::Ptr object = new Poco::JSON::Object;
+    object->set("work", work);
+    object->set("request_id", session.request.request_id());
+    object->set("team", session.request.team());
+    object->set("service", session.request.service());
+    object->set("state", std::string(name_of(session.state)));
+    object->set("tokens", session.replay.next_index());
+    object->set("kept_bytes", session.bytes_kept());
+    object->set("readers", session.readers.size());
+    object->set("suspect", session.suspect);
+    object->set("deadline_ms", time_left(session.deadline, now).count());
+    if (session.refused)
+        object->set("refused", std::string(name_of(session.refused->reason)));
+    return object;
+}
+
+} // namespace
+
+agent_process::agent_process(const agent_settings& settings)
+    : settings_(settings), incarnation_(random_u64()),
+      driver_(std::make_unique<upstream_driver>(driver_settings_of(settings_),
+                                                steady_now))
+{
+    gate_hooks hooks;
+    hooks.start = [this](const run_order& order) { driver_->start(order); };
+    hooks.stop = [this](work_id work) { driver_->stop(work); };
+    hooks.wake = [this](reader_id reader) { server_->wake(reader); };
+    hooks.news = [this] { server_->news(); };
+    gate_ = std::make_unique<gate>(gate_settings_of(settings_, incarnation_),
+                                   std::move(hooks));
+    add_dump_sections();
+
+    agent_server_hooks server_hooks;
+    server_hooks.dump = [this] { return dump_.write(); };
+    server_hooks.configuration = [this](const link::Heartbeat& heartbeat) {
+        v1::ConfigurationDelta delta;
+        if (!heartbeat.config_delta().empty() &&
+            delta.ParseFromString(heartbeat.config_delta()))
+            configuration_.apply(delta);
+    };
+    server_hooks.revision = [this] { return configuration_.revision(); };
+    server_ = std::make_unique<agent_server>(
+        loop_, Poco::Net::SocketAddress(to_string(settings_.listen)),
+        settings_.link_key.reveal(), link_limits{}, *gate_,
+        std::move(server_hooks), steady_now);
+    driver_->attach(*gate_);
+}
+
+agent_process::~agent_process()
+{
+    driver_->shut_down();
+    server_.reset();
+}
+
+std::string agent_process::address() const
+{
+    return server_->address().toString();
+}
+
+bool agent_process::drain()
+{
+    const auto deadline = steady_now() + settings_.drain_timeout;
+    gate_->drain(steady_now());
+    while (!gate_->drained()) {
+        if (steady_now() >= deadline) {
+            log_event(log_severity::error, log_event_name::drain_timed_out);
+            return false;
+        }
+        std::this_thread::sleep_for(drain_poll);
+    }
+    log_event(log_severity::info, log_event_name::drain_finished);
+    return true;
+}
+
+void agent_process::add_dump_sections()
+{
+    dump_.add_section("process", [this](Poco::JSON::Object& section) {
+        section.set("role", "agent");
+        section.set("upstream", settings_.name);
+        section.set("service", settings_.service);
+        section.set("region", settings_.region);
+        section.set("failure_domain", settings_.failure_domain);
+        section.set("incarnation", incarnation_);
+        section.set("version", std::string(build_version));
+        section.set("configuration_revision", configuration_.revision());
+    });
+    dump_.add_section("load", [this](Poco::JSON::Object& section) {
+        const auto load = gate_->load(steady_now());
+        section.set("uptime_ms", load.uptime_ms());
+        section.set("ready", load.ready());
+        section.set("leaving", load.leaving());
+        section.set("running", load.running());
+        section.set("queued", load.queued());
+        section.set("memory_tokens_used", load.memory_tokens_used());
+        section.set("memory_tokens_total", load.memory_tokens_total());
+        section.set("expected_wait_ms", load.expected_wait_ms());
+        section.set("queued_tokens", load.queued_tokens());
+    });
+    dump_.add_section("sessions", [this](Poco::JSON::Object& section) {
+        Poco::JSON::Array::Ptr list = new Poco::JSON::Array;
+        std::size_t count = 0;
+        const auto now = steady_now();
+        gate_->visit([&](work_id work, const work_session& session) {
+            if (++count <= most_dumped_sessions)
+                list->add(describe(work, session, now));
+        });
+        section.set("count", count);
+        section.set("list", list);
+    });
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/agent_process.hpp
@@ -0,0 +1,53 @@
+#ifndef CYCLAMENRUN_AGENT_PROCESS_HPP
+#define CYCLAMENRUN_AGENT_PROCESS_HPP
+
+#include "agent_settings.hpp"
+#include "configuration_store.hpp"
+#include "gate.hpp"
+#include "link_loop.hpp"
+#include "state_dump.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace cyclamenrun
+{
+
+class agent_server;
+class upstream_driver;
+
+/** All of an agent: the gate of its upstream and what stands around it. */
+class agent_process
+{
+public:
+    explicit agent_process(const agent_settings& settings);
+    agent_process(const agent_process&) = delete;
+    agent_process& operator=(const agent_process&) = delete;
+    ~agent_process();
+
+    /** Where entries reach it; the port is the one that was free. */
+    std::string address() const;
+
+    /**
+     * A planned stop: takes no new work, lets what runs end and its answers
+     * be fetched. False if that took longer than the settings allow.
+     */
+    bool drain();
+
+private:
+    void add_dump_sections();
+
+    agent_settings settings_;
+    std::uint64_t incarnation_;
+    configuration_store configuration_;
+    state_dump dump_;
+    std::unique_ptr<upstream_driver> driver_;
+    std::unique_ptr<gate> gate_;
+    link_loop loop_;
+    std::unique_ptr<agent_server> server_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_AGENT_PROCESS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/agent_server.cpp
@@ -0,0 +1,283 @@
+#include "agent_server.hpp"
+
+#include "link_loop.hpp"
+#include "link_server.hpp"
+#include "log_event.hpp"
+#include "server_stream.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr milliseconds tick_interval{200};
+constexpr milliseconds longest_heartbeat_wait{60'000};
+
+std::string refused_frame(const std::string& request_id, const refusal& why,
+                          const link::LoadReport& load)
+{
+    link::AgentFrame frame;
+    frame.set_request_id(request_id);
+    auto& refused = *frame.mutable_refused();
+    refused.set_kind(static_cast<std::uint32_t>(why.kind));
+    refused.set_reason(static_cast<std::uint32_t>(why.reason));
+    refused.set_detail(why.detail);
+    if (why.retry_after)
+        refused.set_retry_after_ms(
+            static_cast<std::uint64_t>(why.retry_after->count()));
+    *frame.mutable_load() = load;
+    return frame.SerializeAsString();
+}
+
+} // namespace
+
+agent_server::agent_server(link_loop& loop,
+                           const Poco::Net::SocketAddress& address,
+                           const std::string& link_key,
+                           const link_limits& limits, gate& gate,
+                           agent_server_hooks hooks, clock_function clock)
+    : loop_(loop), gate_(gate), hooks_(std::move(hooks)),
+      clock_(std::move(clock)),
+      server_(std::make_unique<link_server>(
+          loop, address, link_key, limits,
+          [this](const stream_pointer& stream) { handle(stream); }))
+{
+    schedule_tick();
+}
+
+agent_server::~agent_server()
+{
+    // The loop's timers run on its thread, and so does this, so none of them
+    // is half way through when the object goes.
+    std::promise<void> done;
+    loop_.post([this, &done] {
+        *alive_ = false;
+        done.set_value();
+    });
+    done.get_future().wait();
+    server_.reset();
+}
+
+Poco::Net::SocketAddress agent_server::address() const
+{
+    return server_->address();
+}
+
+void agent_server::stop_accepting()
+{
+    server_->stop_accepting();
+}
+
+void agent_server::handle(const stream_pointer& stream)
+{
+    const auto& path = stream->path();
+    if (path == "/dispatch")
+        dispatch(stream);
+    else if (path == "/resume")
+        resume(stream);
+    else if (path == "/cancel")
+        cancel(stream);
+    else if (path == "/acknowledge")
+        acknowledge(stream);
+    else if (path == "/heartbeat")
+        heartbeat(stream);
+    else if (path == "/drain")
+        drain(stream);
+    else if (path == "/dump")
+        stream->respond_once(hooks_.dump());
+    else
+        stream->respond_once({});
+}
+
+void agent_server::dispatch(const stream_pointer& stream)
+{
+    link::Dispatch message;
+    if (!message.ParseFromString(stream->take_request())) {
+        stream->respond_once(
+            refused_frame({}, not_run(refusal_reason::protocol_error), {}));
+        return;
+    }
+    serve_reader(stream, message.request_id(), gate_.submit(message, clock_()));
+}
+
+void agent_server::resume(const stream_pointer& stream)
+{
+    link::Resume message;
+    if (!message.ParseFromString(stream->take_request())) {
+        stream->respond_once(refused_frame(
+            {}, outcome_unknown(refusal_reason::protocol_error), {}));
+        return;
+    }
+    serve_reader(stream, message.request_id(), gate_.resume(message, clock_()));
+}
+
+void agent_server::serve_reader(const stream_pointer& stream,
+                                const std::string& request_id,
+                                const outcome<reader_id>& reader)
+{
+    if (!reader) {
+        log_event(log_severity::info, log_event_name::request_refused,
+                  {{log_key::request_id, request_id},
+                   {log_key::kind, reader.error().kind},
+                   {log_key::reason, reader.error().reason}});
+        stream->respond_once(
+            refused_frame(request_id, reader.error(), gate_.load(clock_())));
+        return;
+    }
+    const auto id = *reader;
+    {
+        const std::scoped_lock lock(mutex_);
+        streams_[id] = stream;
+    }
+    stream->on_closed([this, id] {
+        {
+            const std::scoped_lock lock(mutex_);
+            streams_.erase(id);
+        }
+        gate_.detach(id, clock_());
+    });
+    stream->respond([this, id](std::size_t max_bytes) {
+        auto frames = gate_.pull(id, max_bytes, clock_());
+        pulled answer;
+        answer.end = frames.end;
+        for (const auto& frame : frames.frames)
+            answer.frames.push_back(frame.SerializeAsString());
+        return answer;
+    });
+}
+
+void agent_server::cancel(const stream_pointer& stream)
+{
+    link::Cancel message;
+    if (!message.ParseFromString(stream->take_request())) {
+        stream->respond_once({});
+        return;
+    }
+    const auto answer = gate_.cancel(message, clock_());
+    stream->respond_once(
+        refused_frame(message.request_id(), answer, gate_.load(clock_())));
+}
+
+void agent_server::acknowledge(const stream_pointer& stream)
+{
+    link::Acknowledge message;
+    if (message.ParseFromString(stream->take_request()))
+        gate_.acknowledge(message, clock_());
+    stream->respond_once({});
+}
+
+void agent_server::drain(const stream_pointer& stream)
+{
+    link::Drain message;
+    const auto now = clock_();
+    if (!message.ParseFromString(stream->take_request())) {
+        stream->respond_once({});
+        return;
+    }
+    log_event(log_severity::info, log_event_name::drain_started);
+    if (message.reclaim_in_ms() == 0)
+        gate_.drain(now);
+    else
+        gate_.reclaim(now + milliseconds(message.reclaim_in_ms()), now);
+    stream->respond_once(gate_.load(now).SerializeAsString());
+}
+
+void agent_server::heartbeat(const stream_pointer& stream)
+{
+    pending_heartbeat pending{stream, {}, clock_()};
+    if (!pending.request.ParseFromString(stream->take_request())) {
+        stream->respond_once({});
+        return;
+    }
+    if (hooks_.configuration)
+        hooks_.configuration(pending.request);
+    gate_.merge_marks(
+        {pending.request.marks().begin(), pending.request.marks().end()},
+        pending.deadline);
+    const auto longest =
+        static_cast<std::uint64_t>(longest_heartbeat_wait.count());
+    pending.deadline +=
+        milliseconds(std::min(pending.request.wait_ms(), longest));
+    {
+        const std::scoped_lock lock(mutex_);
+        heartbeats_.push_back(std::move(pending));
+    }
+    answer_heartbeats();
+}
+
+void agent_server::answer_heartbeats()
+{
+    std::list<pending_heartbeat> due;
+    const auto now = clock_();
+    {
+        const std::scoped_lock lock(mutex_);
+        for (auto next = heartbeats_.begin(); next != heartbeats_.end();) {
+            const auto current = next++;
+            if (now >= current->deadline || has_news(current->request))
+                due.splice(due.end(), heartbeats_, current);
+        }
+    }
+    for (const auto& pending : due)
+        pending.stream->respond_once(
+            reply_to(pending.request).SerializeAsString());
+}
+
+bool agent_server::has_news(const link::Heartbeat& request) const
+{
+    return request.known_change() != gate_.load_change() ||
+           request.marks_seen() != gate_.marks_version();
+}
+
+link::HeartbeatReply
+agent_server::reply_to(const link::Heartbeat& request) const
+{
+    link::HeartbeatReply reply;
+    *reply.mutable_load() = gate_.load(clock_());
+    reply.set_config_revision(hooks_.revision ? hooks_.revision() : 0);
+    reply.set_load_change(gate_.load_change());
+    reply.set_marks_version(gate_.marks_version());
+    // A peer that knows a later version knew another incarnation's.
+    const auto seen =
+        request.marks_seen() > reply.marks_version() ? 0 : request.marks_seen();
+    for (auto& mark : gate_.marks_since(seen))
+        *reply.add_marks() = std::move(mark);
+    return reply;
+}
+
+void agent_server::wake(reader_id reader)
+{
+    stream_pointer stream;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto found = streams_.find(reader);
+        if (found == streams_.end())
+            return;
+        stream = found->second.lock();
+    }
+    if (stream)
+        stream->wake();
+}
+
+void agent_server::news()
+{
+    loop_.post([this, alive = alive_] {
+        if (*alive)
+            answer_heartbeats();
+    });
+}
+
+void agent_server::schedule_tick()
+{
+    loop_.post_at(clock_() + tick_interval, [this, alive = alive_] {
+        if (!*alive)
+            return;
+        gate_.tick(clock_());
+        answer_heartbeats();
+        schedule_tick();
+    });
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/caller_http_handler.cpp
@@ -0,0 +1,279 @@
+#include "caller_http_handler.hpp"
+
+#include "caller_error.hpp"
+#include "http_caller_writer.hpp"
+#include "json_text.hpp"
+#include "log_event.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::string_view calls_suffix = "/calls";
+constexpr std::string_view tickets_suffix = "/tickets";
+constexpr std::size_t longest_caller_id = 128;
+
+std::string header(const Poco::Net::HTTPServerRequest& request,
+                   const std::string& name)
+{
+    return request.get(name, "");
+}
+
+caller_headers headers_of(const Poco::Net::HTTPServerRequest& request)
+{
+    return {header(request, "Authorization"), header(request, "X-Request-Id"),
+            header(request, "X-Deadline-Ms"), header(request, "X-Delivery"),
+            header(request, "X-Ticket"),      header(request, "X-Idempotent"),
+            header(request, "Last-Event-ID")};
+}
+
+/** The service in `/v1/services/SERVICE/calls`, or empty. */
+std::string service_in(std::string_view path, std::string_view suffix)
+{
+    if (!path.starts_with(services_prefix) || !path.ends_with(suffix) ||
+        path.size() <= services_prefix.size() + suffix.size())
+        return {};
+    path.remove_prefix(services_prefix.size());
+    path.remove_suffix(suffix.size());
+    return std::string(path);
+}
+
+std::size_t header_bytes(const Poco::Net::HTTPServerRequest& request)
+{
+    std::size_t bytes = request.getURI().size();
+    for (const auto& [name, value] : request)
+        bytes += name.size() + value.size();
+    return bytes;
+}
+
+/** A caller's own id comes back as it was, if it is printable and short. */
+std::string shown_request_id(const std::string& callers_id,
+                             const std::string& own_id)
+{
+    const bool printable =
+        std::all_of(callers_id.begin(), callers_id.end(),
+                    [](char letter) { return letter > ' ' && letter < 127; });
+    if (callers_id.empty() || callers_id.size() > longest_caller_id ||
+        !printable)
+        return own_id;
+    return callers_id;
+}
+
+} // namespace
+
+caller_http_handler::caller_http_handler(entry_core& core,
+                                         caller_http_limits limits)
+    : core_(core), limits_(limits)
+{
+}
+
+void caller_http_handler::handleRequest(http_request& request,
+                                        http_response& response)
+{
+    request_id_ = shown_request_id(header(request, "X-Request-Id"),
+                                   std::to_string(random_u64()));
+    outcome<void> handled;
+    try {
+        handled = route(request, response);
+    } catch (const Poco::Exception& error) {
+        // The caller's connection broke or it sent too slowly; there is
+        // nobody left to tell.
+        log_event(log_severity::info, log_event_name::caller_timed_out,
+                  {{log_key::request_id, request_id_},
+                   {log_key::detail, error.displayText()}});
+        response.setKeepAlive(false);
+        return;
+    }
+    if (handled)
+        return;
+    log_event(log_severity::info, log_event_name::caller_refused,
+              {{log_key::request_id, request_id_},
+               {log_key::reason, handled.error().reason}});
+    // What is left of the body unread would be taken for the next request.
+    response.setKeepAlive(false);
+    http_caller_writer writer(request, response, {request_id_, {}, {}, false});
+    writer.refuse(handled.error());
+}
+
+outcome<void> caller_http_handler::route(http_request& request,
+                                         http_response& response)
+{
+    if (header_bytes(request) > limits_.max_header_bytes)
+        return tl::unexpected(
+            not_run(refusal_reason::too_large, "the headers are too long"));
+    const auto& method = request.getMethod();
+    const auto path = request.getURI().substr(0, request.getURI().find('?'));
+    if (method == "GET" && (path == "/healthz" || path == "/readyz")) {
+        answer_health(path, response);
+        return {};
+    }
+    if (method == "GET" && path == "/v1/generations")
+        return resume(request, response);
+    if (method != "POST")
+        return tl::unexpected(not_run(refusal_reason::bad_request,
+                                      "no such method at this path"));
+    if (path == "/v1/completions")
+        return complete(completion_shape::completions, request, response);
+    if (path == "/v1/chat/completions")
+        return complete(completion_shape::chat, request, response);
+    if (const auto service = service_in(path, calls_suffix); !service.empty())
+        return call(service, request, response);
+    if (const auto service = service_in(path, tickets_suffix); !service.empty())
+        return ticket(service, request, response);
+    return tl::unexpected(
+        not_run(refusal_reason::bad_request, "there is nothing at this path"));
+}
+
+outcome<void> caller_http_handler::complete(completion_shape shape,
+                                            http_request& request,
+                                            http_response& response)
+{
+    const auto headers = headers_of(request);
+    const auto caller = core_.authenticate(headers.authorization);
+    if (!caller)
+        return tl::unexpected(caller.error());
+    const auto body = read_body(request);
+    if (!body)
+        return tl::unexpected(body.error());
+    const auto& limits = core_.settings().limits;
+    const auto parsed = parse_completion_body(shape, *body, limits);
+    if (!parsed)
+        return tl::unexpected(parsed.error());
+    const auto service = core_.service(*caller, parsed->service);
+    if (!service)
+        return tl::unexpected(service.error());
+    auto made = make_completion_request(shape, *parsed, *body, headers,
+                                        **service, limits, core_.now());
+    if (!made)
+        return tl::unexpected(made.error());
+    http_caller_writer writer(
+        request, response,
+        {request_id_, parsed->service, shape, parsed->stream});
+    core_.serve(*caller, std::move(*made), writer);
+    return {};
+}
+
+outcome<void> caller_http_handler::call(const std::string& service_name,
+                                        http_request& request,
+                                        http_response& response)
+{
+    const auto headers = headers_of(request);
+    const auto caller = core_.authenticate(headers.authorization);
+    if (!caller)
+        return tl::unexpected(caller.error());
+    const auto service = core_.service(*caller, service_name);
+    if (!service)
+        return tl::unexpected(service.error());
+    const auto body = read_body(request);
+    if (!body)
+        return tl::unexpected(body.error());
+    auto made = make_call_request(*body, headers, **service,
+                                  core_.settings().limits, core_.now());
+    if (!made)
+        return tl::unexpected(made.error());
+    http_caller_writer writer(request, response,
+                              {request_id_, service_name, {}, false});
+    core_.serve(*caller, std::move(*made), writer);
+    return {};
+}
+
+outcome<void> caller_http_handler::ticket(const std::string& service_name,
+                                          http_request& request,
+                                          http_response& response)
+{
+    const auto caller = core_.authenticate(header(request, "Authorization"));
+    if (!caller)
+        return tl::unexpected(caller.error());
+    const auto service = core_.service(*caller, service_name);
+    if (!service)
+        return tl::unexpected(service.error());
+    const auto minted = core_.mint_ticket(*caller, **service);
+    if (!minted)
+        return tl::unexpected(minted.error());
+    log_event(log_severity::info, log_event_name::ticket_minted,
+              {{log_key::request_id, request_id_},
+               {log_key::team, minted->team()},
+               {log_key::upstream, minted->upstream()}});
+    const auto life = core_.settings().ticket_life.count();
+    const auto body =
+        "{\"ticket\":" + json_quoted(ticket_authority::to_text(*minted)) +
+        ",\"expires_in_ms\":" + std::to_string(life) + "}";
+    response.setContentType("application/json");
+    response.sendBuffer(body.data(), body.size());
+    return {};
+}
+
+outcome<void> caller_http_handler::resume(http_request& request,
+                                          http_response& response)
+{
+    const auto headers = headers_of(request);
+    const auto caller = core_.authenticate(headers.authorization);
+    if (!caller)
+        return tl::unexpected(caller.error());
+    auto made =
+        make_resume_request(headers, core_.settings().limits, core_.now());
+    if (!made)
+        return tl::unexpected(made.error());
+    log_event(log_severity::info, log_event_name::generation_resumed,
+              {{log_key::request_id, request_id_},
+               {log_key::team, caller->team->name()},
+               {log_key::generation, made->resume_after->generation}});
+    const auto shape = request.getURI().ends_with("?shape=chat")
+                           ? completion_shape::chat
+                           : completion_shape::completions;
+    http_caller_writer writer(request, response,
+                              {request_id_, {}, shape, true});
+    core_.serve(*caller, std::move(*made), writer);
+    return {};
+}
+
+outcome<std::string> caller_http_handler::read_body(http_request& request) const
+{
+    const auto too_large =
+        not_run(refusal_reason::too_large, "the body is too long");
+    if (request.hasContentLength() &&
+        static_cast<std::size_t>(request.getContentLength64()) >
+            limits_.max_body_bytes)
+        return tl::unexpected(too_large);
+    std::string body;
+    auto& stream = request.stream();
+    std::array<char, 8192> piece{};
+    while (stream.good()) {
+        stream.read(piece.data(), piece.size());
+        body.append(piece.data(), static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > limits_.max_body_bytes)
+            return tl::unexpected(too_large);
+    }
+    if (request.hasContentLength() &&
+        body.size() < static_cast<std::size_t>(request.getContentLength64()))
+        return tl::unexpected(
+            not_run(refusal_reason::bad_request, "the body was cut short"));
+    return body;
+}
+
+void caller_http_handler::answer_health(const std::string& path,
+                                        http_response& response)
+{
+    const bool good = path == "/healthz" || core_.ready();
+    response.setStatusAndReason(
+        good ? Poco::Net::HTTPResponse::HTTP_OK
+             : Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE);
+    response.setContentType("application/json");
+    const std::string body = good ? "{\"ok\":true}" : "{\"ok\":false}";
+    response.sendBuffer(body.data(), body.size());
+}
+
+Poco::Net::HTTPRequestHandler*
+caller_http_factory::createRequestHandler(const Poco::Net::HTTPServerRequest&)
+{
+    return new caller_http_handler(core_, limits_);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/caller_http_handler.hpp
@@ -0,0 +1,72 @@
+#ifndef CYCLAMENRUN_CALLER_HTTP_HANDLER_HPP
+#define CYCLAMENRUN_CALLER_HTTP_HANDLER_HPP
+
+#include "caller_request.hpp"
+#include "entry_core.hpp"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** Bounds on what one HTTP request of a caller may hold. */
+struct caller_http_limits {
+    std::size_t max_body_bytes = std::size_t{1} << 20U;
+    std::size_t max_header_bytes = 16384;
+};
+
+/**
+ * One HTTP request of a caller: finds out what is asked for, checks it and
+ * hands it to the core. Everything wrong with it is answered by type.
+ */
+class caller_http_handler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    caller_http_handler(entry_core& core, caller_http_limits limits);
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    using http_request = Poco::Net::HTTPServerRequest;
+    using http_response = Poco::Net::HTTPServerResponse;
+
+    outcome<void> route(http_request& request, http_response& response);
+    outcome<void> complete(completion_shape shape, http_request& request,
+                           http_response& response);
+    outcome<void> call(const std::string& service, http_request& request,
+                       http_response& response);
+    outcome<void> ticket(const std::string& service, http_request& request,
+                         http_response& response);
+    outcome<void> resume(http_request& request, http_response& response);
+    outcome<std::string> read_body(http_request& request) const;
+    void answer_health(const std::string& path, http_response& response);
+
+    entry_core& core_;
+    caller_http_limits limits_;
+    std::string request_id_;
+};
+
+/** Makes a handler for each request. */
+class caller_http_factory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    caller_http_factory(entry_core& core, caller_http_limits limits)
+        : core_(core), limits_(limits)
+    {
+    }
+
+    Poco::Net::HTTPRequestHandler*
+    createRequestHandler(const Poco::Net::HTTPServerRequest& request) override;
+
+private:
+    entry_core& core_;
+    caller_http_limits limits_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CALLER_HTTP_HANDLER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/caller_request.cpp
@@ -0,0 +1,287 @@
+#include "caller_request.hpp"
+
+#include "digest.hpp"
+#include "http_json.hpp"
+#include "ticket_authority.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::uint32_t default_max_output_tokens = 65536;
+constexpr std::uint32_t default_max_prompt_tokens = 131072;
+constexpr std::size_t bytes_per_token = 4;
+constexpr std::size_t tokens_per_block = 64;
+constexpr std::size_t most_prefix_blocks = 64;
+
+refusal bad(std::string detail)
+{
+    return not_run(refusal_reason::bad_request, std::move(detail));
+}
+
+std::string draw_request_id()
+{
+    return std::to_string(random_u64()) + std::to_string(random_u64());
+}
+
+outcome<time_point> deadline_of(const caller_headers& headers,
+                                milliseconds by_default,
+                                const caller_limits& limits, time_point now)
+{
+    if (headers.deadline_ms.empty())
+        return now + by_default;
+    std::int64_t left = 0;
+    const auto* end = headers.deadline_ms.data() + headers.deadline_ms.size();
+    const auto read = std::from_chars(headers.deadline_ms.data(), end, left);
+    if (read.ec != std::errc{} || read.ptr != end)
+        return tl::unexpected(bad("X-Deadline-Ms is not a whole number"));
+    if (left <= 0)
+        return tl::unexpected(not_run(refusal_reason::deadline_passed,
+                                      "X-Deadline-Ms leaves no time"));
+    return now + std::min(milliseconds(left), limits.longest_deadline);
+}
+
+outcome<bool> flag_of(const std::string& value, bool by_default,
+                      const char* name)
+{
+    if (value.empty())
+        return by_default;
+    if (value == "true" || value == "false")
+        return value == "true";
+    return tl::unexpected(bad(std::string(name) + " is true or false"));
+}
+
+/** The texts of a chat's messages, or nothing if it isn't one. */
+std::optional<std::string> prompt_of_messages(const Poco::JSON::Object& body)
+{
+    const auto messages = json_array(body, "messages");
+    if (!messages || messages->size() == 0)
+        return std::nullopt;
+    std::string prompt;
+    for (std::size_t i = 0; i < messages->size(); ++i) {
+        const auto message = messages->getObject(static_cast<unsigned int>(i));
+        if (!message)
+            return std::nullopt;
+        const auto role = json_string(*message, "role");
+        const auto content = json_string(*message, "content");
+        if (!role || !content)
+            return std::nullopt;
+        prompt += *role + '\n' + *content + '\n';
+    }
+    return prompt;
+}
+
+outcome<std::uint32_t> max_tokens_of(const Poco::JSON::Object& body)
+{
+    if (!body.has("max_tokens"))
+        return 0U;
+    const auto asked = json_u64(body, "max_tokens");
+    if (!asked || *asked == 0 ||
+        *asked > std::numeric_limits<std::uint32_t>::max())
+        return tl::unexpected(bad("max_tokens is a whole number, 1 or more"));
+    return static_cast<std::uint32_t>(*asked);
+}
+
+outcome<bool> stream_of(const Poco::JSON::Object& body)
+{
+    if (!body.has("stream"))
+        return false;
+    const auto value = body.get("stream");
+    if (!value.isBoolean())
+        return tl::unexpected(bad("stream is true or false"));
+    return value.convert<bool>();
+}
+
+outcome<delivery_mode> delivery_of(const std::string& header, bool stream)
+{
+    if (header.empty())
+        return stream ? delivery_mode::stream : delivery_mode::whole;
+    if (header == "whole")
+        return delivery_mode::whole;
+    if (header == "stream" && stream)
+        return delivery_mode::stream;
+    return tl::unexpected(
+        bad("X-Delivery is whole, or stream if the body says stream"));
+}
+
+/** The engine's own bound is set, so that no answer outgrows ours. */
+std::string body_for_engine(const std::string& body, std::uint32_t max_tokens)
+{
+    auto object = parse_json_object(body);
+    object->set("max_tokens", max_tokens);
+    return to_string(*object);
+}
+
+} // namespace
+
+std::uint32_t estimate_tokens(std::size_t bytes)
+{
+    return static_cast<std::uint32_t>(bytes / bytes_per_token + 1);
+}
+
+std::vector<std::uint64_t> prefix_blocks_of(const std::string& prompt)
+{
+    constexpr auto block_bytes = tokens_per_block * bytes_per_token;
+    std::vector<std::uint64_t> blocks;
+    std::uint64_t chain = 0;
+    for (std::size_t start = 0; start + block_bytes <= prompt.size() &&
+                                blocks.size() < most_prefix_blocks;
+         start += block_bytes) {
+        chain = hash64({prompt.data() + start, block_bytes}, chain);
+        blocks.push_back(chain);
+    }
+    return blocks;
+}
+
+outcome<completion_body> parse_completion_body(completion_shape shape,
+                                               const std::string& body,
+                                               const caller_limits& limits)
+{
+    const auto object = parse_json_object(body);
+    if (!object)
+        return tl::unexpected(bad("the body is not a JSON object"));
+    completion_body parsed;
+    const auto service = json_string(*object, "model");
+    if (!service)
+        return tl::unexpected(bad("model names no service"));
+    parsed.service = *service;
+
+    const auto prompt = shape == completion_shape::chat
+                            ? prompt_of_messages(*object)
+                            : json_string(*object, "prompt");
+    if (!prompt)
+        return tl::unexpected(
+            bad(shape == completion_shape::chat
+                    ? "messages is a list of objects with role and content"
+                    : "prompt is a string"));
+    if (prompt->size() > limits.max_prompt_bytes)
+        return tl::unexpected(
+            not_run(refusal_reason::too_large, "the prompt is too long"));
+    parsed.prompt = *prompt;
+
+    const auto max_tokens = max_tokens_of(*object);
+    if (!max_tokens)
+        return tl::unexpected(max_tokens.error());
+    parsed.max_tokens = *max_tokens;
+    const auto stream = stream_of(*object);
+    if (!stream)
+        return tl::unexpected(stream.error());
+    parsed.stream = *stream;
+    return parsed;
+}
+
+outcome<relay_request>
+make_completion_request(completion_shape shape, const completion_body& parsed,
+                        const std::string& body, const caller_headers& headers,
+                        const v1::Service& service, const caller_limits& limits,
+                        time_point now)
+{
+    if (service.kind() != v1::SERVICE_KIND_MODEL)
+        return tl::unexpected(
+            bad("this service answers calls, not completions"));
+    const auto most_prompt = service.max_prompt_tokens() > 0
+                                 ? service.max_prompt_tokens()
+                                 : default_max_prompt_tokens;
+    const auto most_output = service.max_output_tokens() > 0
+                                 ? service.max_output_tokens()
+                                 : default_max_output_tokens;
+    relay_request request;
+    request.id = draw_request_id();
+    request.prompt_tokens = estimate_tokens(parsed.prompt.size());
+    if (request.prompt_tokens > most_prompt)
+        return tl::unexpected(not_run(refusal_reason::too_large,
+                                      "the prompt has too many tokens"));
+    request.max_output_tokens = parsed.max_tokens == 0
+                                    ? most_output
+                                    : std::min(parsed.max_tokens, most_output);
+
+    const auto delivery = delivery_of(headers.delivery, parsed.stream);
+    if (!delivery)
+        return tl::unexpected(delivery.error());
+    request.delivery = *delivery;
+    const auto idempotent = flag_of(headers.idempotent, true, "X-Idempotent");
+    if (!idempotent)
+        return tl::unexpected(idempotent.error());
+    request.idempotent = *idempotent;
+    const auto by_default = service.default_deadline_ms() > 0
+                                ? milliseconds(service.default_deadline_ms())
+                                : limits.default_deadline;
+    const auto deadline = deadline_of(headers, by_default, limits, now);
+    if (!deadline)
+        return tl::unexpected(deadline.error());
+    request.deadline = *deadline;
+
+    request.kind = link::WORK_KIND_GENERATION;
+    request.service = service.name();
+    request.path = shape == completion_shape::chat ? "/v1/chat/completions"
+                                                   : "/v1/completions";
+    request.body = body_for_engine(body, request.max_output_tokens);
+    request.fingerprint = hash64(parsed.prompt, hash64(service.name()));
+    request.prefix_blocks = prefix_blocks_of(parsed.prompt);
+    return request;
+}
+
+outcome<relay_request> make_call_request(const std::string& body,
+                                         const caller_headers& headers,
+                                         const v1::Service& service,
+                                         const caller_limits& limits,
+                                         time_point now)
+{
+    if (service.kind() != v1::SERVICE_KIND_APPLICATION)
+        return tl::unexpected(
+            bad("this service answers completions, not calls"));
+    if (!parse_json_object(body))
+        return tl::unexpected(bad("the body is not a JSON object"));
+    relay_request request;
+    request.id = draw_request_id();
+    const auto idempotent = flag_of(headers.idempotent, false, "X-Idempotent");
+    if (!idempotent)
+        return tl::unexpected(idempotent.error());
+    request.idempotent = *idempotent;
+    const auto by_default = service.default_deadline_ms() > 0
+                                ? milliseconds(service.default_deadline_ms())
+                                : limits.default_deadline;
+    const auto deadline = deadline_of(headers, by_default, limits, now);
+    if (!deadline)
+        return tl::unexpected(deadline.error());
+    request.deadline = *deadline;
+    if (!headers.ticket.empty()) {
+        const auto ticket = ticket_authority::from_text(headers.ticket);
+        if (!ticket)
+            return tl::unexpected(ticket.error());
+        request.ticket = *ticket;
+    }
+    request.kind = link::WORK_KIND_CALL;
+    request.delivery = delivery_mode::whole;
+    request.service = service.name();
+    request.path = "/calls";
+    request.body = body;
+    request.fingerprint = hash64(body, hash64(service.name()));
+    return request;
+}
+
+outcome<relay_request> make_resume_request(const caller_headers& headers,
+                                           const caller_limits& limits,
+                                           time_point now)
+{
+    const auto position = parse_stream_position(headers.last_event_id);
+    if (!position)
+        return tl::unexpected(bad("Last-Event-ID names no token"));
+    const auto deadline =
+        deadline_of(headers, limits.default_deadline, limits, now);
+    if (!deadline)
+        return tl::unexpected(deadline.error());
+    relay_request request;
+    request.id = draw_request_id();
+    request.deadline = *deadline;
+    request.resume_after = *position;
+    return request;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/caller_request.hpp
@@ -0,0 +1,74 @@
+#ifndef CYCLAMENRUN_CALLER_REQUEST_HPP
+#define CYCLAMENRUN_CALLER_REQUEST_HPP
+
+#include "clock.hpp"
+#include "config.pb.h"
+#include "refusal.hpp"
+#include "relay_request.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** The headers of a caller's request that mean something here. */
+struct caller_headers {
+    std::string authorization;
+    std::string request_id;
+    std::string deadline_ms;
+    std::string delivery;
+    std::string ticket;
+    std::string idempotent;
+    std::string last_event_id;
+};
+
+/** Bounds on what a caller may send and ask for. */
+struct caller_limits {
+    std::size_t max_prompt_bytes = std::size_t{512} << 10U;
+    milliseconds default_deadline{600'000};
+    milliseconds longest_deadline{3'600'000};
+};
+
+/** The two shapes of a generation request that clients know. */
+enum class completion_shape : std::uint8_t { completions, chat };
+
+/** A generation request as far as its body alone says. */
+struct completion_body {
+    std::string service;          ///< the `model` member
+    std::string prompt;           ///< all texts that the engine will read
+    std::uint32_t max_tokens = 0; ///< 0: not said
+    bool stream = false;
+};
+
+outcome<completion_body> parse_completion_body(completion_shape shape,
+                                               const std::string& body,
+                                               const caller_limits& limits);
+
+/** The request that the relay runs; `service` is the one in force. */
+outcome<relay_request>
+make_completion_request(completion_shape shape, const completion_body& parsed,
+                        const std::string& body, const caller_headers& headers,
+                        const v1::Service& service, const caller_limits& limits,
+                        time_point now);
+
+outcome<relay_request> make_call_request(const std::string& body,
+                                         const caller_headers& headers,
+                                         const v1::Service& service,
+                                         const caller_limits& limits,
+                                         time_point now);
+
+outcome<relay_request> make_resume_request(const caller_headers& headers,
+                                           const caller_limits& limits,
+                                           time_point now);
+
+/** How many tokens a prompt has, about: the engine's tokenizer isn't here. */
+std::uint32_t estimate_tokens(std::size_t bytes);
+
+/** Chained hashes of the prompt's blocks: equal as far as prompts are. */
+std::vector<std::uint64_t> prefix_blocks_of(const std::string& prompt);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CALLER_REQUEST_HPP
--- /dev/null
+++ b/src/libcyclamenrun/caller_writer.hpp
@@ -0,0 +1,32 @@
+#ifndef CYCLAMENRUN_CALLER_WRITER_HPP
+#define CYCLAMENRUN_CALLER_WRITER_HPP
+
+#include "refusal.hpp"
+#include "relay_action.hpp"
+
+namespace cyclamenrun
+{
+
+/**
+ * Writes an outcome to a caller. False from a write says that the caller is
+ * gone or takes too long; nothing more is written then.
+ */
+class caller_writer
+{
+public:
+    caller_writer() = default;
+    caller_writer(const caller_writer&) = delete;
+    caller_writer& operator=(const caller_writer&) = delete;
+    virtual ~caller_writer() = default;
+
+    virtual bool tokens(const write_tokens& tokens) = 0;
+    virtual bool end(const write_end& end) = 0;
+    virtual bool answer(const write_answer& answer) = 0;
+    virtual bool refuse(const refusal& why) = 0;
+    /** Whether the caller has closed its side. */
+    virtual bool gone() = 0;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CALLER_WRITER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/daemon_main.hpp
@@ -0,0 +1,52 @@
+#ifndef CYCLAMENRUN_DAEMON_MAIN_HPP
+#define CYCLAMENRUN_DAEMON_MAIN_HPP
+
+#include "exit_code.hpp"
+#include "log_severity.hpp"
+#include "settings_error.hpp"
+#include "stop_signal.hpp"
+
+#include <functional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/** What main() of a daemon does besides reading its command line. */
+struct daemon_program {
+    std::string name;
+    std::string description;
+    std::function<std::string()> default_settings;
+    /** Reads the settings; the severity is that from which it logs. */
+    std::function<settings_outcome<log_severity>(const std::string& file)>
+        read_settings;
+    /** Serves until the stop signal, then drains. */
+    std::function<exit_code(const stop_signal& stop)> serve;
+};
+
+/** The command line that all daemons share; returns the exit status. */
+int daemon_main(const daemon_program& program, int argc, char** argv);
+
+/** Serves until told to stop: `Process` has address() and drain(). */
+template <typename Process>
+exit_code serve_until_stopped(Process& process, const stop_signal& stop);
+
+/** Tells the standard output and the log that it serves at `address`. */
+void announce_ready(const std::string& address);
+void announce_stopping();
+void announce_stopped();
+
+template <typename Process>
+exit_code serve_until_stopped(Process& process, const stop_signal& stop)
+{
+    announce_ready(process.address());
+    stop.wait();
+    announce_stopping();
+    const bool complete = process.drain();
+    announce_stopped();
+    return complete ? exit_code::ok : exit_code::work_cut;
+}
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_DAEMON_MAIN_HPP
--- /dev/null
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -0,0 +1,373 @@
+#include "entry_core.hpp"
+
+#include "caller_writer.hpp"
+#include "log_event.hpp"
+
+#include <algorithm>
+#include <future>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr milliseconds not_ready_pause{1000};
+constexpr std::size_t news_shards = 16;
+
+agent_address address_of(const candidate& agent)
+{
+    return {agent.upstream, agent.address};
+}
+
+/** A caller without tokens of its own to lose may be told to go elsewhere. */
+refusal not_ready_refusal()
+{
+    return not_run(refusal_reason::not_ready,
+                   "this entry has no configuration yet, or is stopping",
+                   not_ready_pause);
+}
+
+objective goal_of(const caller_session& caller, const std::string& service)
+{
+    const auto* found = caller.view->resources.service(service);
+    return found != nullptr && found->objective() == v1::OBJECTIVE_TOKEN_LATENCY
+               ? objective::token_latency
+               : objective::stall_time;
+}
+
+} // namespace
+
+entry_core::entry_core(const entry_core_settings& settings,
+                       std::vector<std::shared_ptr<link_loop>> loops,
+                       clock_function clock)
+    : settings_(settings), clock_(std::move(clock)),
+      teams_(settings_.retry_share), routes_(settings_.routes),
+      poison_(settings_.poison_capacity, settings_.poison_life),
+      tickets_(settings_.link_key),
+      news_(news_shards,
+            [](std::size_t) { return std::make_unique<agent_news_map>(); }),
+      links_(std::move(loops), settings_.link_key, link_limits{},
+             {[this](const std::string& upstream) {
+                  return make_heartbeat(upstream);
+              },
+              [this](const std::string& upstream,
+                     const link::HeartbeatReply& reply) {
+                  on_heartbeat(upstream, reply);
+              },
+              [this](const std::string& upstream, link_failure failure) {
+                  on_link_failure(upstream, failure);
+              }},
+             clock_)
+{
+    configuration_.on_change([this](std::uint64_t revision) {
+        log_event(log_severity::info, log_event_name::configuration_applied,
+                  {{log_key::revision, revision}});
+        if (const auto view = configuration_.view())
+            teams_.on_configuration(*view);
+        tell_agents();
+    });
+}
+
+entry_core::~entry_core()
+{
+    links_.close();
+}
+
+outcome<caller_session>
+entry_core::authenticate(const std::string& authorization) const
+{
+    caller_session caller;
+    caller.view = configuration_.view();
+    if (!caller.view)
+        return tl::unexpected(not_ready_refusal());
+    const auto team = teams_.authenticate(authorization);
+    if (!team)
+        return tl::unexpected(team.error());
+    caller.team = caller.view->resources.team(*team);
+    if (caller.team == nullptr)
+        return tl::unexpected(not_run(refusal_reason::unauthenticated));
+    return caller;
+}
+
+outcome<const v1::Service*> entry_core::service(const caller_session& caller,
+                                                const std::string& name) const
+{
+    const auto* service = caller.view->resources.service(name);
+    if (service == nullptr)
+        return tl::unexpected(not_run(refusal_reason::unknown_service,
+                                      "there is no such service"));
+    const auto& allowed = caller.team->services();
+    if (!allowed.empty() &&
+        std::find(allowed.begin(), allowed.end(), name) == allowed.end())
+        return tl::unexpected(not_run(refusal_reason::forbidden,
+                                      "the team may not use this service"));
+    return service;
+}
+
+relay_result entry_core::serve(const caller_session& caller,
+                               relay_request request, caller_writer& writer)
+{
+    request.team = caller.team->name();
+    request.team_weight = std::max<std::uint32_t>(1, caller.team->weight());
+    const auto started_at = clock_();
+    relay_result result;
+    // What a caller comes back for has been let in before.
+    const bool resumes = request.resume_after.has_value();
+    if (draining_ && !resumes)
+        result.refused = not_ready_refusal();
+    else if (!resumes) {
+        const auto allowed =
+            teams_.start(*caller.team, request.prompt_tokens, started_at);
+        if (!allowed)
+            result.refused = allowed.error();
+    }
+    if (result.refused) {
+        result.caller_gone = !writer.refuse(*result.refused);
+        return result;
+    }
+    ++active_;
+    relay relay(request, settings_.relay, relay_hooks_for(caller));
+    relay_runner runner(links_, runner_hooks(request.service), clock_);
+    result = runner.run(relay, writer);
+    --active_;
+    if (!resumes)
+        teams_.finish(request.team);
+    metrics_.record(metric::request_duration, clock_() - started_at, clock_());
+    if (result.first_token_at)
+        metrics_.record(metric::time_to_first_token,
+                        *result.first_token_at - started_at, clock_());
+    log_outcome(request, relay, result);
+    return result;
+}
+
+outcome<link::Ticket> entry_core::mint_ticket(const caller_session& caller,
+                                              const v1::Service& service)
+{
+    if (service.kind() != v1::SERVICE_KIND_APPLICATION)
+        return tl::unexpected(not_run(refusal_reason::bad_request,
+                                      "this service takes no calls"));
+    if (draining_)
+        return tl::unexpected(not_ready_refusal());
+    relay_request request;
+    request.team = caller.team->name();
+    request.service = service.name();
+    const auto now = clock_();
+    const auto target =
+        routes_.choose(request, objective::stall_time, {}, false, now);
+    if (!target)
+        return tl::unexpected(target.error());
+    const auto clock = routes_.clock_of(target->upstream, now);
+    if (!clock || clock->incarnation != target->incarnation)
+        return tl::unexpected(not_run(refusal_reason::no_upstream,
+                                      "the agent was just replaced",
+                                      not_ready_pause));
+    const auto life = static_cast<std::uint64_t>(settings_.ticket_life.count());
+    return tickets_.mint({target->upstream, target->incarnation,
+                          caller.team->name(), service.name(),
+                          clock->uptime_ms + life});
+}
+
+relay_hooks entry_core::relay_hooks_for(const caller_session& caller)
+{
+    relay_hooks hooks;
+    hooks.choose = [this, caller](const relay_request& request,
+                                  const std::vector<std::string>& excluded,
+                                  bool suspect, time_point now) {
+        return routes_.choose(request, goal_of(caller, request.service),
+                              excluded, suspect, now);
+    };
+    hooks.spend_retry = [this](const std::string& team, time_point) {
+        return teams_.spend_retry(team);
+    };
+    hooks.verdict = [this](std::uint64_t fingerprint, time_point now) {
+        return poison_.verdict(fingerprint, now);
+    };
+    hooks.agent_lost = [this](std::uint64_t fingerprint,
+                              const route_target& agent, time_point now) {
+        on_agent_lost(fingerprint, agent, now);
+    };
+    return hooks;
+}
+
+relay_runner_hooks entry_core::runner_hooks(const std::string& service)
+{
+    relay_runner_hooks hooks;
+    hooks.find =
+        [this](const std::string& upstream) -> std::optional<agent_address> {
+        const auto known = routes_.members().find(upstream);
+        if (!known)
+            return std::nullopt;
+        return address_of(*known);
+    };
+    hooks.dispatched = [this](const relay_request& request,
+                              const std::string& upstream) {
+        routes_.dispatched(request, upstream, clock_());
+    };
+    hooks.settled = [this, service](const std::string& upstream) {
+        routes_.settled(service, upstream, clock_());
+    };
+    hooks.load = [this](const link::LoadReport& load) {
+        routes_.report(load, clock_());
+    };
+    hooks.made = [this](const std::string& team, std::uint64_t tokens) {
+        teams_.output(team, tokens);
+    };
+    return hooks;
+}
+
+void entry_core::on_vm_list(const vm_list& list)
+{
+    auto& members = routes_.members();
+    members.on_list(list, clock_());
+    teams_.on_entries(members.entries().size());
+    std::vector<agent_address> agents;
+    for (const auto& agent : members.subset())
+        agents.push_back(address_of(agent));
+    links_.watch(agents);
+}
+
+outcome<std::string> entry_core::ask_agent(const std::string& upstream,
+                                           const std::string& path,
+                                           std::string frame,
+                                           time_point deadline)
+{
+    const auto agent = routes_.members().find(upstream);
+    if (!agent)
+        return tl::unexpected(not_run(refusal_reason::no_upstream,
+                                      "no upstream of this name is listed"));
+    // Shared with the link's thread, which may answer after the deadline.
+    const auto answer = std::make_shared<std::promise<std::string>>();
+    const auto told = std::make_shared<std::atomic<bool>>(false);
+    auto future = answer->get_future();
+    client_handlers handlers;
+    handlers.on_frame = [answer, told](std::string text) {
+        if (!told->exchange(true))
+            answer->set_value(std::move(text));
+    };
+    handlers.on_end = [answer, told](stream_end) {
+        if (!told->exchange(true))
+            answer->set_value({});
+    };
+    const auto stream = links_.open(address_of(*agent), path, std::move(frame),
+                                    std::move(handlers));
+    if (future.wait_until(deadline) != std::future_status::ready) {
+        if (stream)
+            stream->cancel();
+        return tl::unexpected(
+            outcome_unknown(refusal_reason::agent_lost, "no answer in time"));
+    }
+    auto text = future.get();
+    if (text.empty())
+        return tl::unexpected(
+            outcome_unknown(refusal_reason::agent_lost, "no answer"));
+    return text;
+}
+
+link::Heartbeat entry_core::make_heartbeat(const std::string& upstream)
+{
+    link::Heartbeat heartbeat;
+    heartbeat.set_entry(settings_.name);
+    heartbeat.set_config_revision(configuration_.revision());
+    heartbeat.set_wait_ms(
+        static_cast<std::uint64_t>(settings_.heartbeat_interval.count()));
+    const auto known = news_.with(
+        upstream, [&](agent_news_map& news) { return news[upstream]; });
+    heartbeat.set_known_change(known.load_change);
+    if (configuration_.ready() && known.revision < configuration_.revision())
+        heartbeat.set_config_delta(
+            configuration_.delta_after(known.revision).SerializeAsString());
+    poison_.write_marks(upstream, heartbeat);
+    return heartbeat;
+}
+
+void entry_core::on_heartbeat(const std::string& upstream,
+                              const link::HeartbeatReply& reply)
+{
+    const auto now = clock_();
+    routes_.members().on_connected(upstream);
+    routes_.report(reply.load(), now);
+    poison_.read_marks(upstream, reply, now);
+    news_.with(upstream, [&](agent_news_map& news) {
+        news[upstream] = {reply.load_change(), reply.config_revision()};
+    });
+    const auto agent = routes_.members().find(upstream);
+    if (agent)
+        revisions_.note({upstream, process_role::agent, agent->failure_domain},
+                        reply.config_revision(), now);
+}
+
+void entry_core::on_link_failure(const std::string& upstream,
+                                 link_failure failure)
+{
+    log_event(
+        log_severity::info, log_event_name::link_closed,
+        {{log_key::upstream, upstream}, {log_key::reason, name_of(failure)}});
+    const auto now = clock_();
+    routes_.members().on_connection_lost(upstream, now);
+    routes_.members().on_missed_heartbeat(upstream, now);
+}
+
+void entry_core::on_agent_lost(std::uint64_t fingerprint,
+                               const route_target& agent, time_point now)
+{
+    routes_.members().on_failure(agent.upstream, now);
+    const auto known = routes_.members().find(agent.upstream);
+    // A loss that has another explanation is not held against a request: the
+    // VM was going anyway, or its whole failure domain is cut off.
+    const bool explained = !known || known->state == upstream_state::leaving ||
+                           known->state == upstream_state::gone ||
+                           routes_.members().is_cut(known->failure_domain);
+    if (explained)
+        return;
+    poison_.agent_lost(fingerprint, agent, now);
+    log_event(log_severity::warning, log_event_name::poison_marked,
+              {{log_key::upstream, agent.upstream},
+               {log_key::incarnation, agent.incarnation}});
+    tell_agents();
+}
+
+/**
+ * News goes out at once and not with the next heartbeat: a caller whose
+ * request brought an upstream down sends it again at once, by another entry,
+ * and a change of configuration is to be in force everywhere within seconds.
+ */
+void entry_core::tell_agents()
+{
+    for (const auto& agent : routes_.members().subset()) {
+        auto heartbeat = make_heartbeat(agent.upstream);
+        heartbeat.set_wait_ms(0);
+        links_.send(address_of(agent), "/heartbeat",
+                    heartbeat.SerializeAsString());
+    }
+}
+
+void entry_core::log_outcome(const relay_request& request, const relay& relay,
+                             const relay_result& result) const
+{
+    const auto upstream = relay.target().upstream;
+    if (result.refused) {
+        log_event(log_severity::info, log_event_name::request_refused,
+                  {{log_key::request_id, request.id},
+                   {log_key::team, request.team},
+                   {log_key::service, request.service},
+                   {log_key::upstream, upstream},
+                   {log_key::attempt, result.attempts},
+                   {log_key::kind, result.refused->kind},
+                   {log_key::reason, result.refused->reason}});
+        return;
+    }
+    log_event(
+        log_severity::info,
+        result.caller_gone ? log_event_name::request_cancelled
+                           : log_event_name::request_finished,
+        {{log_key::request_id, request.id},
+         {log_key::team, request.team},
+         {log_key::service, request.service},
+         {log_key::upstream, upstream},
+         {log_key::attempt, result.attempts},
+         {log_key::tokens, result.tokens},
+         {log_key::generation, relay.generation().value_or(generation_id{})}});
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -0,0 +1,138 @@
+#ifndef CYCLAMENRUN_ENTRY_CORE_HPP
+#define CYCLAMENRUN_ENTRY_CORE_HPP
+
+#include "agent_links.hpp"
+#include "caller_request.hpp"
+#include "clock.hpp"
+#include "configuration_revisions.hpp"
+#include "configuration_store.hpp"
+#include "metrics.hpp"
+#include "poison_watch.hpp"
+#include "relay.hpp"
+#include "relay_runner.hpp"
+#include "route_table.hpp"
+#include "sharded.hpp"
+#include "team_desk.hpp"
+#include "ticket_authority.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+class caller_writer;
+class link_loop;
+
+/** How an entry's core is set up. */
+struct entry_core_settings {
+    std::string name;
+    std::string link_key;
+    route_table_settings routes;
+    relay_settings relay;
+    caller_limits limits;
+    double retry_share = 0.1;
+    milliseconds heartbeat_interval{5'000};
+    milliseconds ticket_life{600'000};
+    std::size_t poison_capacity = 4096;
+    milliseconds poison_life{3'600'000};
+};
+
+/** Who calls, and the configuration that the whole request sees. */
+struct caller_session {
+    configuration_store::view_pointer view;
+    const v1::Team* team = nullptr; ///< lives as long as the view
+};
+
+/**
+ * What an entry knows and decides, without the HTTP around it. All of its
+ * state is a cache: any entry can serve any caller at any time.
+ */
+class entry_core
+{
+public:
+    entry_core(const entry_core_settings& settings,
+               std::vector<std::shared_ptr<link_loop>> loops,
+               clock_function clock);
+    entry_core(const entry_core&) = delete;
+    entry_core& operator=(const entry_core&) = delete;
+    ~entry_core();
+
+    outcome<caller_session>
+    authenticate(const std::string& authorization) const;
+    /** The service in force, if the team may use it. */
+    outcome<const v1::Service*> service(const caller_session& caller,
+                                        const std::string& name) const;
+    /** Runs the request to its outcome on the calling thread. */
+    relay_result serve(const caller_session& caller, relay_request request,
+                       caller_writer& writer);
+    /** A ticket for one call; its text and which upstream it names. */
+    outcome<link::Ticket> mint_ticket(const caller_session& caller,
+                                      const v1::Service& service);
+
+    void on_vm_list(const vm_list& list);
+    /** One message to an agent and its one answer, waited for. */
+    outcome<std::string> ask_agent(const std::string& upstream,
+                                   const std::string& path, std::string frame,
+                                   time_point deadline);
+
+    /** Says not ready, so that the balancer sends no more; all still works. */
+    void start_stopping() { stopping_ = true; }
+    /** Refuses new work from now on; what runs goes on. */
+    void start_draining() { draining_ = true; }
+    bool ready() const { return !stopping_ && configuration_.ready(); }
+    int active_requests() const { return active_; }
+
+    configuration_store& configuration() { return configuration_; }
+    const configuration_revisions& revisions() const { return revisions_; }
+    route_table& routes() { return routes_; }
+    const metrics& measurements() const { return metrics_; }
+    const entry_core_settings& settings() const { return settings_; }
+    const poison_watch& poison() const { return poison_; }
+    time_point now() const { return clock_(); }
+
+private:
+    /** What an agent has said in its last heartbeat. */
+    struct agent_news {
+        std::uint64_t load_change = 0;
+        std::uint64_t revision = 0;
+    };
+    using agent_news_map = std::unordered_map<std::string, agent_news>;
+
+    relay_hooks relay_hooks_for(const caller_session& caller);
+    relay_runner_hooks runner_hooks(const std::string& service);
+    link::Heartbeat make_heartbeat(const std::string& upstream);
+    void on_heartbeat(const std::string& upstream,
+                      const link::HeartbeatReply& reply);
+    void on_link_failure(const std::string& upstream, link_failure failure);
+    void on_agent_lost(std::uint64_t fingerprint, const route_target& agent,
+                       time_point now);
+    /** Sends every agent of the subset what it has not been told yet. */
+    void tell_agents();
+    void log_outcome(const relay_request& request, const relay& relay,
+                     const relay_result& result) const;
+
+    entry_core_settings settings_;
+    clock_function clock_;
+    configuration_store configuration_;
+    configuration_revisions revisions_;
+    team_desk teams_;
+    route_table routes_;
+    poison_watch poison_;
+    ticket_authority tickets_;
+    sharded<agent_news_map> news_;
+    metrics metrics_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<bool> draining_ = false;
+    std::atomic<int> active_ = 0;
+    agent_links links_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_ENTRY_CORE_HPP
--- /dev/null
+++ b/src/libcyclamenrun/entry_process.hpp
@@ -0,0 +1,84 @@
+#ifndef CYCLAMENRUN_ENTRY_PROCESS_HPP
+#define CYCLAMENRUN_ENTRY_PROCESS_HPP
+
+#include "cancellation.hpp"
+#include "entry_core.hpp"
+#include "entry_settings.hpp"
+#include "link_loop.hpp"
+#include "state_dump.hpp"
+
+#include <Poco/ThreadPool.h>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Poco::Net
+{
+class HTTPServer;
+} // namespace Poco::Net
+
+namespace cyclamenrun
+{
+
+class log_tailer;
+class operator_commands;
+class operator_queries;
+class platform_log_client;
+class rpc_router;
+class snapshot_writer;
+class vm_list_watcher;
+
+/** All of an entry: its core and the servers and threads around it. */
+class entry_process
+{
+public:
+    explicit entry_process(const entry_settings& settings);
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+    ~entry_process();
+
+    /** Where callers and operators reach it. */
+    std::string address() const;
+    std::string operator_address() const;
+
+    /**
+     * A planned stop: says not ready, gives the balancer time, takes no more
+     * callers, and lets those that are served get their answers. False if
+     * that took longer than the settings allow.
+     */
+    bool drain();
+
+private:
+    void start_following();
+    void serve_operators();
+    void serve_callers();
+    void add_dump_sections();
+    void add_commands(rpc_router& router);
+    void add_queries(rpc_router& router);
+    outcome<v1::DrainUpstreamResponse>
+    drain_upstream(const v1::DrainUpstreamRequest& request);
+    outcome<v1::DumpStateResponse>
+    dump_state(const v1::DumpStateRequest& request);
+
+    entry_settings settings_;
+    std::vector<std::shared_ptr<link_loop>> loops_;
+    std::unique_ptr<entry_core> core_;
+    state_dump dump_;
+
+    cancellation stop_log_;
+    std::unique_ptr<platform_log_client> log_;
+    std::shared_ptr<snapshot_writer> snapshots_;
+    std::unique_ptr<log_tailer> tailer_;
+    std::unique_ptr<vm_list_watcher> vm_list_;
+    std::unique_ptr<operator_commands> commands_;
+    std::unique_ptr<operator_queries> queries_;
+
+    Poco::ThreadPool caller_threads_;
+    Poco::ThreadPool operator_threads_;
+    std::unique_ptr<Poco::Net::HTTPServer> callers_;
+    std::unique_ptr<Poco::Net::HTTPServer> operators_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_ENTRY_PROCESS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/gate.cpp
@@ -0,0 +1,668 @@
+#include "gate.hpp"
+
+#include "digest.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::size_t longest_request_id = 128;
+constexpr milliseconds soon{1000};
+
+milliseconds clamp_deadline(std::uint64_t time_left_ms, milliseconds longest)
+{
+    const auto bound = static_cast<std::uint64_t>(longest.count());
+    return milliseconds(std::min(time_left_ms, bound));
+}
+
+generation_id read_id(const link::GenerationId& message)
+{
+    return {message.upstream(), message.incarnation(), message.sequence(),
+            message.secret()};
+}
+
+refusal drain_refusal()
+{
+    return not_run(refusal_reason::draining, "upstream takes no new work",
+                   milliseconds(0));
+}
+
+refusal lost_refusal()
+{
+    return not_run(refusal_reason::no_upstream, "the upstream does not answer",
+                   soon);
+}
+
+waiting_work describe(work_id work, const work_session& session)
+{
+    const auto& request = session.request;
+    waiting_work waiting;
+    waiting.id = work;
+    waiting.team = request.team();
+    waiting.team_weight = std::max<std::uint32_t>(1, request.team_weight());
+    waiting.service = request.service();
+    waiting.prompt_tokens = request.prompt_tokens();
+    waiting.max_output_tokens = request.max_output_tokens();
+    waiting.prefix_blocks.assign(request.prefix_blocks().begin(),
+                                 request.prefix_blocks().end());
+    waiting.deadline = session.deadline;
+    waiting.suspect = session.suspect;
+    waiting.sized = !session.is_call();
+    return waiting;
+}
+
+/** `Effects` is gate's own, private type. */
+template <typename Effects>
+void wake_readers(const work_session& session, Effects& todo)
+{
+    todo.wakes.insert(todo.wakes.end(), session.readers.begin(),
+                      session.readers.end());
+}
+
+session_limits limits_of(const gate_settings& settings)
+{
+    return {settings.max_sessions, settings.max_readers_per_session,
+            settings.replay_window_tokens};
+}
+
+} // namespace
+
+gate::gate(gate_settings settings, gate_hooks hooks)
+    : settings_(std::move(settings)), hooks_(std::move(hooks)),
+      admission_(settings_.admission),
+      tombstones_(settings_.tombstone_capacity),
+      tickets_(settings_.link_key, settings_.upstream, settings_.incarnation,
+               settings_.started_at, settings_.ticket_capacity),
+      poison_(settings_.poison_capacity, settings_.poison_life),
+      sessions_(limits_of(settings_))
+{
+}
+
+outcome<reader_id> gate::submit(const link::Dispatch& dispatch, time_point now)
+{
+    effects todo;
+    outcome<reader_id> reader = tl::unexpected(refusal{});
+    {
+        const std::scoped_lock lock(mutex_);
+        reader = submit_locked(dispatch, now, todo);
+        // A second copy of a refused dispatch must find itself refused too,
+        // also when what stood in its way has gone by then.
+        if (!reader && reader.error().kind == refusal_kind::not_run &&
+            !entomb(dispatch.request_id(), now))
+            reader = tl::unexpected(
+                outcome_unknown(reader.error().reason, "too many refusals"));
+    }
+    run(todo);
+    return reader;
+}
+
+outcome<reader_id> gate::submit_locked(const link::Dispatch& dispatch,
+                                       time_point now, effects& todo)
+{
+    const auto& id = dispatch.request_id();
+    if (id.empty() || id.size() > longest_request_id)
+        return tl::unexpected(
+            not_run(refusal_reason::bad_request, "request id is missing"));
+    if (tombstones_.contains(id, now))
+        return tl::unexpected(not_run(refusal_reason::cancelled,
+                                      "this request was refused before"));
+    if (sessions_.find_request(id) != 0)
+        return tl::unexpected(outcome_unknown(refusal_reason::duplicate_request,
+                                              "a copy of this already runs"));
+
+    if (dispatch.has_ticket()) {
+        const auto earlier = tickets_.check(dispatch, now);
+        if (!earlier)
+            return tl::unexpected(earlier.error());
+        if (*earlier && sessions_.find((*earlier)->work) != nullptr)
+            return sessions_.attach((*earlier)->work, id, 0);
+        if (*earlier)
+            return tl::unexpected(outcome_unknown(
+                refusal_reason::ticket_used, "its answer is no longer kept"));
+    }
+    if (const auto checked = check(dispatch, now); !checked)
+        return tl::unexpected(checked.error());
+    const auto work = take_in(dispatch, now);
+    if (!work)
+        return tl::unexpected(work.error());
+    const auto reader = sessions_.attach(*work, id, 0);
+    admit(now, todo);
+    return reader;
+}
+
+outcome<void> gate::check(const link::Dispatch& dispatch, time_point now) const
+{
+    if (dispatch.incarnation() != 0 &&
+        dispatch.incarnation() != settings_.incarnation)
+        return tl::unexpected(not_run(refusal_reason::wrong_incarnation,
+                                      "another incarnation was meant"));
+    if (draining_)
+        return tl::unexpected(drain_refusal());
+    if (!engine_ready_)
+        return tl::unexpected(lost_refusal());
+    if (dispatch.time_left_ms() == 0)
+        return tl::unexpected(not_run(refusal_reason::deadline_passed));
+    if (poison_.verdict(dispatch.fingerprint(), now) == poison_verdict::poison)
+        return tl::unexpected(
+            not_run(refusal_reason::poison,
+                    "two upstreams were lost while they ran this"));
+    if (sessions_.full() || sessions_.kept_bytes() >= settings_.max_kept_bytes)
+        return tl::unexpected(not_run(refusal_reason::queue_full,
+                                      "too many answers wait to be fetched",
+                                      soon));
+    return {};
+}
+
+outcome<work_id> gate::take_in(const link::Dispatch& dispatch, time_point now)
+{
+    const auto time_left =
+        clamp_deadline(dispatch.time_left_ms(), settings_.longest_deadline);
+    const auto [work, session] = sessions_.add(dispatch, now + time_left);
+    session.generation = {settings_.upstream, settings_.incarnation, work,
+                          random_u64()};
+    session.suspect =
+        dispatch.suspect() ||
+        poison_.verdict(dispatch.fingerprint(), now) == poison_verdict::suspect;
+    const auto queued = admission_.enqueue(describe(work, session), now);
+    if (!queued) {
+        sessions_.forget(work);
+        return tl::unexpected(queued.error());
+    }
+    if (dispatch.has_ticket() && !tickets_.enter(dispatch, work, now)) {
+        admission_.remove(work, now);
+        sessions_.forget(work);
+        return tl::unexpected(not_run(refusal_reason::queue_full,
+                                      "too many tickets are in use", soon));
+    }
+    return work;
+}
+
+outcome<reader_id> gate::resume(const link::Resume& resume, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto work = find_for_resume(resume, now);
+    if (!work)
+        return tl::unexpected(work.error());
+    return sessions_.attach(*work, resume.request_id(), resume.next_index());
+}
+
+outcome<work_id> gate::find_for_resume(const link::Resume& resume,
+                                       time_point now)
+{
+    const bool by_generation = resume.has_generation();
+    const auto incarnation = by_generation ? resume.generation().incarnation()
+                                           : resume.incarnation();
+    if (incarnation != settings_.incarnation)
+        return tl::unexpected(
+            outcome_unknown(refusal_reason::wrong_incarnation,
+                            "the agent that ran this is gone"));
+
+    const auto work =
+        by_generation ? sessions_.find_generation(read_id(resume.generation()))
+                      : sessions_.find_request(resume.request_id());
+    const auto* session = sessions_.find(work);
+    if (session != nullptr && session->request.team() == resume.team())
+        return work;
+    // A generation of another team is answered like one that never was.
+    if (by_generation || session != nullptr)
+        return tl::unexpected(failed(refusal_reason::generation_unknown,
+                                     "no such generation is kept here"));
+    // The dispatch has not come; entombed, it never will run here.
+    if (!entomb(resume.request_id(), now))
+        return tl::unexpected(outcome_unknown(
+            refusal_reason::generation_unknown, "too many refusals"));
+    return tl::unexpected(not_run(refusal_reason::generation_unknown,
+                                  "this request never began here"));
+}
+
+refusal gate::cancel(const link::Cancel& cancel, time_point now)
+{
+    effects todo;
+    refusal answer =
+        not_run(refusal_reason::cancelled, "cancelled before it began");
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto work = sessions_.find_request(cancel.request_id());
+        auto* session = sessions_.find(work);
+        if (cancel.incarnation() != 0 &&
+            cancel.incarnation() != settings_.incarnation) {
+            answer = outcome_unknown(refusal_reason::wrong_incarnation);
+        } else if (session == nullptr) {
+            if (!entomb(cancel.request_id(), now))
+                answer = outcome_unknown(refusal_reason::cancelled);
+        } else if (session->request.team() != cancel.team()) {
+            answer = failed(refusal_reason::generation_unknown);
+        } else {
+            if (session->state != work_state::ended)
+                give_up(work, *session, refusal_reason::cancelled, now, todo);
+            answer = session->refused.value_or(outcome_unknown(
+                refusal_reason::cancelled, "it had ended, or runs on"));
+        }
+    }
+    run(todo);
+    return answer;
+}
+
+void gate::acknowledge(const link::Acknowledge& acknowledge, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    const auto work =
+        acknowledge.has_generation()
+            ? sessions_.find_generation(read_id(acknowledge.generation()))
+            : sessions_.find_request(acknowledge.request_id());
+    auto* session = sessions_.find(work);
+    if (session == nullptr || session->state != work_state::ended)
+        return;
+    // With a ticket the caller may send its call again and find this answer.
+    if (!session->has_ticket())
+        session->keep_until = now + settings_.acknowledged_grace;
+}
+
+reader_frames gate::pull(reader_id reader, std::size_t max_bytes,
+                         time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    auto pulled = sessions_.pull(reader, max_bytes);
+    if (pulled.end && !pulled.frames.empty())
+        *pulled.frames.back().mutable_load() = load_locked(now);
+    return pulled;
+}
+
+void gate::detach(reader_id reader, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    auto* session = sessions_.find(sessions_.detach(reader));
+    if (session == nullptr || !session->readers.empty() ||
+        session->state == work_state::ended)
+        return;
+    session->orphan_deadline = now + settings_.resume_grace;
+}
+
+void gate::token_made(work_id work, const std::string& text, time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        auto* session = running_session(work);
+        if (session == nullptr)
+            return;
+        if (session->replay.bytes() + text.size() >
+            settings_.max_answer_bytes) {
+            give_up(work, *session, refusal_reason::answer_too_large, now,
+                    todo);
+        } else {
+            sessions_.append_token(*session, text);
+            admission_.tokens_made(work, 1, now);
+            wake_readers(*session, todo);
+        }
+    }
+    run(todo);
+}
+
+void gate::finished(work_id work, const std::string& finish_reason,
+                    time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        auto* session = running_session(work);
+        if (session == nullptr)
+            return;
+        session->finish_reason = finish_reason;
+        poison_.clear(session->request.fingerprint(), now);
+        admission_.finished(work, true, now);
+        end(*session, now, todo);
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::answered(work_id work, call_answer answer, time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        auto* session = running_session(work);
+        if (session == nullptr)
+            return;
+        poison_.clear(session->request.fingerprint(), now);
+        admission_.finished(work, true, now);
+        if (answer.body.size() > settings_.max_answer_bytes) {
+            refuse(*session, outcome_unknown(refusal_reason::answer_too_large),
+                   now, todo);
+        } else {
+            sessions_.set_answer(*session, std::move(answer));
+            end(*session, now, todo);
+        }
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::run_failed(work_id work, const refusal& why, time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        auto* session = running_session(work);
+        if (session == nullptr)
+            return;
+        admission_.finished(work, false, now);
+        refuse(*session, why, now, todo);
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::engine_lost(time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        engine_ready_ = false;
+        ++load_change_;
+        todo.news = true;
+        const auto loss = next_loss();
+        // A VM that is being taken away dies of that, not of what it runs.
+        const bool explained = reclaim_deadline_.has_value();
+        for (auto& [work, session] : sessions_.all()) {
+            if (session.state != work_state::running)
+                continue;
+            if (!explained)
+                poison_.mark(session.request.fingerprint(), loss, now);
+            admission_.finished(work, false, now);
+            const refusal why =
+                session.is_call()
+                    ? outcome_unknown(refusal_reason::upstream_lost,
+                                      "the runner was lost during the call")
+                    : failed(refusal_reason::engine_lost,
+                             "the engine was lost");
+            refuse(session, why, now, todo);
+        }
+        refuse_all_waiting(lost_refusal(), now, todo);
+    }
+    run(todo);
+}
+
+void gate::engine_ready(std::uint64_t foreign_tokens, time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        engine_ready_ = true;
+        ++load_change_;
+        todo.news = true;
+        admission_.foreign_memory(foreign_tokens);
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::drain(time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (!draining_)
+            ++load_change_;
+        draining_ = true;
+        todo.news = true;
+        refuse_all_waiting(drain_refusal(), now, todo);
+    }
+    run(todo);
+}
+
+void gate::reclaim(time_point deadline, time_point now)
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        reclaim_deadline_ = deadline;
+    }
+    drain(now);
+}
+
+void gate::merge_marks(const std::vector<link::PoisonMark>& marks,
+                       time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto before = poison_.version();
+        for (const auto& mark : marks)
+            poison_.merge(mark, now);
+        todo.news = poison_.version() != before;
+    }
+    run(todo);
+}
+
+void gate::engine_load(const engine_load_hint& hint, time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        admission_.engine_load(hint, now);
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::tick(time_point now)
+{
+    effects todo;
+    {
+        const std::scoped_lock lock(mutex_);
+        expire(now, todo);
+        admit(now, todo);
+    }
+    run(todo);
+}
+
+void gate::expire(time_point now, effects& todo)
+{
+    for (const auto work : admission_.expired(now)) {
+        auto* session = sessions_.find(work);
+        if (session != nullptr)
+            refuse(*session, not_run(refusal_reason::deadline_passed), now,
+                   todo);
+    }
+    std::vector<work_id> forgotten;
+    for (auto& [work, session] : sessions_.all()) {
+        if (session.state == work_state::ended) {
+            if (now >= session.keep_until && session.readers.empty())
+                forgotten.push_back(work);
+        } else if (now >= session.deadline) {
+            give_up(work, session, refusal_reason::deadline_passed, now, todo);
+        } else if (session.orphan_deadline && now >= *session.orphan_deadline) {
+            give_up(work, session, refusal_reason::cancelled, now, todo);
+        } else if (reclaim_deadline_ && now >= *reclaim_deadline_) {
+            give_up(work, session, refusal_reason::reclaimed, now, todo);
+        }
+    }
+    for (const auto work : forgotten)
+        sessions_.forget(work);
+}
+
+void gate::give_up(work_id work, work_session& session, refusal_reason reason,
+                   time_point now, effects& todo)
+{
+    if (session.state == work_state::waiting) {
+        admission_.remove(work, now);
+        refuse(session, not_run(reason), now, todo);
+        return;
+    }
+    if (session.is_call() && reason == refusal_reason::cancelled) {
+        // Cutting a call short would leave open what it has done; it ends by
+        // itself, and with a ticket its caller may come back for the answer.
+        session.orphan_deadline.reset();
+        return;
+    }
+    todo.stops.push_back(work);
+    admission_.finished(work, false, now);
+    refuse(session,
+           session.is_call() ? outcome_unknown(reason) : failed(reason), now,
+           todo);
+}
+
+void gate::refuse(work_session& session, const refusal& why, time_point now,
+                  effects& todo)
+{
+    session.refused = why;
+    if (why.kind == refusal_kind::not_run) {
+        // A late copy of the same dispatch must not run after all.
+        if (!entomb(session.request.request_id(), now))
+            session.refused->kind = refusal_kind::outcome_unknown;
+        else if (session.has_ticket())
+            tickets_.withdraw(session.request);
+    }
+    end(session, now, todo);
+}
+
+void gate::end(work_session& session, time_point now, effects& todo)
+{
+    session.state = work_state::ended;
+    session.request.clear_body();
+    session.keep_until = now + settings_.answer_grace;
+    if (session.has_ticket())
+        session.keep_until = std::max(session.keep_until, session.deadline);
+    wake_readers(session, todo);
+}
+
+void gate::refuse_all_waiting(const refusal& why, time_point now, effects& todo)
+{
+    for (auto& [work, session] : sessions_.all()) {
+        if (session.state != work_state::waiting)
+            continue;
+        admission_.remove(work, now);
+        refuse(session, why, now, todo);
+    }
+}
+
+void gate::admit(time_point now, effects& todo)
+{
+    if (!engine_ready_)
+        return;
+    for (const auto work : admission_.admit(now)) {
+        auto* session = sessions_.find(work);
+        if (session == nullptr)
+            continue;
+        session->state = work_state::running;
+        auto& request = session->request;
+        todo.starts.push_back({work, request.request_id(), request.kind(),
+                               request.path(), request.body(),
+                               admission_.priority(work), session->deadline});
+        request.clear_body();
+        wake_readers(*session, todo);
+    }
+}
+
+bool gate::entomb(const std::string& request_id, time_point now)
+{
+    return tombstones_.add(request_id, now + settings_.tombstone_life, now);
+}
+
+work_session* gate::running_session(work_id work)
+{
+    auto* session = sessions_.find(work);
+    if (session == nullptr || session->state != work_state::running)
+        return nullptr;
+    return session;
+}
+
+std::uint64_t gate::next_loss()
+{
+    ++engine_losses_;
+    return hash64(settings_.upstream, settings_.incarnation + engine_losses_);
+}
+
+bool gate::wanted(work_id work) const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto* session = sessions_.find(work);
+    return session != nullptr && session->state == work_state::running;
+}
+
+bool gate::draining() const
+{
+    const std::scoped_lock lock(mutex_);
+    return draining_;
+}
+
+bool gate::drained() const
+{
+    const std::scoped_lock lock(mutex_);
+    const auto& all = sessions_.all();
+    return draining_ && std::all_of(all.begin(), all.end(), [](const auto& s) {
+               return s.second.state == work_state::ended &&
+                      s.second.readers.empty();
+           });
+}
+
+link::LoadReport gate::load(time_point now) const
+{
+    const std::scoped_lock lock(mutex_);
+    return load_locked(now);
+}
+
+link::LoadReport gate::load_locked(time_point now) const
+{
+    link::LoadReport report;
+    report.set_upstream(settings_.upstream);
+    report.set_incarnation(settings_.incarnation);
+    report.set_uptime_ms(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(now - settings_.started_at)
+            .count()));
+    report.set_leaving(draining_);
+    report.set_ready(engine_ready_);
+    report.set_running(admission_.running());
+    report.set_queued(admission_.queued());
+    report.set_memory_tokens_used(admission_.memory_used());
+    report.set_memory_tokens_total(admission_.memory_total());
+    report.set_queued_tokens(admission_.queued_tokens());
+    report.set_expected_wait_ms(
+        static_cast<std::uint64_t>(admission_.expected_wait(now).count()));
+    return report;
+}
+
+std::uint64_t gate::load_change() const
+{
+    const std::scoped_lock lock(mutex_);
+    return load_change_;
+}
+
+std::uint64_t gate::marks_version() const
+{
+    const std::scoped_lock lock(mutex_);
+    return poison_.version();
+}
+
+std::vector<link::PoisonMark> gate::marks_since(std::uint64_t version) const
+{
+    const std::scoped_lock lock(mutex_);
+    return poison_.marks_since(version);
+}
+
+void gate::visit(
+    const std::function<void(work_id, const work_session&)>& visitor) const
+{
+    const std::scoped_lock lock(mutex_);
+    for (const auto& [work, session] : sessions_.all())
+        visitor(work, session);
+}
+
+void gate::run(const effects& todo) const
+{
+    for (const auto work : todo.stops)
+        hooks_.stop(work);
+    for (const auto& order : todo.starts)
+        hooks_.start(order);
+    for (const auto reader : todo.wakes)
+        hooks_.wake(reader);
+    if (todo.news)
+        hooks_.news();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/http_caller_writer.hpp
@@ -0,0 +1,63 @@
+#ifndef CYCLAMENRUN_HTTP_CALLER_WRITER_HPP
+#define CYCLAMENRUN_HTTP_CALLER_WRITER_HPP
+
+#include "caller_request.hpp"
+#include "caller_writer.hpp"
+
+#include <iosfwd>
+#include <string>
+
+namespace Poco::Net
+{
+class HTTPServerRequest;
+class HTTPServerResponse;
+} // namespace Poco::Net
+
+namespace cyclamenrun
+{
+
+/** How answers to one caller look. */
+struct answer_format {
+    std::string request_id;
+    std::string service;
+    completion_shape shape = completion_shape::completions;
+    bool events = false; ///< server-sent events, else one JSON body
+};
+
+/**
+ * Writes an outcome as HTTP. Tokens go out as server-sent events, each with
+ * an id by which the caller can resume after it. A refusal after the first
+ * token has no status line left to change, and goes out as an event `error`.
+ */
+class http_caller_writer : public caller_writer
+{
+public:
+    http_caller_writer(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response,
+                       answer_format format);
+
+    bool tokens(const write_tokens& tokens) override;
+    bool end(const write_end& end) override;
+    bool answer(const write_answer& answer) override;
+    bool refuse(const refusal& why) override;
+    bool gone() override;
+
+private:
+    bool send_body(int status, const std::string& content_type,
+                   const std::string& body);
+    bool start_events();
+    bool write_event(const std::string& event);
+    std::string token_chunk(const std::string& text) const;
+    std::string end_chunk(const std::string& finish_reason) const;
+    std::string whole_body(const write_end& end) const;
+    std::string chunk(const std::string& choice) const;
+
+    Poco::Net::HTTPServerRequest& request_;
+    Poco::Net::HTTPServerResponse& response_;
+    answer_format format_;
+    std::ostream* stream_ = nullptr;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_HTTP_CALLER_WRITER_HPP
--- a/src/libcyclamenrun/membership.cpp
+++ b/src/libcyclamenrun/membership.cpp
@@ -17,8 +17,16 @@
 candidate candidate_of(const upstream_view& view)
 {
     const vm& listed = view.listed();
-    return {listed.id,     listed.address,     listed.failure_domain,
-            listed.region, view.incarnation(), view.state()};
+    candidate found;
+    found.upstream = listed.id;
+    found.address = listed.address;
+    found.service = listed.service;
+    found.failure_domain = listed.failure_domain;
+    found.region = listed.region;
+    found.incarnation = view.incarnation();
+    found.state = view.state();
+    found.hash = hash64(listed.id);
+    return found;
 }
 
 } // namespace
--- a/src/libcyclamenrun/membership.hpp
+++ b/src/libcyclamenrun/membership.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_MEMBERSHIP_HPP
 #define CYCLAMENRUN_MEMBERSHIP_HPP
 
+#include "candidate.hpp"
 #include "clock.hpp"
 #include "subset.hpp"
 #include "suspicion_domain_cut.hpp"
@@ -28,16 +29,6 @@
     milliseconds older_list_for{30'000};
 };
 
-/** An upstream as the choice of one sees it. */
-struct candidate {
-    std::string upstream;
-    std::string address;
-    std::string failure_domain;
-    std::string region;
-    std::uint64_t incarnation = 0; ///< 0: not heard of yet
-    upstream_state state = upstream_state::joining;
-};
-
 /** What became of a list that the platform gave. */
 enum class list_result : std::uint8_t {
     taken,
--- /dev/null
+++ b/src/libcyclamenrun/poison_register.cpp
@@ -0,0 +1,142 @@
+#include "poison_register.hpp"
+
+#include "link.pb.h"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Losses remembered a request; two convict, so more add nothing. */
+constexpr std::size_t losses_kept = 4;
+
+bool contains(const std::vector<std::uint64_t>& losses, std::uint64_t loss)
+{
+    return std::find(losses.begin(), losses.end(), loss) != losses.end();
+}
+
+void keep(std::vector<std::uint64_t>& losses, std::uint64_t loss)
+{
+    if (losses.size() == losses_kept)
+        losses.erase(losses.begin());
+    losses.push_back(loss);
+}
+
+link::PoisonMark make_mark(std::uint64_t fingerprint, std::uint64_t loss,
+                           bool cleared)
+{
+    link::PoisonMark mark;
+    mark.set_fingerprint(fingerprint);
+    mark.set_loss(loss);
+    mark.set_cleared(cleared);
+    return mark;
+}
+
+} // namespace
+
+poison_register::poison_register(std::size_t capacity, duration mark_life)
+    : capacity_(capacity), mark_life_(mark_life)
+{
+}
+
+void poison_register::mark(std::uint64_t fingerprint, std::uint64_t loss,
+                           time_point now)
+{
+    const auto known = records_.find(fingerprint);
+    if (known != records_.end() && (contains(known->second.held, loss) ||
+                                    contains(known->second.cleared, loss)))
+        return;
+    keep(touch(fingerprint, now).held, loss);
+}
+
+void poison_register::clear(std::uint64_t fingerprint, time_point now)
+{
+    const auto known = records_.find(fingerprint);
+    if (known == records_.end() || known->second.held.empty())
+        return;
+    auto& changed = touch(fingerprint, now);
+    for (const auto loss : changed.held)
+        keep(changed.cleared, loss);
+    changed.held.clear();
+}
+
+void poison_register::merge(const link::PoisonMark& mark, time_point now)
+{
+    if (!mark.cleared()) {
+        this->mark(mark.fingerprint(), mark.loss(), now);
+        return;
+    }
+    const auto known = records_.find(mark.fingerprint());
+    if (known != records_.end() && contains(known->second.cleared, mark.loss()))
+        return;
+    auto& changed = touch(mark.fingerprint(), now);
+    std::erase(changed.held, mark.loss());
+    keep(changed.cleared, mark.loss());
+}
+
+poison_verdict poison_register::verdict(std::uint64_t fingerprint,
+                                        time_point now) const
+{
+    const auto known = records_.find(fingerprint);
+    if (known == records_.end() || now >= known->second.deadline)
+        return poison_verdict::clean;
+    switch (known->second.held.size()) {
+    case 0:
+        return poison_verdict::clean;
+    case 1:
+        return poison_verdict::suspect;
+    default:
+        return poison_verdict::poison;
+    }
+}
+
+std::vector<link::PoisonMark>
+poison_register::marks_since(std::uint64_t version) const
+{
+    std::vector<link::PoisonMark> marks;
+    for (const auto& [fingerprint, known] : records_) {
+        if (known.changed <= version)
+            continue;
+        for (const auto loss : known.held)
+            marks.push_back(make_mark(fingerprint, loss, false));
+        for (const auto loss : known.cleared)
+            marks.push_back(make_mark(fingerprint, loss, true));
+    }
+    return marks;
+}
+
+poison_register::record& poison_register::touch(std::uint64_t fingerprint,
+                                                time_point now)
+{
+    if (!records_.contains(fingerprint))
+        make_room(now);
+    auto& touched = records_[fingerprint];
+    if (now >= touched.deadline) {
+        touched.held.clear();
+        touched.cleared.clear();
+    }
+    touched.changed = ++version_;
+    touched.deadline = now + mark_life_;
+    return touched;
+}
+
+void poison_register::make_room(time_point now)
+{
+    if (records_.size() < capacity_)
+        return;
+    std::erase_if(records_, [now](const auto& known) {
+        return now >= known.second.deadline;
+    });
+    if (records_.size() < capacity_)
+        return;
+    // The one that expires first is the one longest untouched.
+    records_.erase(std::min_element(
+        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+            return a.second.deadline < b.second.deadline;
+        }));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/poison_watch.cpp
@@ -0,0 +1,60 @@
+#include "poison_watch.hpp"
+
+#include "digest.hpp"
+
+namespace cyclamenrun
+{
+
+poison_watch::poison_watch(std::size_t capacity, duration mark_life)
+    : marks_(capacity, mark_life)
+{
+}
+
+poison_verdict poison_watch::verdict(std::uint64_t fingerprint,
+                                     time_point now) const
+{
+    const std::scoped_lock lock(mutex_);
+    return marks_.verdict(fingerprint, now);
+}
+
+void poison_watch::agent_lost(std::uint64_t fingerprint,
+                              const route_target& agent, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    // Named by the agent's life, so that all entries which lose it report
+    // one and the same loss.
+    marks_.mark(fingerprint, hash64(agent.upstream, agent.incarnation), now);
+}
+
+void poison_watch::write_marks(const std::string& upstream,
+                               link::Heartbeat& heartbeat)
+{
+    const std::scoped_lock lock(mutex_);
+    auto& known = peers_[upstream];
+    known.sent = marks_.version();
+    heartbeat.set_marks_seen(known.seen);
+    for (auto& mark : marks_.marks_since(known.told))
+        *heartbeat.add_marks() = std::move(mark);
+}
+
+void poison_watch::read_marks(const std::string& upstream,
+                              const link::HeartbeatReply& reply, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    auto& known = peers_[upstream];
+    // A new life of the agent remembers nothing of what the old one was told.
+    const bool same_life = known.incarnation == reply.load().incarnation();
+    known.incarnation = reply.load().incarnation();
+    known.told = same_life ? known.sent : 0;
+    known.seen = reply.marks_version();
+    for (const auto& mark : reply.marks())
+        marks_.merge(mark, now);
+}
+
+std::size_t poison_watch::size() const
+{
+    const std::scoped_lock lock(mutex_);
+    return marks_.size();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/relay_action.hpp
@@ -0,0 +1,71 @@
+#ifndef CYCLAMENRUN_RELAY_ACTION_HPP
+#define CYCLAMENRUN_RELAY_ACTION_HPP
+
+#include "generation_id.hpp"
+#include "refusal.hpp"
+#include "relay_request.hpp"
+#include "work_session.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** Counts the streams that a relay has opened, from 1. */
+using stream_number = std::uint32_t;
+
+/** Open a stream to an agent; its events come back under this number. */
+struct open_stream {
+    stream_number stream = 0;
+    std::string upstream;
+    std::string path;
+    std::string frame; ///< serialized Dispatch or Resume
+};
+
+/** Drop a stream; nothing more is wanted from it. */
+struct close_stream {
+    stream_number stream = 0;
+};
+
+/** Send one message whose answer nobody waits for. */
+struct send_message {
+    std::string upstream;
+    std::string path;
+    std::string frame;
+};
+
+/** Write tokens to the caller. */
+struct write_tokens {
+    stream_position first;
+    std::vector<std::string> texts;
+};
+
+/** The generation is complete. */
+struct write_end {
+    generation_id generation;
+    std::uint64_t token_count = 0;
+    std::string finish_reason;
+    std::vector<std::string> whole; ///< all tokens, for whole delivery
+};
+
+/** Write a runner's answer to the caller. */
+struct write_answer {
+    call_answer answer;
+};
+
+/** Tell the caller that there is no answer, and what that means. */
+struct write_refusal {
+    refusal why;
+};
+
+using relay_action =
+    std::variant<open_stream, close_stream, send_message, write_tokens,
+                 write_end, write_answer, write_refusal>;
+using relay_actions = std::vector<relay_action>;
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RELAY_ACTION_HPP
--- /dev/null
+++ b/src/libcyclamenrun/relay_request.hpp
@@ -0,0 +1,53 @@
+#ifndef CYCLAMENRUN_RELAY_REQUEST_HPP
+#define CYCLAMENRUN_RELAY_REQUEST_HPP
+
+#include "clock.hpp"
+#include "generation_id.hpp"
+#include "link.pb.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** How an answer reaches its caller. */
+enum class delivery_mode : std::uint8_t {
+    stream, ///< token by token; a restart is possible until the first one
+    whole,  ///< at once, when complete; may be restarted unseen until then
+};
+
+/** A caller's request, checked and with its deadline fixed. */
+struct relay_request {
+    std::string id;
+    link::WorkKind kind = link::WORK_KIND_GENERATION;
+    delivery_mode delivery = delivery_mode::stream;
+    std::string team;
+    std::uint32_t team_weight = 1;
+    std::string service;
+    std::string path;
+    std::string body;
+    time_point deadline;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t max_output_tokens = 0;
+    std::uint64_t fingerprint = 0;
+    std::vector<std::uint64_t> prefix_blocks;
+    bool idempotent = true;
+    std::optional<link::Ticket> ticket;
+    /** Set when the caller resumes: where it stands. */
+    std::optional<stream_position> resume_after;
+};
+
+/** An upstream chosen for a request, and the life of its agent. */
+struct route_target {
+    std::string upstream;
+    std::uint64_t incarnation = 0; ///< 0: not known yet
+
+    bool operator==(const route_target&) const = default;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RELAY_REQUEST_HPP
--- /dev/null
+++ b/src/libcyclamenrun/relay_runner.cpp
@@ -0,0 +1,183 @@
+#include "relay_runner.hpp"
+
+#include "agent_links.hpp"
+#include "caller_writer.hpp"
+#include "client_stream.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** How soon a caller that closed while it waits is noticed. */
+constexpr milliseconds caller_check{250};
+
+client_handlers handlers_for(const std::shared_ptr<relay_mailbox>& mailbox,
+                             stream_number stream)
+{
+    client_handlers handlers;
+    handlers.on_frame = [mailbox, stream](std::string frame) {
+        mailbox->put({stream, false, false, std::move(frame)});
+    };
+    handlers.on_end = [mailbox, stream](stream_end end) {
+        // After a final frame the relay looks at this stream no more.
+        mailbox->put(
+            {stream, true, end.clean || end.request_may_have_left, {}});
+    };
+    return handlers;
+}
+
+/**
+ * An acknowledgement must not follow: the caller has not got its answer and
+ * may come back for it.
+ */
+bool may_follow_a_lost_caller(const relay_action& action)
+{
+    const auto* message = std::get_if<send_message>(&action);
+    return std::holds_alternative<close_stream>(action) ||
+           (message != nullptr && message->path != "/acknowledge");
+}
+
+} // namespace
+
+relay_runner::relay_runner(agent_links& links, relay_runner_hooks hooks,
+                           clock_function clock)
+    : links_(links), hooks_(std::move(hooks)), clock_(std::move(clock))
+{
+}
+
+relay_result relay_runner::run(relay& relay, caller_writer& writer)
+{
+    running state{relay, writer, std::make_shared<relay_mailbox>(), {}, {}, {}};
+    perform(state, relay.start(clock_()));
+    while (!relay.done()) {
+        const auto wake_at =
+            std::min(relay.next_event(), clock_() + caller_check);
+        if (const auto event = state.mailbox->take(wake_at)) {
+            take_event(state, *event);
+        } else if (writer.gone()) {
+            state.result.caller_gone = true;
+            perform(state, relay.on_caller_gone(clock_()));
+        }
+        if (!relay.done() && clock_() >= relay.next_event())
+            perform(state, relay.on_time(clock_()));
+    }
+    settle(state);
+    for (const auto& [number, stream] : state.streams)
+        stream->cancel();
+    state.result.attempts = relay.attempts();
+    return state.result;
+}
+
+void relay_runner::take_event(running& state, const relay_event& event)
+{
+    if (event.lost) {
+        state.streams.erase(event.stream);
+        perform(state, state.relay.on_stream_lost(event.stream,
+                                                  event.request_may_have_left,
+                                                  clock_()));
+        return;
+    }
+    link::AgentFrame frame;
+    if (!frame.ParseFromString(event.frame)) {
+        // Looks like a frame of nobody's request, and fails closed as one.
+        frame.Clear();
+        frame.set_request_id("unparsable");
+    }
+    if (frame.has_load())
+        hooks_.load(frame.load());
+    perform(state, state.relay.on_frame(event.stream, frame, clock_()));
+    // Only what has been written on lets the agent send more, so a slow
+    // caller holds its generation's tokens back at the agent.
+    const auto stream = state.streams.find(event.stream);
+    if (stream != state.streams.end())
+        stream->second->consumed(event.frame.size());
+}
+
+void relay_runner::perform(running& state, const relay_actions& actions)
+{
+    for (const auto& action : actions) {
+        if (state.result.caller_gone && !may_follow_a_lost_caller(action))
+            return;
+        std::visit([&](const auto& one) { perform(state, one); }, action);
+    }
+}
+
+void relay_runner::perform(running& state, const open_stream& action)
+{
+    settle(state);
+    const auto agent = hooks_.find(action.upstream);
+    if (!agent) {
+        state.mailbox->put({action.stream, true, false, {}});
+        return;
+    }
+    if (action.path == "/dispatch") {
+        state.dispatched_to = action.upstream;
+        hooks_.dispatched(state.relay.request(), action.upstream);
+    }
+    const auto stream = links_.open(*agent, action.path, action.frame,
+                                    handlers_for(state.mailbox, action.stream));
+    if (stream)
+        state.streams[action.stream] = stream;
+}
+
+void relay_runner::perform(running& state, const close_stream& action)
+{
+    const auto stream = state.streams.find(action.stream);
+    if (stream == state.streams.end())
+        return;
+    stream->second->cancel();
+    state.streams.erase(stream);
+}
+
+void relay_runner::perform(running&, const send_message& action)
+{
+    if (const auto agent = hooks_.find(action.upstream))
+        links_.send(*agent, action.path, action.frame);
+}
+
+void relay_runner::perform(running& state, const write_tokens& action)
+{
+    if (!state.result.first_token_at)
+        state.result.first_token_at = clock_();
+    state.result.tokens += action.texts.size();
+    hooks_.made(state.relay.request().team, action.texts.size());
+    if (state.writer.tokens(action))
+        return;
+    state.result.caller_gone = true;
+    perform(state, state.relay.on_caller_gone(clock_()));
+}
+
+void relay_runner::perform(running& state, const write_end& action)
+{
+    if (!action.whole.empty()) {
+        state.result.tokens = action.token_count;
+        hooks_.made(state.relay.request().team, action.token_count);
+    }
+    state.result.complete = state.writer.end(action);
+    state.result.caller_gone = !state.result.complete;
+}
+
+void relay_runner::perform(running& state, const write_answer& action)
+{
+    state.result.complete = state.writer.answer(action);
+    state.result.caller_gone = !state.result.complete;
+}
+
+void relay_runner::perform(running& state, const write_refusal& action)
+{
+    state.result.refused = action.why;
+    state.result.caller_gone = !state.writer.refuse(action.why);
+}
+
+void relay_runner::settle(running& state)
+{
+    if (!state.dispatched_to.empty())
+        hooks_.settled(state.dispatched_to);
+    state.dispatched_to.clear();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/relay_runner.hpp
@@ -0,0 +1,86 @@
+#ifndef CYCLAMENRUN_RELAY_RUNNER_HPP
+#define CYCLAMENRUN_RELAY_RUNNER_HPP
+
+#include "clock.hpp"
+#include "relay.hpp"
+#include "relay_mailbox.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+class agent_links;
+class caller_writer;
+class client_stream;
+struct agent_address;
+
+/** How a runner reaches agents, and what it tells of a request's way. */
+struct relay_runner_hooks {
+    /** Where an agent is, if the VM list or the settings know. */
+    std::function<std::optional<agent_address>(const std::string& upstream)>
+        find;
+    std::function<void(const relay_request& request,
+                       const std::string& upstream)>
+        dispatched;
+    std::function<void(const std::string& upstream)> settled;
+    std::function<void(const link::LoadReport& load)> load;
+    /** So many tokens have gone to the team. */
+    std::function<void(const std::string& team, std::uint64_t tokens)> made;
+};
+
+/** How a request ended, for logs and metrics. */
+struct relay_result {
+    bool complete = false;
+    bool caller_gone = false;
+    std::optional<refusal> refused;
+    std::uint64_t tokens = 0;
+    int attempts = 0;
+    std::optional<time_point> first_token_at;
+};
+
+/**
+ * Runs a relay on the calling thread: carries out its actions, and brings it
+ * what the links, the clock and the caller do, until it is done.
+ */
+class relay_runner
+{
+public:
+    relay_runner(agent_links& links, relay_runner_hooks hooks,
+                 clock_function clock);
+
+    relay_result run(relay& relay, caller_writer& writer);
+
+private:
+    struct running {
+        cyclamenrun::relay& relay;
+        caller_writer& writer;
+        std::shared_ptr<relay_mailbox> mailbox;
+        std::map<stream_number, std::shared_ptr<client_stream>> streams;
+        std::string dispatched_to;
+        relay_result result;
+    };
+
+    void perform(running& state, const relay_actions& actions);
+    void perform(running& state, const open_stream& action);
+    void perform(running& state, const close_stream& action);
+    void perform(running& state, const send_message& action);
+    void perform(running& state, const write_tokens& action);
+    void perform(running& state, const write_end& action);
+    void perform(running& state, const write_answer& action);
+    void perform(running& state, const write_refusal& action);
+    void take_event(running& state, const relay_event& event);
+    void settle(running& state);
+
+    agent_links& links_;
+    relay_runner_hooks hooks_;
+    clock_function clock_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RELAY_RUNNER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/replay_buffer.hpp
@@ -0,0 +1,54 @@
+#ifndef CYCLAMENRUN_REPLAY_BUFFER_HPP
+#define CYCLAMENRUN_REPLAY_BUFFER_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * The tokens of one generation, numbered from 0, so that a caller who lost
+ * its connection can be sent the rest again. Only the front can be dropped.
+ * Texts lie end to end in one string: four bytes of book-keeping a token.
+ */
+class replay_buffer
+{
+public:
+    void append(std::string_view token);
+
+    /** Drops the tokens before `index`; these can't be resumed any more. */
+    void drop_before(std::uint64_t index);
+
+    std::uint64_t first_index() const { return first_index_; }
+    std::uint64_t next_index() const { return first_index_ + ends_.size(); }
+    std::size_t bytes() const { return text_.size(); }
+
+    bool contains(std::uint64_t index) const
+    {
+        return index >= first_index() && index <= next_index();
+    }
+
+    /**
+     * Tokens from `index` on: as many as fit `max_bytes`, but at least one
+     * if there is one. `index` must be contained.
+     */
+    std::vector<std::string> read(std::uint64_t index,
+                                  std::size_t max_bytes) const;
+
+private:
+    std::uint32_t start_of(std::size_t slot) const
+    {
+        return slot == 0 ? 0 : ends_[slot - 1];
+    }
+
+    std::uint64_t first_index_ = 0;
+    std::string text_;
+    std::vector<std::uint32_t> ends_; // of each token in text_
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REPLAY_BUFFER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/route_table.cpp
@@ -0,0 +1,134 @@
+#include "route_table.hpp"
+
+#include "link.pb.h"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::size_t router_shards = 16;
+
+load_report read_report(const link::LoadReport& message)
+{
+    load_report load;
+    load.upstream = message.upstream();
+    load.incarnation = message.incarnation();
+    load.uptime = milliseconds(message.uptime_ms());
+    load.leaving = message.leaving();
+    load.running = message.running();
+    load.queued = message.queued();
+    load.memory_tokens_used = message.memory_tokens_used();
+    load.memory_tokens_total = message.memory_tokens_total();
+    load.expected_wait = milliseconds(message.expected_wait_ms());
+    load.queued_tokens = message.queued_tokens();
+    return load;
+}
+
+} // namespace
+
+route_table::route_table(const route_table_settings& settings)
+    : settings_(settings), members_(settings.members),
+      routers_(router_shards, [&settings](std::size_t shard) {
+          return std::make_unique<router>(settings.router,
+                                          settings.seed + shard);
+      })
+{
+}
+
+outcome<route_target>
+route_table::choose(const relay_request& request, objective goal,
+                    const std::vector<std::string>& excluded, bool suspect,
+                    time_point now)
+{
+    const auto candidates = usable(request.service);
+    auto wanted = describe(request);
+    wanted.excluded = excluded;
+    wanted.suspect = suspect;
+    wanted.goal = goal;
+    const auto chosen = routers_.with(request.service, [&](router& router) {
+        return router.choose(wanted, candidates, now);
+    });
+    if (!chosen)
+        return tl::unexpected(chosen.error());
+    const auto& best = candidates[*chosen];
+    return route_target{best.upstream, best.incarnation};
+}
+
+/**
+ * Suspects are left out as long as anyone else is there: a suspicion may be
+ * wrong, and the last upstream that may answer is better than none.
+ */
+std::vector<candidate> route_table::usable(const std::string& service) const
+{
+    auto candidates = members_.candidates(service);
+    // Without an incarnation nobody could tell later whether it was this
+    // life of the agent that was sent the work.
+    std::erase_if(candidates, [](const candidate& of) {
+        return of.incarnation == 0 || !takes_work(of.state);
+    });
+    const bool any_sound = std::any_of(
+        candidates.begin(), candidates.end(), [](const candidate& of) {
+            return of.state != upstream_state::suspect;
+        });
+    if (any_sound)
+        std::erase_if(candidates, [](const candidate& of) {
+            return of.state == upstream_state::suspect;
+        });
+    return candidates;
+}
+
+route_request route_table::describe(const relay_request& request) const
+{
+    route_request wanted;
+    wanted.service = request.service;
+    wanted.team = request.team;
+    wanted.prompt_tokens = request.prompt_tokens;
+    wanted.prefix_blocks = request.prefix_blocks;
+    wanted.fingerprint = request.fingerprint;
+    wanted.own_failure_domain = settings_.own_failure_domain;
+    wanted.own_region = settings_.own_region;
+    return wanted;
+}
+
+void route_table::dispatched(const relay_request& request,
+                             const std::string& upstream, time_point now)
+{
+    const auto wanted = describe(request);
+    routers_.with(request.service, [&](router& router) {
+        router.dispatched(upstream, wanted, now);
+    });
+}
+
+void route_table::settled(const std::string& service,
+                          const std::string& upstream, time_point now)
+{
+    routers_.with(service,
+                  [&](router& router) { router.settled(upstream, now); });
+}
+
+void route_table::report(const link::LoadReport& load, time_point now)
+{
+    if (load.upstream().empty())
+        return;
+    members_.on_reply(load.upstream(),
+                      {load.incarnation(), load.leaving(), load.ready()}, now);
+    clocks_.note(load.upstream(), load.incarnation(), load.uptime_ms(), now);
+    const auto known = members_.find(load.upstream());
+    if (!known)
+        return;
+    const auto latest = read_report(load);
+    routers_.with(known->service,
+                  [&](router& router) { router.report(latest, now); });
+}
+
+std::optional<agent_clocks::reading>
+route_table::clock_of(const std::string& upstream, time_point now) const
+{
+    return clocks_.read(upstream, now);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/route_table.hpp
@@ -0,0 +1,72 @@
+#ifndef CYCLAMENRUN_ROUTE_TABLE_HPP
+#define CYCLAMENRUN_ROUTE_TABLE_HPP
+
+#include "agent_clocks.hpp"
+#include "clock.hpp"
+#include "membership.hpp"
+#include "objective.hpp"
+#include "refusal.hpp"
+#include "relay_request.hpp"
+#include "router.hpp"
+#include "sharded.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::link
+{
+class LoadReport;
+}
+
+namespace cyclamenrun
+{
+
+/** Where an entry stands, and how it routes. */
+struct route_table_settings {
+    std::string own_region;
+    std::string own_failure_domain;
+    membership_settings members;
+    router_settings router;
+    std::uint64_t seed = 0;
+};
+
+/**
+ * Where work can go from this entry: who is there, by the membership, and
+ * who is best, by a router for each shard of services.
+ */
+class route_table
+{
+public:
+    explicit route_table(const route_table_settings& settings);
+
+    outcome<route_target> choose(const relay_request& request, objective goal,
+                                 const std::vector<std::string>& excluded,
+                                 bool suspect, time_point now);
+    void dispatched(const relay_request& request, const std::string& upstream,
+                    time_point now);
+    void settled(const std::string& service, const std::string& upstream,
+                 time_point now);
+    /** A report that came with an answer or a heartbeat. */
+    void report(const link::LoadReport& load, time_point now);
+    /** The agent's incarnation and uptime, for a ticket. */
+    std::optional<agent_clocks::reading> clock_of(const std::string& upstream,
+                                                  time_point now) const;
+
+    membership& members() { return members_; }
+    const membership& members() const { return members_; }
+
+private:
+    std::vector<candidate> usable(const std::string& service) const;
+    route_request describe(const relay_request& request) const;
+
+    route_table_settings settings_;
+    membership members_;
+    sharded<router> routers_;
+    agent_clocks clocks_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_ROUTE_TABLE_HPP
--- a/src/libcyclamenrun/router.hpp
+++ b/src/libcyclamenrun/router.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_ROUTER_HPP
 #define CYCLAMENRUN_ROUTER_HPP
 
+#include "candidate.hpp"
 #include "load_view.hpp"
 #include "objective.hpp"
 #include "prefix_cache_view.hpp"
@@ -17,16 +18,6 @@
 namespace cyclamenrun
 {
 
-/** An upstream that may be chosen. */
-struct candidate {
-    std::string upstream;
-    std::string failure_domain;
-    std::string region;
-    std::uint64_t incarnation = 0;
-    /** hash64(upstream), kept by the caller; 0: worked out each time. */
-    std::uint64_t hash = 0;
-};
-
 /** What is to be sent somewhere. */
 struct route_request {
     std::string service;
--- /dev/null
+++ b/src/libcyclamenrun/sharded.hpp
@@ -0,0 +1,62 @@
+#ifndef CYCLAMENRUN_SHARDED_HPP
+#define CYCLAMENRUN_SHARDED_HPP
+
+#include "digest.hpp"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * State split by a key, each part under a lock of its own, so that threads
+ * which serve different keys don't wait for each other.
+ */
+template <typename State>
+class sharded
+{
+public:
+    using maker = std::function<std::unique_ptr<State>(std::size_t shard)>;
+
+    sharded(std::size_t count, const maker& make)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            shards_.push_back(std::make_unique<shard>(make(i)));
+    }
+
+    /** Calls `use` with the key's state, under its lock. */
+    template <typename Use>
+    auto with(std::string_view key, Use use)
+    {
+        auto& held = *shards_[hash64(key) % shards_.size()];
+        const std::scoped_lock lock(held.mutex);
+        return use(*held.state);
+    }
+
+    /** Calls `use` with the state of each shard, one after another. */
+    template <typename Use>
+    void with_each(Use use)
+    {
+        for (const auto& held : shards_) {
+            const std::scoped_lock lock(held->mutex);
+            use(*held->state);
+        }
+    }
+
+private:
+    struct shard {
+        explicit shard(std::unique_ptr<State> made) : state(std::move(made)) {}
+        std::mutex mutex;
+        std::unique_ptr<State> state;
+    };
+
+    std::vector<std::unique_ptr<shard>> shards_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_SHARDED_HPP
--- /dev/null
+++ b/src/libcyclamenrun/stop_signal.cpp
@@ -0,0 +1,39 @@
+#include "stop_signal.hpp"
+
+#include <csignal>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+} // namespace
+
+stop_signal::stop_signal()
+{
+    const auto signals = stop_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that has gone shows as an error of the write, not as a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int stop_signal::wait() const
+{
+    const auto signals = stop_signals();
+    int signal = 0;
+    while (sigwait(&signals, &signal) != 0) {
+    }
+    return signal;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/stop_signal.hpp
@@ -0,0 +1,22 @@
+#ifndef CYCLAMENRUN_STOP_SIGNAL_HPP
+#define CYCLAMENRUN_STOP_SIGNAL_HPP
+
+namespace cyclamenrun
+{
+
+/**
+ * Waits for SIGTERM or SIGINT on a thread of the program's choice, so that a
+ * planned stop runs as ordinary code. To be made before any other thread,
+ * since threads inherit which signals are blocked.
+ */
+class stop_signal
+{
+public:
+    stop_signal();
+    /** Returns the signal's number. */
+    int wait() const;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_STOP_SIGNAL_HPP
--- /dev/null
+++ b/src/libcyclamenrun/ticket_book.cpp
@@ -0,0 +1,79 @@
+#include "ticket_book.hpp"
+
+#include "link.pb.h"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** No ticket lives longer; a larger expiry would be a forged one. */
+constexpr std::uint64_t longest_expiry_ms = std::uint64_t{1} << 42U;
+
+} // namespace
+
+ticket_book::ticket_book(std::string link_key, std::string upstream,
+                         std::uint64_t incarnation, time_point started_at,
+                         std::size_t capacity)
+    : authority_(std::move(link_key)), upstream_(std::move(upstream)),
+      incarnation_(incarnation), started_at_(started_at), capacity_(capacity)
+{
+}
+
+outcome<std::optional<ticket_book::use>>
+ticket_book::check(const link::Dispatch& dispatch, time_point now) const
+{
+    const auto& ticket = dispatch.ticket();
+    if (!authority_.genuine(ticket) || ticket.expiry_ms() > longest_expiry_ms)
+        return tl::unexpected(
+            not_run(refusal_reason::ticket_invalid, "ticket is not genuine"));
+    if (ticket.team() != dispatch.team() ||
+        ticket.service() != dispatch.service())
+        return tl::unexpected(not_run(refusal_reason::ticket_invalid,
+                                      "ticket of another team or service"));
+    // An earlier incarnation may have run the call and forgotten it with its
+    // memory, so neither "not run" nor a second run would be right.
+    if (ticket.upstream() != upstream_ || ticket.incarnation() != incarnation_)
+        return tl::unexpected(
+            outcome_unknown(refusal_reason::wrong_incarnation,
+                            "the agent that this ticket names is gone"));
+
+    const auto known = uses_.find(ticket.nonce());
+    if (known != uses_.end()) {
+        if (known->second.fingerprint != dispatch.fingerprint())
+            return tl::unexpected(not_run(refusal_reason::ticket_invalid,
+                                          "ticket was used for another call"));
+        return known->second;
+    }
+    if (now >= expiry_of(dispatch))
+        return tl::unexpected(outcome_unknown(refusal_reason::ticket_expired,
+                                              "ticket has expired"));
+    return std::nullopt;
+}
+
+bool ticket_book::enter(const link::Dispatch& dispatch, std::uint64_t work,
+                        time_point now)
+{
+    if (uses_.size() >= capacity_)
+        std::erase_if(uses_, [now](const auto& known) {
+            return now >= known.second.expiry;
+        });
+    if (uses_.size() >= capacity_)
+        return false;
+    uses_[dispatch.ticket().nonce()] = {work, dispatch.fingerprint(),
+                                        expiry_of(dispatch)};
+    return true;
+}
+
+void ticket_book::withdraw(const link::Dispatch& dispatch)
+{
+    uses_.erase(dispatch.ticket().nonce());
+}
+
+time_point ticket_book::expiry_of(const link::Dispatch& dispatch) const
+{
+    return started_at_ + milliseconds(dispatch.ticket().expiry_ms());
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/upstream_driver.cpp
@@ -0,0 +1,326 @@
+#include "upstream_driver.hpp"
+
+#include "log_event.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Runnable.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr int run_stack_bytes = 256 * 1024;
+constexpr int idle_thread_seconds = 30;
+/** How long an engine may take to drop what it was told to cancel. */
+constexpr milliseconds cancel_patience{5'000};
+constexpr milliseconds cancel_poll{50};
+
+std::string engine_request_id(const run_order& order)
+{
+    return order.request_id;
+}
+
+refusal refusal_of(const engine_error& error)
+{
+    if (!error.may_have_run)
+        return not_run(refusal_reason::no_upstream,
+                       std::string(name_of(error.failure)), milliseconds(1000));
+    if (error.failure == engine_failure::timed_out)
+        return failed(refusal_reason::deadline_passed);
+    if (error.failure == engine_failure::too_large)
+        return failed(refusal_reason::answer_too_large);
+    if (error.failure == engine_failure::bad_status && error.status >= 400 &&
+        error.status < 500)
+        return not_run(refusal_reason::bad_request,
+                       "the engine refused the request");
+    return failed(refusal_reason::engine_error,
+                  std::string(name_of(error.failure)));
+}
+
+refusal refusal_of(const http_error& error)
+{
+    const std::string detail(name_of(error.failure));
+    if (!error.may_have_run)
+        return not_run(refusal_reason::no_upstream, detail, milliseconds(1000));
+    if (error.failure == http_failure::timed_out)
+        return outcome_unknown(refusal_reason::deadline_passed, detail);
+    if (error.failure == http_failure::too_large)
+        return outcome_unknown(refusal_reason::answer_too_large, detail);
+    return outcome_unknown(refusal_reason::upstream_lost, detail);
+}
+
+bool hints_at_loss(engine_failure failure)
+{
+    return failure == engine_failure::connect_failed ||
+           failure == engine_failure::lost_before_answer ||
+           failure == engine_failure::lost_mid_stream ||
+           failure == engine_failure::epoch_changed;
+}
+
+} // namespace
+
+/** One run on a thread of the pool; deletes itself when done. */
+class upstream_driver::run_task : public Poco::Runnable
+{
+public:
+    run_task(upstream_driver& driver, run_order order,
+             std::shared_ptr<active_run> active)
+        : driver_(driver), order_(std::move(order)), active_(std::move(active))
+    {
+    }
+
+    void run() override
+    {
+        const std::unique_ptr<run_task> self(this);
+        driver_.run(order_, *active_);
+        driver_.forget(order_.work);
+    }
+
+private:
+    upstream_driver& driver_;
+    run_order order_;
+    std::shared_ptr<active_run> active_;
+};
+
+upstream_driver::upstream_driver(upstream_driver_settings settings,
+                                 clock_function clock)
+    : settings_(std::move(settings)), clock_(std::move(clock)),
+      engine_(settings_.address, settings_.http, clock_),
+      runner_(settings_.address, settings_.http, clock_),
+      threads_(2, static_cast<int>(settings_.max_running) * 2 + 8,
+               idle_thread_seconds)
+{
+    threads_.setStackSize(run_stack_bytes);
+}
+
+upstream_driver::~upstream_driver()
+{
+    shut_down();
+}
+
+void upstream_driver::attach(gate& gate)
+{
+    gate_ = &gate;
+    watcher_ = std::thread([this] { watch(); });
+}
+
+void upstream_driver::start(const run_order& order)
+{
+    const auto active = std::make_shared<active_run>();
+    active->deadline = order.deadline;
+    {
+        const std::scoped_lock lock(mutex_);
+        active_[order.work] = active;
+    }
+    // Guards against a stop that came before the run was entered above: the
+    // gate had changed its mind by then, which wanted() shows.
+    if (!gate_->wanted(order.work)) {
+        forget(order.work);
+        return;
+    }
+    // NOLINTNEXTLINE(cppcoreguidelines-owning-memory): deletes itself
+    auto task = std::make_unique<run_task>(*this, order, active);
+    try {
+        threads_.start(*task);
+        (void)task.release();
+    } catch (const Poco::NoThreadAvailableException&) {
+        forget(order.work);
+        gate_->run_failed(order.work,
+                          not_run(refusal_reason::queue_full,
+                                  "the agent has no thread to spare"),
+                          clock_());
+    }
+}
+
+void upstream_driver::stop(work_id work)
+{
+    std::shared_ptr<active_run> active;
+    {
+        const std::scoped_lock lock(mutex_);
+        const auto found = active_.find(work);
+        if (found == active_.end())
+            return;
+        active = found->second;
+    }
+    active->cancel.cancel();
+}
+
+void upstream_driver::shut_down()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopping_ = true;
+        for (const auto& [work, active] : active_)
+            active->cancel.cancel();
+        changed_.notify_all();
+    }
+    threads_.joinAll();
+    if (watcher_.joinable())
+        watcher_.join();
+}
+
+void upstream_driver::run(const run_order& order, active_run& active)
+{
+    if (order.kind == link::WORK_KIND_CALL)
+        run_call(order, active);
+    else
+        run_generation(order, active);
+}
+
+void upstream_driver::run_generation(const run_order& order, active_run& active)
+{
+    engine_request request;
+    request.request_id = engine_request_id(order);
+    request.path = order.path;
+    request.body = order.body;
+    request.priority = order.priority;
+    request.deadline = order.deadline;
+    {
+        const std::scoped_lock lock(mutex_);
+        request.expected_epoch = epoch_;
+    }
+    const engine_events events{[this, &order](const std::string& text) {
+        gate_->token_made(order.work, text, clock_());
+    }};
+    const auto result = engine_.run(request, events, active.cancel);
+    if (result)
+        gate_->finished(order.work, result->finish_reason, clock_());
+    else
+        generation_failed(order, result.error());
+}
+
+void upstream_driver::generation_failed(const run_order& order,
+                                        const engine_error& error)
+{
+    // Whether the engine is gone, or only this run, decides what is held
+    // against the request: that is for the watcher to find out at once.
+    if (hints_at_loss(error.failure) && gate_->wanted(order.work) &&
+        !engine_answers()) {
+        engine_is_lost();
+        return;
+    }
+    gate_->run_failed(order.work, refusal_of(error), clock_());
+}
+
+void upstream_driver::run_call(const run_order& order, active_run& active)
+{
+    runner_request request;
+    request.request_id = order.request_id;
+    request.path = order.path;
+    request.content_type = "application/json";
+    request.body = order.body;
+    request.deadline = order.deadline;
+    auto result = runner_.call(request, active.cancel);
+    if (result)
+        gate_->answered(order.work,
+                        {result->status, std::move(result->content_type),
+                         std::move(result->body)},
+                        clock_());
+    else
+        gate_->run_failed(order.work, refusal_of(result.error()), clock_());
+}
+
+void upstream_driver::forget(work_id work)
+{
+    const std::scoped_lock lock(mutex_);
+    active_.erase(work);
+}
+
+void upstream_driver::watch()
+{
+    if (settings_.kind == upstream_kind::application) {
+        gate_->engine_ready(0, clock_());
+        return;
+    }
+    while (!stopping()) {
+        if (!take_over()) {
+            pause(settings_.busy_probe);
+            continue;
+        }
+        while (!stopping() && engine_answers()) {
+            const auto load = engine_.load(clock_() + settings_.probe_timeout);
+            if (load)
+                gate_->engine_load(
+                    {load->running, load->waiting, load->memory_tokens_used},
+                    clock_());
+            const bool busy = gate_->load(clock_()).running() > 0;
+            pause(busy ? settings_.busy_probe : settings_.idle_probe);
+        }
+        if (!stopping())
+            engine_is_lost();
+    }
+}
+
+/**
+ * Guards against work of an earlier incarnation that still runs on the
+ * engine: nobody will read it, and it takes memory that admission would count
+ * on. It is cancelled before anything is admitted, and what the engine still
+ * holds after that counts as taken.
+ */
+bool upstream_driver::take_over()
+{
+    const auto patience = clock_() + cancel_patience;
+    auto runs = engine_.runs(clock_() + settings_.probe_timeout);
+    while (runs && !runs->empty() && clock_() < patience && !stopping()) {
+        for (const auto& id : *runs)
+            (void)engine_.cancel(id, clock_() + settings_.probe_timeout);
+        pause(cancel_poll);
+        runs = engine_.runs(clock_() + settings_.probe_timeout);
+    }
+    if (!runs)
+        return false;
+    std::uint64_t foreign_tokens = 0;
+    if (!runs->empty()) {
+        const auto load = engine_.load(clock_() + settings_.probe_timeout);
+        if (load)
+            foreign_tokens = load->memory_tokens_used;
+    }
+    {
+        const std::scoped_lock lock(mutex_);
+        epoch_ = engine_.epoch();
+    }
+    log_event(log_severity::info, log_event_name::upstream_recovered,
+              {{log_key::address, settings_.address},
+               {log_key::incarnation, engine_.epoch()}});
+    gate_->engine_ready(foreign_tokens, clock_());
+    return true;
+}
+
+bool upstream_driver::engine_answers()
+{
+    const auto runs = engine_.runs(clock_() + settings_.probe_timeout);
+    const std::scoped_lock lock(mutex_);
+    return runs && engine_.epoch() == epoch_;
+}
+
+void upstream_driver::engine_is_lost()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        if (epoch_ == 0)
+            return;
+        epoch_ = 0;
+        look_now_ = true;
+        changed_.notify_all();
+    }
+    log_event(log_severity::warning, log_event_name::upstream_lost,
+              {{log_key::address, settings_.address}});
+    gate_->engine_lost(clock_());
+}
+
+void upstream_driver::pause(milliseconds pause)
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, pause, [this] { return stopping_ || look_now_; });
+    look_now_ = false;
+}
+
+bool upstream_driver::stopping() const
+{
+    const std::scoped_lock lock(mutex_);
+    return stopping_;
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/upstream_view.cpp
+++ b/src/libcyclamenrun/upstream_view.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 5> state_names{
-    "joining", "live", "suspect", "leaving", "gone"};
+constexpr std::array<std::string_view, 6> state_names{
+    "joining", "live", "suspect", "leaving", "gone", "unready"};
 
 } // namespace
 
@@ -52,6 +52,7 @@
     // Within one incarnation leaving is for good: a report that was sent
     // before the drain began and arrives after says nothing against it.
     agent_leaving_ = agent_leaving_ || report.leaving;
+    ready_ = report.ready;
     return true;
 }
 
@@ -61,6 +62,8 @@
         return upstream_state::gone;
     if (agent_leaving_ || listed_.state == vm_state::leaving)
         return upstream_state::leaving;
+    if (!ready_)
+        return upstream_state::unready;
     if (signals_.suspected())
         return upstream_state::suspect;
     return incarnation_ == 0 ? upstream_state::joining : upstream_state::live;
--- a/src/libcyclamenrun/upstream_view.hpp
+++ b/src/libcyclamenrun/upstream_view.hpp
@@ -20,6 +20,7 @@
     suspect, ///< more than one sign speaks against it: the last resort
     leaving, ///< by the list's word or the agent's
     gone,    ///< no longer listed
+    unready, ///< its agent answers, but the upstream itself does not
 };
 
 std::string_view name_of(upstream_state state);
@@ -31,6 +32,7 @@
 struct agent_report {
     std::uint64_t incarnation = 0;
     bool leaving = false;
+    bool ready = true; ///< the upstream itself answers its agent
 };
 
 /** Everything that one entry knows of one upstream. */
@@ -60,6 +62,7 @@
     std::array<std::uint64_t, 4> replaced_{};
     std::size_t replacements_ = 0;
     bool agent_leaving_ = false;
+    bool ready_ = true;
     suspicion signals_;
 };
 
--- /dev/null
+++ b/src/libcyclamenrun/vm_list_watcher.cpp
@@ -0,0 +1,67 @@
+#include "vm_list_watcher.hpp"
+
+#include "log_event.hpp"
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr milliseconds list_wait{10'000};
+constexpr milliseconds call_limit{15'000};
+constexpr milliseconds failure_pause{1'000};
+
+} // namespace
+
+vm_list_watcher::vm_list_watcher(const std::string& address, list_hook on_list,
+                                 clock_function clock)
+    : on_list_(std::move(on_list)),
+      client_(address, http_limits{}, call_limit, std::move(clock), &cancel_),
+      thread_([this] { run(); })
+{
+}
+
+vm_list_watcher::~vm_list_watcher()
+{
+    stop();
+}
+
+void vm_list_watcher::stop()
+{
+    {
+        const std::scoped_lock lock(mutex_);
+        stopping_ = true;
+        stopped_.notify_all();
+    }
+    cancel_.cancel();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void vm_list_watcher::run()
+{
+    std::uint64_t revision = 0;
+    bool available = true;
+    do {
+        const auto list = client_.read(revision, list_wait);
+        if (list.has_value() != available) {
+            available = list.has_value();
+            log_event(log_severity::warning,
+                      available ? log_event_name::vm_list_recovered
+                                : log_event_name::vm_list_unavailable);
+        }
+        if (list && list->revision != revision) {
+            revision = list->revision;
+            on_list_(*list);
+        }
+    } while (!pause(available ? milliseconds(0) : failure_pause));
+}
+
+bool vm_list_watcher::pause(milliseconds pause)
+{
+    std::unique_lock lock(mutex_);
+    return stopped_.wait_for(lock, pause, [this] { return stopping_; });
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/vm_list_watcher.hpp
@@ -0,0 +1,50 @@
+#ifndef CYCLAMENRUN_VM_LIST_WATCHER_HPP
+#define CYCLAMENRUN_VM_LIST_WATCHER_HPP
+
+#include "cancellation.hpp"
+#include "clock.hpp"
+#include "vm_list_client.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace cyclamenrun
+{
+
+/**
+ * Follows the platform's list of VMs on a thread of its own. The list answers
+ * when it changes, so nothing is asked for at rest; while it is out, the last
+ * list holds.
+ */
+class vm_list_watcher
+{
+public:
+    using list_hook = std::function<void(const vm_list& list)>;
+
+    vm_list_watcher(const std::string& address, list_hook on_list,
+                    clock_function clock);
+    vm_list_watcher(const vm_list_watcher&) = delete;
+    vm_list_watcher& operator=(const vm_list_watcher&) = delete;
+    ~vm_list_watcher();
+
+    void stop();
+
+private:
+    void run();
+    bool pause(milliseconds pause);
+
+    list_hook on_list_;
+    cancellation cancel_;
+    vm_list_client client_;
+    std::mutex mutex_;
+    std::condition_variable stopped_;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_VM_LIST_WATCHER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/work_session.hpp
@@ -0,0 +1,63 @@
+#ifndef CYCLAMENRUN_WORK_SESSION_HPP
+#define CYCLAMENRUN_WORK_SESSION_HPP
+
+#include "clock.hpp"
+#include "generation_id.hpp"
+#include "link.pb.h"
+#include "refusal.hpp"
+#include "replay_buffer.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+enum class work_state : std::uint8_t {
+    waiting, ///< admitted to the queue; nothing has reached the upstream
+    running, ///< handed to the upstream
+    ended,   ///< its answer or refusal is final
+};
+
+std::string_view name_of(work_state state);
+
+/** The answer of an application runner. */
+struct call_answer {
+    int status = 0;
+    std::string content_type;
+    std::string body;
+};
+
+/** One piece of work at an agent, from its dispatch until it is forgotten. */
+struct work_session {
+    link::Dispatch request;
+    generation_id generation;
+    work_state state = work_state::waiting;
+    time_point deadline;
+    bool suspect = false;
+
+    replay_buffer replay;
+    std::string finish_reason;
+    std::optional<call_answer> answer;
+    std::optional<refusal> refused;
+
+    std::vector<std::uint64_t> readers; // of its answer, by id
+    /** Nobody reads: when running work is cancelled. */
+    std::optional<time_point> orphan_deadline;
+    /** Ended: when the answer is forgotten. */
+    time_point keep_until;
+
+    bool is_call() const { return request.kind() == link::WORK_KIND_CALL; }
+    bool has_ticket() const { return request.has_ticket(); }
+    std::size_t bytes_kept() const
+    {
+        return replay.bytes() + (answer ? answer->body.size() : 0);
+    }
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_WORK_SESSION_HPP
