--- a/src/libcyclamenrun/http_exchange.cpp
+++ b/src/libcyclamenrun/http_exchange.cpp
@@ -75,6 +75,8 @@
 tl::expected<http_head, http_error>
 http_exchange::start(const http_request& request, cancellation* cancel)
 {
+    if (cancel && cancel->cancelled())
+        return tl::unexpected(error(http_failure::cancelled, "before sending"));
     try {
         if (!connect(request.deadline))
             return tl::unexpected(
@@ -227,8 +229,10 @@
         return error(lost, cause.displayText());
     } catch (const Poco::Net::MessageException& cause) {
         return error(http_failure::malformed, cause.displayText());
-    } catch (const Poco::Exception& cause) {
+    } catch (const Poco::IOException& cause) {
         return error(lost, cause.displayText());
+    } catch (const Poco::Exception& cause) {
+        return error(http_failure::malformed, cause.displayText());
     } catch (const std::exception& cause) {
         return error(lost, cause.what());
     }
--- a/src/libcyclamenrun/http_exchange.hpp
+++ b/src/libcyclamenrun/http_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 
+#include <Poco/Net/HTTPClientSession.h>
 #include <cstdint>
 #include <iosfwd>
 #include <map>
@@ -12,11 +13,6 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
-namespace Poco::Net
-{
-class HTTPClientSession;
-}
-
 namespace cyclamenrun
 {
 
--- a/src/libcyclamenrun/platform_log_client.cpp
+++ b/src/libcyclamenrun/platform_log_client.cpp
@@ -119,11 +119,9 @@
 
 } // namespace
 
-platform_log_client::platform_log_client(std::string address, std::string log,
-                                         http_limits limits,
-                                         milliseconds call_limit,
-                                         clock_function clock,
-                                         cancellation* stop)
+platform_log_client::platform_log_client(
+    std::string address, const std::string& log, http_limits limits,
+    milliseconds call_limit, clock_function clock, cancellation* stop)
     : address_(std::move(address)), path_("/v1/logs/" + log + "/records"),
       limits_(limits), call_limit_(call_limit), clock_(std::move(clock)),
       stop_(stop)
--- a/src/libcyclamenrun/platform_log_client.hpp
+++ b/src/libcyclamenrun/platform_log_client.hpp
@@ -16,7 +16,7 @@
 {
 public:
     /** `call_limit` bounds each call, on top of what a read may wait. */
-    platform_log_client(std::string address, std::string log,
+    platform_log_client(std::string address, const std::string& log,
                         http_limits limits, milliseconds call_limit,
                         clock_function clock, cancellation* stop = nullptr);
 
--- /dev/null
+++ b/tests/outside/test_http_exchange.cpp
@@ -0,0 +1,179 @@
+#include "../support/scripted_server.hpp"
+#include "cancellation.hpp"
+#include "http_exchange.hpp"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <thread>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing_support::scripted_server;
+
+constexpr milliseconds generous(20000);
+constexpr milliseconds short_limit(150);
+
+tl::expected<http_answer, http_error> ask(const std::string& address,
+                                          milliseconds limit = generous,
+                                          http_limits limits = {},
+                                          cancellation* cancel = nullptr)
+{
+    http_exchange exchange(address, limits, steady_now);
+    return exchange.run(
+        {"POST", "/x", "text/plain", "body", {}, steady_now() + limit}, cancel);
+}
+
+/** What an exchange makes of a server that sends this and closes. */
+tl::expected<http_answer, http_error> ask_for(const std::string& reply,
+                                              http_limits limits = {})
+{
+    const scripted_server server(scripted_server::reply(reply));
+    return ask(server.address(), generous, limits);
+}
+
+struct bad_answer {
+    std::string reply;
+    http_failure failure;
+};
+
+TEST(http_exchange, reads_a_whole_answer_of_either_framing)
+{
+    const auto sized = ask_for("HTTP/1.1 409 Conflict\r\nX-Engine-Epoch: 7\r\n"
+                               "Content-Length: 3\r\n\r\nabc");
+    ASSERT_TRUE(sized);
+    EXPECT_EQ(sized->head.status, 409);
+    EXPECT_EQ(sized->head.headers.at("x-engine-epoch"), "7");
+    EXPECT_EQ(sized->body, "abc");
+    const auto chunked = ask_for("HTTP/1.1 200 OK\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    ASSERT_TRUE(chunked);
+    EXPECT_EQ(chunked->body, "abcde");
+}
+
+// A caller would get half an answer as if it were whole: the upstream dies in
+// the middle of its answer, and the end of the connection looks like the end
+// of the body.
+TEST(http_exchange, an_answer_that_is_not_whole_is_an_error_by_type)
+{
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<bad_answer> cases{
+        {"", http_failure::lost_before_answer},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc",
+         http_failure::lost_mid_answer},
+        {chunked + "3\r\nabc\r\n", http_failure::lost_mid_answer},
+        {chunked + "3\r\nab", http_failure::lost_mid_answer},
+        {chunked + "3\r\nabc\r\nzz\r\n", http_failure::lost_mid_answer},
+        {"HTTP/1.1 200 OK\r\n\r\nabc", http_failure::lost_mid_answer},
+        {"SSH-2.0 who are you\r\n\r\n", http_failure::malformed},
+    };
+    for (const auto& [reply, failure] : cases) {
+        const auto answer = ask_for(reply);
+        ASSERT_FALSE(answer) << reply;
+        EXPECT_EQ(answer.error().failure, failure) << reply;
+        EXPECT_TRUE(answer.error().may_have_run) << reply;
+    }
+}
+
+TEST(http_exchange, only_a_refused_connection_is_known_not_to_have_run)
+{
+    std::string address;
+    {
+        const scripted_server gone(scripted_server::reply(""));
+        address = gone.address();
+    }
+    const auto answer = ask(address);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::connect_failed);
+    EXPECT_FALSE(answer.error().may_have_run);
+}
+
+TEST(http_exchange, headers_and_bodies_are_bounded)
+{
+    std::string many = "HTTP/1.1 200 OK\r\n";
+    for (int field = 0; field < 200; ++field)
+        many += "X-Field-" + std::to_string(field) + ": x\r\n";
+    const auto headers = ask_for(many + "Content-Length: 0\r\n\r\n");
+    ASSERT_FALSE(headers);
+    EXPECT_EQ(headers.error().failure, http_failure::malformed);
+    http_limits limits;
+    limits.max_answer_bytes = 1000;
+    const auto body =
+        ask_for("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
+                    std::string(2000, 'x'),
+                limits);
+    ASSERT_FALSE(body);
+    EXPECT_EQ(body.error().failure, http_failure::too_large);
+}
+
+// A call would hang for ever: the upstream sends a byte now and then, each
+// soon enough for a timeout of single reads, and never comes to an end.
+TEST(http_exchange, a_trickle_of_bytes_does_not_outlast_the_deadline)
+{
+    const scripted_server server([](Poco::Net::StreamSocket& connection) {
+        scripted_server::take_request(connection);
+        scripted_server::send(
+            connection, "HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n");
+        for (;;) {
+            scripted_server::send(connection, "x");
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+    });
+    const auto answer = ask(server.address(), short_limit);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::timed_out);
+}
+
+TEST(http_exchange, silence_ends_a_call_before_its_deadline)
+{
+    const scripted_server server(scripted_server::wait_for_close);
+    http_limits limits;
+    limits.max_silence = short_limit;
+    const auto answer = ask(server.address(), generous, limits);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::timed_out);
+}
+
+TEST(http_exchange, another_thread_can_cancel_a_waiting_call)
+{
+    std::promise<void> waiting;
+    const scripted_server server([&](Poco::Net::StreamSocket& connection) {
+        scripted_server::take_request(connection);
+        waiting.set_value();
+        scripted_server::wait_for_close(connection);
+    });
+    cancellation cancel;
+    std::thread other([&] {
+        waiting.get_future().wait();
+        cancel.cancel();
+    });
+    const auto answer = ask(server.address(), generous, {}, &cancel);
+    other.join();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::cancelled);
+    const auto later = ask(server.address(), generous, {}, &cancel);
+    ASSERT_FALSE(later);
+    EXPECT_FALSE(later.error().may_have_run);
+}
+
+TEST(http_exchange, any_bytes_for_an_answer_end_it_by_type)
+{
+    scripted_server server;
+    EXPECT_TRUE(rc::check([&](const std::string& bytes, bool with_head) {
+        server.set_reply(with_head ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                     "chunked\r\n\r\n" +
+                                         bytes
+                                   : bytes);
+        const auto answer = ask(server.address());
+        if (!answer)
+            RC_ASSERT(answer.error().failure != http_failure::timed_out);
+    }));
+}
+
+} // namespace
+} // namespace cyclamenrun
