Measure decisions on a fake engine in virtual time

cyclamenrun-bench decisions compares round_robin, least_load, ours and an oracle over the same seeded workload, with the faults by name; decision-cost times one choice and one admission.

--- /dev/null
+++ b/bench/bench_entry.hpp
@@ -0,0 +1,47 @@
+#ifndef CYCLAMENRUN_BENCH_BENCH_ENTRY_HPP
+#define CYCLAMENRUN_BENCH_BENCH_ENTRY_HPP
+
+#include "deployment.hpp"
+#include "policy.hpp"
+#include "retry_budget.hpp"
+#include "router.hpp"
+
+#include <span>
+#include <string>
+
+namespace cyclamenrun::bench
+{
+
+/** One entry: chooses upstreams by the policy under trial. */
+class bench_entry
+{
+public:
+    bench_entry(const deployment& site, const policy& chosen, std::size_t index,
+                std::uint64_t seed, bool patient);
+
+    outcome<std::size_t> choose(const route_request& request,
+                                std::span<const candidate> candidates,
+                                time_point now);
+    void report(const load_report& latest, time_point now);
+    router& routes() { return router_; }
+    retry_budget& retries() { return retries_; }
+
+    const std::string failure_domain;
+    bool alive = true;
+
+private:
+    outcome<std::size_t> next_in_turn(const route_request& request,
+                                      std::span<const candidate> candidates);
+    outcome<std::size_t> least_reported(const route_request& request,
+                                        std::span<const candidate> candidates);
+
+    policy_kind kind_;
+    router router_;
+    retry_budget retries_;
+    std::size_t turn_;
+    std::unordered_map<std::string, load_report> reports_;
+};
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_BENCH_ENTRY_HPP
--- /dev/null
+++ b/bench/log_histogram.hpp
@@ -0,0 +1,28 @@
+#ifndef CYCLAMENRUN_BENCH_LOG_HISTOGRAM_HPP
+#define CYCLAMENRUN_BENCH_LOG_HISTOGRAM_HPP
+
+#include <cstdint>
+#include <vector>
+
+namespace cyclamenrun::bench
+{
+
+/** Counts of positive values, in buckets 1% apart from 0.01 to 1e7. */
+class log_histogram
+{
+public:
+    log_histogram();
+
+    void add(double value);
+    std::uint64_t count() const { return count_; }
+    /** The value that `share` of all do not exceed; 0 when empty. */
+    double quantile(double share) const;
+
+private:
+    std::uint64_t count_ = 0;
+    std::vector<std::uint64_t> buckets_;
+};
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_LOG_HISTOGRAM_HPP
--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,13 @@
+#include "commands.hpp"
+
+#include <CLI/CLI.hpp>
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Measures of cyclamenrun; see docs/MEASURES.md");
+    app.require_subcommand(1);
+    cyclamenrun::bench::add_decisions_command(app);
+    cyclamenrun::bench::add_decision_cost_command(app);
+    CLI11_PARSE(app, argc, argv);
+    return 0;
+}
--- /dev/null
+++ b/bench/policy.hpp
@@ -0,0 +1,59 @@
+#ifndef CYCLAMENRUN_BENCH_POLICY_HPP
+#define CYCLAMENRUN_BENCH_POLICY_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun::bench
+{
+
+enum class policy_kind : std::uint8_t {
+    round_robin, ///< turn by turn, all that comes goes to the engine
+    least_load,  ///< least load as the engines report it, else the same
+    cyclamenrun, ///< the product's decision classes
+    oracle,      ///< the same, told each answer's length
+};
+
+/** A policy to compare, with parts of ours left out by name. */
+struct policy {
+    policy_kind kind = policy_kind::cyclamenrun;
+    bool prediction = true;
+    bool prefix = true;
+    bool fair_share = true;
+    bool own_counts = true;
+    /** Instead of the objective's own, to try others. */
+    std::optional<double> overflow_bound;
+
+    bool ours() const
+    {
+        return kind == policy_kind::cyclamenrun || kind == policy_kind::oracle;
+    }
+};
+
+std::string_view name_of(policy_kind kind);
+std::optional<policy_kind> policy_kind_of(std::string_view name);
+/** False if there is no part by that name. */
+bool leave_out(policy& of, std::string_view part);
+
+enum class fault_kind : std::uint8_t {
+    none,
+    engine_lost,
+    engine_reclaimed,
+    late_reports,
+    cache_gaps,
+    entry_lost,
+    domain_cut,
+    heavy_team,
+    poison,
+};
+
+std::string_view name_of(fault_kind kind);
+std::optional<fault_kind> fault_kind_of(std::string_view name);
+std::vector<std::string> fault_names();
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_POLICY_HPP
--- /dev/null
+++ b/bench/trial.cpp
@@ -0,0 +1,660 @@
+#include "trial.hpp"
+
+#include "bench_agent.hpp"
+#include "bench_entry.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <queue>
+#include <random>
+
+namespace cyclamenrun::bench
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point epoch = time_point{} + 1h;
+
+// Gaps between tokens up to this long read as flowing text.
+constexpr double unnoticed_gap_ms = 100.0;
+// How often a refused caller comes back when told to, at most.
+constexpr std::uint32_t max_returns = 3;
+// Upstreams tried for one sending, at most.
+constexpr std::size_t max_tries = 3;
+// How late and how often reports come.
+constexpr duration agent_report_every = 250ms;
+constexpr duration agent_report_lag = 5ms;
+constexpr duration engine_report_every = 500ms;
+constexpr duration engine_report_lag = 500ms;
+constexpr duration late_report_lag = 2s;
+constexpr duration cache_event_lag = 500ms;
+constexpr double cache_gap = 0.1;
+constexpr double cache_gap_in_fault = 0.7;
+// The list of VMs tells of a lost one this late.
+constexpr duration vm_list_lag = 2s;
+constexpr duration reclaim_notice = 10s;
+constexpr duration outage = 60s;
+constexpr duration crash_outage = 20s;
+// A poison request crashes its engine with this token.
+constexpr std::uint32_t poison_token = 20;
+constexpr std::uint32_t poison_sendings = 8;
+constexpr std::size_t heavy_team = 3;
+constexpr std::size_t first_small_team = 3;
+
+duration from_s(double seconds)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds));
+}
+
+double in_s(duration of)
+{
+    return std::chrono::duration<double>(of).count();
+}
+
+struct caller {
+    enum class phase : std::uint8_t { away, sent, done };
+
+    phase now = phase::away;
+    std::size_t entry = 0;
+    std::size_t runner = SIZE_MAX; ///< while sent
+    std::uint32_t returns = 0;
+    std::uint32_t losses = 0; ///< upstreams lost under it
+    std::uint32_t delivered = 0;
+    bool poison = false;
+    bool suspect = false;
+    time_point arrival{};
+    time_point asked{}; ///< last sending
+    time_point deadline{};
+    time_point last_token{};
+    double stall_ms = 0;
+    std::vector<std::string> excluded;
+};
+
+/** The events of one trial in virtual time. */
+class simulation
+{
+public:
+    explicit simulation(const trial_settings& settings);
+    trial_measures run();
+
+private:
+    using action = std::function<void()>;
+    struct event {
+        time_point at;
+        std::uint64_t order;
+        action act;
+        bool operator<(const event& other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void after(duration wait, action act) { at(now_ + wait, std::move(act)); }
+    void at(time_point when, action act);
+    bool counts(const caller& of) const;
+    bool in_window() const;
+
+    void plan_callers();
+    void plan_reports();
+    void plan_fault();
+    void plan_poison();
+    time_point fault_time() const;
+
+    void arrive(std::size_t id);
+    std::size_t pick_entry();
+    void route(std::size_t id);
+    route_request request_of(std::size_t id) const;
+    std::vector<candidate> candidates_of(const bench_entry& from) const;
+    void deliver(std::size_t id, std::size_t runner);
+    void retry_elsewhere(std::size_t id, std::optional<refusal> why);
+    void refuse(std::size_t id, const refusal& why);
+    void give_up(std::size_t id);
+    void end(std::size_t id);
+
+    void step(std::size_t runner);
+    void end_step(std::size_t runner);
+    void token(std::size_t id);
+    void answered(std::size_t id);
+    void count_preemptions(std::size_t runner);
+    void tell_cache_events(std::size_t runner);
+
+    void lose_engine(std::size_t runner, duration for_how_long);
+    void lost_under(std::size_t id);
+    void resend_poison(std::size_t id);
+
+    const trial_settings& settings_;
+    std::vector<request> requests_;
+    std::vector<caller> callers_;
+    std::vector<std::unique_ptr<bench_agent>> agents_;
+    std::vector<std::unique_ptr<bench_entry>> entries_;
+    std::vector<bool> listed_; ///< runners that the VM list shows
+    std::vector<std::uint64_t> engine_lives_;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> counted_;
+    std::priority_queue<event> events_;
+    std::uint64_t order_ = 0;
+    time_point now_ = epoch;
+    time_point end_;
+    std::mt19937_64 random_;
+    trial_measures measures_;
+    bool reports_late_ = false;
+    bool cache_gaps_ = false;
+};
+
+simulation::simulation(const trial_settings& settings)
+    : settings_(settings),
+      end_(epoch + from_s(settings.warm_up_s + settings.window_s +
+                          (settings.patient ? 0 : settings.site.deadline_s))),
+      random_(settings.seed * 7919 + 17), measures_(settings.site.teams.size())
+{
+    workload_settings load;
+    load.requests_per_second = settings.requests_per_second;
+    load.seconds = settings.warm_up_s + settings.window_s;
+    load.lengths = settings.lengths;
+    if (settings.fault == fault_kind::heavy_team) {
+        load.heavy_team = heavy_team;
+        load.heavy_from_s = settings.warm_up_s;
+    }
+    requests_ = make_workload(settings.site, load, settings.seed);
+    callers_.resize(requests_.size());
+    for (std::size_t i = 0; i < settings.site.runners; ++i)
+        agents_.push_back(std::make_unique<bench_agent>(
+            settings.site, settings.chosen, settings.engine, i, requests_,
+            settings.patient));
+    for (std::size_t i = 0; i < settings.site.failure_domains.size(); ++i)
+        entries_.push_back(std::make_unique<bench_entry>(
+            settings.site, settings.chosen, i, settings.seed * 31 + i,
+            settings.patient));
+    listed_.assign(agents_.size(), true);
+    engine_lives_.assign(agents_.size(), 0);
+    counted_.resize(agents_.size());
+    measures_.window_s = settings.window_s;
+}
+
+void simulation::at(time_point when, action act)
+{
+    events_.push({when, order_++, std::move(act)});
+}
+
+trial_measures simulation::run()
+{
+    plan_callers();
+    plan_reports();
+    plan_fault();
+    while (!events_.empty() && events_.top().at <= end_) {
+        const event next = std::move(const_cast<event&>(events_.top()));
+        events_.pop();
+        now_ = next.at;
+        next.act();
+    }
+    return std::move(measures_);
+}
+
+bool simulation::counts(const caller& of) const
+{
+    return of.arrival >= epoch + from_s(settings_.warm_up_s);
+}
+
+bool simulation::in_window() const
+{
+    return now_ >= epoch + from_s(settings_.warm_up_s) &&
+           now_ < epoch + from_s(settings_.warm_up_s + settings_.window_s);
+}
+
+void simulation::plan_callers()
+{
+    for (std::size_t id = 0; id < requests_.size(); ++id)
+        at(epoch + from_s(requests_[id].arrival_s), [this, id] { arrive(id); });
+}
+
+void simulation::plan_reports()
+{
+    for (std::size_t i = 0; i < agents_.size(); ++i) {
+        const bool ours = settings_.chosen.ours();
+        const duration every = ours ? agent_report_every : engine_report_every;
+        for (time_point when = epoch + every * (i + 1) / agents_.size();
+             when < end_; when += every)
+            at(when, [this, i, ours] {
+                const load_report told = agents_[i]->report(now_);
+                const duration lag = reports_late_ ? late_report_lag
+                                     : ours        ? agent_report_lag
+                                                   : engine_report_lag;
+                after(lag, [this, told] {
+                    for (auto& entry : entries_)
+                        entry->report(told, now_);
+                });
+            });
+        for (time_point when = epoch; ours && when < end_;
+             when += engine_report_every)
+            at(when, [this, i] {
+                const engine_load_hint hint = agents_[i]->engine_load();
+                after(
+                    reports_late_ ? late_report_lag : engine_report_lag,
+                    [this, i, hint] { agents_[i]->engine_report(hint, now_); });
+            });
+    }
+}
+
+time_point simulation::fault_time() const
+{
+    return epoch + from_s(settings_.warm_up_s + settings_.window_s / 4);
+}
+
+void simulation::plan_fault()
+{
+    switch (settings_.fault) {
+    case fault_kind::none:
+    case fault_kind::heavy_team:
+        break;
+    case fault_kind::engine_lost:
+        at(fault_time(), [this] { lose_engine(0, outage); });
+        break;
+    case fault_kind::engine_reclaimed:
+        at(fault_time(), [this] {
+            agents_[0]->leaving = true;
+            after(vm_list_lag, [this] { listed_[0] = false; });
+            after(reclaim_notice, [this] { lose_engine(0, outage); });
+        });
+        break;
+    case fault_kind::late_reports:
+        at(fault_time(), [this] { reports_late_ = true; });
+        break;
+    case fault_kind::cache_gaps:
+        at(fault_time(), [this] { cache_gaps_ = true; });
+        break;
+    case fault_kind::entry_lost:
+        at(fault_time(), [this] { entries_[0]->alive = false; });
+        break;
+    case fault_kind::domain_cut:
+        at(fault_time(), [this] {
+            for (auto& agent : agents_)
+                if (agent->failure_domain == entries_[0]->failure_domain)
+                    agent->cut_until = now_ + outage;
+            entries_[0]->alive = false;
+            after(outage, [this] { entries_[0]->alive = true; });
+        });
+        break;
+    case fault_kind::poison:
+        plan_poison();
+        break;
+    }
+}
+
+void simulation::plan_poison()
+{
+    for (std::size_t id = 0; id < requests_.size(); ++id) {
+        request& asked = requests_[id];
+        if (epoch + from_s(asked.arrival_s) < fault_time())
+            continue;
+        asked.output_tokens = std::max(asked.output_tokens, poison_token);
+        callers_[id].poison = true;
+        return;
+    }
+}
+
+void simulation::arrive(std::size_t id)
+{
+    caller& of = callers_[id];
+    of.arrival = now_;
+    of.deadline =
+        now_ +
+        (settings_.patient ? duration(24h) : from_s(settings_.site.deadline_s));
+    if (counts(of)) {
+        ++measures_.callers;
+        ++measures_.team_asked[requests_[id].team];
+    }
+    if (!settings_.patient)
+        at(of.deadline, [this, id] { give_up(id); });
+    of.entry = pick_entry();
+    of.asked = now_;
+    entries_[of.entry]->retries().request(
+        settings_.site.teams[requests_[id].team].name);
+    route(id);
+}
+
+std::size_t simulation::pick_entry()
+{
+    std::size_t chosen = random_() % entries_.size();
+    while (!entries_[chosen]->alive)
+        chosen = (chosen + 1) % entries_.size();
+    return chosen;
+}
+
+route_request simulation::request_of(std::size_t id) const
+{
+    const request& asked = requests_[id];
+    const caller& of = callers_[id];
+    route_request made;
+    made.service = settings_.site.service;
+    made.team = settings_.site.teams[asked.team].name;
+    made.prompt_tokens = asked.prompt_tokens;
+    made.prefix_blocks = asked.prefix_blocks;
+    made.suspect = of.suspect;
+    made.fingerprint = id + 1;
+    made.excluded = of.excluded;
+    made.own_failure_domain = entries_[of.entry]->failure_domain;
+    made.goal = settings_.site.goal;
+    return made;
+}
+
+std::vector<candidate> simulation::candidates_of(const bench_entry&) const
+{
+    std::vector<candidate> made;
+    for (std::size_t i = 0; i < agents_.size(); ++i)
+        if (listed_[i] && agents_[i]->cut_until <= now_)
+            made.push_back(
+                {agents_[i]->name, agents_[i]->failure_domain, "", 1, i + 1});
+    return made;
+}
+
+void simulation::route(std::size_t id)
+{
+    caller& of = callers_[id];
+    bench_entry& entry = *entries_[of.entry];
+    const auto candidates = candidates_of(entry);
+    const route_request asked = request_of(id);
+    const auto chosen = entry.choose(asked, candidates, now_);
+    if (!chosen) {
+        refuse(id, chosen.error());
+        return;
+    }
+    const std::string& name = candidates[*chosen].upstream;
+    std::size_t runner = 0;
+    while (agents_[runner]->name != name)
+        ++runner;
+    of.now = caller::phase::sent;
+    of.runner = runner;
+    entry.routes().dispatched(name, asked, now_);
+    after(from_s(settings_.site.one_way_ms / 1000),
+          [this, id, runner] { deliver(id, runner); });
+}
+
+void simulation::deliver(std::size_t id, std::size_t runner)
+{
+    caller& of = callers_[id];
+    if (of.now != caller::phase::sent || of.runner != runner)
+        return;
+    bench_agent& agent = *agents_[runner];
+    if (!agent.alive || (agent.leaving && settings_.chosen.ours())) {
+        retry_elsewhere(id, std::nullopt);
+        return;
+    }
+    const auto taken = agent.take(id, of.deadline, of.suspect, now_);
+    if (!taken) {
+        retry_elsewhere(id, taken.error());
+        return;
+    }
+    step(runner);
+}
+
+void simulation::retry_elsewhere(std::size_t id, std::optional<refusal> why)
+{
+    caller& of = callers_[id];
+    bench_entry& entry = *entries_[of.entry];
+    entry.routes().settled(agents_[of.runner]->name, now_);
+    of.excluded.push_back(agents_[of.runner]->name);
+    of.now = caller::phase::away;
+    of.runner = SIZE_MAX;
+    const std::string& team = settings_.site.teams[requests_[id].team].name;
+    if (of.excluded.size() < max_tries && entry.retries().try_retry(team)) {
+        route(id);
+        return;
+    }
+    refuse(id, why.value_or(not_run(refusal_reason::no_upstream, "", 1s)));
+}
+
+void simulation::refuse(std::size_t id, const refusal& why)
+{
+    caller& of = callers_[id];
+    of.now = caller::phase::away;
+    of.excluded.clear();
+    if (counts(of)) {
+        ++measures_.refusals;
+        measures_.refusal_ms.add(1000 * in_s(now_ - of.asked) +
+                                 settings_.site.one_way_ms);
+    }
+    const duration wait = why.retry_after.value_or(1s);
+    if (of.returns >= max_returns || now_ + wait >= of.deadline) {
+        if (counts(of))
+            ++measures_.turned_away;
+        end(id);
+        return;
+    }
+    ++of.returns;
+    after(wait, [this, id] {
+        caller& back = callers_[id];
+        if (back.now != caller::phase::away)
+            return;
+        back.asked = now_;
+        back.entry = pick_entry();
+        route(id);
+    });
+}
+
+void simulation::give_up(std::size_t id)
+{
+    caller& of = callers_[id];
+    if (of.now == caller::phase::done)
+        return;
+    if (of.now == caller::phase::sent) {
+        agents_[of.runner]->cancel(id, now_);
+        entries_[of.entry]->routes().settled(agents_[of.runner]->name, now_);
+    }
+    if (counts(of))
+        ++measures_.gave_up;
+    end(id);
+}
+
+void simulation::end(std::size_t id)
+{
+    caller& of = callers_[id];
+    of.now = caller::phase::done;
+    if (!counts(of))
+        return;
+    if (of.delivered == 0)
+        of.stall_ms = 1000 * in_s(now_ - of.arrival);
+    measures_.stall_s += of.stall_ms / 1000;
+    measures_.stall_charged_s += settings_.site.deadline_s;
+}
+
+void simulation::step(std::size_t runner)
+{
+    bench_agent& agent = *agents_[runner];
+    if (agent.stepping || !agent.alive)
+        return;
+    agent.admit(now_);
+    if (agent.engine().idle())
+        return;
+    agent.stepping = true;
+    const double ms = agent.engine().begin_step_ms();
+    count_preemptions(runner);
+    const std::uint64_t life = engine_lives_[runner];
+    after(from_s(ms / 1000), [this, runner, life] {
+        if (engine_lives_[runner] == life)
+            end_step(runner);
+    });
+}
+
+void simulation::count_preemptions(std::size_t runner)
+{
+    const fake_engine& engine = agents_[runner]->engine();
+    auto& [preemptions, recomputed] = counted_[runner];
+    if (in_window()) {
+        measures_.preemptions += engine.preemptions() - preemptions;
+        measures_.recomputed_tokens += engine.recomputed_tokens() - recomputed;
+    }
+    preemptions = engine.preemptions();
+    recomputed = engine.recomputed_tokens();
+}
+
+void simulation::end_step(std::size_t runner)
+{
+    bench_agent& agent = *agents_[runner];
+    agent.stepping = false;
+    const auto& result = agent.end_step(now_);
+    if (in_window())
+        measures_.output_tokens += result.tokens.size();
+    for (const auto id : result.tokens)
+        token(id);
+    for (const auto id : result.finished)
+        answered(id);
+    tell_cache_events(runner);
+    for (const auto id : result.tokens) {
+        if (!callers_[id].poison || callers_[id].delivered != poison_token)
+            continue;
+        lose_engine(runner, crash_outage);
+        return;
+    }
+    step(runner);
+}
+
+void simulation::token(std::size_t id)
+{
+    caller& of = callers_[id];
+    const time_point seen = std::max(now_, agents_[of.runner]->cut_until);
+    ++of.delivered;
+    const time_point before = std::exchange(of.last_token, seen);
+    if (!counts(of))
+        return;
+    ++measures_.team_tokens[requests_[id].team];
+    if (of.delivered == 1) {
+        const double wait = 1000 * in_s(seen - of.arrival);
+        of.stall_ms = wait;
+        measures_.first_token_ms.add(wait);
+        if (requests_[id].team >= first_small_team &&
+            requests_[id].team != heavy_team)
+            measures_.small_team_first_token_ms.add(wait);
+        return;
+    }
+    const double gap = 1000 * in_s(seen - before);
+    measures_.between_tokens_ms.add(gap);
+    of.stall_ms += std::max(gap - unnoticed_gap_ms, 0.0);
+}
+
+void simulation::answered(std::size_t id)
+{
+    caller& of = callers_[id];
+    of.now = caller::phase::done;
+    entries_[of.entry]->routes().settled(agents_[of.runner]->name, now_);
+    if (settings_.patient) {
+        measures_.answered += in_window() ? 1 : 0;
+        return;
+    }
+    if (!counts(of))
+        return;
+    ++measures_.answered;
+    ++measures_.team_answered[requests_[id].team];
+    measures_.stall_s += of.stall_ms / 1000;
+    measures_.stall_answered_s += of.stall_ms / 1000;
+    measures_.stall_charged_s += of.stall_ms / 1000;
+}
+
+void simulation::tell_cache_events(std::size_t runner)
+{
+    if (!settings_.chosen.ours())
+        return;
+    const auto& result = agents_[runner]->engine().last_step();
+    for (const auto& happened : result.cache_events) {
+        const double gap = cache_gaps_ ? cache_gap_in_fault : cache_gap;
+        if (std::bernoulli_distribution(gap)(random_))
+            continue;
+        after(cache_event_lag, [this, runner, happened] {
+            for (auto& entry : entries_) {
+                const std::string& name = agents_[runner]->name;
+                if (happened.stored)
+                    entry->routes().cached(name, {&happened.block, 1});
+                else
+                    entry->routes().evicted(name, happened.block);
+            }
+        });
+    }
+}
+
+void simulation::lose_engine(std::size_t runner, duration for_how_long)
+{
+    bench_agent& agent = *agents_[runner];
+    ++measures_.engine_losses;
+    ++engine_lives_[runner];
+    agent.alive = false;
+    agent.stepping = false;
+    agent.lose_engine();
+    for (std::size_t id = 0; id < callers_.size(); ++id)
+        if (callers_[id].now == caller::phase::sent &&
+            callers_[id].runner == runner)
+            lost_under(id);
+    after(vm_list_lag, [this, runner] { listed_[runner] = false; });
+    after(for_how_long, [this, runner] {
+        agents_[runner]->alive = true;
+        agents_[runner]->leaving = false;
+        listed_[runner] = true;
+    });
+}
+
+void simulation::lost_under(std::size_t id)
+{
+    caller& of = callers_[id];
+    agents_[of.runner]->cancel(id, now_);
+    ++of.losses;
+    if (of.delivered == 0) {
+        retry_elsewhere(id, std::nullopt);
+        return;
+    }
+    entries_[of.entry]->routes().settled(agents_[of.runner]->name, now_);
+    if (of.poison && of.losses < poison_sendings) {
+        resend_poison(id);
+        return;
+    }
+    if (counts(of))
+        ++measures_.cut_short;
+    end(id);
+}
+
+void simulation::resend_poison(std::size_t id)
+{
+    caller& of = callers_[id];
+    // Our system marks what ran there; after two losses it is refused.
+    of.suspect = settings_.chosen.ours();
+    of.now = caller::phase::away;
+    of.delivered = 0;
+    if (settings_.chosen.ours() && of.losses >= 2) {
+        end(id);
+        return;
+    }
+    after(1s, [this, id] {
+        if (callers_[id].now == caller::phase::away)
+            route(id);
+    });
+}
+
+} // namespace
+
+trial_measures run_trial(const trial_settings& settings)
+{
+    return simulation(settings).run();
+}
+
+double measured_capacity(const deployment& site, const engine_settings& engine,
+                         const std::vector<length_pair>& lengths)
+{
+    constexpr std::uint64_t seeds = 3;
+    constexpr std::uint64_t first_seed = 900'001;
+    trial_settings settings;
+    settings.site = site;
+    settings.engine = engine;
+    settings.lengths = lengths;
+    settings.chosen.kind = policy_kind::oracle;
+    settings.patient = true;
+    settings.requests_per_second = 80;
+    double answers = 0;
+    for (std::uint64_t i = 0; i < seeds; ++i) {
+        settings.seed = first_seed + i;
+        const trial_measures measures = run_trial(settings);
+        answers += static_cast<double>(measures.answered) / measures.window_s;
+    }
+    return answers / static_cast<double>(seeds);
+}
+
+} // namespace cyclamenrun::bench
--- /dev/null
+++ b/bench/trial.hpp
@@ -0,0 +1,39 @@
+#ifndef CYCLAMENRUN_BENCH_TRIAL_HPP
+#define CYCLAMENRUN_BENCH_TRIAL_HPP
+
+#include "deployment.hpp"
+#include "fake_engine.hpp"
+#include "policy.hpp"
+#include "trial_measures.hpp"
+#include "workload.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace cyclamenrun::bench
+{
+
+struct trial_settings {
+    deployment site;
+    policy chosen;
+    fault_kind fault = fault_kind::none;
+    double requests_per_second = 1;
+    std::vector<length_pair> lengths;
+    std::uint64_t seed = 1;
+    engine_settings engine;
+    double warm_up_s = 60;
+    double window_s = 240; ///< of arrivals that count, after the warm-up
+    /** For calibration: no deadlines, no refusals, all is answered. */
+    bool patient = false;
+};
+
+/** Runs one policy over one workload in virtual time. */
+trial_measures run_trial(const trial_settings& settings);
+
+/** Answers a second that the deployment's engines make when never idle. */
+double measured_capacity(const deployment& site, const engine_settings& engine,
+                         const std::vector<length_pair>& lengths);
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_TRIAL_HPP
--- /dev/null
+++ b/bench/trial_measures.hpp
@@ -0,0 +1,54 @@
+#ifndef CYCLAMENRUN_BENCH_TRIAL_MEASURES_HPP
+#define CYCLAMENRUN_BENCH_TRIAL_MEASURES_HPP
+
+#include "log_histogram.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::bench
+{
+
+/** What one run has shown; formulas in docs/MEASURES.md. */
+struct trial_measures {
+    explicit trial_measures(std::size_t teams)
+        : team_asked(teams), team_answered(teams), team_tokens(teams)
+    {
+    }
+
+    double window_s = 0;
+    std::uint64_t callers = 0;
+    std::uint64_t answered = 0;    ///< in full, within the deadline
+    std::uint64_t gave_up = 0;     ///< at the deadline
+    std::uint64_t turned_away = 0; ///< refused for good
+    std::uint64_t cut_short = 0;   ///< failed after a token was seen
+    std::uint64_t refusals = 0;    ///< seen by callers, those who came back too
+    double stall_s = 0;            ///< over all callers
+    double stall_answered_s = 0;   ///< over those answered
+    double stall_charged_s = 0;    ///< the unanswered charged their deadline
+    std::uint64_t preemptions = 0;
+    std::uint64_t recomputed_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    std::uint64_t engine_losses = 0;
+    log_histogram first_token_ms;
+    log_histogram small_team_first_token_ms; ///< without the large, the heavy
+    log_histogram between_tokens_ms;
+    log_histogram refusal_ms;
+    std::vector<std::uint64_t> team_asked;
+    std::vector<std::uint64_t> team_answered;
+    std::vector<std::uint64_t> team_tokens;
+};
+
+/** A named figure of a run. */
+struct figure {
+    std::string name;
+    double value;
+};
+
+/** The figures that are compared, in the order of the table. */
+std::vector<figure> figures_of(const trial_measures& measures);
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_TRIAL_MEASURES_HPP
--- /dev/null
+++ b/bench/workload.cpp
@@ -0,0 +1,133 @@
+#include "workload.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace cyclamenrun::bench
+{
+
+namespace
+{
+
+constexpr double slot_s = 0.1;
+constexpr double heavy_factor = 10.0;
+// The first blocks of every prompt are the service's own instructions.
+constexpr std::uint32_t service_blocks = 4;
+constexpr length_law own_part = {120, 0.7, 1'024};
+
+/** Switches between calm and burst; the factor's mean is 1. */
+class burst_process
+{
+public:
+    burst_process(double calm, double burst) : calm_(calm), burst_(burst) {}
+
+    double next(std::mt19937_64& random)
+    {
+        const double mean_s = in_burst_ ? 4.0 : 12.0;
+        if (std::bernoulli_distribution(slot_s / mean_s)(random))
+            in_burst_ = !in_burst_;
+        return in_burst_ ? burst_ : calm_;
+    }
+
+private:
+    double calm_;
+    double burst_;
+    bool in_burst_ = false;
+};
+
+std::uint32_t draw(const length_law& law, std::mt19937_64& random)
+{
+    std::lognormal_distribution<double> lengths(std::log(law.median),
+                                                law.sigma);
+    const double drawn =
+        std::clamp(std::round(lengths(random)), 1.0, double(law.most));
+    return static_cast<std::uint32_t>(drawn);
+}
+
+std::uint64_t block_hash(std::size_t team, std::uint32_t block)
+{
+    const std::uint64_t owner = block < service_blocks ? 0 : team + 1;
+    return (owner << 32 | block) * 0x9E3779B97F4A7C15U + 1;
+}
+
+request make_request(const deployment& site, const workload_settings& settings,
+                     std::size_t team, double arrival_s,
+                     std::mt19937_64& random)
+{
+    const team_profile& profile = site.teams[team];
+    request made;
+    made.arrival_s = arrival_s;
+    made.team = team;
+    std::uint32_t blocks = profile.prefix_blocks;
+    if (settings.lengths.empty()) {
+        const bool is_long =
+            std::bernoulli_distribution(profile.long_share)(random);
+        made.prompt_tokens =
+            blocks * prefix_block_tokens + draw(own_part, random);
+        made.output_tokens =
+            draw(is_long ? site.long_answer : site.short_answer, random);
+    } else {
+        const auto& row =
+            settings.lengths[std::uniform_int_distribution<std::size_t>(
+                0, settings.lengths.size() - 1)(random)];
+        made.prompt_tokens = std::max(row.prompt_tokens, 1U);
+        made.output_tokens = std::max(row.output_tokens, 1U);
+        blocks = std::min(blocks, made.prompt_tokens / prefix_block_tokens);
+    }
+    for (std::uint32_t block = 0; block < blocks; ++block)
+        made.prefix_blocks.push_back(block_hash(team, block));
+    return made;
+}
+
+} // namespace
+
+std::vector<length_pair> read_lengths(const std::string& file)
+{
+    std::vector<length_pair> rows;
+    std::ifstream stream(file);
+    for (std::string line; std::getline(stream, line);) {
+        std::istringstream fields(line);
+        length_pair row{};
+        char comma = 0;
+        if (fields >> row.prompt_tokens >> comma >> row.output_tokens)
+            rows.push_back(row);
+    }
+    return rows;
+}
+
+std::vector<request> make_workload(const deployment& site,
+                                   const workload_settings& settings,
+                                   std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    burst_process everyone(0.8, 1.6);
+    std::vector<burst_process> own(site.teams.size(), burst_process(0.6, 2.2));
+    std::vector<request> requests;
+    for (double at = 0; at < settings.seconds; at += slot_s) {
+        const double together = everyone.next(random);
+        for (std::size_t team = 0; team < site.teams.size(); ++team) {
+            double rate = settings.requests_per_second * together *
+                          site.teams[team].share * own[team].next(random);
+            if (team == settings.heavy_team && at >= settings.heavy_from_s)
+                rate *= heavy_factor;
+            const int count =
+                std::poisson_distribution<int>(rate * slot_s)(random);
+            for (int i = 0; i < count; ++i) {
+                const double into =
+                    std::uniform_real_distribution<double>(0, slot_s)(random);
+                requests.push_back(
+                    make_request(site, settings, team, at + into, random));
+            }
+        }
+    }
+    std::stable_sort(requests.begin(), requests.end(),
+                     [](const request& left, const request& right) {
+                         return left.arrival_s < right.arrival_s;
+                     });
+    return requests;
+}
+
+} // namespace cyclamenrun::bench
--- /dev/null
+++ b/bench/workload.hpp
@@ -0,0 +1,49 @@
+#ifndef CYCLAMENRUN_BENCH_WORKLOAD_HPP
+#define CYCLAMENRUN_BENCH_WORKLOAD_HPP
+
+#include "deployment.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::bench
+{
+
+/** Prompt tokens for each prefix block. */
+constexpr std::uint32_t prefix_block_tokens = 64;
+
+/** What one caller asks for; `output_tokens` nobody knows ahead. */
+struct request {
+    double arrival_s = 0;
+    std::size_t team = 0;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0;
+    std::vector<std::uint64_t> prefix_blocks;
+};
+
+struct length_pair {
+    std::uint32_t prompt_tokens;
+    std::uint32_t output_tokens;
+};
+
+/** Rows `prompt_tokens,output_tokens`; a first line of names is skipped. */
+std::vector<length_pair> read_lengths(const std::string& file);
+
+struct workload_settings {
+    double requests_per_second = 1;
+    double seconds = 300;
+    std::vector<length_pair> lengths; ///< drawn from if not empty
+    /** Sends ten times its share from `heavy_from_s` on. */
+    std::size_t heavy_team = SIZE_MAX;
+    double heavy_from_s = 0;
+};
+
+/** Requests in order of arrival, in bursts; the same for the same seed. */
+std::vector<request> make_workload(const deployment& site,
+                                   const workload_settings& settings,
+                                   std::uint64_t seed);
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_WORKLOAD_HPP
--- a/src/libcyclamenrun/admission_settings.hpp
+++ b/src/libcyclamenrun/admission_settings.hpp
@@ -43,6 +43,9 @@
     std::function<std::optional<std::uint32_t>(work_id)> known_length;
 };
 
+/** The measured choices for an objective; see docs/design/admission.md. */
+admission_settings default_admission(objective goal);
+
 } // namespace cyclamenrun
 
 #endif // CYCLAMENRUN_ADMISSION_SETTINGS_HPP
--- a/src/libcyclamenrun/load_view.cpp
+++ b/src/libcyclamenrun/load_view.cpp
@@ -48,13 +48,6 @@
         --unsettled_;
 }
 
-void load_view::forget_own()
-{
-    since_.clear();
-    since_tokens_ = 0;
-    unsettled_ = 0;
-}
-
 std::uint32_t load_view::works() const
 {
     const std::uint32_t told = report_.running + report_.queued +
--- a/src/libcyclamenrun/load_view.hpp
+++ b/src/libcyclamenrun/load_view.hpp
@@ -37,8 +37,6 @@
     /** Expected wait of new work, own dispatches since included. */
     milliseconds expected_wait() const;
     std::uint32_t own_unsettled() const { return unsettled_; }
-    /** Drops what was sent since; for measuring its worth. */
-    void forget_own();
 
 private:
     struct dispatch {
--- a/src/libcyclamenrun/router.cpp
+++ b/src/libcyclamenrun/router.cpp
@@ -71,7 +71,8 @@
                         const route_request& request, time_point now)
 {
     upstream_state& state = state_of(upstream);
-    state.load.dispatched(request.prompt_tokens, now);
+    if (settings_.own_counts)
+        state.load.dispatched(request.prompt_tokens, now);
     state.cache.used(request.prefix_blocks);
 }
 
