--- a/src/libcyclamenrun/configuration_store.cpp
+++ b/src/libcyclamenrun/configuration_store.cpp
@@ -3,6 +3,14 @@
 namespace cyclamenrun
 {
 
+change_progress progress_of(const configuration_state& state,
+                            const v1::ChangeRecord& change)
+{
+    const auto& resources = state.resources();
+    return {state.revision(), state.find_change(change.change_id()),
+            resources.find(change.kind(), change.name()), resources};
+}
+
 void configuration_store::on_change(change_hook hook)
 {
     const std::lock_guard lock(mutex_);
@@ -118,9 +126,7 @@
 configuration_store::progress(const v1::ChangeRecord& change) const
 {
     const std::lock_guard lock(mutex_);
-    const auto& resources = state_.resources();
-    return {state_.revision(), state_.find_change(change.change_id()),
-            resources.find(change.kind(), change.name()), resources};
+    return progress_of(state_, change);
 }
 
 std::uint64_t configuration_store::count(apply_result result) const
--- a/src/libcyclamenrun/configuration_store.hpp
+++ b/src/libcyclamenrun/configuration_store.hpp
@@ -23,6 +23,9 @@
     configuration_resources resources;
 };
 
+change_progress progress_of(const configuration_state& state,
+                            const v1::ChangeRecord& change);
+
 /**
  * The configuration of one process, for all its threads. Requests take
  * view() and keep it; nobody holds the lock while they read.
--- /dev/null
+++ b/src/libcyclamenrun/order_lease.cpp
@@ -0,0 +1,144 @@
+#include "order_lease.hpp"
+
+#include <array>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 5> step_names{
+    "read_claim", "append_claim", "wait", "act", "stood_down"};
+
+} // namespace
+
+std::string_view name_of(lease_step step)
+{
+    return step_names.at(static_cast<std::size_t>(step));
+}
+
+order_lease::order_lease(std::string upstream, std::uint64_t incarnation,
+                         order_lease_settings settings)
+    : upstream_(std::move(upstream)), incarnation_(incarnation),
+      settings_(settings)
+{
+}
+
+lease_step order_lease::next(time_point now) const
+{
+    if (phase_ == phase::superseded)
+        return lease_step::stood_down;
+    if (now < wake_at_)
+        return lease_step::wait;
+    if (phase_ == phase::unread || phase_ == phase::sent)
+        return lease_step::read_claim;
+    if (phase_ == phase::unclaimed)
+        return lease_step::append_claim;
+    if (!settled_)
+        return lease_step::read_claim;
+    return has_time(now) ? lease_step::act : lease_step::append_claim;
+}
+
+v1::ClaimRecord order_lease::claim() const
+{
+    v1::ClaimRecord claim;
+    claim.set_upstream(upstream_);
+    claim.set_incarnation(incarnation_);
+    claim.set_base_fencing_number(base_);
+    return claim;
+}
+
+void order_lease::on_claim_sent(time_point now)
+{
+    // Of several copies of one claim the log takes the first, so that the
+    // lease has to be counted from when that one was sent.
+    if (!first_sent_at_)
+        first_sent_at_ = now;
+    phase_ = phase::sent;
+    wake_at_ = now;
+}
+
+void order_lease::on_claim_failed(time_point now)
+{
+    wake_at_ = now + settings_.retry_after;
+}
+
+void order_lease::on_claim_read(const std::optional<v1::ClaimState>& current,
+                                time_point read_started_at, time_point now)
+{
+    if (phase_ == phase::superseded)
+        return;
+    const std::uint64_t number = current ? current->fencing_number() : 0;
+    if (!current && held_ != 0)
+        forget_claim();
+    if (current && current->incarnation() == incarnation_)
+        take_own(number, read_started_at, now);
+    else
+        take_other(number);
+    if (wake_at_ < now)
+        wake_at_ = now;
+}
+
+void order_lease::take_own(std::uint64_t number, time_point read_started_at,
+                           time_point now)
+{
+    if (number != held_) {
+        held_ = number;
+        base_ = number;
+        lease_end_ = first_sent_at_.value_or(now) + settings_.lease;
+        first_sent_at_.reset();
+        // Whoever claimed before sent its claim before this one was on the
+        // log, so that its lease ends within a lease from now.
+        if (!settled_ && settled_at_ == time_point::max())
+            settled_at_ = settings_.engine_honours_fencing
+                              ? read_started_at
+                              : now + settings_.lease + settings_.margin;
+    } else if (phase_ == phase::sent) {
+        // The renewal isn't on the log yet: it is sent again.
+        phase_ = phase::unclaimed;
+        return;
+    }
+    phase_ = phase::held;
+    // The claim is read again after the wait: another agent may have taken
+    // over meanwhile, and its wait counts from our claim, not the other way.
+    settled_ = settled_ || read_started_at >= settled_at_;
+    if (!settled_)
+        wake_at_ = settled_at_;
+}
+
+void order_lease::take_other(std::uint64_t number)
+{
+    if (held_ != 0) {
+        phase_ = phase::superseded;
+        return;
+    }
+    // None of ours took effect on this base, nor can it any more.
+    if (number != base_)
+        first_sent_at_.reset();
+    base_ = number;
+    phase_ = phase::unclaimed;
+}
+
+void order_lease::forget_claim()
+{
+    // The log's state keeps a bounded number of claims, so that one which
+    // wasn't renewed for long drops out: it is made anew, as by a stranger.
+    held_ = 0;
+    base_ = 0;
+    lease_end_ = time_point::min();
+    settled_ = false;
+    settled_at_ = time_point::max();
+}
+
+bool order_lease::may_act(time_point now) const
+{
+    return phase_ == phase::held && settled_ && has_time(now);
+}
+
+bool order_lease::has_time(time_point now) const
+{
+    return now + settings_.order_limit <= lease_end_;
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/subset.cpp
+++ b/src/libcyclamenrun/subset.cpp
@@ -42,6 +42,7 @@
 by_remainder(std::map<domain_name, domain_members>& domains)
 {
     std::vector<domain_members*> order;
+    order.reserve(domains.size());
     for (auto& [name, members] : domains)
         order.push_back(&members);
     std::sort(order.begin(), order.end(),
