--- a/src/libcyclamenrun/change_submitter.cpp
+++ b/src/libcyclamenrun/change_submitter.cpp
@@ -79,14 +79,12 @@
 {
     if (answer) {
         offset_ = *answer;
-        may_be_on_log_ = true;
         return;
     }
     // The answer was lost: the record may be on the log. A second copy is
     // harmless, since readers know the change's id, but the first is given
     // time to be read back.
     if (may_have_been_appended(answer.error().failure)) {
-        may_be_on_log_ = true;
         append_at_ = now + settings_.resend_after;
         return;
     }
@@ -153,12 +151,9 @@
 void change_submitter::finish_at_deadline()
 {
     done_ = true;
-    if (!may_be_on_log_) {
-        result_ = tl::unexpected(not_run(refusal_reason::not_ready,
-                                         "the log takes no records",
-                                         settings_.retry_after));
-        return;
-    }
+    // Also when the log took no record from here: the operator may have sent
+    // the same change by another entry, whose answer got lost, and would
+    // take a refusal by this one for the truth about the change.
     v1::ApplyChangeResponse response;
     response.mutable_unknown()->set_change_id(change_.change_id());
     result_ = std::move(response);
--- a/src/libcyclamenrun/change_submitter.hpp
+++ b/src/libcyclamenrun/change_submitter.hpp
@@ -5,7 +5,6 @@
 #include "configuration_store.hpp"
 #include "operator.pb.h"
 #include "platform_log.hpp"
-#include "refusal.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -46,8 +45,7 @@
     const v1::ChangeRecord& change() const { return change_; }
     time_point wake_at() const;
 
-    /** A refusal says that the change is not on the log and will not be. */
-    const outcome<v1::ApplyChangeResponse>& result() const { return result_; }
+    const v1::ApplyChangeResponse& result() const { return result_; }
 
 private:
     bool settle(const change_progress& progress);
@@ -61,10 +59,9 @@
     time_point deadline_;
     submit_settings settings_;
     time_point append_at_{};
-    bool may_be_on_log_ = false;
     std::optional<std::uint64_t> offset_;
     bool done_ = false;
-    outcome<v1::ApplyChangeResponse> result_;
+    v1::ApplyChangeResponse result_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/operator_commands.hpp
+++ b/src/libcyclamenrun/operator_commands.hpp
@@ -21,7 +21,11 @@
     operator_commands(platform_log& log, configuration_store& store,
                       clock_function clock, submit_settings settings = {});
 
-    /** Blocks until the change's outcome is known, or until `deadline`. */
+    /**
+     * Blocks until the change's outcome is known, or until `deadline`. A
+     * refusal is of this call alone: what became of an earlier one with the
+     * same change id is for FindChange to say.
+     */
     outcome<v1::ApplyChangeResponse>
     apply_change(const v1::ApplyChangeRequest& request, time_point deadline);
 
