--- /dev/null
+++ b/tests/membership/test_membership.cpp
@@ -0,0 +1,275 @@
+#include "membership.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+vm upstream_vm(const std::string& id, const std::string& domain = "mendoza-a",
+               const std::string& service = "redactor")
+{
+    return {id, "127.0.0.1:1", "cuyo", domain, service, vm_state::live};
+}
+
+/** An entry's membership with six upstreams in three failure domains. */
+class membership_test : public testing::Test
+{
+protected:
+    membership_test() : members(settings())
+    {
+        for (int i = 0; i < 6; ++i)
+            list.vms.push_back(upstream_vm("vm-" + std::to_string(i),
+                                           "domain-" + std::to_string(i / 2)));
+        take_list();
+    }
+
+    static membership_settings settings()
+    {
+        membership_settings settings;
+        settings.entry = "entry-1";
+        return settings;
+    }
+
+    list_result take_list()
+    {
+        ++list.revision;
+        return members.on_list(list, now);
+    }
+
+    vm& listed(std::size_t index) { return list.vms.at(index); }
+
+    void reply(const std::string& id, std::uint64_t incarnation = 1,
+               bool leaving = false)
+    {
+        members.on_reply(id, {incarnation, leaving}, now);
+    }
+
+    std::set<std::string> working() const
+    {
+        std::set<std::string> ids;
+        for (const auto& each : members.candidates("redactor"))
+            ids.insert(each.upstream);
+        return ids;
+    }
+
+    upstream_state state_of(const std::string& id) const
+    {
+        return members.find(id)->state;
+    }
+
+    void make_suspect(const std::string& id)
+    {
+        members.on_connection_lost(id, now);
+        members.on_missed_heartbeat(id, now);
+    }
+
+    membership members;
+    vm_list list;
+    time_point now{};
+};
+
+// The list lags by 10 s: it still says live for an upstream whose agent says
+// that it is leaving. New work would go on to be sent there.
+TEST_F(membership_test, believes_the_agent_before_the_list)
+{
+    reply("vm-0");
+    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+    reply("vm-0", 1, true);
+    EXPECT_FALSE(working().contains("vm-0"));
+    reply("vm-0", 1, false); // sent before the drain began
+    now += milliseconds(10'000);
+    take_list();
+    EXPECT_EQ(state_of("vm-0"), upstream_state::leaving);
+    EXPECT_FALSE(working().contains("vm-0"));
+    reply("vm-0", 2, false);
+    EXPECT_TRUE(working().contains("vm-0")) << "a new agent takes work";
+    reply("vm-0", 1, true);
+    EXPECT_TRUE(working().contains("vm-0")) << "the late word of the old one";
+}
+
+TEST_F(membership_test, believes_the_list_before_the_agent)
+{
+    reply("vm-0");
+    listed(0).state = vm_state::leaving;
+    take_list();
+    EXPECT_FALSE(working().contains("vm-0"));
+    reply("vm-0");
+    EXPECT_FALSE(working().contains("vm-0"));
+    EXPECT_TRUE(members.find("vm-0").has_value()) << "for resumes";
+}
+
+// A lagging copy of the list service answers after a newer one: what it
+// still calls live must not get new work again.
+TEST_F(membership_test, is_not_set_back_by_an_older_list)
+{
+    const vm_list old = list;
+    listed(0).state = vm_state::leaving;
+    take_list();
+    EXPECT_EQ(members.on_list(old, now), list_result::kept_for_older);
+    EXPECT_EQ(state_of("vm-0"), upstream_state::leaving);
+    now += milliseconds(30'000);
+    EXPECT_EQ(members.on_list(old, now), list_result::taken)
+        << "a list service that started anew";
+}
+
+TEST_F(membership_test, keeps_the_last_list_when_an_empty_one_comes)
+{
+    EXPECT_EQ(members.on_list({99, {}}, now), list_result::kept_for_empty);
+    EXPECT_EQ(working().size(), 6U);
+}
+
+// The list says live for a VM that is gone. One sign alone may be a lost
+// connection or a pause; two together make it the last resort.
+TEST_F(membership_test, suspects_by_more_than_one_sign_and_undoes_it)
+{
+    reply("vm-0");
+    members.on_connection_lost("vm-0", now);
+    members.on_connection_lost("vm-0", now);
+    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+    members.on_missed_heartbeat("vm-0", now);
+    EXPECT_EQ(state_of("vm-0"), upstream_state::suspect);
+    reply("vm-0");
+    EXPECT_EQ(state_of("vm-0"), upstream_state::suspect) << "may be a leftover";
+    reply("vm-0");
+    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+
+    for (int i = 0; i < 20; ++i)
+        members.on_failure("vm-1", now);
+    EXPECT_EQ(state_of("vm-1"), upstream_state::joining);
+    now += suspicion::failures_count_for;
+    members.on_connection_lost("vm-1", now);
+    EXPECT_EQ(state_of("vm-1"), upstream_state::joining) << "failures lapsed";
+    members.on_failure("vm-1", now);
+    EXPECT_EQ(state_of("vm-1"), upstream_state::suspect);
+
+    // A frozen process keeps its connections: only its silence tells.
+    for (std::uint32_t i = 0; i < suspicion::long_silence; ++i)
+        members.on_missed_heartbeat("vm-2", now);
+    EXPECT_EQ(state_of("vm-2"), upstream_state::suspect);
+}
+
+// A failure domain is cut off: its upstreams become suspects together, which
+// must not be held against each of them, and come back as it heals.
+TEST_F(membership_test, tells_a_cut_domain_from_a_lost_upstream)
+{
+    make_suspect("vm-0");
+    EXPECT_FALSE(members.is_cut("domain-0"));
+    now += suspicion_domain_cut::at_once;
+    make_suspect("vm-1");
+    EXPECT_FALSE(members.is_cut("domain-0")) << "not at about the same time";
+    make_suspect("vm-2");
+    make_suspect("vm-3");
+    EXPECT_TRUE(members.is_cut("domain-1"));
+    EXPECT_FALSE(members.is_cut("domain-2"));
+    EXPECT_EQ(working().size(), 6U) << "suspects are the last resort";
+    reply("vm-2");
+    reply("vm-2");
+    EXPECT_FALSE(members.is_cut("domain-1"));
+}
+
+TEST_F(membership_test, follows_joins_and_forgets_the_gone_in_time)
+{
+    list.vms.erase(list.vms.begin());
+    list.vms.push_back(upstream_vm("vm-9"));
+    take_list();
+    EXPECT_TRUE(working().contains("vm-9"));
+    EXPECT_FALSE(working().contains("vm-0"));
+    EXPECT_EQ(state_of("vm-0"), upstream_state::gone);
+    now += settings().forget_after;
+    take_list();
+    EXPECT_FALSE(members.find("vm-0").has_value());
+}
+
+TEST_F(membership_test, takes_no_more_vms_than_it_has_room_for)
+{
+    list.vms.clear();
+    for (std::size_t i = 0; i <= membership::max_vms; ++i)
+        list.vms.push_back(upstream_vm("x" + std::to_string(i)));
+    EXPECT_EQ(take_list(), list_result::cut_short);
+    EXPECT_FALSE(members.find("x" + std::to_string(membership::max_vms)));
+    EXPECT_EQ(working().size(), 24U);
+}
+
+/** Upstreams in domains of unequal size, as at the target. */
+std::vector<vm> fleet(int upstreams)
+{
+    std::vector<vm> vms;
+    for (int i = 0; i < upstreams; ++i) {
+        vms.push_back(upstream_vm("vm-" + std::to_string(i),
+                                  "domain-" + std::to_string(i % 7 % 5)));
+        vms.back().region = "region-" + std::to_string(i % 7 % 5 / 2);
+    }
+    return vms;
+}
+
+TEST(subset, is_bounded_and_covers_each_domain)
+{
+    const auto vms = fleet(200);
+    std::map<std::string, std::string> domain_of;
+    for (const auto& each : vms)
+        domain_of[each.id] = each.failure_domain;
+    for (int entry = 0; entry < 50; ++entry) {
+        const auto chosen =
+            choose_subset("entry-" + std::to_string(entry), vms, 24);
+        EXPECT_EQ(chosen.size(), 24U);
+        std::map<std::string, int> counts;
+        for (const auto& id : chosen)
+            ++counts[domain_of.at(id)];
+        EXPECT_EQ(counts.size(), 5U);
+        for (const auto& [domain, count] : counts)
+            EXPECT_LE(count, 24 * 2 / 5) << domain;
+    }
+    EXPECT_EQ(choose_subset("e", fleet(3), 24).size(), 3U);
+    EXPECT_TRUE(choose_subset("e", {}, 24).empty());
+}
+
+TEST(subset, knows_each_upstream_at_about_equally_many_entries)
+{
+    const auto vms = fleet(200);
+    std::map<std::string, int> known;
+    for (int entry = 0; entry < 370; ++entry) {
+        for (const auto& id :
+             choose_subset("entry-" + std::to_string(entry), vms, 24))
+            ++known[id];
+    }
+    int fewest = 370;
+    int most = 0;
+    for (const auto& each : vms) {
+        fewest = std::min(fewest, known[each.id]);
+        most = std::max(most, known[each.id]);
+    }
+    EXPECT_GE(fewest, 20); // 44 on average
+    EXPECT_LE(most, 75);
+}
+
+TEST(subset, changes_little_when_one_leaves)
+{
+    const auto vms = fleet(200);
+    const auto before = choose_subset("entry-1", vms, 24);
+    const std::set<std::string> kept(before.begin(), before.end());
+    for (std::size_t gone = 0; gone < vms.size(); ++gone) {
+        auto rest = vms;
+        rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(gone));
+        int added = 0;
+        for (const auto& id : choose_subset("entry-1", rest, 24))
+            added += kept.contains(id) ? 0 : 1;
+        EXPECT_LE(added, 2);
+    }
+}
+
+TEST(subset, grows_where_entries_are_few)
+{
+    const subset_settings settings;
+    EXPECT_EQ(subset_size(settings, 10, 3), 10U);
+    EXPECT_EQ(subset_size(settings, 41, 370), 24U);
+    EXPECT_EQ(subset_size(settings, 100, 5), 60U);
+    EXPECT_EQ(subset_size(settings, 1200, 3), settings.max_size);
+    EXPECT_EQ(subset_size(settings, 100, 0), 24U);
+}
+
+} // namespace
+} // namespace cyclamenrun
