Take a deleted resource's revision from the listing

Cause: the listing can show tombstones now, whose revision a new resource needs as its base. Ruled out: sending with base 0 first and again after the conflict. Change: cyclamenrunctl lists deleted resources where it looks for a base, and says why a change found by its id was not accepted. Conclusion: one call less, one rule less.

--- a/src/ctl/change_command.cpp
+++ b/src/ctl/change_command.cpp
@@ -35,14 +35,6 @@
     return true;
 }
 
-/** Whether a change that takes the resource for absent met its tombstone. */
-bool met_tombstone(const v1::ChangeRecord& record,
-                   const rpc_outcome<v1::ApplyChangeResponse>& answer)
-{
-    return record.base_revision() == 0 && answer && answer->has_conflict() &&
-           !answer->conflict().has_winner();
-}
-
 } // namespace
 
 change_command::change_command(const ctl_options& options)
@@ -57,7 +49,7 @@
     if (!current)
         return report_rpc_error(current.error());
     using google::protobuf::util::MessageDifferencer;
-    if (*current &&
+    if (*current && (*current)->has_resource() &&
         MessageDifferencer::Equals((*current)->resource(), resource)) {
         if (!json_)
             std::cout << describe(kind, resource_name(resource))
@@ -78,7 +70,7 @@
     const auto current = find(kind, name);
     if (!current)
         return report_rpc_error(current.error());
-    if (!*current) {
+    if (!*current || !(*current)->has_resource()) {
         std::cerr << "error: there is no " << describe(kind, name)
                   << "\n`cyclamenrunctl show` lists what there is.\n";
         return exit_code::not_found;
@@ -117,14 +109,7 @@
 exit_code change_command::change(v1::ChangeRecord record)
 {
     record.set_change_id(make_change_id());
-    auto answer = session_.apply_change(record);
-    // The listing does not show what was deleted, but its last revision
-    // still is the base on which it can be made anew.
-    if (met_tombstone(record, answer)) {
-        record.set_base_revision(answer->conflict().current_revision());
-        record.set_change_id(make_change_id());
-        answer = session_.apply_change(record);
-    }
+    const auto answer = session_.apply_change(record);
     if (!answer) {
         std::cerr << describe(record.kind(), record.name()) << ":\n";
         return report_rpc_error(answer.error());
@@ -180,13 +165,13 @@
 change_command::find(v1::ResourceKind kind, const std::string& name)
 {
     if (!listed_.contains(kind)) {
-        auto response = session_.list_resources(kind);
+        auto response = session_.list_resources(kind, true);
         if (!response)
             return tl::unexpected(response.error());
         listed_.emplace(kind, std::move(*response));
     }
     for (const auto& state : listed_.at(kind).resources()) {
-        if (state.name() == name && state.has_resource())
+        if (state.name() == name)
             return std::optional(state);
     }
     return std::optional<v1::ResourceState>();
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -43,9 +43,11 @@
     const auto& outcome = response.outcome();
     if (outcome.accepted())
         std::cout << "accepted as revision " << outcome.revision() << '\n';
+    else if (outcome.result() == v1::CHANGE_RESULT_INVALID)
+        std::cout << "not accepted: it breaks the rules of its resource\n";
     else
-        std::cout << "not accepted; revision " << outcome.revision()
-                  << " was in force\n";
+        std::cout << "not accepted: revision " << outcome.revision()
+                  << " came first\n";
 }
 
 } // namespace
@@ -78,7 +80,7 @@
 
 exit_code run_show(const ctl_options& options, v1::ResourceKind kind)
 {
-    const auto response = operator_session(options).list_resources(kind);
+    const auto response = operator_session(options).list_resources(kind, false);
     if (!response)
         return report_rpc_error(response.error());
     if (options.json)
--- a/src/ctl/operator_session.cpp
+++ b/src/ctl/operator_session.cpp
@@ -40,10 +40,12 @@
 }
 
 rpc_outcome<v1::ListResourcesResponse>
-operator_session::list_resources(v1::ResourceKind kind) const
+operator_session::list_resources(v1::ResourceKind kind,
+                                 bool include_deleted) const
 {
     v1::ListResourcesRequest request;
     request.set_kind(kind);
+    request.set_include_deleted(include_deleted);
     return query<v1::ListResourcesResponse>("ListResources", request,
                                             deadline_);
 }
--- a/src/ctl/operator_session.hpp
+++ b/src/ctl/operator_session.hpp
@@ -23,7 +23,7 @@
     drain_upstream(const std::string& upstream) const;
 
     rpc_outcome<v1::ListResourcesResponse>
-    list_resources(v1::ResourceKind kind) const;
+    list_resources(v1::ResourceKind kind, bool include_deleted) const;
     rpc_outcome<v1::FindChangeResponse>
     find_change(const std::string& change_id) const;
     rpc_outcome<v1::ListRevisionsResponse> list_revisions() const;
--- a/tests/product/fake_entry.cpp
+++ b/tests/product/fake_entry.cpp
@@ -148,7 +148,8 @@
     v1::ListResourcesResponse response;
     response.set_revision(revision_);
     for (const auto& [name, state] : states_) {
-        if (state.kind() == request.kind() && state.has_resource())
+        const bool shown = state.has_resource() || request.include_deleted();
+        if (state.kind() == request.kind() && shown)
             *response.add_resources() = state;
     }
     return response;
