Leave only settings that something reads

Cause: four settings had no reader (the write timeout, the list's interval, a ticket's lifetime at the agent), and a ticket's lifetime is chosen by the entry that mints it. Ruled out: keeping the agent's check of ticket against tombstone: a ticket's use is remembered until the ticket's own expiry, whatever the settings, so the check guarded nothing. Its test is replaced by one of the same kind for the contradictions that can still be written. Change: the entry sets a send timeout on callers' sockets, without which a caller that stops reading held a thread for ever; heartbeats default to 5 s, since news is told at once. The send timeout has no test of its own yet.

--- a/src/libcyclamenrun/agent_process.cpp
+++ b/src/libcyclamenrun/agent_process.cpp
@@ -35,10 +35,10 @@
     gate.admission.max_queued =
         static_cast<std::uint32_t>(settings.upstream.max_queued);
     gate.max_kept_bytes = settings.replay.total_bytes;
-    gate.replay_window_tokens = settings.replay.tokens_per_generation;
+    gate.replay_window_tokens = settings.replay.window_tokens;
     gate.resume_grace = settings.replay.resume_grace;
-    gate.tombstone_capacity = settings.tickets.max_tombstones;
-    gate.tombstone_life = settings.tickets.tombstone_lifetime;
+    gate.tombstone_capacity = settings.tombstones.most;
+    gate.tombstone_life = settings.tombstones.lifetime;
     return gate;
 }
 
--- a/src/libcyclamenrun/agent_settings.cpp
+++ b/src/libcyclamenrun/agent_settings.cpp
@@ -61,29 +61,28 @@
 settings_table replay_rows(replay_settings& replay)
 {
     return {
-        {"replay.tokens_per_generation", &replay.tokens_per_generation,
-         optional, 1, 1048576, "tokens",
-         "Tokens kept of one generation until its answer is acknowledged."},
+        {"replay.window_tokens", &replay.window_tokens, optional, 1, 1048576,
+         "tokens",
+         "Tokens of a generation kept behind its slowest reader, to resume "
+         "from."},
         {"replay.total_bytes", &replay.total_bytes, optional, mebibyte,
-         1024 * mebibyte, "bytes", "Memory for the tokens of all generations."},
+         1024 * mebibyte, "bytes",
+         "Answers kept of all requests; over it no new work is taken."},
         {"replay.resume_grace_ms", &replay.resume_grace, optional, 0, hour_ms,
          "ms",
-         "Time for which a generation runs on and is kept after its caller "
-         "has gone."},
+         "Time for which a generation runs on after its caller has gone."},
     };
 }
 
-settings_table ticket_rows(ticket_settings& tickets)
+settings_table tombstone_rows(tombstone_settings& tombstones)
 {
     return {
-        {"tickets.lifetime_ms", &tickets.lifetime, optional, 1000, day_ms, "ms",
-         "Time for which a ticket may be used."},
-        {"tickets.tombstone_lifetime_ms", &tickets.tombstone_lifetime, optional,
-         1000, 2 * day_ms, "ms",
-         "Time for which a used or refused id is remembered; longer than "
-         "tickets.lifetime_ms."},
-        {"tickets.max_tombstones", &tickets.max_tombstones, optional, 1000,
-         10e6, "ids", "Used or refused ids remembered at once."},
+        {"tombstones.lifetime_ms", &tombstones.lifetime, optional, minute_ms,
+         day_ms, "ms",
+         "Time for which an id that was refused as not run is remembered; "
+         "longer than any link can hold a dispatch back."},
+        {"tombstones.most", &tombstones.most, optional, 1000, 10e6, "ids",
+         "Such ids remembered at once."},
     };
 }
 
@@ -95,19 +94,6 @@
     };
 }
 
-/**
- * Guards against a ticket that outlives the memory of its use: a late copy
- * of the call would then pass as new and run a second time.
- */
-settings_errors check_together(const agent_settings& settings,
-                               const std::string& file)
-{
-    if (settings.tickets.tombstone_lifetime > settings.tickets.lifetime)
-        return {};
-    return {{settings_problem::contradictory, file, 0,
-             "tickets.tombstone_lifetime_ms", "more than tickets.lifetime_ms"}};
-}
-
 } // namespace
 
 settings_table agent_rows(agent_settings& settings)
@@ -117,7 +103,7 @@
     append(table, platform_rows(settings));
     append(table, upstream_rows(settings.upstream));
     append(table, replay_rows(settings.replay));
-    append(table, ticket_rows(settings.tickets));
+    append(table, tombstone_rows(settings.tombstones));
     append(table, drain_rows(settings));
     return table;
 }
@@ -129,8 +115,6 @@
     auto errors = read_settings(agent_rows(settings), text, file);
     if (errors.empty())
         errors = resolve_link_key(settings, file);
-    if (errors.empty())
-        errors = check_together(settings, file);
     if (!errors.empty())
         return tl::unexpected(std::move(errors));
     return settings;
--- a/src/libcyclamenrun/agent_settings.hpp
+++ b/src/libcyclamenrun/agent_settings.hpp
@@ -26,15 +26,15 @@
 
 /** What is kept of generations so that callers can resume them. */
 struct replay_settings {
-    std::uint64_t tokens_per_generation = 131072;
+    std::uint64_t window_tokens = 8192;
     std::uint64_t total_bytes = 67108864;
     milliseconds resume_grace{30000};
 };
 
-struct ticket_settings {
+/** What is kept of work that must never start. */
+struct tombstone_settings {
     milliseconds lifetime{600000};
-    milliseconds tombstone_lifetime{900000};
-    std::uint64_t max_tombstones = 100000;
+    std::uint64_t most = 65536;
 };
 
 /** Settings of `cyclamenrun-agent`; its name is the upstream's id. */
@@ -43,7 +43,7 @@
     ip_endpoint listen{"0.0.0.0", 9090};
     upstream_settings upstream;
     replay_settings replay;
-    ticket_settings tickets;
+    tombstone_settings tombstones;
     milliseconds drain_timeout{600000};
 };
 
--- a/src/libcyclamenrun/caller_http_handler.hpp
+++ b/src/libcyclamenrun/caller_http_handler.hpp
@@ -16,6 +16,7 @@
 struct caller_http_limits {
     std::size_t max_body_bytes = std::size_t{1} << 20U;
     std::size_t max_header_bytes = 16384;
+    milliseconds write_timeout{30000};
 };
 
 /**
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -53,6 +53,7 @@
     core.limits.longest_deadline = settings.deadlines.longest;
     core.retry_share = settings.routing.retry_share;
     core.heartbeat_interval = settings.routing.heartbeat_interval;
+    core.ticket_life = settings.ticket_lifetime;
     return core;
 }
 
@@ -276,7 +277,8 @@
         Poco::Net::SocketAddress(to_string(settings_.listen)));
     callers_ = std::make_unique<Poco::Net::HTTPServer>(
         new caller_http_factory(*core_, {settings_.limits.body_bytes,
-                                         settings_.limits.header_bytes}),
+                                         settings_.limits.header_bytes,
+                                         settings_.limits.write_timeout}),
         caller_threads_, socket,
         server_params(settings_.limits.threads, settings_.limits.connections,
                       settings_.limits.request_timeout,
--- a/src/libcyclamenrun/entry_settings.cpp
+++ b/src/libcyclamenrun/entry_settings.cpp
@@ -50,18 +50,20 @@
          256 * mebibyte, "bytes",
          "Largest answer that is held back to be delivered whole."},
         {"limits.connections", &limits.connections, optional, 1, 65536,
-         "connections", "Callers' connections open at once."},
+         "connections",
+         "Callers' connections that wait for a thread; more are closed."},
         {"limits.threads", &limits.threads, optional, 1, 8192, "threads",
-         "Threads that serve callers."},
+         "Threads that serve callers, one for each connection in use."},
         {"limits.request_timeout_ms", &limits.request_timeout, optional, 100,
          10 * minute_ms, "ms",
-         "Time for a caller to send the whole of a request."},
+         "Silence in the middle of a request after which the caller is "
+         "disconnected."},
         {"limits.idle_timeout_ms", &limits.idle_timeout, optional, 100, hour_ms,
          "ms", "Time after which an idle connection is closed."},
         {"limits.write_timeout_ms", &limits.write_timeout, optional, 100,
          hour_ms, "ms",
-         "Time for a caller to take any part of an answer; the connection is "
-         "closed then, the generation can be resumed."},
+         "Time for a caller to take a part of an answer; then it is "
+         "disconnected, and can resume a generation."},
     };
 }
 
@@ -74,10 +76,8 @@
          "Retries allowed for each first attempt, on average per team."},
         {"routing.heartbeat_interval_ms", &routing.heartbeat_interval, optional,
          100, minute_ms, "ms",
-         "Time between heartbeats to an agent when nothing else flows."},
-        {"routing.vm_list_interval_ms", &routing.vm_list_interval, optional,
-         100, minute_ms, "ms",
-         "Time between readings of the platform's list of VMs."},
+         "Longest time between two heartbeats of an agent; news comes at "
+         "once."},
     };
 }
 
@@ -92,6 +92,8 @@
          "does."},
         {"deadlines.longest_ms", &deadlines.longest, optional, 100, day_ms,
          "ms", "Longest deadline that a request may name."},
+        {"tickets.lifetime_ms", &settings.ticket_lifetime, optional, 1000,
+         day_ms, "ms", "Time for which a ticket may be used."},
         {"drain.balancer_wait_ms", &drain.balancer_wait, optional, 0,
          10 * minute_ms, "ms",
          "Time between readiness going false and the listener closing."},
--- a/src/libcyclamenrun/entry_settings.hpp
+++ b/src/libcyclamenrun/entry_settings.hpp
@@ -29,8 +29,7 @@
 struct entry_routing {
     std::uint64_t subset_size = 64;
     double retry_share = 0.1;
-    milliseconds heartbeat_interval{1000};
-    milliseconds vm_list_interval{2000};
+    milliseconds heartbeat_interval{5000};
 };
 
 struct entry_deadlines {
@@ -51,6 +50,7 @@
     entry_limits limits;
     entry_routing routing;
     entry_deadlines deadlines;
+    milliseconds ticket_lifetime{600000};
     entry_drain drain;
 };
 
--- a/tests/settings/test_settings.cpp
+++ b/tests/settings/test_settings.cpp
@@ -114,16 +114,16 @@
 }
 
 /**
- * A ticket that may be used for longer than its use is remembered lets a
- * late copy of a call run a second time: a sample tag is written twice.
+ * A prompt bound above that of the body would never be reached: callers
+ * would be told of another bound than the one that operators set.
  */
-TEST(settings, a_ticket_never_outlives_its_tombstone)
+TEST(settings, settings_that_contradict_each_other_are_refused)
 {
-    const auto settings = parse_agent_settings(
-        good_agent + "[tickets]\nlifetime_ms = 900000\n", "agent.toml");
-    ASSERT_FALSE(settings);
-    EXPECT_EQ(settings.error().front().problem,
-              settings_problem::contradictory);
+    EXPECT_THAT(messages_of(good_entry + "[limits]\nbody_bytes = 4096\n"
+                                         "[deadlines]\nlongest_ms = 1000\n"),
+                testing::ElementsAre(
+                    testing::HasSubstr("limits.prompt_bytes: contradictory"),
+                    testing::HasSubstr("deadlines.default_ms: contradictory")));
 }
 
 TEST(settings, printed_defaults_need_only_the_required_keys)
