--- a/bench/trial.cpp
+++ b/bench/trial.cpp
@@ -343,10 +343,15 @@
 std::vector<candidate> simulation::candidates_of(const bench_entry&) const
 {
     std::vector<candidate> made;
-    for (std::size_t i = 0; i < agents_.size(); ++i)
-        if (listed_[i] && agents_[i]->cut_until <= now_)
-            made.push_back(
-                {agents_[i]->name, agents_[i]->failure_domain, "", 1, i + 1});
+    for (std::size_t i = 0; i < agents_.size(); ++i) {
+        if (!listed_[i] || agents_[i]->cut_until > now_)
+            continue;
+        auto& each = made.emplace_back();
+        each.upstream = agents_[i]->name;
+        each.failure_domain = agents_[i]->failure_domain;
+        each.incarnation = 1;
+        each.hash = i + 1;
+    }
     return made;
 }
 
--- a/src/libcyclamenrun/agent_links.cpp
+++ b/src/libcyclamenrun/agent_links.cpp
@@ -177,7 +177,7 @@
 
 std::shared_ptr<client_stream> agent_links::open(const agent_address& agent,
                                                  const std::string& path,
-                                                 std::string frame,
+                                                 const std::string& frame,
                                                  client_handlers handlers)
 {
     const auto client = state_->client_of(agent.address);
@@ -185,14 +185,13 @@
         handlers.on_end({false, link_failure::cancelled, false});
         return nullptr;
     }
-    return client->open(path, std::move(frame), std::move(handlers));
+    return client->open(path, frame, std::move(handlers));
 }
 
 void agent_links::send(const agent_address& agent, const std::string& path,
-                       std::string frame)
+                       const std::string& frame)
 {
-    open(agent, path, std::move(frame),
-         {[](const std::string&) {}, [](stream_end) {}});
+    open(agent, path, frame, {[](const std::string&) {}, [](stream_end) {}});
 }
 
 void agent_links::close()
--- a/src/libcyclamenrun/agent_links.hpp
+++ b/src/libcyclamenrun/agent_links.hpp
@@ -59,11 +59,11 @@
 
     std::shared_ptr<client_stream> open(const agent_address& agent,
                                         const std::string& path,
-                                        std::string frame,
+                                        const std::string& frame,
                                         client_handlers handlers);
     /** Sends one message; what comes of it matters to nobody. */
     void send(const agent_address& agent, const std::string& path,
-              std::string frame);
+              const std::string& frame);
     void close();
 
 private:
--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -229,7 +229,7 @@
 
 outcome<std::string> entry_core::ask_agent(const std::string& upstream,
                                            const std::string& path,
-                                           std::string frame,
+                                           const std::string& frame,
                                            time_point deadline)
 {
     const auto agent = routes_.members().find(upstream);
@@ -249,8 +249,8 @@
         if (!told->exchange(true))
             answer->set_value({});
     };
-    const auto stream = links_.open(address_of(*agent), path, std::move(frame),
-                                    std::move(handlers));
+    const auto stream =
+        links_.open(address_of(*agent), path, frame, std::move(handlers));
     if (future.wait_until(deadline) != std::future_status::ready) {
         if (stream)
             stream->cancel();
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -78,7 +78,8 @@
     void on_vm_list(const vm_list& list);
     /** One message to an agent and its one answer, waited for. */
     outcome<std::string> ask_agent(const std::string& upstream,
-                                   const std::string& path, std::string frame,
+                                   const std::string& path,
+                                   const std::string& frame,
                                    time_point deadline);
 
     /** Says not ready, so that the balancer sends no more; all still works. */
--- a/src/libcyclamenrun/gate.cpp
+++ b/src/libcyclamenrun/gate.cpp
@@ -129,7 +129,7 @@
     const auto work = take_in(dispatch, now);
     if (!work)
         return tl::unexpected(work.error());
-    const auto reader = sessions_.attach(*work, id, 0);
+    auto reader = sessions_.attach(*work, id, 0);
     admit(now, todo);
     return reader;
 }
--- a/src/libcyclamenrun/log_tailer.cpp
+++ b/src/libcyclamenrun/log_tailer.cpp
@@ -70,7 +70,7 @@
         // A fresh process must not wait for news before it knows that it
         // has reached the end: on a quiet log it would stay unready so long.
         const milliseconds pause =
-            pass(store_.ready() ? settings_.read_wait : milliseconds(0));
+            pass(saw_end_ ? settings_.read_wait : milliseconds(0));
         lock.lock();
         stopped_.wait_for(lock, pause, [this] { return stopping_; });
     }
--- a/src/libcyclamenrun/team_desk.cpp
+++ b/src/libcyclamenrun/team_desk.cpp
@@ -63,7 +63,7 @@
 {
     const team_limits limits{team.max_concurrent(), team.tokens_per_second()};
     return ledgers_.with(team.name(), [&](ledger& its) {
-        const auto started =
+        auto started =
             its.limiter.start(team.name(), limits, prompt_tokens, now);
         if (started)
             its.retries.request(team.name());
