Tell revisions and changes at once, of entries too

Agents answered a held heartbeat only when its 5 s were up, though their revision had moved; and entries know nothing of each other. Ruled out: the log (its part was 0.2 s). Change: a heartbeat names the revision that the entry last heard of, so a newer one is news; agents tell on request which entries beat with them and at which revision.

--- /dev/null
+++ b/src/libcyclamenrun/agent_question.cpp
@@ -0,0 +1,44 @@
+#include "agent_question.hpp"
+
+namespace cyclamenrun
+{
+
+client_handlers agent_question::handlers()
+{
+    client_handlers handlers;
+    handlers.on_frame = [self = shared_from_this()](std::string frame) {
+        self->end(std::move(frame));
+    };
+    handlers.on_end = [self = shared_from_this()](stream_end) {
+        self->end(std::nullopt);
+    };
+    return handlers;
+}
+
+void agent_question::asked_by(std::shared_ptr<client_stream> stream)
+{
+    const std::scoped_lock lock(mutex_);
+    stream_ = std::move(stream);
+}
+
+std::optional<std::string> agent_question::wait(time_point deadline)
+{
+    std::unique_lock lock(mutex_);
+    ended_cv_.wait_until(lock, deadline, [this] { return ended_; });
+    if (!ended_ && stream_)
+        stream_->cancel();
+    stream_.reset();
+    return answer_;
+}
+
+void agent_question::end(std::optional<std::string> answer)
+{
+    const std::scoped_lock lock(mutex_);
+    if (ended_)
+        return;
+    ended_ = true;
+    answer_ = std::move(answer);
+    ended_cv_.notify_all();
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/agent_server.cpp
+++ b/src/libcyclamenrun/agent_server.cpp
@@ -3,6 +3,7 @@
 #include "link_loop.hpp"
 #include "link_server.hpp"
 #include "log_event.hpp"
+#include "operator.pb.h"
 #include "server_stream.hpp"
 
 #include <algorithm>
@@ -86,6 +87,8 @@
         heartbeat(stream);
     else if (path == "/drain")
         drain(stream);
+    else if (path == "/revisions")
+        stream->respond_once(entry_revisions());
     else if (path == "/dump")
         stream->respond_once(hooks_.dump());
     else
@@ -192,8 +195,10 @@
         stream->respond_once({});
         return;
     }
-    if (hooks_.configuration)
-        hooks_.configuration(pending.request);
+    hooks_.configuration(pending.request);
+    entries_.note({pending.request.entry(), process_role::entry,
+                   pending.request.failure_domain()},
+                  pending.request.config_revision(), pending.deadline);
     gate_.merge_marks(
         {pending.request.marks().begin(), pending.request.marks().end()},
         pending.deadline);
@@ -228,6 +233,7 @@
 bool agent_server::has_news(const link::Heartbeat& request) const
 {
     return request.known_change() != gate_.load_change() ||
+           request.known_revision() != hooks_.revision() ||
            request.marks_seen() != gate_.marks_version();
 }
 
@@ -236,7 +242,7 @@
 {
     link::HeartbeatReply reply;
     *reply.mutable_load() = gate_.load(clock_());
-    reply.set_config_revision(hooks_.revision ? hooks_.revision() : 0);
+    reply.set_config_revision(hooks_.revision());
     reply.set_load_change(gate_.load_change());
     reply.set_marks_version(gate_.marks_version());
     // A peer that knows a later version knew another incarnation's.
@@ -247,6 +253,14 @@
     return reply;
 }
 
+std::string agent_server::entry_revisions() const
+{
+    v1::ListRevisionsResponse response;
+    for (auto& row : entries_.list(clock_()))
+        *response.add_processes() = std::move(row);
+    return response.SerializeAsString();
+}
+
 void agent_server::wake(reader_id reader)
 {
     stream_pointer stream;
--- a/src/libcyclamenrun/agent_server.hpp
+++ b/src/libcyclamenrun/agent_server.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_AGENT_SERVER_HPP
 
 #include "clock.hpp"
+#include "configuration_revisions.hpp"
 #include "gate.hpp"
 #include "link_limits.hpp"
 
@@ -77,6 +78,8 @@
     void answer_heartbeats();
     bool has_news(const link::Heartbeat& request) const;
     link::HeartbeatReply reply_to(const link::Heartbeat& request) const;
+    /** The revisions in force at the entries that beat with this agent. */
+    std::string entry_revisions() const;
     void schedule_tick();
 
     link_loop& loop_;
@@ -87,6 +90,7 @@
     std::mutex mutex_;
     std::unordered_map<reader_id, std::weak_ptr<server_stream>> streams_;
     std::list<pending_heartbeat> heartbeats_;
+    configuration_revisions entries_;
 
     /** Timers on the loop outlive this object; they look here first. */
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -1,10 +1,11 @@
 #include "entry_core.hpp"
 
+#include "agent_question.hpp"
 #include "caller_writer.hpp"
 #include "log_event.hpp"
+#include "operator.pb.h"
 
 #include <algorithm>
-#include <future>
 
 namespace cyclamenrun
 {
@@ -236,44 +237,51 @@
     if (!agent)
         return tl::unexpected(not_run(refusal_reason::no_upstream,
                                       "no upstream of this name is listed"));
-    // Shared with the link's thread, which may answer after the deadline.
-    const auto answer = std::make_shared<std::promise<std::string>>();
-    const auto told = std::make_shared<std::atomic<bool>>(false);
-    auto future = answer->get_future();
-    client_handlers handlers;
-    handlers.on_frame = [answer, told](std::string text) {
-        if (!told->exchange(true))
-            answer->set_value(std::move(text));
-    };
-    handlers.on_end = [answer, told](stream_end) {
-        if (!told->exchange(true))
-            answer->set_value({});
-    };
-    const auto stream =
-        links_.open(address_of(*agent), path, frame, std::move(handlers));
-    if (future.wait_until(deadline) != std::future_status::ready) {
-        if (stream)
-            stream->cancel();
+    const auto answer = ask(address_of(*agent), path, frame)->wait(deadline);
+    if (!answer)
         return tl::unexpected(
             outcome_unknown(refusal_reason::agent_lost, "no answer in time"));
+    return *answer;
+}
+
+std::shared_ptr<agent_question> entry_core::ask(const agent_address& agent,
+                                                const std::string& path,
+                                                const std::string& frame)
+{
+    auto question = std::make_shared<agent_question>();
+    question->asked_by(links_.open(agent, path, frame, question->handlers()));
+    return question;
+}
+
+void entry_core::gather_entry_revisions(time_point deadline)
+{
+    std::vector<std::shared_ptr<agent_question>> questions;
+    for (const auto& agent : routes_.members().subset())
+        questions.push_back(ask(address_of(agent), "/revisions", {}));
+    for (const auto& question : questions) {
+        v1::ListRevisionsResponse response;
+        const auto answer = question->wait(deadline);
+        if (!answer || !response.ParseFromString(*answer))
+            continue;
+        for (const auto& row : response.processes())
+            revisions_.note(
+                {row.process(), process_role::entry, row.failure_domain()},
+                row.revision(), clock_() - milliseconds(row.heard_ms_ago()));
     }
-    auto text = future.get();
-    if (text.empty())
-        return tl::unexpected(
-            outcome_unknown(refusal_reason::agent_lost, "no answer"));
-    return text;
 }
 
 link::Heartbeat entry_core::make_heartbeat(const std::string& upstream)
 {
     link::Heartbeat heartbeat;
     heartbeat.set_entry(settings_.name);
+    heartbeat.set_failure_domain(settings_.routes.own_failure_domain);
     heartbeat.set_config_revision(configuration_.revision());
     heartbeat.set_wait_ms(
         static_cast<std::uint64_t>(settings_.heartbeat_interval.count()));
     const auto known = news_.with(
         upstream, [&](agent_news_map& news) { return news[upstream]; });
     heartbeat.set_known_change(known.load_change);
+    heartbeat.set_known_revision(known.revision);
     if (configuration_.ready() && known.revision < configuration_.revision())
         heartbeat.set_config_delta(
             configuration_.delta_after(known.revision).SerializeAsString());
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -26,6 +26,7 @@
 namespace cyclamenrun
 {
 
+class agent_question;
 class caller_writer;
 class link_loop;
 
@@ -82,6 +83,9 @@
                                    const std::string& frame,
                                    time_point deadline);
 
+    /** Asks the agents of the subset which entries hold which revision. */
+    void gather_entry_revisions(time_point deadline);
+
     /** Says not ready, so that the balancer sends no more; all still works. */
     void start_stopping() { stopping_ = true; }
     /** Refuses new work from now on; what runs goes on. */
@@ -107,6 +111,9 @@
 
     relay_hooks relay_hooks_for(const caller_session& caller);
     relay_runner_hooks runner_hooks(const std::string& service);
+    std::shared_ptr<agent_question> ask(const agent_address& agent,
+                                        const std::string& path,
+                                        const std::string& frame);
     link::Heartbeat make_heartbeat(const std::string& upstream);
     void on_heartbeat(const std::string& upstream,
                       const link::HeartbeatReply& reply);
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -35,6 +35,7 @@
 constexpr int idle_thread_seconds = 60;
 constexpr milliseconds log_call_limit{5'000};
 constexpr milliseconds operator_deadline{10'000};
+constexpr milliseconds revisions_wait{1'000};
 constexpr milliseconds drain_poll{20};
 
 entry_core_settings core_settings_of(const entry_settings& settings)
@@ -227,6 +228,7 @@
         [this](const auto& request) { return queries_->find_change(request); });
     router.add_method<v1::ListRevisionsRequest, v1::ListRevisionsResponse>(
         service, "ListRevisions", [this](const auto& request) {
+            core_->gather_entry_revisions(steady_now() + revisions_wait);
             return queries_->list_revisions(request);
         });
     router.add_method<v1::DumpStateRequest, v1::DumpStateResponse>(
