Let one cancellation end all calls under it

Cause: a cancellation held one hook, but an entry's operators' calls and its log reader wait under the same one, so that the second attach took the first one's hook and its end left the reader without any; a stop then waited for the read to end by itself.

Change: a hook for each call, detached by number.

--- a/src/libcyclamenrun/cancellation.cpp
+++ b/src/libcyclamenrun/cancellation.cpp
@@ -9,8 +9,8 @@
 {
     const std::lock_guard guard(lock_);
     cancelled_ = true;
-    if (hook_)
-        hook_();
+    for (const auto& [attachment, hook] : hooks_)
+        hook();
 }
 
 bool cancellation::cancelled() const
@@ -19,18 +19,19 @@
     return cancelled_;
 }
 
-void cancellation::attach(std::function<void()> hook)
+std::uint64_t cancellation::attach(std::function<void()> hook)
 {
     const std::lock_guard guard(lock_);
-    hook_ = std::move(hook);
     if (cancelled_)
-        hook_();
+        hook();
+    hooks_.emplace(++last_attachment_, std::move(hook));
+    return last_attachment_;
 }
 
-void cancellation::detach()
+void cancellation::detach(std::uint64_t attachment)
 {
     const std::lock_guard guard(lock_);
-    hook_ = nullptr;
+    hooks_.erase(attachment);
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http_exchange.cpp
+++ b/src/libcyclamenrun/http_exchange.cpp
@@ -69,7 +69,7 @@
 http_exchange::~http_exchange()
 {
     if (cancellation_)
-        cancellation_->detach();
+        cancellation_->detach(attachment_);
 }
 
 tl::expected<http_head, http_error>
@@ -158,7 +158,7 @@
         return;
     cancellation_ = cancel;
     auto handle = std::make_shared<shutdown_handle>(socket_->sockfd());
-    cancel->attach([handle] { handle->shut_down(); });
+    attachment_ = cancel->attach([handle] { handle->shut_down(); });
 }
 
 void http_exchange::send(const http_request& request)
--- a/src/libcyclamenrun/http_exchange.hpp
+++ b/src/libcyclamenrun/http_exchange.hpp
@@ -110,6 +110,7 @@
     http_deadline_socket* socket_ = nullptr; ///< owned by the session
     std::istream* body_ = nullptr;
     cancellation* cancellation_ = nullptr;
+    std::uint64_t attachment_ = 0;
     std::string buffer_;
     std::size_t received_ = 0;
     std::optional<std::size_t> expected_;
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -161,6 +161,30 @@
     EXPECT_FALSE(later.error().may_have_run);
 }
 
+// A daemon takes ten seconds to stop: two of its threads wait under the same
+// cancellation, one ends, and the other is no longer woken.
+TEST(http_exchange, one_cancellation_ends_all_calls_under_it)
+{
+    std::promise<void> waiting;
+    const scripted_server slow([&](Poco::Net::StreamSocket& connection) {
+        scripted_server::take_request(connection);
+        waiting.set_value();
+        scripted_server::wait_for_close(connection);
+    });
+    const scripted_server quick(
+        scripted_server::reply("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
+    cancellation cancel;
+    std::thread other([&] {
+        waiting.get_future().wait();
+        EXPECT_TRUE(ask(quick.address(), generous, {}, &cancel));
+        cancel.cancel();
+    });
+    const auto answer = ask(slow.address(), generous, {}, &cancel);
+    other.join();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::cancelled);
+}
+
 TEST(http_exchange, any_bytes_for_an_answer_end_it_by_type)
 {
     scripted_server server;
