--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -179,9 +179,11 @@
         EXPECT_TRUE(ask(quick.address(), generous, {}, &cancel));
         cancel.cancel();
     });
+    const auto deadline = steady_now() + generous;
     const auto answer = ask(slow.address(), generous, {}, &cancel);
     other.join();
     ASSERT_FALSE(answer);
+    EXPECT_LT(steady_now(), deadline);
     EXPECT_EQ(answer.error().failure, http_failure::cancelled);
 }
 
