--- /dev/null
+++ b/tests/support/caller_stream.hpp
@@ -0,0 +1,147 @@
+#ifndef CYCLAMENRUN_TESTS_CALLER_STREAM_HPP
+#define CYCLAMENRUN_TESTS_CALLER_STREAM_HPP
+
+#include "generation_id.hpp"
+#include "http_exchange.hpp"
+#include "http_json.hpp"
+#include "sse_parser.hpp"
+
+#include <Poco/JSON/Array.h>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::testing_support
+{
+
+/** How a stream stands, as its caller sees it. */
+enum class stream_end_kind : std::uint8_t { open, whole, refused, lost };
+
+struct told_refusal {
+    std::string kind;
+    std::string reason;
+};
+
+/** What an error body of an entry says; empty if it is none. */
+inline std::optional<told_refusal> read_refusal(const std::string& body)
+{
+    const auto document = parse_json_object(body);
+    const auto error =
+        document ? json_object(*document, "error") : Poco::JSON::Object::Ptr{};
+    if (!error)
+        return {};
+    return told_refusal{json_string(*error, "kind").value_or(""),
+                        json_string(*error, "reason").value_or("")};
+}
+
+/** A caller that reads a generation's events at its own pace. */
+class caller_stream
+{
+public:
+    caller_stream(const std::string& address, const http_request& request)
+        : exchange_(std::make_unique<http_exchange>(address, http_limits{},
+                                                    steady_now))
+    {
+        const auto head = exchange_->start(request);
+        if (!head) {
+            end_ = stream_end_kind::lost;
+            return;
+        }
+        status_ = head->status;
+        if (head->content_type != "text/event-stream")
+            take_body();
+    }
+
+    /** Reads until there are so many tokens, or the end. */
+    void read_tokens(std::size_t count)
+    {
+        while (positions_.size() < count && end_ == stream_end_kind::open)
+            read_more();
+    }
+
+    void read_all()
+    {
+        while (end_ == stream_end_kind::open)
+            read_more();
+    }
+
+    /** Closes the connection without reading on. */
+    void hang_up()
+    {
+        exchange_.reset();
+        end_ = stream_end_kind::lost;
+    }
+
+    int status() const { return status_; }
+    stream_end_kind end() const { return end_; }
+    const std::string& text() const { return text_; }
+    const std::string& finish_reason() const { return finish_reason_; }
+    const std::string& last_event_id() const { return last_event_id_; }
+    const std::vector<stream_position>& positions() const { return positions_; }
+    const told_refusal& refusal() const { return refusal_; }
+
+private:
+    void read_more()
+    {
+        const auto bytes = exchange_->read();
+        if (!bytes || bytes->empty()) {
+            end_ = stream_end_kind::lost;
+            return;
+        }
+        const auto fed = parser_.feed(*bytes, [this](sse_event&& event) {
+            take(event);
+            return end_ == stream_end_kind::open;
+        });
+        if (!fed)
+            end_ = stream_end_kind::lost;
+    }
+
+    void take_body()
+    {
+        std::string body;
+        for (auto bytes = exchange_->read(); bytes && !bytes->empty();
+             bytes = exchange_->read())
+            body.append(*bytes);
+        const auto told = read_refusal(body);
+        end_ = told ? stream_end_kind::refused : stream_end_kind::lost;
+        refusal_ = told.value_or(told_refusal{});
+    }
+
+    void take(const sse_event& event)
+    {
+        if (event.type == "error") {
+            end_ = stream_end_kind::refused;
+            refusal_ = read_refusal(event.data).value_or(told_refusal{});
+            return;
+        }
+        if (event.data == "[DONE]") {
+            end_ = stream_end_kind::whole;
+            return;
+        }
+        const auto chunk = parse_json_object(event.data);
+        const auto choice = json_array(*chunk, "choices")->getObject(0);
+        finish_reason_ = json_string(*choice, "finish_reason").value_or("");
+        if (event.id.empty())
+            return;
+        text_ += json_string(*choice, "text").value_or("");
+        last_event_id_ = event.id;
+        positions_.push_back(
+            parse_stream_position(event.id).value_or(stream_position{}));
+    }
+
+    std::unique_ptr<http_exchange> exchange_;
+    sse_parser parser_;
+    int status_ = 0;
+    stream_end_kind end_ = stream_end_kind::open;
+    std::string text_;
+    std::string finish_reason_;
+    std::string last_event_id_;
+    std::vector<stream_position> positions_;
+    told_refusal refusal_;
+};
+
+} // namespace cyclamenrun::testing_support
+
+#endif // CYCLAMENRUN_TESTS_CALLER_STREAM_HPP
--- /dev/null
+++ b/tests/support/tcp_relay.hpp
@@ -0,0 +1,174 @@
+#ifndef CYCLAMENRUN_TESTS_TCP_RELAY_HPP
+#define CYCLAMENRUN_TESTS_TCP_RELAY_HPP
+
+#include <Poco/Exception.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <array>
+#include <condition_variable>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace cyclamenrun::testing_support
+{
+
+enum class way : std::size_t { to_target, to_caller };
+
+/** A link that a test can cut, stall one way, and heal. */
+class tcp_relay
+{
+public:
+    explicit tcp_relay(std::string target)
+        : target_(std::move(target)),
+          socket_(Poco::Net::SocketAddress("127.0.0.1:0")),
+          acceptor_([this] { accept(); })
+    {
+    }
+
+    ~tcp_relay()
+    {
+        cut();
+        {
+            const std::lock_guard guard(lock_);
+            stopping_ = true;
+        }
+        // Wakes the accept.
+        Poco::Net::StreamSocket(socket_.address()).close();
+        acceptor_.join();
+        for (auto& thread : pumps_)
+            thread.join();
+    }
+
+    tcp_relay(const tcp_relay&) = delete;
+    tcp_relay& operator=(const tcp_relay&) = delete;
+
+    std::string address() const { return socket_.address().toString(); }
+
+    /** For new connections, after the target has come back elsewhere. */
+    void lead_to(const std::string& target)
+    {
+        const std::lock_guard guard(lock_);
+        target_ = target;
+    }
+
+    /** Ends all connections, and each new one at once, until healed. */
+    void cut()
+    {
+        const std::lock_guard guard(lock_);
+        cut_ = true;
+        for (auto& open : connections_)
+            open.shut_down();
+        changed_.notify_all();
+    }
+
+    /** Holds what goes this way back until healed; nothing is lost. */
+    void stall(way direction)
+    {
+        const std::lock_guard guard(lock_);
+        stalled_[static_cast<std::size_t>(direction)] = true;
+    }
+
+    void heal()
+    {
+        const std::lock_guard guard(lock_);
+        cut_ = false;
+        stalled_ = {};
+        changed_.notify_all();
+    }
+
+private:
+    struct connection {
+        Poco::Net::StreamSocket caller;
+        Poco::Net::StreamSocket target;
+        bool ended = false;
+
+        void shut_down()
+        {
+            ended = true;
+            try {
+                caller.shutdown();
+                target.shutdown();
+            } catch (const Poco::Exception&) {
+                return; // the peer was first
+            }
+        }
+    };
+
+    void accept()
+    {
+        for (;;) {
+            auto caller = socket_.acceptConnection();
+            const std::lock_guard guard(lock_);
+            if (stopping_)
+                return;
+            if (!cut_)
+                open(caller);
+        }
+    }
+
+    void open(const Poco::Net::StreamSocket& caller)
+    {
+        try {
+            const Poco::Net::StreamSocket target(
+                (Poco::Net::SocketAddress(target_)));
+            connections_.push_back({caller, target});
+        } catch (const Poco::Exception&) {
+            return; // nobody there: the caller's connection ends
+        }
+        auto& opened = connections_.back();
+        pumps_.emplace_back([this, &opened] {
+            pump(opened, opened.caller, opened.target, way::to_target);
+        });
+        pumps_.emplace_back([this, &opened] {
+            pump(opened, opened.target, opened.caller, way::to_caller);
+        });
+    }
+
+    void pump(connection& opened, Poco::Net::StreamSocket& from,
+              Poco::Net::StreamSocket& to, way direction)
+    {
+        std::array<char, 16384> piece{};
+        try {
+            for (;;) {
+                const int count = from.receiveBytes(
+                    piece.data(), static_cast<int>(piece.size()));
+                if (!may_pass(opened, direction))
+                    return;
+                if (count <= 0)
+                    return to.shutdownSend();
+                to.sendBytes(piece.data(), count);
+            }
+        } catch (const Poco::Exception&) {
+            const std::lock_guard guard(lock_);
+            opened.shut_down();
+        }
+    }
+
+    bool may_pass(const connection& opened, way direction)
+    {
+        std::unique_lock guard(lock_);
+        changed_.wait(guard, [&] {
+            return opened.ended ||
+                   !stalled_[static_cast<std::size_t>(direction)];
+        });
+        return !opened.ended;
+    }
+
+    std::mutex lock_;
+    std::condition_variable changed_;
+    std::string target_;
+    Poco::Net::ServerSocket socket_;
+    std::list<connection> connections_;
+    std::list<std::thread> pumps_;
+    std::array<bool, 2> stalled_{};
+    bool cut_ = false;
+    bool stopping_ = false;
+    std::thread acceptor_;
+};
+
+} // namespace cyclamenrun::testing_support
+
+#endif // CYCLAMENRUN_TESTS_TCP_RELAY_HPP
