--- a/src/libcyclamenrun/log_field.cpp
+++ b/src/libcyclamenrun/log_field.cpp
@@ -44,11 +44,11 @@
     key_row{log_key::version, "version"},
 };
 
-/** Upstream, incarnation and sequence: enough to find it, not to fetch it. */
+/** As callers see the id, up to the secret: enough to find it in the logs. */
 std::string public_part(const generation_id& generation)
 {
-    return generation.upstream + '.' + std::to_string(generation.incarnation) +
-           '.' + std::to_string(generation.sequence);
+    const auto whole = to_string(generation);
+    return whole.substr(0, whole.rfind(':'));
 }
 
 } // namespace
--- a/src/libcyclamenrun/process_settings.cpp
+++ b/src/libcyclamenrun/process_settings.cpp
@@ -43,8 +43,6 @@
          "Where the platform's services listen."},
         {"platform.log", &platform.log, optional, 1, longest_name, "",
          "Name of the platform's log that carries the configuration."},
-        {"platform.vm_list", &platform.vm_list, optional, 1, longest_name, "",
-         "Name of the platform's list of VMs."},
     };
 }
 
--- a/src/libcyclamenrun/process_settings.hpp
+++ b/src/libcyclamenrun/process_settings.hpp
@@ -15,7 +15,6 @@
 struct platform_settings {
     ip_endpoint address;
     std::string log = "cyclamenrun"; ///< name of the append-only log
-    std::string vm_list = "vms";     ///< name of the list of VMs
 };
 
 /** What the settings of every process of the system hold. */
--- a/src/libcyclamenrun/rpc_code.cpp
+++ b/src/libcyclamenrun/rpc_code.cpp
@@ -60,6 +60,7 @@
     case refusal_reason::forbidden:
         return rpc_code::permission_denied;
     case refusal_reason::unknown_service:
+    case refusal_reason::no_upstream:
     case refusal_reason::generation_unknown:
         return rpc_code::not_found;
     case refusal_reason::too_large:
