Prove outcomes by a fault matrix in virtual time

Cause: nothing showed that the gate and the relay keep their promises under faults. Ruled out: asserting on what our code says of itself; the checker reads only what the fakes saw, and rejects 14 forged histories, one a promise or more. Change: a world of two entries, three agents and one caller around the real gates and relays; 11,664 cells of five shapes of work, ten steps and pairs of eighteen faults; random sequences of up to six faults, seeds printed. First run: 10 cells red, all a ticket first used at an agent that is leaving; it had begun nothing and was told not_run/draining, which is what a ticket bound to its agent can promise, so the checker now allows just that. Conclusion: next, whether the matrix fails when a guard is taken out.

--- /dev/null
+++ b/tests/faults/fake_link.hpp
@@ -0,0 +1,56 @@
+#ifndef CYCLAMENRUN_TESTS_FAKE_LINK_HPP
+#define CYCLAMENRUN_TESTS_FAKE_LINK_HPP
+
+#include "virtual_time.hpp"
+
+#include <functional>
+#include <vector>
+
+namespace cyclamenrun::faults
+{
+
+/**
+ * One direction between an entry and an agent: in order, one millisecond
+ * long. While it is stalled messages wait, as they do in the sockets of a
+ * peer that is frozen or behind a full link, and arrive late.
+ */
+class fake_link
+{
+public:
+    explicit fake_link(virtual_time& time) : time_(time) {}
+
+    void send(std::function<void()> message)
+    {
+        if (stalled()) {
+            held_.push_back(std::move(message));
+            return;
+        }
+        time_.after(milliseconds(1), [this, message = std::move(message)] {
+            if (stalled())
+                held_.push_back(message);
+            else
+                message();
+        });
+    }
+
+    bool stalled() const { return stalls_ > 0; }
+    void stall() { ++stalls_; }
+    void resume()
+    {
+        if (--stalls_ > 0)
+            return;
+        std::vector<std::function<void()>> late;
+        late.swap(held_);
+        for (auto& message : late)
+            time_.after(milliseconds(1), std::move(message));
+    }
+
+private:
+    virtual_time& time_;
+    int stalls_ = 0;
+    std::vector<std::function<void()>> held_;
+};
+
+} // namespace cyclamenrun::faults
+
+#endif // CYCLAMENRUN_TESTS_FAKE_LINK_HPP
--- /dev/null
+++ b/tests/faults/fake_upstream.cpp
@@ -0,0 +1,189 @@
+#include "fake_upstream.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun::faults
+{
+
+namespace
+{
+
+constexpr milliseconds step_time{10};
+constexpr milliseconds loss_noticed_after{20};
+constexpr milliseconds restart_time{400};
+
+std::uint64_t draw_run()
+{
+    static std::uint64_t last = 0;
+    return ++last;
+}
+
+} // namespace
+
+std::string work_of_body(const std::string& body)
+{
+    return body;
+}
+
+std::string exchange_of(const std::string& request_id)
+{
+    return request_id.substr(0, request_id.rfind('.'));
+}
+
+fake_upstream::fake_upstream(std::string name, virtual_time& time,
+                             history& seen, moment_hook on_moment)
+    : name_(std::move(name)), time_(time), seen_(seen),
+      on_moment_(std::move(on_moment))
+{
+}
+
+void fake_upstream::attach(gate* gate)
+{
+    gate_ = gate;
+    for (auto& [id, running] : runs_)
+        running.owner = nullptr;
+    if (gate_ == nullptr)
+        return;
+    ++lives_;
+    // A new agent cancels what it did not start; calls run to their end.
+    std::erase_if(runs_, [](const auto& known) {
+        return known.second.order.kind == link::WORK_KIND_GENERATION;
+    });
+    if (alive_)
+        gate_->engine_ready(0, time_.now());
+}
+
+void fake_upstream::start(const run_order& order)
+{
+    if (!alive_) {
+        gate_->run_failed(order.work, not_run(refusal_reason::no_upstream),
+                          time_.now());
+        return;
+    }
+    const auto id = draw_run();
+    runs_[id] = {order, 0, gate_};
+    record(event_kind::run_begun, id, runs_[id], 0);
+    on_moment_(run_moment::begun, order.request_id);
+    time_.after(step_time, [this, id] { step(id); });
+}
+
+void fake_upstream::stop(work_id work)
+{
+    std::erase_if(runs_, [&](const auto& known) {
+        return known.second.owner == gate_ && known.second.order.work == work &&
+               known.second.order.kind == link::WORK_KIND_GENERATION;
+    });
+}
+
+void fake_upstream::die()
+{
+    if (!alive_)
+        return;
+    alive_ = false;
+    runs_.clear();
+    time_.after(loss_noticed_after, [this] {
+        if (gate_ != nullptr)
+            gate_->engine_lost(time_.now());
+    });
+    time_.after(restart_time, [this] {
+        alive_ = true;
+        if (gate_ != nullptr)
+            gate_->engine_ready(0, time_.now());
+    });
+}
+
+void fake_upstream::pause(milliseconds pause)
+{
+    paused_until_ = std::max(paused_until_, time_.now() + pause);
+}
+
+milliseconds fake_upstream::delay() const
+{
+    return step_time + time_left(paused_until_, time_.now());
+}
+
+void fake_upstream::step(std::uint64_t id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    if (time_.now() < paused_until_) {
+        time_.after(delay(), [this, id] { step(id); });
+        return;
+    }
+    if (found->second.order.kind == link::WORK_KIND_CALL)
+        finish_call(id, found->second);
+    else
+        step_generation(id, found->second);
+}
+
+void fake_upstream::step_generation(std::uint64_t id, run& running)
+{
+    const auto request_id = running.order.request_id;
+    const auto work = running.order.work;
+    auto* const owner = running.owner;
+    if (running.made == 0)
+        on_moment_(run_moment::prompt_processed, request_id);
+    if (!runs_.contains(id))
+        return;
+    const auto index = running.made++;
+    record(event_kind::run_token, id, running, index);
+    const bool last = index + 1 == tokens;
+    if (last)
+        record(event_kind::run_ended, id, running, tokens);
+    if (owner != nullptr)
+        owner->token_made(work, std::to_string(id), time_.now());
+    if (index == 0)
+        on_moment_(run_moment::first_token, request_id);
+    if (index == tokens / 2)
+        on_moment_(run_moment::mid_stream, request_id);
+    if (last)
+        on_moment_(run_moment::last_token, request_id);
+    if (!runs_.contains(id))
+        return;
+    if (!last) {
+        time_.after(delay(), [this, id] { step(id); });
+        return;
+    }
+    const auto finisher = running.owner;
+    runs_.erase(id);
+    if (finisher != nullptr)
+        finisher->finished(work, "stop", time_.now());
+}
+
+void fake_upstream::finish_call(std::uint64_t id, run& running)
+{
+    const auto work = running.order.work;
+    record(event_kind::run_ended, id, running, 0);
+    on_moment_(run_moment::effect, running.order.request_id);
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    auto* const owner = found->second.owner;
+    runs_.erase(found);
+    if (owner == nullptr)
+        return;
+    if (loses_answers_) {
+        loses_answers_ = false;
+        owner->run_failed(work, outcome_unknown(refusal_reason::upstream_lost),
+                          time_.now());
+        return;
+    }
+    owner->answered(work, {200, "text/plain", std::to_string(id)}, time_.now());
+}
+
+void fake_upstream::record(event_kind kind, std::uint64_t id,
+                           const run& running, std::uint64_t index)
+{
+    event seen;
+    seen.kind = kind;
+    seen.at_ms = time_.now_ms();
+    seen.work = work_of_body(running.order.body);
+    seen.exchange = exchange_of(running.order.request_id);
+    seen.upstream = life();
+    seen.run = id;
+    seen.index = index;
+    seen_.events.push_back(seen);
+}
+
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/fault_kinds.hpp
@@ -0,0 +1,122 @@
+#ifndef CYCLAMENRUN_TESTS_FAULT_KINDS_HPP
+#define CYCLAMENRUN_TESTS_FAULT_KINDS_HPP
+
+#include "history.hpp"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace cyclamenrun::faults
+{
+
+/** Stages of a request at which a fault strikes. */
+enum class step : std::uint8_t {
+    chosen,           ///< the entry is about to send the dispatch
+    dispatch_sent,    ///< it is on its way
+    begun,            ///< admitted and handed to the upstream
+    prompt_processed, ///< no token yet
+    first_token,
+    mid_stream,
+    last_token,
+    effect,       ///< a call has done its work, its answer is not sent yet
+    answered,     ///< the caller has the last of it
+    acknowledged, ///< and the agent has been told
+};
+
+enum class fault : std::uint8_t {
+    upstream_dies,
+    agent_dies,
+    entry_dies,
+    reclaimed,
+    entry_stops,
+    agent_stops,
+    link_stalls_to_agent,
+    link_stalls_to_entry,
+    link_cut,
+    answer_late,
+    answer_lost,
+    answer_of_another,
+    agent_frozen,
+    entry_frozen,
+    memory_full,
+    caller_gone,
+    caller_slow,
+    caller_resends,
+};
+
+/** A fault, and how long after its step it strikes. */
+struct timed_fault {
+    fault what = fault::upstream_dies;
+    milliseconds after{0};
+};
+
+struct step_row {
+    step at;
+    std::string_view name;
+};
+
+struct fault_row {
+    fault what;
+    std::string_view name;
+};
+
+inline constexpr std::array step_table{
+    step_row{step::chosen, "chosen"},
+    step_row{step::dispatch_sent, "dispatch_sent"},
+    step_row{step::begun, "begun"},
+    step_row{step::prompt_processed, "prompt_processed"},
+    step_row{step::first_token, "first_token"},
+    step_row{step::mid_stream, "mid_stream"},
+    step_row{step::last_token, "last_token"},
+    step_row{step::effect, "effect"},
+    step_row{step::answered, "answered"},
+    step_row{step::acknowledged, "acknowledged"},
+};
+
+inline constexpr std::array fault_table{
+    fault_row{fault::upstream_dies, "upstream_dies"},
+    fault_row{fault::agent_dies, "agent_dies"},
+    fault_row{fault::entry_dies, "entry_dies"},
+    fault_row{fault::reclaimed, "reclaimed"},
+    fault_row{fault::entry_stops, "entry_stops"},
+    fault_row{fault::agent_stops, "agent_stops"},
+    fault_row{fault::link_stalls_to_agent, "link_stalls_to_agent"},
+    fault_row{fault::link_stalls_to_entry, "link_stalls_to_entry"},
+    fault_row{fault::link_cut, "link_cut"},
+    fault_row{fault::answer_late, "answer_late"},
+    fault_row{fault::answer_lost, "answer_lost"},
+    fault_row{fault::answer_of_another, "answer_of_another"},
+    fault_row{fault::agent_frozen, "agent_frozen"},
+    fault_row{fault::entry_frozen, "entry_frozen"},
+    fault_row{fault::memory_full, "memory_full"},
+    fault_row{fault::caller_gone, "caller_gone"},
+    fault_row{fault::caller_slow, "caller_slow"},
+    fault_row{fault::caller_resends, "caller_resends"},
+};
+
+/** Whether work of this shape comes by this step. */
+constexpr bool has_step(work_shape shape, step at)
+{
+    const bool generation =
+        shape == work_shape::stream || shape == work_shape::whole;
+    switch (at) {
+    case step::prompt_processed:
+    case step::first_token:
+    case step::mid_stream:
+    case step::last_token:
+        return generation;
+    case step::effect:
+        return !generation;
+    default:
+        return true;
+    }
+}
+
+inline constexpr std::array shape_names{"stream", "whole", "plain_call",
+                                        "ticket_call", "idempotent_call"};
+
+} // namespace cyclamenrun::faults
+
+#endif // CYCLAMENRUN_TESTS_FAULT_KINDS_HPP
--- /dev/null
+++ b/tests/faults/fault_world.cpp
@@ -0,0 +1,717 @@
+#include "fault_world.hpp"
+
+#include "ticket_authority.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun::faults
+{
+
+namespace
+{
+
+constexpr std::size_t agent_count = 3;
+constexpr std::size_t entry_count = 2;
+constexpr milliseconds tick{50};
+constexpr milliseconds keepalive{3'000};
+constexpr milliseconds connect_time{1'000};
+constexpr milliseconds restart_time{500};
+constexpr milliseconds long_freeze{8'000};
+constexpr milliseconds short_stall{400};
+constexpr milliseconds cut_time{6'000};
+constexpr milliseconds reclaim_notice{30};
+constexpr milliseconds deadline{20'000};
+constexpr milliseconds whole_run{60'000};
+constexpr std::uint64_t window = 64;
+const std::string link_key = "0123456789abcdef0123456789abcdef";
+
+std::size_t index_of(const std::string& upstream)
+{
+    return static_cast<std::size_t>(upstream.back() - '0');
+}
+
+} // namespace
+
+fault_world::fault_world(work_shape shape)
+    : shape_(shape), marks_(64, std::chrono::hours(1))
+{
+    seen_.shape = shape;
+    for (std::size_t i = 0; i < agent_count; ++i) {
+        auto& node = agents_.emplace_back();
+        node.name = "vm-" + std::to_string(i);
+        node.upstream = std::make_unique<fake_upstream>(
+            node.name, time_, seen_,
+            [this, i](run_moment moment, const std::string&) {
+                works_at_ = i;
+                constexpr std::array steps{
+                    step::begun,      step::prompt_processed, step::first_token,
+                    step::mid_stream, step::last_token,       step::effect};
+                come_by(steps.at(static_cast<std::size_t>(moment)));
+            });
+    }
+    for (std::size_t i = 0; i < entry_count * agent_count; ++i)
+        wires_.push_back(std::make_unique<wire>(time_));
+    for (std::size_t i = 0; i < agent_count; ++i)
+        start_agent(i);
+    tick_agents();
+}
+
+fault_world::~fault_world() = default;
+
+void fault_world::strike(step at, std::vector<timed_fault> faults)
+{
+    strike_at_ = at;
+    strikes_ = std::move(faults);
+    const auto planned = [](const timed_fault& each) {
+        return each.what == fault::entry_stops ||
+               each.what == fault::agent_stops ||
+               each.what == fault::caller_slow;
+    };
+    seen_.only_planned_stops =
+        std::all_of(strikes_.begin(), strikes_.end(), planned);
+    seen_.caller_stays = std::none_of(
+        strikes_.begin(), strikes_.end(), [](const timed_fault& each) {
+            return each.what == fault::caller_gone;
+        });
+}
+
+const history& fault_world::run()
+{
+    if (shape_ == work_shape::ticket_call) {
+        const auto& node = agents_.front();
+        ticket_ = ticket_authority(link_key).mint(
+            {node.name, node.incarnation, "team", "service", 600'000});
+    }
+    send_request(0, std::nullopt);
+    time_.run_until(time_.now() + whole_run);
+    return seen_;
+}
+
+// ---- agents
+
+void fault_world::start_agent(std::size_t index)
+{
+    auto& node = agents_[index];
+    node.incarnation = ++last_incarnation_;
+    node.leaving = false;
+    gate_settings settings;
+    settings.upstream = node.name;
+    settings.incarnation = node.incarnation;
+    settings.started_at = time_.now();
+    settings.link_key = link_key;
+    settings.resume_grace = milliseconds(5'000);
+    settings.replay_window_tokens = window;
+    gate_hooks hooks;
+    hooks.start = [this, index](const run_order& order) {
+        agents_[index].upstream->start(order);
+    };
+    hooks.stop = [this, index](work_id work) {
+        agents_[index].upstream->stop(work);
+    };
+    hooks.wake = [this, index](reader_id reader) { wake(index, reader); };
+    hooks.news = [this, index] {
+        for (const auto& mark : agents_[index].its_gate->marks_since(0))
+            marks_.merge(mark, time_.now());
+    };
+    node.its_gate = std::make_unique<gate>(settings, hooks);
+    node.upstream->attach(node.its_gate.get());
+}
+
+void fault_world::kill_agent(std::size_t index)
+{
+    auto& node = agents_[index];
+    if (!node.its_gate)
+        return;
+    node.upstream->attach(nullptr);
+    node.dead.push_back(std::move(node.its_gate));
+    for (const auto& open : streams_) {
+        if (open->agent != index || open->agent_closed)
+            continue;
+        open->agent_closed = true;
+        wire_of(open->entry, index).to_entry.send([this, open] {
+            lose(open, true);
+        });
+    }
+    time_.after(restart_time, [this, index] {
+        if (!agents_[index].its_gate)
+            start_agent(index);
+    });
+}
+
+void fault_world::tick_agents()
+{
+    for (auto& node : agents_) {
+        if (!node.its_gate || frozen(node))
+            continue;
+        node.its_gate->tick(time_.now());
+        for (const auto& open : streams_) {
+            if (&agents_[open->agent] == &node && open->attached)
+                pull(open);
+        }
+        if (node.leaving && node.its_gate->drained())
+            kill_agent(index_of(node.name));
+    }
+    time_.after(tick, [this] { tick_agents(); });
+}
+
+void fault_world::freeze_agent(std::size_t index, milliseconds pause)
+{
+    auto& node = agents_[index];
+    node.frozen_until = time_.now() + pause;
+    // The upstream's own process runs on, but nobody reads what it makes.
+    node.upstream->pause(pause);
+    for (std::size_t entry = 0; entry < entry_count; ++entry) {
+        auto& line = wire_of(entry, index);
+        line.to_agent.stall();
+        line.to_entry.stall();
+        time_.after(pause, [&line] {
+            line.to_agent.resume();
+            line.to_entry.resume();
+        });
+    }
+}
+
+bool fault_world::frozen(const agent_node& node) const
+{
+    return node.frozen_until && time_.now() < *node.frozen_until;
+}
+
+// ---- entries
+
+bool fault_world::entry_runs(std::size_t entry) const
+{
+    return entry_alive_.at(entry);
+}
+
+relay_hooks fault_world::hooks_for(std::size_t)
+{
+    relay_hooks hooks;
+    hooks.choose = [this](const relay_request&,
+                          const std::vector<std::string>& excluded, bool,
+                          time_point) -> outcome<route_target> {
+        for (const auto& node : agents_) {
+            const bool tried = std::find(excluded.begin(), excluded.end(),
+                                         node.name) != excluded.end();
+            if (!tried && !node.leaving)
+                return route_target{node.name, node.incarnation};
+        }
+        return tl::unexpected(
+            not_run(refusal_reason::no_upstream, {}, milliseconds(1000)));
+    };
+    hooks.spend_retry = [](const std::string&, time_point) {
+        return outcome<void>{};
+    };
+    hooks.verdict = [this](std::uint64_t fingerprint, time_point now) {
+        return marks_.verdict(fingerprint, now);
+    };
+    hooks.agent_lost = [this](std::uint64_t fingerprint,
+                              const route_target& agent, time_point now) {
+        marks_.mark(fingerprint, agent.incarnation, now);
+    };
+    return hooks;
+}
+
+void fault_world::perform(std::uint64_t id, const relay_actions& actions)
+{
+    for (const auto& action : actions)
+        std::visit([&](const auto& one) { perform(id, one); }, action);
+    arm_timer(id);
+}
+
+void fault_world::arm_timer(std::uint64_t id)
+{
+    const auto& its = sessions_.at(id);
+    if (its.its_relay->done())
+        return;
+    const auto pause = time_left(its.its_relay->next_event(), time_.now());
+    time_.after(pause + milliseconds(1), [this, id] {
+        auto& later = sessions_.at(id);
+        if (!entry_runs(later.entry) || later.its_relay->done())
+            return;
+        const auto& frozen_until = entry_frozen_until_.at(later.entry);
+        if (frozen_until && time_.now() < *frozen_until)
+            return;
+        if (time_.now() >= later.its_relay->next_event())
+            perform(id, later.its_relay->on_time(time_.now()));
+    });
+}
+
+void fault_world::perform(std::uint64_t id, const open_stream& action)
+{
+    auto& its = sessions_.at(id);
+    const auto open = std::make_shared<stream>();
+    open->entry = its.entry;
+    open->agent = index_of(action.upstream);
+    open->session = id;
+    open->number = action.stream;
+    open->held = caller_slow_;
+    streams_.push_back(open);
+    if (action.path == "/dispatch") {
+        works_at_ = open->agent;
+        come_by(step::chosen);
+    }
+    auto& line = wire_of(open->entry, open->agent);
+    if (!agents_[open->agent].its_gate) {
+        // Nobody listens there.
+        time_.after(milliseconds(2), [this, open] { lose(open, false); });
+        return;
+    }
+    // A dispatch goes out on a connection that stands; an agent that was
+    // lost before is connected to anew, which a stalled link does not allow.
+    if (line.to_agent.stalled() && action.path == "/resume") {
+        time_.after(connect_time, [this, open] { lose(open, false); });
+        return;
+    }
+    line.to_agent.send([this, open, path = action.path, frame = action.frame] {
+        deliver(open, path, frame);
+    });
+    if (action.path == "/dispatch")
+        come_by(step::dispatch_sent);
+    watch_keepalive(open);
+}
+
+void fault_world::perform(std::uint64_t id, const close_stream& action)
+{
+    for (const auto& open : streams_) {
+        if (open->session != id || open->number != action.stream)
+            continue;
+        open->entry_closed = true;
+        wire_of(open->entry, open->agent).to_agent.send([this, open] {
+            close_agent_side(open);
+        });
+    }
+}
+
+void fault_world::perform(std::uint64_t id, const send_message& action)
+{
+    auto& its = sessions_.at(id);
+    // The caller's socket broke before it had its answer.
+    if (action.path == "/acknowledge" && its.over && !entry_runs(its.entry))
+        return;
+    const auto agent = index_of(action.upstream);
+    wire_of(its.entry, agent)
+        .to_agent.send([this, agent, path = action.path, frame = action.frame] {
+            auto* its_gate = agents_[agent].its_gate.get();
+            if (its_gate == nullptr)
+                return;
+            link::Cancel cancel;
+            link::Acknowledge acknowledge;
+            if (path == "/cancel" && cancel.ParseFromString(frame))
+                its_gate->cancel(cancel, time_.now());
+            if (path == "/acknowledge" && acknowledge.ParseFromString(frame)) {
+                its_gate->acknowledge(acknowledge, time_.now());
+                come_by(step::acknowledged);
+            }
+        });
+}
+
+void fault_world::perform(std::uint64_t id, const write_tokens& action)
+{
+    auto& its = sessions_.at(id);
+    if (its.over)
+        return;
+    auto index = action.first.index;
+    for (const auto& text : action.texts)
+        record(event_kind::token_received, id, std::stoull(text), index++);
+    caller_has_ = action.first;
+    caller_has_->index = index - 1;
+}
+
+void fault_world::perform(std::uint64_t id, const write_end& action)
+{
+    if (sessions_.at(id).over)
+        return;
+    std::uint64_t index = 0;
+    for (const auto& text : action.whole)
+        record(event_kind::token_received, id, std::stoull(text), index++);
+    record(event_kind::end_received, id, 0, action.token_count);
+    sessions_.at(id).over = true;
+    come_by(step::answered);
+}
+
+void fault_world::perform(std::uint64_t id, const write_answer& action)
+{
+    if (sessions_.at(id).over)
+        return;
+    record(event_kind::answer_received, id, std::stoull(action.answer.body));
+    sessions_.at(id).over = true;
+    come_by(step::answered);
+}
+
+void fault_world::perform(std::uint64_t id, const write_refusal& action)
+{
+    if (sessions_.at(id).over)
+        return;
+    record(event_kind::refused, id);
+    seen_.events.back().refused = action.why.kind;
+    seen_.events.back().reason = action.why.reason;
+    sessions_.at(id).over = true;
+}
+
+void fault_world::kill_entry(std::size_t entry)
+{
+    if (!entry_alive_.at(entry))
+        return;
+    entry_alive_.at(entry) = false;
+    for (const auto& open : streams_) {
+        if (open->entry != entry || open->entry_closed)
+            continue;
+        open->entry_closed = true;
+        wire_of(entry, open->agent).to_agent.send([this, open] {
+            close_agent_side(open);
+        });
+    }
+    for (auto& [id, its] : sessions_) {
+        if (its.entry == entry && !its.over)
+            time_.after(milliseconds(1), [this, id = id] { caller_lost(id); });
+    }
+}
+
+void fault_world::freeze_entry(std::size_t entry, milliseconds pause)
+{
+    entry_frozen_until_.at(entry) = time_.now() + pause;
+    for (std::size_t agent = 0; agent < agent_count; ++agent) {
+        auto& line = wire_of(entry, agent);
+        line.to_agent.stall();
+        line.to_entry.stall();
+        time_.after(pause, [&line] {
+            line.to_agent.resume();
+            line.to_entry.resume();
+        });
+    }
+    time_.after(pause + milliseconds(5), [this, entry] {
+        for (auto& [id, its] : sessions_) {
+            if (its.entry == entry)
+                arm_timer(id);
+        }
+    });
+}
+
+// ---- streams
+
+fault_world::wire& fault_world::wire_of(std::size_t entry, std::size_t agent)
+{
+    return *wires_.at(entry * agent_count + agent);
+}
+
+void fault_world::deliver(const stream_pointer& open, const std::string& path,
+                          const std::string& frame)
+{
+    auto& node = agents_[open->agent];
+    if (!node.its_gate) {
+        wire_of(open->entry, open->agent).to_entry.send([this, open] {
+            lose(open, true);
+        });
+        return;
+    }
+    open->incarnation = node.incarnation;
+    std::string request_id;
+    outcome<reader_id> reader = tl::unexpected(refusal{});
+    if (path == "/dispatch") {
+        link::Dispatch dispatch;
+        dispatch.ParseFromString(frame);
+        request_id = dispatch.request_id();
+        reader = node.its_gate->submit(dispatch, time_.now());
+    } else {
+        link::Resume resume;
+        resume.ParseFromString(frame);
+        request_id = resume.request_id();
+        reader = node.its_gate->resume(resume, time_.now());
+    }
+    if (!reader) {
+        link::AgentFrame refused;
+        refused.set_request_id(request_id);
+        auto& why = *refused.mutable_refused();
+        why.set_kind(static_cast<std::uint32_t>(reader.error().kind));
+        why.set_reason(static_cast<std::uint32_t>(reader.error().reason));
+        open->agent_closed = true;
+        to_relay(open, refused);
+        return;
+    }
+    open->reader = *reader;
+    open->attached = true;
+    pull(open);
+}
+
+void fault_world::pull(const stream_pointer& open)
+{
+    auto& node = agents_[open->agent];
+    if (!open->attached || open->agent_closed || open->held || !node.its_gate ||
+        node.incarnation != open->incarnation)
+        return;
+    const auto pulled = node.its_gate->pull(open->reader, 16, time_.now());
+    for (const auto& frame : pulled.frames)
+        to_relay(open, frame);
+    if (pulled.end)
+        close_agent_side(open);
+}
+
+void fault_world::wake(std::size_t agent, reader_id reader)
+{
+    for (const auto& open : streams_) {
+        if (open->agent == agent && open->reader == reader &&
+            open->incarnation == agents_[agent].incarnation)
+            time_.after(milliseconds(0), [this, open] { pull(open); });
+    }
+}
+
+void fault_world::to_relay(const stream_pointer& open,
+                           const link::AgentFrame& frame)
+{
+    wire_of(open->entry, open->agent).to_entry.send([this, open, frame] {
+        if (open->entry_closed || !entry_runs(open->entry))
+            return;
+        auto& its = sessions_.at(open->session);
+        perform(open->session,
+                its.its_relay->on_frame(open->number, frame, time_.now()));
+    });
+}
+
+void fault_world::lose(const stream_pointer& open, bool request_may_have_left)
+{
+    if (open->entry_closed || !entry_runs(open->entry))
+        return;
+    open->entry_closed = true;
+    auto& its = sessions_.at(open->session);
+    perform(open->session,
+            its.its_relay->on_stream_lost(open->number, request_may_have_left,
+                                          time_.now()));
+}
+
+void fault_world::close_agent_side(const stream_pointer& open)
+{
+    if (open->agent_closed)
+        return;
+    open->agent_closed = true;
+    auto& node = agents_[open->agent];
+    if (open->attached && node.its_gate &&
+        node.incarnation == open->incarnation)
+        node.its_gate->detach(open->reader, time_.now());
+}
+
+/** Both ends give a link up that has been silent for too long. */
+void fault_world::watch_keepalive(const stream_pointer& open)
+{
+    time_.after(keepalive, [this, open] {
+        if (open->entry_closed && open->agent_closed)
+            return;
+        auto& line = wire_of(open->entry, open->agent);
+        const bool stalled = line.to_agent.stalled() || line.to_entry.stalled();
+        if (!stalled) {
+            watch_keepalive(open);
+            return;
+        }
+        const auto& frozen_until = entry_frozen_until_.at(open->entry);
+        const bool entry_sleeps = frozen_until && time_.now() < *frozen_until;
+        if (!entry_sleeps)
+            lose(open, true);
+        if (!frozen(agents_[open->agent]))
+            close_agent_side(open);
+        // What sleeps notices when it wakes, after what had arrived before.
+        line.to_agent.send([this, open] { close_agent_side(open); });
+        line.to_entry.send([this, open] { lose(open, true); });
+    });
+}
+
+// ---- the caller
+
+void fault_world::send_request(std::size_t entry,
+                               std::optional<stream_position> resume_after)
+{
+    const auto id = ++last_session_;
+    if (first_session_ == 0)
+        first_session_ = id;
+    auto& its = sessions_[id];
+    its.entry = entry;
+    its.exchange = "x" + std::to_string(id);
+    served_by_ = entry;
+    record(event_kind::exchange_begun, id);
+
+    relay_request request;
+    request.id = its.exchange;
+    const bool call =
+        shape_ != work_shape::stream && shape_ != work_shape::whole;
+    request.kind = call ? link::WORK_KIND_CALL : link::WORK_KIND_GENERATION;
+    request.delivery = shape_ == work_shape::stream ? delivery_mode::stream
+                                                    : delivery_mode::whole;
+    request.team = "team";
+    request.service = "service";
+    request.body = "work";
+    request.fingerprint = 7;
+    request.deadline = time_.now() + deadline;
+    request.prompt_tokens = 8;
+    request.max_output_tokens = 64;
+    request.idempotent = !call || shape_ == work_shape::idempotent_call;
+    request.ticket = ticket_;
+    request.resume_after = std::move(resume_after);
+    its.its_relay = std::make_unique<relay>(std::move(request),
+                                            relay_settings{}, hooks_for(entry));
+    perform(id, its.its_relay->start(time_.now()));
+}
+
+void fault_world::caller_lost(std::uint64_t id)
+{
+    auto& its = sessions_.at(id);
+    if (its.over)
+        return;
+    its.over = true;
+    record(event_kind::caller_left, id);
+    const auto other = 1 - its.entry;
+    if (caller_left_ || !entry_runs(other) || resends_left_-- == 0)
+        return;
+    const bool resumes = shape_ == work_shape::stream && caller_has_;
+    // A call that must not repeat and has no ticket is not sent again.
+    if (shape_ == work_shape::plain_call)
+        return;
+    send_request(other, resumes ? caller_has_ : std::nullopt);
+}
+
+void fault_world::record(event_kind kind, std::uint64_t id, std::uint64_t run,
+                         std::uint64_t index)
+{
+    event seen;
+    seen.kind = kind;
+    seen.at_ms = time_.now_ms();
+    // Each new start of a generation is a piece of work of its own: only a
+    // resume goes on with the tokens that the caller has.
+    seen.work = "work";
+    seen.exchange = sessions_.at(id).exchange;
+    seen.run = run;
+    seen.index = index;
+    seen_.events.push_back(seen);
+}
+
+// ---- faults
+
+void fault_world::come_by(step at)
+{
+    if (strike_at_ != at)
+        return;
+    strike_at_.reset();
+    for (const auto& [what, after] : strikes_) {
+        if (after == milliseconds(0))
+            bring_about(what);
+        else
+            time_.after(after, [this, what = what] { bring_about(what); });
+    }
+}
+
+void fault_world::bring_about(fault what)
+{
+    const auto agent = works_at_;
+    const auto entry = served_by_;
+    auto& node = agents_[agent];
+    auto& line = wire_of(entry, agent);
+    const auto soon = [this](auto work) { time_.after(milliseconds(0), work); };
+    switch (what) {
+    case fault::upstream_dies:
+        node.upstream->die();
+        break;
+    case fault::agent_dies:
+        soon([this, agent] { kill_agent(agent); });
+        break;
+    case fault::entry_dies:
+        soon([this, entry] { kill_entry(entry); });
+        break;
+    case fault::reclaimed:
+    case fault::agent_stops:
+        soon([this, agent, what] {
+            auto& leaving = agents_[agent];
+            if (!leaving.its_gate)
+                return;
+            event seen;
+            seen.kind = event_kind::drain_begun;
+            seen.upstream = leaving.upstream->life();
+            seen_.events.push_back(seen);
+            leaving.leaving = true;
+            if (what == fault::agent_stops)
+                leaving.its_gate->drain(time_.now());
+            else
+                leaving.its_gate->reclaim(time_.now() + reclaim_notice,
+                                          time_.now());
+        });
+        break;
+    case fault::entry_stops:
+        // It serves what it has begun; the balancer sends nothing more.
+        entry_draining_.at(entry) = true;
+        break;
+    case fault::link_stalls_to_agent:
+        line.to_agent.stall();
+        time_.after(short_stall, [&line] { line.to_agent.resume(); });
+        break;
+    case fault::link_stalls_to_entry:
+        line.to_entry.stall();
+        time_.after(short_stall, [&line] { line.to_entry.resume(); });
+        break;
+    case fault::link_cut:
+        line.to_agent.stall();
+        line.to_entry.stall();
+        time_.after(cut_time, [&line] {
+            line.to_agent.resume();
+            line.to_entry.resume();
+        });
+        break;
+    case fault::answer_late:
+        node.upstream->pause(milliseconds(2'000));
+        break;
+    case fault::answer_lost:
+        node.upstream->lose_answers();
+        break;
+    case fault::answer_of_another:
+        for (const auto& open : streams_) {
+            if (open->entry_closed || open->agent != agent)
+                continue;
+            link::AgentFrame frame;
+            frame.set_request_id("somebody-else.1");
+            frame.mutable_tokens()->add_text("999");
+            to_relay(open, frame);
+        }
+        break;
+    case fault::agent_frozen:
+        freeze_agent(agent, long_freeze);
+        break;
+    case fault::entry_frozen:
+        freeze_entry(entry, long_freeze);
+        break;
+    case fault::memory_full:
+        node.upstream->pause(milliseconds(300));
+        break;
+    case fault::caller_gone:
+        soon([this, entry] {
+            caller_left_ = true;
+            for (auto& [id, its] : sessions_) {
+                if (its.entry != entry || its.over)
+                    continue;
+                its.over = true;
+                record(event_kind::caller_left, id);
+                perform(id, its.its_relay->on_caller_gone(time_.now()));
+            }
+        });
+        break;
+    case fault::caller_slow:
+        caller_slow_ = true;
+        for (const auto& open : streams_)
+            open->held = true;
+        time_.after(milliseconds(1'500), [this] {
+            caller_slow_ = false;
+            for (const auto& open : streams_) {
+                open->held = false;
+                pull(open);
+            }
+        });
+        break;
+    case fault::caller_resends:
+        // Impatient, it asks again by the other entry at once.
+        soon([this, entry] {
+            const auto id = last_session_;
+            if (sessions_.at(id).over || !entry_runs(1 - entry))
+                return;
+            caller_lost(id);
+            perform(id,
+                    sessions_.at(id).its_relay->on_caller_gone(time_.now()));
+        });
+        break;
+    }
+}
+
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/fault_world.hpp
@@ -0,0 +1,148 @@
+#ifndef CYCLAMENRUN_TESTS_FAULT_WORLD_HPP
+#define CYCLAMENRUN_TESTS_FAULT_WORLD_HPP
+
+#include "fake_link.hpp"
+#include "fake_upstream.hpp"
+#include "fault_kinds.hpp"
+#include "gate.hpp"
+#include "history.hpp"
+#include "relay.hpp"
+#include "virtual_time.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::faults
+{
+
+/**
+ * Two entries, three agents with their upstreams and one caller, in virtual
+ * time. The gates and relays are the ones that the daemons run; links,
+ * upstreams and the caller are fakes, and the fakes write the history.
+ */
+class fault_world
+{
+public:
+    explicit fault_world(work_shape shape);
+    ~fault_world();
+
+    /** Brings these about, in order, when the caller's work comes by. */
+    void strike(step at, std::vector<timed_fault> faults);
+    /** Runs the caller's work to whatever end it comes to. */
+    const history& run();
+
+private:
+    struct agent_node {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<gate> its_gate;
+        std::unique_ptr<fake_upstream> upstream;
+        std::optional<time_point> frozen_until;
+        bool leaving = false;
+        std::vector<std::unique_ptr<gate>> dead; // late events may name them
+    };
+    struct wire {
+        fake_link to_agent;
+        fake_link to_entry;
+        explicit wire(virtual_time& time) : to_agent(time), to_entry(time) {}
+    };
+    /** One stream between an entry's relay and an agent's gate. */
+    struct stream {
+        std::size_t entry = 0;
+        std::size_t agent = 0;
+        std::uint64_t incarnation = 0;
+        std::uint64_t session = 0;
+        stream_number number = 0;
+        reader_id reader = 0;
+        bool attached = false;
+        bool agent_closed = false;
+        bool entry_closed = false;
+        bool held = false; // the caller takes nothing: no window
+    };
+    using stream_pointer = std::shared_ptr<stream>;
+    /** One HTTP request of the caller, served by one entry. */
+    struct session {
+        std::size_t entry = 0;
+        std::string exchange;
+        std::unique_ptr<relay> its_relay;
+        bool over = false; // for the caller
+        bool acknowledged = false;
+    };
+
+    // Agents.
+    void start_agent(std::size_t index);
+    void kill_agent(std::size_t index);
+    void tick_agents();
+    void freeze_agent(std::size_t index, milliseconds pause);
+    bool frozen(const agent_node& node) const;
+    std::size_t current_agent() const;
+
+    // Entries and what they send.
+    relay_hooks hooks_for(std::size_t entry);
+    void perform(std::uint64_t session, const relay_actions& actions);
+    void perform(std::uint64_t session, const open_stream& action);
+    void perform(std::uint64_t session, const close_stream& action);
+    void perform(std::uint64_t session, const send_message& action);
+    void perform(std::uint64_t session, const write_tokens& action);
+    void perform(std::uint64_t session, const write_end& action);
+    void perform(std::uint64_t session, const write_answer& action);
+    void perform(std::uint64_t session, const write_refusal& action);
+    void arm_timer(std::uint64_t session);
+    void kill_entry(std::size_t entry);
+    void freeze_entry(std::size_t entry, milliseconds pause);
+    bool entry_runs(std::size_t entry) const;
+
+    // Streams.
+    void deliver(const stream_pointer& open, const std::string& path,
+                 const std::string& frame);
+    void pull(const stream_pointer& open);
+    void wake(std::size_t agent, reader_id reader);
+    void to_relay(const stream_pointer& open, const link::AgentFrame& frame);
+    void lose(const stream_pointer& open, bool request_may_have_left);
+    void close_agent_side(const stream_pointer& open);
+    void watch_keepalive(const stream_pointer& open);
+    wire& wire_of(std::size_t entry, std::size_t agent);
+
+    // The caller.
+    void send_request(std::size_t entry,
+                      std::optional<stream_position> resume_after);
+    void caller_lost(std::uint64_t session);
+    void record(event_kind kind, std::uint64_t session, std::uint64_t run = 0,
+                std::uint64_t index = 0);
+
+    // Faults.
+    void come_by(step at);
+    void bring_about(fault what);
+
+    work_shape shape_;
+    history seen_;
+    virtual_time time_;
+    std::vector<agent_node> agents_;
+    std::vector<std::unique_ptr<wire>> wires_;
+    std::array<bool, 2> entry_alive_{true, true};
+    std::array<bool, 2> entry_draining_{};
+    std::array<std::optional<time_point>, 2> entry_frozen_until_{};
+    std::vector<stream_pointer> streams_;
+    std::map<std::uint64_t, session> sessions_;
+    std::uint64_t last_session_ = 0;
+    std::uint64_t first_session_ = 0;
+    std::uint64_t last_incarnation_ = 0;
+    std::optional<stream_position> caller_has_;
+    std::optional<link::Ticket> ticket_;
+    std::size_t served_by_ = 0;
+    std::size_t works_at_ = 0;
+    int resends_left_ = 4;
+    bool caller_left_ = false;
+    bool caller_slow_ = false;
+    poison_register marks_;
+    std::optional<step> strike_at_;
+    std::vector<timed_fault> strikes_;
+};
+
+} // namespace cyclamenrun::faults
+
+#endif // CYCLAMENRUN_TESTS_FAULT_WORLD_HPP
--- /dev/null
+++ b/tests/faults/history.cpp
@@ -0,0 +1,168 @@
+#include "history.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace cyclamenrun::faults
+{
+
+namespace
+{
+
+/** Walks one history and collects what it violates. */
+class checker
+{
+public:
+    explicit checker(const history& seen) : seen_(seen) {}
+
+    std::vector<std::string> run()
+    {
+        for (const auto& seen : seen_.events)
+            take(seen);
+        check_ends();
+        return violations_;
+    }
+
+private:
+    struct delivery {
+        std::uint64_t run = 0;
+        std::uint64_t next = 0;
+        bool ended = false;
+    };
+
+    void take(const event& seen)
+    {
+        switch (seen.kind) {
+        case event_kind::exchange_begun:
+            open_.insert(seen.exchange);
+            break;
+        case event_kind::run_begun:
+            run_begun(seen);
+            break;
+        case event_kind::run_token:
+            tokens_made_[seen.run] = seen.index + 1;
+            break;
+        case event_kind::run_ended:
+            ended_runs_.insert(seen.run);
+            break;
+        case event_kind::drain_begun:
+            draining_.insert(seen.upstream);
+            break;
+        case event_kind::token_received:
+            token_received(seen);
+            break;
+        case event_kind::end_received:
+            end_received(seen);
+            break;
+        case event_kind::answer_received:
+            answer_received(seen);
+            break;
+        case event_kind::refused:
+            refused(seen);
+            break;
+        case event_kind::caller_left:
+            open_.erase(seen.exchange);
+            break;
+        }
+    }
+
+    void run_begun(const event& seen)
+    {
+        works_of_runs_[seen.run] = seen.work;
+        ++runs_of_works_[seen.work];
+        const bool may_repeat = seen_.shape != work_shape::plain_call &&
+                                seen_.shape != work_shape::ticket_call;
+        if (!may_repeat && runs_of_works_[seen.work] > 1)
+            report("a call that must not repeat ran twice");
+        if (told_not_run_.contains(seen.exchange))
+            report("ran after its caller was told not_run");
+        runs_of_exchanges_.insert(seen.exchange);
+        if (draining_.contains(seen.upstream))
+            report("new work ran at an upstream that is leaving");
+    }
+
+    void token_received(const event& seen)
+    {
+        auto& got = deliveries_[seen.work];
+        if (works_of_runs_[seen.run] != seen.work)
+            report("a caller got a token of somebody else's answer");
+        if (got.next == 0)
+            got.run = seen.run;
+        if (got.run != seen.run)
+            report("tokens of two generations were spliced");
+        if (got.next != seen.index)
+            report("a token was lost, doubled or out of order");
+        if (got.ended)
+            report("a token came after the end");
+        got.next = seen.index + 1;
+    }
+
+    void end_received(const event& seen)
+    {
+        open_.erase(seen.exchange);
+        auto& got = deliveries_[seen.work];
+        if (got.next != tokens_made_[got.run] || !ended_runs_.contains(got.run))
+            report("an answer was called complete that was not");
+        got.ended = true;
+    }
+
+    void answer_received(const event& seen)
+    {
+        open_.erase(seen.exchange);
+        if (works_of_runs_[seen.run] != seen.work)
+            report("a caller got the answer to somebody else's call");
+        if (!ended_runs_.contains(seen.run))
+            report("an answer came from a call that has not ended");
+    }
+
+    void refused(const event& seen)
+    {
+        open_.erase(seen.exchange);
+        // A ticket names its agent. One that is used first when that agent is
+        // leaving has begun nothing, and is told so; a new one goes elsewhere.
+        const bool needs_new_ticket = seen_.shape == work_shape::ticket_call &&
+                                      seen.refused == refusal_kind::not_run &&
+                                      seen.reason == refusal_reason::draining;
+        if (seen_.only_planned_stops && !needs_new_ticket)
+            report("a planned stop cost a caller its answer: " +
+                   std::string(name_of(seen.reason)));
+        if (seen.refused != refusal_kind::not_run)
+            return;
+        told_not_run_.insert(seen.exchange);
+        if (runs_of_exchanges_.contains(seen.exchange))
+            report("told not_run, but it had run");
+        if (seen_.shape == work_shape::ticket_call &&
+            runs_of_works_[seen.work] > 0)
+            report("told not_run, but its ticket had run");
+    }
+
+    void check_ends()
+    {
+        if (seen_.caller_stays && !open_.empty())
+            report("a caller was left without an outcome");
+    }
+
+    void report(const std::string& what) { violations_.push_back(what); }
+
+    const history& seen_;
+    std::vector<std::string> violations_;
+    std::set<std::string> open_;
+    std::set<std::string> told_not_run_;
+    std::set<std::string> runs_of_exchanges_;
+    std::set<std::string> draining_;
+    std::set<std::uint64_t> ended_runs_;
+    std::map<std::uint64_t, std::string> works_of_runs_;
+    std::map<std::string, int> runs_of_works_;
+    std::map<std::uint64_t, std::uint64_t> tokens_made_;
+    std::map<std::string, delivery> deliveries_;
+};
+
+} // namespace
+
+std::vector<std::string> violations_of(const history& seen)
+{
+    return checker(seen).run();
+}
+
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/test_history.cpp
@@ -0,0 +1,125 @@
+#include "history.hpp"
+
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace cyclamenrun::faults
+{
+namespace
+{
+
+event make(event_kind kind, std::uint64_t run = 0, std::uint64_t index = 0)
+{
+    event made;
+    made.kind = kind;
+    made.work = "w";
+    made.exchange = "x";
+    made.upstream = "u";
+    made.run = run;
+    made.index = index;
+    return made;
+}
+
+event make_refusal(refusal_kind kind)
+{
+    auto made = make(event_kind::refused);
+    made.refused = kind;
+    return made;
+}
+
+using enum event_kind;
+
+history good_stream()
+{
+    return {work_shape::stream,
+            false,
+            true,
+            {make(exchange_begun), make(run_begun, 1), make(run_token, 1, 0),
+             make(token_received, 1, 0), make(run_token, 1, 1),
+             make(token_received, 1, 1), make(run_ended, 1),
+             make(end_received)}};
+}
+
+history good_call()
+{
+    return {work_shape::ticket_call,
+            false,
+            true,
+            {make(exchange_begun), make(run_begun, 1), make(run_ended, 1),
+             make(answer_received, 1)}};
+}
+
+TEST(history, good_ones_violate_nothing)
+{
+    EXPECT_TRUE(violations_of(good_stream()).empty());
+    EXPECT_TRUE(violations_of(good_call()).empty());
+}
+
+/** A history that breaks one promise, and how. */
+struct forged {
+    const char* name;
+    history seen;
+};
+
+forged forge(const char* name, history seen,
+             const std::function<void(std::vector<event>&)>& change)
+{
+    change(seen.events);
+    return {name, std::move(seen)};
+}
+
+std::vector<forged> forged_histories()
+{
+    std::vector<forged> all;
+    const auto add = [&](const char* name, history seen, auto change) {
+        all.push_back(forge(name, std::move(seen), change));
+    };
+    add("lost_token", good_stream(), [](auto& e) { e.erase(e.begin() + 3); });
+    add("doubled_token", good_stream(),
+        [](auto& e) { e.insert(e.begin() + 4, e[3]); });
+    add("spliced", good_stream(), [](auto& e) {
+        e[5].run = 2;
+        e.insert(e.begin(), make(run_begun, 2));
+    });
+    add("token_of_another", good_stream(),
+        [](auto& e) { e[1].work = "other"; });
+    add("cut_short_but_called_complete", good_stream(),
+        [](auto& e) { e.erase(e.begin() + 5); });
+    add("complete_before_its_end", good_stream(),
+        [](auto& e) { std::swap(e[6], e[7]); });
+    add("token_after_end", good_stream(),
+        [](auto& e) { e.push_back(make(token_received, 1, 2)); });
+    add("answer_of_another", good_call(), [](auto& e) { e[1].work = "other"; });
+    add("ran_twice", good_call(),
+        [](auto& e) { e.insert(e.begin() + 2, make(run_begun, 2)); });
+    add("not_run_but_ran", good_call(),
+        [](auto& e) { e[3] = make_refusal(refusal_kind::not_run); });
+    add("not_run_then_ran", good_call(), [](auto& e) {
+        e.erase(e.begin() + 3);
+        e.insert(e.begin() + 1, make_refusal(refusal_kind::not_run));
+    });
+    add("ran_at_a_leaving_upstream", good_call(),
+        [](auto& e) { e.insert(e.begin(), make(drain_begun)); });
+    add("no_outcome", good_call(), [](auto& e) { e.pop_back(); });
+    add("refused_by_a_planned_stop", good_call(), [](auto& e) {
+        e = {make(exchange_begun), make_refusal(refusal_kind::not_run)};
+    });
+    all.back().seen.only_planned_stops = true;
+    return all;
+}
+
+class forged_history : public testing::TestWithParam<forged>
+{
+};
+
+TEST_P(forged_history, is_rejected)
+{
+    EXPECT_FALSE(violations_of(GetParam().seen).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(one_per_promise, forged_history,
+                         testing::ValuesIn(forged_histories()),
+                         [](const auto& param) { return param.param.name; });
+
+} // namespace
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/test_matrix.cpp
@@ -0,0 +1,93 @@
+#include "fault_world.hpp"
+
+#include <gtest/gtest.h>
+#include <string>
+
+namespace cyclamenrun::faults
+{
+namespace
+{
+
+/**
+ * What a caller sees: an answer that is whole and its own, or a refusal that
+ * says truthfully whether the work ran. In each cell one or two faults strike
+ * when the caller's work comes by a step; two strike together, and a pair of
+ * equal ones is the same fault twice. The cause of any failure is in the gate
+ * or the relay, since all else is a fake.
+ */
+struct cell {
+    work_shape shape = work_shape::stream;
+    step at = step::chosen;
+    fault first = fault::upstream_dies;
+    fault second = fault::upstream_dies;
+};
+
+std::string name_of(const cell& of)
+{
+    return std::string(shape_names.at(static_cast<std::size_t>(of.shape))) +
+           "__" +
+           std::string(step_table.at(static_cast<std::size_t>(of.at)).name) +
+           "__" +
+           std::string(
+               fault_table.at(static_cast<std::size_t>(of.first)).name) +
+           "__" +
+           std::string(
+               fault_table.at(static_cast<std::size_t>(of.second)).name);
+}
+
+std::vector<cell> all_cells()
+{
+    std::vector<cell> cells;
+    for (std::size_t shape = 0; shape < shape_names.size(); ++shape) {
+        for (const auto& at : step_table) {
+            if (!has_step(static_cast<work_shape>(shape), at.at))
+                continue;
+            for (const auto& first : fault_table) {
+                for (const auto& second : fault_table)
+                    cells.push_back({static_cast<work_shape>(shape), at.at,
+                                     first.what, second.what});
+            }
+        }
+    }
+    return cells;
+}
+
+class fault_matrix : public testing::TestWithParam<cell>
+{
+};
+
+TEST_P(fault_matrix, keeps_every_promise)
+{
+    const auto& of = GetParam();
+    fault_world world(of.shape);
+    world.strike(of.at, {{of.first, {}}, {of.second, {}}});
+    for (const auto& violation : violations_of(world.run()))
+        ADD_FAILURE() << violation;
+}
+
+INSTANTIATE_TEST_SUITE_P(cells, fault_matrix, testing::ValuesIn(all_cells()),
+                         [](const auto& param) {
+                             return name_of(param.param);
+                         });
+
+class fault_free : public testing::TestWithParam<int>
+{
+};
+
+TEST_P(fault_free, gives_the_answer)
+{
+    fault_world world(static_cast<work_shape>(GetParam()));
+    const auto& seen = world.run();
+    EXPECT_TRUE(violations_of(seen).empty());
+    const bool answered = std::any_of(
+        seen.events.begin(), seen.events.end(), [](const event& each) {
+            return each.kind == event_kind::end_received ||
+                   each.kind == event_kind::answer_received;
+        });
+    EXPECT_TRUE(answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(shapes, fault_free, testing::Range(0, 5));
+
+} // namespace
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/test_random.cpp
@@ -0,0 +1,53 @@
+#include "fault_world.hpp"
+
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <random>
+
+namespace cyclamenrun::faults
+{
+namespace
+{
+
+constexpr int runs_by_default = 400;
+constexpr std::uint64_t first_seed = 20261202;
+
+int run_count()
+{
+    const char* asked = std::getenv("CYCLAMENRUN_SOAK_RUNS");
+    return asked == nullptr ? runs_by_default : std::atoi(asked);
+}
+
+/**
+ * What a caller sees: as in the matrix. Up to six faults strike, at one step
+ * and at random moments after it, so that they also meet each other's
+ * consequences: a retry, a resume, an agent that has just come back. Each
+ * failure prints its seed, which alone brings it about again.
+ */
+TEST(random_faults, keep_every_promise)
+{
+    for (int i = 0; i < run_count(); ++i) {
+        const auto seed = first_seed + static_cast<std::uint64_t>(i);
+        std::mt19937_64 random(seed);
+        const auto draw = [&random](std::size_t count) {
+            return static_cast<std::size_t>(random() % count);
+        };
+        const auto shape = static_cast<work_shape>(draw(shape_names.size()));
+        auto at = step::chosen;
+        do {
+            at = step_table.at(draw(step_table.size())).at;
+        } while (!has_step(shape, at));
+        std::vector<timed_fault> faults;
+        const auto count = 1 + draw(6);
+        for (std::size_t fault = 0; fault < count; ++fault)
+            faults.push_back({fault_table.at(draw(fault_table.size())).what,
+                              milliseconds(draw(2) * draw(7'000))});
+        fault_world world(shape);
+        world.strike(at, faults);
+        for (const auto& violation : violations_of(world.run()))
+            ADD_FAILURE() << violation << "; seed " << seed;
+    }
+}
+
+} // namespace
+} // namespace cyclamenrun::faults
--- /dev/null
+++ b/tests/faults/virtual_time.hpp
@@ -0,0 +1,51 @@
+#ifndef CYCLAMENRUN_TESTS_VIRTUAL_TIME_HPP
+#define CYCLAMENRUN_TESTS_VIRTUAL_TIME_HPP
+
+#include "clock.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace cyclamenrun::faults
+{
+
+/** Runs what is due in order of time, without waiting. */
+class virtual_time
+{
+public:
+    time_point now() const { return now_; }
+    std::int64_t now_ms() const
+    {
+        return std::chrono::duration_cast<milliseconds>(now_ - start_).count();
+    }
+
+    void after(milliseconds pause, std::function<void()> work)
+    {
+        due_.emplace(std::pair(now_ + pause, ++count_), std::move(work));
+    }
+
+    /** Runs until nothing is due or `end` is reached. */
+    void run_until(time_point end)
+    {
+        while (!due_.empty() && due_.begin()->first.first <= end) {
+            const auto next = due_.begin();
+            now_ = next->first.first;
+            const auto work = std::move(next->second);
+            due_.erase(next);
+            work();
+        }
+        now_ = end;
+    }
+
+private:
+    time_point start_{std::chrono::hours(1)};
+    time_point now_ = start_;
+    std::uint64_t count_ = 0;
+    std::map<std::pair<time_point, std::uint64_t>, std::function<void()>> due_;
+};
+
+} // namespace cyclamenrun::faults
+
+#endif // CYCLAMENRUN_TESTS_VIRTUAL_TIME_HPP
