Measure the path, and the links alone

cyclamenrun-bench path opens streams through the system and past it to the same engine at the same time, so that other work on the machine falls on both alike. cyclamenrun-bench links runs both ends of a link in one process.

The path itself is not measured yet.

--- /dev/null
+++ b/bench/path_bench.hpp
@@ -0,0 +1,36 @@
+#ifndef CYCLAMENRUN_BENCH_PATH_BENCH_HPP
+#define CYCLAMENRUN_BENCH_PATH_BENCH_HPP
+
+#include "path_settings.hpp"
+#include "path_target.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace cyclamenrun::bench
+{
+
+/** Resident memory of a process before the streams and among them. */
+struct process_memory {
+    int process = 0;
+    std::uint64_t kilobytes_before = 0;
+    std::uint64_t kilobytes_during = 0;
+};
+
+struct path_result {
+    path_target direct;
+    path_target through;
+    std::vector<process_memory> memory;
+};
+
+/**
+ * Streams through the system and past it, to the same engine at the same
+ * time, so that whatever else the machine does falls on both alike. Each
+ * stream that ends is followed by another until the time is over. All load
+ * comes from one thread; targets are on loopback, or it refuses to run.
+ */
+path_result measure_path(const path_settings& settings);
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_PATH_BENCH_HPP
--- /dev/null
+++ b/bench/path_command.cpp
@@ -0,0 +1,149 @@
+#include "path_command.hpp"
+
+#include "path_bench.hpp"
+#include "path_links.hpp"
+
+#include <CLI/CLI.hpp>
+#include <Poco/Exception.h>
+#include <iomanip>
+#include <iostream>
+#include <memory>
+#include <stdexcept>
+
+namespace cyclamenrun::bench
+{
+
+namespace
+{
+
+void print_row(const std::string& what, const log_histogram& direct,
+               const log_histogram& through)
+{
+    for (const double share : {0.5, 0.99}) {
+        const double one = direct.quantile(share);
+        const double other = through.quantile(share);
+        std::cout << std::left << std::setw(16) << what << " p" << std::setw(3)
+                  << share * 100 << std::right << std::setw(10) << one
+                  << std::setw(10) << other << std::setw(10) << other - one
+                  << '\n';
+    }
+}
+
+void print(const path_settings& settings, const path_result& result)
+{
+    std::cout << std::fixed << std::setprecision(2) << "milliseconds"
+              << std::setw(18) << "direct" << std::setw(10) << "through"
+              << std::setw(10) << "added" << '\n'
+              << std::setprecision(3);
+    print_row("first token", result.direct.first_token,
+              result.through.first_token);
+    print_row("between tokens", result.direct.between_tokens,
+              result.through.between_tokens);
+    for (const path_target* target : {&result.direct, &result.through})
+        std::cout << (target == &result.direct ? "direct: " : "through: ")
+                  << target->tokens << " tokens, " << target->complete
+                  << " streams complete, " << target->broken << " broken\n";
+    for (const process_memory& memory : result.memory) {
+        const auto added = static_cast<double>(memory.kilobytes_during) -
+                           static_cast<double>(memory.kilobytes_before);
+        std::cout << "process " << memory.process << ": "
+                  << memory.kilobytes_before << " KB before, "
+                  << memory.kilobytes_during << " KB during, "
+                  << std::setprecision(1)
+                  << added / static_cast<double>(settings.streams)
+                  << " KB a stream\n";
+    }
+}
+
+/** A run that measured nothing whole must not pass for one that did. */
+void check(const path_result& result)
+{
+    for (const path_target* target : {&result.direct, &result.through})
+        if (target->broken > 0 || target->tokens == 0)
+            throw CLI::RuntimeError("streams were refused or cut", 1);
+}
+
+template <typename Measure>
+void guarded(const Measure& measure)
+{
+    try {
+        measure();
+    } catch (const std::invalid_argument& error) {
+        throw CLI::ValidationError(error.what());
+    } catch (const Poco::Exception& error) {
+        throw CLI::ValidationError(error.displayText());
+    }
+}
+
+} // namespace
+
+void add_path_command(CLI::App& app)
+{
+    struct options {
+        path_settings settings;
+        std::string direct;
+        std::string through;
+        std::int64_t seconds = 10;
+    };
+    const auto given = std::make_shared<options>();
+    CLI::App* command = app.add_subcommand(
+        "path", "What entry and agent add, against the engine directly");
+    command->add_option("--direct", given->direct, "IP:PORT of the engine")
+        ->required();
+    command->add_option("--through", given->through, "IP:PORT of the entry")
+        ->required();
+    command->add_option("--streams", given->settings.streams,
+                        "open at once to each, up to 2000");
+    command->add_option("--seconds", given->seconds, "up to 120");
+    command->add_option("--key", given->settings.key, "the team's bearer key")
+        ->required();
+    command->add_option("--model", given->settings.model, "the service")
+        ->required();
+    command->add_option("--prompt-words", given->settings.prompt_words,
+                        "words of each prompt");
+    command->add_option("--output-tokens", given->settings.output_tokens,
+                        "tokens of each answer");
+    command
+        ->add_option("--pids", given->settings.processes,
+                     "processes whose memory is read")
+        ->delimiter(',');
+    command->callback([given] {
+        guarded([&] {
+            path_settings settings = given->settings;
+            settings.direct = Poco::Net::SocketAddress(given->direct);
+            settings.through = Poco::Net::SocketAddress(given->through);
+            settings.time = std::chrono::seconds(given->seconds);
+            const path_result result = measure_path(settings);
+            print(settings, result);
+            check(result);
+        });
+    });
+}
+
+void add_links_command(CLI::App& app)
+{
+    const auto settings = std::make_shared<links_settings>();
+    CLI::App* command = app.add_subcommand(
+        "links", "Processor time and memory of the links alone");
+    command->add_option("--streams", settings->streams, "1 to 4000");
+    command->add_option("--rate", settings->tokens_per_second,
+                        "tokens a second of each stream");
+    command->add_option("--token-bytes", settings->token_bytes,
+                        "of each frame");
+    command->callback([settings] {
+        guarded([&] {
+            const links_result result = measure_links(*settings);
+            std::cout << std::fixed << std::setprecision(2) << result.frames
+                      << " frames; microseconds a frame: client "
+                      << result.client_microseconds << ", server "
+                      << result.server_microseconds << ", maker "
+                      << result.maker_microseconds << "; delay p50 "
+                      << result.delay.quantile(0.5) << " p99 "
+                      << result.delay.quantile(0.99)
+                      << " microseconds; heap of both ends "
+                      << result.bytes_per_stream << " bytes a stream\n";
+        });
+    });
+}
+
+} // namespace cyclamenrun::bench
--- /dev/null
+++ b/bench/path_links.hpp
@@ -0,0 +1,33 @@
+#ifndef CYCLAMENRUN_BENCH_PATH_LINKS_HPP
+#define CYCLAMENRUN_BENCH_PATH_LINKS_HPP
+
+#include "log_histogram.hpp"
+
+#include <chrono>
+#include <cstdint>
+
+namespace cyclamenrun::bench
+{
+
+struct links_settings {
+    std::size_t streams = 300;
+    std::uint64_t tokens_per_second = 30; ///< of each stream
+    std::size_t token_bytes = 100;
+    std::chrono::seconds time{5};
+};
+
+struct links_result {
+    std::uint64_t frames = 0;
+    double client_microseconds = 0; ///< processor time of its loop, a frame
+    double server_microseconds = 0;
+    double maker_microseconds = 0; ///< of the thread that makes the tokens
+    double bytes_per_stream = 0;   ///< heap of both ends, flowing
+    log_histogram delay;           ///< wake to on_frame, microseconds
+};
+
+/** A client and a server in this process, on a loop each. */
+links_result measure_links(const links_settings& settings);
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_PATH_LINKS_HPP
--- /dev/null
+++ b/bench/path_stream.cpp
@@ -0,0 +1,137 @@
+#include "path_stream.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketImpl.h>
+#include <sys/socket.h>
+#include <utility>
+
+namespace cyclamenrun::bench
+{
+
+namespace
+{
+
+constexpr std::string_view good_status = "HTTP/1.1 200";
+constexpr std::string_view event_start = "data: ";
+constexpr std::string_view last_event = "data: [DONE]";
+/** A line longer than this is nothing that an engine sends. */
+constexpr std::size_t longest_line = 65536;
+
+double in_milliseconds(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+} // namespace
+
+path_stream::path_stream(link_reactor& reactor, path_target& target,
+                         std::function<void()> over)
+    : reactor_(reactor), target_(target), over_(std::move(over))
+{
+}
+
+void path_stream::start()
+{
+    started_ = steady_now();
+    try {
+        socket_.connectNB(target_.address);
+    } catch (const Poco::Exception&) {
+        close(false);
+        return;
+    }
+    const auto number = static_cast<int>(socket_.impl()->sockfd());
+    watch_ = reactor_.watch(number, shared_from_this(), true);
+}
+
+void path_stream::ready(bool readable, bool writable)
+{
+    try {
+        if (writable && sent_ < target_.request.size())
+            send_request();
+        if (readable && !closed_)
+            receive();
+    } catch (const Poco::Exception&) {
+        close(false);
+    }
+}
+
+void path_stream::flush() {}
+
+void path_stream::loop_stopping()
+{
+    closed_ = true;
+}
+
+void path_stream::send_request()
+{
+    const std::string_view rest =
+        std::string_view(target_.request).substr(sent_);
+    const int size = socket_.sendBytes(
+        rest.data(), static_cast<int>(rest.size()), MSG_NOSIGNAL);
+    if (size > 0)
+        sent_ += size;
+    if (sent_ == target_.request.size())
+        reactor_.set_interest(watch_, true, false);
+}
+
+void path_stream::receive()
+{
+    const auto room = reactor_.read_buffer();
+    const int size =
+        socket_.receiveBytes(room.data(), static_cast<int>(room.size()));
+    if (size > 0)
+        take({room.data(), static_cast<std::size_t>(size)});
+    else if (size == 0)
+        close(last_event_seen_);
+}
+
+void path_stream::take(std::string_view bytes)
+{
+    // Both targets write each event into one chunk of the transfer coding,
+    // so the coding's own lines can be passed over.
+    while (!bytes.empty() && !closed_) {
+        const std::size_t end = bytes.find('\n');
+        unread_ += bytes.substr(0, end);
+        if (end == std::string_view::npos) {
+            if (unread_.size() > longest_line)
+                close(false);
+            return;
+        }
+        bytes.remove_prefix(end + 1);
+        const std::string line = std::exchange(unread_, {});
+        if (!std::exchange(status_seen_, true) &&
+            !line.starts_with(good_status))
+            close(false);
+        else if (line.starts_with(event_start))
+            take_event(line.starts_with(last_event));
+    }
+}
+
+void path_stream::take_event(bool last)
+{
+    if (last) {
+        last_event_seen_ = true;
+        close(true);
+        return;
+    }
+    const time_point now = steady_now();
+    ++target_.tokens;
+    if (last_token_)
+        target_.between_tokens.add(in_milliseconds(now - *last_token_));
+    else
+        target_.first_token.add(in_milliseconds(now - started_));
+    last_token_ = now;
+}
+
+void path_stream::close(bool complete)
+{
+    if (std::exchange(closed_, true))
+        return;
+    ++(complete ? target_.complete : target_.broken);
+    const auto self = shared_from_this();
+    reactor_.unwatch(watch_);
+    socket_.close();
+    over_();
+}
+
+} // namespace cyclamenrun::bench
--- /dev/null
+++ b/bench/path_stream.hpp
@@ -0,0 +1,56 @@
+#ifndef CYCLAMENRUN_BENCH_PATH_STREAM_HPP
+#define CYCLAMENRUN_BENCH_PATH_STREAM_HPP
+
+#include "clock.hpp"
+#include "link_reactor.hpp"
+#include "path_target.hpp"
+
+#include <Poco/Net/StreamSocket.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamenrun::bench
+{
+
+/** One streamed completion over HTTP/1.1, read on a loop's thread. */
+class path_stream final : public link_watcher,
+                          public std::enable_shared_from_this<path_stream>
+{
+public:
+    /** `over` is called once, on the loop's thread. */
+    path_stream(link_reactor& reactor, path_target& target,
+                std::function<void()> over);
+
+    void start();
+
+    void ready(bool readable, bool writable) override;
+    void flush() override;
+    void loop_stopping() override;
+
+private:
+    void send_request();
+    void receive();
+    void take(std::string_view bytes);
+    void take_event(bool last);
+    void close(bool complete);
+
+    link_reactor& reactor_;
+    path_target& target_;
+    std::function<void()> over_;
+    Poco::Net::StreamSocket socket_;
+    link_reactor::watch_id watch_ = 0;
+    time_point started_;
+    std::optional<time_point> last_token_;
+    std::size_t sent_ = 0;
+    std::string unread_; ///< the line that has not ended
+    bool status_seen_ = false;
+    bool last_event_seen_ = false;
+    bool closed_ = false;
+};
+
+} // namespace cyclamenrun::bench
+
+#endif // CYCLAMENRUN_BENCH_PATH_STREAM_HPP
