Try each fault of an upstream's processes and links

Change: ten faults before the first token, for good mid stream, and four that pass, mid stream and with the end on the way. Checked by the tokens that the caller got and by the engines' histories.

--- /dev/null
+++ b/tests/processes/test_generation_faults.cpp
@@ -0,0 +1,232 @@
+#include "../standins/token_text.hpp"
+#include "deployment.hpp"
+
+#include <array>
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing_support::caller_stream;
+using testing_support::deployment;
+using testing_support::stream_end_kind;
+using testing_support::upstream_processes;
+using testing_support::wait_until;
+using testing_support::way;
+
+constexpr auto prompt = "removal dossier, rail shed 4";
+constexpr std::uint64_t length = 300;
+constexpr std::size_t seen_tokens = 40;
+
+/** What befalls the upstream that has the generation. */
+enum class fault : std::uint8_t {
+    kill_engine,
+    freeze_engine,
+    kill_agent,
+    freeze_agent,
+    cut_agent_link,
+    stall_to_agent,
+    stall_to_entry,
+    cut_engine_link,
+    stall_to_engine,
+    stall_from_engine,
+};
+
+constexpr std::array<const char*, 10> fault_names{
+    "kill_engine",     "freeze_engine",    "kill_agent",     "freeze_agent",
+    "cut_agent_link",  "stall_to_agent",   "stall_to_entry", "cut_engine_link",
+    "stall_to_engine", "stall_from_engine"};
+
+void inject(fault what, upstream_processes& upstream)
+{
+    switch (what) {
+    case fault::kill_engine:
+        return upstream.back_end->process().signal(SIGKILL);
+    case fault::freeze_engine:
+        return upstream.back_end->process().signal(SIGSTOP);
+    case fault::kill_agent:
+        return upstream.agent->signal(SIGKILL);
+    case fault::freeze_agent:
+        return upstream.agent->signal(SIGSTOP);
+    case fault::cut_agent_link:
+        return upstream.agent_link->cut();
+    case fault::stall_to_agent:
+        return upstream.agent_link->stall(way::to_target);
+    case fault::stall_to_entry:
+        return upstream.agent_link->stall(way::to_caller);
+    case fault::cut_engine_link:
+        return upstream.back_end_link->cut();
+    case fault::stall_to_engine:
+        return upstream.back_end_link->stall(way::to_target);
+    case fault::stall_from_engine:
+        return upstream.back_end_link->stall(way::to_caller);
+    }
+}
+
+void undo(fault what, upstream_processes& upstream)
+{
+    if (what == fault::freeze_engine)
+        upstream.back_end->process().signal(SIGCONT);
+    if (what == fault::freeze_agent)
+        upstream.agent->signal(SIGCONT);
+    upstream.agent_link->heal();
+    upstream.back_end_link->heal();
+}
+
+/** Each token once, in order, and all of one generation. */
+void expect_in_order(const caller_stream& stream, std::uint64_t first = 0)
+{
+    const auto& positions = stream.positions();
+    for (std::size_t at = 0; at < positions.size(); ++at) {
+        ASSERT_EQ(positions[at].index, first + at);
+        ASSERT_EQ(positions[at].generation, positions[0].generation);
+    }
+    EXPECT_EQ(stream.text(),
+              stand_in::answer_text(prompt, first + positions.size())
+                  .substr(stand_in::answer_text(prompt, first).size()));
+}
+
+void expect_whole(const caller_stream& stream)
+{
+    EXPECT_EQ(stream.end(), stream_end_kind::whole)
+        << stream.status() << ' ' << stream.refusal().kind << ' '
+        << stream.refusal().reason;
+    EXPECT_EQ(stream.positions().size(), length);
+    EXPECT_EQ(stream.finish_reason(), "stop");
+    expect_in_order(stream);
+}
+
+class generation_faults : public ::testing::TestWithParam<fault>
+{
+protected:
+    /** Two upstreams; `speed` is the time for a token in ms. */
+    void start(const char* speed)
+    {
+        system.add_model("redactor-1", {"--step-ms", speed});
+        system.add_model("redactor-2", {"--step-ms", speed});
+        system.add_entry("entry-1");
+        system.wait_until_ready();
+    }
+
+    deployment system;
+};
+
+// An inspector asks, and the upstream that has the request fails before its
+// first token. Nothing of the answer has been seen, so the other upstream
+// can make it, and the inspector never learns of the fault.
+TEST_P(generation_faults, before_the_first_token_shows_to_no_caller)
+{
+    start("5");
+    for (const std::size_t at : {0, 1})
+        system.upstream(at).back_end->set_fault(R"({"stall_ms":60000})");
+    std::unique_ptr<caller_stream> stream;
+    std::thread caller([&] {
+        stream = std::make_unique<caller_stream>(
+            system.generate(system.entry(0), prompt, length));
+        stream->read_all();
+    });
+    auto& struck = system.wait_for_event("start");
+    auto& other = system.upstream(&struck == &system.upstream(0) ? 1 : 0);
+    other.back_end->set_fault(R"({"stall_ms":0})");
+    inject(GetParam(), struck);
+    caller.join();
+    expect_whole(*stream);
+    EXPECT_EQ(other.back_end->history("end").size(), 1);
+    undo(GetParam(), struck);
+}
+
+// A technician reads a guide, and its upstream fails for good. Another one
+// must not go on with it: the end of that text could not be of the same
+// generation. What was read stays true, and the refusal says that it failed.
+TEST_P(generation_faults, for_good_mid_stream_ends_it_truthfully)
+{
+    start("20");
+    auto stream = system.generate(system.entry(0), prompt, length);
+    stream.read_tokens(seen_tokens);
+    auto& struck = system.wait_for_event("first_token");
+    auto& other = system.upstream(&struck == &system.upstream(0) ? 1 : 0);
+    inject(GetParam(), struck);
+    stream.read_all();
+    if (GetParam() == fault::stall_to_engine) {
+        // The tokens come the other way, which is open.
+        expect_whole(stream);
+    } else {
+        EXPECT_EQ(stream.end(), stream_end_kind::refused);
+        EXPECT_EQ(stream.refusal().kind, "failed");
+        EXPECT_GE(stream.positions().size(), seen_tokens);
+        expect_in_order(stream);
+    }
+    EXPECT_TRUE(other.back_end->history("start").empty());
+    undo(GetParam(), struck);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, generation_faults,
+    ::testing::Values(fault::kill_engine, fault::freeze_engine,
+                      fault::kill_agent, fault::freeze_agent,
+                      fault::cut_agent_link, fault::stall_to_agent,
+                      fault::stall_to_entry, fault::cut_engine_link,
+                      fault::stall_to_engine, fault::stall_from_engine),
+    [](const auto& tested) {
+        return fault_names.at(static_cast<std::size_t>(tested.param));
+    });
+
+class passing_faults : public generation_faults
+{
+protected:
+    /** The entry has noticed that its link to an agent is gone. */
+    bool link_closed()
+    {
+        return system.entry(0).process->errors().find("link_closed") !=
+               std::string::npos;
+    }
+};
+
+// A link between failure domains is cut or stalls in the middle of a dossier
+// until the entry gives the connection up, or the agent is frozen as long.
+// Then it heals, and the dossier goes on with the very next token.
+TEST_P(passing_faults, mid_stream_cut_nothing)
+{
+    start("20");
+    auto stream = system.generate(system.entry(0), prompt, length);
+    stream.read_tokens(seen_tokens);
+    auto& struck = system.wait_for_event("first_token");
+    inject(GetParam(), struck);
+    EXPECT_TRUE(wait_until([this] { return link_closed(); }));
+    undo(GetParam(), struck);
+    stream.read_all();
+    expect_whole(stream);
+    EXPECT_EQ(system.count_events("start"), 1);
+}
+
+// All is made, but the end of the answer is lost on the way: the caller still
+// gets it, from the same run.
+TEST_P(passing_faults, with_the_end_on_the_way_cut_nothing)
+{
+    start("5");
+    auto stream = system.generate(system.entry(0), prompt, length);
+    stream.read_tokens(seen_tokens);
+    auto& struck = system.wait_for_event("first_token");
+    inject(GetParam(), struck);
+    if (GetParam() != fault::freeze_agent)
+        struck.back_end->wait_for_history("end", 1);
+    EXPECT_TRUE(wait_until([this] { return link_closed(); }));
+    undo(GetParam(), struck);
+    stream.read_all();
+    expect_whole(stream);
+    EXPECT_EQ(system.count_events("start"), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, passing_faults,
+    ::testing::Values(fault::freeze_agent, fault::cut_agent_link,
+                      fault::stall_to_agent, fault::stall_to_entry),
+    [](const auto& tested) {
+        return fault_names.at(static_cast<std::size_t>(tested.param));
+    });
+
+} // namespace
+} // namespace cyclamenrun
