End both sides of a cut test link

Cause: a link whose one side was gone already left the other open, and a test waited 15 s at its end for the stand-in's own timeout.

--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -88,9 +88,14 @@
         void shut_down()
         {
             ended = true;
+            end(caller);
+            end(target);
+        }
+
+        static void end(Poco::Net::StreamSocket& socket)
+        {
             try {
-                caller.shutdown();
-                target.shutdown();
+                socket.shutdown();
             } catch (const Poco::Exception&) {
                 return; // the peer was first
             }
