--- a/tests/configuration/test_order_lease.cpp
+++ b/tests/configuration/test_order_lease.cpp
@@ -100,14 +100,22 @@
     void freeze(milliseconds how_long) { frozen_until_ = clock() + how_long; }
     /** Its next order is held up between the decision and the engine. */
     void freeze_in_order() { frozen_in_order_ = true; }
+    /** Runs `meanwhile` just before the clock is read for the n-th time. */
+    void freeze_at(int reading, std::function<void()> meanwhile)
+    {
+        freeze_at_ = readings_ + reading;
+        meanwhile_ = std::move(meanwhile);
+    }
     /** Its clock goes faster or slower than the world's, by so many in 1000. */
     void set_drift(int per_mille) { drift_ = per_mille; }
 
     order_runner& runner() { return runner_; }
 
 private:
-    time_point clock() const
+    time_point clock()
     {
+        if (++readings_ == freeze_at_)
+            meanwhile_();
         const auto since = world_.now.time_since_epoch();
         return time_point(since + since * drift_ / 1000);
     }
@@ -130,6 +138,9 @@
     order_runner runner_;
     int wanted_ = 0;
     int drift_ = 0;
+    int readings_ = 0;
+    int freeze_at_ = 0;
+    std::function<void()> meanwhile_;
     bool frozen_in_order_ = false;
     time_point frozen_until_{};
 };
@@ -178,6 +189,29 @@
     EXPECT_FALSE(world.engine.disordered());
 }
 
+// The same, with the old agent frozen at every step between looking at the
+// clock and giving the order.
+TEST(order_lease, drops_its_order_wherever_it_was_frozen)
+{
+    int given_before = 0;
+    for (int reading = 1; reading <= 30; ++reading) {
+        engine_world world;
+        world.engine.honours_fencing = false;
+        const auto settings = settings_for(false);
+        simulated_agent old_agent(world, 1, settings);
+        simulated_agent new_agent(world, 2, settings);
+        run_until_acted(world, old_agent);
+        old_agent.freeze_at(reading,
+                            [&] { run_until_acted(world, new_agent); });
+        for (int i = 0; i < 30; ++i)
+            old_agent.pass();
+        ASSERT_FALSE(world.engine.disordered()) << "reading " << reading;
+        ASSERT_EQ(world.engine.taken.back().incarnation, 2U) << reading;
+        given_before += static_cast<int>(world.engine.taken.size());
+    }
+    EXPECT_GT(given_before, 90);
+}
+
 // The same with an engine that refuses old numbers: nobody has to wait.
 TEST(order_lease, does_not_wait_where_the_engine_refuses_old_numbers)
 {
