--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -2,6 +2,8 @@
 
 #include "caller_writer.hpp"
 #include "log_event.hpp"
+#include "metrics_caller_writer.hpp"
+#include "metrics_of_outcome.hpp"
 
 #include <algorithm>
 #include <future>
@@ -129,14 +131,12 @@
     ++active_;
     relay relay(request, settings_.relay, relay_hooks_for(caller));
     relay_runner runner(links_, runner_hooks(request.service), clock_);
-    result = runner.run(relay, writer);
+    metrics_caller_writer measured(writer, metrics_, clock_, started_at);
+    result = runner.run(relay, measured);
     --active_;
     if (!resumes)
         teams_.finish(request.team);
-    metrics_.record(metric::request_duration, clock_() - started_at, clock_());
-    if (result.first_token_at)
-        metrics_.record(metric::time_to_first_token,
-                        *result.first_token_at - started_at, clock_());
+    record_outcome(metrics_, request, result, started_at, clock_());
     log_outcome(request, relay, result);
     return result;
 }
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -91,7 +91,7 @@
     configuration_store& configuration() { return configuration_; }
     const configuration_revisions& revisions() const { return revisions_; }
     route_table& routes() { return routes_; }
-    const metrics& measurements() const { return metrics_; }
+    metrics& measurements() { return metrics_; }
     const entry_core_settings& settings() const { return settings_; }
     const poison_watch& poison() const { return poison_; }
     time_point now() const { return clock_(); }
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -5,6 +5,9 @@
 #include "caller_http_handler.hpp"
 #include "log_event.hpp"
 #include "log_tailer.hpp"
+#include "logging_change.hpp"
+#include "logging_platform_log.hpp"
+#include "logging_vm_list.hpp"
 #include "operator_commands.hpp"
 #include "operator_queries.hpp"
 #include "platform_log_client.hpp"
@@ -156,17 +159,21 @@
     log_ = std::make_unique<platform_log_client>(
         platform, settings_.platform.log, http_limits{}, log_call_limit,
         steady_now, &stop_log_);
+    logged_ = std::make_unique<logging_platform_log>(
+        *log_, core_->measurements(), steady_now);
     auto& store = core_->configuration();
-    snapshots_ = std::make_shared<snapshot_writer>(*log_, store, settings_.name,
-                                                   snapshot_settings{},
-                                                   random_u64, steady_now());
-    tailer_ = std::make_unique<log_tailer>(*log_, store, tail_settings{},
+    snapshots_ = std::make_shared<snapshot_writer>(
+        *logged_, store, settings_.name, snapshot_settings{}, random_u64,
+        steady_now());
+    tailer_ = std::make_unique<log_tailer>(*logged_, store, tail_settings{},
                                            steady_now, uniform_random());
     tailer_->write_snapshots_by(snapshots_);
     tailer_->start();
     vm_list_ = std::make_unique<vm_list_watcher>(
         platform,
-        [this](const vm_list& list) {
+        [this,
+         journal = std::make_shared<logging_vm_list>()](const vm_list& list) {
+            journal->note(list);
             core_->on_vm_list(list);
             snapshots_->on_entries(core_->routes().members().entries());
         },
@@ -176,7 +183,7 @@
 void entry_process::serve_operators()
 {
     commands_ = std::make_unique<operator_commands>(
-        *log_, core_->configuration(), steady_now);
+        *logged_, core_->configuration(), steady_now);
     queries_ = std::make_unique<operator_queries>(
         core_->configuration(), core_->revisions(),
         process_identity{settings_.name, process_role::entry,
@@ -207,8 +214,10 @@
     const std::string service = "cyclamenrun.v1.CommandService";
     router.add_method<v1::ApplyChangeRequest, v1::ApplyChangeResponse>(
         service, "ApplyChange", [this](const auto& request) {
-            return commands_->apply_change(request,
-                                           steady_now() + operator_deadline);
+            auto response = commands_->apply_change(
+                request, steady_now() + operator_deadline);
+            log_change(request.change(), response);
+            return response;
         });
     router.add_method<v1::DrainUpstreamRequest, v1::DrainUpstreamResponse>(
         service, "DrainUpstream",
@@ -326,6 +335,15 @@
             list->add(describe(agent));
         section.set("list", list);
     });
+    dump_.add_section("log", [this](Poco::JSON::Object& section) {
+        const auto status = tailer_->status();
+        section.set("state", std::string(name_of(status.state)));
+        section.set("first_retained", status.first_retained);
+        section.set("end", status.end);
+        section.set("gaps", status.gaps);
+        section.set("failures", status.failures);
+        section.set("failures_in_a_row", status.failures_in_a_row);
+    });
     add_metrics_section(dump_, core_->measurements(), steady_now);
 }
 
--- a/src/libcyclamenrun/entry_process.hpp
+++ b/src/libcyclamenrun/entry_process.hpp
@@ -21,6 +21,7 @@
 {
 
 class log_tailer;
+class logging_platform_log;
 class operator_commands;
 class operator_queries;
 class platform_log_client;
@@ -67,6 +68,7 @@
 
     cancellation stop_log_;
     std::unique_ptr<platform_log_client> log_;
+    std::unique_ptr<logging_platform_log> logged_;
     std::shared_ptr<snapshot_writer> snapshots_;
     std::unique_ptr<log_tailer> tailer_;
     std::unique_ptr<vm_list_watcher> vm_list_;
--- a/src/libcyclamenrun/log_field.cpp
+++ b/src/libcyclamenrun/log_field.cpp
@@ -27,6 +27,7 @@
     key_row{log_key::generation, "generation"},
     key_row{log_key::incarnation, "incarnation"},
     key_row{log_key::kind, "kind"},
+    key_row{log_key::name, "name"},
     key_row{log_key::offset, "offset"},
     key_row{log_key::path, "path"},
     key_row{log_key::process, "process"},
--- a/src/libcyclamenrun/log_field.hpp
+++ b/src/libcyclamenrun/log_field.hpp
@@ -29,6 +29,7 @@
     generation,
     incarnation,
     kind,
+    name,
     offset,
     path,
     process,
--- /dev/null
+++ b/src/libcyclamenrun/logging_change.hpp
@@ -0,0 +1,16 @@
+#ifndef CYCLAMENRUN_LOGGING_CHANGE_HPP
+#define CYCLAMENRUN_LOGGING_CHANGE_HPP
+
+#include "operator.pb.h"
+#include "refusal.hpp"
+
+namespace cyclamenrun
+{
+
+/** Logs what became of an operator's change. */
+void log_change(const v1::ChangeRecord& change,
+                const outcome<v1::ApplyChangeResponse>& response);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOGGING_CHANGE_HPP
--- /dev/null
+++ b/src/libcyclamenrun/logging_platform_log.hpp
@@ -0,0 +1,40 @@
+#ifndef CYCLAMENRUN_LOGGING_PLATFORM_LOG_HPP
+#define CYCLAMENRUN_LOGGING_PLATFORM_LOG_HPP
+
+#include "clock.hpp"
+#include "platform_log.hpp"
+
+#include <atomic>
+
+namespace cyclamenrun
+{
+
+class metrics;
+
+/**
+ * Passes calls on to the platform's log, and logs when it stops and starts to
+ * answer: one line for each outage, however many calls fail in it.
+ */
+class logging_platform_log : public platform_log
+{
+public:
+    logging_platform_log(platform_log& log, metrics& measured,
+                         clock_function clock);
+
+    tl::expected<std::uint64_t, log_error>
+    append(std::string_view data) override;
+    tl::expected<log_page, log_error>
+    read(std::uint64_t from, std::uint32_t max, milliseconds wait) override;
+
+private:
+    void note(const log_error* error);
+
+    platform_log& log_;
+    metrics& metrics_;
+    clock_function clock_;
+    std::atomic<bool> available_{true};
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOGGING_PLATFORM_LOG_HPP
--- a/src/libcyclamenrun/metric.hpp
+++ b/src/libcyclamenrun/metric.hpp
@@ -8,25 +8,18 @@
 namespace cyclamenrun
 {
 
-/** What is measured, in processes of both roles. */
+/** What a process measures. */
 enum class metric : std::uint8_t {
     time_to_first_token,
     time_between_tokens,
-    stall_time,
-    queue_wait,
+    longest_wait,
     request_duration,
     request_tokens,
     call_duration,
-    dispatch_attempts,
     refusals,
     retries,
     resumes,
-    preemptions,
-    prefix_tokens_held,
-    engine_memory_share,
-    heartbeat_round_trip,
     log_append_duration,
-    configuration_lag,
 };
 
 struct metric_row {
--- /dev/null
+++ b/src/libcyclamenrun/metrics_of_outcome.hpp
@@ -0,0 +1,20 @@
+#ifndef CYCLAMENRUN_METRICS_OF_OUTCOME_HPP
+#define CYCLAMENRUN_METRICS_OF_OUTCOME_HPP
+
+#include "clock.hpp"
+
+namespace cyclamenrun
+{
+
+class metrics;
+struct relay_request;
+struct relay_result;
+
+/** Records how a caller's request ended that came at `started_at`. */
+void record_outcome(metrics& measured, const relay_request& request,
+                    const relay_result& result, time_point started_at,
+                    time_point now);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_METRICS_OF_OUTCOME_HPP
--- a/src/libcyclamenrun/rpc_http_handler.cpp
+++ b/src/libcyclamenrun/rpc_http_handler.cpp
@@ -1,5 +1,7 @@
 #include "rpc_http_handler.hpp"
 
+#include "log_event.hpp"
+
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/NumberParser.h>
@@ -54,6 +56,18 @@
     return std::to_string(seconds.count());
 }
 
+/** The path is the operator's own text; log_event() bounds and escapes it. */
+void log_refused(const Poco::Net::HTTPServerRequest& request,
+                 const rpc_response& answer)
+{
+    const auto error = parse_rpc_error(answer.body, answer.status);
+    log_event(log_severity::info, log_event_name::operator_refused,
+              {{log_key::path, request.getURI()},
+               {log_key::status, answer.status},
+               {log_key::reason, name_of(error.code)},
+               {log_key::address, request.clientAddress().toString()}});
+}
+
 } // namespace
 
 rpc_http_handler::rpc_http_handler(std::shared_ptr<const rpc_router> router,
@@ -66,6 +80,8 @@
                                      Poco::Net::HTTPServerResponse& response)
 {
     const auto answer = respond(request);
+    if (answer.status != Poco::Net::HTTPResponse::HTTP_OK)
+        log_refused(request, answer);
     using status_type = Poco::Net::HTTPResponse::HTTPStatus;
     response.setStatusAndReason(static_cast<status_type>(answer.status));
     response.setContentType(answer.content_type);
--- a/tests/product/test_logging.cpp
+++ b/tests/product/test_logging.cpp
@@ -73,7 +73,7 @@
 TEST(logging, lines_of_libraries_are_json_and_low_severities_are_dropped)
 {
     const log_catcher caught(log_severity::warning);
-    log_event(log_severity::info, log_event_name::request_started);
+    log_event(log_severity::info, log_event_name::request_finished);
     LOG(ERROR) << "quoted \"text\"\nsecond line";
     ASSERT_EQ(caught.lines().size(), 1U);
     const auto line = parse(caught.lines().front());
@@ -89,7 +89,7 @@
     for (unsigned thread = 0; thread < 4; ++thread) {
         threads.emplace_back([thread] {
             for (unsigned count = 0; count < 50; ++count)
-                log_event(log_severity::info, log_event_name::request_started,
+                log_event(log_severity::info, log_event_name::request_finished,
                           {{log_key::count, thread * 50 + count}});
         });
     }
--- a/tests/product/test_state_dump.cpp
+++ b/tests/product/test_state_dump.cpp
@@ -23,16 +23,16 @@
     metrics measured;
     const time_point start = time_point() + metrics::window;
     for (int value = 1; value <= 1000; ++value)
-        measured.record(metric::queue_wait, double(value), start);
-    const auto early = measured.summary(metric::queue_wait, start);
+        measured.record(metric::call_duration, double(value), start);
+    const auto early = measured.summary(metric::call_duration, start);
     EXPECT_EQ(early.count, 1000U);
     EXPECT_EQ(early.maximum, 1000);
     EXPECT_NEAR(early.recent_p50.value(), 500, 25);
     EXPECT_NEAR(early.recent_p99.value(), 990, 15);
 
     const auto later = start + 3 * metrics::window;
-    measured.record(metric::queue_wait, milliseconds(7), later);
-    const auto late = measured.summary(metric::queue_wait, later);
+    measured.record(metric::call_duration, milliseconds(7), later);
+    const auto late = measured.summary(metric::call_duration, later);
     EXPECT_EQ(late.count, 1001U);
     EXPECT_EQ(late.recent_count, 1U);
     EXPECT_FALSE(late.recent_p50) << "one sample has no quantiles";
@@ -77,7 +77,7 @@
     const auto object = parse(text);
     EXPECT_EQ(object->getObject("process")->getValue<int>("uptime_ms"), 250);
     const auto retries = object->getObject("metrics")->getObject("retries");
-    EXPECT_EQ(retries->getValue<std::string>("unit"), "retries");
+    EXPECT_EQ(retries->getValue<std::string>("unit"), "attempts");
     EXPECT_EQ(retries->getValue<int>("count"), 1);
 }
 
--- /dev/null
+++ b/tests/product/test_watching.cpp
@@ -0,0 +1,123 @@
+#include "caller_writer.hpp"
+#include "logging.hpp"
+#include "logging_platform_log.hpp"
+#include "logging_vm_list.hpp"
+#include "metrics.hpp"
+#include "metrics_caller_writer.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing::_;
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::NiceMock;
+using testing::Return;
+
+/** Keeps the lines that one test logs. */
+class watching : public testing::Test
+{
+protected:
+    watching()
+    {
+        start_logging(
+            "test", log_severity::info,
+            [this](std::string_view line) { lines.emplace_back(line); });
+    }
+    ~watching() override { start_logging("test", log_severity::info); }
+
+    std::vector<std::string> lines;
+    time_point now{};
+    metrics measured;
+};
+
+class mock_log : public platform_log
+{
+public:
+    using append_answer = tl::expected<std::uint64_t, log_error>;
+    using read_answer = tl::expected<log_page, log_error>;
+    MOCK_METHOD(append_answer, append, (std::string_view), (override));
+    MOCK_METHOD(read_answer, read, (std::uint64_t, std::uint32_t, milliseconds),
+                (override));
+};
+
+class mock_writer : public caller_writer
+{
+public:
+    MOCK_METHOD(bool, tokens, (const write_tokens&), (override));
+    MOCK_METHOD(bool, end, (const write_end&), (override));
+    MOCK_METHOD(bool, answer, (const write_answer&), (override));
+    MOCK_METHOD(bool, refuse, (const refusal&), (override));
+    MOCK_METHOD(bool, gone, (), (override));
+};
+
+/**
+ * The platform's log is out for an hour and is asked all the time. Operators
+ * must find one line when it began and one when it ended, not thousands; a
+ * rate limit is no outage.
+ */
+TEST_F(watching, an_outage_of_the_log_is_two_lines)
+{
+    NiceMock<mock_log> inner;
+    logging_platform_log log(inner, measured, [this] { return now; });
+    const auto failing = [](log_failure failure) {
+        return tl::unexpected(log_error{failure});
+    };
+    EXPECT_CALL(inner, append(_))
+        .WillOnce(
+            Return(mock_log::append_answer(failing(log_failure::rate_limited))))
+        .WillOnce(Return(7U));
+    EXPECT_CALL(inner, read(_, _, _))
+        .WillOnce(
+            Return(mock_log::read_answer(failing(log_failure::unavailable))))
+        .WillRepeatedly(
+            Return(mock_log::read_answer(failing(log_failure::timed_out))));
+    EXPECT_FALSE(log.append("a"));
+    for (int attempt = 0; attempt < 100; ++attempt)
+        EXPECT_FALSE(log.read(0, 1, milliseconds(0)));
+    EXPECT_TRUE(log.append("b"));
+    EXPECT_THAT(lines, ElementsAre(HasSubstr("log_service_unavailable"),
+                                   HasSubstr("log_service_recovered")));
+    EXPECT_EQ(measured.summary(metric::log_append_duration, now).count, 1U);
+}
+
+TEST_F(watching, a_list_of_vms_is_logged_by_its_changes)
+{
+    logging_vm_list journal;
+    vm first{"vm-1", "127.0.0.1:1", "r", "d", "s", vm_state::live};
+    vm second{"vm-2", "127.0.0.1:2", "r", "d", "s", vm_state::live};
+    journal.note({1, {first}});
+    journal.note({2, {first, second}});
+    first.state = vm_state::leaving;
+    journal.note({3, {first, second}});
+    journal.note({4, {second}});
+    EXPECT_THAT(lines, ElementsAre(HasSubstr("vm_list_read"),
+                                   HasSubstr("upstream_found"),
+                                   HasSubstr("upstream_leaving"),
+                                   HasSubstr("upstream_removed")));
+}
+
+TEST_F(watching, gaps_between_tokens_and_the_longest_wait_are_measured)
+{
+    NiceMock<mock_writer> inner;
+    ON_CALL(inner, tokens(_)).WillByDefault(Return(true));
+    metrics_caller_writer writer(
+        inner, measured, [this] { return now; }, now);
+    for (const int gap : {900, 30, 50}) {
+        now += milliseconds(gap);
+        EXPECT_TRUE(writer.tokens({}));
+    }
+    writer.end({});
+    const auto gaps = measured.summary(metric::time_between_tokens, now);
+    EXPECT_EQ(gaps.count, 2U);
+    EXPECT_EQ(gaps.maximum, 50);
+    EXPECT_EQ(measured.summary(metric::longest_wait, now).maximum, 900);
+}
+
+} // namespace
+} // namespace cyclamenrun
