Notice soon that a busy engine has frozen

Cause: an engine that was idle is looked at every 5 s, also once it has begun to work, and each look asked twice with 2 s each. The other way round an engine that makes tokens but is slow to answer a look counted as lost.

Ruled out: a look at each start of a run, as it costs an exchange for each request.

Change: work that begins shortens the wait for the next look; one exchange is one look; tokens count as a sign of life. The settings of the process tests follow a key that has gone.

--- a/src/libcyclamenrun/upstream_driver.cpp
+++ b/src/libcyclamenrun/upstream_driver.cpp
@@ -112,6 +112,10 @@
     active->deadline = order.deadline;
     {
         const std::scoped_lock lock(mutex_);
+        if (active_.empty()) {
+            look_now_ = true;
+            changed_.notify_all();
+        }
         active_[order.work] = active;
     }
     // Guards against a stop that came before the run was entered above: the
@@ -182,7 +186,9 @@
         request.expected_epoch = epoch_;
     }
     const engine_events events{[this, &order](const std::string& text) {
-        gate_->token_made(order.work, text, clock_());
+        const auto now = clock_();
+        heard_at_ = now;
+        gate_->token_made(order.work, text, now);
     }};
     const auto result = engine_.run(request, events, active.cancel);
     if (result)
@@ -197,7 +203,7 @@
     // Whether the engine is gone, or only this run, decides what is held
     // against the request: that is for the watcher to find out at once.
     if (hints_at_loss(error.failure) && gate_->wanted(order.work) &&
-        !engine_answers()) {
+        !look_at_engine()) {
         engine_is_lost();
         return;
     }
@@ -239,20 +245,46 @@
             pause(settings_.busy_probe);
             continue;
         }
-        while (!stopping() && engine_answers()) {
-            const auto load = engine_.load(clock_() + settings_.probe_timeout);
-            if (load)
-                gate_->engine_load(
-                    {load->running, load->waiting, load->memory_tokens_used},
-                    clock_());
-            const bool busy = gate_->load(clock_()).running() > 0;
-            pause(busy ? settings_.busy_probe : settings_.idle_probe);
-        }
+        while (!stopping() && (look_at_engine() || heard_lately()))
+            rest();
         if (!stopping())
             engine_is_lost();
     }
 }
 
+bool upstream_driver::look_at_engine()
+{
+    const auto load = engine_.load(clock_() + settings_.probe_timeout);
+    if (!load)
+        return false;
+    {
+        const std::scoped_lock lock(mutex_);
+        if (epoch_ == 0 || engine_.epoch() != epoch_)
+            return false;
+    }
+    gate_->engine_load({load->running, load->waiting, load->memory_tokens_used},
+                       clock_());
+    return true;
+}
+
+/** An engine that makes tokens is there, however long it takes to answer. */
+bool upstream_driver::heard_lately() const
+{
+    const std::scoped_lock lock(mutex_);
+    return epoch_ != 0 && clock_() - heard_at_.load() < settings_.busy_probe;
+}
+
+void upstream_driver::rest()
+{
+    const bool busy = gate_->load(clock_()).running() > 0;
+    const bool woken =
+        pause(busy ? settings_.busy_probe : settings_.idle_probe);
+    // Guards against a late look at an engine that was idle and has begun to
+    // work: if it froze now, its callers would wait for the idle look.
+    if (woken && !busy)
+        pause(settings_.busy_probe);
+}
+
 /**
  * Guards against work of an earlier incarnation that still runs on the
  * engine: nobody will read it, and it takes memory that admission would count
@@ -288,13 +320,6 @@
     return true;
 }
 
-bool upstream_driver::engine_answers()
-{
-    const auto runs = engine_.runs(clock_() + settings_.probe_timeout);
-    const std::scoped_lock lock(mutex_);
-    return runs && engine_.epoch() == epoch_;
-}
-
 void upstream_driver::engine_is_lost()
 {
     {
@@ -310,11 +335,13 @@
     gate_->engine_lost(clock_());
 }
 
-void upstream_driver::pause(milliseconds pause)
+bool upstream_driver::pause(milliseconds pause)
 {
     std::unique_lock lock(mutex_);
-    changed_.wait_for(lock, pause, [this] { return stopping_ || look_now_; });
+    const bool woken = changed_.wait_for(
+        lock, pause, [this] { return stopping_ || look_now_; });
     look_now_ = false;
+    return woken;
 }
 
 bool upstream_driver::stopping() const
--- a/src/libcyclamenrun/upstream_driver.hpp
+++ b/src/libcyclamenrun/upstream_driver.hpp
@@ -9,6 +9,7 @@
 #include "upstream_kind.hpp"
 
 #include <Poco/ThreadPool.h>
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -66,8 +67,13 @@
 
     void watch();
     bool take_over();
-    bool engine_answers();
-    void pause(milliseconds pause);
+    /** False if it does not answer, or in another life. */
+    bool look_at_engine();
+    bool heard_lately() const;
+    /** Waits until the next look at the engine is due. */
+    void rest();
+    /** True if something made it shorter. */
+    bool pause(milliseconds pause);
     bool stopping() const;
     void engine_is_lost();
 
@@ -83,6 +89,7 @@
     std::uint64_t epoch_ = 0; // of the engine's life that we run on; 0: none
     bool stopping_ = false;
     bool look_now_ = false;
+    std::atomic<time_point> heard_at_{time_point{}}; ///< the last token
 
     Poco::ThreadPool threads_;
     std::thread watcher_;
--- a/tests/processes/deployment.cpp
+++ b/tests/processes/deployment.cpp
@@ -134,8 +134,7 @@
             "operator_keys = [" +
             quoted(operator_hash_) +
             "]\n[platform]\naddress = " + quoted(platform_.address()) +
-            "\n[routing]\nheartbeat_interval_ms = 100\n"
-            "vm_list_interval_ms = 100\nretry_share = 1\n"
+            "\n[routing]\nheartbeat_interval_ms = 100\nretry_share = 1\n"
             "[drain]\nbalancer_wait_ms = 100\n");
     auto added = std::make_unique<entry_processes>();
     added->name = name;
--- a/tests/processes/test_generation_faults.cpp
+++ b/tests/processes/test_generation_faults.cpp
@@ -20,6 +20,8 @@
 constexpr auto prompt = "removal dossier, rail shed 4";
 constexpr std::uint64_t length = 300;
 constexpr std::size_t seen_tokens = 40;
+/** Two looks at a busy engine, and time to spare. */
+constexpr milliseconds engine_loss_limit(5000);
 
 /** What befalls the upstream that has the generation. */
 enum class fault : std::uint8_t {
@@ -149,7 +151,11 @@
     auto& struck = system.wait_for_event("first_token");
     auto& other = system.upstream(&struck == &system.upstream(0) ? 1 : 0);
     inject(GetParam(), struck);
+    const auto limit = steady_now() + engine_loss_limit;
     stream.read_all();
+    if (GetParam() == fault::freeze_engine) {
+        EXPECT_LT(steady_now(), limit);
+    }
     if (GetParam() == fault::stall_to_engine) {
         // The tokens come the other way, which is open.
         expect_whole(stream);
