Let frames go missing and change places, and connections stick, in the matrix

Cause: with the guard against gaps, or the tombstones, taken out, no cell of the matrix failed: no fault dropped or swapped a frame, and no message ever overtook another. Ruled out: that the guards are not needed; without them a caller could be given a gap.

--- a/tests/faults/fake_link.hpp
+++ b/tests/faults/fake_link.hpp
@@ -21,6 +21,12 @@
 
     void send(std::function<void()> message)
     {
+        if (stuck()) {
+            // In order with the rest of its connection, long after.
+            time_.after(time_left(stuck_until_, time_.now()) + milliseconds(2),
+                        std::move(message));
+            return;
+        }
         if (stalled()) {
             held_.push_back(std::move(message));
             return;
@@ -33,6 +39,14 @@
         });
     }
 
+    /**
+     * The connection carries nothing until then; a new one, made by
+     * reconnect(), does, and overtakes what is still on its way.
+     */
+    void stick(milliseconds pause) { stuck_until_ = time_.now() + pause; }
+    void reconnect() { stuck_until_ = time_point{}; }
+    bool stuck() const { return time_.now() < stuck_until_; }
+
     bool stalled() const { return stalls_ > 0; }
     void stall() { ++stalls_; }
     void resume()
@@ -48,6 +62,7 @@
 private:
     virtual_time& time_;
     int stalls_ = 0;
+    time_point stuck_until_{};
     std::vector<std::function<void()>> held_;
 };
 
--- a/tests/faults/fault_kinds.hpp
+++ b/tests/faults/fault_kinds.hpp
@@ -38,6 +38,9 @@
     answer_late,
     answer_lost,
     answer_of_another,
+    answer_out_of_order, ///< two of its frames change places
+    answer_with_gap,     ///< one of its frames is missing
+    connection_stuck,    ///< what was sent arrives late, by other ways all goes
     agent_frozen,
     entry_frozen,
     memory_full,
@@ -88,6 +91,9 @@
     fault_row{fault::answer_late, "answer_late"},
     fault_row{fault::answer_lost, "answer_lost"},
     fault_row{fault::answer_of_another, "answer_of_another"},
+    fault_row{fault::answer_out_of_order, "answer_out_of_order"},
+    fault_row{fault::answer_with_gap, "answer_with_gap"},
+    fault_row{fault::connection_stuck, "connection_stuck"},
     fault_row{fault::agent_frozen, "agent_frozen"},
     fault_row{fault::entry_frozen, "entry_frozen"},
     fault_row{fault::memory_full, "memory_full"},
--- a/tests/faults/fault_world.cpp
+++ b/tests/faults/fault_world.cpp
@@ -3,6 +3,7 @@
 #include "ticket_authority.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cyclamenrun::faults
 {
@@ -457,6 +458,20 @@
 
 void fault_world::to_relay(const stream_pointer& open,
                            const link::AgentFrame& frame)
+{
+    if (std::exchange(open->drops_next, false))
+        return;
+    if (std::exchange(open->swaps_next, false)) {
+        open->swapped = frame;
+        return;
+    }
+    send_frame(open, frame);
+    if (const auto late = std::exchange(open->swapped, std::nullopt))
+        send_frame(open, *late);
+}
+
+void fault_world::send_frame(const stream_pointer& open,
+                             const link::AgentFrame& frame)
 {
     wire_of(open->entry, open->agent).to_entry.send([this, open, frame] {
         if (open->entry_closed || !entry_runs(open->entry))
@@ -496,15 +511,25 @@
         if (open->entry_closed && open->agent_closed)
             return;
         auto& line = wire_of(open->entry, open->agent);
-        const bool stalled = line.to_agent.stalled() || line.to_entry.stalled();
+        const bool stalled = line.to_agent.stalled() ||
+                             line.to_entry.stalled() || line.to_agent.stuck();
         if (!stalled) {
             watch_keepalive(open);
             return;
         }
         const auto& frozen_until = entry_frozen_until_.at(open->entry);
         const bool entry_sleeps = frozen_until && time_.now() < *frozen_until;
+        // The old connection's end reaches the agent after all that is still
+        // on its way there; what comes by a new connection overtakes it.
+        const bool was_stuck = line.to_agent.stuck();
+        if (was_stuck) {
+            line.to_agent.send([this, open] { close_agent_side(open); });
+            line.to_agent.reconnect();
+        }
         if (!entry_sleeps)
             lose(open, true);
+        if (was_stuck)
+            return;
         if (!frozen(agents_[open->agent]))
             close_agent_side(open);
         // What sleeps notices when it wakes, after what had arrived before.
@@ -667,6 +692,18 @@
             to_relay(open, frame);
         }
         break;
+    case fault::answer_out_of_order:
+    case fault::answer_with_gap:
+        for (const auto& open : streams_) {
+            if (open->entry_closed || open->agent != agent)
+                continue;
+            open->drops_next = what == fault::answer_with_gap;
+            open->swaps_next = what == fault::answer_out_of_order;
+        }
+        break;
+    case fault::connection_stuck:
+        line.to_agent.stick(cut_time);
+        break;
     case fault::agent_frozen:
         freeze_agent(agent, long_freeze);
         break;
--- a/tests/faults/fault_world.hpp
+++ b/tests/faults/fault_world.hpp
@@ -62,6 +62,9 @@
         bool agent_closed = false;
         bool entry_closed = false;
         bool held = false; // the caller takes nothing: no window
+        bool drops_next = false;
+        bool swaps_next = false;
+        std::optional<link::AgentFrame> swapped;
     };
     using stream_pointer = std::shared_ptr<stream>;
     /** One HTTP request of the caller, served by one entry. */
@@ -102,6 +105,7 @@
     void pull(const stream_pointer& open);
     void wake(std::size_t agent, reader_id reader);
     void to_relay(const stream_pointer& open, const link::AgentFrame& frame);
+    void send_frame(const stream_pointer& open, const link::AgentFrame& frame);
     void lose(const stream_pointer& open, bool request_may_have_left);
     void close_agent_side(const stream_pointer& open);
     void watch_keepalive(const stream_pointer& open);
