--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -7,6 +7,8 @@
 #include <future>
 #include <limits>
 #include <memory>
+#include <optional>
+#include <random>
 #include <stdexcept>
 #include <utility>
 
@@ -64,32 +66,59 @@
         throw std::invalid_argument("seconds: 2 to 120");
 }
 
-/** Keeps a number of streams open on a loop; lives on the loop's thread. */
+/** Keeps a number of pairs open on a loop; lives on the loop's thread. */
 class path_load
 {
 public:
-    path_load(link_reactor& reactor, time_point deadline)
-        : reactor_(reactor), deadline_(deadline)
+    path_load(link_reactor& reactor, path_result& result, time_point deadline)
+        : reactor_(reactor), result_(result), deadline_(deadline)
     {
     }
 
-    void start_stream(path_target& target)
+    void start_pair()
     {
         if (steady_now() >= deadline_)
             return;
-        const auto stream =
-            std::make_shared<path_stream>(reactor_, target, [this, &target] {
-                // Later, as a refused stream would start the next at once
-                // and without end.
-                reactor_.post_at(reactor_.now() + milliseconds(20),
-                                 [this, &target] { start_stream(target); });
-            });
-        stream->start();
+        const auto open = std::make_shared<pair>();
+        start_one(result_.direct, open, &pair::direct);
+        start_one(result_.through, open, &pair::through);
     }
 
 private:
+    struct pair {
+        std::optional<double> direct;
+        std::optional<double> through;
+        int over = 0;
+    };
+
+    void start_one(path_target& target, const std::shared_ptr<pair>& open,
+                   std::optional<double> pair::*first_token)
+    {
+        std::make_shared<path_stream>(
+            reactor_, target,
+            [this, open, first_token](std::optional<double> time) {
+                (*open).*first_token = time;
+                if (++open->over == 2)
+                    end_pair(*open);
+            })
+            ->start();
+    }
+
+    void end_pair(const pair& ended)
+    {
+        if (ended.direct && ended.through)
+            result_.first_token_added.add(*ended.through - *ended.direct);
+        // Streams end with a step of the engine; a random pause keeps the
+        // next from starting at the same point of each step.
+        const milliseconds pause(pause_(random_));
+        reactor_.post_at(reactor_.now() + pause, [this] { start_pair(); });
+    }
+
     link_reactor& reactor_;
+    path_result& result_;
     time_point deadline_;
+    std::mt19937 random_{1};
+    std::uniform_int_distribution<int> pause_{20, 120};
 };
 
 void wait_until(link_loop& loop, time_point when)
@@ -115,13 +144,10 @@
     const time_point begin = steady_now();
     const time_point deadline = begin + settings.time;
     auto loop = std::make_unique<link_loop>();
-    path_load load(*loop->reactor(), deadline);
+    path_load load(*loop->reactor(), result, deadline);
     for (std::size_t i = 0; i < settings.streams; ++i) {
         const time_point when = begin + i * ramp / settings.streams;
-        loop->post_at(when, [&] {
-            load.start_stream(result.direct);
-            load.start_stream(result.through);
-        });
+        loop->post_at(when, [&load] { load.start_pair(); });
     }
     wait_until(*loop, begin + (ramp + settings.time) / 2);
     for (process_memory& memory : result.memory)
--- a/bench/path_bench.hpp
+++ b/bench/path_bench.hpp
@@ -20,13 +20,16 @@
 struct path_result {
     path_target direct;
     path_target through;
+    /** First token: through less direct, of two that started together. */
+    path_samples first_token_added;
     std::vector<process_memory> memory;
 };
 
 /**
  * Streams through the system and past it, to the same engine at the same
- * time, so that whatever else the machine does falls on both alike. Each
- * stream that ends is followed by another until the time is over. All load
+ * time, so that whatever else the machine does falls on both alike. Streams
+ * start in pairs, one each way, and each pair that ends is followed by another
+ * until the time is over. All load
  * comes from one thread; targets are on loopback, or it refuses to run.
  */
 path_result measure_path(const path_settings& settings);
--- a/bench/path_command.cpp
+++ b/bench/path_command.cpp
@@ -16,29 +16,33 @@
 namespace
 {
 
-void print_row(const std::string& what, const log_histogram& direct,
-               const log_histogram& through)
+void print_row(const std::string& what, const path_samples& direct,
+               const path_samples& through)
 {
     for (const double share : {0.5, 0.99}) {
         const double one = direct.quantile(share);
         const double other = through.quantile(share);
-        std::cout << std::left << std::setw(16) << what << " p" << std::setw(3)
-                  << share * 100 << std::right << std::setw(10) << one
-                  << std::setw(10) << other << std::setw(10) << other - one
-                  << '\n';
+        std::cout << std::left << std::setw(16) << what
+                  << (share < 0.9 ? "p50" : "p99") << std::right
+                  << std::setw(10) << one << std::setw(10) << other
+                  << std::setw(10) << other - one << '\n';
     }
 }
 
 void print(const path_settings& settings, const path_result& result)
 {
     std::cout << std::fixed << std::setprecision(2) << "milliseconds"
-              << std::setw(18) << "direct" << std::setw(10) << "through"
+              << std::setw(17) << "direct" << std::setw(10) << "through"
               << std::setw(10) << "added" << '\n'
               << std::setprecision(3);
     print_row("first token", result.direct.first_token,
               result.through.first_token);
     print_row("between tokens", result.direct.between_tokens,
               result.through.between_tokens);
+    const path_samples& pairs = result.first_token_added;
+    std::cout << "first token, added within each of " << pairs.count()
+              << " pairs: p50 " << pairs.quantile(0.5) << " mean "
+              << pairs.mean() << " p99 " << pairs.quantile(0.99) << '\n';
     for (const path_target* target : {&result.direct, &result.through})
         std::cout << (target == &result.direct ? "direct: " : "through: ")
                   << target->tokens << " tokens, " << target->complete
--- a/bench/path_settings.hpp
+++ b/bench/path_settings.hpp
@@ -19,7 +19,7 @@
     std::string key;   ///< the team's
     std::string model; ///< the service's name
     std::uint64_t prompt_words = 50;
-    std::uint64_t output_tokens = 200;
+    std::uint64_t output_tokens = 60;
     std::vector<int> processes; ///< whose memory is read
 };
 
--- a/bench/path_stream.cpp
+++ b/bench/path_stream.cpp
@@ -25,7 +25,7 @@
 } // namespace
 
 path_stream::path_stream(link_reactor& reactor, path_target& target,
-                         std::function<void()> over)
+                         over_function over)
     : reactor_(reactor), target_(target), over_(std::move(over))
 {
 }
@@ -116,10 +116,12 @@
     }
     const time_point now = steady_now();
     ++target_.tokens;
-    if (last_token_)
+    if (last_token_) {
         target_.between_tokens.add(in_milliseconds(now - *last_token_));
-    else
-        target_.first_token.add(in_milliseconds(now - started_));
+    } else {
+        first_token_ = in_milliseconds(now - started_);
+        target_.first_token.add(*first_token_);
+    }
     last_token_ = now;
 }
 
@@ -131,7 +133,7 @@
     const auto self = shared_from_this();
     reactor_.unwatch(watch_);
     socket_.close();
-    over_();
+    over_(first_token_);
 }
 
 } // namespace cyclamenrun::bench
--- a/bench/path_stream.hpp
+++ b/bench/path_stream.hpp
@@ -20,9 +20,11 @@
                           public std::enable_shared_from_this<path_stream>
 {
 public:
+    /** Time to the first token in milliseconds, if there was one. */
+    using over_function = std::function<void(std::optional<double>)>;
+
     /** `over` is called once, on the loop's thread. */
-    path_stream(link_reactor& reactor, path_target& target,
-                std::function<void()> over);
+    path_stream(link_reactor& reactor, path_target& target, over_function over);
 
     void start();
 
@@ -39,11 +41,12 @@
 
     link_reactor& reactor_;
     path_target& target_;
-    std::function<void()> over_;
+    over_function over_;
     Poco::Net::StreamSocket socket_;
     link_reactor::watch_id watch_ = 0;
     time_point started_;
     std::optional<time_point> last_token_;
+    std::optional<double> first_token_;
     std::size_t sent_ = 0;
     std::string unread_; ///< the line that has not ended
     bool status_seen_ = false;
--- a/bench/path_target.hpp
+++ b/bench/path_target.hpp
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENRUN_BENCH_PATH_TARGET_HPP
 #define CYCLAMENRUN_BENCH_PATH_TARGET_HPP
 
-#include "log_histogram.hpp"
+#include "path_samples.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <cstdint>
@@ -13,9 +13,9 @@
 /** One of the two ways to the engine, and what its streams measured. */
 struct path_target {
     Poco::Net::SocketAddress address;
-    std::string request;          ///< bytes of the HTTP request
-    log_histogram first_token;    ///< from connect, in milliseconds
-    log_histogram between_tokens; ///< in milliseconds
+    std::string request;         ///< bytes of the HTTP request
+    path_samples first_token;    ///< from connect, in milliseconds
+    path_samples between_tokens; ///< in milliseconds
     std::uint64_t tokens = 0;
     std::uint64_t complete = 0; ///< streams that came to their end
     std::uint64_t broken = 0;   ///< streams refused or cut
