--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -11,6 +11,7 @@
     cyclamenrun::bench::add_decision_cost_command(app);
     cyclamenrun::bench::add_path_command(app);
     cyclamenrun::bench::add_links_command(app);
+    cyclamenrun::bench::add_connections_command(app);
     CLI11_PARSE(app, argc, argv);
     return 0;
 }
--- a/bench/path_command.cpp
+++ b/bench/path_command.cpp
@@ -1,6 +1,7 @@
 #include "path_command.hpp"
 
 #include "path_bench.hpp"
+#include "path_connections.hpp"
 #include "path_links.hpp"
 
 #include <CLI/CLI.hpp>
@@ -150,4 +151,37 @@
     });
 }
 
+void add_connections_command(CLI::App& app)
+{
+    struct options {
+        connections_settings settings;
+        std::int64_t idle = 30;
+    };
+    const auto given = std::make_shared<options>();
+    CLI::App* command = app.add_subcommand(
+        "connections", "Making and keeping connections of links");
+    command->add_option("--connections", given->settings.connections,
+                        "1 to 1000");
+    command->add_option("--idle", given->idle, "seconds of rest, up to 120");
+    command->callback([given] {
+        guarded([&] {
+            connections_settings settings = given->settings;
+            settings.idle = std::chrono::seconds(given->idle);
+            const connections_result result = measure_connections(settings);
+            std::cout << std::fixed << std::setprecision(3)
+                      << "first answer with connect and handshake: p50 "
+                      << result.first_answer.quantile(0.5) << " p99 "
+                      << result.first_answer.quantile(0.99)
+                      << " ms; next answer: p50 "
+                      << result.next_answer.quantile(0.5) << " p99 "
+                      << result.next_answer.quantile(0.99)
+                      << " ms; heap of both ends "
+                      << result.bytes_per_connection
+                      << " bytes a connection; idle "
+                      << result.idle_microseconds
+                      << " us of processor a second and connection\n";
+        });
+    });
+}
+
 } // namespace cyclamenrun::bench
--- a/bench/path_command.hpp
+++ b/bench/path_command.hpp
@@ -13,6 +13,8 @@
 void add_path_command(CLI::App& app);
 /** Processor time and memory of the links alone. */
 void add_links_command(CLI::App& app);
+/** Time and memory of links' connections, and their cost at rest. */
+void add_connections_command(CLI::App& app);
 
 } // namespace cyclamenrun::bench
 
