--- a/bench/path_command.cpp
+++ b/bench/path_command.cpp
@@ -1,6 +1,7 @@
 #include "path_command.hpp"
 
 #include "path_bench.hpp"
+#include "path_connections.hpp"
 #include "path_links.hpp"
 
 #include <CLI/CLI.hpp>
@@ -16,29 +17,33 @@
 namespace
 {
 
-void print_row(const std::string& what, const log_histogram& direct,
-               const log_histogram& through)
+void print_row(const std::string& what, const path_samples& direct,
+               const path_samples& through)
 {
     for (const double share : {0.5, 0.99}) {
         const double one = direct.quantile(share);
         const double other = through.quantile(share);
-        std::cout << std::left << std::setw(16) << what << " p" << std::setw(3)
-                  << share * 100 << std::right << std::setw(10) << one
-                  << std::setw(10) << other << std::setw(10) << other - one
-                  << '\n';
+        std::cout << std::left << std::setw(16) << what
+                  << (share < 0.9 ? "p50" : "p99") << std::right
+                  << std::setw(10) << one << std::setw(10) << other
+                  << std::setw(10) << other - one << '\n';
     }
 }
 
 void print(const path_settings& settings, const path_result& result)
 {
     std::cout << std::fixed << std::setprecision(2) << "milliseconds"
-              << std::setw(18) << "direct" << std::setw(10) << "through"
+              << std::setw(17) << "direct" << std::setw(10) << "through"
               << std::setw(10) << "added" << '\n'
               << std::setprecision(3);
     print_row("first token", result.direct.first_token,
               result.through.first_token);
     print_row("between tokens", result.direct.between_tokens,
               result.through.between_tokens);
+    const path_samples& pairs = result.first_token_added;
+    std::cout << "first token, added within each of " << pairs.count()
+              << " pairs: p50 " << pairs.quantile(0.5) << " mean "
+              << pairs.mean() << " p99 " << pairs.quantile(0.99) << '\n';
     for (const path_target* target : {&result.direct, &result.through})
         std::cout << (target == &result.direct ? "direct: " : "through: ")
                   << target->tokens << " tokens, " << target->complete
@@ -146,4 +151,37 @@
     });
 }
 
+void add_connections_command(CLI::App& app)
+{
+    struct options {
+        connections_settings settings;
+        std::int64_t idle = 30;
+    };
+    const auto given = std::make_shared<options>();
+    CLI::App* command = app.add_subcommand(
+        "connections", "Making and keeping connections of links");
+    command->add_option("--connections", given->settings.connections,
+                        "1 to 1000");
+    command->add_option("--idle", given->idle, "seconds of rest, up to 120");
+    command->callback([given] {
+        guarded([&] {
+            connections_settings settings = given->settings;
+            settings.idle = std::chrono::seconds(given->idle);
+            const connections_result result = measure_connections(settings);
+            std::cout << std::fixed << std::setprecision(3)
+                      << "first answer with connect and handshake: p50 "
+                      << result.first_answer.quantile(0.5) << " p99 "
+                      << result.first_answer.quantile(0.99)
+                      << " ms; next answer: p50 "
+                      << result.next_answer.quantile(0.5) << " p99 "
+                      << result.next_answer.quantile(0.99)
+                      << " ms; heap of both ends "
+                      << result.bytes_per_connection
+                      << " bytes a connection; idle "
+                      << result.idle_microseconds
+                      << " us of processor a second and connection\n";
+        });
+    });
+}
+
 } // namespace cyclamenrun::bench
