--- a/bench/trial_measures.cpp
+++ b/bench/trial_measures.cpp
@@ -46,7 +46,7 @@
         {"itl_p999_ms", of.between_tokens_ms.quantile(0.999)},
         {"ttft_p50_ms", of.first_token_ms.quantile(0.5)},
         {"ttft_p99_ms", of.first_token_ms.quantile(0.99)},
-        {"small_ttft_p99_ms", of.small_team_first_token_ms.quantile(0.99)},
+        {"light_ttft_p99_ms", of.light_team_first_token_ms.quantile(0.99)},
         {"goodput_rps",
          ratio(static_cast<double>(of.answers_in_window), of.window_s)},
         {"good_tps",
--- a/bench/trial_measures.hpp
+++ b/bench/trial_measures.hpp
@@ -34,7 +34,7 @@
     std::uint64_t output_tokens = 0;
     std::uint64_t engine_losses = 0;
     log_histogram first_token_ms;
-    log_histogram small_team_first_token_ms; ///< without the large, the heavy
+    log_histogram light_team_first_token_ms; ///< well within share
     log_histogram between_tokens_ms;
     log_histogram refusal_ms;
     std::vector<std::uint64_t> team_asked;
--- a/src/libcyclamenrun/router.cpp
+++ b/src/libcyclamenrun/router.cpp
@@ -14,11 +14,6 @@
 // Prompt blocks remembered for each upstream.
 constexpr std::size_t cache_blocks = 4'096;
 
-// What a full memory costs a new request, in time, before anything queues:
-// decode steps grow longer with the batch.
-constexpr double full_memory_ms = 400.0;
-constexpr double full_memory_ms_token_latency = 1'200.0;
-
 // An upstream that has told nothing yet is tried, but after known idle ones.
 constexpr double unknown_ms = 20.0;
 
@@ -207,7 +202,7 @@
     double cost = 0.0;
     double uncached = request.prompt_tokens;
     if (const upstream_state* state = find(of.upstream)) {
-        cost += load_cost_ms(state->load, request.goal);
+        cost += load_cost_ms(state->load);
         if (settings_.prefix)
             uncached -=
                 static_cast<double>(settings_.block_tokens *
@@ -215,7 +210,7 @@
     } else {
         cost += unknown_ms;
     }
-    cost += std::max(uncached, 0.0) * settings_.prefill_ms_per_token;
+    cost += std::max(uncached, 0.0) * settings_.prefix_miss_ms_per_token;
     if (of.region != request.own_region)
         cost += static_cast<double>(settings_.region_cost.count());
     else if (of.failure_domain != request.own_failure_domain)
@@ -223,13 +218,10 @@
     return cost;
 }
 
-double router::load_cost_ms(const load_view& load, objective goal) const
+double router::load_cost_ms(const load_view& load) const
 {
-    const double full = goal == objective::token_latency
-                            ? full_memory_ms_token_latency
-                            : full_memory_ms;
     return static_cast<double>(load.expected_wait().count()) +
-           full * load.memory_share();
+           settings_.full_memory_ms * load.memory_share();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/router.hpp
+++ b/src/libcyclamenrun/router.hpp
@@ -93,7 +93,7 @@
                    std::span<const candidate> candidates);
     bool usable(const route_request& request, const candidate& of) const;
     double cost_ms(const route_request& request, const candidate& of) const;
-    double load_cost_ms(const load_view& load, objective goal) const;
+    double load_cost_ms(const load_view& load) const;
 
     router_settings settings_;
     std::mt19937_64 random_;
--- a/src/libcyclamenrun/router_settings.hpp
+++ b/src/libcyclamenrun/router_settings.hpp
@@ -19,8 +19,16 @@
     /** Blocks hashed into the home of a prefix, and tokens for each. */
     std::size_t affinity_blocks = 4;
     std::uint32_t block_tokens = 64;
-    /** Time an engine takes to read a prompt token that it has not cached. */
-    double prefill_ms_per_token = 0.1;
+    /**
+     * Cost of a prompt token that is not cached there: the time to read it
+     * is the small part, the memory that a second copy takes is the large.
+     */
+    double prefix_miss_ms_per_token = 2.0;
+    /**
+     * Cost of a full memory before anything queues: decode steps grow longer
+     * and a burst soon has to wait.
+     */
+    double full_memory_ms = 2'000.0;
     /** Added cost of another failure domain, and of another region. */
     milliseconds failure_domain_cost{2};
     milliseconds region_cost{50};
