--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 #include "configuration_command.hpp"
+#include "path_command.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -9,6 +10,8 @@
     app.require_subcommand(1);
     cyclamenrun::bench::add_decisions_command(app);
     cyclamenrun::bench::add_decision_cost_command(app);
+    cyclamenrun::bench::add_path_command(app);
+    cyclamenrun::bench::add_links_command(app);
     cyclamenrun::bench::add_configuration_command(app);
     CLI11_PARSE(app, argc, argv);
     return 0;
