Give up callers that take no answer

Cause: a caller that keeps its connection and stops to read held a thread for good; with as many of them as threads nobody was served. Ruled out: a check of each write's success in every handler, which the answers sent in one buffer do not offer. Change: http_write_limit, around callers' and operators' requests, sets the send timeout and gives the connection up at the end unless the client has made room. limits.threads is at least 4, the size the pool starts with; less ended the entry with an assertion. Conclusion: slow readers are bounded; slow senders are next.

--- a/src/libcyclamenrun/caller_http_handler.cpp
+++ b/src/libcyclamenrun/caller_http_handler.cpp
@@ -2,14 +2,13 @@
 
 #include "caller_error.hpp"
 #include "http_caller_writer.hpp"
+#include "http_write_limit.hpp"
 #include "json_text.hpp"
 #include "log_event.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/StreamSocket.h>
 
 namespace cyclamenrun
 {
@@ -55,19 +54,6 @@
     return bytes;
 }
 
-/**
- * Guards against a caller that keeps its connection but reads no more: the
- * write would wait for ever and hold a thread. It fails then, the caller
- * counts as gone, and the generation can be resumed for its grace.
- */
-void limit_writing(Poco::Net::HTTPServerRequest& request, milliseconds limit)
-{
-    auto* served = dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
-    if (served != nullptr)
-        served->socket().setSendTimeout(
-            Poco::Timespan(limit.count() * Poco::Timespan::MILLISECONDS));
-}
-
 /** A caller's own id comes back as it was, if it is printable and short. */
 std::string shown_request_id(const std::string& callers_id,
                              const std::string& own_id)
@@ -94,7 +80,7 @@
 {
     request_id_ = shown_request_id(header(request, "X-Request-Id"),
                                    std::to_string(random_u64()));
-    limit_writing(request, limits_.write_timeout);
+    const http_write_limit limit(request, response, limits_.write_timeout);
     outcome<void> handled;
     try {
         handled = route(request, response);
--- a/src/libcyclamenrun/entry_settings.cpp
+++ b/src/libcyclamenrun/entry_settings.cpp
@@ -52,7 +52,7 @@
         {"limits.connections", &limits.connections, optional, 1, 65536,
          "connections",
          "Callers' connections that wait for a thread; more are closed."},
-        {"limits.threads", &limits.threads, optional, 1, 8192, "threads",
+        {"limits.threads", &limits.threads, optional, 4, 8192, "threads",
          "Threads that serve callers, one for each connection in use."},
         {"limits.request_timeout_ms", &limits.request_timeout, optional, 100,
          10 * minute_ms, "ms",
--- a/src/libcyclamenrun/rpc_http_handler.cpp
+++ b/src/libcyclamenrun/rpc_http_handler.cpp
@@ -1,5 +1,6 @@
 #include "rpc_http_handler.hpp"
 
+#include "http_write_limit.hpp"
 #include "log_event.hpp"
 
 #include <Poco/Net/HTTPServerRequest.h>
@@ -19,6 +20,7 @@
 constexpr int content_too_large = 413;
 constexpr milliseconds default_timeout{10000};
 constexpr milliseconds longest_timeout{60000};
+constexpr milliseconds write_timeout{10000};
 
 rpc_response error_response(int status, rpc_code code, std::string message)
 {
@@ -79,6 +81,7 @@
 void rpc_http_handler::handleRequest(Poco::Net::HTTPServerRequest& request,
                                      Poco::Net::HTTPServerResponse& response)
 {
+    const http_write_limit limit(request, response, write_timeout);
     const auto answer = respond(request);
     if (answer.status != Poco::Net::HTTPResponse::HTTP_OK)
         log_refused(request, answer);
