Give orders to engines under a lease; start from a peer when the log is out

Cause: assignments in force reached no engine, and an entry replaced while the log is out stayed unready. Ruled out: orders from entries (agents alone speak to engines), and a cache on disk (VMs have none). Tokens in the matrix now tell their index, so that frames which change places show. Direct tests for guards that no cell of the matrix needs: a doubled dispatch, orphaned work, a ticket after not_run, forged tickets and resumes, poison, spliced generations.

--- a/src/libcyclamenrun/agent_process.cpp
+++ b/src/libcyclamenrun/agent_process.cpp
@@ -4,6 +4,8 @@
 #include "build_info.hpp"
 #include "digest.hpp"
 #include "log_event.hpp"
+#include "order_worker.hpp"
+#include "platform_log_client.hpp"
 #include "upstream_driver.hpp"
 
 #include <Poco/JSON/Array.h>
@@ -18,6 +20,7 @@
 {
 
 constexpr milliseconds drain_poll{50};
+constexpr milliseconds log_call_limit{5'000};
 /** Sessions listed one by one in a dump; more are only counted. */
 constexpr std::size_t most_dumped_sessions = 200;
 
@@ -89,27 +92,64 @@
     gate_ = std::make_unique<gate>(gate_settings_of(settings_, incarnation_),
                                    std::move(hooks));
     add_dump_sections();
+    serve_entries();
+    if (settings_.upstream.kind == upstream_kind::model)
+        give_orders();
+    driver_->attach(*gate_);
+}
 
-    agent_server_hooks server_hooks;
-    server_hooks.dump = [this] { return dump_.write(); };
-    server_hooks.configuration = [this](const link::Heartbeat& heartbeat) {
+void agent_process::serve_entries()
+{
+    agent_server_hooks hooks;
+    hooks.dump = [this] { return dump_.write(); };
+    hooks.configuration = [this](const link::Heartbeat& heartbeat) {
         v1::ConfigurationDelta delta;
         if (!heartbeat.config_delta().empty() &&
             delta.ParseFromString(heartbeat.config_delta()))
             configuration_.apply(delta);
     };
-    server_hooks.revision = [this] { return configuration_.revision(); };
+    hooks.revision = [this] { return configuration_.revision(); };
+    hooks.state = [this] { return configuration_.state(); };
     server_ = std::make_unique<agent_server>(
         loop_, Poco::Net::SocketAddress(to_string(settings_.listen)),
-        settings_.link_key.reveal(), link_limits{}, *gate_,
-        std::move(server_hooks), steady_now);
-    driver_->attach(*gate_);
+        settings_.link_key.reveal(), link_limits{}, *gate_, std::move(hooks),
+        steady_now);
+}
+
+void agent_process::give_orders()
+{
+    log_ = std::make_unique<platform_log_client>(
+        to_string(settings_.platform.address), settings_.platform.log,
+        http_limits{}, log_call_limit, steady_now, &stop_log_);
+    order_worker_settings worker;
+    worker.upstream = settings_.name;
+    worker.service = settings_.service;
+    worker.incarnation = incarnation_;
+    worker.lease.engine_honours_fencing = settings_.upstream.honours_fence;
+    orders_ = std::make_unique<order_worker>(
+        worker, *log_, configuration_,
+        [this](const engine_order& order) {
+            const auto result = driver_->give(order);
+            log_event(log_severity::info,
+                      result == order_result::done
+                          ? log_event_name::order_given
+                          : log_event_name::order_refused,
+                      {{log_key::kind, name_of(order.action)},
+                       {log_key::fence, order.fence}});
+            return result;
+        },
+        steady_now);
+    configuration_.on_change(
+        [this](std::uint64_t) { orders_->on_configuration(); });
+    driver_->on_engine_started([this] { orders_->on_engine_restarted(); });
 }
 
 agent_process::~agent_process()
 {
     driver_->shut_down();
     server_.reset();
+    stop_log_.cancel();
+    orders_.reset();
 }
 
 std::string agent_process::address() const
@@ -156,6 +196,12 @@
         section.set("expected_wait_ms", load.expected_wait_ms());
         section.set("queued_tokens", load.queued_tokens());
     });
+    dump_.add_section("orders", [this](Poco::JSON::Object& section) {
+        if (!orders_)
+            return;
+        section.set("state", std::string(name_of(orders_->state())));
+        section.set("fencing_number", orders_->fencing_number());
+    });
     dump_.add_section("sessions", [this](Poco::JSON::Object& section) {
         Poco::JSON::Array::Ptr list = new Poco::JSON::Array;
         std::size_t count = 0;
--- a/src/libcyclamenrun/agent_process.hpp
+++ b/src/libcyclamenrun/agent_process.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_AGENT_PROCESS_HPP
 
 #include "agent_settings.hpp"
+#include "cancellation.hpp"
 #include "configuration_store.hpp"
 #include "gate.hpp"
 #include "link_loop.hpp"
@@ -15,6 +16,8 @@
 {
 
 class agent_server;
+class order_worker;
+class platform_log_client;
 class upstream_driver;
 
 /** All of an agent: the gate of its upstream and what stands around it. */
@@ -36,16 +39,21 @@
     bool drain();
 
 private:
+    void serve_entries();
+    void give_orders();
     void add_dump_sections();
 
     agent_settings settings_;
     std::uint64_t incarnation_;
     configuration_store configuration_;
     state_dump dump_;
+    cancellation stop_log_;
+    std::unique_ptr<platform_log_client> log_;
     std::unique_ptr<upstream_driver> driver_;
     std::unique_ptr<gate> gate_;
     link_loop loop_;
     std::unique_ptr<agent_server> server_;
+    std::unique_ptr<order_worker> orders_; // model engines only
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/agent_server.cpp
+++ b/src/libcyclamenrun/agent_server.cpp
@@ -89,6 +89,8 @@
         drain(stream);
     else if (path == "/revisions")
         stream->respond_once(entry_revisions());
+    else if (path == "/configuration")
+        stream->respond_once(hooks_.state());
     else if (path == "/dump")
         stream->respond_once(hooks_.dump());
     else
--- a/src/libcyclamenrun/agent_server.hpp
+++ b/src/libcyclamenrun/agent_server.hpp
@@ -30,6 +30,8 @@
     std::function<void(const link::Heartbeat&)> configuration;
     /** The configuration's revision that is in force here. */
     std::function<std::uint64_t()> revision;
+    /** The whole configuration in force, for an entry that has none. */
+    std::function<std::string()> state;
 };
 
 /**
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -3,6 +3,7 @@
 #include "bearer_token.hpp"
 #include "build_info.hpp"
 #include "caller_http_handler.hpp"
+#include "configuration_bootstrap.hpp"
 #include "log_event.hpp"
 #include "log_tailer.hpp"
 #include "logging_change.hpp"
@@ -38,6 +39,7 @@
 constexpr int idle_thread_seconds = 60;
 constexpr milliseconds log_call_limit{5'000};
 constexpr milliseconds operator_deadline{10'000};
+constexpr milliseconds peer_answer_wait{1'000};
 constexpr milliseconds revisions_wait{1'000};
 constexpr milliseconds drain_poll{20};
 
@@ -138,6 +140,7 @@
     operators_->stopAll(true);
     caller_threads_.joinAll();
     operator_threads_.joinAll();
+    bootstrap_.reset();
     vm_list_.reset();
     stop_log_.cancel();
     tailer_->stop();
@@ -179,6 +182,16 @@
             snapshots_->on_entries(core_->routes().members().entries());
         },
         steady_now);
+    configuration_bootstrap_hooks hooks;
+    hooks.ready = [&store] { return store.ready(); };
+    hooks.log_is_out = [this] {
+        return tailer_->status().failures_in_a_row > 0;
+    };
+    hooks.ask_peers = [this] {
+        return core_->take_configuration_of_a_peer(steady_now() +
+                                                   peer_answer_wait);
+    };
+    bootstrap_ = std::make_unique<configuration_bootstrap>(std::move(hooks));
 }
 
 void entry_process::serve_operators()
--- a/src/libcyclamenrun/entry_process.hpp
+++ b/src/libcyclamenrun/entry_process.hpp
@@ -20,6 +20,7 @@
 namespace cyclamenrun
 {
 
+class configuration_bootstrap;
 class log_tailer;
 class logging_platform_log;
 class operator_commands;
@@ -72,6 +73,7 @@
     std::shared_ptr<snapshot_writer> snapshots_;
     std::unique_ptr<log_tailer> tailer_;
     std::unique_ptr<vm_list_watcher> vm_list_;
+    std::unique_ptr<configuration_bootstrap> bootstrap_;
     std::unique_ptr<operator_commands> commands_;
     std::unique_ptr<operator_queries> queries_;
 
--- a/src/libcyclamenrun/log_event_name.hpp
+++ b/src/libcyclamenrun/log_event_name.hpp
@@ -29,6 +29,7 @@
     change_refused,
     configuration_applied,
     configuration_stale,
+    configuration_from_peer,
     log_service_unavailable,
     log_service_recovered,
     vm_list_unavailable,
@@ -44,6 +45,8 @@
     drain_finished,
     drain_timed_out,
     poison_marked,
+    order_given,
+    order_refused,
     library_message,
     internal_error,
 };
--- a/src/libcyclamenrun/upstream_driver.cpp
+++ b/src/libcyclamenrun/upstream_driver.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+constexpr int http_conflict = 409;
+constexpr int http_too_many_requests = 429;
+constexpr int http_unavailable = 503;
 constexpr int run_stack_bytes = 256 * 1024;
 constexpr int idle_thread_seconds = 30;
 /** How long an engine may take to drop what it was told to cancel. */
@@ -165,6 +168,27 @@
         watcher_.join();
 }
 
+order_result upstream_driver::give(const engine_order& order)
+{
+    const auto given = engine_.order(order);
+    if (given)
+        return order_result::done;
+    switch (given.error().status) {
+    case http_conflict:
+        return order_result::old_number;
+    case http_too_many_requests:
+    case http_unavailable:
+        return order_result::store_limited;
+    default:
+        return order_result::failed;
+    }
+}
+
+void upstream_driver::on_engine_started(std::function<void()> hook)
+{
+    engine_started_ = std::move(hook);
+}
+
 void upstream_driver::run(const run_order& order, active_run& active)
 {
     if (order.kind == link::WORK_KIND_CALL)
@@ -317,6 +341,8 @@
               {{log_key::address, settings_.address},
                {log_key::incarnation, engine_.epoch()}});
     gate_->engine_ready(foreign_tokens, clock_());
+    if (engine_started_)
+        engine_started_();
     return true;
 }
 
--- a/src/libcyclamenrun/upstream_driver.hpp
+++ b/src/libcyclamenrun/upstream_driver.hpp
@@ -5,6 +5,7 @@
 #include "clock.hpp"
 #include "engine_client.hpp"
 #include "gate.hpp"
+#include "order_queue.hpp"
 #include "runner_client.hpp"
 #include "upstream_kind.hpp"
 
@@ -52,6 +53,11 @@
     /** Cancels all that still runs and waits for the threads. */
     void shut_down();
 
+    /** Gives the engine an order and waits for its answer. */
+    order_result give(const engine_order& order);
+    /** Called on the watcher's thread when a new life of it has come up. */
+    void on_engine_started(std::function<void()> hook);
+
 private:
     struct active_run {
         cancellation cancel;
@@ -89,6 +95,7 @@
     std::uint64_t epoch_ = 0; // of the engine's life that we run on; 0: none
     bool stopping_ = false;
     bool look_now_ = false;
+    std::function<void()> engine_started_;
     std::atomic<time_point> heard_at_{time_point{}}; ///< the last token
 
     Poco::ThreadPool threads_;
--- a/tests/faults/fake_upstream.cpp
+++ b/tests/faults/fake_upstream.cpp
@@ -20,6 +20,11 @@
 
 } // namespace
 
+std::string token_text(std::uint64_t run, std::uint64_t index)
+{
+    return std::to_string(run * token_stride + index);
+}
+
 std::string work_of_body(const std::string& body)
 {
     return body;
@@ -132,7 +137,7 @@
     if (last)
         record(event_kind::run_ended, id, running, tokens);
     if (owner != nullptr)
-        owner->token_made(work, std::to_string(id), time_.now());
+        owner->token_made(work, token_text(id, index), time_.now());
     if (index == 0)
         on_moment_(run_moment::first_token, request_id);
     if (index == tokens / 2)
--- a/tests/faults/fake_upstream.hpp
+++ b/tests/faults/fake_upstream.hpp
@@ -77,6 +77,10 @@
     time_point paused_until_{};
 };
 
+/** Tells the run and the index of the token that it is the text of. */
+std::string token_text(std::uint64_t run, std::uint64_t index);
+inline constexpr std::uint64_t token_stride = 1000;
+
 /** The work that a request's body asks for. */
 std::string work_of_body(const std::string& body);
 /** The caller's exchange that a request id belongs to. */
--- a/tests/faults/fault_world.cpp
+++ b/tests/faults/fault_world.cpp
@@ -308,20 +308,16 @@
     auto& its = sessions_.at(id);
     if (its.over)
         return;
-    auto index = action.first.index;
-    for (const auto& text : action.texts)
-        record(event_kind::token_received, id, std::stoull(text), index++);
+    record_tokens(id, action.texts);
     caller_has_ = action.first;
-    caller_has_->index = index - 1;
+    caller_has_->index += action.texts.size() - 1;
 }
 
 void fault_world::perform(std::uint64_t id, const write_end& action)
 {
     if (sessions_.at(id).over)
         return;
-    std::uint64_t index = 0;
-    for (const auto& text : action.whole)
-        record(event_kind::token_received, id, std::stoull(text), index++);
+    record_tokens(id, action.whole);
     record(event_kind::end_received, id, 0, action.token_count);
     sessions_.at(id).over = true;
     come_by(step::answered);
@@ -588,6 +584,16 @@
     send_request(other, resumes ? caller_has_ : std::nullopt);
 }
 
+void fault_world::record_tokens(std::uint64_t id,
+                                const std::vector<std::string>& texts)
+{
+    for (const auto& text : texts) {
+        const auto token = std::stoull(text);
+        record(event_kind::token_received, id, token / token_stride,
+               token % token_stride);
+    }
+}
+
 void fault_world::record(event_kind kind, std::uint64_t id, std::uint64_t run,
                          std::uint64_t index)
 {
--- a/tests/faults/fault_world.hpp
+++ b/tests/faults/fault_world.hpp
@@ -115,6 +115,8 @@
     void send_request(std::size_t entry,
                       std::optional<stream_position> resume_after);
     void caller_lost(std::uint64_t session);
+    void record_tokens(std::uint64_t session,
+                       const std::vector<std::string>& texts);
     void record(event_kind kind, std::uint64_t session, std::uint64_t run = 0,
                 std::uint64_t index = 0);
 
--- /dev/null
+++ b/tests/faults/test_guards.cpp
@@ -0,0 +1,232 @@
+#include "gate.hpp"
+#include "relay.hpp"
+#include "ticket_authority.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenrun::faults
+{
+namespace
+{
+
+const std::string link_key = "0123456789abcdef0123456789abcdef";
+const time_point start{std::chrono::hours(1)};
+
+/** A gate whose upstream does just what the test says. */
+struct gate_fixture : testing::Test {
+    gate_fixture()
+    {
+        settings.upstream = "vm-1";
+        settings.incarnation = 5;
+        settings.started_at = start;
+        settings.link_key = link_key;
+        gate_hooks hooks;
+        hooks.start = [this](const run_order& order) {
+            started.push_back(order.work);
+        };
+        hooks.stop = [this](work_id work) { stopped.push_back(work); };
+        hooks.wake = [](reader_id) {};
+        hooks.news = [] {};
+        made = std::make_unique<gate>(settings, hooks);
+        made->engine_ready(0, start);
+    }
+
+    static link::Dispatch generation(const std::string& id)
+    {
+        link::Dispatch dispatch;
+        dispatch.set_request_id(id);
+        dispatch.set_kind(link::WORK_KIND_GENERATION);
+        dispatch.set_team("team");
+        dispatch.set_service("service");
+        dispatch.set_time_left_ms(60'000);
+        dispatch.set_prompt_tokens(10);
+        dispatch.set_max_output_tokens(100);
+        dispatch.set_fingerprint(7);
+        return dispatch;
+    }
+
+    link::Dispatch ticket_call(const std::string& id, const std::string& team)
+    {
+        auto dispatch = generation(id);
+        dispatch.set_kind(link::WORK_KIND_CALL);
+        dispatch.set_team(team);
+        if (!ticket)
+            ticket = ticket_authority(link_key).mint(
+                {"vm-1", 5, "team", "service", 10'000});
+        *dispatch.mutable_ticket() = *ticket;
+        return dispatch;
+    }
+
+    gate_settings settings;
+    std::optional<link::Ticket> ticket;
+    std::vector<work_id> started;
+    std::vector<work_id> stopped;
+    std::unique_ptr<gate> made;
+};
+
+/**
+ * A dispatch arrives twice under one request id, as a duplicated frame would.
+ * The second copy must not run, nor may its sender be told that nothing ran.
+ */
+TEST_F(gate_fixture, a_second_copy_of_a_dispatch_does_not_run)
+{
+    ASSERT_TRUE(made->submit(generation("r.1"), start));
+    const auto copy = made->submit(generation("r.1"), start);
+    ASSERT_FALSE(copy);
+    EXPECT_EQ(copy.error().kind, refusal_kind::outcome_unknown);
+    EXPECT_EQ(started.size(), 1U);
+}
+
+/**
+ * A caller closes in mid stream and never comes back. Its generation runs on
+ * for the grace in which a resume would find it, then the engine is told to
+ * stop, so that nobody's tokens take up its memory.
+ */
+TEST_F(gate_fixture, work_whose_caller_stays_away_is_cancelled_after_a_grace)
+{
+    const auto reader = made->submit(generation("r.1"), start);
+    ASSERT_TRUE(reader);
+    made->detach(*reader, start);
+    made->tick(start + settings.resume_grace - milliseconds(1));
+    EXPECT_TRUE(stopped.empty());
+    made->tick(start + settings.resume_grace);
+    EXPECT_EQ(stopped, started);
+}
+
+/**
+ * A ticketed call is refused as not run, since the agent is leaving. The
+ * caller sends it again with the same ticket: that is no second use.
+ */
+TEST_F(gate_fixture, a_ticket_whose_call_was_not_run_is_still_good)
+{
+    settings.admission.max_running = 1;
+    ASSERT_TRUE(made->submit(ticket_call("r.1", "team"), start));
+    made->run_failed(started.at(0), not_run(refusal_reason::no_upstream),
+                     start);
+    ASSERT_TRUE(made->submit(ticket_call("r.2", "team"), start));
+    EXPECT_EQ(started.size(), 2U);
+}
+
+TEST_F(gate_fixture, tickets_that_are_not_the_callers_own_run_nothing)
+{
+    const auto other_team = made->submit(ticket_call("r.1", "other"), start);
+    ASSERT_FALSE(other_team);
+    EXPECT_EQ(other_team.error().kind, refusal_kind::not_run);
+
+    auto forged = ticket_call("r.2", "team");
+    forged.mutable_ticket()->set_expiry_ms(99'999'999);
+    const auto refused = made->submit(forged, start);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().reason, refusal_reason::ticket_invalid);
+
+    auto dead = ticket_call("r.3", "team");
+    *dead.mutable_ticket() =
+        ticket_authority(link_key).mint({"vm-1", 4, "team", "service", 10'000});
+    const auto unknown = made->submit(dead, start);
+    ASSERT_FALSE(unknown);
+    EXPECT_EQ(unknown.error().kind, refusal_kind::outcome_unknown);
+
+    const auto late = made->submit(ticket_call("r.4", "team"),
+                                   start + std::chrono::seconds(11));
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().reason, refusal_reason::ticket_expired);
+    EXPECT_TRUE(started.empty());
+}
+
+/**
+ * Somebody resumes with an id that is not theirs, ahead of what was made, or
+ * guessed. Each gets a typed refusal, and none learns whether another team's
+ * generation exists.
+ */
+TEST_F(gate_fixture, a_resume_with_a_wrong_position_gets_nothing)
+{
+    const auto reader = made->submit(generation("r.1"), start);
+    made->token_made(started.at(0), "token", start);
+    const auto frames = made->pull(*reader, 1000, start).frames;
+    link::Resume resume;
+    resume.set_request_id("x.0");
+    *resume.mutable_generation() = frames.at(0).accepted().generation();
+    const auto refused_as = [&](const char* team, std::uint64_t next,
+                                std::uint64_t secret_offset) {
+        auto tried = resume;
+        tried.set_team(team);
+        tried.set_next_index(next);
+        auto& id = *tried.mutable_generation();
+        id.set_secret(id.secret() + secret_offset);
+        const auto answer = made->resume(tried, start);
+        return answer ? refusal_reason{} : answer.error().reason;
+    };
+    EXPECT_EQ(refused_as("other", 1, 0), refusal_reason::generation_unknown);
+    EXPECT_EQ(refused_as("team", 1, 1), refusal_reason::generation_unknown);
+    EXPECT_EQ(refused_as("team", 9, 0), refusal_reason::resume_out_of_range);
+    EXPECT_EQ(refused_as("team", 1, 0), refusal_reason{});
+}
+
+/**
+ * An engine crashes whenever it runs one request, and its caller sends it
+ * again each time. After the second loss it is refused by type; what ran
+ * beside it the first time is cleared when it ends well alone.
+ */
+TEST_F(gate_fixture, a_request_that_crashes_two_engines_is_refused)
+{
+    auto innocent = generation("i.1");
+    innocent.set_fingerprint(8);
+    ASSERT_TRUE(made->submit(generation("p.1"), start));
+    ASSERT_TRUE(made->submit(innocent, start));
+    made->engine_lost(start);
+    made->engine_ready(0, start);
+
+    innocent.set_request_id("i.2");
+    ASSERT_TRUE(made->submit(innocent, start));
+    made->finished(started.back(), "stop", start);
+    ASSERT_TRUE(made->submit(generation("p.2"), start));
+    made->engine_lost(start);
+    made->engine_ready(0, start);
+
+    const auto third = made->submit(generation("p.3"), start);
+    ASSERT_FALSE(third);
+    EXPECT_EQ(third.error().reason, refusal_reason::poison);
+    innocent.set_request_id("i.3");
+    EXPECT_TRUE(made->submit(innocent, start));
+}
+
+/**
+ * A link breaks in mid stream and is made again, and what comes on it is the
+ * start of another generation. The caller has tokens of the first one, so it
+ * gets a typed failure rather than a splice of the two.
+ */
+TEST(relay_guards, tokens_of_another_generation_are_never_spliced_in)
+{
+    relay_request request;
+    request.id = "r";
+    request.deadline = start + std::chrono::minutes(1);
+    relay_hooks hooks;
+    hooks.choose = [](const auto&, const auto&, bool, time_point) {
+        return outcome<route_target>(route_target{"vm-1", 5});
+    };
+    hooks.spend_retry = [](const auto&, time_point) { return outcome<void>(); };
+    hooks.verdict = [](auto, time_point) { return poison_verdict::clean; };
+    hooks.agent_lost = [](auto, const auto&, time_point) {};
+    relay relayed(request, {}, hooks);
+    relayed.start(start);
+
+    link::AgentFrame accepted;
+    accepted.set_request_id("r.1");
+    accepted.mutable_accepted()->mutable_generation()->set_sequence(1);
+    relayed.on_frame(1, accepted, start);
+    link::AgentFrame tokens;
+    tokens.set_request_id("r.1");
+    tokens.mutable_tokens()->add_text("token");
+    relayed.on_frame(1, tokens, start);
+    relayed.on_stream_lost(1, true, start);
+
+    accepted.mutable_accepted()->mutable_generation()->set_sequence(2);
+    const auto actions = relayed.on_frame(2, accepted, start);
+    const auto* refused = std::get_if<write_refusal>(&actions.back());
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->why.kind, refusal_kind::failed);
+    EXPECT_TRUE(relayed.done());
+}
+
+} // namespace
+} // namespace cyclamenrun::faults
