--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "commands.hpp"
+#include "configuration_command.hpp"
 #include "path_command.hpp"
 
 #include <CLI/CLI.hpp>
@@ -12,6 +13,7 @@
     cyclamenrun::bench::add_path_command(app);
     cyclamenrun::bench::add_links_command(app);
     cyclamenrun::bench::add_connections_command(app);
+    cyclamenrun::bench::add_configuration_command(app);
     CLI11_PARSE(app, argc, argv);
     return 0;
 }
--- a/src/libcyclamenrun/admission.cpp
+++ b/src/libcyclamenrun/admission.cpp
@@ -3,6 +3,7 @@
 #include "memory_projection.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace cyclamenrun
 {
@@ -33,7 +34,9 @@
 constexpr int wait_share_of_deadline = 2;
 
 constexpr milliseconds least_retry_after{100};
-constexpr milliseconds longest_promise{120'000};
+// Longer than any caller waits: one who would come back in vain had better
+// know at once.
+constexpr milliseconds longest_promise{600'000};
 
 // A suspect that has waited this long keeps other work from starting, so
 // that it gets the upstream to itself in the end.
@@ -46,7 +49,9 @@
 
 admission::admission(admission_settings settings)
     : settings_(std::move(settings)), lengths_(max_curves),
-      shares_(settings_.max_teams), drain_(initial_rate())
+      shares_(settings_.max_teams),
+      cache_(settings_.memory_tokens / settings_.block_tokens),
+      drain_(initial_rate())
 {
 }
 
@@ -71,6 +76,9 @@
     queue.drain.advance(now, !queue.waiting.empty());
     if (queue.works++ == 0)
         queue.account = &shares_.open(work.team, work.team_weight);
+    if (queue.waiting.empty())
+        shares_.lift(*queue.account);
+    queue.expected_tokens = expected_tokens(work);
     line_of(work, queue).push_back(work.id);
     queue.prompt_tokens += work.prompt_tokens;
     deadlines_.emplace(work.deadline, work.id);
@@ -81,6 +89,15 @@
     return {};
 }
 
+double admission::expected_tokens(const waiting_work& work)
+{
+    if (!work.sized || !settings_.parts.prediction)
+        return 0.0;
+    return static_cast<double>(
+        lengths_.curve(work.service, work.team)
+            .expected_remaining(0, work.max_output_tokens));
+}
+
 std::deque<work_id>& admission::line_of(const waiting_work& work,
                                         team_queue& queue)
 {
@@ -193,11 +210,16 @@
 admission::team_queue* admission::next_queue()
 {
     team_queue* best = nullptr;
+    double least = std::numeric_limits<double>::max();
     for (auto& [team, queue] : queues_) {
         if (queue.waiting.empty())
             continue;
-        if (!best || queue.account->counter < best->account->counter)
-            best = &queue;
+        const double key = queue.account->counter +
+                           settings_.short_first * queue.expected_tokens;
+        if (key >= least)
+            continue;
+        least = key;
+        best = &queue;
     }
     return best;
 }
@@ -221,7 +243,7 @@
         return false;
     if (!next.work.sized)
         return true;
-    if (prefill_tokens_ > 0 && prefill_tokens_ + next.work.prompt_tokens >
+    if (prefill_tokens_ > 0 && prefill_tokens_ + uncached_tokens(next.work) >
                                    settings_.max_prefill_tokens)
         return false;
     return fits_memory(next, ahead);
@@ -303,12 +325,22 @@
     }
     shares_.charge(*next.queue->account,
                    prompt_token_cost * next.work.prompt_tokens);
-    prefill_tokens_ += next.work.prompt_tokens;
+    next.prefill_tokens = uncached_tokens(next.work);
+    prefill_tokens_ += next.prefill_tokens;
+    cache_.used(next.work.prefix_blocks);
     private_tokens_ += private_tokens(next);
     if (settings_.parts.prefix)
         prefixes_.acquire(next.work.prefix_blocks);
 }
 
+std::uint64_t admission::uncached_tokens(const waiting_work& work) const
+{
+    if (!settings_.parts.prefix)
+        return work.prompt_tokens;
+    return work.prompt_tokens -
+           cache_.held(work.prefix_blocks) * settings_.block_tokens;
+}
+
 std::uint64_t admission::private_tokens(const record& of) const
 {
     const std::uint64_t prompt = of.work.prompt_tokens;
@@ -325,7 +357,7 @@
         return;
     record& of = found->second;
     if (of.made == 0 && of.work.sized)
-        prefill_tokens_ -= of.work.prompt_tokens;
+        prefill_tokens_ -= of.prefill_tokens;
     of.made += count;
     private_tokens_ += of.work.sized ? count : 0;
     shares_.charge(*of.queue->account, count);
@@ -387,7 +419,7 @@
     if (!of.work.sized)
         return;
     if (of.made == 0)
-        prefill_tokens_ -= of.work.prompt_tokens;
+        prefill_tokens_ -= of.prefill_tokens;
     private_tokens_ -= private_tokens(of);
     if (settings_.parts.prefix)
         prefixes_.release(of.work.prefix_blocks);
--- a/src/libcyclamenrun/admission.hpp
+++ b/src/libcyclamenrun/admission.hpp
@@ -5,6 +5,7 @@
 #include "drain_rate.hpp"
 #include "fair_share.hpp"
 #include "length_predictor.hpp"
+#include "prefix_cache_view.hpp"
 #include "refusal.hpp"
 #include "shared_prefixes.hpp"
 
@@ -100,6 +101,7 @@
         std::uint32_t works = 0;                ///< waiting and running
         std::deque<work_id> waiting;
         std::uint64_t prompt_tokens = 0; ///< waiting
+        double expected_tokens = 0;      ///< of an answer, as last seen
         drain_rate drain;
         /// Until when places in this queue have been promised.
         time_point promised{};
@@ -112,6 +114,7 @@
         time_point queued_at{};
         bool started = false;
         std::uint32_t made = 0;
+        std::uint64_t prefill_tokens = 0; ///< to be read when it started
     };
 
     std::optional<refusal> check(const waiting_work& work, time_point now);
@@ -121,6 +124,7 @@
     bool over_share(const waiting_work& work, const team_queue& queue) const;
 
     team_queue& queue_of(const waiting_work& work);
+    double expected_tokens(const waiting_work& work);
     std::deque<work_id>& line_of(const waiting_work& work, team_queue& queue);
     void advance(time_point now);
     void drop_idle_queues();
@@ -137,6 +141,7 @@
     void unqueue(record& of, time_point now);
     void stop(record& of);
     void drop(record& of, bool complete, time_point now);
+    std::uint64_t uncached_tokens(const waiting_work& work) const;
     std::uint64_t private_tokens(const record& of) const;
     double taken_outside() const;
 
@@ -144,6 +149,7 @@
     length_predictor lengths_;
     fair_share shares_;
     shared_prefixes prefixes_;
+    prefix_cache_view cache_;
     drain_rate drain_;
     std::unordered_map<work_id, record> records_;
     std::unordered_map<std::string, team_queue> queues_;
--- a/src/libcyclamenrun/log_field.cpp
+++ b/src/libcyclamenrun/log_field.cpp
@@ -27,6 +27,7 @@
     key_row{log_key::generation, "generation"},
     key_row{log_key::incarnation, "incarnation"},
     key_row{log_key::kind, "kind"},
+    key_row{log_key::name, "name"},
     key_row{log_key::offset, "offset"},
     key_row{log_key::path, "path"},
     key_row{log_key::process, "process"},
@@ -44,11 +45,11 @@
     key_row{log_key::version, "version"},
 };
 
-/** Upstream, incarnation and sequence: enough to find it, not to fetch it. */
+/** As callers see the id, up to the secret: enough to find it in the logs. */
 std::string public_part(const generation_id& generation)
 {
-    return generation.upstream + '.' + std::to_string(generation.incarnation) +
-           '.' + std::to_string(generation.sequence);
+    const auto whole = to_string(generation);
+    return whole.substr(0, whole.rfind(':'));
 }
 
 } // namespace
--- a/src/libcyclamenrun/log_tailer.hpp
+++ b/src/libcyclamenrun/log_tailer.hpp
@@ -67,11 +67,12 @@
 
 private:
     void run();
-    milliseconds on_page(const log_page& page);
+    void on_page(const log_page& page);
     milliseconds on_error(const log_error& error);
     void note_first_end(std::uint64_t end);
 
     platform_log& log_;
+    configuration_store& store_;
     tail_settings settings_;
     clock_function clock_;
     random_function random_;
