--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD = build
 JOBS ?= $(shell nproc)
 
-.PHONY: deps build test demo soak format tidy schema
+.PHONY: deps build test demo soak docs format schema
 
 deps:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || scripts/install-packages $(PACKAGES)
@@ -26,6 +26,11 @@
 	CYCLAMENRUN_SOAK_RUNS=10000 $(BUILD)/bin/test_faults \
 	    --gtest_filter='*random*'
 
+# Writes the tables of docs/FAULTS.md again.
+docs: build
+	CYCLAMENRUN_WRITE_DOCS=1 $(BUILD)/bin/test_faults \
+	    --gtest_filter='faults_page.*'
+
 format:
 	scripts/format
 
