Try calls, stops and resumes with real processes

Change: nine faults of a call, with and without a ticket; one ticket at once through two entries; tickets of an earlier life; a dispatch later than its refusal; stops of entry and agent, drain and leaving by the list; resumes after an entry's death or freeze, forged ones refused; the platform dead and frozen.

Ruled out: a fault behind the one wrong answer seen, unauthenticated at an entry that had one of three changes in force: cyclamenrunctl had not been told to wait.

--- a/tests/processes/deployment.cpp
+++ b/tests/processes/deployment.cpp
@@ -159,7 +159,7 @@
             "\nkind = \"application\"\n"
             "[[team]]\nname = \"team-a\"\nkey_hash = " +
             quoted(to_string(make_key_hash(secret(team_key_)))) + "\n");
-    if (const int status = operate({"apply", resources}))
+    if (const int status = operate({"apply", "--wait", resources}))
         throw std::runtime_error("apply ended with " + std::to_string(status));
     for (const auto& entry : entries_) {
         const bool ready = wait_until([&] {
@@ -286,17 +286,19 @@
 }
 
 void deployment::list_vm(const std::string& id, const std::string& address,
-                         const std::string& service) const
+                         const std::string& service,
+                         const std::string& state) const
 {
     ask(platform_.address(), "PUT", "/v1/vms/" + id,
         "{\"address\":" + quoted(address) + ",\"service\":" + quoted(service) +
-            R"(,"region":"cuyo","failure_domain":"san-juan","state":"live"})");
+            ",\"state\":" + quoted(state) +
+            R"(,"region":"cuyo","failure_domain":"san-juan"})");
 }
 
 std::string deployment::write_file(const std::string& name,
                                    const std::string& text)
 {
-    const auto path = folder_.path() + "/" + name;
+    auto path = folder_.path() + "/" + name;
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/processes/deployment.hpp
+++ b/tests/processes/deployment.hpp
@@ -61,6 +61,11 @@
     /** Publishes the configuration and waits until it serves everywhere. */
     void wait_until_ready();
 
+    /** Puts a VM on the platform's list: live or leaving. */
+    void list_vm(const std::string& id, const std::string& address,
+                 const std::string& service,
+                 const std::string& state = "live") const;
+
     /** The status with which `cyclamenrunctl` ends. */
     int operate(const std::vector<std::string>& command) const;
     /** The state of an upstream as this entry sees it. */
@@ -95,8 +100,6 @@
                                      const std::string& stand_in,
                                      std::vector<std::string> options);
     void start_agent(upstream_processes& upstream);
-    void list_vm(const std::string& id, const std::string& address,
-                 const std::string& service) const;
     std::string write_file(const std::string& name, const std::string& text);
     std::string common_settings(const std::string& name) const;
     http_request caller_request(const std::string& method,
--- /dev/null
+++ b/tests/processes/test_calls.cpp
@@ -0,0 +1,258 @@
+#include "deployment.hpp"
+
+#include <array>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing_support::deployment;
+using testing_support::read_refusal;
+using testing_support::upstream_processes;
+using testing_support::wait_until;
+using testing_support::way;
+
+/** What befalls a tag that a runner has begun to write. */
+enum class fault : std::uint8_t {
+    kill_runner,
+    lose_answer,
+    kill_agent,
+    freeze_agent,
+    cut_agent_link,
+    stall_to_agent,
+    stall_to_entry,
+    cut_runner_link,
+    kill_entry,
+};
+
+constexpr std::array<const char*, 9> fault_names{
+    "kill_runner",    "lose_answer",     "kill_agent",
+    "freeze_agent",   "cut_agent_link",  "stall_to_agent",
+    "stall_to_entry", "cut_runner_link", "kill_entry"};
+
+/** The work is lost for good, or only the way to its answer for a while. */
+bool is_final(fault what)
+{
+    return what == fault::kill_runner || what == fault::lose_answer ||
+           what == fault::kill_agent || what == fault::cut_runner_link;
+}
+
+class call_faults : public ::testing::TestWithParam<fault>
+{
+protected:
+    call_faults()
+    {
+        system.add_runner("registro-1", {"--delay-ms", "400"});
+        system.add_runner("registro-2", {"--delay-ms", "400"});
+        system.add_entry("entry-1");
+        system.add_entry("entry-2");
+        system.wait_until_ready();
+    }
+
+    void inject(upstream_processes& upstream)
+    {
+        switch (GetParam()) {
+        case fault::kill_runner:
+            return upstream.back_end->process().signal(SIGKILL);
+        case fault::lose_answer:
+            return; // set before the call
+        case fault::kill_agent:
+            return upstream.agent->signal(SIGKILL);
+        case fault::freeze_agent:
+            return upstream.agent->signal(SIGSTOP);
+        case fault::cut_agent_link:
+            return upstream.agent_link->cut();
+        case fault::stall_to_agent:
+            return upstream.agent_link->stall(way::to_target);
+        case fault::stall_to_entry:
+            return upstream.agent_link->stall(way::to_caller);
+        case fault::cut_runner_link:
+            return upstream.back_end_link->cut();
+        case fault::kill_entry:
+            return system.entry(0).process->signal(SIGKILL);
+        }
+    }
+
+    /** Heals what heals, once the entry has seen it. */
+    void undo(upstream_processes& upstream)
+    {
+        if (is_final(GetParam()) || GetParam() == fault::kill_entry)
+            return;
+        EXPECT_TRUE(wait_until([this] {
+            return system.entry(0).process->errors().find("link_closed") !=
+                   std::string::npos;
+        }));
+        upstream.agent->signal(SIGCONT);
+        upstream.agent_link->heal();
+    }
+
+    /** Of both runners, the one that died included. */
+    std::size_t runs() const
+    {
+        std::size_t count = died ? 1 : 0;
+        for (const std::size_t at : {0, 1}) {
+            const auto& upstream = system.upstream(at);
+            if (&upstream != died)
+                count += upstream.back_end->history("run").size();
+        }
+        return count;
+    }
+
+    mutable deployment system;
+    const upstream_processes* died = nullptr;
+};
+
+// An inspector writes a tag under a ticket. Something fails while the runner
+// writes it, or its answer is lost, and the inspector sends the tag again at
+// once through the other entry. The tag is written once, both answers agree,
+// and nobody is told that it was not written.
+TEST_P(call_faults, a_tag_is_written_once_however_often_it_is_sent)
+{
+    const auto ticket = system.ticket(system.entry(0));
+    ASSERT_FALSE(ticket.empty());
+    if (GetParam() == fault::lose_answer)
+        for (const std::size_t at : {0, 1})
+            system.upstream(at).back_end->set_fault(R"({"lose_answers":1})");
+    auto first = std::async(std::launch::async, [&] {
+        return system.call(system.entry(0), ticket);
+    });
+    auto& struck = system.wait_for_event("run");
+    if (GetParam() == fault::kill_runner)
+        died = &struck;
+    inject(struck);
+    auto second = std::async(std::launch::async, [&] {
+        return system.call(system.entry(1), ticket);
+    });
+    undo(struck);
+    const auto again = second.get();
+    const auto original = first.get();
+
+    ASSERT_TRUE(again);
+    if (is_final(GetParam())) {
+        const auto told = read_refusal(again->body);
+        ASSERT_TRUE(told) << again->body;
+        EXPECT_EQ(told->kind, "outcome_unknown");
+    } else {
+        EXPECT_EQ(again->head.status, 200) << again->body;
+    }
+    ASSERT_EQ(original.has_value(), GetParam() != fault::kill_entry);
+    if (original) {
+        EXPECT_EQ(original->head.status, again->head.status) << original->body;
+    }
+    EXPECT_EQ(runs(), 1);
+}
+
+// The same without a ticket: the call is sent once, by the caller and by the
+// system, and what the caller is told is true.
+TEST_P(call_faults, without_a_ticket_the_system_sends_a_call_once)
+{
+    if (GetParam() == fault::lose_answer)
+        for (const std::size_t at : {0, 1})
+            system.upstream(at).back_end->set_fault(R"({"lose_answers":1})");
+    auto first = std::async(std::launch::async,
+                            [&] { return system.call(system.entry(0), ""); });
+    auto& struck = system.wait_for_event("run");
+    if (GetParam() == fault::kill_runner)
+        died = &struck;
+    inject(struck);
+    undo(struck);
+    const auto answer = first.get();
+    ASSERT_EQ(answer.has_value(), GetParam() != fault::kill_entry);
+    if (answer && is_final(GetParam())) {
+        EXPECT_EQ(read_refusal(answer->body)->kind, "outcome_unknown");
+    } else if (answer) {
+        EXPECT_EQ(answer->head.status, 200) << answer->body;
+    }
+    EXPECT_EQ(runs(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    each, call_faults,
+    ::testing::Values(fault::kill_runner, fault::lose_answer, fault::kill_agent,
+                      fault::freeze_agent, fault::cut_agent_link,
+                      fault::stall_to_agent, fault::stall_to_entry,
+                      fault::cut_runner_link, fault::kill_entry),
+    [](const auto& tested) {
+        return fault_names.at(static_cast<std::size_t>(tested.param));
+    });
+
+class call_races : public ::testing::Test
+{
+protected:
+    call_races()
+    {
+        system.add_runner("registro-1", {"--delay-ms", "100"});
+        system.add_entry("entry-1");
+        system.add_entry("entry-2");
+        system.wait_until_ready();
+    }
+
+    deployment system;
+};
+
+// A caller sends its tag through two entries at the same moment.
+TEST_F(call_races, a_ticket_used_twice_at_once_runs_once)
+{
+    for (std::size_t round = 1; round <= 10; ++round) {
+        const auto ticket = system.ticket(system.entry(0));
+        auto other = std::async(std::launch::async, [&] {
+            return system.call(system.entry(1), ticket);
+        });
+        const auto one = system.call(system.entry(0), ticket);
+        const auto two = other.get();
+        ASSERT_TRUE(one && two);
+        EXPECT_EQ(one->head.status, 200) << one->body;
+        EXPECT_EQ(one->body, two->body);
+        EXPECT_EQ(system.count_events("run"), round);
+    }
+}
+
+// A dispatch is held up on its link until after its caller was told how the
+// call ended, and arrives and runs then. Nobody could know at that moment, so
+// the caller must not have been told that the call was not run.
+TEST_F(call_races, a_call_that_may_still_arrive_is_not_told_as_not_run)
+{
+    auto& upstream = system.upstream(0);
+    upstream.agent_link->stall(way::to_target);
+    const auto answer = system.call(system.entry(0), "", milliseconds(1000));
+    ASSERT_TRUE(answer);
+    const auto told = read_refusal(answer->body);
+    ASSERT_TRUE(told) << answer->body;
+    upstream.agent_link->heal();
+    // The link is in order: once this call ran, the late one has arrived.
+    const auto next = system.call(system.entry(0), "");
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->head.status, 200) << next->body;
+    const std::size_t late_runs = system.count_events("run") - 1;
+    EXPECT_EQ(told->kind, "outcome_unknown");
+    EXPECT_LE(late_runs, 1);
+}
+
+// An agent dies and comes back; tickets of its earlier life come with calls
+// that nobody can tell from ones that ran in it.
+TEST_F(call_races, a_ticket_of_an_earlier_life_is_an_unknown_outcome)
+{
+    const auto ticket = system.ticket(system.entry(0));
+    auto& upstream = system.upstream(0);
+    upstream.agent->signal(SIGKILL);
+    upstream.agent->wait();
+    system.restart_agent(upstream);
+    const auto told = [&] {
+        return read_refusal(system.call(system.entry(0), ticket)->body);
+    };
+    ASSERT_TRUE(wait_until([&] {
+        const auto next = system.call(system.entry(0), "");
+        return next && next->head.status == 200;
+    }));
+    const auto runs = system.count_events("run");
+    const auto refusal = told();
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->kind, "outcome_unknown");
+    EXPECT_EQ(system.count_events("run"), runs);
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/processes/test_stops.cpp
@@ -0,0 +1,283 @@
+#include "../standins/token_text.hpp"
+#include "deployment.hpp"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <memory>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing_support::caller_stream;
+using testing_support::deployment;
+using testing_support::stream_end_kind;
+using testing_support::wait_until;
+
+constexpr auto prompt = "pairing guide, code 0917";
+constexpr std::uint64_t length = 200;
+constexpr std::size_t seen_tokens = 20;
+
+class stops : public ::testing::Test
+{
+protected:
+    void start(const char* token_ms = "10")
+    {
+        system.add_model("redactor-1", {"--step-ms", token_ms});
+        system.add_model("redactor-2", {"--step-ms", token_ms});
+        system.add_runner("registro-1", {"--delay-ms", "500"});
+        system.add_entry("entry-1");
+        system.add_entry("entry-2");
+        system.wait_until_ready();
+    }
+
+    caller_stream begin()
+    {
+        auto stream = system.generate(system.entry(0), prompt, length);
+        stream.read_tokens(seen_tokens);
+        return stream;
+    }
+
+    /** `before` and the rest of its generation are the whole answer. */
+    static void expect_continued(const caller_stream& before,
+                                 const caller_stream& rest)
+    {
+        ASSERT_EQ(rest.end(), stream_end_kind::whole)
+            << rest.status() << ' ' << rest.refusal().reason;
+        EXPECT_EQ(before.text() + rest.text(),
+                  stand_in::answer_text(prompt, length));
+        EXPECT_EQ(rest.positions().front().index, before.positions().size());
+        EXPECT_EQ(rest.positions().front().generation,
+                  before.positions().front().generation);
+    }
+
+    void expect_whole(caller_stream& stream)
+    {
+        stream.read_all();
+        EXPECT_EQ(stream.end(), stream_end_kind::whole)
+            << stream.refusal().reason;
+        EXPECT_EQ(stream.text(), stand_in::answer_text(prompt, length));
+    }
+
+    deployment system;
+};
+
+// An entry is replaced while it serves a guide and a lookup: both end whole,
+// it takes nothing new meanwhile, and it ends by itself.
+TEST_F(stops, a_stop_of_an_entry_cuts_nothing)
+{
+    start();
+    auto stream = begin();
+    auto lookup = std::async(std::launch::async,
+                             [&] { return system.call(system.entry(0), ""); });
+    system.wait_for_event("run");
+    system.entry(0).process->signal(SIGTERM);
+    EXPECT_TRUE(wait_until([&] {
+        return system.entry(0).process->errors().find("drain_started") !=
+               std::string::npos;
+    }));
+    expect_whole(stream);
+    EXPECT_EQ(lookup.get()->head.status, 200);
+    EXPECT_EQ(system.entry(0).process->wait(), 0);
+}
+
+// An agent is replaced while its engine makes a guide. The guide ends whole,
+// new requests go to the other upstream, and the agent ends by itself.
+TEST_F(stops, a_stop_of_an_agent_cuts_nothing)
+{
+    start();
+    auto stream = begin();
+    auto& stopped = system.wait_for_event("first_token");
+    stopped.agent->signal(SIGTERM);
+    EXPECT_TRUE(wait_until([&] {
+        return system.state_at(system.entry(0), stopped.name) != "live";
+    }));
+    for (int count = 0; count < 5; ++count) {
+        auto next = system.generate(system.entry(1), prompt, length);
+        expect_whole(next);
+    }
+    EXPECT_EQ(stopped.back_end->history("start").size(), 1);
+    expect_whole(stream);
+    EXPECT_EQ(stopped.agent->wait(), 0);
+}
+
+TEST_F(stops, a_stop_of_an_agent_lets_a_call_end)
+{
+    start();
+    const auto ticket = system.ticket(system.entry(0));
+    auto call = std::async(std::launch::async, [&] {
+        return system.call(system.entry(0), ticket);
+    });
+    auto& stopped = system.wait_for_event("run");
+    stopped.agent->signal(SIGTERM);
+    EXPECT_EQ(call.get()->head.status, 200);
+    EXPECT_EQ(stopped.agent->wait(), 0);
+    EXPECT_EQ(system.count_events("run"), 1);
+}
+
+// An operator drains an upstream: within 3 s no entry gives it anything new,
+// and what it runs ends whole.
+TEST_F(stops, a_drained_upstream_gets_no_new_work)
+{
+    start();
+    auto stream = begin();
+    auto& drained = system.wait_for_event("first_token");
+    ASSERT_EQ(system.operate({"drain", drained.name}), 0);
+    const auto limit = steady_now() + milliseconds(3000);
+    EXPECT_TRUE(wait_until([&] {
+        return system.state_at(system.entry(0), drained.name) != "live" &&
+               system.state_at(system.entry(1), drained.name) != "live";
+    }));
+    EXPECT_LT(steady_now(), limit);
+    for (const std::size_t entry : {0, 1, 0, 1}) {
+        auto next = system.generate(system.entry(entry), prompt, length);
+        expect_whole(next);
+    }
+    EXPECT_EQ(drained.back_end->history("start").size(), 1);
+    expect_whole(stream);
+}
+
+// A VM of an upstream is marked as leaving on the platform's list.
+TEST_F(stops, an_upstream_that_leaves_by_the_list_gets_no_new_work)
+{
+    start();
+    auto stream = begin();
+    auto& leaving = system.wait_for_event("first_token");
+    system.list_vm(leaving.name, leaving.agent_link->address(), leaving.service,
+                   "leaving");
+    const auto limit = steady_now() + milliseconds(3000);
+    EXPECT_TRUE(wait_until([&] {
+        return system.state_at(system.entry(0), leaving.name) != "live";
+    }));
+    EXPECT_LT(steady_now(), limit);
+    for (int count = 0; count < 4; ++count) {
+        auto next = system.generate(system.entry(0), prompt, length);
+        expect_whole(next);
+    }
+    EXPECT_EQ(leaving.back_end->history("start").size(), 1);
+    expect_whole(stream);
+}
+
+// An entry dies under a guide. Its caller goes on through the other entry
+// with the next token of the same generation; nothing is made twice.
+TEST_F(stops, a_guide_goes_on_through_another_entry)
+{
+    start();
+    auto stream = begin();
+    system.entry(0).process->signal(SIGKILL);
+    stream.read_all();
+    EXPECT_EQ(stream.end(), stream_end_kind::lost);
+    auto rest = system.resume(system.entry(1), stream.last_event_id());
+    rest.read_all();
+    expect_continued(stream, rest);
+    EXPECT_EQ(system.count_events("start"), 1);
+}
+
+// An entry freezes; the caller gives it up, resumes elsewhere, and the old
+// entry wakes up in the middle of that.
+TEST_F(stops, a_frozen_entry_that_wakes_up_disturbs_nothing)
+{
+    start();
+    auto stream = begin();
+    system.entry(0).process->signal(SIGSTOP);
+    stream.hang_up();
+    auto rest = system.resume(system.entry(1), stream.last_event_id());
+    rest.read_tokens(seen_tokens);
+    system.entry(0).process->signal(SIGCONT);
+    rest.read_all();
+    expect_continued(stream, rest);
+    EXPECT_EQ(system.count_events("start"), 1);
+}
+
+// A caller's own line breaks after the last token, when all is acknowledged
+// by neither side: what it lacks is still there.
+TEST_F(stops, the_end_of_a_guide_can_be_fetched_after_it_was_made)
+{
+    start("2");
+    auto stream = begin();
+    stream.hang_up();
+    system.wait_for_event("end");
+    auto rest = system.resume(system.entry(1), stream.last_event_id());
+    rest.read_all();
+    expect_continued(stream, rest);
+}
+
+TEST_F(stops, a_position_that_is_forged_or_of_another_life_is_refused)
+{
+    start();
+    auto stream = begin();
+    auto position = stream.positions().back();
+    position.generation.secret ^= 1;
+    auto forged = system.resume(system.entry(1), to_string(position));
+    EXPECT_EQ(forged.end(), stream_end_kind::refused);
+    EXPECT_EQ(forged.refusal().reason, "generation_unknown");
+    auto ahead = stream.positions().back();
+    ahead.index += 100000;
+    auto early = system.resume(system.entry(1), to_string(ahead));
+    EXPECT_EQ(early.end(), stream_end_kind::refused);
+    EXPECT_EQ(early.refusal().reason, "resume_out_of_range");
+    expect_whole(stream);
+}
+
+// A caller that has gone for good must not keep an engine busy for long.
+TEST_F(stops, what_nobody_fetches_is_cancelled_after_the_grace)
+{
+    start("100");
+    auto stream = begin();
+    stream.hang_up();
+    auto& upstream = system.wait_for_event("cancel");
+    EXPECT_TRUE(upstream.back_end->history("end").empty());
+}
+
+// The platform dies and stays away. What runs ends, new requests are served,
+// and an operator is told that nothing can be changed now.
+TEST_F(stops, without_the_platform_all_that_is_there_goes_on)
+{
+    start();
+    auto stream = begin();
+    system.platform().process().signal(SIGKILL);
+    expect_whole(stream);
+    auto next = system.generate(system.entry(1), prompt, length);
+    expect_whole(next);
+    EXPECT_EQ(system.call(system.entry(0), system.ticket(system.entry(1)))
+                  ->head.status,
+              200);
+    std::cerr << "status "
+              << system.operate({"--timeout", "3", "delete", "team", "team-a"});
+    auto last = system.generate(system.entry(0), prompt, length);
+    expect_whole(last);
+}
+
+// A frozen platform holds every reader of its log and list for ever; callers
+// must not notice, and a stop must not wait for it.
+TEST_F(stops, a_frozen_platform_holds_up_no_caller_and_no_stop)
+{
+    start();
+    system.platform().process().signal(SIGSTOP);
+    auto stream = begin();
+    system.entry(0).process->signal(SIGTERM);
+    expect_whole(stream);
+    const auto limit = steady_now() + milliseconds(3000);
+    EXPECT_EQ(system.entry(0).process->wait(), 0);
+    EXPECT_LT(steady_now(), limit);
+}
+
+// An entry that has just come up and never read a configuration serves
+// nothing, and says so in a way that sends its callers elsewhere.
+TEST_F(stops, an_entry_without_a_configuration_refuses)
+{
+    start();
+    system.platform().set_fault(R"({"log_out":true})");
+    const auto& fresh = system.add_entry("entry-3");
+    EXPECT_EQ(testing_support::ask(fresh.address, "GET", "/readyz").head.status,
+              503);
+    auto refused = system.generate(fresh, prompt, length);
+    EXPECT_EQ(refused.end(), stream_end_kind::refused);
+    EXPECT_EQ(refused.status(), 503);
+    EXPECT_EQ(refused.refusal().kind, "not_run");
+    EXPECT_EQ(refused.refusal().reason, "not_ready");
+}
+
+} // namespace
+} // namespace cyclamenrun
