Work curves out less often and look only at teams that wait

Cause: each end of an answer made all curves stale, and choosing the next work walked all teams. Change: a curve is worked out anew when its own answers change it or 16 others have come above it; teams that wait are listed; a team that starts to wait is lifted to the least of those that wait, as virtual token counters have it.

--- a/bench/fake_engine.cpp
+++ b/bench/fake_engine.cpp
@@ -163,7 +163,7 @@
     while (!preempted_now_ && !waiting_.empty() &&
            running_.size() < settings_.max_batch &&
            reading_ < settings_.prefill_tokens_per_step) {
-        if (!start(waiting_.front()))
+        if (!make_room(waiting_.begin()))
             return;
         running_.splice(running_.end(), waiting_, waiting_.begin());
         sequence& of = running_.back();
@@ -178,6 +178,20 @@
     }
 }
 
+bool fake_engine::make_room(sequence_ptr of)
+{
+    while (!start(*of)) {
+        if (running_.empty())
+            return false;
+        const sequence_ptr least = victim();
+        if (least->priority >= of->priority)
+            return false;
+        preempt(least);
+        preempted_now_ = false;
+    }
+    return true;
+}
+
 bool fake_engine::start(sequence& of)
 {
     const std::uint64_t wanted = private_blocks(of, of.prompt + of.made + 1);
--- a/bench/fake_engine.hpp
+++ b/bench/fake_engine.hpp
@@ -28,7 +28,8 @@
  * step takes longer with batch and memory, prompt prefixes are cached in what
  * memory is left, and when memory runs out in mid decode the running sequence
  * of least priority (the latest among them) is preempted and computed again
- * later, prompt and output so far.
+ * later, prompt and output so far. One of higher priority that waits takes the
+ * place of lower ones in the same way.
  */
 class fake_engine
 {
@@ -90,6 +91,8 @@
     void schedule_waiting();
     void read_prompts();
     bool take_blocks(sequence& of, std::uint64_t wanted);
+    /** Starts it, if need be in place of sequences of less priority. */
+    bool make_room(sequence_ptr of);
     bool start(sequence& of);
     std::uint64_t private_blocks(const sequence& of,
                                  std::uint32_t tokens) const;
--- a/src/libcyclamenrun/admission.cpp
+++ b/src/libcyclamenrun/admission.cpp
@@ -76,10 +76,11 @@
     queue.drain.advance(now, !queue.waiting.empty());
     if (queue.works++ == 0)
         queue.account = &shares_.open(work.team, work.team_weight);
-    if (queue.waiting.empty())
-        shares_.lift(*queue.account);
     queue.expected_tokens = expected_tokens(work);
-    line_of(work, queue).push_back(work.id);
+    if (work.suspect)
+        suspects_.push_back(work.id);
+    else
+        join(queue, work.id);
     queue.prompt_tokens += work.prompt_tokens;
     deadlines_.emplace(work.deadline, work.id);
     ++queued_;
@@ -89,6 +90,14 @@
     return {};
 }
 
+double admission::least_waiting_counter() const
+{
+    double least = std::numeric_limits<double>::max();
+    for (const team_queue* queue : waiting_queues_)
+        least = std::min(least, queue->account->counter);
+    return least;
+}
+
 double admission::expected_tokens(const waiting_work& work)
 {
     if (!work.sized || !settings_.parts.prediction)
@@ -98,10 +107,13 @@
             .expected_remaining(0, work.max_output_tokens));
 }
 
-std::deque<work_id>& admission::line_of(const waiting_work& work,
-                                        team_queue& queue)
+void admission::join(team_queue& queue, work_id id)
 {
-    return work.suspect ? suspects_ : queue.waiting;
+    if (queue.waiting.empty()) {
+        shares_.lift(*queue.account, least_waiting_counter());
+        waiting_queues_.push_back(&queue);
+    }
+    queue.waiting.push_back(id);
 }
 
 std::optional<refusal> admission::check(const waiting_work& work,
@@ -211,15 +223,13 @@
 {
     team_queue* best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (auto& [team, queue] : queues_) {
-        if (queue.waiting.empty())
-            continue;
-        const double key = queue.account->counter +
-                           settings_.short_first * queue.expected_tokens;
+    for (team_queue* queue : waiting_queues_) {
+        const double key = queue->account->counter +
+                           settings_.short_first * queue->expected_tokens;
         if (key >= least)
             continue;
         least = key;
-        best = &queue;
+        best = queue;
     }
     return best;
 }
@@ -400,8 +410,13 @@
 void admission::unqueue(record& of, time_point now)
 {
     of.queue->drain.advance(now, true);
-    auto& waiting = line_of(of.work, *of.queue);
-    waiting.erase(std::find(waiting.begin(), waiting.end(), of.work.id));
+    if (of.work.suspect) {
+        std::erase(suspects_, of.work.id);
+    } else {
+        std::erase(of.queue->waiting, of.work.id);
+        if (of.queue->waiting.empty())
+            std::erase(waiting_queues_, of.queue);
+    }
     of.queue->prompt_tokens -= of.work.prompt_tokens;
     deadlines_.erase({of.work.deadline, of.work.id});
     --queued_;
--- a/src/libcyclamenrun/admission.hpp
+++ b/src/libcyclamenrun/admission.hpp
@@ -124,8 +124,9 @@
     bool over_share(const waiting_work& work, const team_queue& queue) const;
 
     team_queue& queue_of(const waiting_work& work);
+    double least_waiting_counter() const;
     double expected_tokens(const waiting_work& work);
-    std::deque<work_id>& line_of(const waiting_work& work, team_queue& queue);
+    void join(team_queue& queue, work_id id);
     void advance(time_point now);
     void drop_idle_queues();
     double initial_rate() const;
@@ -154,6 +155,7 @@
     std::unordered_map<work_id, record> records_;
     std::unordered_map<std::string, team_queue> queues_;
     std::deque<work_id> suspects_; ///< waiting to run alone, oldest first
+    std::vector<team_queue*> waiting_queues_; ///< with waiting work
     std::vector<record*> running_records_;
     std::set<std::pair<time_point, work_id>> deadlines_; ///< of waiting work
     std::uint32_t running_ = 0;
--- a/src/libcyclamenrun/fair_share.cpp
+++ b/src/libcyclamenrun/fair_share.cpp
@@ -43,9 +43,9 @@
         idle_ -= std::erase_if(accounts_, unheld);
 }
 
-void fair_share::lift(account& of) const
+void fair_share::lift(account& of, double least_waiting) const
 {
-    of.counter = std::max(of.counter, floor_);
+    of.counter = std::max(of.counter, std::min(floor_, least_waiting));
 }
 
 void fair_share::charge(account& of, double tokens)
--- a/src/libcyclamenrun/fair_share.hpp
+++ b/src/libcyclamenrun/fair_share.hpp
@@ -31,8 +31,11 @@
     account& open(const std::string& team, std::uint32_t weight);
     void close(account& of);
 
-    /** Its queue was empty and no longer is: it starts with the others. */
-    void lift(account& of) const;
+    /**
+     * Its queue was empty and no longer is: it starts with the least of
+     * those that wait, or where service has got to if none does.
+     */
+    void lift(account& of, double least_waiting) const;
     void charge(account& of, double tokens);
     /** The account is served next: nobody may start behind it. */
     void served(const account& of);
--- a/src/libcyclamenrun/length_predictor.cpp
+++ b/src/libcyclamenrun/length_predictor.cpp
@@ -18,6 +18,10 @@
 constexpr float prior_weight_of_overall = 8.0F;
 constexpr float prior_weight_stated = 2.0F;
 
+// A curve is worked out again when its own answers change it, and when so many
+// have changed the one above: each end would otherwise cost every team's.
+constexpr std::uint64_t refresh_after = 16;
+
 // A service's curve and a team's must both fit.
 constexpr std::size_t least_curves = 2;
 
@@ -73,7 +77,7 @@
     // Versions start at 0 and grow, so that + 1 tells "never" from "at 0".
     const std::uint64_t own = of.curve.version() + 1;
     const std::uint64_t above = overall_.version() + 1;
-    if (of.own_version != own || of.prior_version != above) {
+    if (of.own_version != own || above >= of.prior_version + refresh_after) {
         of.curve.refresh(prior, prior_weight);
         of.own_version = own;
         of.prior_version = above;
