Bound the time in which a caller may send a request

Cause: the timeout of each read starts anew with each byte, so a caller that sends a byte now and then held a thread for as long as it liked. Ruled out: a watchdog over all connections, which POCO's server gives no handle on.

--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -11,6 +11,7 @@
 #include "operator_commands.hpp"
 #include "operator_queries.hpp"
 #include "platform_log_client.hpp"
+#include "request_deadline_listener.hpp"
 #include "rpc_http_handler.hpp"
 #include "rpc_router.hpp"
 #include "snapshot_writer.hpp"
@@ -200,8 +201,8 @@
         });
     add_commands(*router);
     add_queries(*router);
-    Poco::Net::ServerSocket socket(
-        Poco::Net::SocketAddress(to_string(settings_.operator_listen)));
+    const auto socket = listen_with_deadline(settings_.operator_listen,
+                                             settings_.limits.request_timeout);
     operators_ = std::make_unique<Poco::Net::HTTPServer>(
         new operator_factory(router), operator_threads_, socket,
         server_params(operator_threads, operator_threads,
@@ -284,8 +285,8 @@
 void entry_process::serve_callers()
 {
     caller_threads_.setStackSize(caller_stack_bytes);
-    Poco::Net::ServerSocket socket(
-        Poco::Net::SocketAddress(to_string(settings_.listen)));
+    const auto socket = listen_with_deadline(settings_.listen,
+                                             settings_.limits.request_timeout);
     callers_ = std::make_unique<Poco::Net::HTTPServer>(
         new caller_http_factory(*core_, {settings_.limits.body_bytes,
                                          settings_.limits.header_bytes,
--- a/src/libcyclamenrun/entry_settings.cpp
+++ b/src/libcyclamenrun/entry_settings.cpp
@@ -56,7 +56,7 @@
          "Threads that serve callers, one for each connection in use."},
         {"limits.request_timeout_ms", &limits.request_timeout, optional, 100,
          10 * minute_ms, "ms",
-         "Silence in the middle of a request after which the caller is "
+         "Time for a caller to send the whole of a request; then it is "
          "disconnected."},
         {"limits.idle_timeout_ms", &limits.idle_timeout, optional, 100, hour_ms,
          "ms", "Time after which an idle connection is closed."},
--- /dev/null
+++ b/src/libcyclamenrun/request_deadline_listener.cpp
@@ -0,0 +1,62 @@
+#include "request_deadline_listener.hpp"
+
+#include "request_deadline_socket.hpp"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocketImpl.h>
+#include <Poco/Net/SocketAddress.h>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+class listener_impl : public Poco::Net::ServerSocketImpl
+{
+public:
+    explicit listener_impl(milliseconds limit) : limit_(limit) {}
+
+    Poco::Net::SocketImpl*
+    acceptConnection(Poco::Net::SocketAddress& client) override
+    {
+        sockaddr_storage storage{};
+        auto* address = reinterpret_cast<sockaddr*>(&storage);
+        socklen_t length = sizeof storage;
+        int accepted = -1;
+        do {
+            accepted = ::accept4(sockfd(), address, &length, SOCK_CLOEXEC);
+        } while (accepted < 0 && errno == EINTR);
+        if (accepted < 0)
+            throw Poco::Net::NetException("accept", errno);
+        client = Poco::Net::SocketAddress(address, length);
+        return new request_deadline_socket(accepted, limit_);
+    }
+
+private:
+    milliseconds limit_;
+};
+
+class listener : public Poco::Net::ServerSocket
+{
+public:
+    explicit listener(milliseconds limit)
+        : ServerSocket(new listener_impl(limit), true)
+    {
+    }
+};
+
+} // namespace
+
+Poco::Net::ServerSocket listen_with_deadline(const ip_endpoint& address,
+                                             milliseconds limit)
+{
+    listener socket(limit);
+    socket.bind(Poco::Net::SocketAddress(to_string(address)), true);
+    socket.listen();
+    return socket;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/request_deadline_listener.hpp
@@ -0,0 +1,21 @@
+#ifndef CYCLAMENRUN_REQUEST_DEADLINE_LISTENER_HPP
+#define CYCLAMENRUN_REQUEST_DEADLINE_LISTENER_HPP
+
+#include "clock.hpp"
+#include "ip_endpoint.hpp"
+
+#include <Poco/Net/ServerSocket.h>
+
+namespace cyclamenrun
+{
+
+/**
+ * Listens at `address` for HTTP clients; each accepted connection is a
+ * request_deadline_socket. Throws Poco::Exception if it cannot.
+ */
+Poco::Net::ServerSocket listen_with_deadline(const ip_endpoint& address,
+                                             milliseconds limit);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REQUEST_DEADLINE_LISTENER_HPP
--- /dev/null
+++ b/src/libcyclamenrun/request_deadline_socket.cpp
@@ -0,0 +1,34 @@
+#include "request_deadline_socket.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Timespan.h>
+
+namespace cyclamenrun
+{
+
+request_deadline_socket::request_deadline_socket(poco_socket_t accepted,
+                                                 milliseconds limit)
+    : Poco::Net::StreamSocketImpl(accepted), limit_(limit)
+{
+}
+
+int request_deadline_socket::sendBytes(const void* buffer, int length,
+                                       int flags)
+{
+    deadline_.reset();
+    return StreamSocketImpl::sendBytes(buffer, length, flags);
+}
+
+int request_deadline_socket::receiveBytes(void* buffer, int length, int flags)
+{
+    const auto now = steady_now();
+    if (!deadline_)
+        deadline_ = now + limit_;
+    const auto left = time_left(*deadline_, now);
+    const Poco::Timespan wait(left.count() * Poco::Timespan::MILLISECONDS);
+    if (left.count() == 0 || !poll(wait, SELECT_READ))
+        throw Poco::TimeoutException("the request was not sent in time");
+    return StreamSocketImpl::receiveBytes(buffer, length, flags);
+}
+
+} // namespace cyclamenrun
--- a/tests/product/test_entry_program.cpp
+++ b/tests/product/test_entry_program.cpp
@@ -1,4 +1,5 @@
 #include "../support/child_process.hpp"
+#include "clock.hpp"
 #include "exit_code.hpp"
 #include "ip_endpoint.hpp"
 #include "key_hash.hpp"
@@ -12,6 +13,7 @@
 #include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace cyclamenrun
 {
@@ -60,6 +62,15 @@
     }
 }
 
+void send_byte(Poco::Net::StreamSocket& caller)
+{
+    try {
+        caller.sendBytes("G", 1);
+    } catch (const Poco::Exception&) {
+        // The entry has closed.
+    }
+}
+
 int health(const ip_endpoint& entry)
 {
     Poco::Net::HTTPClientSession session(entry.host, entry.port);
@@ -88,6 +99,31 @@
     EXPECT_EQ(health(*address), 200);
 }
 
+/**
+ * Nobody is served any more, though the entry is up and idle. A few callers
+ * send their requests a byte at a time; each byte comes before the timeout of
+ * a read, so each holds a thread until it is done, which is never.
+ */
+TEST_F(entry_program, callers_that_send_byte_by_byte_do_not_keep_threads)
+{
+    child_process entry("cyclamenrun-entry", {"--settings", settings.path()});
+    const auto address = parse_ip_endpoint(entry.wait_for_line("listening"));
+    ASSERT_TRUE(address);
+    std::vector<Poco::Net::StreamSocket> callers(4);
+    for (auto& caller : callers)
+        caller.connect({address->host, address->port});
+    // Connections get their threads in the order in which they came, so the
+    // one that follows waits until one of these has ended.
+    const std::jthread slow([&](const std::stop_token& stop) {
+        while (!stop.stop_requested()) {
+            for (auto& caller : callers)
+                send_byte(caller);
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+    });
+    EXPECT_EQ(health(*address), 200);
+}
+
 TEST_F(entry_program, check_tells_all_errors_and_defaults_can_be_printed)
 {
     std::ofstream(settings.path(), std::ios::app) << "thraeds = 9\n";
