--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <random>
 #include <stdexcept>
+#include <unistd.h>
 #include <utility>
 
 namespace cyclamenrun::bench
@@ -37,6 +38,22 @@
     return 0;
 }
 
+/** Processor time of a process so far, or 0 if there is none to read. */
+double processor_seconds(int process)
+{
+    std::ifstream stat("/proc/" + std::to_string(process) + "/stat");
+    // The name is in brackets and may hold blanks; user and system time are
+    // the 12th and 13th fields after it.
+    stat.ignore(std::numeric_limits<std::streamsize>::max(), ')');
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        stat >> skipped;
+    double user = 0;
+    double system = 0;
+    stat >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::string request_of(const path_settings& settings,
                        const Poco::Net::SocketAddress& address)
 {
@@ -139,7 +156,8 @@
     result.through.address = settings.through;
     result.through.request = request_of(settings, settings.through);
     for (const int process : settings.processes)
-        result.memory.push_back({process, resident_kilobytes(process), 0});
+        result.processes.push_back({process, resident_kilobytes(process), 0,
+                                    -processor_seconds(process)});
 
     const time_point begin = steady_now();
     const time_point deadline = begin + settings.time;
@@ -150,10 +168,12 @@
         loop->post_at(when, [&load] { load.start_pair(); });
     }
     wait_until(*loop, begin + (ramp + settings.time) / 2);
-    for (process_memory& memory : result.memory)
-        memory.kilobytes_during = resident_kilobytes(memory.process);
+    for (process_use& use : result.processes)
+        use.kilobytes_during = resident_kilobytes(use.process);
     wait_until(*loop, deadline);
     loop.reset();
+    for (process_use& use : result.processes)
+        use.processor_seconds += processor_seconds(use.process);
     return result;
 }
 
--- a/bench/path_bench.hpp
+++ b/bench/path_bench.hpp
@@ -10,11 +10,12 @@
 namespace cyclamenrun::bench
 {
 
-/** Resident memory of a process before the streams and among them. */
-struct process_memory {
+/** What a process took: memory before the streams and among them. */
+struct process_use {
     int process = 0;
     std::uint64_t kilobytes_before = 0;
     std::uint64_t kilobytes_during = 0;
+    double processor_seconds = 0; ///< during the whole run
 };
 
 struct path_result {
@@ -22,7 +23,7 @@
     path_target through;
     /** First token: through less direct, of two that started together. */
     path_samples first_token_added;
-    std::vector<process_memory> memory;
+    std::vector<process_use> processes;
 };
 
 /**
--- a/bench/path_command.cpp
+++ b/bench/path_command.cpp
@@ -30,6 +30,22 @@
     }
 }
 
+void print_process(const process_use& use, const path_settings& settings,
+                   std::uint64_t tokens)
+{
+    const auto added = static_cast<double>(use.kilobytes_during) -
+                       static_cast<double>(use.kilobytes_before);
+    std::cout << "process " << use.process << ": " << use.kilobytes_before
+              << " KB before, " << use.kilobytes_during << " KB during, "
+              << std::setprecision(1)
+              << added / static_cast<double>(settings.streams)
+              << " KB a stream; " << std::setprecision(2)
+              << use.processor_seconds << " s of processor, "
+              << std::setprecision(1)
+              << use.processor_seconds * 1e6 / static_cast<double>(tokens)
+              << " us a token\n";
+}
+
 void print(const path_settings& settings, const path_result& result)
 {
     std::cout << std::fixed << std::setprecision(2) << "milliseconds"
@@ -48,16 +64,8 @@
         std::cout << (target == &result.direct ? "direct: " : "through: ")
                   << target->tokens << " tokens, " << target->complete
                   << " streams complete, " << target->broken << " broken\n";
-    for (const process_memory& memory : result.memory) {
-        const auto added = static_cast<double>(memory.kilobytes_during) -
-                           static_cast<double>(memory.kilobytes_before);
-        std::cout << "process " << memory.process << ": "
-                  << memory.kilobytes_before << " KB before, "
-                  << memory.kilobytes_during << " KB during, "
-                  << std::setprecision(1)
-                  << added / static_cast<double>(settings.streams)
-                  << " KB a stream\n";
-    }
+    for (const process_use& use : result.processes)
+        print_process(use, settings, result.through.tokens);
 }
 
 /** A run that measured nothing whole must not pass for one that did. */
