--- /dev/null
+++ b/tests/faults/test_faults_page.cpp
@@ -0,0 +1,115 @@
+#include "fault_world.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sstream>
+
+namespace cyclamenrun::faults
+{
+namespace
+{
+
+const std::string begin_mark = "<!-- tables: written by the matrix -->\n";
+const std::string end_mark = "<!-- end of tables -->\n";
+
+std::string page_path()
+{
+    return std::string(CYCLAMENRUN_SOURCE_DIR) + "/docs/FAULTS.md";
+}
+
+std::string read_page()
+{
+    std::ifstream file(page_path());
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+/** What the caller saw last. */
+std::string outcome_of(const history& seen)
+{
+    std::string outcome = "nothing";
+    for (const auto& each : seen.events) {
+        switch (each.kind) {
+        case event_kind::end_received:
+        case event_kind::answer_received:
+            outcome = "answer";
+            break;
+        case event_kind::refused:
+            outcome = std::string(name_of(each.refused)) + " " +
+                      std::string(name_of(each.reason));
+            break;
+        case event_kind::caller_left:
+            outcome = "left";
+            break;
+        default:
+            break;
+        }
+    }
+    return outcome;
+}
+
+std::string cell_text(work_shape shape, step at, fault what)
+{
+    fault_world world(shape);
+    world.strike(at, {{what, {}}});
+    const auto& seen = world.run();
+    return violations_of(seen).empty() ? outcome_of(seen) : "VIOLATED";
+}
+
+std::string table_of(std::size_t index)
+{
+    const auto shape = static_cast<work_shape>(index);
+    std::string table =
+        "### " + std::string(shape_names.at(index)) + "\n\n| fault |";
+    std::string rule = "|---|";
+    for (const auto& at : step_table) {
+        if (!has_step(shape, at.at))
+            continue;
+        table += " " + std::string(at.name) + " |";
+        rule += "---|";
+    }
+    table += "\n" + rule + "\n";
+    for (const auto& what : fault_table) {
+        table += "| " + std::string(what.name) + " |";
+        for (const auto& at : step_table) {
+            if (has_step(shape, at.at))
+                table += " " + cell_text(shape, at.at, what.what) + " |";
+        }
+        table += "\n";
+    }
+    return table + "\n";
+}
+
+std::string tables()
+{
+    std::string all;
+    for (std::size_t shape = 0; shape < shape_names.size(); ++shape)
+        all += table_of(shape);
+    return all;
+}
+
+/**
+ * The page of faults tells operators what callers see. Its tables are what
+ * the matrix gives, cell by cell, so that neither can change without the
+ * other: `make docs` writes them again.
+ */
+TEST(faults_page, tells_what_the_matrix_gives)
+{
+    auto page = read_page();
+    const auto begin = page.find(begin_mark);
+    const auto end = page.find(end_mark);
+    ASSERT_NE(begin, std::string::npos);
+    ASSERT_NE(end, std::string::npos);
+    const auto from = begin + begin_mark.size();
+    const auto given = tables();
+    if (std::getenv("CYCLAMENRUN_WRITE_DOCS") != nullptr)
+        std::ofstream(page_path())
+            << page.replace(from, end - from, "\n" + given);
+    EXPECT_EQ(read_page().substr(from, end - from), "\n" + given);
+}
+
+} // namespace
+} // namespace cyclamenrun::faults
