Report the wait until the next start, not of the whole queue

Cause: an agent reported how long its whole queue would take to empty, which swamped memory in the entry's choice, though fair share puts a new team first. The queue itself shows in what is queued. Change: expected_wait is the time until the next start. Answers cut off count as at risk for half a bucket, the actuarial rule; before, one cut off in the bucket where others ended counted for nothing there.

--- a/src/libcyclamenrun/admission.cpp
+++ b/src/libcyclamenrun/admission.cpp
@@ -490,7 +490,7 @@
 {
     if (queued_ == 0)
         return milliseconds(0);
-    return drain_.time_for(static_cast<double>(queued_) + 1.0);
+    return drain_.time_for(1.0);
 }
 
 time_point admission::next_event() const
--- a/src/libcyclamenrun/admission.hpp
+++ b/src/libcyclamenrun/admission.hpp
@@ -90,7 +90,10 @@
     std::uint64_t queued_tokens() const { return queued_prompt_tokens_; }
     std::uint64_t memory_used() const;
     std::uint64_t memory_total() const { return settings_.memory_tokens; }
-    /** For new work of a team of weight 1 that has nothing here. */
+    /**
+     * Until the next start: how long a team that has nothing here would wait,
+     * whom fair share puts first. What waits shows in queued().
+     */
     milliseconds expected_wait(time_point now) const;
     /** When expired() is due next; time_point::max() if never. */
     time_point next_event() const;
--- a/src/libcyclamenrun/survival_curve.cpp
+++ b/src/libcyclamenrun/survival_curve.cpp
@@ -65,12 +65,13 @@
 
 void survival_curve::compute(const buckets& prior_hazard, float prior_weight)
 {
+    // Who was cut off in a bucket has passed half of it, on average.
     float at_risk = 0.0F;
     for (std::size_t i = bucket_count; i-- > 0;) {
-        at_risk += ended_[i];
+        at_risk += ended_[i] + 0.5F * cut_off_[i];
         hazard_[i] = (ended_[i] + prior_weight * prior_hazard[i]) /
                      (at_risk + prior_weight);
-        at_risk += cut_off_[i];
+        at_risk += 0.5F * cut_off_[i];
     }
     survival_[0] = 1.0F;
     integral_[0] = 0.0F;
--- a/src/libcyclamenrun/survival_curve.hpp
+++ b/src/libcyclamenrun/survival_curve.hpp
@@ -16,7 +16,7 @@
  * tens of thousands are told apart in fixed memory. Per bucket it keeps how
  * many answers ended there and how many were cut off (cancelled, expired),
  * which still tell that the answer was at least that long: the estimate is
- * Kaplan and Meier's. Counts decay with each answer, so that a shift of
+ * the actuarial one. Counts decay with each answer, so that a shift of
  * lengths is followed. Where a bucket has few answers, the hazard leans on a
  * prior curve.
  */
--- a/tests/decisions/test_admission.cpp
+++ b/tests/decisions/test_admission.cpp
@@ -138,5 +138,130 @@
     }
 }
 
+// A repair shop's single question waits for minutes: one office has sent a
+// hundred long guides just before it, and work runs in order of arrival. The
+// shop's team goes first as soon as there is room.
+TEST(admission, a_team_that_sends_much_does_not_hold_up_one_that_sends_little)
+{
+    admission_settings settings;
+    settings.max_running = 4;
+    admission gate(settings);
+    for (work_id id = 1; id <= 100; ++id)
+        std::ignore = gate.enqueue(work_of(id, "office"), start);
+    auto running = gate.admit(start);
+    for (work_id id = 1; running.size() < 4; ++id) {
+        gate.tokens_made(running.back(), 50, start);
+        const auto more = gate.admit(start);
+        ASSERT_FALSE(more.empty()) << id;
+        running.insert(running.end(), more.begin(), more.end());
+    }
+    gate.tokens_made(running.back(), 50, start);
+    ASSERT_TRUE(gate.enqueue(work_of(500, "shop"), start));
+
+    run_through(gate, running.front(), 1, start);
+    EXPECT_EQ(gate.admit(start), std::vector<work_id>{500});
+}
+
+// Under a burst a caller must hear at once that it will not be served, and
+// when to come back. The places promised are apart from each other, or all
+// would come back together and be refused again.
+TEST(admission, a_full_queue_refuses_with_a_time_from_its_own_drain_rate)
+{
+    admission_settings settings;
+    settings.max_running = 1;
+    settings.max_queued = 10;
+    settings.parts.fair_share = false;
+    settings.max_wait = 1h;
+    admission gate(settings);
+    work_id next = 1;
+    while (gate.enqueue(work_of(next, "survey"), start))
+        ++next;
+    EXPECT_EQ(next, 11U);
+
+    // One work every two seconds, for a minute, and the queue kept full.
+    time_point now = start;
+    for (int i = 0; i < 30; ++i) {
+        const auto started = gate.admit(now);
+        ASSERT_EQ(started.size(), 1U);
+        ASSERT_TRUE(gate.enqueue(work_of(next++, "survey"), now));
+        now += 2s;
+        run_through(gate, started.front(), 10, now);
+    }
+    ASSERT_EQ(gate.admit(now).size(), 1U);
+    ASSERT_TRUE(gate.enqueue(work_of(next++, "survey"), now));
+    const auto first = gate.enqueue(work_of(900, "survey"), now);
+    const auto second = gate.enqueue(work_of(901, "survey"), now);
+    ASSERT_FALSE(first);
+    EXPECT_EQ(first.error().kind, refusal_kind::not_run);
+    EXPECT_EQ(first.error().reason, refusal_reason::queue_full);
+    EXPECT_NEAR(first.error().retry_after->count(), 2000, 300);
+    EXPECT_NEAR(second.error().retry_after->count(), 4000, 600);
+    EXPECT_NEAR(gate.expected_wait(now).count(), 2000, 300);
+}
+
+TEST(admission, work_that_would_wait_beyond_its_deadline_is_refused_at_once)
+{
+    admission_settings settings;
+    settings.max_wait = 1h; // only the deadline is to count
+    settings.max_running = 1;
+    admission gate(settings);
+    waiting_work late = work_of(1, "survey");
+    late.deadline = start;
+    EXPECT_EQ(gate.enqueue(late, start).error().reason,
+              refusal_reason::deadline_passed);
+
+    time_point now = start;
+    for (work_id id = 10; id < 14; ++id)
+        ASSERT_TRUE(gate.enqueue(work_of(id, "survey"), now));
+    for (int i = 0; i < 3; ++i) { // one in ten seconds
+        const auto started = gate.admit(now);
+        ASSERT_EQ(started.size(), 1U);
+        now += 10s;
+        run_through(gate, started.front(), 10, now);
+    }
+    waiting_work soon = work_of(20, "survey");
+    soon.deadline = now + 15s;
+    EXPECT_EQ(gate.enqueue(soon, now).error().reason,
+              refusal_reason::queue_full);
+}
+
+TEST(admission, a_suspect_runs_alone_and_is_not_starved)
+{
+    admission gate(admission_settings{});
+    ASSERT_TRUE(gate.enqueue(work_of(1, "a"), start));
+    ASSERT_EQ(gate.admit(start).size(), 1U);
+    waiting_work suspect = work_of(2, "a");
+    suspect.suspect = true;
+    ASSERT_TRUE(gate.enqueue(suspect, start));
+    EXPECT_TRUE(gate.admit(start).empty());
+
+    ASSERT_TRUE(gate.enqueue(work_of(3, "b"), start));
+    EXPECT_EQ(gate.admit(start + 1s), std::vector<work_id>{3});
+    ASSERT_TRUE(gate.enqueue(work_of(4, "b"), start));
+    EXPECT_TRUE(gate.admit(start + 11s).empty()); // it has waited enough
+    run_through(gate, 1, 5, start + 11s);
+    run_through(gate, 3, 5, start + 11s);
+    EXPECT_EQ(gate.admit(start + 12s), std::vector<work_id>{2});
+    gate.finished(2, true, start + 13s);
+    EXPECT_EQ(gate.admit(start + 13s), std::vector<work_id>{4});
+}
+
+// A new agent comes up beside an engine that still runs the old one's work:
+// memory that looks free to the agent is not.
+TEST(admission, memory_of_foreign_work_counts_as_taken)
+{
+    admission_settings settings;
+    settings.memory_tokens = 10'000;
+    admission gate(settings);
+    gate.foreign_memory(9'800);
+    ASSERT_TRUE(gate.enqueue(work_of(1, "a"), start));
+    ASSERT_TRUE(gate.enqueue(work_of(2, "a"), start));
+    EXPECT_EQ(gate.admit(start).size(), 1U); // alone at any risk
+    gate.tokens_made(1, 1, start);
+    EXPECT_TRUE(gate.admit(start).empty());
+    gate.foreign_memory(0);
+    EXPECT_EQ(gate.admit(start), std::vector<work_id>{2});
+}
+
 } // namespace
 } // namespace cyclamenrun
--- /dev/null
+++ b/tests/decisions/test_limits.cpp
@@ -0,0 +1,85 @@
+#include "retry_budget.hpp"
+#include "team_limiter.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point{} + 1h;
+
+// Half of the engines are lost. If each of their requests were tried three
+// times, what is left would get three times its load and fail as well.
+TEST(retry_budget, retries_stay_a_share_of_requests)
+{
+    retry_budget budget(0.1, 5, 100);
+    int retried = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        budget.request("survey");
+        while (budget.try_retry("survey"))
+            ++retried;
+    }
+    EXPECT_NEAR(retried, 105, 1);
+    EXPECT_TRUE(budget.try_retry("another"));
+    for (int i = 0; i < 1'000; ++i)
+        budget.request(std::to_string(i));
+    EXPECT_LE(budget.size(), 100U);
+}
+
+TEST(team_limiter, entries_together_keep_the_limit_on_requests_at_once)
+{
+    const team_limits limits{9, 0};
+    int started = 0;
+    for (int entry = 0; entry < 3; ++entry) {
+        team_limiter limiter(10);
+        limiter.entries(3);
+        while (limiter.start("survey", limits, 10, start))
+            ++started;
+    }
+    EXPECT_EQ(started, 9);
+
+    team_limiter limiter(10);
+    limiter.entries(100); // never less than one
+    EXPECT_TRUE(limiter.start("survey", limits, 10, start));
+    EXPECT_FALSE(limiter.start("survey", limits, 10, start));
+    limiter.finished("survey");
+    EXPECT_TRUE(limiter.start("survey", limits, 10, start));
+}
+
+// Nobody knows how long an answer will be, so a team may overdraw its tokens;
+// what it is told to wait must then be what it takes to pay that off.
+TEST(team_limiter, a_retry_after_is_when_the_tokens_are_paid_off)
+{
+    team_limiter limiter(10);
+    const team_limits limits{0, 100}; // a bucket of ten seconds: 1000
+    ASSERT_TRUE(limiter.start("survey", limits, 200, start));
+    limiter.output("survey", 1'800); // 1000 in debt
+    const auto refused = limiter.start("survey", limits, 1, start);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().reason, refusal_reason::team_limit);
+    EXPECT_EQ(refused.error().retry_after, 10s);
+    EXPECT_FALSE(limiter.start("survey", limits, 1, start + 9'900ms));
+    EXPECT_TRUE(limiter.start("survey", limits, 1, start + 10'100ms));
+}
+
+TEST(team_limiter, a_bounded_number_of_teams_and_debts_are_not_forgiven)
+{
+    team_limiter limiter(2);
+    const team_limits limits{0, 100};
+    ASSERT_TRUE(limiter.start("debtor", limits, 5'000, start));
+    limiter.finished("debtor");
+    for (int i = 0; i < 10; ++i) {
+        const std::string team = "team-" + std::to_string(i);
+        ASSERT_TRUE(limiter.start(team, limits, 1, start));
+        limiter.finished(team);
+    }
+    EXPECT_LE(limiter.size(), 2U);
+    EXPECT_FALSE(limiter.start("debtor", limits, 1, start + 1s));
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/decisions/test_router.cpp
@@ -0,0 +1,170 @@
+#include "digest.hpp"
+#include "router.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const time_point start = time_point{} + 1h;
+
+std::vector<candidate> runners(std::size_t count)
+{
+    std::vector<candidate> made;
+    for (std::size_t i = 0; i < count; ++i) {
+        candidate one;
+        one.upstream = "runner-" + std::to_string(i);
+        one.failure_domain = "mendoza-a";
+        made.push_back(one);
+    }
+    return made;
+}
+
+load_report report_of(const std::string& upstream, milliseconds uptime)
+{
+    load_report told;
+    told.upstream = upstream;
+    told.incarnation = 1;
+    told.uptime = uptime;
+    told.memory_tokens_total = 10'000;
+    return told;
+}
+
+route_request request_of(std::uint64_t prefix)
+{
+    route_request request;
+    request.prompt_tokens = 512;
+    request.own_failure_domain = "mendoza-a";
+    if (prefix != 0)
+        request.prefix_blocks = {prefix, prefix + 1, prefix + 2, prefix + 3};
+    return request;
+}
+
+// A burst arrives between two load reports. By the last report one runner is
+// a little emptier than the rest, and all of the burst would go there.
+TEST(router, a_burst_between_two_reports_is_spread)
+{
+    router routes({}, 1);
+    const auto candidates = runners(5);
+    for (const auto& one : candidates) {
+        load_report told = report_of(one.upstream, 1s);
+        told.memory_tokens_used = one.upstream == "runner-2" ? 4'900 : 5'000;
+        routes.report(told, start);
+    }
+    std::map<std::size_t, int> sent;
+    for (int i = 0; i < 50; ++i) {
+        const auto request = request_of(0);
+        const auto chosen = routes.choose(request, candidates, start);
+        ASSERT_TRUE(chosen);
+        ++sent[*chosen];
+        routes.dispatched(candidates[*chosen].upstream, request, start);
+    }
+    for (const auto& [index, count] : sent)
+        EXPECT_NEAR(count, 10, 1) << index;
+}
+
+// Load reports come two seconds late: what was sent in the meantime is not in
+// them, and must go on counting until a report that was made later comes.
+TEST(router, a_late_report_does_not_hide_what_was_sent_after_it_was_made)
+{
+    router routes({}, 1);
+    const auto candidates = runners(2);
+    for (const auto& one : candidates)
+        routes.report(report_of(one.upstream, 1s), start);
+    const auto request = request_of(0);
+    for (int i = 0; i < 5; ++i)
+        routes.dispatched("runner-0", request, start + 3s);
+    routes.report(report_of("runner-0", 2s), start + 3s + 1ms);
+    EXPECT_EQ(routes.choose(request, candidates, start + 3s).value(), 1U);
+    routes.report(report_of("runner-0", 5s), start + 4s);
+    load_report busy = report_of("runner-1", 5s);
+    busy.memory_tokens_used = 100;
+    routes.report(busy, start + 4s);
+    for (int i = 0; i < 5; ++i)
+        routes.settled("runner-0", start + 4s);
+    EXPECT_EQ(routes.choose(request, candidates, start + 4s).value(), 0U);
+}
+
+TEST(router, a_prefix_stays_where_it_is_cached_until_that_is_too_full)
+{
+    router routes({}, 1);
+    const auto candidates = runners(8);
+    for (const auto& one : candidates)
+        routes.report(report_of(one.upstream, 1s), start);
+    const auto request = request_of(77);
+    const std::size_t home = *routes.choose(request, candidates, start);
+    const std::string& name = candidates[home].upstream;
+    routes.cached(name, request.prefix_blocks);
+    load_report told = report_of(name, 2s);
+    told.memory_tokens_used = 2'000;
+    routes.report(told, start + 1s);
+    EXPECT_EQ(routes.choose(request, candidates, start + 1s).value(), home);
+    told.uptime = 3s;
+    told.memory_tokens_used = 6'000;
+    routes.report(told, start + 2s);
+    EXPECT_NE(routes.choose(request, candidates, start + 2s).value(), home);
+}
+
+TEST(router, entries_agree_on_homes_and_look_at_few_of_many)
+{
+    const auto candidates = runners(1'200);
+    std::set<std::size_t> chosen;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        router routes({}, seed);
+        for (const auto& one : candidates) {
+            load_report told = report_of(one.upstream, 1s);
+            told.memory_tokens_used = 5'000;
+            routes.report(told, start);
+        }
+        route_request request = request_of(99);
+        for (const auto& one : candidates)
+            if (one.upstream != "runner-7")
+                routes.cached(one.upstream, {});
+        request.suspect = true;
+        request.fingerprint = 4711;
+        chosen.insert(*routes.choose(request, candidates, start));
+    }
+    EXPECT_LE(chosen.size(), 2U); // the quarantine of that fingerprint
+}
+
+TEST(router, leaving_excluded_and_full_upstreams_are_not_chosen)
+{
+    router routes({}, 1);
+    const auto candidates = runners(3);
+    load_report leaving = report_of("runner-0", 1s);
+    leaving.leaving = true;
+    routes.report(leaving, start);
+    load_report full = report_of("runner-2", 1s);
+    full.queued = 100;
+    full.expected_wait = 50s;
+    routes.report(full, start);
+    route_request request = request_of(0);
+    EXPECT_EQ(routes.choose(request, candidates, start).value(), 1U);
+    request.excluded = {"runner-1"};
+    const auto refused = routes.choose(request, candidates, start);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().reason, refusal_reason::queue_full);
+    EXPECT_EQ(refused.error().retry_after, 30s);
+    request.excluded.emplace_back("runner-2");
+    EXPECT_EQ(routes.choose(request, candidates, start).error().reason,
+              refusal_reason::no_upstream);
+}
+
+TEST(router, remembers_a_bounded_number_of_upstreams)
+{
+    router_settings settings;
+    settings.max_upstreams = 10;
+    router routes(settings, 1);
+    for (const auto& one : runners(100))
+        routes.report(report_of(one.upstream, 1s), start);
+    EXPECT_EQ(routes.size(), 10U);
+}
+
+} // namespace
+} // namespace cyclamenrun
