--- a/bench/configuration_command.cpp
+++ b/bench/configuration_command.cpp
@@ -65,6 +65,7 @@
 std::vector<v1::ChangeRecord> target_changes()
 {
     std::vector<v1::ChangeRecord> changes;
+    changes.reserve(target_models * 3 + target_teams);
     for (int i = 0; i < target_models; ++i)
         changes.push_back(service_change(numbered("svc-change-", i), 0,
                                          numbered("service-", i)));
@@ -250,16 +251,21 @@
     return mallinfo2().uordblks;
 }
 
-void report_memory()
+std::vector<log_entry> target_records()
 {
     const auto changes = target_changes();
-    const std::size_t empty = allocated_bytes();
-    auto store = std::make_unique<configuration_store>();
     std::vector<log_entry> records;
+    records.reserve(changes.size());
     for (const auto& change : changes)
         records.push_back({records.size(), log_record_of(change)});
-    store->apply(records);
-    records = {};
+    return records;
+}
+
+void report_memory()
+{
+    const std::size_t empty = allocated_bytes();
+    auto store = std::make_unique<configuration_store>();
+    store->apply(target_records());
     store->set_ready();
     const std::size_t fresh = allocated_bytes() - empty;
     for (int i = 0; i < 2000; ++i)
--- a/bench/configuration_command.hpp
+++ b/bench/configuration_command.hpp
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENRUN_BENCH_CONFIGURATION_COMMAND_HPP
 #define CYCLAMENRUN_BENCH_CONFIGURATION_COMMAND_HPP
 
-namespace CLI
+namespace CLI // NOLINT(readability-identifier-naming)
 {
 class App;
 }
--- a/src/libcyclamenrun/log_tailer.cpp
+++ b/src/libcyclamenrun/log_tailer.cpp
@@ -27,7 +27,7 @@
 log_tailer::log_tailer(platform_log& log, configuration_store& store,
                        tail_settings settings, clock_function clock,
                        random_function random)
-    : log_(log), store_(store), settings_(settings), clock_(std::move(clock)),
+    : log_(log), settings_(settings), clock_(std::move(clock)),
       random_(std::move(random)), cursor_(store)
 {
 }
--- a/src/libcyclamenrun/log_tailer.hpp
+++ b/src/libcyclamenrun/log_tailer.hpp
@@ -72,7 +72,6 @@
     void note_first_end(std::uint64_t end);
 
     platform_log& log_;
-    configuration_store& store_;
     tail_settings settings_;
     clock_function clock_;
     random_function random_;
