--- a/tests/configuration/fake_log.hpp
+++ b/tests/configuration/fake_log.hpp
@@ -55,8 +55,11 @@
         if (from < first_retained_)
             return tl::unexpected(
                 log_error{log_failure::retained_away, {}, first_retained_});
-        appended_.wait_for(
-            lock, wait, [&] { return interrupted_ || from < records_.size(); });
+        const auto has_news = [&] {
+            return interrupted_ || from < records_.size();
+        };
+        if (wait > milliseconds(0))
+            appended_.wait_for(lock, wait, has_news);
         log_page page{first_retained_, records_.size(), {}};
         for (std::uint64_t offset = from;
              offset < records_.size() && page.records.size() < max; ++offset)
--- a/tests/configuration/simulated_entry.hpp
+++ b/tests/configuration/simulated_entry.hpp
@@ -91,10 +91,13 @@
         return last_answer;
     }
 
+    /** Notes what is in force here, if that may have changed. */
     void see()
     {
-        if (store.ready())
-            world_.history.see(name, store);
+        if (!store.ready() || store.revision() == seen_revision_)
+            return;
+        seen_revision_ = store.revision();
+        world_.history.see(name, store);
     }
 
     tail_status status() const { return tailer_.status(); }
@@ -121,6 +124,7 @@
     }
 
     simulated_world& world_;
+    std::uint64_t seen_revision_ = ~0ULL;
     log_tailer tailer_;
     std::shared_ptr<snapshot_writer> writer_;
     std::list<change_submitter> submitters_;
