--- a/bench/commands.hpp
+++ b/bench/commands.hpp
@@ -13,6 +13,8 @@
 void add_decisions_command(CLI::App& app);
 /** Processor time of one choice and one admission at target size. */
 void add_decision_cost_command(CLI::App& app);
+/** Slopes of memory and processor time per role, for docs/CAPACITY.md. */
+void add_capacity_command(CLI::App& app);
 
 } // namespace cyclamenrun::bench
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -10,6 +10,7 @@
     app.require_subcommand(1);
     cyclamenrun::bench::add_decisions_command(app);
     cyclamenrun::bench::add_decision_cost_command(app);
+    cyclamenrun::bench::add_capacity_command(app);
     cyclamenrun::bench::add_path_command(app);
     cyclamenrun::bench::add_links_command(app);
     cyclamenrun::bench::add_configuration_command(app);
