--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -14,7 +14,6 @@
     cyclamenrun::bench::add_links_command(app);
     cyclamenrun::bench::add_configuration_command(app);
     cyclamenrun::bench::add_connections_command(app);
-    cyclamenrun::bench::add_configuration_command(app);
     CLI11_PARSE(app, argc, argv);
     return 0;
 }
