Let a link that waits for news be silent

Cause: a heartbeat is held at the agent until there is news, and the open stream made its link count as busy, with a PING each second: at 464 links 16 KB/s of an entry's 18. Change: streams at the heartbeat's path don't count; default subset 16 a service, heartbeat 10 s.

--- a/src/libcyclamenrun/entry_settings.hpp
+++ b/src/libcyclamenrun/entry_settings.hpp
@@ -27,9 +27,9 @@
 
 /** How an entry chooses upstreams and tries again. */
 struct entry_routing {
-    std::uint64_t subset_size = 64;
+    std::uint64_t subset_size = 16;
     double retry_share = 0.1;
-    milliseconds heartbeat_interval{5000};
+    milliseconds heartbeat_interval{10000};
 };
 
 struct entry_deadlines {
--- a/src/libcyclamenrun/link_client_connection.cpp
+++ b/src/libcyclamenrun/link_client_connection.cpp
@@ -304,7 +304,9 @@
 
 bool link_client_connection::busy() const
 {
-    return !streams_.empty();
+    return std::any_of(streams_.begin(), streams_.end(), [this](auto& each) {
+        return each.second->path_ != limits().patient_path;
+    });
 }
 
 void link_client_connection::check_deadlines(time_point now)
--- a/src/libcyclamenrun/link_limits.hpp
+++ b/src/libcyclamenrun/link_limits.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 namespace cyclamenrun
 {
@@ -26,6 +27,12 @@
     std::size_t send_buffer_bytes = 256U << 10;
     /** For a connection to be made and both sides to prove the key. */
     milliseconds handshake_time{3000};
+    /**
+     * An answer at this path may be long in coming, so a stream there does
+     * not count as open: a link that only waits for news would otherwise
+     * carry a PING a second.
+     */
+    std::string patient_path = "/heartbeat";
     /** Silence after which a peer with open streams gets a PING. */
     milliseconds busy_ping_after{1000};
     /** Silence after which a peer without streams gets a PING. */
--- a/src/libcyclamenrun/link_server_connection.cpp
+++ b/src/libcyclamenrun/link_server_connection.cpp
@@ -3,6 +3,7 @@
 #include "digest.hpp"
 #include "link_session.hpp"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -201,7 +202,9 @@
 
 bool link_server_connection::busy() const
 {
-    return !streams_.empty();
+    return std::any_of(streams_.begin(), streams_.end(), [this](auto& each) {
+        return each.second->path() != limits().patient_path;
+    });
 }
 
 void link_server_connection::check_deadlines(time_point now)
