--- a/src/libcyclamenrun/order_worker.cpp
+++ b/src/libcyclamenrun/order_worker.cpp
@@ -98,10 +98,10 @@
             const std::scoped_lock lock(mutex_);
             state_ = state;
             fencing_number_ = runner_.fencing_number();
-            wake_at = state == order_runner_state::stood_down
-                          ? time_point::max()
-                          : std::max(runner_.wake_at(),
-                                     clock_() + shortest_pause);
+            wake_at =
+                state == order_runner_state::stood_down
+                    ? time_point::max()
+                    : std::max(runner_.wake_at(), clock_() + shortest_pause);
         }
         wait_for_news(wake_at);
     }
--- a/src/libcyclamenrun/order_worker.hpp
+++ b/src/libcyclamenrun/order_worker.hpp
@@ -63,8 +63,8 @@
     configuration_store& store_;
     clock_function clock_;
     order_claims claims_;
-    order_queue queue_;    // the worker's thread only
-    order_runner runner_;  // the worker's thread only
+    order_queue queue_;   // the worker's thread only
+    order_runner runner_; // the worker's thread only
 
     mutable std::mutex mutex_;
     std::condition_variable news_;
