--- a/src/libcyclamenrun/admission.hpp
+++ b/src/libcyclamenrun/admission.hpp
@@ -90,7 +90,10 @@
     std::uint64_t queued_tokens() const { return queued_prompt_tokens_; }
     std::uint64_t memory_used() const;
     std::uint64_t memory_total() const { return settings_.memory_tokens; }
-    /** For new work of a team of weight 1 that has nothing here. */
+    /**
+     * Until the next start: how long a team that has nothing here would wait,
+     * whom fair share puts first. What waits shows in queued().
+     */
     milliseconds expected_wait(time_point now) const;
     /** When expired() is due next; time_point::max() if never. */
     time_point next_event() const;
@@ -124,8 +127,9 @@
     bool over_share(const waiting_work& work, const team_queue& queue) const;
 
     team_queue& queue_of(const waiting_work& work);
+    double least_waiting_counter() const;
     double expected_tokens(const waiting_work& work);
-    std::deque<work_id>& line_of(const waiting_work& work, team_queue& queue);
+    void join(team_queue& queue, work_id id);
     void advance(time_point now);
     void drop_idle_queues();
     double initial_rate() const;
@@ -154,6 +158,7 @@
     std::unordered_map<work_id, record> records_;
     std::unordered_map<std::string, team_queue> queues_;
     std::deque<work_id> suspects_; ///< waiting to run alone, oldest first
+    std::vector<team_queue*> waiting_queues_; ///< with waiting work
     std::vector<record*> running_records_;
     std::set<std::pair<time_point, work_id>> deadlines_; ///< of waiting work
     std::uint32_t running_ = 0;
