Find a prefix's homes at three depths, in one pass

Cause: homes came from the first four blocks, which may be the service's own instructions: with more runners than are looked at, all teams met on two.

--- a/bench/decision_cost_command.cpp
+++ b/bench/decision_cost_command.cpp
@@ -4,6 +4,7 @@
 #include "router.hpp"
 
 #include <CLI/CLI.hpp>
+#include <ctime>
 #include <iomanip>
 #include <iostream>
 #include <memory>
@@ -24,6 +25,15 @@
     std::size_t teams;
 };
 
+/** Processor time of this thread: other processes don't count. */
+duration processor_time()
+{
+    timespec spent{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &spent);
+    return std::chrono::seconds(spent.tv_sec) +
+           std::chrono::nanoseconds(spent.tv_nsec);
+}
+
 double microseconds_each(duration spent, std::size_t count)
 {
     return std::chrono::duration<double, std::micro>(spent).count() /
@@ -79,7 +89,7 @@
         requests[i].own_region = "region-0";
         requests[i].own_failure_domain = "domain-0";
     }
-    const time_point from = steady_now();
+    const duration from = processor_time();
     for (std::size_t i = 0; i < rounds; ++i) {
         const auto& request = requests[i % size.teams];
         const time_point now = begin + i * 1ms;
@@ -87,7 +97,7 @@
         routes.dispatched(candidates[*chosen].upstream, request, now);
         routes.settled(candidates[*chosen].upstream, now);
     }
-    return microseconds_each(steady_now() - from, rounds);
+    return microseconds_each(processor_time() - from, rounds);
 }
 
 waiting_work work_of(work_id id, std::size_t teams, time_point now)
@@ -121,7 +131,7 @@
     next = 0;
     for (; next < 2 * size.teams; ++next)
         std::ignore = gate.enqueue(works[next], begin);
-    const time_point from = steady_now();
+    const duration from = processor_time();
     for (std::size_t i = 0; i < rounds; ++i) {
         const time_point now = begin + i * 1ms;
         std::ignore = gate.enqueue(std::move(works[next++]), now);
@@ -134,7 +144,7 @@
         gate.finished(running.front(), true, now);
         running.pop_front();
     }
-    return microseconds_each(steady_now() - from, rounds);
+    return microseconds_each(processor_time() - from, rounds);
 }
 
 void run()
--- a/bench/decisions_command.cpp
+++ b/bench/decisions_command.cpp
@@ -27,6 +27,7 @@
     std::optional<double> short_first;
     double warm_up_s = 120;
     double window_s = 240;
+    std::optional<std::size_t> runners;
     unsigned jobs = 1;
     bool json = false;
 };
@@ -191,6 +192,7 @@
 
     trial_settings settings;
     settings.site = *site;
+    settings.site.runners = options.runners.value_or(site->runners);
     settings.fault = *fault;
     settings.warm_up_s = options.warm_up_s;
     settings.window_s = options.window_s;
@@ -200,7 +202,7 @@
             throw CLI::ValidationError("no rows in " + options.lengths_file);
     }
     const double capacity =
-        measured_capacity(*site, settings.engine, settings.lengths);
+        measured_capacity(settings.site, settings.engine, settings.lengths);
     for (const double load : options.loads) {
         settings.requests_per_second = load * capacity;
         if (!options.json)
@@ -254,6 +256,8 @@
     command->add_option("--warm-up", options->warm_up_s, "seconds");
     command->add_option("--window", options->window_s,
                         "seconds of arrivals that count");
+    command->add_option("--runners", options->runners,
+                        "engines, instead of the deployment's own");
     command->add_option("--jobs", options->jobs, "threads, a seed each")
         ->check(CLI::Range(1U, 64U));
     command->add_flag("--json", options->json, "a line for each policy");
--- a/src/libcyclamenrun/router.cpp
+++ b/src/libcyclamenrun/router.cpp
@@ -3,6 +3,7 @@
 #include "digest.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace cyclamenrun
@@ -17,9 +18,11 @@
 // An upstream that has told nothing yet is tried, but after known idle ones.
 constexpr double unknown_ms = 20.0;
 
-// A suspect goes to one of this many upstreams, the same for each entry, so
-// that what it may crash stays few.
-constexpr std::size_t quarantine_upstreams = 2;
+// A prefix has a home by so many of its blocks: how much of a prompt is shared
+// is not known, the first may be the service's own and later ones the
+// request's alone. A suspect has as many, by its fingerprint, so that what it
+// may crash stays few.
+constexpr std::array<std::size_t, 3> home_depths = {4, 8, 16};
 
 std::uint64_t mix(std::uint64_t left, std::uint64_t right)
 {
@@ -29,6 +32,23 @@
     return value ^ (value >> 31);
 }
 
+using home_keys = std::array<std::uint64_t, home_depths.size()>;
+
+home_keys keys_of(const route_request& request)
+{
+    home_keys keys{};
+    for (std::size_t i = 0; i < keys.size(); ++i) {
+        if (request.suspect) {
+            keys[i] = mix(request.fingerprint, i);
+            continue;
+        }
+        const std::size_t last =
+            std::min(home_depths[i], request.prefix_blocks.size());
+        keys[i] = request.prefix_blocks[last - 1];
+    }
+    return keys;
+}
+
 std::uint64_t hash_of(const candidate& of)
 {
     return of.hash != 0 ? of.hash : hash64(of.upstream);
@@ -164,29 +184,23 @@
 void router::add_homes(const route_request& request,
                        std::span<const candidate> candidates)
 {
-    std::uint64_t key = request.fingerprint;
-    std::size_t homes = quarantine_upstreams;
-    if (!request.suspect) {
-        const std::size_t blocks =
-            std::min(settings_.affinity_blocks, request.prefix_blocks.size());
-        key = request.prefix_blocks[blocks - 1];
-        homes = settings_.prefix_homes;
-    }
-    std::vector<std::pair<std::uint64_t, std::size_t>> best;
-    best.reserve(homes + 1);
+    const home_keys keys = keys_of(request);
+    std::array<std::uint64_t, keys.size()> ranks{};
+    std::array<std::size_t, keys.size()> best;
+    best.fill(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const std::uint64_t rank = mix(key, hash_of(candidates[i]));
-        if (best.size() == homes && rank <= best.back().first)
-            continue;
-        if (!usable(request, candidates[i]))
-            continue;
-        best.emplace_back(rank, i);
-        std::sort(best.rbegin(), best.rend());
-        if (best.size() > homes)
-            best.pop_back();
+        const std::uint64_t hash = hash_of(candidates[i]);
+        for (std::size_t home = 0; home < keys.size(); ++home) {
+            const std::uint64_t rank = mix(keys[home], hash);
+            if (rank <= ranks[home] || !usable(request, candidates[i]))
+                continue;
+            ranks[home] = rank;
+            best[home] = i;
+        }
     }
-    for (const auto& [rank, index] : best)
-        sampled_.push_back(index);
+    for (const std::size_t index : best)
+        if (index < candidates.size())
+            sampled_.push_back(index);
 }
 
 bool router::usable(const route_request& request, const candidate& of) const
--- a/src/libcyclamenrun/router.hpp
+++ b/src/libcyclamenrun/router.hpp
@@ -89,6 +89,7 @@
     const upstream_state* find(const std::string& upstream) const;
     void sample(const route_request& request,
                 std::span<const candidate> candidates);
+    /** By rendezvous hashing, so that entries agree without talking. */
     void add_homes(const route_request& request,
                    std::span<const candidate> candidates);
     bool usable(const route_request& request, const candidate& of) const;
--- a/src/libcyclamenrun/router_settings.hpp
+++ b/src/libcyclamenrun/router_settings.hpp
@@ -14,10 +14,7 @@
     std::size_t max_upstreams = 2'048;
     /** Looked at per choice, when there are more; the rest is luck. */
     std::size_t sample = 12;
-    /** Upstreams a prefix is at home on, by rendezvous hashing. */
-    std::size_t prefix_homes = 2;
-    /** Blocks hashed into the home of a prefix, and tokens for each. */
-    std::size_t affinity_blocks = 4;
+    /** Prompt tokens for each prefix block. */
     std::uint32_t block_tokens = 64;
     /**
      * Cost of a prompt token that is not cached there: the time to read it
