--- /dev/null
+++ b/src/libcyclamenrun/log_event_name.hpp
@@ -0,0 +1,67 @@
+#ifndef CYCLAMENRUN_LOG_EVENT_NAME_HPP
+#define CYCLAMENRUN_LOG_EVENT_NAME_HPP
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+/** Every kind of line in the log; docs/operations.md lists them. */
+enum class log_event_name : std::uint8_t {
+    process_started,
+    process_ready,
+    process_stopping,
+    process_stopped,
+    request_finished,
+    request_refused,
+    request_cancelled,
+    generation_resumed,
+    ticket_minted,
+    caller_refused,
+    caller_timed_out,
+    operator_refused,
+    change_accepted,
+    change_conflicted,
+    change_uncertain,
+    change_invalid,
+    change_refused,
+    configuration_applied,
+    configuration_stale,
+    configuration_from_peer,
+    log_service_unavailable,
+    log_service_recovered,
+    vm_list_unavailable,
+    vm_list_recovered,
+    vm_list_read,
+    upstream_found,
+    upstream_leaving,
+    upstream_removed,
+    upstream_lost,
+    upstream_recovered,
+    link_closed,
+    drain_started,
+    drain_finished,
+    drain_timed_out,
+    poison_marked,
+    order_given,
+    order_refused,
+    library_message,
+    internal_error,
+};
+
+struct log_event_row {
+    log_event_name event;
+    std::string_view name;
+    std::string_view doc;
+};
+
+/** All events in the order of the enum. */
+std::span<const log_event_row> log_event_table();
+
+std::string_view name_of(log_event_name event);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_LOG_EVENT_NAME_HPP
