Recover by peers from the tail of the log itself

Cause: an entry took a peer's state only as long as it had none, and asked the first agents of its subset. One behind a gap, or ready while the log is out, kept what it had although agents held more. Change: the tail tells of trouble, and configuration_recovery asks the agents heard of with a higher revision; no thread of its own is left for it. test_configuration: 43 passed; of test_processes 15 (stops, path, configuration_spread) passed. A process test with the log out and the list of VMs in order is missing: the stand-in gives both or none.

--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -17,8 +17,6 @@
 
 constexpr milliseconds not_ready_pause{1000};
 constexpr std::size_t news_shards = 16;
-/** The newest state of a few is enough; the log brings the rest. */
-constexpr std::size_t most_peers_asked = 5;
 
 agent_address address_of(const candidate& agent)
 {
@@ -272,22 +270,6 @@
     }
 }
 
-bool entry_core::take_configuration_of_a_peer(time_point deadline)
-{
-    std::vector<std::shared_ptr<agent_question>> questions;
-    for (const auto& agent : routes_.members().subset()) {
-        if (questions.size() < most_peers_asked)
-            questions.push_back(ask(address_of(agent), "/configuration", {}));
-    }
-    bool taken = false;
-    for (const auto& question : questions) {
-        const auto state = question->wait(deadline);
-        if (state && !state->empty())
-            taken = configuration_.restore_from_peer(*state) || taken;
-    }
-    return taken;
-}
-
 link::Heartbeat entry_core::make_heartbeat(const std::string& upstream)
 {
     link::Heartbeat heartbeat;
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -86,13 +86,6 @@
     /** Asks the agents of the subset which entries hold which revision. */
     void gather_entry_revisions(time_point deadline);
 
-    /**
-     * For a fresh entry while the log is out: takes the newest state that a
-     * few agents hold. What is accepted never reverts by this: a store takes
-     * only what is newer.
-     */
-    bool take_configuration_of_a_peer(time_point deadline);
-
     /** Says not ready, so that the balancer sends no more; all still works. */
     void start_stopping() { stopping_ = true; }
     /** Refuses new work from now on; what runs goes on. */
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -3,7 +3,7 @@
 #include "bearer_token.hpp"
 #include "build_info.hpp"
 #include "caller_http_handler.hpp"
-#include "configuration_bootstrap.hpp"
+#include "configuration_recovery.hpp"
 #include "log_event.hpp"
 #include "log_tailer.hpp"
 #include "logging_change.hpp"
@@ -141,7 +141,6 @@
     operators_->stopAll(true);
     caller_threads_.joinAll();
     operator_threads_.joinAll();
-    bootstrap_.reset();
     vm_list_.reset();
     stop_log_.cancel();
     tailer_->stop();
@@ -173,6 +172,7 @@
     tailer_ = std::make_unique<log_tailer>(*logged_, store, tail_settings{},
                                            steady_now, uniform_random());
     tailer_->write_snapshots_by(snapshots_);
+    recover_by_peers();
     tailer_->start();
     vm_list_ = std::make_unique<vm_list_watcher>(
         platform,
@@ -183,16 +183,31 @@
             snapshots_->on_entries(core_->routes().members().entries());
         },
         steady_now);
-    configuration_bootstrap_hooks hooks;
-    hooks.ready = [&store] { return store.ready(); };
-    hooks.log_is_out = [this] {
-        return tailer_->status().failures_in_a_row > 0;
-    };
-    hooks.ask_peers = [this] {
-        return core_->take_configuration_of_a_peer(steady_now() +
-                                                   peer_answer_wait);
-    };
-    bootstrap_ = std::make_unique<configuration_bootstrap>(std::move(hooks));
+}
+
+/**
+ * Guards against an outage of the log during which VMs are replaced: each new
+ * entry would stay unready until the log is back, and in the end all would.
+ */
+void entry_process::recover_by_peers()
+{
+    recovery_ = std::make_unique<configuration_recovery>(
+        core_->configuration(), [this](const std::string& agent) {
+            return core_
+                ->ask_agent(agent, "/configuration", {},
+                            steady_now() + peer_answer_wait)
+                .value_or(std::string());
+        });
+    tailer_->on_trouble([this](const tail_status& tail) {
+        const auto now = steady_now();
+        auto peers = core_->revisions().list(now);
+        std::erase_if(peers, [](const v1::ProcessRevision& peer) {
+            return peer.role() != name_of(process_role::agent);
+        });
+        if (recovery_->poll(tail, peers, now))
+            log_event(log_severity::warning,
+                      log_event_name::configuration_from_peer);
+    });
 }
 
 void entry_process::serve_operators()
--- a/src/libcyclamenrun/entry_process.hpp
+++ b/src/libcyclamenrun/entry_process.hpp
@@ -20,7 +20,7 @@
 namespace cyclamenrun
 {
 
-class configuration_bootstrap;
+class configuration_recovery;
 class log_tailer;
 class logging_platform_log;
 class operator_commands;
@@ -52,6 +52,7 @@
 
 private:
     void start_following();
+    void recover_by_peers();
     void serve_operators();
     void serve_callers();
     void add_dump_sections();
@@ -71,9 +72,9 @@
     std::unique_ptr<platform_log_client> log_;
     std::unique_ptr<logging_platform_log> logged_;
     std::shared_ptr<snapshot_writer> snapshots_;
+    std::unique_ptr<configuration_recovery> recovery_;
     std::unique_ptr<log_tailer> tailer_;
     std::unique_ptr<vm_list_watcher> vm_list_;
-    std::unique_ptr<configuration_bootstrap> bootstrap_;
     std::unique_ptr<operator_commands> commands_;
     std::unique_ptr<operator_queries> queries_;
 
--- a/src/libcyclamenrun/log_tailer.cpp
+++ b/src/libcyclamenrun/log_tailer.cpp
@@ -80,15 +80,26 @@
 {
     const time_point asked_at = clock_();
     const auto page = log_.read(cursor_.next(), settings_.page_records, wait);
-    if (!page)
-        return on_error(page.error());
+    if (!page) {
+        const milliseconds pause = on_error(page.error());
+        tell_of_trouble();
+        return pause;
+    }
     on_page(*page);
+    if (cursor_.state() == tail_state::behind_gap)
+        tell_of_trouble();
     // A log that gives nothing without having waited isn't asked in a loop.
     const bool came_early = clock_() < asked_at + wait / 2;
     return page->records.empty() && came_early ? settings_.first_backoff
                                                : milliseconds(0);
 }
 
+void log_tailer::tell_of_trouble() const
+{
+    if (trouble_hook_)
+        trouble_hook_(status());
+}
+
 void log_tailer::on_page(const log_page& page)
 {
     note_first_end(page.next);
--- a/src/libcyclamenrun/log_tailer.hpp
+++ b/src/libcyclamenrun/log_tailer.hpp
@@ -56,6 +56,13 @@
     /** An entry's writer of snapshots, polled after each read. */
     void write_snapshots_by(std::shared_ptr<snapshot_writer> writer);
 
+    /**
+     * Called on the tail's thread after a read that failed or that found the
+     * reader behind a gap; it may block.
+     */
+    using trouble_hook = std::function<void(const tail_status&)>;
+    void on_trouble(trouble_hook hook) { trouble_hook_ = std::move(hook); }
+
     void start();
     /** Ends after the read in flight, at most tail_settings::read_wait. */
     void stop();
@@ -67,6 +74,7 @@
 
 private:
     void run();
+    void tell_of_trouble() const;
     void on_page(const log_page& page);
     milliseconds on_error(const log_error& error);
     void note_first_end(std::uint64_t end);
@@ -76,6 +84,7 @@
     clock_function clock_;
     random_function random_;
     std::shared_ptr<snapshot_writer> writer_;
+    trouble_hook trouble_hook_;
     log_tail_cursor cursor_;
     bool saw_end_ = false;
 
