Take a lost connection for one sign against an agent, not two

Cause: each broken connection was reported as a lost connection and as a missed heartbeat, which made a suspect at once. Change: the loss is one sign, a failed or unanswered attempt the other. Of test_processes the 23 tests that kill, freeze, cut or stall an agent, and the path, passed after it; the rest was not run again.

--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -312,8 +312,15 @@
         log_severity::info, log_event_name::link_closed,
         {{log_key::upstream, upstream}, {log_key::reason, name_of(failure)}});
     const auto now = clock_();
-    routes_.members().on_connection_lost(upstream, now);
-    routes_.members().on_missed_heartbeat(upstream, now);
+    // One event is one sign: were a lost connection taken for a missed
+    // heartbeat as well, each agent whose connection breaks once would be a
+    // suspect. That it can't be reached again is the second sign.
+    const bool was_connected = failure == link_failure::connection_lost ||
+                               failure == link_failure::reset_by_peer;
+    if (was_connected)
+        routes_.members().on_connection_lost(upstream, now);
+    else
+        routes_.members().on_missed_heartbeat(upstream, now);
 }
 
 void entry_core::on_agent_lost(std::uint64_t fingerprint,
