Spare agents and entries at their start, and tell logs by callers' ids

Change: a few entries bring a fresh agent its configuration, the others only if that does not help; 24 agents are asked, spread over the services; unlisted VMs are forgotten; the tail waits 45 s; request ids begin with the caller's own.

--- a/src/libcyclamenrun/caller_request.cpp
+++ b/src/libcyclamenrun/caller_request.cpp
@@ -19,15 +19,25 @@
 constexpr std::size_t bytes_per_token = 4;
 constexpr std::size_t tokens_per_block = 64;
 constexpr std::size_t most_prefix_blocks = 64;
+constexpr std::size_t longest_callers_id = 64;
 
 refusal bad(std::string detail)
 {
     return not_run(refusal_reason::bad_request, std::move(detail));
 }
 
-std::string draw_request_id()
+/**
+ * Unique, and begins with the caller's own id where that is printable and
+ * short, so that logs of all processes can be searched by it.
+ */
+std::string draw_request_id(const std::string& callers_id)
 {
-    return std::to_string(random_u64()) + std::to_string(random_u64());
+    const bool usable =
+        callers_id.size() <= longest_callers_id &&
+        std::all_of(callers_id.begin(), callers_id.end(),
+                    [](char letter) { return letter > ' ' && letter < 127; });
+    const auto unique = std::to_string(random_u64());
+    return usable && !callers_id.empty() ? callers_id + '~' + unique : unique;
 }
 
 outcome<time_point> deadline_of(const caller_headers& headers,
@@ -192,7 +202,7 @@
                                  ? service.max_output_tokens()
                                  : default_max_output_tokens;
     relay_request request;
-    request.id = draw_request_id();
+    request.id = draw_request_id(headers.request_id);
     request.prompt_tokens = estimate_tokens(parsed.prompt.size());
     if (request.prompt_tokens > most_prompt)
         return tl::unexpected(not_run(refusal_reason::too_large,
@@ -239,7 +249,7 @@
     if (!parse_json_object(body))
         return tl::unexpected(bad("the body is not a JSON object"));
     relay_request request;
-    request.id = draw_request_id();
+    request.id = draw_request_id(headers.request_id);
     const auto idempotent = flag_of(headers.idempotent, false, "X-Idempotent");
     if (!idempotent)
         return tl::unexpected(idempotent.error());
@@ -278,7 +288,7 @@
     if (!deadline)
         return tl::unexpected(deadline.error());
     relay_request request;
-    request.id = draw_request_id();
+    request.id = draw_request_id(headers.request_id);
     request.deadline = *deadline;
     request.resume_after = *position;
     return request;
--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -17,6 +17,12 @@
 
 constexpr milliseconds not_ready_pause{1000};
 constexpr std::size_t news_shards = 16;
+constexpr std::size_t most_agents_asked = 24;
+/** Entries that bring a fresh agent its first configuration. */
+constexpr std::uint64_t first_bringers = 3;
+/** Replies without a configuration after which any entry brings it. */
+constexpr int patient_replies = 3;
+constexpr milliseconds fresh_agent_wait{500};
 
 agent_address address_of(const candidate& agent)
 {
@@ -221,13 +227,29 @@
 {
     auto& members = routes_.members();
     members.on_list(list, clock_());
-    teams_.on_entries(members.entries().size());
+    entries_ = members.entries().size();
+    teams_.on_entries(entries_);
+    forget_unlisted(list);
     std::vector<agent_address> agents;
     for (const auto& agent : members.subset())
         agents.push_back(address_of(agent));
     links_.watch(agents);
 }
 
+/** A VM that is gone must not hold up a wait for all revisions. */
+void entry_core::forget_unlisted(const vm_list& list)
+{
+    std::set<std::string> listed;
+    for (const auto& each : list.vms)
+        listed.insert(each.id);
+    const std::scoped_lock lock(listed_mutex_);
+    for (const auto& id : listed_) {
+        if (!listed.contains(id))
+            revisions_.forget(id);
+    }
+    listed_ = std::move(listed);
+}
+
 outcome<std::string> entry_core::ask_agent(const std::string& upstream,
                                            const std::string& path,
                                            const std::string& frame,
@@ -255,9 +277,14 @@
 
 void entry_core::gather_entry_revisions(time_point deadline)
 {
+    // Each entry beats with many agents, so a few of these, spread over all
+    // services, know every entry; asking all would carry megabytes a look.
     std::vector<std::shared_ptr<agent_question>> questions;
-    for (const auto& agent : routes_.members().subset())
-        questions.push_back(ask(address_of(agent), "/revisions", {}));
+    const auto agents = routes_.members().subset();
+    const auto stride =
+        std::max<std::size_t>(1, agents.size() / most_agents_asked);
+    for (std::size_t i = 0; i < agents.size(); i += stride)
+        questions.push_back(ask(address_of(agents[i]), "/revisions", {}));
     for (const auto& question : questions) {
         v1::ListRevisionsResponse response;
         const auto answer = question->wait(deadline);
@@ -276,19 +303,43 @@
     heartbeat.set_entry(settings_.name);
     heartbeat.set_failure_domain(settings_.routes.own_failure_domain);
     heartbeat.set_config_revision(configuration_.revision());
-    heartbeat.set_wait_ms(
-        static_cast<std::uint64_t>(settings_.heartbeat_interval.count()));
     const auto known = news_.with(
         upstream, [&](agent_news_map& news) { return news[upstream]; });
     heartbeat.set_known_change(known.load_change);
     heartbeat.set_known_revision(known.revision);
-    if (configuration_.ready() && known.revision < configuration_.revision())
+    heartbeat.set_wait_ms(static_cast<std::uint64_t>(wait_for(known).count()));
+    if (configuration_.ready() && brings_configuration(upstream, known))
         heartbeat.set_config_delta(
             configuration_.delta_after(known.revision).SerializeAsString());
     poison_.write_marks(upstream, heartbeat);
     return heartbeat;
 }
 
+milliseconds entry_core::wait_for(const agent_news& known) const
+{
+    if (!known.heard)
+        return milliseconds(0);
+    return known.revision == 0 ? fresh_agent_wait
+                               : settings_.heartbeat_interval;
+}
+
+/**
+ * Guards against a flood when an agent or an entry starts: were each entry to
+ * send the whole configuration to each agent that has none yet, one agent's
+ * start would cost a hundred copies of it. A few bring it at once; the others
+ * only if that does not help.
+ */
+bool entry_core::brings_configuration(const std::string& upstream,
+                                      const agent_news& known) const
+{
+    if (!known.heard || known.revision >= configuration_.revision())
+        return false;
+    if (known.revision > 0 || known.empty_replies >= patient_replies)
+        return true;
+    const auto draw = hash64(settings_.name, hash64(upstream));
+    return draw % std::max<std::size_t>(1, entries_) < first_bringers;
+}
+
 void entry_core::on_heartbeat(const std::string& upstream,
                               const link::HeartbeatReply& reply)
 {
@@ -297,7 +348,11 @@
     routes_.report(reply.load(), now);
     poison_.read_marks(upstream, reply, now);
     news_.with(upstream, [&](agent_news_map& news) {
-        news[upstream] = {reply.load_change(), reply.config_revision()};
+        auto& told = news[upstream];
+        told.heard = true;
+        told.load_change = reply.load_change();
+        told.revision = reply.config_revision();
+        told.empty_replies = told.revision == 0 ? told.empty_replies + 1 : 0;
     });
     const auto agent = routes_.members().find(upstream);
     if (agent)
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -18,7 +18,9 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -106,6 +108,8 @@
     struct agent_news {
         std::uint64_t load_change = 0;
         std::uint64_t revision = 0;
+        int empty_replies = 0; ///< in a row, with no configuration
+        bool heard = false;
     };
     using agent_news_map = std::unordered_map<std::string, agent_news>;
 
@@ -115,6 +119,10 @@
                                         const std::string& path,
                                         const std::string& frame);
     link::Heartbeat make_heartbeat(const std::string& upstream);
+    milliseconds wait_for(const agent_news& known) const;
+    bool brings_configuration(const std::string& upstream,
+                              const agent_news& known) const;
+    void forget_unlisted(const vm_list& list);
     void on_heartbeat(const std::string& upstream,
                       const link::HeartbeatReply& reply);
     void on_link_failure(const std::string& upstream, link_failure failure);
@@ -135,6 +143,9 @@
     ticket_authority tickets_;
     sharded<agent_news_map> news_;
     metrics metrics_;
+    std::atomic<std::size_t> entries_ = 1;
+    std::mutex listed_mutex_;
+    std::set<std::string> listed_; ///< VMs of the last list
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> draining_ = false;
     std::atomic<int> active_ = 0;
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -39,6 +39,8 @@
 constexpr int operator_threads = 16;
 constexpr int idle_thread_seconds = 60;
 constexpr milliseconds log_call_limit{5'000};
+/** A log that is slow by half a minute still brings what it has. */
+constexpr milliseconds tail_call_limit{45'000};
 constexpr milliseconds operator_deadline{10'000};
 constexpr milliseconds peer_answer_wait{1'000};
 constexpr milliseconds revisions_wait{1'000};
@@ -163,14 +165,19 @@
     log_ = std::make_unique<platform_log_client>(
         platform, settings_.platform.log, http_limits{}, log_call_limit,
         steady_now, &stop_log_);
+    tail_log_ = std::make_unique<platform_log_client>(
+        platform, settings_.platform.log, http_limits{}, tail_call_limit,
+        steady_now, &stop_log_);
     logged_ = std::make_unique<logging_platform_log>(
         *log_, core_->measurements(), steady_now);
+    logged_tail_ = std::make_unique<logging_platform_log>(
+        *tail_log_, core_->measurements(), steady_now);
     auto& store = core_->configuration();
     snapshots_ = std::make_shared<snapshot_writer>(
         *logged_, store, settings_.name, snapshot_settings{}, random_u64,
         steady_now());
-    tailer_ = std::make_unique<log_tailer>(*logged_, store, tail_settings{},
-                                           steady_now, uniform_random());
+    tailer_ = std::make_unique<log_tailer>(
+        *logged_tail_, store, tail_settings{}, steady_now, uniform_random());
     tailer_->write_snapshots_by(snapshots_);
     recover_by_peers();
     tailer_->start();
--- a/src/libcyclamenrun/entry_process.hpp
+++ b/src/libcyclamenrun/entry_process.hpp
@@ -69,8 +69,10 @@
     state_dump dump_;
 
     cancellation stop_log_;
-    std::unique_ptr<platform_log_client> log_;
+    std::unique_ptr<platform_log_client> log_;      // for appends
+    std::unique_ptr<platform_log_client> tail_log_; // for the tail
     std::unique_ptr<logging_platform_log> logged_;
+    std::unique_ptr<logging_platform_log> logged_tail_;
     std::shared_ptr<snapshot_writer> snapshots_;
     std::unique_ptr<configuration_recovery> recovery_;
     std::unique_ptr<log_tailer> tailer_;
