Let links not hold the loops that their callbacks run on

Cause: an entry aborted at the end of its planned stop under ThreadSanitizer (exit -6, 'Resource deadlock avoided'): the state of its links held the loops, a callback on a loop's thread was the last to hold the state, and so a loop waited for its own thread. Ruled out: a race in the drain. Change: the links don't own the loops.

--- a/src/libcyclamenrun/agent_links.cpp
+++ b/src/libcyclamenrun/agent_links.cpp
@@ -25,12 +25,14 @@
     : public std::enable_shared_from_this<shared_state>
 {
 public:
-    shared_state(std::vector<std::shared_ptr<link_loop>> loops,
+    shared_state(const std::vector<std::shared_ptr<link_loop>>& loops,
                  std::string link_key, const link_limits& limits,
                  agent_links_hooks hooks, clock_function clock)
-        : loops_(std::move(loops)), link_key_(std::move(link_key)),
-          limits_(limits), hooks_(std::move(hooks)), clock_(std::move(clock))
+        : link_key_(std::move(link_key)), limits_(limits),
+          hooks_(std::move(hooks)), clock_(std::move(clock))
     {
+        for (const auto& loop : loops)
+            loops_.push_back(loop.get());
     }
 
     void watch(const std::vector<agent_address>& agents);
@@ -44,7 +46,11 @@
     void on_reply(const agent_address& agent, const std::string& frame);
     link_loop& loop_of(const std::string& address);
 
-    std::vector<std::shared_ptr<link_loop>> loops_;
+    /**
+     * Not owned: callbacks on a loop's thread hold this state, and a loop
+     * that ended with the last of them would wait for its own thread.
+     */
+    std::vector<link_loop*> loops_;
     std::string link_key_;
     link_limits limits_;
     agent_links_hooks hooks_;
@@ -156,11 +162,10 @@
     return *loops_[hash64(address) % loops_.size()];
 }
 
-agent_links::agent_links(std::vector<std::shared_ptr<link_loop>> loops,
+agent_links::agent_links(const std::vector<std::shared_ptr<link_loop>>& loops,
                          std::string link_key, const link_limits& limits,
                          agent_links_hooks hooks, clock_function clock)
-    : state_(std::make_shared<shared_state>(std::move(loops),
-                                            std::move(link_key), limits,
+    : state_(std::make_shared<shared_state>(loops, std::move(link_key), limits,
                                             std::move(hooks), std::move(clock)))
 {
 }
--- a/src/libcyclamenrun/agent_links.hpp
+++ b/src/libcyclamenrun/agent_links.hpp
@@ -47,7 +47,8 @@
 class agent_links
 {
 public:
-    agent_links(std::vector<std::shared_ptr<link_loop>> loops,
+    /** The loops must outlive the links; they end what is under way. */
+    agent_links(const std::vector<std::shared_ptr<link_loop>>& loops,
                 std::string link_key, const link_limits& limits,
                 agent_links_hooks hooks, clock_function clock);
     agent_links(const agent_links&) = delete;
--- a/src/libcyclamenrun/entry_core.cpp
+++ b/src/libcyclamenrun/entry_core.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 entry_core::entry_core(const entry_core_settings& settings,
-                       std::vector<std::shared_ptr<link_loop>> loops,
+                       const std::vector<std::shared_ptr<link_loop>>& loops,
                        clock_function clock)
     : settings_(settings), clock_(std::move(clock)),
       teams_(settings_.retry_share), routes_(settings_.routes),
@@ -56,7 +56,7 @@
       tickets_(settings_.link_key),
       news_(news_shards,
             [](std::size_t) { return std::make_unique<agent_news_map>(); }),
-      links_(std::move(loops), settings_.link_key, link_limits{},
+      links_(loops, settings_.link_key, link_limits{},
              {[this](const std::string& upstream) {
                   return make_heartbeat(upstream);
               },
--- a/src/libcyclamenrun/entry_core.hpp
+++ b/src/libcyclamenrun/entry_core.hpp
@@ -60,7 +60,7 @@
 {
 public:
     entry_core(const entry_core_settings& settings,
-               std::vector<std::shared_ptr<link_loop>> loops,
+               const std::vector<std::shared_ptr<link_loop>>& loops,
                clock_function clock);
     entry_core(const entry_core&) = delete;
     entry_core& operator=(const entry_core&) = delete;
