Let no link callback end the loop it runs on

Cause: an entry aborted at the end of a planned stop, with the status of signal 6 in place of 0: the state of its links owned the loops, a callback on a loop can be the last to hold that state, and the loop then joined its own thread (Resource deadlock avoided).

Ruled out: weak references to the loops, since the lock of one on the loop's thread can again be the last owner.

Change: the state holds the loops' reactors; the loops belong to the links themselves, which end on the owner's thread.

--- a/src/libcyclamenrun/agent_links.cpp
+++ b/src/libcyclamenrun/agent_links.cpp
@@ -3,6 +3,7 @@
 #include "digest.hpp"
 #include "link_client.hpp"
 #include "link_loop.hpp"
+#include "link_reactor.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 
@@ -25,12 +26,15 @@
     : public std::enable_shared_from_this<shared_state>
 {
 public:
-    shared_state(std::vector<std::shared_ptr<link_loop>> loops,
+    shared_state(const std::vector<std::shared_ptr<link_loop>>& loops,
                  std::string link_key, const link_limits& limits,
                  agent_links_hooks hooks, clock_function clock)
-        : loops_(std::move(loops)), link_key_(std::move(link_key)),
-          limits_(limits), hooks_(std::move(hooks)), clock_(std::move(clock))
+        : link_key_(std::move(link_key)), limits_(limits),
+          hooks_(std::move(hooks)), clock_(std::move(clock))
     {
+        reactors_.reserve(loops.size());
+        for (const auto& loop : loops)
+            reactors_.push_back(loop->reactor());
     }
 
     void watch(const std::vector<agent_address>& agents);
@@ -42,9 +46,13 @@
     void beat(const agent_address& agent);
     void beat_later(const agent_address& agent);
     void on_reply(const agent_address& agent, const std::string& frame);
-    link_loop& loop_of(const std::string& address);
+    const std::shared_ptr<link_reactor>&
+    reactor_of(const std::string& address) const;
 
-    std::vector<std::shared_ptr<link_loop>> loops_;
+    // Guards against the end of a loop on its own thread, where a callback
+    // may be the last to hold this state: the loop would wait for itself,
+    // and the process abort at the end of a planned stop.
+    std::vector<std::shared_ptr<link_reactor>> reactors_;
     std::string link_key_;
     link_limits limits_;
     agent_links_hooks hooks_;
@@ -83,7 +91,7 @@
         return nullptr;
     auto& client = clients_[address];
     if (!client)
-        client = link_client::create(loop_of(address),
+        client = link_client::create(reactor_of(address),
                                      Poco::Net::SocketAddress(address),
                                      link_key_, limits_);
     return client;
@@ -138,9 +146,9 @@
 
 void agent_links::shared_state::beat_later(const agent_address& agent)
 {
-    loop_of(agent.address)
-        .post_at(clock_() + retry_pause,
-                 [self = shared_from_this(), agent] { self->beat(agent); });
+    reactor_of(agent.address)
+        ->post_at(clock_() + retry_pause,
+                  [self = shared_from_this(), agent] { self->beat(agent); });
 }
 
 void agent_links::shared_state::on_reply(const agent_address& agent,
@@ -151,16 +159,17 @@
         hooks_.reply(agent.upstream, reply);
 }
 
-link_loop& agent_links::shared_state::loop_of(const std::string& address)
+const std::shared_ptr<link_reactor>&
+agent_links::shared_state::reactor_of(const std::string& address) const
 {
-    return *loops_[hash64(address) % loops_.size()];
+    return reactors_[hash64(address) % reactors_.size()];
 }
 
 agent_links::agent_links(std::vector<std::shared_ptr<link_loop>> loops,
                          std::string link_key, const link_limits& limits,
                          agent_links_hooks hooks, clock_function clock)
-    : state_(std::make_shared<shared_state>(std::move(loops),
-                                            std::move(link_key), limits,
+    : loops_(std::move(loops)),
+      state_(std::make_shared<shared_state>(loops_, std::move(link_key), limits,
                                             std::move(hooks), std::move(clock)))
 {
 }
--- a/src/libcyclamenrun/agent_links.hpp
+++ b/src/libcyclamenrun/agent_links.hpp
@@ -68,6 +68,7 @@
 
 private:
     class shared_state;
+    std::vector<std::shared_ptr<link_loop>> loops_;
     std::shared_ptr<shared_state> state_;
 };
 
--- a/src/libcyclamenrun/link_client.cpp
+++ b/src/libcyclamenrun/link_client.cpp
@@ -21,8 +21,16 @@
 link_client::create(link_loop& loop, const Poco::Net::SocketAddress& address,
                     std::string link_key, const link_limits& limits)
 {
-    return std::shared_ptr<link_client>(
-        new link_client(loop.reactor(), address, std::move(link_key), limits));
+    return create(loop.reactor(), address, std::move(link_key), limits);
+}
+
+std::shared_ptr<link_client>
+link_client::create(std::shared_ptr<link_reactor> reactor,
+                    const Poco::Net::SocketAddress& address,
+                    std::string link_key, const link_limits& limits)
+{
+    return std::shared_ptr<link_client>(new link_client(
+        std::move(reactor), address, std::move(link_key), limits));
 }
 
 link_client::~link_client()
--- a/src/libcyclamenrun/link_client.hpp
+++ b/src/libcyclamenrun/link_client.hpp
@@ -26,6 +26,11 @@
     static std::shared_ptr<link_client>
     create(link_loop& loop, const Poco::Net::SocketAddress& address,
            std::string link_key, const link_limits& limits);
+    /** For owners that must not keep the loop itself. */
+    static std::shared_ptr<link_client>
+    create(std::shared_ptr<link_reactor> reactor,
+           const Poco::Net::SocketAddress& address, std::string link_key,
+           const link_limits& limits);
 
     link_client(const link_client&) = delete;
     link_client& operator=(const link_client&) = delete;
