Let agents pursue their service's objective, and admit after a first token

Cause: an agent decided by one objective whatever its service's said; and work whose prompt could start once another's was read waited for the next tick, up to 0.2 s, since prompts are metered. Change: the objective in force reaches admission; the first token of a work lets the next one in; dumps write incarnations as ids do.

--- a/src/libcyclamenrun/admission.cpp
+++ b/src/libcyclamenrun/admission.cpp
@@ -450,6 +450,14 @@
     return ids;
 }
 
+void admission::pursue(objective goal)
+{
+    const auto tuned = default_admission(goal);
+    settings_.goal = goal;
+    settings_.overflow_bound = tuned.overflow_bound;
+    settings_.short_first = tuned.short_first;
+}
+
 int admission::priority(work_id id) const
 {
     const auto found = records_.find(id);
--- a/src/libcyclamenrun/admission.hpp
+++ b/src/libcyclamenrun/admission.hpp
@@ -81,6 +81,9 @@
     /** For the engine: which work it should rather keep; higher is kept. */
     int priority(work_id id) const;
 
+    /** Decides by another objective from now on. */
+    void pursue(objective goal);
+
     /** Engine memory of work that is not ours; counts as taken. */
     void foreign_memory(std::uint64_t tokens);
     void engine_load(const engine_load_hint& hint, time_point now);
--- a/src/libcyclamenrun/agent_process.cpp
+++ b/src/libcyclamenrun/agent_process.cpp
@@ -32,6 +32,7 @@
     gate.incarnation = incarnation;
     gate.started_at = steady_now();
     gate.link_key = settings.link_key.reveal();
+    gate.admission = default_admission(objective::stall_time);
     gate.admission.memory_tokens = settings.upstream.memory_tokens;
     gate.admission.max_running =
         static_cast<std::uint32_t>(settings.upstream.max_running);
@@ -139,8 +140,10 @@
             return result;
         },
         steady_now);
-    configuration_.on_change(
-        [this](std::uint64_t) { orders_->on_configuration(); });
+    configuration_.on_change([this](std::uint64_t) {
+        orders_->on_configuration();
+        pursue_objective();
+    });
     driver_->on_engine_started([this] { orders_->on_engine_restarted(); });
 }
 
@@ -152,6 +155,18 @@
     orders_.reset();
 }
 
+void agent_process::pursue_objective()
+{
+    const auto view = configuration_.view();
+    const auto* service =
+        view ? view->resources.service(settings_.service) : nullptr;
+    if (service == nullptr)
+        return;
+    gate_->pursue(service->objective() == v1::OBJECTIVE_TOKEN_LATENCY
+                      ? objective::token_latency
+                      : objective::stall_time);
+}
+
 std::string agent_process::address() const
 {
     return server_->address().toString();
@@ -180,7 +195,7 @@
         section.set("service", settings_.service);
         section.set("region", settings_.region);
         section.set("failure_domain", settings_.failure_domain);
-        section.set("incarnation", incarnation_);
+        section.set("incarnation", hex_of(incarnation_));
         section.set("version", std::string(build_version));
         section.set("configuration_revision", configuration_.revision());
     });
--- a/src/libcyclamenrun/agent_process.hpp
+++ b/src/libcyclamenrun/agent_process.hpp
@@ -41,6 +41,7 @@
 private:
     void serve_entries();
     void give_orders();
+    void pursue_objective();
     void add_dump_sections();
 
     agent_settings settings_;
--- a/src/libcyclamenrun/entry_process.cpp
+++ b/src/libcyclamenrun/entry_process.cpp
@@ -115,7 +115,7 @@
     object->set("address", agent.address);
     object->set("failure_domain", agent.failure_domain);
     object->set("state", std::string(name_of(agent.state)));
-    object->set("incarnation", agent.incarnation);
+    object->set("incarnation", hex_of(agent.incarnation));
     return object;
 }
 
--- a/src/libcyclamenrun/gate.cpp
+++ b/src/libcyclamenrun/gate.cpp
@@ -299,6 +299,9 @@
             sessions_.append_token(*session, text);
             admission_.tokens_made(work, 1, now);
             wake_readers(*session, todo);
+            // Its prompt has been read, which may let the next one start.
+            if (session->replay.next_index() == 1)
+                admit(now, todo);
         }
     }
     run(todo);
@@ -428,6 +431,12 @@
     drain(now);
 }
 
+void gate::pursue(objective goal)
+{
+    const std::scoped_lock lock(mutex_);
+    admission_.pursue(goal);
+}
+
 void gate::merge_marks(const std::vector<link::PoisonMark>& marks,
                        time_point now)
 {
--- a/src/libcyclamenrun/gate.hpp
+++ b/src/libcyclamenrun/gate.hpp
@@ -79,6 +79,8 @@
     void drain(time_point now);
     /** The VM goes away at `deadline`: what has not ended then has failed. */
     void reclaim(time_point deadline, time_point now);
+    /** The service's objective, by the configuration in force. */
+    void pursue(objective goal);
     void merge_marks(const std::vector<link::PoisonMark>& marks,
                      time_point now);
     /** Does what time alone brings about. */
--- a/src/libcyclamenrun/generation_id.cpp
+++ b/src/libcyclamenrun/generation_id.cpp
@@ -12,14 +12,6 @@
 constexpr char separator = ':';
 constexpr std::size_t longest_upstream = 64;
 
-std::string hex(std::uint64_t number)
-{
-    std::array<char, 16> digits{};
-    const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
-    return {digits.data(), end.ptr};
-}
-
 /** Reads one number up to the separator or the end, and moves past it. */
 std::optional<std::uint64_t> take_number(std::string_view& text, int base)
 {
@@ -35,10 +27,18 @@
 
 } // namespace
 
+std::string hex_of(std::uint64_t number)
+{
+    std::array<char, 16> digits{};
+    const auto end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
+    return {digits.data(), end.ptr};
+}
+
 std::string to_string(const generation_id& id)
 {
-    return id.upstream + separator + hex(id.incarnation) + separator +
-           std::to_string(id.sequence) + separator + hex(id.secret);
+    return id.upstream + separator + hex_of(id.incarnation) + separator +
+           std::to_string(id.sequence) + separator + hex_of(id.secret);
 }
 
 std::string to_string(const stream_position& position)
--- a/src/libcyclamenrun/generation_id.hpp
+++ b/src/libcyclamenrun/generation_id.hpp
@@ -31,6 +31,9 @@
     bool operator==(const stream_position&) const = default;
 };
 
+/** An incarnation, or another 64-bit id, as ids write it. */
+std::string hex_of(std::uint64_t number);
+
 std::string to_string(const generation_id& id);
 std::string to_string(const stream_position& position);
 
