--- a/src/libcyclamenrun/caller_http_handler.cpp
+++ b/src/libcyclamenrun/caller_http_handler.cpp
@@ -246,7 +246,7 @@
         return tl::unexpected(too_large);
     std::string body;
     auto& stream = request.stream();
-    std::array<char, 8192> piece{};
+    std::array<char, 1024> piece{};
     while (stream.good()) {
         stream.read(piece.data(), piece.size());
         body.append(piece.data(), static_cast<std::size_t>(stream.gcount()));
