Lay the library's files by subject

Cause: the flat folder held 307 files. Ruled out: several libraries, since their borders would be guesses so early. Change: one folder a subject, one level deep; includes are unchanged, as names are unique.

--- a/tests/settings/test_docs.cpp
+++ b/tests/settings/test_docs.cpp
@@ -38,7 +38,8 @@
     std::string text;
     const auto folder =
         std::filesystem::path(CYCLAMENRUN_SOURCE_DIR) / "src/libcyclamenrun";
-    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(folder)) {
         if (entry.path().extension() == ".cpp" && entry.path().stem() != name)
             text += read_all(entry.path());
     }
