Hold an engine's loss against a request before it is tried elsewhere

Cause: a request that crashes engines cost three of three, not two. Its entry had the agent's word that the engine was lost, but not the mark, which came with the next heartbeat, and sent it on at once to the next engine as clean; each agent knew of one loss only. Ruled out: late heartbeats (they came within milliseconds). Change: the refusal names the loss, and the relay holds it against the request before it chooses again; the entry tells its agents.

--- a/src/libcyclamenrun/entry/entry_core.cpp
+++ b/src/libcyclamenrun/entry/entry_core.cpp
@@ -194,6 +194,11 @@
                               const route_target& agent, time_point now) {
         on_agent_lost(fingerprint, agent, now);
     };
+    hooks.engine_lost = [this](std::uint64_t fingerprint, std::uint64_t loss,
+                               time_point now) {
+        poison_.engine_lost(fingerprint, loss, now);
+        tell_agents();
+    };
     return hooks;
 }
 
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -376,8 +376,10 @@
         for (auto& [work, session] : sessions_.all()) {
             if (session.state != work_state::running)
                 continue;
-            if (!explained)
+            if (!explained) {
+                session.loss = loss;
                 poison_.mark(session.request.fingerprint(), loss, now);
+            }
             admission_.finished(work, false, now);
             const refusal why =
                 session.is_call()
--- a/src/libcyclamenrun/outcomes/poison_watch.cpp
+++ b/src/libcyclamenrun/outcomes/poison_watch.cpp
@@ -36,6 +36,13 @@
         reported_.insert(loss);
 }
 
+void poison_watch::engine_lost(std::uint64_t fingerprint, std::uint64_t loss,
+                               time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    marks_.mark(fingerprint, loss, now);
+}
+
 void poison_watch::write_marks(const std::string& upstream,
                                link::Heartbeat& heartbeat)
 {
--- a/src/libcyclamenrun/outcomes/poison_watch.hpp
+++ b/src/libcyclamenrun/outcomes/poison_watch.hpp
@@ -33,6 +33,10 @@
     void agent_lost(std::uint64_t fingerprint, const route_target& agent,
                     time_point now);
 
+    /** An engine was lost with this on it; its agent named the loss. */
+    void engine_lost(std::uint64_t fingerprint, std::uint64_t loss,
+                     time_point now);
+
     /** Puts what the agent has not been told into the heartbeat. */
     void write_marks(const std::string& upstream, link::Heartbeat& heartbeat);
     void read_marks(const std::string& upstream,
--- a/src/libcyclamenrun/outcomes/relay.cpp
+++ b/src/libcyclamenrun/outcomes/relay.cpp
@@ -149,6 +149,10 @@
         stream_open_ = false;
         const auto why = read_refusal(frame.refused());
         relay_actions actions;
+        // Held against the work before it is tried elsewhere: the agents' own
+        // word of the loss may come after the next engine is lost as well.
+        if (frame.loss() != 0)
+            hooks_.engine_lost(request_.fingerprint, frame.loss(), now);
         if (frame.kept())
             actions.emplace_back(acknowledge_message());
         append(actions, reattaching_ ? on_reattach_refused(why, now)
--- a/src/libcyclamenrun/outcomes/relay.hpp
+++ b/src/libcyclamenrun/outcomes/relay.hpp
@@ -30,6 +30,10 @@
     std::function<void(std::uint64_t fingerprint, const route_target& target,
                        time_point now)>
         agent_lost;
+    /** An engine was lost with this work on it, as its agent tells. */
+    std::function<void(std::uint64_t fingerprint, std::uint64_t loss,
+                       time_point now)>
+        engine_lost;
 };
 
 /** Bounds of one relay. */
--- a/src/libcyclamenrun/outcomes/session_table.cpp
+++ b/src/libcyclamenrun/outcomes/session_table.cpp
@@ -40,6 +40,7 @@
     frame.set_kept(true);
     if (session.refused) {
         write_refusal(*session.refused, *frame.mutable_refused());
+        frame.set_loss(session.loss);
     } else if (session.answer) {
         auto& answer = *frame.mutable_answer();
         answer.set_status(static_cast<std::uint32_t>(session.answer->status));
--- a/src/libcyclamenrun/outcomes/work_session.hpp
+++ b/src/libcyclamenrun/outcomes/work_session.hpp
@@ -47,6 +47,8 @@
     std::vector<std::uint64_t> readers; // of its answer, by id
     /** Nobody reads: when running work is cancelled. */
     std::optional<time_point> orphan_deadline;
+    /** The loss of the engine that ended it and is held against it. */
+    std::uint64_t loss = 0;
     /** The entry has all of it. */
     bool acknowledged = false;
     /** Ended: when the answer is forgotten. */
--- a/tests/faults/fault_world.cpp
+++ b/tests/faults/fault_world.cpp
@@ -210,6 +210,10 @@
                               const route_target& agent, time_point now) {
         marks_.mark(fingerprint, agent.incarnation, now);
     };
+    hooks.engine_lost = [this](std::uint64_t fingerprint, std::uint64_t loss,
+                               time_point now) {
+        marks_.mark(fingerprint, loss, now);
+    };
     return hooks;
 }
 
--- a/tests/faults/test_guards.cpp
+++ b/tests/faults/test_guards.cpp
@@ -207,6 +207,7 @@
     hooks.spend_retry = [](const auto&, time_point) { return outcome<void>(); };
     hooks.verdict = [](auto, time_point) { return poison_verdict::clean; };
     hooks.agent_lost = [](auto, const auto&, time_point) {};
+    hooks.engine_lost = [](auto, auto, time_point) {};
     relay relayed(request, {}, hooks);
     relayed.start(start);
 
--- a/tests/processes/deployment.cpp
+++ b/tests/processes/deployment.cpp
@@ -233,6 +233,19 @@
     return {entry.address, request};
 }
 
+std::optional<http_answer> deployment::crash(const entry_processes& entry) const
+{
+    const auto request =
+        caller_request("POST", "/v1/completions",
+                       R"({"model":"redactor","prompt":"poison",)"
+                       R"("stand_in":{"output_tokens":9,"crash_at_token":2}})");
+    http_exchange exchange(entry.address, {}, steady_now);
+    const auto answer = exchange.run(request);
+    if (!answer)
+        return {};
+    return *answer;
+}
+
 std::optional<http_answer> deployment::call(const entry_processes& entry,
                                             const std::string& ticket,
                                             milliseconds limit) const
--- a/tests/processes/deployment.hpp
+++ b/tests/processes/deployment.hpp
@@ -76,6 +76,8 @@
     caller_stream generate(const entry_processes& entry,
                            const std::string& prompt,
                            std::uint64_t output_tokens) const;
+    /** A whole answer to a request that ends each engine that runs it. */
+    std::optional<http_answer> crash(const entry_processes& entry) const;
     /** The rest of a generation, through any entry. */
     caller_stream resume(const entry_processes& entry,
                          const std::string& last_event_id) const;
