Check callers' ids in one place, and drop state that nothing reads

Cause: a last reading of the change found the same check of a caller's id twice, and three members that nothing read. Change: one predicate, with each caller's own bound as before.

--- a/src/libcyclamenrun/entry/caller_http_handler.cpp
+++ b/src/libcyclamenrun/entry/caller_http_handler.cpp
@@ -58,13 +58,7 @@
 std::string shown_request_id(const std::string& callers_id,
                              const std::string& own_id)
 {
-    const bool printable =
-        std::all_of(callers_id.begin(), callers_id.end(),
-                    [](char letter) { return letter > ' ' && letter < 127; });
-    if (callers_id.empty() || callers_id.size() > longest_caller_id ||
-        !printable)
-        return own_id;
-    return callers_id;
+    return is_usable_id(callers_id, longest_caller_id) ? callers_id : own_id;
 }
 
 } // namespace
--- a/src/libcyclamenrun/entry/caller_request.cpp
+++ b/src/libcyclamenrun/entry/caller_request.cpp
@@ -32,12 +32,10 @@
  */
 std::string draw_request_id(const std::string& callers_id)
 {
-    const bool usable =
-        callers_id.size() <= longest_callers_id &&
-        std::all_of(callers_id.begin(), callers_id.end(),
-                    [](char letter) { return letter > ' ' && letter < 127; });
     const auto unique = std::to_string(random_u64());
-    return usable && !callers_id.empty() ? callers_id + '~' + unique : unique;
+    return is_usable_id(callers_id, longest_callers_id)
+               ? callers_id + '~' + unique
+               : unique;
 }
 
 outcome<time_point> deadline_of(const caller_headers& headers,
@@ -150,6 +148,14 @@
 
 } // namespace
 
+bool is_usable_id(const std::string& callers_id, std::size_t longest)
+{
+    return !callers_id.empty() && callers_id.size() <= longest &&
+           std::all_of(callers_id.begin(), callers_id.end(), [](char letter) {
+               return letter > ' ' && letter < 127;
+           });
+}
+
 std::uint32_t estimate_tokens(std::size_t bytes)
 {
     return static_cast<std::uint32_t>(bytes / bytes_per_token + 1);
--- a/src/libcyclamenrun/entry/caller_request.hpp
+++ b/src/libcyclamenrun/entry/caller_request.hpp
@@ -63,6 +63,9 @@
                                            const caller_limits& limits,
                                            time_point now);
 
+/** Printable without spaces, and neither empty nor over `longest`. */
+bool is_usable_id(const std::string& callers_id, std::size_t longest);
+
 /** How many tokens a prompt has, about: the engine's tokenizer isn't here. */
 std::uint32_t estimate_tokens(std::size_t bytes);
 
--- a/src/libcyclamenrun/outcomes/relay.hpp
+++ b/src/libcyclamenrun/outcomes/relay.hpp
@@ -86,7 +86,6 @@
 
 private:
     bool is_call() const { return request_.kind == link::WORK_KIND_CALL; }
-    bool seen() const { return seen_; }
     bool may_run_again() const;
     std::string attempt_id() const;
 
--- a/tests/faults/fault_world.cpp
+++ b/tests/faults/fault_world.cpp
@@ -554,8 +554,6 @@
                                std::optional<stream_position> resume_after)
 {
     const auto id = ++last_session_;
-    if (first_session_ == 0)
-        first_session_ = id;
     auto& its = sessions_[id];
     its.entry = entry;
     its.exchange = "x" + std::to_string(id);
@@ -678,7 +676,6 @@
         break;
     case fault::entry_stops:
         // It serves what it has begun; the balancer sends nothing more.
-        entry_draining_.at(entry) = true;
         break;
     case fault::link_stalls_to_agent:
         line.to_agent.stall();
--- a/tests/faults/fault_world.hpp
+++ b/tests/faults/fault_world.hpp
@@ -130,12 +130,10 @@
     std::vector<agent_node> agents_;
     std::vector<std::unique_ptr<wire>> wires_;
     std::array<bool, 2> entry_alive_{true, true};
-    std::array<bool, 2> entry_draining_{};
     std::array<std::optional<time_point>, 2> entry_frozen_until_{};
     std::vector<stream_pointer> streams_;
     std::map<std::uint64_t, session> sessions_;
     std::uint64_t last_session_ = 0;
-    std::uint64_t first_session_ = 0;
     std::uint64_t last_incarnation_ = 0;
     std::optional<stream_position> caller_has_;
     std::optional<link::Ticket> ticket_;
