--- a/src/libcyclamenrun/decisions/placement.cpp
+++ b/src/libcyclamenrun/decisions/placement.cpp
@@ -9,11 +9,11 @@
 namespace
 {
 
-/**
- * What a way to another failure domain is worth in load: half a millisecond
- * and the price of its bytes against the wait for a slot.
- */
-constexpr double other_domain_cost = 0.06;
+/** Each token takes a little longer beside others, 0.12 ms of 7 a slot. */
+constexpr double slot_cost = 0.3;
+/** Memory from here on is short: what grows may be preempted. */
+constexpr double short_memory = 0.8;
+constexpr double short_memory_cost = 5.0;
 /** An upstream that fails half of its requests is as bad as a full one. */
 constexpr double failure_cost = 2.0;
 /** Only if nothing else is left. */
@@ -23,12 +23,17 @@
 
 } // namespace
 
-double placement_cost(const placement_candidate& candidate)
+double placement_cost(const placement_candidate& candidate,
+                      const placement_weights& weights)
 {
-    double cost = std::max(candidate.slots_taken, candidate.memory_taken);
+    double cost = candidate.wait + slot_cost * candidate.slots_taken;
+    // Beyond its slots a request waits for others to end.
+    cost += std::max(0.0, candidate.slots_taken - 1);
+    cost += short_memory_cost *
+            std::max(0.0, candidate.memory_taken - short_memory);
     cost += failure_cost * candidate.failure_rate;
     if (!candidate.same_failure_domain)
-        cost += other_domain_cost;
+        cost += weights.other_domain;
     if (candidate.doubtful)
         cost += doubtful_cost;
     return cost;
@@ -36,13 +41,15 @@
 
 std::optional<std::size_t>
 choose_placement(std::span<const placement_candidate> candidates,
-                 std::mt19937_64& random)
+                 std::mt19937_64& random, const placement_weights& weights)
 {
     if (candidates.empty())
         return std::nullopt;
     std::vector<double> costs(candidates.size());
     std::transform(candidates.begin(), candidates.end(), costs.begin(),
-                   placement_cost);
+                   [&](const auto& candidate) {
+                       return placement_cost(candidate, weights);
+                   });
     const double least = *std::min_element(costs.begin(), costs.end());
     std::vector<std::size_t> best;
     for (std::size_t i = 0; i < costs.size(); ++i) {
--- a/src/libcyclamenrun/decisions/placement.hpp
+++ b/src/libcyclamenrun/decisions/placement.hpp
@@ -11,6 +11,8 @@
 
 /** An upstream that could run a request, as it would stand with it. */
 struct placement_candidate {
+    /** Expected wait for its first token, as a part of the objective. */
+    double wait = 0;
     /** Part of its slots that are taken, queued requests included. */
     double slots_taken = 0;
     /** Part of its memory that is taken; 0 for a plain service. */
@@ -22,16 +24,27 @@
     bool doubtful = false;
 };
 
-/**
- * Cost of placing a request, lower is better. Slots and memory count alike,
- * by the fuller one, since either makes a request wait.
- */
-double placement_cost(const placement_candidate& candidate);
+/** What a way between failure domains costs a placement. */
+struct placement_weights {
+    /**
+     * Half a millisecond and the price of the bytes of an answer, against the
+     * wait for a prompt that is read: as much as 30 ms of 1.5 s.
+     */
+    double other_domain = 0.02;
+};
+
+/** For memory that is copied: between domains it takes twice as long. */
+inline constexpr placement_weights copy_weights{0.6};
+
+/** Cost of placing a request, lower is better, in parts of its objective. */
+double placement_cost(const placement_candidate& candidate,
+                      const placement_weights& weights = {});
 
 /** Index of a candidate of least cost; equal ones are drawn among. */
 std::optional<std::size_t>
 choose_placement(std::span<const placement_candidate> candidates,
-                 std::mt19937_64& random);
+                 std::mt19937_64& random,
+                 const placement_weights& weights = {});
 
 } // namespace cyclamenrun
 
--- a/src/libcyclamenrun/gateway/load_teller.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -1,4 +1,4 @@
-#include "load_teller.hpp"
+#include "engine_monitor.hpp"
 
 #include "load.pb.h"
 #include "log_event.hpp"
@@ -20,28 +20,63 @@
 
 } // namespace
 
-load_teller::load_teller(std::shared_ptr<link_reactor> reactor,
+engine_monitor::engine_monitor(std::shared_ptr<link_reactor> reactor,
                          std::shared_ptr<const gateway_dialect> dialect,
-                         const load_teller_settings& settings)
+                         const engine_monitor_settings& settings)
     : reactor_(reactor), dialect_(std::move(dialect)), settings_(settings),
       socket_(std::make_shared<datagram_socket>(
           reactor, settings.listen,
-          [this](const ip_endpoint& from, std::string_view) {
-              const auto now = reactor_->now();
-              if (gateways_.size() < most_gateways)
-                  gateways_[to_string(from)] = {from, now + gateway_lifetime};
+          [this](const ip_endpoint& from, std::string_view bytes) {
+              take_request(from, bytes);
           })),
       engine_(std::make_shared<http_caller>(reactor, settings.engine))
 {
 }
 
-void load_teller::start()
+void engine_monitor::start()
 {
     socket_->start();
     look();
 }
 
-void load_teller::look()
+void engine_monitor::take_request(const ip_endpoint& from,
+                                  std::string_view bytes)
+{
+    v1::MonitorRequest request;
+    if (!request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return;
+    const auto now = reactor_->now();
+    const auto name = to_string(from);
+    if (gateways_.size() < most_gateways || gateways_.contains(name))
+        gateways_[name] = {from, now + gateway_lifetime};
+    if (!request.turn_ended().empty()) {
+        turns_.end(request.turn_ended());
+        give_turn();
+    }
+    if (request.turn_wanted().empty())
+        return;
+    v1::MonitorNotice notice;
+    if (turns_.ask({request.turn_wanted(), name}, now))
+        notice.set_turn_given(request.turn_wanted());
+    else
+        notice.set_turn_waits(request.turn_wanted());
+    socket_->send(from, notice.SerializeAsString());
+}
+
+void engine_monitor::give_turn()
+{
+    const auto holder = turns_.holder(reactor_->now());
+    if (!holder)
+        return;
+    const auto found = gateways_.find(holder->gateway);
+    if (found == gateways_.end())
+        return;
+    v1::MonitorNotice notice;
+    notice.set_turn_given(holder->id);
+    socket_->send(found->second.address, notice.SerializeAsString());
+}
+
+void engine_monitor::look()
 {
     next_look_ = steady_now() + settings_.interval;
     forget_silent();
@@ -56,7 +91,7 @@
                   });
 }
 
-void load_teller::look_later()
+void engine_monitor::look_later()
 {
     reactor_->post_at(next_look_, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -64,7 +99,7 @@
     });
 }
 
-void load_teller::take(const call_outcome& outcome)
+void engine_monitor::take(const call_outcome& outcome)
 {
     const auto load = outcome.and_then([&](const http_reply& reply) {
         return dialect_->read_load(reply);
@@ -79,19 +114,22 @@
     look_later();
 }
 
-void load_teller::tell(const engine_load& load)
+void engine_monitor::tell(const engine_load& load)
 {
-    v1::LoadNotice notice;
+    v1::MonitorNotice message;
+    auto& notice = *message.mutable_load();
     notice.set_engine_address(to_string(settings_.engine));
     notice.set_running(load.running);
     notice.set_queued(load.queued);
+    notice.set_starting(load.starting);
+    notice.set_next_tokens(load.next_tokens);
     notice.set_memory_used(load.memory_used);
     notice.set_memory_total(load.memory_total);
     notice.set_leaving(load.leaving);
     if (load.leaves_in_ms)
         notice.set_leaves_in_ms(*load.leaves_in_ms);
     notice.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
-    auto bytes = notice.SerializeAsString();
+    auto bytes = message.SerializeAsString();
     const auto now = reactor_->now();
     if (bytes == last_told_ && now < tell_again_at_)
         return;
@@ -101,7 +139,7 @@
     tell_again_at_ = now + tell_interval;
 }
 
-void load_teller::forget_silent()
+void engine_monitor::forget_silent()
 {
     const auto now = reactor_->now();
     std::erase_if(gateways_, [&](const auto& entry) {
--- a/src/libcyclamenrun/gateway/load_teller.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -1,6 +1,7 @@
-#ifndef CYCLAMENRUN_LOAD_TELLER_HPP
-#define CYCLAMENRUN_LOAD_TELLER_HPP
+#ifndef CYCLAMENRUN_ENGINE_MONITOR_HPP
+#define CYCLAMENRUN_ENGINE_MONITOR_HPP
 
+#include "copy_turns.hpp"
 #include "datagram_socket.hpp"
 #include "gateway_dialect.hpp"
 #include "http_call.hpp"
@@ -12,7 +13,7 @@
 namespace cyclamenrun
 {
 
-struct load_teller_settings {
+struct engine_monitor_settings {
     ip_endpoint engine;
     ip_endpoint listen;
     /** Time between two looks at the engine. */
@@ -21,28 +22,32 @@
 
 /**
  * A monitor's work: looks at the engine of its own VM, where that is fresh
- * and free, and tells the gateways that have asked. Guards against the two
+ * and free, tells the gateways that have asked, and gives them turns to copy
+ * generations from it. Guards against the two
  * ways in which gateways would learn of a load otherwise: from the directory,
  * seconds late, and by asking each engine from each gateway, whose number of
  * calls grows with both.
  */
-class load_teller : public std::enable_shared_from_this<load_teller>
+class engine_monitor : public std::enable_shared_from_this<engine_monitor>
 {
 public:
-    load_teller(std::shared_ptr<link_reactor> reactor,
+    engine_monitor(std::shared_ptr<link_reactor> reactor,
                 std::shared_ptr<const gateway_dialect> dialect,
-                const load_teller_settings& settings);
+                const engine_monitor_settings& settings);
 
     ip_endpoint address() const { return socket_->address(); }
     void start();
     std::size_t gateways() const { return gateways_.size(); }
 
 private:
-    struct gateway {
+    struct subscriber {
         ip_endpoint address;
         time_point forget_at;
     };
 
+    void take_request(const ip_endpoint& from, std::string_view bytes);
+    void give_turn();
+
     void look();
     void look_later();
     void take(const call_outcome& outcome);
@@ -51,10 +56,11 @@
 
     std::shared_ptr<link_reactor> reactor_;
     std::shared_ptr<const gateway_dialect> dialect_;
-    load_teller_settings settings_;
+    engine_monitor_settings settings_;
     std::shared_ptr<datagram_socket> socket_;
     std::shared_ptr<http_caller> engine_;
-    std::map<std::string, gateway> gateways_;
+    std::map<std::string, subscriber> gateways_;
+    copy_turns turns_;
     std::string last_told_;
     time_point tell_again_at_{};
     time_point next_look_{};
@@ -66,4 +72,4 @@
 
 } // namespace cyclamenrun
 
-#endif // CYCLAMENRUN_LOAD_TELLER_HPP
+#endif // CYCLAMENRUN_ENGINE_MONITOR_HPP
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -72,6 +72,7 @@
 
 void exchange::start()
 {
+    self_ = shared_from_this();
     context_.running.insert(this);
     auto facts = context_.dialect->read_request(request_.head);
     if (!facts) {
@@ -120,9 +121,15 @@
                : 0;
 }
 
-std::uint64_t exchange::tokens_needed() const
+placement_request exchange::needs(const std::string& from_domain) const
 {
-    return facts_.prompt_tokens + facts_.most_output_tokens / 2;
+    placement_request request;
+    request.prompt_tokens = facts_.prompt_tokens;
+    request.output_tokens = facts_.most_output_tokens / 2;
+    request.objective = admitted_.route->objective;
+    request.engine_tokens = engine_memory(service_);
+    request.from_domain = from_domain;
+    return request;
 }
 
 const upstream_state* exchange::choose()
@@ -130,11 +137,10 @@
     const auto found = candidates();
     std::vector<placement_candidate> places;
     places.reserve(found.size());
-    const auto memory = engine_memory(service_);
+    const auto request = needs(context_.failure_domain);
     for (const auto* upstream : found)
-        places.push_back(placement_of(*upstream, tokens_needed(), memory,
-                                      context_.failure_domain,
-                                      context_.reactor->now()));
+        places.push_back(
+            placement_of(*upstream, request, context_.reactor->now()));
     const auto chosen = choose_placement(places, context_.random);
     return chosen ? found[*chosen] : nullptr;
 }
@@ -169,15 +175,17 @@
         admitted_.route->shape != answer_shape::event_stream)
         return std::nullopt;
     double least = backup_below_memory;
+    const auto request = needs(upstream.failure_domain);
     for (const auto* other : context_.board.available(service_)) {
         if (other->record.id == upstream.id)
             continue;
-        const double cost = placement_cost(placement_of(
-            *other, tokens_needed(), engines->engine->memory_tokens,
-            upstream.failure_domain, context_.reactor->now()));
-        if (cost >= least)
+        const auto place =
+            placement_of(*other, request, context_.reactor->now());
+        const double taken =
+            place.memory_taken + (place.same_failure_domain ? 0.0 : 0.1);
+        if (taken >= least)
             continue;
-        least = cost;
+        least = taken;
         backup_ = other->record;
     }
     if (!backup_)
@@ -223,7 +231,9 @@
     passing_ = false;
     body_.clear();
     ++sends_;
-    context_.board.dispatched(upstream.id, tokens_needed(),
+    // What goes on elsewhere is not read again.
+    context_.board.dispatched(upstream.id,
+                              goes_on ? 0 : facts_.prompt_tokens,
                               context_.reactor->now());
     const auto self = shared_from_this();
     upstream_attempt::hooks on;
@@ -300,8 +310,15 @@
         cut(name_of(passed.error()));
         return;
     }
-    if (!passed->empty())
-        pass_bytes(*passed);
+    if (passed->empty())
+        return;
+    pass_bytes(*passed);
+    // A generation that had not begun when its engine was told to leave can
+    // be moved from its first event on.
+    const auto* state =
+        attempt_ ? context_.board.find(attempt_->upstream().id) : nullptr;
+    if (state != nullptr && state->leaving)
+        upstream_leaving(state->record.id, state->leaves_at);
 }
 
 void exchange::hold_back_if_slow()
@@ -428,9 +445,37 @@
                                 std::optional<time_point> leaves_at)
 {
     const bool here = attempt_ && attempt_->upstream().id == upstream_id;
-    if (over_ || move_ || stopped_at_ || !here || !worth_moving(leaves_at))
+    if (over_ || move_ || stopped_at_ || turn_wanted_ || !here ||
+        !worth_moving(leaves_at))
         return;
-    start_move(upstream_id);
+    // What has not begun can't be moved: its first event asks again.
+    if (begun_)
+        want_move(upstream_id);
+}
+
+void exchange::want_move(const std::string& source_id)
+{
+    const auto* source = context_.board.find(source_id);
+    if (source == nullptr)
+        return;
+    if (!context_.monitors) {
+        start_move(source_id);
+        return;
+    }
+    turn_wanted_ = true;
+    context_.monitors->want_turn(
+        source->record.address.host, facts_.id,
+        [weak = weak_from_this(), source_id] {
+            const auto self = weak.lock();
+            if (self && !self->over_)
+                self->start_move(source_id);
+        });
+}
+
+void exchange::end_move_turn()
+{
+    if (std::exchange(turn_wanted_, false) && context_.monitors)
+        context_.monitors->end_turn(facts_.id);
 }
 
 bool exchange::worth_moving(std::optional<time_point> leaves_at) const
@@ -448,26 +493,32 @@
 void exchange::start_move(const std::string& source_id)
 {
     const auto* source = context_.board.find(source_id);
-    if (source == nullptr)
+    if (source == nullptr || !attempt_ ||
+        attempt_->upstream().id != source_id) {
+        end_move_turn();
         return;
+    }
     const auto now = context_.reactor->now();
-    const auto memory = engine_memory(service_);
     std::vector<const upstream_state*> others =
         context_.board.available(service_);
     std::erase_if(others, [&](const auto* other) {
-        return other->record.id == source_id;
+        return other->record.id == source_id ||
+               other->record.id == refused_by_;
     });
     std::vector<placement_candidate> places;
+    const auto request = needs(source->record.failure_domain);
     for (const auto* other : others)
-        places.push_back(placement_of(*other, tokens_needed(), memory,
-                                      source->record.failure_domain, now));
-    const auto chosen = choose_placement(places, context_.random);
-    if (!chosen)
+        places.push_back(placement_of(*other, request, now));
+    const auto chosen =
+        choose_placement(places, context_.random, copy_weights);
+    if (!chosen) {
+        end_move_turn();
         return;
+    }
     const auto& destination = others[*chosen]->record;
     // Counted at once, so that the next move of this engine's generations
     // sees the room as taken.
-    context_.board.dispatched(destination.id, tokens_needed(), now);
+    context_.board.dispatched(destination.id, facts_.prompt_tokens, now);
     context_.board.settled(destination.id);
     ++moves_;
     generation_move::hooks on;
@@ -490,6 +541,7 @@
 
 void exchange::move_stopped(continuation from)
 {
+    end_move_turn();
     if (over_)
         return;
     stopped_at_ = std::move(from);
@@ -513,9 +565,12 @@
 void exchange::move_failed(move_failure failure,
                            std::optional<continuation> kept)
 {
+    end_move_turn();
     if (over_)
         return;
     const auto failed = std::exchange(move_, nullptr);
+    refused_by_ = failure == move_failure::no_room ? failed->destination().id
+                                                   : std::string();
     log_event(log_severity::warning, log_event_name::generation_move_failed,
               {{log_key::request_id, facts_.id},
                {log_key::upstream, failed->destination().id},
@@ -694,11 +749,12 @@
 void exchange::end()
 {
     over_ = true;
-    const auto self = shared_from_this();
+    const auto self = std::exchange(self_, nullptr);
     context_.running.erase(this);
     if (attempt_)
         attempt_->cancel();
     settle();
+    end_move_turn();
     if (move_)
         move_->cancel();
     move_.reset();
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -53,7 +53,7 @@
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& goes_on);
     std::optional<ip_endpoint> choose_backup(const upstream_record& upstream);
-    std::uint64_t tokens_needed() const;
+    placement_request needs(const std::string& from_domain) const;
     std::uint64_t engine_memory(const std::string& service) const;
     const gateway_service* service() const;
     void settle();
@@ -72,7 +72,9 @@
 
     // A generation that goes on elsewhere.
     bool goes_on_after_loss();
+    void want_move(const std::string& source_id);
     void start_move(const std::string& source_id);
+    void end_move_turn();
     void move_stopped(continuation from);
     void move_failed(move_failure failure, std::optional<continuation> kept);
     void go_on();
@@ -91,6 +93,8 @@
     milliseconds retry_after() const;
 
     gateway_context& context_;
+    /** Until the answer is final: between attempts nothing else holds it. */
+    std::shared_ptr<exchange> self_;
     caller_request request_;
     std::shared_ptr<answer_writer> writer_;
     std::shared_ptr<const gateway_routes> routes_;
@@ -116,6 +120,8 @@
     /** The attempt at hand goes on from memory that lies at an engine. */
     std::optional<continuation> goes_on_;
     unsigned moves_ = 0;
+    bool turn_wanted_ = false; ///< or held: the turn to copy this generation
+    std::string refused_by_;   ///< destination that had no room
 };
 
 /** An answer up to this size is held until it is whole, so that one that
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -6,6 +6,7 @@
 #include "gateway_dialect.hpp"
 #include "gateway_routes.hpp"
 #include "link_reactor.hpp"
+#include "monitor_link.hpp"
 #include "shared_retry_budget.hpp"
 #include "upstream_board.hpp"
 #include "upstream_channels.hpp"
@@ -37,6 +38,8 @@
     /** Empty until a configuration is known; replaced, never changed. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
+    /** Empty where there are no monitors. */
+    std::shared_ptr<monitor_link> monitors;
     /** Requests that are being served. */
     std::unordered_set<exchange*> running;
     bool stopping = false;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -77,7 +77,6 @@
         ended_ = true;
         configurations_.reset();
         upstreams_.reset();
-        loads_.reset();
         for (auto* running : std::vector(context_->running.begin(),
                                          context_->running.end()))
             running->shared_from_this()->caller_left();
@@ -112,9 +111,9 @@
         upstream_board(std::move(board)),
         shared_retry_budget(budget_settings(settings_)),
         configuration_lease(lease_term(settings_)), nullptr,
-        std::mt19937_64(std::random_device{}()), {}, false});
+        std::mt19937_64(std::random_device{}()), nullptr, {}, false});
     start_feeds();
-    start_loads();
+    start_monitor_link();
     start_servers();
     tick();
 }
@@ -161,11 +160,11 @@
     upstreams_->start();
 }
 
-void gateway_process::start_loads()
+void gateway_process::start_monitor_link()
 {
     if (settings_.monitor_port == 0)
         return;
-    load_receiver::hooks on;
+    monitor_link::hooks on;
     on.load = [this](const ip_endpoint& engine, const engine_load& load) {
         context_->board.take_load(engine, load, loop_.reactor()->now());
     };
@@ -180,11 +179,11 @@
             hosts.merge(context_->board.hosts(name));
         return hosts;
     };
-    loads_ = std::make_shared<load_receiver>(
+    context_->monitors = std::make_shared<monitor_link>(
         loop_.reactor(), settings_.loads_listen,
         static_cast<std::uint16_t>(settings_.monitor_port), settings_.name,
         std::move(on));
-    loads_->start();
+    context_->monitors->start();
 }
 
 void gateway_process::start_servers()
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -7,7 +7,7 @@
 #include "gateway_settings.hpp"
 #include "http_server.hpp"
 #include "link_loop.hpp"
-#include "load_receiver.hpp"
+#include "monitor_link.hpp"
 
 #include <functional>
 #include <future>
@@ -59,7 +59,7 @@
     void start();
     void start_feeds();
     void start_servers();
-    void start_loads();
+    void start_monitor_link();
     session_hooks caller_hooks();
     session_hooks ready_hooks();
     session_limits limits() const;
@@ -85,7 +85,6 @@
     std::shared_ptr<http_server> ready_server_;
     std::shared_ptr<feed_follower<gateway_configuration>> configurations_;
     std::shared_ptr<feed_follower<upstream_change>> upstreams_;
-    std::shared_ptr<load_receiver> loads_;
     /** The directory was away until just before this time. */
     time_point doubt_until_{};
     bool upstreams_known_ = false;
--- /dev/null
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -0,0 +1,154 @@
+#include "monitor_link.hpp"
+
+#include "load.pb.h"
+
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Time between two questions; a monitor forgets after three of them. */
+constexpr milliseconds ask_interval{1000};
+/** A host that has just appeared is asked this soon. */
+constexpr milliseconds look_interval{100};
+/** A turn is asked for again, in case a datagram was lost. */
+constexpr milliseconds turn_interval{50};
+/** A monitor that says nothing for so long is down or cut off. */
+constexpr milliseconds monitor_silence{160};
+
+engine_load load_of(const v1::EngineLoad& message)
+{
+    engine_load load;
+    load.running = message.running();
+    load.starting = message.starting();
+    load.queued = message.queued();
+    load.next_tokens = message.next_tokens();
+    load.memory_used = message.memory_used();
+    load.memory_total = message.memory_total();
+    load.leaving = message.leaving();
+    if (message.has_leaves_in_ms())
+        load.leaves_in_ms = message.leaves_in_ms();
+    return load;
+}
+
+} // namespace
+
+monitor_link::monitor_link(std::shared_ptr<link_reactor> reactor,
+                           const ip_endpoint& listen,
+                           std::uint16_t monitor_port, std::string name,
+                           hooks on)
+    : reactor_(std::move(reactor)), monitor_port_(monitor_port),
+      name_(std::move(name)), on_(std::move(on))
+{
+    socket_ = std::make_shared<datagram_socket>(
+        reactor_, listen, [this](const ip_endpoint&, std::string_view bytes) {
+            take(bytes);
+        });
+}
+
+void monitor_link::start()
+{
+    socket_->start();
+    ask_for_loads();
+}
+
+void monitor_link::send(const std::string& host,
+                        const v1::MonitorRequest& request)
+{
+    socket_->send({host, monitor_port_}, request.SerializeAsString());
+}
+
+void monitor_link::ask_for_loads()
+{
+    const auto now = reactor_->now();
+    const auto hosts = on_.engine_hosts();
+    const bool all = now >= ask_all_at_;
+    if (all)
+        ask_all_at_ = now + ask_interval;
+    v1::MonitorRequest request;
+    request.set_gateway(name_);
+    for (const auto& host : hosts) {
+        if (all || !asked_.contains(host))
+            send(host, request);
+    }
+    asked_ = hosts;
+    reactor_->post_at(now + look_interval, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->ask_for_loads();
+    });
+}
+
+void monitor_link::want_turn(const std::string& host, const std::string& id,
+                             std::function<void()> given)
+{
+    turns_[id] = {host, std::move(given), reactor_->now()};
+    ask_for_turn(id);
+}
+
+void monitor_link::ask_for_turn(const std::string& id)
+{
+    const auto found = turns_.find(id);
+    if (found == turns_.end() || !found->second.given)
+        return;
+    if (reactor_->now() - found->second.heard_at >= monitor_silence) {
+        give(id);
+        return;
+    }
+    v1::MonitorRequest request;
+    request.set_gateway(name_);
+    request.set_turn_wanted(id);
+    send(found->second.host, request);
+    reactor_->post_at(reactor_->now() + turn_interval,
+                      [weak = weak_from_this(), id] {
+                          if (const auto self = weak.lock())
+                              self->ask_for_turn(id);
+                      });
+}
+
+void monitor_link::give(const std::string& id)
+{
+    const auto found = turns_.find(id);
+    if (found == turns_.end())
+        return;
+    if (const auto given = std::exchange(found->second.given, nullptr))
+        given();
+}
+
+void monitor_link::end_turn(const std::string& id)
+{
+    const auto found = turns_.find(id);
+    if (found == turns_.end())
+        return;
+    v1::MonitorRequest request;
+    request.set_gateway(name_);
+    request.set_turn_ended(id);
+    send(found->second.host, request);
+    turns_.erase(found);
+}
+
+void monitor_link::take(std::string_view bytes)
+{
+    v1::MonitorNotice notice;
+    if (!notice.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return;
+    if (notice.has_turn_given())
+        give(notice.turn_given());
+    if (notice.has_turn_waits()) {
+        const auto found = turns_.find(notice.turn_waits());
+        if (found != turns_.end())
+            found->second.heard_at = reactor_->now();
+    }
+    if (!notice.has_load())
+        return;
+    const auto engine = parse_ip_endpoint(notice.load().engine_address());
+    if (!engine)
+        return;
+    on_.load(*engine, load_of(notice.load()));
+    if (notice.load().gateways() > 0)
+        on_.gateways(notice.load().gateways());
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -5,17 +5,17 @@
 
 monitor_process::monitor_process(const monitor_settings& settings,
                                  std::shared_ptr<const gateway_dialect> dialect)
-    : teller_(std::make_shared<load_teller>(
+    : monitor_(std::make_shared<engine_monitor>(
           loop_.reactor(), std::move(dialect),
-          load_teller_settings{settings.engine, settings.listen,
+          engine_monitor_settings{settings.engine, settings.listen,
                                settings.interval}))
 {
-    loop_.post([teller = teller_] { teller->start(); });
+    loop_.post([monitor = monitor_] { monitor->start(); });
 }
 
 std::string monitor_process::address() const
 {
-    return to_string(teller_->address());
+    return to_string(monitor_->address());
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/monitor_process.hpp
+++ b/src/libcyclamenrun/gateway/monitor_process.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_MONITOR_PROCESS_HPP
 
 #include "link_loop.hpp"
-#include "load_teller.hpp"
+#include "engine_monitor.hpp"
 #include "monitor_settings.hpp"
 
 #include <memory>
@@ -24,7 +24,7 @@
 
 private:
     link_loop loop_;
-    std::shared_ptr<load_teller> teller_;
+    std::shared_ptr<engine_monitor> monitor_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -28,19 +28,26 @@
 /** Time in which a failure rate halves with no news. */
 constexpr milliseconds failure_half_life{2000};
 /** Prompt of a request that waits at an engine, for which no size is told. */
-constexpr std::uint64_t usual_prompt_tokens = 2500;
+constexpr double usual_prompt_tokens = 2500;
 /**
  * Requests of other gateways at an engine whose host sends no load: as many
  * as own ones for each of a few other gateways.
  */
 constexpr unsigned usual_gateways = 5;
+/**
+ * Prompts are read one after another, in chunks between the tokens of what
+ * runs: 112 tokens in a step of 15 to 16 ms, as engines of this size do.
+ */
+constexpr double tokens_read_per_ms = 7;
+/** Tokens by which a running request may still grow. */
+constexpr double usual_growth = 300;
 
-std::uint64_t unreported_tokens(const upstream_state& upstream)
+double unreported_tokens(const upstream_state& upstream)
 {
     return std::accumulate(
-        upstream.unreported.begin(), upstream.unreported.end(),
-        std::uint64_t(0), [](std::uint64_t sum, const auto& dispatch) {
-            return sum + dispatch.tokens;
+        upstream.unreported.begin(), upstream.unreported.end(), 0.0,
+        [](double sum, const auto& dispatch) {
+            return sum + static_cast<double>(dispatch.prompt_tokens);
         });
 }
 
@@ -52,6 +59,40 @@
     return upstream.failure_rate * std::exp2(-std::max(0.0, halves));
 }
 
+struct believed {
+    double requests = 0;
+    double unread_tokens = 0; ///< of prompts that come before a new one
+    double memory_tokens = 0;
+};
+
+/** From the latest load and own dispatches since, or own counts alone. */
+believed believed_load(const upstream_state& upstream, time_point now)
+{
+    believed result;
+    const bool fresh =
+        upstream.load && now - upstream.load_at <= load_lifetime;
+    const double unreported = unreported_tokens(upstream);
+    if (!fresh) {
+        result.requests = upstream.own_running;
+        result.memory_tokens = result.requests * usual_gateways *
+                               (usual_prompt_tokens + usual_growth);
+        result.unread_tokens = unreported;
+        return result;
+    }
+    const auto& load = *upstream.load;
+    const double waiting =
+        load.queued == 0 ? 0
+                         : load.next_tokens +
+                               (load.queued - 1) * usual_prompt_tokens;
+    result.requests = static_cast<double>(load.running + load.queued +
+                                          upstream.unreported.size());
+    result.unread_tokens =
+        waiting + load.starting * usual_prompt_tokens / 2 + unreported;
+    result.memory_tokens = static_cast<double>(load.memory_used) + waiting +
+                           unreported + load.running * usual_growth;
+    return result;
+}
+
 } // namespace
 
 void upstream_board::apply(const upstream_change& change, time_point now,
@@ -175,14 +216,15 @@
     leave(upstream, leaves_at);
 }
 
-void upstream_board::dispatched(const std::string& id, std::uint64_t tokens,
+void upstream_board::dispatched(const std::string& id,
+                                std::uint64_t prompt_tokens,
                                 time_point now)
 {
     const auto found = upstreams_.find(id);
     if (found == upstreams_.end())
         return;
     ++found->second.own_running;
-    found->second.unreported.push_back({now, tokens});
+    found->second.unreported.push_back({now, prompt_tokens});
     while (found->second.unreported.front().at < now - load_lifetime)
         found->second.unreported.pop_front();
 }
@@ -246,34 +288,26 @@
 }
 
 placement_candidate placement_of(const upstream_state& upstream,
-                                 std::uint64_t tokens,
-                                 std::uint64_t memory_tokens,
-                                 const std::string& own_domain, time_point now)
+                                 const placement_request& request,
+                                 time_point now)
 {
     placement_candidate candidate;
     candidate.same_failure_domain =
-        upstream.record.failure_domain == own_domain;
+        upstream.record.failure_domain == request.from_domain;
     candidate.failure_rate = failure_rate_at(upstream, now);
     candidate.doubtful = upstream.doubted_until.has_value();
+    const auto load = believed_load(upstream, now);
     const double slots = std::max(1U, upstream.record.slots);
-    const bool fresh =
-        upstream.load && now - upstream.load_at <= load_lifetime;
-    const auto unreported = upstream.unreported.size();
-    const double running =
-        fresh ? static_cast<double>(upstream.load->running +
-                                    upstream.load->queued + unreported)
-              : static_cast<double>(upstream.own_running);
-    candidate.slots_taken = (running + 1) / slots;
-    if (memory_tokens == 0)
+    candidate.slots_taken = (load.requests + 1) / slots;
+    if (request.engine_tokens == 0)
         return candidate;
-    const auto used =
-        fresh ? upstream.load->memory_used +
-                    upstream.load->queued * usual_prompt_tokens +
-                    unreported_tokens(upstream)
-              : std::uint64_t(upstream.own_running) * usual_gateways *
-                    usual_prompt_tokens / 2;
-    candidate.memory_taken = static_cast<double>(used + tokens) /
-                             static_cast<double>(memory_tokens);
+    const double objective = static_cast<double>(
+        std::max(request.objective, milliseconds(1)).count());
+    candidate.wait = load.unread_tokens / tokens_read_per_ms / objective;
+    candidate.memory_taken =
+        (load.memory_tokens + static_cast<double>(request.prompt_tokens +
+                                                  request.output_tokens)) /
+        static_cast<double>(request.engine_tokens);
     return candidate;
 }
 
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -36,7 +36,7 @@
 
     struct dispatch {
         time_point at;
-        std::uint64_t tokens;
+        std::uint64_t prompt_tokens;
     };
     /** Own dispatches that the latest load can't contain. */
     std::deque<dispatch> unreported;
@@ -71,7 +71,7 @@
     void take_load(const ip_endpoint& address, const engine_load& load,
                    time_point now);
 
-    void dispatched(const std::string& id, std::uint64_t tokens,
+    void dispatched(const std::string& id, std::uint64_t prompt_tokens,
                     time_point now);
     void settled(const std::string& id);
     void succeeded(const std::string& id, time_point now);
@@ -98,12 +98,19 @@
     std::unordered_map<std::string, std::string> by_address_;
 };
 
-/** An engine as it would stand with `tokens` more; a request also takes a
- * slot. `memory_tokens`: what the configuration says of its size. */
+/** What placement needs to know of a request. */
+struct placement_request {
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0; ///< expected
+    milliseconds objective{0};
+    /** Memory of an engine, as configured; 0: a plain service. */
+    std::uint64_t engine_tokens = 0;
+    std::string from_domain;
+};
+
+/** An upstream as it would stand with the request. */
 placement_candidate placement_of(const upstream_state& upstream,
-                                 std::uint64_t tokens,
-                                 std::uint64_t memory_tokens,
-                                 const std::string& own_domain,
+                                 const placement_request& request,
                                  time_point now);
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_record.hpp
+++ b/src/libcyclamenrun/gateway/upstream_record.hpp
@@ -33,7 +33,9 @@
 /** Load of a model engine, as its own host sees it. */
 struct engine_load {
     std::uint32_t running = 0;
+    std::uint32_t starting = 0; ///< of those: their prompts are being read
     std::uint32_t queued = 0;
+    std::uint32_t next_tokens = 0;  ///< prompt of the first that waits
     std::uint64_t memory_used = 0;  ///< tokens that can't yield
     std::uint64_t memory_total = 0; ///< tokens
     bool leaving = false;
