--- a/src/libcyclamenrun/http/http_call.cpp
+++ b/src/libcyclamenrun/http/http_call.cpp
@@ -50,6 +50,7 @@
     reply_ = {};
     peer_keeps_ = true;
     on_answer_ = std::move(on_answer);
+    self_ = shared_from_this();
     const auto number = ++call_;
     reactor_->post_at(deadline, [weak = weak_from_this(), number] {
         const auto self = weak.lock();
@@ -135,6 +136,7 @@
 {
     if (!outcome)
         close();
+    const auto self = std::exchange(self_, nullptr);
     const auto answer = std::exchange(on_answer_, nullptr);
     answer(std::move(outcome));
 }
--- a/src/libcyclamenrun/http/http_call.hpp
+++ b/src/libcyclamenrun/http/http_call.hpp
@@ -30,7 +30,8 @@
 /**
  * Whole requests and responses to one peer, one at a time, on a connection
  * that is kept. A connection whose answer did not come in time is never used
- * again, since the answer could be taken for that of a later call.
+ * again, since the answer could be taken for that of a later call. Keeps itself
+ * alive until the call under way is answered.
  */
 class http_caller : public std::enable_shared_from_this<http_caller>
 {
@@ -59,6 +60,7 @@
     ip_endpoint peer_;
     std::shared_ptr<tcp_channel> channel_;
     std::unique_ptr<http_reader> reader_;
+    std::shared_ptr<http_caller> self_;
     std::string request_;
     http_reply reply_;
     answered on_answer_;
