--- a/src/libcyclamenrun/base/stop_signal.hpp
+++ b/src/libcyclamenrun/base/stop_signal.hpp
@@ -5,9 +5,9 @@
 {
 
 /**
- * Waits for SIGTERM, SIGINT or SIGHUP on a thread of the program's choice, so that a
- * planned stop runs as ordinary code. To be made before any other thread,
- * since threads inherit which signals are blocked.
+ * Waits for SIGTERM, SIGINT or SIGHUP on a thread of the program's choice, so
+ * that a planned stop runs as ordinary code. To be made before any other
+ * thread, since threads inherit which signals are blocked.
  */
 class stop_signal
 {
--- a/src/libcyclamenrun/decisions/attempt_policy.hpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.hpp
@@ -8,10 +8,10 @@
 
 /** What became of one attempt at an upstream. */
 enum class attempt_result : std::uint8_t {
-    not_sent,     ///< no byte of it reached the upstream
-    turned_away,  ///< the upstream vouches that it has not run it
-    failed,       ///< it ran there and failed; the upstream's answer is known
-    lost,         ///< it may have run there, and its answer is lost
+    not_sent,    ///< no byte of it reached the upstream
+    turned_away, ///< the upstream vouches that it has not run it
+    failed,      ///< it ran there and failed; the upstream's answer is known
+    lost,        ///< it may have run there, and its answer is lost
 };
 
 /** How a request stands when an attempt has ended. */
@@ -26,12 +26,12 @@
 };
 
 enum class attempt_step : std::uint8_t {
-    again,        ///< at another upstream, within the budget of retries
-    again_free,   ///< at another upstream; nothing arrived at the last one
-    deliver,      ///< the upstream's own answer
-    refuse,       ///< tell the caller that it has not run
-    report_lost,  ///< tell the caller that it may have run
-    cut,          ///< end the answer so that the caller sees it is not whole
+    again,       ///< at another upstream, within the budget of retries
+    again_free,  ///< at another upstream; nothing arrived at the last one
+    deliver,     ///< the upstream's own answer
+    refuse,      ///< tell the caller that it has not run
+    report_lost, ///< tell the caller that it may have run
+    cut,         ///< end the answer so that the caller sees it is not whole
 };
 
 /**
--- a/src/libcyclamenrun/decisions/copy_turns.cpp
+++ b/src/libcyclamenrun/decisions/copy_turns.cpp
@@ -24,9 +24,8 @@
 void copy_turns::end(const std::string& id)
 {
     const bool had_turn = !places_.empty() && places_.front().who.id == id;
-    std::erase_if(places_, [&](const place& each) {
-        return each.who.id == id;
-    });
+    std::erase_if(places_,
+                  [&](const place& each) { return each.who.id == id; });
     if (had_turn)
         turn_ends_ = time_point::max();
 }
--- a/src/libcyclamenrun/decisions/shared_retry_budget.cpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.cpp
@@ -41,8 +41,7 @@
     const double earned =
         settings_.share * static_cast<double>(counts.requests.count(now)) +
         settings_.extra / sharers_;
-    if (static_cast<double>(counts.retries.count(now) + 1) >
-        used_part * earned)
+    if (static_cast<double>(counts.retries.count(now) + 1) > used_part * earned)
         return false;
     counts.retries.add(now);
     return true;
--- a/src/libcyclamenrun/gateway/configuration_lease.hpp
+++ b/src/libcyclamenrun/gateway/configuration_lease.hpp
@@ -21,8 +21,7 @@
 {
 public:
     /** No term: the configuration may be used however old it is. */
-    explicit configuration_lease(std::optional<milliseconds> term)
-        : term_(term)
+    explicit configuration_lease(std::optional<milliseconds> term) : term_(term)
     {
     }
 
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-engine_monitor::engine_monitor(std::shared_ptr<link_reactor> reactor,
-                         std::shared_ptr<const gateway_dialect> dialect,
-                         const engine_monitor_settings& settings)
+engine_monitor::engine_monitor(const std::shared_ptr<link_reactor>& reactor,
+                               std::shared_ptr<const gateway_dialect> dialect,
+                               const engine_monitor_settings& settings)
     : reactor_(reactor), dialect_(std::move(dialect)), settings_(settings),
       socket_(std::make_shared<datagram_socket>(
           reactor, settings.listen,
@@ -101,9 +101,8 @@
 
 void engine_monitor::take(const call_outcome& outcome)
 {
-    const auto load = outcome.and_then([&](const http_reply& reply) {
-        return dialect_->read_load(reply);
-    });
+    const auto load = outcome.and_then(
+        [&](const http_reply& reply) { return dialect_->read_load(reply); });
     if (load)
         tell(*load);
     if (load.has_value() != std::exchange(engine_known_, load.has_value()))
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -31,9 +31,9 @@
 class engine_monitor : public std::enable_shared_from_this<engine_monitor>
 {
 public:
-    engine_monitor(std::shared_ptr<link_reactor> reactor,
-                std::shared_ptr<const gateway_dialect> dialect,
-                const engine_monitor_settings& settings);
+    engine_monitor(const std::shared_ptr<link_reactor>& reactor,
+                   std::shared_ptr<const gateway_dialect> dialect,
+                   const engine_monitor_settings& settings);
 
     ip_endpoint address() const { return socket_->address(); }
     void start();
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -20,22 +20,10 @@
 constexpr milliseconds connect_time{250};
 /** Bytes that a slow caller may leave in this process. */
 constexpr std::size_t most_unsent_bytes = std::size_t(256) << 10;
-/**
- * After the order to stop, the source's last events are on their way for a
- * few milliseconds; then its connection is dropped.
- */
-constexpr milliseconds last_events_time{60};
-/** A generation that has not begun can't be moved yet; time to ask again. */
-constexpr milliseconds move_again_after{120};
-/** Time for an order to move when the source's end is unknown; the shortest
- * notice of a reclaim is 1.5 s. */
+/** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
 constexpr milliseconds usual_notice{1500};
 /** Slowest usual output of a crowded engine, a token each 10 ms. */
 constexpr milliseconds time_per_token{10};
-/** Moves of one generation; each costs a pause. */
-constexpr unsigned most_moves = 8;
-/** A backup takes memory from running work; only where half is free. */
-constexpr double backup_below_memory = 0.5;
 
 bool is_success(unsigned status)
 {
@@ -48,6 +36,21 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/** What is left when the budget of retries is spent. */
+attempt_step step_without_budget(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::not_sent:
+    case attempt_result::turned_away:
+        return attempt_step::refuse;
+    case attempt_result::failed:
+        return attempt_step::deliver;
+    case attempt_result::lost:
+        return attempt_step::report_lost;
+    }
+    return attempt_step::report_lost;
+}
+
 http_head without_connection_fields(http_head head)
 {
     std::erase_if(head.fields, [](const http_field& field) {
@@ -98,27 +101,10 @@
 
 // Where it runs.
 
-std::vector<const upstream_state*> exchange::candidates() const
+const engine_traits* exchange::engine() const
 {
-    auto all = context_.board.available(service_);
-    std::erase_if(all, [&](const upstream_state* upstream) {
-        return std::find(tried_.begin(), tried_.end(), upstream->record.id) !=
-               tried_.end();
-    });
-    return all;
-}
-
-const gateway_service* exchange::service() const
-{
-    return routes_->service(service_);
-}
-
-std::uint64_t exchange::engine_memory(const std::string& name) const
-{
-    const auto* service = routes_->service(name);
-    return service != nullptr && service->engine
-               ? service->engine->memory_tokens
-               : 0;
+    const auto* service = routes_->service(service_);
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
 }
 
 placement_request exchange::needs(const std::string& from_domain) const
@@ -127,88 +113,66 @@
     request.prompt_tokens = facts_.prompt_tokens;
     request.output_tokens = facts_.most_output_tokens / 2;
     request.objective = admitted_.route->objective;
-    request.engine_tokens = engine_memory(service_);
+    request.engine_tokens = engine() != nullptr ? engine()->memory_tokens : 0;
     request.from_domain = from_domain;
     return request;
 }
 
-const upstream_state* exchange::choose()
-{
-    const auto found = candidates();
-    std::vector<placement_candidate> places;
-    places.reserve(found.size());
-    const auto request = needs(context_.failure_domain);
-    for (const auto* upstream : found)
-        places.push_back(
-            placement_of(*upstream, request, context_.reactor->now()));
-    const auto chosen = choose_placement(places, context_.random);
-    return chosen ? found[*chosen] : nullptr;
-}
-
 void exchange::dispatch()
 {
+    // Time may have passed in a wait or a suspension since the last look.
     if (!context_.lease.valid(boot_now())) {
-        refuse(gateway_refusal::no_configuration);
+        refuse(runs_ > 0 ? gateway_refusal::upstream_lost
+                         : gateway_refusal::no_configuration);
         return;
     }
     if (service_.empty()) {
         service_ = choose_service(*admitted_.route, context_.random);
         context_.budget.request(service_, context_.reactor->now());
     }
-    const auto* upstream = choose();
-    if (upstream == nullptr) {
-        refuse(tried_.empty() ? gateway_refusal::no_upstream
-               : runs_ > 0    ? gateway_refusal::upstream_lost
-                              : gateway_refusal::upstreams_busy);
+    const auto upstream =
+        context_.choice.for_request(service_, needs(context_.failure_domain),
+                                    tried_, context_.reactor->now());
+    if (upstream) {
+        send(*upstream, std::nullopt);
         return;
     }
-    send(upstream->record, std::nullopt);
+    if (begun_)
+        cut("no_upstream");
+    else if (runs_ > 0)
+        refuse(gateway_refusal::upstream_lost);
+    else
+        refuse(tried_.empty() ? gateway_refusal::no_upstream
+                              : gateway_refusal::upstreams_busy);
 }
 
-std::optional<ip_endpoint>
-exchange::choose_backup(const upstream_record& upstream)
+void exchange::choose_backup(const upstream_record& upstream)
 {
     backup_.reset();
-    const auto* engines = service();
-    if (engines == nullptr || !engines->engine || !engines->engine->backups ||
-        admitted_.route->resumable ||
+    const bool repeatable = admitted_.route->resumable;
+    if (engine() == nullptr || !engine()->backups || repeatable ||
         admitted_.route->shape != answer_shape::event_stream)
-        return std::nullopt;
-    double least = backup_below_memory;
-    const auto request = needs(upstream.failure_domain);
-    for (const auto* other : context_.board.available(service_)) {
-        if (other->record.id == upstream.id)
-            continue;
-        const auto place =
-            placement_of(*other, request, context_.reactor->now());
-        const double taken =
-            place.memory_taken + (place.same_failure_domain ? 0.0 : 0.1);
-        if (taken >= least)
-            continue;
-        least = taken;
-        backup_ = other->record;
-    }
-    if (!backup_)
-        return std::nullopt;
-    return backup_->address;
+        return;
+    backup_ =
+        context_.choice.for_backup(service_, needs(upstream.failure_domain),
+                                   upstream.id, context_.reactor->now());
 }
 
-std::string
-exchange::request_for(const upstream_record& upstream,
-                      const std::optional<continuation>& goes_on)
+std::string exchange::request_for(const upstream_record& upstream,
+                                  const std::optional<continuation>& goes_on)
 {
     dispatch_facts facts;
-    facts.time_left =
-        time_left(admitted_.answer_by, context_.reactor->now());
+    facts.time_left = time_left(admitted_.answer_by, context_.reactor->now());
     facts.upstream_id = upstream.id;
     if (admitted_.team != nullptr)
         facts.team = admitted_.team->name;
     facts.goes_on = goes_on;
     if (facts.goes_on || begun_)
         facts.last_event_id = events_.last_id();
-    facts.backup = choose_backup(upstream);
-    const auto head =
-        context_.dialect->upstream_head(request_.head, facts);
+    choose_backup(upstream);
+    if (backup_)
+        facts.backup = backup_->address;
+    const auto head = context_.dialect->upstream_head(request_.head, facts);
     const bool has_body = !request_.body.empty() || request_.head.chunked ||
                           request_.head.find("Content-Length").has_value();
     return request_text(head,
@@ -232,8 +196,7 @@
     body_.clear();
     ++sends_;
     // What goes on elsewhere is not read again.
-    context_.board.dispatched(upstream.id,
-                              goes_on ? 0 : facts_.prompt_tokens,
+    context_.board.dispatched(upstream.id, goes_on ? 0 : facts_.prompt_tokens,
                               context_.reactor->now());
     const auto self = shared_from_this();
     upstream_attempt::hooks on;
@@ -244,8 +207,8 @@
     on.complete = [self] { self->take_complete(); };
     on.lost = [self](attempt_loss loss) { self->take_lost(loss); };
     attempt_ = std::make_shared<upstream_attempt>(
-        context_.reactor, context_.channels, *context_.dialect,
-        std::move(what), std::move(on));
+        context_.reactor, context_.channels, *context_.dialect, std::move(what),
+        std::move(on));
     attempt_->start();
 }
 
@@ -298,6 +261,7 @@
 
 void exchange::pass_bytes(std::string_view bytes)
 {
+    note_pause();
     begin_answer();
     writer_->piece(bytes);
     hold_back_if_slow();
@@ -321,6 +285,25 @@
         upstream_leaving(state->record.id, state->leaves_at);
 }
 
+void exchange::note_pause()
+{
+    const auto now = context_.reactor->now();
+    const auto since = begun_ ? last_piece_at_ : request_.arrived;
+    const auto pause = std::chrono::duration_cast<milliseconds>(now - since);
+    last_piece_at_ = now;
+    const auto& route = *admitted_.route;
+    const auto target = begun_ ? route.gap_target : route.objective;
+    if (target <= milliseconds::zero() || pause <= target)
+        return;
+    log_event(log_severity::info, log_event_name::answer_late,
+              {{log_key::request_id, facts_.id},
+               {log_key::kind, begun_ ? "pause" : "first"},
+               {log_key::duration_ms, pause},
+               {log_key::upstream, tried_.back()},
+               {log_key::attempt, sends_},
+               {log_key::count, events_.events()}});
+}
+
 void exchange::hold_back_if_slow()
 {
     if (writer_->unsent_bytes() <= most_unsent_bytes || !attempt_)
@@ -376,30 +359,18 @@
         return;
     const auto id = attempt_->upstream().id;
     settle();
-    const bool stopped_here = stopped_at_.has_value();
-    if (stopped_here || (move_ && move_->stop_ordered())) {
-        // The source ends its stream when it stops the generation.
-        if (stopped_here)
-            go_on();
+    if (mover_ && mover_->source_ended())
         return;
-    }
     context_.board.failed(id, context_.reactor->now());
-    if (loss == attempt_loss::broken && goes_on_after_loss())
+    if (loss == attempt_loss::broken && go_on_at_backup())
         return;
     end_attempt(loss == attempt_loss::not_sent ? attempt_result::not_sent
                                                : attempt_result::lost);
 }
 
-void exchange::end_attempt(attempt_result result)
+attempt_step exchange::step_after(attempt_result result)
 {
     const auto& route = *admitted_.route;
-    if (goes_on_ && result == attempt_result::turned_away &&
-        go_on_at_source(tried_.back()))
-        return;
-    const bool ran =
-        result == attempt_result::failed || result == attempt_result::lost;
-    if (ran)
-        ++runs_;
     const auto now = context_.reactor->now();
     attempt_state state;
     state.idempotent = route.idempotent || route.resumable;
@@ -408,239 +379,116 @@
     state.sends = sends_;
     state.time_is_up = now >= admitted_.answer_by;
     state.answer_begun = begun_ && !route.resumable;
-    auto step = next_step(result, state);
-    if (step == attempt_step::again &&
-        !context_.budget.try_retry(service_, now))
-        step = result == attempt_result::turned_away ? attempt_step::refuse
-               : result == attempt_result::failed    ? attempt_step::deliver
-                                                     : attempt_step::report_lost;
-    if (begun_ && step != attempt_step::again &&
-        step != attempt_step::again_free)
-        step = attempt_step::cut;
-    switch (step) {
-    case attempt_step::again:
-    case attempt_step::again_free:
+    const auto step = next_step(result, state);
+    if (step != attempt_step::again || context_.budget.try_retry(service_, now))
+        return step;
+    return step_without_budget(result);
+}
+
+void exchange::end_attempt(attempt_result result)
+{
+    if (goes_on_ && result == attempt_result::turned_away && go_on_at_source())
+        return;
+    if (result == attempt_result::failed || result == attempt_result::lost)
+        ++runs_;
+    const auto step = step_after(result);
+    if (step == attempt_step::again || step == attempt_step::again_free) {
         events_.restart();
         dispatch();
-        return;
-    case attempt_step::deliver:
+    } else if (begun_) {
+        cut("upstream_lost");
+    } else if (step == attempt_step::deliver) {
         deliver();
-        return;
-    case attempt_step::refuse:
-        refuse(runs_ > 0 ? gateway_refusal::upstream_lost
-                         : gateway_refusal::upstreams_busy);
-        return;
-    case attempt_step::report_lost:
+    } else if (step == attempt_step::refuse && runs_ == 0) {
+        refuse(gateway_refusal::upstreams_busy);
+    } else {
         refuse(gateway_refusal::upstream_lost);
-        return;
-    case attempt_step::cut:
-        cut("upstream_lost");
-        return;
     }
 }
 
 // A generation that goes on elsewhere.
 
+std::shared_ptr<generation_mover> exchange::make_mover()
+{
+    generation_mover::hooks on;
+    on.destination = [this](const upstream_record& source,
+                            const std::string& refused_by) {
+        const auto to = context_.choice.for_move(
+            service_, needs(source.failure_domain), {source.id, refused_by},
+            context_.reactor->now());
+        // Counted at once, so that the next move of this engine's
+        // generations sees the room as taken.
+        if (to)
+            context_.board.expect(to->id, facts_.prompt_tokens,
+                                  context_.reactor->now());
+        return to;
+    };
+    on.drop_source = [this] {
+        if (attempt_)
+            attempt_->cancel();
+        settle();
+    };
+    on.go_on = [this](const upstream_record& to, const continuation& from) {
+        go_on_at(to, from);
+    };
+    on.lost = [this] {
+        if (!go_on_at_backup())
+            end_attempt(attempt_result::lost);
+    };
+    return std::make_shared<generation_mover>(context_, facts_.id,
+                                              std::move(on));
+}
+
 void exchange::upstream_leaving(const std::string& upstream_id,
                                 std::optional<time_point> leaves_at)
 {
     const bool here = attempt_ && attempt_->upstream().id == upstream_id;
-    if (over_ || move_ || stopped_at_ || turn_wanted_ || !here ||
-        !worth_moving(leaves_at))
-        return;
     // What has not begun can't be moved: its first event asks again.
-    if (begun_)
-        want_move(upstream_id);
-}
-
-void exchange::want_move(const std::string& source_id)
-{
-    const auto* source = context_.board.find(source_id);
-    if (source == nullptr)
+    if (over_ || !here || !begun_ || !worth_moving(leaves_at))
         return;
-    if (!context_.monitors) {
-        start_move(source_id);
-        return;
-    }
-    turn_wanted_ = true;
-    context_.monitors->want_turn(
-        source->record.address.host, facts_.id,
-        [weak = weak_from_this(), source_id] {
-            const auto self = weak.lock();
-            if (self && !self->over_)
-                self->start_move(source_id);
-        });
-}
-
-void exchange::end_move_turn()
-{
-    if (std::exchange(turn_wanted_, false) && context_.monitors)
-        context_.monitors->end_turn(facts_.id);
+    if (!mover_)
+        mover_ = make_mover();
+    mover_->source_leaving(attempt_->upstream());
 }
 
 bool exchange::worth_moving(std::optional<time_point> leaves_at) const
 {
-    const auto* engines = service();
-    if (engines == nullptr || !engines->engine || !engines->engine->moves ||
-        moves_ >= most_moves)
+    if (engine() == nullptr || !engine()->moves)
         return false;
-    const auto now = context_.reactor->now();
-    const auto notice =
-        leaves_at ? time_left(*leaves_at, now) : usual_notice;
+    const auto notice = leaves_at
+                            ? time_left(*leaves_at, context_.reactor->now())
+                            : usual_notice;
     return facts_.most_output_tokens * time_per_token > notice;
 }
 
-void exchange::start_move(const std::string& source_id)
-{
-    const auto* source = context_.board.find(source_id);
-    if (source == nullptr || !attempt_ ||
-        attempt_->upstream().id != source_id) {
-        end_move_turn();
-        return;
-    }
-    const auto now = context_.reactor->now();
-    std::vector<const upstream_state*> others =
-        context_.board.available(service_);
-    std::erase_if(others, [&](const auto* other) {
-        return other->record.id == source_id ||
-               other->record.id == refused_by_;
-    });
-    std::vector<placement_candidate> places;
-    const auto request = needs(source->record.failure_domain);
-    for (const auto* other : others)
-        places.push_back(placement_of(*other, request, now));
-    const auto chosen =
-        choose_placement(places, context_.random, copy_weights);
-    if (!chosen) {
-        end_move_turn();
-        return;
-    }
-    const auto& destination = others[*chosen]->record;
-    // Counted at once, so that the next move of this engine's generations
-    // sees the room as taken.
-    context_.board.dispatched(destination.id, facts_.prompt_tokens, now);
-    context_.board.settled(destination.id);
-    ++moves_;
-    generation_move::hooks on;
-    on.stopped = [weak = weak_from_this()](continuation from) {
-        if (const auto self = weak.lock())
-            self->move_stopped(std::move(from));
-    };
-    on.failed = [weak = weak_from_this()](
-                    move_failure failure,
-                    std::optional<continuation> kept) {
-        if (const auto self = weak.lock())
-            self->move_failed(failure, std::move(kept));
-    };
-    const auto deadline = now + 2 * usual_notice;
-    move_ = std::make_shared<generation_move>(
-        context_, facts_.id, source->record, destination, deadline,
-        std::move(on));
-    move_->start();
-}
-
-void exchange::move_stopped(continuation from)
-{
-    end_move_turn();
-    if (over_)
-        return;
-    stopped_at_ = std::move(from);
-    if (!attempt_) {
-        go_on();
-        return;
-    }
-    context_.reactor->post_at(
-        context_.reactor->now() + last_events_time,
-        [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self || self->over_ || !self->stopped_at_)
-                return;
-            if (self->attempt_)
-                self->attempt_->cancel();
-            self->settle();
-            self->go_on();
-        });
-}
-
-void exchange::move_failed(move_failure failure,
-                           std::optional<continuation> kept)
-{
-    end_move_turn();
-    if (over_)
-        return;
-    const auto failed = std::exchange(move_, nullptr);
-    refused_by_ = failure == move_failure::no_room ? failed->destination().id
-                                                   : std::string();
-    log_event(log_severity::warning, log_event_name::generation_move_failed,
-              {{log_key::request_id, facts_.id},
-               {log_key::upstream, failed->destination().id},
-               {log_key::reason, name_of(failure)}});
-    if (kept) {
-        // It was stopped, and its memory lies at the source.
-        stopped_at_ = kept;
-        if (!attempt_)
-            go_on();
-        else
-            move_stopped(*kept);
-        return;
-    }
-    if (!attempt_) {
-        if (!goes_on_after_loss())
-            end_attempt(attempt_result::lost);
-        return;
-    }
-    const auto source_id = attempt_->upstream().id;
-    context_.reactor->post_at(
-        context_.reactor->now() + move_again_after,
-        [weak = weak_from_this(), source_id] {
-            if (const auto self = weak.lock())
-                self->upstream_leaving(source_id, std::nullopt);
-        });
-}
-
-void exchange::go_on()
+void exchange::go_on_at(const upstream_record& upstream,
+                        const continuation& from)
 {
-    auto from = *std::exchange(stopped_at_, std::nullopt);
-    const auto move = std::exchange(move_, nullptr);
-    if (move) {
-        log_event(log_severity::info, log_event_name::generation_moved,
-                  {{log_key::request_id, facts_.id},
-                   {log_key::upstream, move->destination().id}});
-        go_on_at(move->destination(), std::move(from));
-        return;
-    }
-    goes_on_ = from;
-    if (!go_on_at_source({}))
-        end_attempt(attempt_result::lost);
+    events_.restart();
+    context_.budget.forced(service_, context_.reactor->now());
+    send(upstream, from);
+    const auto* state = context_.board.find(upstream.id);
+    if (state != nullptr && state->leaving)
+        upstream_leaving(upstream.id, state->leaves_at);
 }
 
-bool exchange::go_on_at_source(const std::string& refused_by)
+bool exchange::go_on_at_source()
 {
     // The memory may still lie where the generation was stopped.
+    const auto from = *goes_on_;
     for (const auto& id : tried_) {
         const auto* state = context_.board.find(id);
-        if (state == nullptr || id == refused_by ||
-            state->record.address != goes_on_->source)
+        if (id == tried_.back() || state == nullptr ||
+            state->record.address != from.source)
             continue;
         const auto record = state->record;
-        const auto from = *goes_on_;
         go_on_at(record, from);
         return true;
     }
     return false;
 }
 
-void exchange::go_on_at(const upstream_record& upstream, continuation from)
-{
-    events_.restart();
-    context_.budget.forced(service_, context_.reactor->now());
-    send(upstream, std::move(from));
-    const auto* state = context_.board.find(upstream.id);
-    if (state != nullptr && state->leaving)
-        upstream_leaving(upstream.id, state->leaves_at);
-}
-
-bool exchange::goes_on_after_loss()
+bool exchange::go_on_at_backup()
 {
     const auto backup = std::exchange(backup_, std::nullopt);
     if (!backup || context_.reactor->now() >= admitted_.answer_by)
@@ -648,9 +496,9 @@
     const auto* state = context_.board.find(backup->id);
     if (state == nullptr || state->record != *backup)
         return false;
-    log_event(log_severity::info, log_event_name::generation_continued,
-              {{log_key::request_id, facts_.id},
-               {log_key::upstream, backup->id}});
+    log_event(
+        log_severity::info, log_event_name::generation_continued,
+        {{log_key::request_id, facts_.id}, {log_key::upstream, backup->id}});
     go_on_at(*backup, {backup->address, facts_.id});
     return true;
 }
@@ -708,8 +556,7 @@
             std::chrono::duration<double>(retry_after()).count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
-    const std::string body =
-        "{\"error\":\"" + std::string(row.name) + "\"}";
+    const std::string body = "{\"error\":\"" + std::string(row.name) + "\"}";
     writer_->whole(std::move(head), body);
     end();
 }
@@ -732,9 +579,8 @@
     if (begun_)
         cut("expired");
     else
-        refuse(attempt_ || runs_ > 0 || stopped_at_
-                   ? gateway_refusal::expired
-                   : gateway_refusal::expired_unsent);
+        refuse(attempt_ || sends_ > 0 ? gateway_refusal::expired
+                                      : gateway_refusal::expired_unsent);
 }
 
 void exchange::caller_left()
@@ -754,10 +600,8 @@
     if (attempt_)
         attempt_->cancel();
     settle();
-    end_move_turn();
-    if (move_)
-        move_->cancel();
-    move_.reset();
+    if (mover_)
+        mover_->cancel();
     writer_.reset();
 }
 
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -5,7 +5,7 @@
 #include "attempt_policy.hpp"
 #include "event_splitter.hpp"
 #include "gateway_context.hpp"
-#include "generation_move.hpp"
+#include "generation_mover.hpp"
 #include "http_session.hpp"
 #include "request_admission.hpp"
 #include "upstream_attempt.hpp"
@@ -37,7 +37,7 @@
 
     void start();
     void caller_left();
-    /** The upstream leaves; at an unknown time if none is given. */
+    /** An upstream leaves; at an unknown time if none is given. */
     void upstream_leaving(const std::string& upstream_id,
                           std::optional<time_point> leaves_at);
 
@@ -46,16 +46,13 @@
 private:
     // Where it runs.
     void dispatch();
-    const upstream_state* choose();
-    std::vector<const upstream_state*> candidates() const;
     void send(const upstream_record& upstream,
               const std::optional<continuation>& goes_on);
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& goes_on);
-    std::optional<ip_endpoint> choose_backup(const upstream_record& upstream);
+    void choose_backup(const upstream_record& upstream);
     placement_request needs(const std::string& from_domain) const;
-    std::uint64_t engine_memory(const std::string& service) const;
-    const gateway_service* service() const;
+    const engine_traits* engine() const;
     void settle();
 
     // What an attempt brings.
@@ -65,23 +62,19 @@
     void take_lost(attempt_loss loss);
     attempt_result judge_response() const;
     void end_attempt(attempt_result result);
+    attempt_step step_after(attempt_result result);
     void pass_events(std::string_view bytes);
     void pass_bytes(std::string_view bytes);
     void begin_answer();
+    void note_pause();
     void hold_back_if_slow();
 
     // A generation that goes on elsewhere.
-    bool goes_on_after_loss();
-    void want_move(const std::string& source_id);
-    void start_move(const std::string& source_id);
-    void end_move_turn();
-    void move_stopped(continuation from);
-    void move_failed(move_failure failure, std::optional<continuation> kept);
-    void go_on();
-    /** False if the engine is gone, or is the one that has refused. */
-    bool go_on_at_source(const std::string& refused_by);
-    void go_on_at(const upstream_record& upstream, continuation from);
+    std::shared_ptr<generation_mover> make_mover();
     bool worth_moving(std::optional<time_point> leaves_at) const;
+    void go_on_at(const upstream_record& upstream, const continuation& from);
+    bool go_on_at_backup();
+    bool go_on_at_source();
 
     // How it ends.
     void deliver();
@@ -113,15 +106,13 @@
     bool begun_ = false;   ///< part of an answer has gone to the caller
     bool over_ = false;
     event_splitter events_;
+    time_point last_piece_at_{};
 
-    std::shared_ptr<generation_move> move_;
-    std::optional<continuation> stopped_at_;
+    std::shared_ptr<generation_mover> mover_;
+    /** Engine that keeps a copy of the run at hand as it grows. */
     std::optional<upstream_record> backup_;
     /** The attempt at hand goes on from memory that lies at an engine. */
     std::optional<continuation> goes_on_;
-    unsigned moves_ = 0;
-    bool turn_wanted_ = false; ///< or held: the turn to copy this generation
-    std::string refused_by_;   ///< destination that had no room
 };
 
 /** An answer up to this size is held until it is whole, so that one that
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -10,6 +10,7 @@
 #include "shared_retry_budget.hpp"
 #include "upstream_board.hpp"
 #include "upstream_channels.hpp"
+#include "upstream_choice.hpp"
 
 #include <memory>
 #include <random>
@@ -26,6 +27,14 @@
  * it, so none of it needs a lock.
  */
 struct gateway_context {
+    gateway_context(std::shared_ptr<link_reactor> on,
+                    std::shared_ptr<const gateway_dialect> spoken,
+                    upstream_board::hooks board_hooks,
+                    const retry_budget_settings& retries,
+                    std::optional<milliseconds> lease_term, std::uint64_t seed);
+    gateway_context(const gateway_context&) = delete;
+    gateway_context& operator=(const gateway_context&) = delete;
+
     std::shared_ptr<link_reactor> reactor;
     std::shared_ptr<const gateway_dialect> dialect;
     std::string failure_domain; ///< of this process
@@ -38,6 +47,7 @@
     /** Empty until a configuration is known; replaced, never changed. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
+    upstream_choice choice;
     /** Empty where there are no monitors. */
     std::shared_ptr<monitor_link> monitors;
     /** Requests that are being served. */
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -77,8 +77,8 @@
         ended_ = true;
         configurations_.reset();
         upstreams_.reset();
-        for (auto* running : std::vector(context_->running.begin(),
-                                         context_->running.end()))
+        for (auto* running :
+             std::vector(context_->running.begin(), context_->running.end()))
             running->shared_from_this()->caller_left();
     });
 }
@@ -105,13 +105,11 @@
         context_->channels.forget(id);
         context_->callers.forget(id);
     };
-    context_ = std::make_unique<gateway_context>(gateway_context{
-        reactor, platform_.dialect, settings_.failure_domain,
-        upstream_channels(reactor), engine_callers(reactor),
-        upstream_board(std::move(board)),
-        shared_retry_budget(budget_settings(settings_)),
-        configuration_lease(lease_term(settings_)), nullptr,
-        std::mt19937_64(std::random_device{}()), nullptr, {}, false});
+    context_ = std::make_unique<gateway_context>(
+        reactor, platform_.dialect, std::move(board),
+        budget_settings(settings_), lease_term(settings_),
+        std::random_device{}());
+    context_->failure_domain = settings_.failure_domain;
     start_feeds();
     start_monitor_link();
     start_servers();
@@ -124,7 +122,8 @@
     feed_pace pace;
     pace.wait = settings_.configuration_wait;
     feed_follower<gateway_configuration>::hooks configurations;
-    configurations.items = [this](auto&& versions, bool) {
+    configurations.items = [this](std::vector<gateway_configuration>&& versions,
+                                  bool) {
         take_configurations(std::move(versions));
     };
     configurations.current = [this](boot_time asked) {
@@ -136,14 +135,14 @@
     configurations.regained = [this](duration away) {
         directory_regained("configurations", away);
     };
-    configurations_ =
-        std::make_shared<feed_follower<gateway_configuration>>(
-            reactor, platform_.configurations(reactor, settings_.directory),
-            pace, std::move(configurations));
+    configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
+        reactor, platform_.configurations(reactor, settings_.directory), pace,
+        std::move(configurations));
 
     pace.pause = settings_.upstream_pause;
     feed_follower<upstream_change>::hooks upstreams;
-    upstreams.items = [this](auto&& changes, bool whole) {
+    upstreams.items = [this](std::vector<upstream_change>&& changes,
+                             bool whole) {
         take_upstreams(std::move(changes), whole);
     };
     upstreams.lost = [this](directory_problem problem) {
@@ -188,8 +187,8 @@
 
 void gateway_process::start_servers()
 {
-    callers_ = std::make_shared<http_server>(
-        loop_.reactor(), settings_.listen, caller_hooks());
+    callers_ = std::make_shared<http_server>(loop_.reactor(), settings_.listen,
+                                             caller_hooks());
     ready_server_ = std::make_shared<http_server>(
         loop_.reactor(), settings_.ready_listen, ready_hooks());
     callers_->start();
@@ -318,6 +317,7 @@
     log_event(log_severity::info, log_event_name::upstream_leaving,
               {{log_key::upstream, id}});
     std::vector<std::shared_ptr<exchange>> running;
+    running.reserve(context_->running.size());
     for (auto* each : context_->running)
         running.push_back(each->shared_from_this());
     for (const auto& each : running)
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -32,11 +32,10 @@
 class gateway_process
 {
 public:
-    using reread_settings =
-        std::function<settings_outcome<gateway_settings>()>;
+    using reread_settings = std::function<settings_outcome<gateway_settings>()>;
 
-    gateway_process(const gateway_settings& settings,
-                    gateway_platform platform, reread_settings reread);
+    gateway_process(const gateway_settings& settings, gateway_platform platform,
+                    reread_settings reread);
     gateway_process(const gateway_process&) = delete;
     gateway_process& operator=(const gateway_process&) = delete;
     ~gateway_process();
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -12,15 +12,15 @@
     malformed_request,
     header_too_long,
     body_too_long,
-    no_configuration,    ///< none is known yet, or it may be out of date
+    no_configuration, ///< none is known yet, or it may be out of date
     no_route,
     unknown_key,
-    no_upstream,         ///< none that may be used
-    upstreams_busy,      ///< all have turned the request away
-    expired_unsent,      ///< its time ran out before it was sent anywhere
-    expired,             ///< its time ran out at an upstream
-    upstream_lost,       ///< may have run, and its answer is lost
-    stopping,            ///< this process is about to end
+    no_upstream,    ///< none that may be used
+    upstreams_busy, ///< all have turned the request away
+    expired_unsent, ///< its time ran out before it was sent anywhere
+    expired,        ///< its time ran out at an upstream
+    upstream_lost,  ///< may have run, and its answer is lost
+    stopping,       ///< this process is about to end
 };
 
 struct gateway_refusal_row {
--- a/src/libcyclamenrun/gateway/gateway_routes.cpp
+++ b/src/libcyclamenrun/gateway/gateway_routes.cpp
@@ -14,8 +14,7 @@
     const auto colon = host.rfind(':');
     const bool has_port = colon != std::string_view::npos &&
                           host.find(']', colon) == std::string_view::npos;
-    return Poco::toLower(
-               std::string(has_port ? host.substr(0, colon) : host)) +
+    return Poco::toLower(std::string(has_port ? host.substr(0, colon) : host)) +
            "\n";
 }
 
--- /dev/null
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -0,0 +1,192 @@
+#include "generation_mover.hpp"
+
+#include "log_event.hpp"
+
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/**
+ * After the order to stop, the source's last events are on their way for a
+ * few milliseconds; then its connection is dropped.
+ */
+constexpr milliseconds last_events_time{60};
+/** A destination without room may have some soon, or there is another. */
+constexpr milliseconds try_again_after{120};
+/** Longer than any notice of a reclaim, which is 1.5 to 2.1 s. */
+constexpr milliseconds order_timeout{3000};
+/** Moves of one generation; each costs a pause. */
+constexpr unsigned most_moves = 16;
+
+} // namespace
+
+generation_mover::generation_mover(gateway_context& context,
+                                   std::string request_id, hooks on)
+    : context_(context), request_id_(std::move(request_id)), on_(std::move(on))
+{
+}
+
+void generation_mover::source_leaving(const upstream_record& source)
+{
+    if (over_ || move_ || pending_ || turn_wanted_ || moves_ >= most_moves)
+        return;
+    if (!context_.monitors) {
+        start(source);
+        return;
+    }
+    turn_wanted_ = true;
+    source_ended_ = false;
+    context_.monitors->want_turn(source.address.host, request_id_,
+                                 [weak = weak_from_this(), source] {
+                                     if (const auto self = weak.lock())
+                                         self->start(source);
+                                 });
+}
+
+void generation_mover::end_turn()
+{
+    if (std::exchange(turn_wanted_, false) && context_.monitors)
+        context_.monitors->end_turn(request_id_);
+}
+
+void generation_mover::start(const upstream_record& source)
+{
+    const auto to = over_ || source_ended_
+                        ? std::nullopt
+                        : on_.destination(source, refused_by_);
+    if (!to) {
+        end_turn();
+        try_again(source);
+        return;
+    }
+    ++moves_;
+    generation_move::hooks on;
+    on.stopped = [weak = weak_from_this(), to = *to](const continuation& from) {
+        if (const auto self = weak.lock())
+            self->stopped(from, to);
+    };
+    on.failed = [weak = weak_from_this(),
+                 source](move_failure failure,
+                         const std::optional<continuation>& kept) {
+        if (const auto self = weak.lock())
+            self->failed(failure, kept, source);
+    };
+    move_ = std::make_shared<generation_move>(
+        context_, request_id_, source, *to,
+        context_.reactor->now() + order_timeout, std::move(on));
+    move_->start();
+}
+
+void generation_mover::stopped(const continuation& from,
+                               const upstream_record& to)
+{
+    end_turn();
+    move_.reset();
+    if (over_)
+        return;
+    log_event(log_severity::info, log_event_name::generation_moved,
+              {{log_key::request_id, request_id_}, {log_key::upstream, to.id}});
+    pending_ = pending_step{from, to};
+    if (source_ended_) {
+        go_on();
+        return;
+    }
+    context_.reactor->post_at(context_.reactor->now() + last_events_time,
+                              [weak = weak_from_this()] {
+                                  if (const auto self = weak.lock())
+                                      self->go_on();
+                              });
+}
+
+void generation_mover::go_on()
+{
+    if (over_ || !pending_)
+        return;
+    const auto step = *std::exchange(pending_, std::nullopt);
+    if (!std::exchange(source_ended_, false))
+        on_.drop_source();
+    refused_by_.clear();
+    on_.go_on(step.to, step.from);
+}
+
+bool generation_mover::source_ended()
+{
+    if (pending_) {
+        source_ended_ = true;
+        go_on();
+        return true;
+    }
+    if (move_ && move_->stop_ordered()) {
+        source_ended_ = true;
+        return true;
+    }
+    end_turn();
+    if (move_)
+        move_->cancel();
+    move_.reset();
+    return false;
+}
+
+void generation_mover::failed(move_failure failure,
+                              const std::optional<continuation>& kept,
+                              const upstream_record& source)
+{
+    end_turn();
+    const auto move = std::exchange(move_, nullptr);
+    if (over_)
+        return;
+    log_event(log_severity::warning, log_event_name::generation_move_failed,
+              {{log_key::request_id, request_id_},
+               {log_key::upstream, move->destination().id},
+               {log_key::reason, name_of(failure)}});
+    if (failure == move_failure::no_room)
+        refused_by_ = move->destination().id;
+    if (kept) {
+        // It was stopped, and its memory still lies at the source.
+        pending_ = pending_step{*kept, source};
+        if (source_ended_)
+            go_on();
+        else
+            context_.reactor->post_at(context_.reactor->now() +
+                                          last_events_time,
+                                      [weak = weak_from_this()] {
+                                          if (const auto self = weak.lock())
+                                              self->go_on();
+                                      });
+        return;
+    }
+    if (std::exchange(source_ended_, false)) {
+        on_.lost();
+        return;
+    }
+    try_again(source);
+}
+
+void generation_mover::try_again(const upstream_record& source)
+{
+    if (over_)
+        return;
+    context_.reactor->post_at(context_.reactor->now() + try_again_after,
+                              [weak = weak_from_this(), source] {
+                                  const auto self = weak.lock();
+                                  if (self && !self->source_ended_)
+                                      self->source_leaving(source);
+                              });
+}
+
+void generation_mover::cancel()
+{
+    if (std::exchange(over_, true))
+        return;
+    end_turn();
+    if (move_)
+        move_->cancel();
+    move_.reset();
+    on_ = {};
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -0,0 +1,78 @@
+#ifndef CYCLAMENRUN_GENERATION_MOVER_HPP
+#define CYCLAMENRUN_GENERATION_MOVER_HPP
+
+#include "gateway_context.hpp"
+#include "generation_move.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/**
+ * Takes one generation away from engines that leave: waits for its turn at
+ * the engine's link, chooses where to, orders the move, and says when and
+ * from which memory the generation goes on. When no destination has room it
+ * tries others until the engine is gone.
+ */
+class generation_mover : public std::enable_shared_from_this<generation_mover>
+{
+public:
+    struct hooks {
+        /** Where it may go; empty if nowhere. */
+        std::function<std::optional<upstream_record>(
+            const upstream_record& source, const std::string& refused_by)>
+            destination;
+        /** The source sends nothing more: its connection may be dropped. */
+        std::function<void()> drop_source;
+        /** It has stopped, and goes on there from this memory. */
+        std::function<void(const upstream_record&, const continuation&)> go_on;
+        /** It has ended at the source, and there is no memory of it. */
+        std::function<void()> lost;
+    };
+
+    generation_mover(gateway_context& context, std::string request_id,
+                     hooks on);
+
+    /** The engine that runs it leaves; harmless if that is known already. */
+    void source_leaving(const upstream_record& source);
+    /**
+     * The source's stream has ended without its end. True if that is how a
+     * move looks, and the mover goes on from here.
+     */
+    bool source_ended();
+    /** It needs no move any more. */
+    void cancel();
+
+private:
+    void start(const upstream_record& source);
+    void end_turn();
+    void stopped(const continuation& from, const upstream_record& to);
+    void failed(move_failure failure, const std::optional<continuation>& kept,
+                const upstream_record& source);
+    void go_on();
+    void try_again(const upstream_record& source);
+
+    gateway_context& context_;
+    std::string request_id_;
+    hooks on_;
+    std::shared_ptr<generation_move> move_;
+    bool turn_wanted_ = false; ///< or held
+    bool source_ended_ = false;
+    bool over_ = false;
+    std::string refused_by_; ///< destination that had no room
+    unsigned moves_ = 0;
+    /** Stopped; goes on from here once the source has sent its last. */
+    struct pending_step {
+        continuation from;
+        upstream_record to;
+    };
+    std::optional<pending_step> pending_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_GENERATION_MOVER_HPP
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -44,9 +44,8 @@
       name_(std::move(name)), on_(std::move(on))
 {
     socket_ = std::make_shared<datagram_socket>(
-        reactor_, listen, [this](const ip_endpoint&, std::string_view bytes) {
-            take(bytes);
-        });
+        reactor_, listen,
+        [this](const ip_endpoint&, std::string_view bytes) { take(bytes); });
 }
 
 void monitor_link::start()
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -27,8 +27,7 @@
 {
 public:
     struct hooks {
-        std::function<void(const ip_endpoint& engine, const engine_load&)>
-            load;
+        std::function<void(const ip_endpoint& engine, const engine_load&)> load;
         /** How many gateways the monitors hear of. */
         std::function<void(unsigned)> gateways;
         /** IP numbers of the VMs on which engines run. */
--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -8,7 +8,7 @@
     : monitor_(std::make_shared<engine_monitor>(
           loop_.reactor(), std::move(dialect),
           engine_monitor_settings{settings.engine, settings.listen,
-                               settings.interval}))
+                                  settings.interval}))
 {
     loop_.post([monitor = monitor_] { monitor->start(); });
 }
--- a/src/libcyclamenrun/gateway/monitor_process.hpp
+++ b/src/libcyclamenrun/gateway/monitor_process.hpp
@@ -1,8 +1,8 @@
 #ifndef CYCLAMENRUN_MONITOR_PROCESS_HPP
 #define CYCLAMENRUN_MONITOR_PROCESS_HPP
 
-#include "link_loop.hpp"
 #include "engine_monitor.hpp"
+#include "link_loop.hpp"
 #include "monitor_settings.hpp"
 
 #include <memory>
--- a/src/libcyclamenrun/gateway/request_admission.hpp
+++ b/src/libcyclamenrun/gateway/request_admission.hpp
@@ -34,8 +34,7 @@
               time_point arrived);
 
 /** Draws one of a route's services by their weights. */
-std::string choose_service(const gateway_route& route,
-                           std::mt19937_64& random);
+std::string choose_service(const gateway_route& route, std::mt19937_64& random);
 
 } // namespace cyclamenrun
 
--- a/src/libcyclamenrun/gateway/request_facts.hpp
+++ b/src/libcyclamenrun/gateway/request_facts.hpp
@@ -41,8 +41,8 @@
 /** What a gateway sets on a request that it sends to an upstream. */
 struct dispatch_facts {
     milliseconds time_left{0};
-    std::string upstream_id; ///< only this upstream may run it
-    std::string team;        ///< empty: none
+    std::string upstream_id;           ///< only this upstream may run it
+    std::string team;                  ///< empty: none
     std::optional<ip_endpoint> backup; ///< engine that keeps a copy
     std::optional<continuation> goes_on;
     /** The last event that the caller has, in place of what it sent. */
@@ -65,9 +65,9 @@
 struct move_reply {
     enum class kind : std::uint8_t {
         copied,
-        not_running,     ///< no such generation there, or it has ended
-        under_way,       ///< an order for it is being carried out
-        no_room,         ///< or the destination can't be reached
+        not_running, ///< no such generation there, or it has ended
+        under_way,   ///< an order for it is being carried out
+        no_room,     ///< or the destination can't be reached
         not_understood,
     };
     kind result = kind::not_understood;
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -17,8 +17,8 @@
  * failure domains are below 10 ms; the rest is for a busy process.
  */
 constexpr milliseconds idle_margin{700};
-constexpr http_limits response_limits{std::size_t(64) << 10,
-                                      std::size_t(64) << 20};
+constexpr http_limits response_limits{std::size_t(64) << 10, std::size_t(64)
+                                                                 << 20};
 
 } // namespace
 
@@ -35,10 +35,11 @@
 
 upstream_attempt::upstream_attempt(std::shared_ptr<link_reactor> reactor,
                                    upstream_channels& channels,
-                                   const gateway_dialect& dialect,
-                                   request what, hooks on)
+                                   const gateway_dialect& dialect, request what,
+                                   hooks on)
     : reactor_(std::move(reactor)), channels_(channels), dialect_(dialect),
-      request_(std::move(what)), on_(std::make_shared<const hooks>(std::move(on))),
+      request_(std::move(what)),
+      on_(std::make_shared<const hooks>(std::move(on))),
       reader_(http_message_kind::response, response_limits,
               {[this](http_head&& head) { take_head(std::move(head)); },
                [this](std::string_view bytes) { take_body(bytes); },
@@ -143,8 +144,8 @@
         return;
     // A body without a length ends with its connection, but only with one
     // that ends in good order: after a reset something may be missing.
-    if (how == channel_end::finished && reader_.head_complete() &&
-        !skipping_ && reader_.end_of_connection() && reader_.complete()) {
+    if (how == channel_end::finished && reader_.head_complete() && !skipping_ &&
+        reader_.end_of_connection() && reader_.complete()) {
         complete();
         return;
     }
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -15,8 +15,8 @@
 
 /** How an attempt ended without a whole response. */
 enum class attempt_loss : std::uint8_t {
-    not_sent,  ///< No connection was established: no byte was sent.
-    broken,    ///< The connection ended, or its bytes are no response.
+    not_sent, ///< No connection was established: no byte was sent.
+    broken,   ///< The connection ended, or its bytes are no response.
 };
 
 std::string_view name_of(attempt_loss loss);
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -69,8 +69,7 @@
 believed believed_load(const upstream_state& upstream, time_point now)
 {
     believed result;
-    const bool fresh =
-        upstream.load && now - upstream.load_at <= load_lifetime;
+    const bool fresh = upstream.load && now - upstream.load_at <= load_lifetime;
     const double unreported = unreported_tokens(upstream);
     if (!fresh) {
         result.requests = upstream.own_running;
@@ -81,9 +80,9 @@
     }
     const auto& load = *upstream.load;
     const double waiting =
-        load.queued == 0 ? 0
-                         : load.next_tokens +
-                               (load.queued - 1) * usual_prompt_tokens;
+        load.queued == 0
+            ? 0
+            : load.next_tokens + (load.queued - 1) * usual_prompt_tokens;
     result.requests = static_cast<double>(load.running + load.queued +
                                           upstream.unreported.size());
     result.unread_tokens =
@@ -216,17 +215,25 @@
     leave(upstream, leaves_at);
 }
 
-void upstream_board::dispatched(const std::string& id,
-                                std::uint64_t prompt_tokens,
-                                time_point now)
+void upstream_board::expect(const std::string& id, std::uint64_t prompt_tokens,
+                            time_point now)
 {
     const auto found = upstreams_.find(id);
     if (found == upstreams_.end())
         return;
-    ++found->second.own_running;
-    found->second.unreported.push_back({now, prompt_tokens});
-    while (found->second.unreported.front().at < now - load_lifetime)
-        found->second.unreported.pop_front();
+    auto& unreported = found->second.unreported;
+    unreported.push_back({now, prompt_tokens});
+    while (unreported.front().at < now - load_lifetime)
+        unreported.pop_front();
+}
+
+void upstream_board::dispatched(const std::string& id,
+                                std::uint64_t prompt_tokens, time_point now)
+{
+    expect(id, prompt_tokens, now);
+    const auto found = upstreams_.find(id);
+    if (found != upstreams_.end())
+        ++found->second.own_running;
 }
 
 void upstream_board::settled(const std::string& id)
@@ -276,8 +283,7 @@
     return result;
 }
 
-std::set<std::string>
-upstream_board::hosts(const std::string& service) const
+std::set<std::string> upstream_board::hosts(const std::string& service) const
 {
     std::set<std::string> result;
     for (const auto& [id, upstream] : upstreams_) {
@@ -305,8 +311,8 @@
         std::max(request.objective, milliseconds(1)).count());
     candidate.wait = load.unread_tokens / tokens_read_per_ms / objective;
     candidate.memory_taken =
-        (load.memory_tokens + static_cast<double>(request.prompt_tokens +
-                                                  request.output_tokens)) /
+        (load.memory_tokens +
+         static_cast<double>(request.prompt_tokens + request.output_tokens)) /
         static_cast<double>(request.engine_tokens);
     return candidate;
 }
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -73,6 +73,9 @@
 
     void dispatched(const std::string& id, std::uint64_t prompt_tokens,
                     time_point now);
+    /** Work that will come there soon, beside what runs. */
+    void expect(const std::string& id, std::uint64_t prompt_tokens,
+                time_point now);
     void settled(const std::string& id);
     void succeeded(const std::string& id, time_point now);
     void failed(const std::string& id, time_point now);
--- a/src/libcyclamenrun/http/datagram_socket.cpp
+++ b/src/libcyclamenrun/http/datagram_socket.cpp
@@ -35,8 +35,8 @@
 void datagram_socket::start()
 {
     open_ = true;
-    watch_ = reactor_->watch(socket_.impl()->sockfd(), shared_from_this(),
-                             false);
+    watch_ =
+        reactor_->watch(socket_.impl()->sockfd(), shared_from_this(), false);
 }
 
 void datagram_socket::stop()
--- a/src/libcyclamenrun/http/http_call.cpp
+++ b/src/libcyclamenrun/http/http_call.cpp
@@ -40,8 +40,8 @@
     channel_.reset();
 }
 
-void http_caller::call(http_head head, std::string body, time_point deadline,
-                       answered on_answer)
+void http_caller::call(http_head head, const std::string& body,
+                       time_point deadline, answered on_answer)
 {
     head.fields.insert(head.fields.begin(), {"Host", to_string(peer_)});
     const auto framing =
--- a/src/libcyclamenrun/http/http_call.hpp
+++ b/src/libcyclamenrun/http/http_call.hpp
@@ -44,7 +44,7 @@
     http_caller& operator=(const http_caller&) = delete;
 
     /** One call; there must be none under way. */
-    void call(http_head head, std::string body, time_point deadline,
+    void call(http_head head, const std::string& body, time_point deadline,
               answered on_answer);
     bool busy() const { return static_cast<bool>(on_answer_); }
     void close();
--- a/src/libcyclamenrun/http/http_head.cpp
+++ b/src/libcyclamenrun/http/http_head.cpp
@@ -10,9 +10,8 @@
 {
 
 constexpr std::array<std::string_view, 9> hop_by_hop{
-    "Connection",        "Keep-Alive", "Proxy-Connection",
-    "Transfer-Encoding", "TE",         "Trailer",
-    "Upgrade",           "Expect",     "Content-Length",
+    "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
+    "Trailer",    "Upgrade",    "Expect",           "Content-Length",
 };
 
 char lower(char letter)
@@ -68,8 +67,9 @@
 
 bool is_hop_by_hop(std::string_view name)
 {
-    return std::any_of(hop_by_hop.begin(), hop_by_hop.end(),
-                       [&](auto known) { return same_field_name(known, name); });
+    return std::any_of(hop_by_hop.begin(), hop_by_hop.end(), [&](auto known) {
+        return same_field_name(known, name);
+    });
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -6,7 +6,7 @@
 namespace cyclamenrun
 {
 
-http_server::http_server(std::shared_ptr<link_reactor> reactor,
+http_server::http_server(const std::shared_ptr<link_reactor>& reactor,
                          const ip_endpoint& address, session_hooks hooks)
     : reactor_(reactor),
       hooks_(std::make_shared<const session_hooks>(std::move(hooks))),
@@ -29,8 +29,8 @@
 void http_server::add(const Poco::Net::StreamSocket& socket)
 {
     auto channel = std::make_shared<tcp_channel>(reactor_, socket, false);
-    auto session = std::make_shared<http_session>(reactor_, std::move(channel),
-                                                  hooks_);
+    auto session =
+        std::make_shared<http_session>(reactor_, std::move(channel), hooks_);
     session->start();
     sessions_.push_back(session);
     if (sessions_.size() >= drop_at_)
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -15,7 +15,7 @@
 {
 public:
     /** Listens at once; throws Poco::Exception if it can't. */
-    http_server(std::shared_ptr<link_reactor> reactor,
+    http_server(const std::shared_ptr<link_reactor>& reactor,
                 const ip_endpoint& address, session_hooks hooks);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/src/libcyclamenrun/http/http_text.cpp
+++ b/src/libcyclamenrun/http/http_text.cpp
@@ -43,9 +43,9 @@
 std::string response_text(const http_head& head, http_framing framing,
                           std::size_t body_bytes)
 {
-    const std::string reason =
-        head.reason.empty() ? std::string(reason_phrase(head.status))
-                            : head.reason;
+    const std::string reason = head.reason.empty()
+                                   ? std::string(reason_phrase(head.status))
+                                   : head.reason;
     return finished("HTTP/1.1 " + std::to_string(head.status) + " " + reason +
                         "\r\n",
                     head, framing, body_bytes);
--- a/src/libcyclamenrun/http/tcp_acceptor.cpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.cpp
@@ -47,8 +47,8 @@
 void tcp_acceptor::start()
 {
     accepting_ = true;
-    watch_ = reactor_->watch(socket_.impl()->sockfd(), shared_from_this(),
-                             false);
+    watch_ =
+        reactor_->watch(socket_.impl()->sockfd(), shared_from_this(), false);
 }
 
 void tcp_acceptor::stop()
@@ -71,14 +71,13 @@
 bool tcp_acceptor::accept_one()
 {
     const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC);
+                             SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
         if (out_of_descriptors(errno))
             pause();
         return false;
     }
-    Poco::Net::StreamSocket socket(
-        new Poco::Net::StreamSocketImpl(fd));
+    Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
     socket.setNoDelay(true);
     on_accept_(socket);
     return true;
@@ -89,13 +88,12 @@
     log_event(log_severity::error, log_event_name::internal_error,
               {{log_key::detail, "out of descriptors"}});
     reactor_->set_interest(watch_, false, false);
-    reactor_->post_at(reactor_->now() + descriptor_pause,
-                      [weak = weak_from_this()] {
-                          const auto self = weak.lock();
-                          if (self && self->accepting_)
-                              self->reactor_->set_interest(self->watch_, true,
-                                                           false);
-                      });
+    reactor_->post_at(
+        reactor_->now() + descriptor_pause, [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && self->accepting_)
+                self->reactor_->set_interest(self->watch_, true, false);
+        });
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/tcp_acceptor.hpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.hpp
@@ -17,8 +17,7 @@
                            public std::enable_shared_from_this<tcp_acceptor>
 {
 public:
-    using accepted =
-        std::function<void(const Poco::Net::StreamSocket& socket)>;
+    using accepted = std::function<void(const Poco::Net::StreamSocket& socket)>;
 
     /** Listens at once; throws Poco::Exception if it can't. */
     tcp_acceptor(std::shared_ptr<link_reactor> reactor,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -91,6 +91,8 @@
                   "The engine did not take an order; it is given again."},
     log_event_row{log_event_name::answer_cut, "answer_cut",
                   "An answer was broken off after its first part."},
+    log_event_row{log_event_name::answer_late, "answer_late",
+                  "A part of an answer came later than its route aims at."},
     log_event_row{log_event_name::generation_moved, "generation_moved",
                   "A running generation goes on at another engine."},
     log_event_row{log_event_name::generation_move_failed,
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -94,8 +94,7 @@
                                const std::string& file)
 {
     const auto lease = settings.configuration_lease;
-    if (lease > milliseconds::zero() &&
-        2 * settings.configuration_wait > lease)
+    if (lease > milliseconds::zero() && 2 * settings.configuration_wait > lease)
         return {{settings_problem::contradictory, file, 0,
                  "directory.configuration_wait_ms",
                  "at most half of directory.configuration_lease_ms"}};
