--- a/src/libcyclamenrun/decisions/placement.cpp
+++ b/src/libcyclamenrun/decisions/placement.cpp
@@ -26,7 +26,8 @@
 double placement_cost(const placement_candidate& candidate,
                       const placement_weights& weights)
 {
-    double cost = candidate.wait + slot_cost * candidate.slots_taken;
+    double cost =
+        weights.wait * candidate.wait + slot_cost * candidate.slots_taken;
     // Beyond its slots a request waits for others to end.
     cost += std::max(0.0, candidate.slots_taken - 1);
     cost += short_memory_cost *
--- a/src/libcyclamenrun/decisions/placement.hpp
+++ b/src/libcyclamenrun/decisions/placement.hpp
@@ -24,8 +24,10 @@
     bool doubtful = false;
 };
 
-/** What a way between failure domains costs a placement. */
+/** What counts for a placement besides the upstream's load. */
 struct placement_weights {
+    /** Of the wait for prompts that are read before. */
+    double wait = 1;
     /**
      * Half a millisecond and the price of the bytes of an answer, against the
      * wait for a prompt that is read: as much as 30 ms of 1.5 s.
@@ -33,8 +35,11 @@
     double other_domain = 0.02;
 };
 
-/** For memory that is copied: between domains it takes twice as long. */
-inline constexpr placement_weights copy_weights{0.6};
+/**
+ * For a generation whose memory is copied: it is admitted before all that
+ * waits, but between domains the copy takes twice as long.
+ */
+inline constexpr placement_weights copy_weights{0, 0.6};
 
 /** Cost of placing a request, lower is better, in parts of its objective. */
 double placement_cost(const placement_candidate& candidate,
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -35,7 +35,7 @@
     if (over_ || move_ || pending_ || turn_wanted_ || moves_ >= most_moves)
         return;
     if (!context_.monitors) {
-        start(source);
+        choose_destination(source);
         return;
     }
     turn_wanted_ = true;
@@ -43,29 +43,47 @@
     context_.monitors->want_turn(source.address.host, request_id_,
                                  [weak = weak_from_this(), source] {
                                      if (const auto self = weak.lock())
-                                         self->start(source);
+                                         self->choose_destination(source);
                                  });
 }
 
-void generation_mover::end_turn()
+void generation_mover::end_turns()
 {
-    if (std::exchange(turn_wanted_, false) && context_.monitors)
-        context_.monitors->end_turn(request_id_);
+    if (!std::exchange(turn_wanted_, false) || !context_.monitors)
+        return;
+    context_.monitors->end_turn(destination_turn());
+    context_.monitors->end_turn(request_id_);
 }
 
-void generation_mover::start(const upstream_record& source)
+void generation_mover::choose_destination(const upstream_record& source)
 {
     const auto to = over_ || source_ended_
                         ? std::nullopt
                         : on_.destination(source, refused_by_);
     if (!to) {
-        end_turn();
+        end_turns();
         try_again(source);
         return;
     }
+    if (!context_.monitors) {
+        start(source, *to);
+        return;
+    }
+    context_.monitors->want_turn(to->address.host, destination_turn(),
+                                 [weak = weak_from_this(), source, to = *to] {
+                                     const auto self = weak.lock();
+                                     if (self && !self->over_ &&
+                                         !self->source_ended_)
+                                         self->start(source, to);
+                                 });
+}
+
+void generation_mover::start(const upstream_record& source,
+                             const upstream_record& to)
+{
     ++moves_;
     generation_move::hooks on;
-    on.stopped = [weak = weak_from_this(), to = *to](const continuation& from) {
+    on.stopped = [weak = weak_from_this(), to](const continuation& from) {
         if (const auto self = weak.lock())
             self->stopped(from, to);
     };
@@ -76,7 +94,7 @@
             self->failed(failure, kept, source);
     };
     move_ = std::make_shared<generation_move>(
-        context_, request_id_, source, *to,
+        context_, request_id_, source, to,
         context_.reactor->now() + order_timeout, std::move(on));
     move_->start();
 }
@@ -84,7 +102,7 @@
 void generation_mover::stopped(const continuation& from,
                                const upstream_record& to)
 {
-    end_turn();
+    end_turns();
     move_.reset();
     if (over_)
         return;
@@ -124,7 +142,7 @@
         source_ended_ = true;
         return true;
     }
-    end_turn();
+    end_turns();
     if (move_)
         move_->cancel();
     move_.reset();
@@ -135,7 +153,7 @@
                               const std::optional<continuation>& kept,
                               const upstream_record& source)
 {
-    end_turn();
+    end_turns();
     const auto move = std::exchange(move_, nullptr);
     if (over_)
         return;
@@ -182,7 +200,7 @@
 {
     if (std::exchange(over_, true))
         return;
-    end_turn();
+    end_turns();
     if (move_)
         move_->cancel();
     move_.reset();
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -14,8 +14,11 @@
 
 /**
  * Takes one generation away from engines that leave: waits for its turn at
- * the engine's link, chooses where to, orders the move, and says when and
- * from which memory the generation goes on. When no destination has room it
+ * the engine's link, chooses where to, waits for its turn at that link too,
+ * orders the move, and says when and from which memory the generation goes on.
+ * A turn at a destination is asked for only while that at the source is held,
+ * and no engine that leaves is a destination, so two never wait for each
+ * other. When no destination has room it
  * tries others until the engine is gone.
  */
 class generation_mover : public std::enable_shared_from_this<generation_mover>
@@ -48,8 +51,10 @@
     void cancel();
 
 private:
-    void start(const upstream_record& source);
-    void end_turn();
+    void choose_destination(const upstream_record& source);
+    void start(const upstream_record& source, const upstream_record& to);
+    void end_turns();
+    std::string destination_turn() const { return request_id_ + ">"; }
     void stopped(const continuation& from, const upstream_record& to);
     void failed(move_failure failure, const std::optional<continuation>& kept,
                 const upstream_record& source);
