Streams open their own connections; ask for the configuration each 0.9 s

Cause: a long poll proves the configuration current only as of its sending, so with a wait of 2 s the lease of 4.6 s ended 0.6 to 2.6 s after the store had gone.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -188,6 +188,9 @@
     what.upstream = upstream;
     what.id = facts_.id;
     what.text = request_for(upstream, goes_on);
+    // A kept connection may have gone silent, and a generation is worth far
+    // more than the millisecond that a new one takes.
+    what.new_connection = admitted_.route->shape == answer_shape::event_stream;
     what.has_no_response_body = request_.head.method == "HEAD";
     what.connect_deadline = context_.reactor->now() + connect_time;
     tried_.push_back(upstream.id);
@@ -411,6 +414,9 @@
 std::shared_ptr<generation_mover> exchange::make_mover()
 {
     generation_mover::hooks on;
+    on.runs_at = [this](const upstream_record& source) {
+        return attempt_ && attempt_->upstream().id == source.id;
+    };
     on.destination = [this](const upstream_record& source,
                             const std::string& refused_by) {
         const auto to = context_.choice.for_move(
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -57,9 +57,8 @@
 
 void generation_mover::choose_destination(const upstream_record& source)
 {
-    const auto to = over_ || source_ended_
-                        ? std::nullopt
-                        : on_.destination(source, refused_by_);
+    const bool here = !over_ && !source_ended_ && on_.runs_at(source);
+    const auto to = here ? on_.destination(source, refused_by_) : std::nullopt;
     if (!to) {
         end_turns();
         try_again(source);
@@ -73,7 +72,8 @@
                                  [weak = weak_from_this(), source, to = *to] {
                                      const auto self = weak.lock();
                                      if (self && !self->over_ &&
-                                         !self->source_ended_)
+                                         !self->source_ended_ &&
+                                         self->on_.runs_at(source))
                                          self->start(source, to);
                                  });
 }
@@ -191,7 +191,8 @@
     context_.reactor->post_at(context_.reactor->now() + try_again_after,
                               [weak = weak_from_this(), source] {
                                   const auto self = weak.lock();
-                                  if (self && !self->source_ended_)
+                                  if (self && !self->over_ &&
+                                      self->on_.runs_at(source))
                                       self->source_leaving(source);
                               });
 }
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -25,6 +25,8 @@
 {
 public:
     struct hooks {
+        /** Whether it runs there now. */
+        std::function<bool(const upstream_record&)> runs_at;
         /** Where it may go; empty if nowhere. */
         std::function<std::optional<upstream_record>(
             const upstream_record& source, const std::string& refused_by)>
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -51,7 +51,9 @@
 
 void upstream_attempt::start()
 {
-    channel_ = channels_.take(request_.upstream, reactor_->now()).channel;
+    channel_ = request_.new_connection
+                   ? channels_.open(request_.upstream).channel
+                   : channels_.take(request_.upstream, reactor_->now()).channel;
     if (!channel_) {
         reactor_->post([self = shared_from_this()] {
             self->lose(attempt_loss::not_sent);
@@ -179,8 +181,9 @@
     // A response that came before the request was out leaves the upstream
     // reading the rest of it; whatever else were sent there would be taken
     // for that rest.
-    const bool clean = peer_keeps_ && !reader_.has_surplus() &&
-                       channel_->open() && channel_->unsent_bytes() == 0;
+    const bool clean = !request_.new_connection && peer_keeps_ &&
+                       !reader_.has_surplus() && channel_->open() &&
+                       channel_->unsent_bytes() == 0;
     if (!clean) {
         channel_->close();
         return;
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -43,6 +43,7 @@
         upstream_record upstream;
         std::string id; ///< of the request, for telling responses apart
         std::string text;
+        bool new_connection = false;       ///< never one that was kept
         bool has_no_response_body = false; ///< answers HEAD
         time_point connect_deadline;
     };
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -28,7 +28,7 @@
     /** 0: the configuration may be used however old it is. */
     milliseconds configuration_lease{0};
     milliseconds upstream_pause{900};
-    milliseconds configuration_wait{2000};
+    milliseconds configuration_wait{900};
 
     double retry_share = 0.2;
     double retry_extra = 50;
