--- a/src/libcyclamenrun/decisions/copy_turns.cpp
+++ b/src/libcyclamenrun/decisions/copy_turns.cpp
@@ -12,12 +12,13 @@
         std::find_if(places_.begin(), places_.end(), [&](const place& each) {
             return each.who.id == wanted.id;
         });
-    if (found != places_.end())
+    if (found != places_.end()) {
         found->asked_at = now;
-    else if (places_.size() < most_copy_turns)
+    } else if (places_.size() < most_copy_turns) {
+        if (places_.empty())
+            turn_ends_ = now + longest_copy_turn;
         places_.push_back({wanted, now});
-    if (places_.size() == 1 && found == places_.end())
-        turn_ends_ = now + longest_copy_turn;
+    }
     return !places_.empty() && places_.front().who.id == wanted.id;
 }
 
@@ -35,22 +36,21 @@
     drop_silent(now);
     if (places_.empty())
         return std::nullopt;
-    if (turn_ends_ == time_point::max())
-        turn_ends_ = now + longest_copy_turn;
     return places_.front().who;
 }
 
 void copy_turns::drop_silent(time_point now)
 {
+    const bool new_turn = turn_ends_ == time_point::max();
     // Who has the turn need not ask; it has until the turn's end.
     while (!places_.empty() && turn_ends_ <= now) {
         places_.pop_front();
         turn_ends_ = now + longest_copy_turn;
     }
-    if (places_.empty())
-        return;
-    const auto waiting = places_.begin() + 1;
-    places_.erase(std::remove_if(waiting, places_.end(),
+    if (new_turn)
+        turn_ends_ = now + longest_copy_turn;
+    const auto held = new_turn || places_.empty() ? 0 : 1;
+    places_.erase(std::remove_if(places_.begin() + held, places_.end(),
                                  [&](const place& each) {
                                      return each.asked_at + copy_turn_silence <=
                                             now;
--- /dev/null
+++ b/tests/decisions/test_gateway_decisions.cpp
@@ -0,0 +1,223 @@
+#include "attempt_policy.hpp"
+#include "copy_turns.hpp"
+#include "placement.hpp"
+#include "shared_retry_budget.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+time_point at(int ms)
+{
+    return time_point(milliseconds(ms));
+}
+
+// A tag is written and the answer is lost on the way. Sent once more it would
+// be written twice; answered "not run" its caller would send it again.
+TEST(attempt_policy, never_repeats_what_may_have_run_unless_that_is_harmless)
+{
+    attempt_state state;
+    state.runs = 1;
+    state.sends = 1;
+    state.max_attempts = 3;
+    EXPECT_EQ(next_step(attempt_result::lost, state),
+              attempt_step::report_lost);
+    EXPECT_EQ(next_step(attempt_result::failed, state), attempt_step::deliver);
+    state.idempotent = true;
+    EXPECT_EQ(next_step(attempt_result::lost, state), attempt_step::again);
+    EXPECT_EQ(next_step(attempt_result::failed, state), attempt_step::again);
+}
+
+TEST(attempt_policy, keeps_to_the_attempts_of_the_route)
+{
+    attempt_state state;
+    state.idempotent = true;
+    state.max_attempts = 2;
+    state.runs = 2;
+    state.sends = 2;
+    EXPECT_EQ(next_step(attempt_result::lost, state),
+              attempt_step::report_lost);
+    EXPECT_EQ(next_step(attempt_result::failed, state), attempt_step::deliver);
+}
+
+TEST(attempt_policy, tries_elsewhere_what_has_not_run)
+{
+    attempt_state state;
+    state.sends = 1;
+    EXPECT_EQ(next_step(attempt_result::turned_away, state),
+              attempt_step::again);
+    EXPECT_EQ(next_step(attempt_result::not_sent, state),
+              attempt_step::again_free);
+    state.sends = most_sends;
+    EXPECT_EQ(next_step(attempt_result::turned_away, state),
+              attempt_step::refuse);
+}
+
+// An idempotent call has run once and failed; the second upstream turns it
+// away. "Not run" would be untrue: the first has run it.
+TEST(attempt_policy, refuses_as_not_run_only_what_has_never_run)
+{
+    attempt_state state;
+    state.idempotent = true;
+    state.max_attempts = 2;
+    state.runs = 1;
+    state.sends = most_sends;
+    EXPECT_EQ(next_step(attempt_result::turned_away, state),
+              attempt_step::report_lost);
+}
+
+TEST(attempt_policy, cuts_an_answer_that_has_begun)
+{
+    attempt_state state;
+    state.idempotent = true;
+    state.max_attempts = 9;
+    state.answer_begun = true;
+    for (const auto result : {attempt_result::lost, attempt_result::failed,
+                              attempt_result::turned_away})
+        EXPECT_EQ(next_step(result, state), attempt_step::cut);
+}
+
+TEST(shared_retry_budget, divides_the_fixed_part_among_gateways)
+{
+    retry_budget_settings settings;
+    settings.share = 0;
+    settings.extra = 50;
+    shared_retry_budget budget(settings);
+    budget.set_sharers(5);
+    int taken = 0;
+    while (budget.try_retry("s", at(0)))
+        ++taken;
+    EXPECT_EQ(taken, 8); // four fifths of 50 / 5
+}
+
+// Upstreams fail, and each request is tried again: without a budget the load
+// on what is left doubles. Over any window the retries stay within the share.
+TEST(shared_retry_budget, holds_in_any_window)
+{
+    retry_budget_settings settings;
+    settings.share = 0.2;
+    settings.extra = 10;
+    settings.window = milliseconds(1000);
+    shared_retry_budget budget(settings);
+    budget.set_sharers(1);
+    std::vector<int> retries;
+    for (int ms = 0; ms < 10000; ms += 10) {
+        budget.request("s", at(ms));
+        if (budget.try_retry("s", at(ms)))
+            retries.push_back(ms);
+    }
+    for (const int from : retries) {
+        const auto in_window =
+            std::count_if(retries.begin(), retries.end(), [&](int ms) {
+                return ms >= from && ms < from + 1000;
+            });
+        EXPECT_LE(in_window, 0.2 * 100 + 10);
+    }
+    EXPECT_GT(retries.size(), 150U);
+}
+
+TEST(shared_retry_budget, counts_what_can_not_be_forgone)
+{
+    retry_budget_settings settings;
+    settings.share = 0;
+    settings.extra = 10;
+    shared_retry_budget budget(settings);
+    budget.set_sharers(1);
+    for (int i = 0; i < 8; ++i)
+        budget.forced("s", at(0));
+    EXPECT_FALSE(budget.try_retry("s", at(0)));
+    EXPECT_TRUE(budget.try_retry("s", at(10000)));
+}
+
+TEST(placement, avoids_prompts_that_wait_memory_that_is_short_and_failures)
+{
+    placement_candidate good;
+    auto waits = good;
+    waits.wait = 0.5;
+    auto full = good;
+    full.memory_taken = 1.0;
+    auto fails = good;
+    fails.failure_rate = 0.5;
+    auto doubtful = good;
+    doubtful.doubtful = true;
+    for (const auto& bad : {waits, full, fails, doubtful})
+        EXPECT_LT(placement_cost(good), placement_cost(bad));
+    // Better one that may be gone than none.
+    std::mt19937_64 random(1);
+    EXPECT_EQ(choose_placement(std::vector{doubtful}, random), 0U);
+    EXPECT_FALSE(choose_placement(std::vector<placement_candidate>(), random));
+}
+
+TEST(placement, a_copy_counts_the_distance_and_no_wait)
+{
+    placement_candidate near;
+    near.wait = 0.5;
+    placement_candidate far;
+    far.same_failure_domain = false;
+    EXPECT_GT(placement_cost(near), placement_cost(far));
+    EXPECT_LT(placement_cost(near, copy_weights),
+              placement_cost(far, copy_weights));
+}
+
+TEST(placement, draws_among_equals_against_herds)
+{
+    const std::vector<placement_candidate> same(4);
+    std::mt19937_64 random(3);
+    std::vector<int> drawn(4);
+    for (int i = 0; i < 400; ++i)
+        ++drawn[*choose_placement(same, random)];
+    for (const int count : drawn)
+        EXPECT_GT(count, 60);
+}
+
+TEST(copy_turns, go_round_in_the_order_of_asking)
+{
+    copy_turns turns;
+    EXPECT_TRUE(turns.ask({"a", "g1"}, at(0)));
+    EXPECT_FALSE(turns.ask({"b", "g2"}, at(0)));
+    EXPECT_FALSE(turns.ask({"c", "g1"}, at(0)));
+    turns.end("a");
+    EXPECT_EQ(turns.holder(at(10))->id, "b");
+    EXPECT_TRUE(turns.ask({"b", "g2"}, at(10)));
+    turns.end("b");
+    turns.end("c");
+    EXPECT_FALSE(turns.holder(at(20)));
+}
+
+// A gateway that has the turn dies. The others must not wait until the
+// engine is gone.
+TEST(copy_turns, end_by_themselves)
+{
+    copy_turns turns;
+    ASSERT_TRUE(turns.ask({"a", "g1"}, at(0)));
+    const int end = static_cast<int>(longest_copy_turn.count());
+    EXPECT_FALSE(turns.ask({"b", "g2"}, at(end - 1)));
+    EXPECT_TRUE(turns.ask({"b", "g2"}, at(end)));
+}
+
+TEST(copy_turns, forget_who_waits_in_silence)
+{
+    copy_turns turns;
+    ASSERT_TRUE(turns.ask({"a", "g1"}, at(0)));
+    ASSERT_FALSE(turns.ask({"b", "g2"}, at(0)));
+    ASSERT_FALSE(turns.ask({"c", "g3"}, at(250)));
+    turns.end("a");
+    EXPECT_EQ(turns.holder(at(301))->id, "c");
+}
+
+TEST(copy_turns, are_bounded)
+{
+    copy_turns turns;
+    for (std::size_t i = 0; i < 2 * most_copy_turns; ++i)
+        turns.ask({std::to_string(i), "g"}, at(0));
+    for (std::size_t i = 0; i < most_copy_turns; ++i)
+        turns.end(std::to_string(i));
+    EXPECT_FALSE(turns.holder(at(0)));
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/gateway/test_configuration_lease.cpp
@@ -0,0 +1,51 @@
+#include "configuration_lease.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+boot_time at(int ms)
+{
+    return boot_time(milliseconds(ms));
+}
+
+TEST(configuration_lease, is_not_valid_before_the_first_proof)
+{
+    const configuration_lease lease(milliseconds(5000));
+    EXPECT_FALSE(lease.valid(at(0)));
+    EXPECT_FALSE(lease.age(at(0)));
+}
+
+// A team's key is taken away while this VM is cut off from the directory, or
+// suspended. Its lease has to end by itself, counted from when the last call
+// that proved the configuration was sent: the answer may have waited.
+TEST(configuration_lease, ends_a_term_after_the_proof_was_asked_for)
+{
+    configuration_lease lease(milliseconds(5000));
+    lease.renew(at(1000));
+    EXPECT_TRUE(lease.valid(at(5999)));
+    EXPECT_FALSE(lease.valid(at(6000)));
+    EXPECT_EQ(lease.age(at(1500)), milliseconds(500));
+}
+
+TEST(configuration_lease, an_answer_that_was_overtaken_takes_nothing_back)
+{
+    configuration_lease lease(milliseconds(5000));
+    lease.renew(at(2000));
+    lease.renew(at(1000));
+    EXPECT_TRUE(lease.valid(at(6500)));
+}
+
+TEST(configuration_lease, without_a_term_any_proof_is_enough)
+{
+    configuration_lease lease(std::nullopt);
+    EXPECT_FALSE(lease.valid(at(0)));
+    lease.renew(at(0));
+    EXPECT_TRUE(lease.valid(at(1000000)));
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/gateway/test_event_splitter.cpp
@@ -0,0 +1,89 @@
+#include "event_splitter.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: t" + std::to_string(id) +
+           "\n\n";
+}
+
+TEST(event_splitter, passes_whole_events_only)
+{
+    event_splitter splitter;
+    EXPECT_EQ(splitter.feed(event(1) + "id: 2\nda"), event(1));
+    EXPECT_EQ(splitter.feed("ta: t2\n"), "");
+    EXPECT_EQ(splitter.feed("\n"), event(2));
+    EXPECT_EQ(splitter.last_id(), 2U);
+    EXPECT_EQ(splitter.events(), 2U);
+}
+
+// An engine ends in the middle of an event, and the generation goes on at
+// another one, which begins with that event again. Joined to the half that
+// came before, the caller would read garbage.
+TEST(event_splitter, drops_half_an_event_when_a_new_run_goes_on)
+{
+    event_splitter splitter;
+    ASSERT_EQ(splitter.feed(event(1) + "id: 2\nda"), event(1));
+    splitter.restart();
+    EXPECT_EQ(splitter.feed(event(2) + event(3)), event(2) + event(3));
+}
+
+TEST(event_splitter, drops_events_that_the_caller_has)
+{
+    event_splitter splitter(3);
+    EXPECT_EQ(splitter.feed(event(2) + event(3) + event(4)), event(4));
+}
+
+TEST(event_splitter, tells_that_an_event_is_missing)
+{
+    event_splitter splitter;
+    ASSERT_TRUE(splitter.feed(event(1)));
+    const auto fed = splitter.feed(event(3));
+    ASSERT_FALSE(fed);
+    EXPECT_EQ(fed.error(), event_order_problem::gap);
+}
+
+TEST(event_splitter, passes_events_without_an_id_and_with_other_line_ends)
+{
+    event_splitter splitter;
+    const std::string text = ": note\r\n\r\nid:1\r\ndata: x\r\n\r\n";
+    EXPECT_EQ(splitter.feed(text), text);
+    EXPECT_EQ(splitter.last_id(), 1U);
+}
+
+TEST(event_splitter, bounds_what_it_holds)
+{
+    event_splitter splitter;
+    const auto fed = splitter.feed(std::string(largest_event_bytes + 1, 'x'));
+    ASSERT_FALSE(fed);
+    EXPECT_EQ(fed.error(), event_order_problem::too_large);
+}
+
+RC_GTEST_PROP(event_splitter, passes_a_stream_unchanged_from_any_pieces, ())
+{
+    const auto count = *rc::gen::inRange(1, 20);
+    std::string stream;
+    for (int id = 1; id <= count; ++id)
+        stream += event(id);
+    event_splitter splitter;
+    std::string passed;
+    for (std::size_t at = 0; at < stream.size();) {
+        const auto size = *rc::gen::inRange<std::size_t>(1, 40);
+        const auto piece = splitter.feed(stream.substr(at, size));
+        RC_ASSERT(piece.has_value());
+        passed += *piece;
+        at += size;
+    }
+    RC_ASSERT(passed == stream);
+    RC_ASSERT(splitter.take_rest().empty());
+}
+
+} // namespace
+} // namespace cyclamenrun
