--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -58,7 +58,9 @@
 void generation_mover::choose_destination(const upstream_record& source)
 {
     const bool here = !over_ && !source_ended_ && on_.runs_at(source);
-    const auto to = here ? on_.destination(source, refused_by_) : std::nullopt;
+    // Passed over once only: it may be the one place that is left.
+    const auto refused_by = std::exchange(refused_by_, {});
+    const auto to = here ? on_.destination(source, refused_by) : std::nullopt;
     if (!to) {
         end_turns();
         try_again(source);
--- /dev/null
+++ b/tests/gateway/fake_upstream.cpp
@@ -0,0 +1,172 @@
+#include "fake_upstream.hpp"
+
+#include "http_text.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <array>
+#include <chrono>
+
+namespace cyclamenrun::testing_support
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds limit{10};
+
+} // namespace
+
+std::string event_text(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) +
+           "\n\n";
+}
+
+void upstream_reply::send(const std::string& bytes)
+{
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+void upstream_reply::answer(const arrived_request& request, int status,
+                            const std::string& body,
+                            const std::string& more_fields)
+{
+    send("HTTP/1.1 " + std::to_string(status) +
+         " X\r\nAttempt-Id: " + request.field("Attempt-Id") +
+         "\r\nResponse-Seal: seal\r\n" + more_fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void upstream_reply::begin_stream(const arrived_request& request)
+{
+    send("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
+         "\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void upstream_reply::event(int id)
+{
+    send(chunk_text(event_text(id)));
+}
+
+void upstream_reply::close()
+{
+    socket_.shutdown();
+}
+
+void upstream_reply::reset()
+{
+    socket_.setLinger(true, 0);
+    socket_.close();
+}
+
+bool upstream_reply::wait_for_close()
+{
+    socket_.setReceiveTimeout(Poco::Timespan(10, 0));
+    std::array<char, 256> bytes{};
+    try {
+        while (socket_.receiveBytes(bytes.data(), bytes.size()) > 0) {
+        }
+    } catch (const Poco::TimeoutException&) {
+        return false;
+    } catch (const Poco::Exception&) {
+        return true; // by a reset
+    }
+    return true;
+}
+
+fake_upstream::fake_upstream(script play)
+    : play_(std::move(play)),
+      listener_(Poco::Net::SocketAddress("127.0.0.1:0")),
+      acceptor_([this] { accept(); })
+{
+}
+
+fake_upstream::~fake_upstream()
+{
+    stopping_ = true;
+    try {
+        Poco::Net::StreamSocket(listener_.address()).close();
+    } catch (const Poco::Exception&) {
+        // It has ended by itself.
+        stopping_ = true;
+    }
+    acceptor_.join();
+    {
+        const std::scoped_lock lock(mutex_);
+        for (auto& socket : sockets_) {
+            try {
+                socket.shutdown();
+            } catch (const Poco::Exception&) {
+                continue; // closed already
+            }
+        }
+    }
+    for (auto& thread : threads_)
+        thread.join();
+}
+
+ip_endpoint fake_upstream::address() const
+{
+    return {"127.0.0.1", listener_.address().port()};
+}
+
+std::vector<arrived_request> fake_upstream::arrived() const
+{
+    const std::scoped_lock lock(mutex_);
+    return arrived_;
+}
+
+std::vector<arrived_request> fake_upstream::wait_for(std::size_t count) const
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, limit, [&] { return arrived_.size() >= count; });
+    return arrived_;
+}
+
+void fake_upstream::accept()
+{
+    while (!stopping_) {
+        auto socket = listener_.acceptConnection();
+        if (stopping_)
+            return;
+        socket.setNoDelay(true);
+        const std::scoped_lock lock(mutex_);
+        sockets_.push_back(socket);
+        threads_.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+void fake_upstream::serve(Poco::Net::StreamSocket socket)
+{
+    arrived_request request;
+    http_reader reader(http_message_kind::request, {},
+                       {[&](http_head&& head) { request.head = head; },
+                        [&](std::string_view bytes) { request.body += bytes; },
+                        {}});
+    std::array<char, 4096> bytes{};
+    try {
+        while (!stopping_) {
+            const auto count = socket.receiveBytes(bytes.data(), bytes.size());
+            if (count <= 0 ||
+                !reader.feed({bytes.data(), static_cast<std::size_t>(count)}))
+                return;
+            if (!reader.complete())
+                continue;
+            {
+                const std::scoped_lock lock(mutex_);
+                arrived_.push_back(request);
+            }
+            changed_.notify_all();
+            upstream_reply reply(socket);
+            play_(request, reply);
+            request = {};
+            (void)reader.next_message();
+        }
+    } catch (const Poco::Exception&) {
+        return; // the other side has gone
+    }
+}
+
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cpp
@@ -0,0 +1,254 @@
+#include "gateway_fixture.hpp"
+
+#include "http_dialect.hpp"
+
+#include <Poco/Net/NetException.h>
+#include <algorithm>
+#include <array>
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds limit{10};
+
+gateway_route route(const std::string& prefix, const std::string& service)
+{
+    gateway_route result;
+    result.name = prefix;
+    result.host = "test.example";
+    result.path_prefix = prefix;
+    result.services = {{service, 1}};
+    result.timeout = milliseconds(8000);
+    result.objective = milliseconds(500);
+    return result;
+}
+
+gateway_route stream(const std::string& prefix, bool resumable)
+{
+    auto result = route(prefix, "model");
+    result.shape = answer_shape::event_stream;
+    result.resumable = resumable;
+    result.max_attempts = resumable ? 2 : 1;
+    result.gap_target = milliseconds(200);
+    return result;
+}
+
+} // namespace
+
+test_caller::test_caller(const std::string& address)
+    : socket_(Poco::Net::SocketAddress(address))
+{
+    socket_.setNoDelay(true);
+    socket_.setReceiveTimeout(Poco::Timespan(limit.count(), 0));
+    start();
+}
+
+void test_caller::start()
+{
+    answer_ = {};
+    reader_ = std::make_unique<http_reader>(
+        http_message_kind::response, http_limits{},
+        http_reader::hooks{
+            [this](http_head&& head) { answer_.head = std::move(head); },
+            [this](std::string_view bytes) { answer_.body += bytes; },
+            [this] { answer_.whole = true; }});
+}
+
+void test_caller::send(const std::string& bytes)
+{
+    socket_.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+}
+
+bool test_caller::receive()
+{
+    std::array<char, 4096> bytes{};
+    try {
+        const auto count = socket_.receiveBytes(bytes.data(), bytes.size());
+        if (count <= 0) {
+            (void)reader_->end_of_connection();
+            return false;
+        }
+        return reader_->feed({bytes.data(), static_cast<std::size_t>(count)})
+            .has_value();
+    } catch (const Poco::Exception&) {
+        return false; // reset, or nothing for ten seconds
+    }
+}
+
+caller_answer test_caller::read()
+{
+    while (!answer_.whole && receive()) {
+    }
+    const auto answer = answer_;
+    const bool more = reader_->complete();
+    answer_ = {};
+    if (more)
+        (void)reader_->next_message();
+    return answer;
+}
+
+bool test_caller::wait_for_body(const std::string& text)
+{
+    while (answer_.body.find(text) == std::string::npos) {
+        if (answer_.whole || !receive())
+            return answer_.body.find(text) != std::string::npos;
+    }
+    return true;
+}
+
+gateway_fixture::gateway_fixture()
+{
+    settings_.name = "gateway-1";
+    settings_.failure_domain = "d1";
+    settings_.listen = {"127.0.0.1", 0};
+    settings_.ready_listen = {"127.0.0.1", 0};
+    settings_.upstream_pause = milliseconds(10);
+    settings_.retry_extra = 1000;
+    settings_.balancer_wait = milliseconds(50);
+}
+
+gateway_fixture::~gateway_fixture()
+{
+    gateway_.reset();
+}
+
+gateway_configuration gateway_fixture::configuration() const
+{
+    gateway_configuration result;
+    result.version = 1;
+    result.routes = {route("/plain/", "app"), route("/safe/", "app"),
+                     stream("/gen/", false), stream("/res/", true)};
+    result.routes[1].idempotent = true;
+    result.routes[1].max_attempts = 2;
+    result.has_teams = true;
+    gateway_team team;
+    team.name = "north";
+    team.keys = {secret("k1")};
+    result.teams = {team};
+    gateway_service model;
+    model.name = "model";
+    model.engine = engine_traits{};
+    model.engine->slots = 8;
+    model.engine->memory_tokens = 100000;
+    model.engine->moves = true;
+    model.engine->backups = true;
+    result.services = {gateway_service{"app", {}}, model};
+    return result;
+}
+
+void gateway_fixture::start(bool configured)
+{
+    gateway_platform platform;
+    platform.dialect = std::make_shared<platform::http_dialect>();
+    platform.configurations = [this](const std::shared_ptr<link_reactor>& on,
+                                     const ip_endpoint&) {
+        configurations_ =
+            std::make_shared<pushed_feed<gateway_configuration>>(on);
+        return configurations_;
+    };
+    platform.upstreams = [this](const std::shared_ptr<link_reactor>& on,
+                                const ip_endpoint&) {
+        changes_ = std::make_shared<pushed_feed<upstream_change>>(on);
+        return changes_;
+    };
+    gateway_ = std::make_unique<gateway_process>(settings_, platform, [this] {
+        return settings_outcome<gateway_settings>(settings_);
+    });
+    if (configured)
+        apply(configuration());
+}
+
+void gateway_fixture::apply(gateway_configuration configuration)
+{
+    const auto wanted =
+        "\"configuration_version\":" + std::to_string(configuration.version) +
+        ",";
+    configurations_->push(std::move(configuration));
+    const auto deadline = steady_now() + limit;
+    while (state().find(wanted) == std::string::npos && steady_now() < deadline)
+        std::this_thread::sleep_for(milliseconds(5));
+}
+
+fake_upstream& gateway_fixture::add(const std::string& id,
+                                    fake_upstream::script play,
+                                    const std::string& service)
+{
+    upstreams_.push_back(std::make_unique<fake_upstream>(std::move(play)));
+    upstream_record record;
+    record.id = id;
+    record.service = service;
+    record.address = upstreams_.back()->address();
+    record.failure_domain = "d1";
+    record.slots = 8;
+    records_.push_back(record);
+    tell(record);
+    wait_for_upstreams(records_.size());
+    return *upstreams_.back();
+}
+
+void gateway_fixture::tell(const upstream_record& record)
+{
+    changes_->push({record.id, record});
+}
+
+void gateway_fixture::forget(const std::string& id)
+{
+    changes_->push({id, std::nullopt});
+}
+
+void gateway_fixture::drain(const std::string& id)
+{
+    const auto found =
+        std::find_if(records_.begin(), records_.end(),
+                     [&](const auto& record) { return record.id == id; });
+    auto record = *found;
+    record.draining = true;
+    tell(record);
+}
+
+void gateway_fixture::wait_for_upstreams(std::size_t count)
+{
+    const auto wanted = "\"upstreams\":" + std::to_string(count) + ",";
+    const auto deadline = steady_now() + limit;
+    while (state().find(wanted) == std::string::npos && steady_now() < deadline)
+        std::this_thread::sleep_for(milliseconds(5));
+}
+
+std::string gateway_fixture::request(const std::string& path,
+                                     const std::string& key,
+                                     const std::string& more,
+                                     const std::string& body)
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: r" +
+           std::to_string(++next_id_) + "\r\nAuthorization: Bearer " + key +
+           "\r\nToken-Usage: 100,4000\r\nDeadline-Ms: 9000\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+caller_answer gateway_fixture::ask(const std::string& path,
+                                   const std::string& key)
+{
+    test_caller caller(gateway_->address());
+    caller.send(request(path, key));
+    return caller.read();
+}
+
+std::string gateway_fixture::state()
+{
+    test_caller caller(gateway_->ready_address());
+    caller.send("GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
+    return caller.read().body;
+}
+
+unsigned gateway_fixture::readiness()
+{
+    test_caller caller(gateway_->ready_address());
+    caller.send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+    return caller.read().status();
+}
+
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/gateway_fixture.hpp
@@ -0,0 +1,145 @@
+#ifndef CYCLAMENRUN_TESTS_GATEWAY_FIXTURE_HPP
+#define CYCLAMENRUN_TESTS_GATEWAY_FIXTURE_HPP
+
+#include "fake_upstream.hpp"
+#include "gateway_process.hpp"
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cyclamenrun::testing_support
+{
+
+/** A feed that holds what a test puts into it. */
+template <typename Item>
+class pushed_feed : public directory_feed<Item>
+{
+public:
+    using typename directory_feed<Item>::answered;
+
+    explicit pushed_feed(std::shared_ptr<link_reactor> reactor)
+        : reactor_(std::move(reactor))
+    {
+    }
+
+    /** From any thread: the follower gets it as a further record. */
+    void push(Item item)
+    {
+        reactor_->post([this, item = std::move(item)] {
+            items_.push_back(item);
+            answer_waiting();
+        });
+    }
+
+    void read_newest(time_point, answered on_answer) override
+    {
+        on_answer(directory_page<Item>{items_, items_.size()});
+    }
+    void read_from(std::uint64_t offset, milliseconds, time_point,
+                   answered on_answer) override
+    {
+        from_ = offset;
+        waiting_ = std::move(on_answer);
+        answer_waiting();
+    }
+
+private:
+    void answer_waiting()
+    {
+        if (!waiting_ || items_.size() <= from_)
+            return;
+        const std::vector<Item> news(
+            items_.begin() + static_cast<std::ptrdiff_t>(from_), items_.end());
+        const auto answer = std::exchange(waiting_, nullptr);
+        answer(directory_page<Item>{news, items_.size()});
+    }
+
+    std::shared_ptr<link_reactor> reactor_;
+    std::vector<Item> items_;
+    std::uint64_t from_ = 0;
+    answered waiting_;
+};
+
+/** What a caller has read. */
+struct caller_answer {
+    http_head head;
+    std::string body;
+    bool whole = false;
+
+    unsigned status() const { return head.status; }
+    std::string field(const std::string& name) const
+    {
+        return std::string(head.find(name).value_or(""));
+    }
+};
+
+/** A caller's connection to the gateway. */
+class test_caller
+{
+public:
+    explicit test_caller(const std::string& address);
+
+    void send(const std::string& bytes);
+    /** Reads one answer, or as much of it as comes. */
+    caller_answer read();
+    /** Reads until the body has this text. */
+    bool wait_for_body(const std::string& text);
+    void leave() { socket_.close(); }
+
+private:
+    bool receive();
+    void start();
+
+    Poco::Net::StreamSocket socket_;
+    caller_answer answer_;
+    std::unique_ptr<http_reader> reader_;
+};
+
+/**
+ * A whole gateway on loopback, with upstreams of the test's own and a
+ * directory that the test fills. Routes: /plain/ may not be repeated, /safe/
+ * is idempotent, /gen/ streams and may not be resumed, /res/ streams and may.
+ */
+class gateway_fixture : public testing::Test
+{
+protected:
+    gateway_fixture();
+    ~gateway_fixture() override;
+
+    /** With a configuration, unless told otherwise. */
+    void start(bool configured = true);
+    /** Adds an upstream; the gateway knows it soon after. */
+    fake_upstream& add(const std::string& id, fake_upstream::script play,
+                       const std::string& service = "app");
+    void tell(const upstream_record& record);
+    void forget(const std::string& id);
+    void drain(const std::string& id);
+    void apply(gateway_configuration configuration);
+    gateway_configuration configuration() const;
+    /** Waits until the gateway knows so many upstreams. */
+    void wait_for_upstreams(std::size_t count);
+
+    /** A request's bytes, with a new id each. */
+    std::string request(const std::string& path, const std::string& key = "k1",
+                        const std::string& more = "",
+                        const std::string& body = "hello");
+    caller_answer ask(const std::string& path, const std::string& key = "k1");
+    std::string state();
+    unsigned readiness();
+
+    gateway_settings settings_;
+    std::unique_ptr<gateway_process> gateway_;
+    std::vector<std::unique_ptr<fake_upstream>> upstreams_;
+    std::vector<upstream_record> records_;
+    std::shared_ptr<pushed_feed<gateway_configuration>> configurations_;
+    std::shared_ptr<pushed_feed<upstream_change>> changes_;
+    int next_id_ = 0;
+};
+
+} // namespace cyclamenrun::testing_support
+
+#endif // CYCLAMENRUN_TESTS_GATEWAY_FIXTURE_HPP
--- /dev/null
+++ b/tests/gateway/test_generations.cpp
@@ -0,0 +1,283 @@
+#include "gateway_fixture.hpp"
+
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event_text(id);
+    return text;
+}
+
+/**
+ * An engine that streams until it is told to stop. Of a request that goes on
+ * from memory it sends the events behind the last one that the caller has.
+ */
+class generating_engine
+{
+public:
+    static constexpr int last_event = 12;
+
+    void play(const arrived_request& request, upstream_reply& reply)
+    {
+        if (request.head.target == "/kv-move") {
+            order(request, reply);
+            return;
+        }
+        if (request.head.method == "DELETE") {
+            reply.answer(request, 200, "{}");
+            return;
+        }
+        stream(request, reply);
+    }
+
+    /** Stops the stream before this event, until changed. */
+    std::atomic<int> hold_before = 1000;
+    /** Breaks a run's first connection in the middle of this event. */
+    std::atomic<int> break_before = 1000;
+    std::atomic<bool> has_room = true;
+    std::atomic<bool> drop_order = false;
+    std::atomic<int> orders = 0;
+    /** Called when the order to stop has come, before it is answered. */
+    std::function<void()> on_stop;
+
+private:
+    void order(const arrived_request& request, upstream_reply& reply)
+    {
+        ++orders;
+        const bool stop =
+            request.body.find("\"last\":true") != std::string::npos;
+        if (drop_order) {
+            reply.close();
+            return;
+        }
+        if (!has_room) {
+            reply.answer(request, 503, "{}");
+            return;
+        }
+        if (stop) {
+            stopped = true;
+            if (on_stop)
+                on_stop();
+            wait_until([&] { return ended.load(); });
+        }
+        reply.answer(request, 200, R"({"handle":"h1","created":3})");
+    }
+
+    void stream(const arrived_request& request, upstream_reply& reply)
+    {
+        const auto from = request.field("Last-Event-Id");
+        const int first = from.empty() ? 1 : std::stoi(from) + 1;
+        ended = false;
+        reply.begin_stream(request);
+        for (int id = first; id <= last_event; ++id) {
+            wait_until([&] { return id < hold_before || stopped; });
+            if (stopped || (from.empty() && id >= break_before)) {
+                reply.send("8\r\nid: 99\nd\r\n");
+                reply.close();
+                ended = true;
+                return;
+            }
+            reply.event(id);
+        }
+        reply.end_stream();
+        ended = true;
+    }
+
+    /** Ten seconds at most, so that a test which fails also ends. */
+    template <typename Condition>
+    static void wait_until(Condition condition)
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(10);
+        while (!condition() && steady_now() < deadline)
+            std::this_thread::sleep_for(milliseconds(1));
+    }
+
+    std::atomic<bool> stopped = false;
+    std::atomic<bool> ended = true;
+};
+
+class generations : public gateway_fixture
+{
+protected:
+    fake_upstream& add_engine(const std::string& id, generating_engine& engine)
+    {
+        return add(
+            id,
+            [&engine](const arrived_request& request, upstream_reply& reply) {
+                engine.play(request, reply);
+            },
+            "model");
+    }
+
+    static std::vector<arrived_request> streams(const fake_upstream& upstream)
+    {
+        auto arrived = upstream.arrived();
+        std::erase_if(arrived, [](const auto& request) {
+            return request.head.target != "/gen/x" &&
+                   request.head.target != "/res/x";
+        });
+        return arrived;
+    }
+};
+
+TEST_F(generations, events_go_through_as_they_come)
+{
+    start();
+    generating_engine engine;
+    engine.hold_before = 4;
+    add_engine("e1", engine);
+    test_caller caller(gateway_->address());
+    caller.send(request("/gen/x"));
+    EXPECT_TRUE(caller.wait_for_body(events(1, 3)));
+    engine.hold_before = 1000;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(answer.field("Response-Seal"), "seal");
+}
+
+// An engine is reclaimed in the middle of a dossier. Its memory is copied to
+// another engine, and the dossier goes on there: the caller sees one answer,
+// every event once.
+TEST_F(generations, a_generation_outlives_its_engine)
+{
+    start();
+    generating_engine first;
+    generating_engine second;
+    first.hold_before = 5;
+    auto& source = add_engine("e1", first);
+    test_caller caller(gateway_->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    auto& destination = add_engine("e2", second);
+    drain("e1");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(first.orders, 2); // a copy beside the run, then the rest
+    const auto went_on = streams(destination);
+    ASSERT_EQ(went_on.size(), 1U);
+    EXPECT_EQ(went_on[0].field("Kv-From"), to_string(source.address()) + "/h1");
+    EXPECT_EQ(went_on[0].field("Last-Event-Id"), "4");
+    EXPECT_EQ(went_on[0].field("Attempt-Id"),
+              streams(source)[0].field("Attempt-Id"));
+    EXPECT_EQ(went_on[0].field("Expect-Instance"), "e2");
+}
+
+// While the last copy is under way the engine's entry goes from the directory.
+// The answer to the order must still be waited for: without it the dossier
+// would hang until its caller gives up.
+TEST_F(generations, an_order_outlives_the_entry_of_its_engine)
+{
+    start();
+    generating_engine first;
+    generating_engine second;
+    first.hold_before = 5;
+    first.on_stop = [this] {
+        forget("e1");
+        wait_for_upstreams(1);
+    };
+    add_engine("e1", first);
+    test_caller caller(gateway_->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    add_engine("e2", second);
+    drain("e1");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+}
+
+TEST_F(generations, a_destination_without_room_is_not_the_end)
+{
+    start();
+    generating_engine first;
+    generating_engine second;
+    first.hold_before = 5;
+    first.has_room = false;
+    add_engine("e1", first);
+    test_caller caller(gateway_->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    add_engine("e2", second);
+    drain("e1");
+    while (first.orders == 0)
+        std::this_thread::sleep_for(milliseconds(5));
+    first.has_room = true;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+}
+
+// An engine crashes without notice in the middle of an event. Its backup has
+// the memory; the half event must not be joined to what follows.
+TEST_F(generations, a_crash_is_made_up_for_by_the_backup)
+{
+    start();
+    generating_engine first;
+    generating_engine second;
+    add_engine("e1", first);
+    add_engine("e2", second);
+    first.break_before = 5;
+    second.break_before = 5;
+    const auto answer = ask("/gen/x");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    const auto all =
+        streams(*upstreams_[0]).size() + streams(*upstreams_[1]).size();
+    EXPECT_EQ(all, 2U);
+    for (const auto& upstream : upstreams_) {
+        for (const auto& arrived : streams(*upstream)) {
+            if (arrived.field("Kv-From").empty())
+                EXPECT_NE(arrived.field("Kv-Backup"), "");
+            else
+                EXPECT_EQ(arrived.field("Last-Event-Id"), "4");
+        }
+    }
+}
+
+// The only engine crashes: there is no backup, and the dossier may not run
+// again. The caller must see that its answer is cut.
+TEST_F(generations, a_stream_that_can_not_go_on_never_looks_whole)
+{
+    start();
+    generating_engine engine;
+    engine.break_before = 5;
+    auto& upstream = add_engine("e1", engine);
+    test_caller caller(gateway_->address());
+    caller.send(request("/gen/x"));
+    const auto answer = caller.read();
+    EXPECT_FALSE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, 4));
+    EXPECT_EQ(streams(upstream).size(), 1U);
+}
+
+TEST_F(generations, a_resumable_stream_goes_on_in_a_new_run)
+{
+    start();
+    generating_engine first;
+    generating_engine second;
+    first.break_before = 5;
+    second.break_before = 5;
+    add_engine("e1", first);
+    add_engine("e2", second);
+    const auto answer = ask("/res/x");
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    for (const auto& upstream : upstreams_) {
+        const auto arrived = streams(*upstream);
+        ASSERT_EQ(arrived.size(), 1U);
+        EXPECT_EQ(arrived[0].field("Kv-From"), "");
+        EXPECT_EQ(arrived[0].field("Kv-Backup"), "");
+    }
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/test_passing_on.cpp
@@ -0,0 +1,180 @@
+#include "gateway_fixture.hpp"
+
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+class passing_on : public gateway_fixture
+{
+};
+
+void answer_with_body(const arrived_request& request, upstream_reply& reply)
+{
+    reply.answer(request, 200, "echo " + request.body);
+}
+
+TEST_F(passing_on, requests_and_answers_go_through_unchanged)
+{
+    start();
+    auto& upstream = add("u1", answer_with_body);
+    test_caller caller(gateway_->address());
+    caller.send(request("/plain/x?a=b", "k1", "X-Own: 1\r\n"));
+    const auto answer = caller.read();
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_EQ(answer.body, "echo hello");
+    EXPECT_EQ(answer.field("Response-Seal"), "seal");
+    const auto arrived = upstream.wait_for(1);
+    ASSERT_EQ(arrived.size(), 1U);
+    EXPECT_EQ(arrived[0].head.target, "/plain/x?a=b");
+    EXPECT_EQ(arrived[0].body, "hello");
+    EXPECT_EQ(arrived[0].field("X-Own"), "1");
+    EXPECT_EQ(arrived[0].field("Tenant"), "north");
+    EXPECT_EQ(arrived[0].field("Expect-Instance"), "u1");
+    EXPECT_EQ(arrived[0].field("Authorization"), "");
+}
+
+TEST_F(passing_on, a_connection_serves_one_request_after_another)
+{
+    start();
+    add("u1", answer_with_body);
+    test_caller caller(gateway_->address());
+    // The second is sent before the first is answered.
+    caller.send(request("/plain/1", "k1", "", "one") +
+                request("/plain/2", "k1", "", "two"));
+    EXPECT_EQ(caller.read().body, "echo one");
+    EXPECT_EQ(caller.read().body, "echo two");
+    caller.send(request("/plain/3", "k1", "", "three"));
+    EXPECT_EQ(caller.read().body, "echo three");
+}
+
+TEST_F(passing_on, a_request_that_is_not_readable_is_refused_and_closes)
+{
+    start();
+    auto& upstream = add("u1", answer_with_body);
+    test_caller caller(gateway_->address());
+    caller.send("POST /plain/ HTTP/1.1\r\nHost: test.example\r\n"
+                "Attempt-Id: a\r\nContent-Length: 3\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+                request("/plain/hidden"));
+    const auto answer = caller.read();
+    EXPECT_EQ(answer.status(), 400U);
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_TRUE(upstream.arrived().empty());
+}
+
+// A process has just started and knows no configuration. A 404 or 401 would
+// make callers give up on what is there.
+TEST_F(passing_on, without_a_configuration_it_is_not_ready_and_says_so)
+{
+    start(false);
+    EXPECT_EQ(readiness(), 503U);
+    const auto answer = ask("/plain/x");
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_NE(answer.field("Retry-After"), "");
+    apply(configuration());
+    add("u1", answer_with_body);
+    EXPECT_EQ(readiness(), 200U);
+    EXPECT_EQ(ask("/plain/x").status(), 200U);
+}
+
+TEST_F(passing_on, routes_and_keys_are_those_of_the_newest_version)
+{
+    start();
+    add("u1", answer_with_body);
+    EXPECT_EQ(ask("/other/x").status(), 404U);
+    EXPECT_EQ(ask("/plain/x", "wrong").status(), 401U);
+    auto next = configuration();
+    next.version = 3;
+    next.teams[0].keys = {secret("k2")};
+    next.routes[0].path_prefix = "/other/";
+    apply(next);
+    EXPECT_EQ(ask("/plain/x", "k2").status(), 404U);
+    EXPECT_EQ(ask("/other/x", "k2").status(), 200U);
+    EXPECT_EQ(ask("/other/x", "k1").status(), 401U);
+}
+
+// An older version arrives late, as a record that was read twice. In force
+// again, it would bring a revoked key back.
+TEST_F(passing_on, a_version_never_goes_back)
+{
+    start();
+    add("u1", answer_with_body);
+    auto next = configuration();
+    next.version = 3;
+    next.teams[0].keys = {secret("k2")};
+    apply(next);
+    configurations_->push(configuration());
+    auto marker = next;
+    marker.version = 4;
+    apply(marker);
+    EXPECT_EQ(ask("/plain/x", "k1").status(), 401U);
+    EXPECT_EQ(ask("/plain/x", "k2").status(), 200U);
+}
+
+// The directory is silent for longer than a revoked key may live on.
+TEST_F(passing_on, an_old_configuration_serves_no_one)
+{
+    settings_.configuration_lease = milliseconds(900);
+    settings_.configuration_wait = milliseconds(100);
+    start();
+    add("u1", answer_with_body);
+    EXPECT_EQ(ask("/plain/x").status(), 200U);
+    std::this_thread::sleep_for(milliseconds(900));
+    EXPECT_EQ(ask("/plain/x").status(), 503U);
+    EXPECT_EQ(readiness(), 503U);
+}
+
+TEST_F(passing_on, no_upstream_is_a_refusal_at_once)
+{
+    start();
+    const auto began = steady_now();
+    const auto answer = ask("/plain/x");
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_LT(steady_now() - began, milliseconds(1000));
+}
+
+TEST_F(passing_on, upstreams_that_leave_get_nothing_new)
+{
+    start();
+    auto& leaving = add("u1", answer_with_body);
+    auto& staying = add("u2", answer_with_body);
+    drain("u1");
+    ask("/plain/0"); // the directory is read within this
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto before = leaving.arrived().size();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(ask("/plain/x").status(), 200U);
+    EXPECT_EQ(leaving.arrived().size(), before);
+    EXPECT_GE(staying.arrived().size(), 10U);
+}
+
+TEST_F(passing_on, a_planned_stop_lets_requests_end)
+{
+    start();
+    std::atomic<bool> may_answer = false;
+    auto& upstream =
+        add("u1", [&](const arrived_request& request, upstream_reply& reply) {
+            while (!may_answer)
+                std::this_thread::sleep_for(milliseconds(5));
+            reply.answer(request, 200, "late");
+        });
+    test_caller caller(gateway_->address());
+    caller.send(request("/plain/x"));
+    upstream.wait_for(1);
+    bool clean = false;
+    std::thread stop([&] { clean = gateway_->drain(); });
+    std::this_thread::sleep_for(milliseconds(150));
+    EXPECT_EQ(readiness(), 503U);
+    may_answer = true;
+    const auto answer = caller.read();
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_EQ(answer.field("Connection"), "close");
+    stop.join();
+    EXPECT_TRUE(clean);
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/test_upstream_board.cpp
@@ -0,0 +1,178 @@
+#include "upstream_board.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+time_point at(int ms)
+{
+    return time_point(milliseconds(100000 + ms));
+}
+
+upstream_record record(const std::string& id, std::uint16_t port = 80)
+{
+    upstream_record result;
+    result.id = id;
+    result.service = "s";
+    result.address = {"10.0.0.1", port};
+    result.failure_domain = "d";
+    result.slots = 10;
+    result.started_ms = 1;
+    return result;
+}
+
+struct board_fixture : testing::Test {
+    std::vector<std::string> left;
+    std::vector<std::string> gone;
+    upstream_board board{
+        {[this](const std::string& id, std::optional<time_point>) {
+             left.push_back(id);
+         },
+         [this](const std::string& id) { gone.push_back(id); }}};
+
+    void put(const upstream_record& entry, int ms = 0, bool doubt = false)
+    {
+        board.apply({entry.id, entry}, at(ms), doubt);
+    }
+    void drop(const std::string& id, int ms = 0, bool doubt = false)
+    {
+        board.apply({id, std::nullopt}, at(ms), doubt);
+    }
+    std::size_t usable() const { return board.available("s").size(); }
+};
+
+using upstream_board_test = board_fixture;
+
+TEST_F(upstream_board_test, gives_no_work_to_one_that_drains)
+{
+    put(record("a"));
+    EXPECT_EQ(usable(), 1U);
+    auto draining = record("a");
+    draining.draining = true;
+    put(draining);
+    EXPECT_EQ(usable(), 0U);
+    EXPECT_EQ(left, std::vector<std::string>{"a"});
+    put(draining);
+    EXPECT_EQ(left.size(), 1U);
+    EXPECT_NE(board.find("a"), nullptr);
+}
+
+// Some upstreams never say that they drain: their entry goes, and they serve
+// on. What runs there must be moved, not forgotten.
+TEST_F(upstream_board_test, keeps_one_whose_entry_has_gone_while_work_runs)
+{
+    put(record("a"));
+    board.dispatched("a", 100, at(0));
+    drop("a");
+    EXPECT_EQ(usable(), 0U);
+    EXPECT_EQ(left.size(), 1U);
+    EXPECT_TRUE(gone.empty());
+    board.settled("a");
+    EXPECT_EQ(gone, std::vector<std::string>{"a"});
+}
+
+// The store was down for seconds and its entries have lapsed, though every
+// upstream lives. Dropped at once, no request could be served; kept for good,
+// work would go to those that died.
+TEST_F(upstream_board_test, doubts_entries_that_lapsed_in_an_outage)
+{
+    put(record("a"));
+    put(record("b", 81));
+    drop("a", 0, true);
+    drop("b", 0, true);
+    EXPECT_EQ(usable(), 2U);
+    EXPECT_TRUE(board.find("a")->doubted_until);
+    put(record("a"), 500);
+    board.end_doubts(at(1899));
+    EXPECT_EQ(usable(), 2U);
+    board.end_doubts(at(1900));
+    EXPECT_EQ(usable(), 1U);
+    EXPECT_EQ(gone, std::vector<std::string>{"b"});
+}
+
+TEST_F(upstream_board_test, a_whole_list_drops_what_is_not_in_it)
+{
+    put(record("a"));
+    put(record("b", 81));
+    board.replace_all({{"b", record("b", 81)}}, at(0), false);
+    EXPECT_EQ(usable(), 1U);
+    EXPECT_EQ(gone, std::vector<std::string>{"a"});
+}
+
+// An upstream crashes and starts again under its id. What was believed of the
+// old process (its load, its leaving, its connections) is void.
+TEST_F(upstream_board_test, a_new_process_under_an_old_id_starts_anew)
+{
+    put(record("a"));
+    board.failed("a", at(0));
+    engine_load load;
+    load.leaving = true;
+    board.take_load({"10.0.0.1", 80}, load, at(0));
+    EXPECT_EQ(usable(), 0U);
+    auto reborn = record("a");
+    reborn.started_ms = 2;
+    put(reborn);
+    EXPECT_EQ(gone, std::vector<std::string>{"a"});
+    EXPECT_EQ(usable(), 1U);
+    EXPECT_EQ(board.find("a")->failure_rate, 0);
+}
+
+TEST_F(upstream_board_test, a_load_tells_that_an_engine_leaves)
+{
+    put(record("a"));
+    engine_load load;
+    load.leaving = true;
+    load.leaves_in_ms = 700;
+    board.take_load({"10.0.0.1", 80}, load, at(0));
+    EXPECT_EQ(left, std::vector<std::string>{"a"});
+    EXPECT_EQ(board.find("a")->leaves_at, at(700));
+    // The directory lags behind the engine's own word.
+    put(record("a"));
+    EXPECT_EQ(usable(), 0U);
+}
+
+TEST_F(upstream_board_test, counts_own_work_until_a_load_contains_it)
+{
+    put(record("a"));
+    placement_request request;
+    request.objective = milliseconds(1000);
+    request.engine_tokens = 10000;
+    request.from_domain = "d";
+    engine_load idle;
+    idle.memory_total = 10000;
+    board.take_load({"10.0.0.1", 80}, idle, at(0));
+    board.dispatched("a", 3500, at(10));
+    const auto wait = [&](int ms) {
+        return placement_of(*board.find("a"), request, at(ms)).wait;
+    };
+    EXPECT_DOUBLE_EQ(wait(10), 0.5);
+    // Seen before the dispatch could reach the engine.
+    board.take_load({"10.0.0.1", 80}, idle, at(20));
+    EXPECT_DOUBLE_EQ(wait(20), 0.5);
+    auto busy = idle;
+    busy.running = 1;
+    busy.starting = 1;
+    board.take_load({"10.0.0.1", 80}, busy, at(120));
+    EXPECT_GT(wait(120), 0);
+    EXPECT_LT(wait(120), 0.5);
+    board.take_load({"10.0.0.1", 80}, idle, at(900));
+    EXPECT_DOUBLE_EQ(wait(900), 0);
+}
+
+TEST_F(upstream_board_test, forgives_failures_in_time)
+{
+    put(record("a"));
+    board.failed("a", at(0));
+    const auto rate = [&](int ms) {
+        return placement_of(*board.find("a"), {}, at(ms)).failure_rate;
+    };
+    EXPECT_NEAR(rate(0), 0.15, 1e-9);
+    EXPECT_NEAR(rate(2000), 0.075, 1e-9);
+    EXPECT_LT(rate(20000), 0.001);
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/gateway/test_upstream_failures.cpp
@@ -0,0 +1,247 @@
+#include "gateway_fixture.hpp"
+
+#include <future>
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+class upstream_failures : public gateway_fixture
+{
+protected:
+    /** A script that fails once over all upstreams, then answers. */
+    fake_upstream::script once(fake_upstream::script fail)
+    {
+        return [this, fail](const arrived_request& request,
+                            upstream_reply& reply) {
+            if (!failed_.exchange(true))
+                fail(request, reply);
+            else
+                reply.answer(request, 200, "good");
+        };
+    }
+
+    /** Two upstreams that share such a script. */
+    void add_two(const fake_upstream::script& fail)
+    {
+        const auto script = once(fail);
+        add("u1", script);
+        add("u2", script);
+    }
+
+    std::size_t arrivals() const
+    {
+        std::size_t sum = 0;
+        for (const auto& upstream : upstreams_)
+            sum += upstream->arrived().size();
+        return sum;
+    }
+
+    std::atomic<bool> failed_ = false;
+};
+
+void reset(const arrived_request&, upstream_reply& reply)
+{
+    reply.reset();
+}
+
+void shed(const arrived_request& request, upstream_reply& reply)
+{
+    reply.answer(request, 503, "full", "Not-Executed: 1\r\n");
+}
+
+// A tag is sent and the upstream's connection is reset. Whether it was written
+// nobody knows, so it is not sent again and the caller is not told "not run".
+TEST_F(upstream_failures, what_may_have_run_is_not_sent_again)
+{
+    start();
+    add_two(reset);
+    EXPECT_EQ(ask("/plain/x").status(), 502U);
+    EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(upstream_failures, an_idempotent_request_is_tried_elsewhere)
+{
+    start();
+    add_two(reset);
+    const auto answer = ask("/safe/x");
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_EQ(answer.body, "good");
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+TEST_F(upstream_failures, what_was_turned_away_is_tried_elsewhere)
+{
+    start();
+    add_two(shed);
+    EXPECT_EQ(ask("/plain/x").status(), 200U);
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+TEST_F(upstream_failures, all_turn_it_away_and_the_caller_is_told_when_to_come)
+{
+    start();
+    add("u1", shed);
+    add("u2", shed);
+    const auto answer = ask("/plain/x");
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_GT(std::stod(answer.field("Retry-After")), 0.0);
+    EXPECT_EQ(answer.field("Response-Seal"), "");
+    EXPECT_EQ(arrivals(), 2U);
+}
+
+// 503 without the upstream's word that it has not run the request: passed on
+// it would tell the caller so, and the caller would send it again.
+TEST_F(upstream_failures, an_unvouched_503_promises_nothing)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.answer(request, 503, "odd");
+    });
+    EXPECT_EQ(ask("/plain/x").status(), 502U);
+}
+
+TEST_F(upstream_failures, a_failure_of_the_upstream_is_passed_on_as_it_is)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.answer(request, 500, "broken");
+    });
+    const auto answer = ask("/plain/x");
+    EXPECT_EQ(answer.status(), 500U);
+    EXPECT_EQ(answer.body, "broken");
+    EXPECT_EQ(answer.field("Response-Seal"), "seal");
+}
+
+TEST_F(upstream_failures, an_upstream_that_is_down_costs_no_request)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.answer(request, 200, "good");
+    });
+    auto dead = records_[0];
+    dead.id = "dead";
+    dead.address.port = 1; // nothing listens there
+    tell(dead);
+    wait_for_upstreams(2);
+    for (int i = 0; i < 8; ++i)
+        EXPECT_EQ(ask("/plain/x").status(), 200U);
+}
+
+// The upstream breaks off its answer. What has come looks like the start of a
+// success; the caller must never take it for the whole.
+TEST_F(upstream_failures, an_answer_that_is_cut_is_never_passed_on_as_whole)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.send(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
+            "\r\nResponse-Seal: s\r\nContent-Length: 100\r\n\r\nabc");
+        reply.close();
+    });
+    EXPECT_EQ(ask("/plain/x").status(), 502U);
+}
+
+TEST_F(upstream_failures, a_success_that_nobody_vouches_for_is_none)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.send(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
+            "\r\nContent-Length: 3\r\n\r\nabc");
+    });
+    EXPECT_EQ(ask("/plain/x").status(), 502U);
+}
+
+TEST_F(upstream_failures, bytes_that_are_no_answer_are_none)
+{
+    start();
+    add("u1", [](const arrived_request&, upstream_reply& reply) {
+        reply.send("\x01\x02 nonsense\r\n\r\n");
+    });
+    EXPECT_EQ(ask("/plain/x").status(), 502U);
+}
+
+// An upstream sends a second answer behind the first, late, on a connection
+// that is kept. The next request must not get it.
+TEST_F(upstream_failures, an_answer_to_another_request_reaches_no_caller)
+{
+    start();
+    std::atomic<int> count = 0;
+    add("u1", [&](const arrived_request& request, upstream_reply& reply) {
+        if (++count > 1)
+            reply.send("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
+                       "Response-Seal: s\r\nContent-Length: 5\r\n\r\nstale");
+        reply.answer(request, 200, "mine " + request.field("Attempt-Id"));
+    });
+    for (int i = 1; i <= 3; ++i)
+        EXPECT_EQ(ask("/plain/x").body, "mine r" + std::to_string(i));
+}
+
+TEST_F(upstream_failures, bytes_behind_an_answer_poison_the_connection)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.answer(request, 200,
+                     "mine " + request.field("Attempt-Id") + "\n");
+        reply.send("HTTP/1.1 200 OK\r\nResponse-Seal: s\r\n"
+                   "Content-Length: 5\r\n\r\nstray");
+    });
+    for (int i = 1; i <= 3; ++i)
+        EXPECT_EQ(ask("/plain/x").body, "mine r" + std::to_string(i) + "\n");
+}
+
+// The upstream answers before it has read a long body. What is sent on that
+// connection next would be taken for the rest of the body.
+TEST_F(upstream_failures, an_early_answer_does_not_free_the_connection)
+{
+    start();
+    add("u1", [](const arrived_request& request, upstream_reply& reply) {
+        reply.answer(request, 200, "ok");
+    });
+    // As long as a system's buffers on both sides.
+    test_caller caller(gateway_->address());
+    caller.send(request("/plain/x", "k1", "", std::string(3 << 20, 'x')));
+    EXPECT_EQ(caller.read().status(), 200U);
+    EXPECT_EQ(ask("/plain/x").status(), 200U);
+}
+
+// An inspector gives up. The upstream still works for nobody unless its
+// connection is closed at once.
+TEST_F(upstream_failures, a_caller_that_leaves_ends_its_run)
+{
+    start();
+    std::promise<bool> closed;
+    auto& upstream =
+        add("u1", [&](const arrived_request&, upstream_reply& reply) {
+            closed.set_value(reply.wait_for_close());
+        });
+    test_caller caller(gateway_->address());
+    caller.send(request("/plain/x"));
+    upstream.wait_for(1);
+    const auto left_at = steady_now();
+    caller.leave();
+    EXPECT_TRUE(closed.get_future().get());
+    EXPECT_LT(steady_now() - left_at, milliseconds(500));
+}
+
+TEST_F(upstream_failures, a_route_s_time_ends_a_wait)
+{
+    start();
+    auto next = configuration();
+    next.version = 2;
+    next.routes[0].timeout = milliseconds(150);
+    apply(next);
+    add("u1", [](const arrived_request&, upstream_reply& reply) {
+        reply.wait_for_close();
+    });
+    const auto began = steady_now();
+    EXPECT_EQ(ask("/plain/x").status(), 504U);
+    EXPECT_GE(steady_now() - began, milliseconds(140));
+    EXPECT_LT(steady_now() - began, milliseconds(600));
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/platform/test_record_codec.cpp
@@ -0,0 +1,202 @@
+#include "keyed_records.hpp"
+#include "record_codec.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cyclamenrun::platform
+{
+namespace
+{
+
+const std::string upstream_text =
+    R"({"service":"s","address":"10.1.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":24,"state":"ready","cold_left_ms":0,"born":1790000000000,)"
+    R"("sequence":4,"stage":"unified"})";
+
+std::string with(const std::string& from, const std::string& to)
+{
+    auto text = upstream_text;
+    return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(upstream_record_codec, reads_what_an_upstream_says_of_itself)
+{
+    const auto record = read_upstream("i-1", upstream_text);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->id, "i-1");
+    EXPECT_EQ(record->service, "s");
+    EXPECT_EQ(record->address, (ip_endpoint{"10.1.0.9", 8080}));
+    EXPECT_EQ(record->failure_domain, "z");
+    EXPECT_EQ(record->slots, 24U);
+    EXPECT_FALSE(record->draining);
+    EXPECT_EQ(record->started_ms, 1790000000000);
+}
+
+TEST(upstream_record_codec, knows_when_it_drains)
+{
+    EXPECT_TRUE(read_upstream("i", with("ready", "draining"))->draining);
+}
+
+// Another writer has put a record into the directory whose fields are missing
+// or of another type. Used as it is, it would send requests nowhere.
+TEST(upstream_record_codec, finds_no_upstream_in_what_others_wrote)
+{
+    EXPECT_FALSE(read_upstream("i", ""));
+    EXPECT_FALSE(read_upstream("i", "\xff\xfe"));
+    EXPECT_FALSE(read_upstream("i", "[1]"));
+    EXPECT_FALSE(read_upstream("i", with("\"ready\"", "\"asleep\"")));
+    EXPECT_FALSE(read_upstream("i", with("\"ready\"", "7")));
+    EXPECT_FALSE(read_upstream("i", with("24", "\"24\"")));
+    EXPECT_FALSE(read_upstream("i", with("24", "2.5")));
+    EXPECT_FALSE(read_upstream("i", with("24", "0")));
+    EXPECT_FALSE(read_upstream("i", with("24", "true")));
+    EXPECT_FALSE(read_upstream("i", with("10.1.0.9:8080", "host:80")));
+    EXPECT_FALSE(read_upstream("i", with("10.1.0.9:8080", "10.1.0.9")));
+    EXPECT_FALSE(read_upstream("i", with("\"service\":\"s\",", "")));
+    EXPECT_FALSE(read_upstream("i", with("1790000000000", "\"then\"")));
+    EXPECT_FALSE(read_upstream("i", with("\"z\"", "null")));
+}
+
+RC_GTEST_PROP(upstream_record_codec, survives_any_bytes,
+              (const std::string& bytes))
+{
+    (void)read_upstream("i", bytes);
+    (void)read_configuration(bytes);
+    (void)read_newest_page(bytes);
+    const auto batch = read_record_batch(bytes);
+    RC_ASSERT(!batch || batch->records.size() <= bytes.size());
+}
+
+RC_GTEST_PROP(upstream_record_codec, survives_a_record_that_was_spoiled, ())
+{
+    auto text = upstream_text;
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text[at] = *rc::gen::arbitrary<char>();
+    const auto record = read_upstream("i", text);
+    RC_ASSERT(!record || record->slots > 0);
+}
+
+const std::string configuration_text = R"({"version":7,"routes":[
+{"name":"r1","host":"h.example","path_prefix":"/a/","type":"streaming",
+"timeout_ms":6000,"objective_ms":1500,"priority":0,"service":"s1",
+"max_attempts":2,"public":false,"sticky":true,"resumable":true,
+"gap_target_ms":180},
+{"name":"r2","host":"h.example","path_prefix":"/b/","type":"idempotent",
+"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+"max_attempts":0,"public":true},
+{"name":"r3","host":"h.example","path_prefix":"/c/","type":"novel"}],
+"services":[{"name":"s1","health_path":"/healthz","max_conns":232,
+"engine":{"slots":24,"kv_capacity":34267,"kv_bytes":131072,
+"link_mbps":19000.0,"moves":true,"backups":true}},{"name":"s2"}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}]})";
+
+TEST(configuration_codec, reads_a_configuration)
+{
+    const auto read = read_configuration(configuration_text);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->version, 7U);
+    ASSERT_EQ(read->routes.size(), 3U);
+    const auto& first = read->routes[0];
+    EXPECT_EQ(first.shape, answer_shape::event_stream);
+    EXPECT_TRUE(first.resumable);
+    EXPECT_FALSE(first.idempotent);
+    EXPECT_EQ(first.timeout, milliseconds(6000));
+    EXPECT_EQ(first.gap_target, milliseconds(180));
+    ASSERT_EQ(first.services.size(), 1U);
+    const auto& second = read->routes[1];
+    EXPECT_TRUE(second.idempotent);
+    EXPECT_TRUE(second.is_public);
+    EXPECT_EQ(second.max_attempts, 1U);
+    ASSERT_EQ(second.services.size(), 2U);
+    EXPECT_EQ(second.services[1].weight, 10U);
+    ASSERT_EQ(read->services.size(), 2U);
+    ASSERT_TRUE(read->services[0].engine);
+    EXPECT_EQ(read->services[0].engine->memory_tokens, 34267U);
+    EXPECT_TRUE(read->services[0].engine->moves);
+    EXPECT_FALSE(read->services[1].engine);
+    ASSERT_EQ(read->teams.size(), 1U);
+    EXPECT_EQ(read->teams[0].keys[1].reveal(), "k2");
+    EXPECT_TRUE(read->has_teams);
+    EXPECT_EQ(read->limits.idle_timeout, milliseconds(15000));
+}
+
+TEST(configuration_codec, repeats_nothing_of_a_kind_it_does_not_know)
+{
+    const auto read = read_configuration(configuration_text);
+    EXPECT_FALSE(read->routes[2].idempotent);
+    EXPECT_FALSE(read->routes[2].resumable);
+}
+
+TEST(configuration_codec, is_none_without_a_version_or_routes)
+{
+    EXPECT_FALSE(read_configuration(R"({"routes":[]})"));
+    EXPECT_FALSE(read_configuration(R"({"version":"7","routes":[]})"));
+    EXPECT_FALSE(read_configuration(R"({"version":7})"));
+}
+
+std::string number(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int i = bytes - 1; i >= 0; --i)
+        text += static_cast<char>(value >> (8U * static_cast<unsigned>(i)));
+    return text;
+}
+
+std::string keyed(const std::string& key, const std::string& value)
+{
+    const auto content = number(key.size(), 1) + key + value;
+    return number(content.size(), 4) + content;
+}
+
+TEST(keyed_records, reads_a_batch)
+{
+    const auto batch = read_record_batch(number(9, 8) + number(3, 8) +
+                                         keyed("a", "x") + keyed("b", ""));
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(batch->end_offset, 9U);
+    ASSERT_EQ(batch->records.size(), 2U);
+    EXPECT_EQ(batch->records[0].key, "a");
+    EXPECT_EQ(batch->records[0].value, "x");
+    EXPECT_FALSE(batch->records[1].value);
+}
+
+// A record that nobody can read lies among the others. It counts as one, or
+// the reader would be at another offset than the store from there on.
+TEST(keyed_records, counts_records_that_can_not_be_read)
+{
+    const auto batch =
+        read_record_batch(number(2, 8) + number(0, 8) + number(0, 4) +
+                          number(1, 4) + "\xff" + keyed("b", "y"));
+    ASSERT_TRUE(batch);
+    ASSERT_EQ(batch->records.size(), 3U);
+    EXPECT_EQ(batch->records[0].key, "");
+    EXPECT_EQ(batch->records[1].key, "");
+    EXPECT_EQ(batch->records[2].key, "b");
+}
+
+TEST(keyed_records, refuses_a_batch_that_is_cut)
+{
+    const auto whole = number(9, 8) + number(3, 8) + keyed("a", "x");
+    EXPECT_FALSE(read_record_batch(whole.substr(0, whole.size() - 1)));
+    EXPECT_FALSE(read_record_batch(whole.substr(0, 10)));
+    EXPECT_TRUE(read_record_batch(whole.substr(0, 16)));
+}
+
+TEST(keyed_records, reads_a_page_of_newest)
+{
+    const auto page = read_newest_page(
+        R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":4},)"
+        R"({"key":"gone"},7],"truncated":true,"end_offset":6})");
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->end_offset, 6U);
+    EXPECT_TRUE(page->truncated);
+    ASSERT_EQ(page->records.size(), 2U);
+    EXPECT_EQ(page->records[0].value, "{\"a\":1}");
+    EXPECT_FALSE(page->records[1].value);
+}
+
+} // namespace
+} // namespace cyclamenrun::platform
