Copy generations as they grow only in the minute after a crash

Cause: copies share the engines' links and memory with the moves on which reclaimed generations depend.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -150,7 +150,8 @@
 {
     backup_.reset();
     const bool repeatable = admitted_.route->resumable;
-    if (engine() == nullptr || !engine()->backups || repeatable ||
+    if (!context_.backups.wanted(context_.reactor->now()) ||
+        engine() == nullptr || !engine()->backups || repeatable ||
         admitted_.route->shape != answer_shape::event_stream)
         return;
     backup_ =
@@ -365,6 +366,9 @@
     if (mover_ && mover_->source_ended())
         return;
     context_.board.failed(id, context_.reactor->now());
+    const auto* state = context_.board.find(id);
+    if (begun_ && state != nullptr && !state->leaving)
+        context_.backups.crash_seen(context_.reactor->now());
     if (loss == attempt_loss::broken && go_on_at_backup())
         return;
     end_attempt(loss == attempt_loss::not_sent ? attempt_result::not_sent
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_GATEWAY_CONTEXT_HPP
 #define CYCLAMENRUN_GATEWAY_CONTEXT_HPP
 
+#include "backup_policy.hpp"
 #include "configuration_lease.hpp"
 #include "engine_callers.hpp"
 #include "gateway_dialect.hpp"
@@ -44,6 +45,7 @@
     upstream_board board;
     shared_retry_budget budget;
     configuration_lease lease;
+    backup_policy backups;
     /** Empty until a configuration is known; replaced, never changed. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -8,7 +8,7 @@
 namespace cyclamenrun
 {
 
-/** Every kind of line in the log; docs/operations.md lists them. */
+/** Every kind of line in the log; docs/OPERATIONS.md lists them. */
 enum class log_event_name : std::uint8_t {
     process_started,
     process_ready,
