--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -19,6 +19,8 @@
  * for a process that is slow between its look at the lease and the send.
  */
 constexpr milliseconds lease_margin{400};
+/** The settings file may change without a signal. */
+constexpr milliseconds settings_look_interval{1000};
 /** Time between looks at what changes by itself. */
 constexpr milliseconds tick_interval{100};
 /** Records that lapsed in an outage come back for this long after it. */
@@ -329,10 +331,25 @@
     if (ended_)
         return;
     context_->board.end_doubts(loop_.reactor()->now());
+    look_at_settings();
     loop_.reactor()->post_at(loop_.reactor()->now() + tick_interval,
                              [this] { tick(); });
 }
 
+void gateway_process::look_at_settings()
+{
+    const auto now = loop_.reactor()->now();
+    if (now < look_at_settings_at_)
+        return;
+    look_at_settings_at_ = now + settings_look_interval;
+    // A file that is being written is read again the next time.
+    const auto read = reread_();
+    if (!read || read->directory == settings_.directory)
+        return;
+    use(*read);
+    log_event(log_severity::info, log_event_name::settings_reloaded);
+}
+
 void gateway_process::reload()
 {
     const auto read = reread_();
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -72,6 +72,7 @@
     bool ready() const;
     std::string state_text();
     void tick();
+    void look_at_settings();
     void use(const gateway_settings& settings);
     void on_loop(const std::function<void()>& work);
 
@@ -87,6 +88,7 @@
     /** The directory was away until just before this time. */
     time_point doubt_until_{};
     bool upstreams_known_ = false;
+    time_point look_at_settings_at_{};
     bool ended_ = false;
 };
 
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -34,8 +34,6 @@
                         "Its time ran out at an upstream."},
     gateway_refusal_row{upstream_lost, "upstream_lost", 502, false,
                         "It may have run; the answer is lost."},
-    gateway_refusal_row{stopping, "stopping", 503, true,
-                        "This process is about to end."},
 };
 
 } // namespace
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -20,7 +20,6 @@
     expired_unsent, ///< its time ran out before it was sent anywhere
     expired,        ///< its time ran out at an upstream
     upstream_lost,  ///< may have run, and its answer is lost
-    stopping,       ///< this process is about to end
 };
 
 struct gateway_refusal_row {
--- /dev/null
+++ b/tests/gateway/stand_in_store.cpp
@@ -0,0 +1,145 @@
+#include "stand_in_store.hpp"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/URI.h>
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+
+namespace cyclamenrun::testing_support
+{
+
+namespace
+{
+
+std::string number(std::uint64_t value, unsigned bytes)
+{
+    std::string text;
+    for (unsigned left = bytes; left > 0; --left)
+        text += static_cast<char>(value >> (8U * (left - 1)));
+    return text;
+}
+
+std::string base64(const std::string& bytes)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return out.str();
+}
+
+std::string framed(const std::string& key, const std::string& value)
+{
+    const auto content = number(key.size(), 1) + key + value;
+    return number(content.size(), 4) + content;
+}
+
+} // namespace
+
+stand_in_store::stand_in_store()
+    : server_([this](const arrived_request& request, upstream_reply& reply) {
+          play(request, reply);
+      })
+{
+}
+
+stand_in_store::~stand_in_store()
+{
+    const std::scoped_lock lock(mutex_);
+    stopping_ = true;
+    changed_.notify_all();
+}
+
+void stand_in_store::put(const std::string& topic, const std::string& key,
+                         const std::string& value)
+{
+    const std::scoped_lock lock(mutex_);
+    topics_[topic].records.push_back({key, value});
+    changed_.notify_all();
+}
+
+void stand_in_store::set_mood(mood next)
+{
+    const std::scoped_lock lock(mutex_);
+    mood_ = next;
+    changed_.notify_all();
+}
+
+void stand_in_store::drop_history()
+{
+    const std::scoped_lock lock(mutex_);
+    for (auto& [name, topic] : topics_)
+        topic.first = topic.records.size();
+}
+
+void stand_in_store::play(const arrived_request& request, upstream_reply& reply)
+{
+    const Poco::URI uri(request.head.target);
+    std::map<std::string, std::string> query;
+    for (const auto& [name, value] : uri.getQueryParameters())
+        query[name] = value;
+    mood now = mood::sound;
+    {
+        const std::scoped_lock lock(mutex_);
+        now = mood_;
+    }
+    if (now == mood::busy)
+        reply.answer(request, 503, "{}");
+    else if (now == mood::silent)
+        reply.wait_for_close();
+    else if (now == mood::cutting)
+        reply.close();
+    else if (uri.getPath() == "/log-newest")
+        newest(query["topic"], request, reply);
+    else
+        read(query, request, reply);
+}
+
+void stand_in_store::read(const std::map<std::string, std::string>& query,
+                          const arrived_request& request, upstream_reply& reply)
+{
+    const auto from = std::stoul(query.at("from"));
+    const std::chrono::milliseconds wait(std::stol(query.at("wait_ms")));
+    std::unique_lock lock(mutex_);
+    auto& topic = topics_[query.at("topic")];
+    changed_.wait_for(lock, wait, [&] {
+        return topic.records.size() > from || stopping_ || mood_ != mood::sound;
+    });
+    if (from < topic.first) {
+        lock.unlock();
+        reply.answer(request, 410, "{}");
+        return;
+    }
+    std::string body = number(topic.records.size(), 8) + number(topic.first, 8);
+    for (auto at = from; at < topic.records.size(); ++at)
+        body += framed(topic.records[at].key, topic.records[at].value);
+    lock.unlock();
+    reply.answer(request, 200, body);
+}
+
+void stand_in_store::newest(const std::string& topic_name,
+                            const arrived_request& request,
+                            upstream_reply& reply)
+{
+    std::unique_lock lock(mutex_);
+    const auto& topic = topics_[topic_name];
+    std::map<std::string, std::string> values;
+    for (const auto& each : topic.records)
+        values[each.key] = each.value;
+    std::string items;
+    for (const auto& [key, value] : values) {
+        if (value.empty())
+            continue;
+        items += std::string(items.empty() ? "" : ",") + R"({"key":")" + key +
+                 R"(","value":")" + base64(value) + R"("})";
+    }
+    const auto end = topic.records.size();
+    lock.unlock();
+    reply.answer(request, 200,
+                 "{\"items\":[" + items + "],\"truncated\":false," +
+                     "\"end_offset\":" + std::to_string(end) + "}");
+}
+
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/test_monitor.cpp
@@ -0,0 +1,160 @@
+#include "fake_upstream.hpp"
+#include "http_dialect.hpp"
+#include "link_loop.hpp"
+#include "monitor_link.hpp"
+#include "monitor_process.hpp"
+
+#include <condition_variable>
+#include <gtest/gtest.h>
+#include <mutex>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+constexpr std::chrono::seconds limit{10};
+
+/** What a gateway hears, waited for by the test. */
+class heard
+{
+public:
+    void note(std::string what)
+    {
+        const std::scoped_lock lock(mutex_);
+        lines_.push_back(std::move(what));
+        changed_.notify_all();
+    }
+
+    bool wait_for(const std::string& what)
+    {
+        std::unique_lock lock(mutex_);
+        return changed_.wait_for(lock, limit, [&] {
+            return std::find(lines_.begin(), lines_.end(), what) !=
+                   lines_.end();
+        });
+    }
+
+    bool has(const std::string& what)
+    {
+        const std::scoped_lock lock(mutex_);
+        return std::find(lines_.begin(), lines_.end(), what) != lines_.end();
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::string> lines_;
+};
+
+/** A gateway's side, on a loop of its own. */
+class listening_gateway
+{
+public:
+    explicit listening_gateway(std::uint16_t monitor_port)
+        : link_(std::make_shared<monitor_link>(
+              loop_.reactor(), ip_endpoint{"127.0.0.1", 0}, monitor_port, "g",
+              monitor_link::hooks{
+                  [this](const ip_endpoint& engine, const engine_load& load) {
+                      news.note("load " + to_string(engine) + " " +
+                                std::to_string(load.queued) +
+                                (load.leaving ? " leaving" : ""));
+                  },
+                  [this](unsigned count) {
+                      news.note("gateways " + std::to_string(count));
+                  },
+                  [] { return std::set<std::string>{"127.0.0.1"}; }}))
+    {
+        loop_.post([link = link_] { link->start(); });
+    }
+
+    void want_turn(const std::string& id)
+    {
+        loop_.post([this, id] {
+            link_->want_turn("127.0.0.1", id,
+                             [this, id] { news.note("turn " + id); });
+        });
+    }
+    void end_turn(const std::string& id)
+    {
+        loop_.post([this, id] { link_->end_turn(id); });
+    }
+
+    heard news;
+
+private:
+    link_loop loop_;
+    std::shared_ptr<monitor_link> link_;
+};
+
+class monitor : public testing::Test
+{
+protected:
+    monitor()
+        : engine_(
+              [this](const arrived_request& request, upstream_reply& reply) {
+                  const std::string state = leaving_ ? "draining" : "ready";
+                  reply.answer(request, 200,
+                               R"({"queued":2,"active":1,"kv_used":10,)"
+                               R"("kv_total":99,"state":")" +
+                                   state + "\"}");
+              })
+    {
+        monitor_settings settings;
+        settings.listen = {"127.0.0.1", 0};
+        settings.engine = engine_.address();
+        settings.interval = milliseconds(10);
+        process_ = std::make_unique<monitor_process>(
+            settings, std::make_shared<platform::http_dialect>());
+        port_ = parse_ip_endpoint(process_->address())->port;
+    }
+
+    std::atomic<bool> leaving_ = false;
+    fake_upstream engine_;
+    std::unique_ptr<monitor_process> process_;
+    std::uint16_t port_ = 0;
+};
+
+TEST_F(monitor, tells_who_asks_how_its_engine_is)
+{
+    listening_gateway gateway(port_);
+    const auto line = "load " + to_string(engine_.address()) + " 2";
+    EXPECT_TRUE(gateway.news.wait_for(line));
+    EXPECT_TRUE(gateway.news.wait_for("gateways 1"));
+    leaving_ = true;
+    EXPECT_TRUE(gateway.news.wait_for(line + " leaving"));
+    listening_gateway second(port_);
+    EXPECT_TRUE(second.news.wait_for("gateways 2"));
+}
+
+TEST_F(monitor, does_not_ask_its_engine_for_nobody)
+{
+    std::this_thread::sleep_for(milliseconds(60));
+    EXPECT_TRUE(engine_.arrived().empty());
+}
+
+TEST_F(monitor, gives_turns_one_after_another)
+{
+    listening_gateway first(port_);
+    listening_gateway second(port_);
+    first.want_turn("a");
+    ASSERT_TRUE(first.news.wait_for("turn a"));
+    second.want_turn("b");
+    std::this_thread::sleep_for(milliseconds(300));
+    EXPECT_FALSE(second.news.has("turn b"));
+    first.end_turn("a");
+    EXPECT_TRUE(second.news.wait_for("turn b"));
+}
+
+// The monitor has died with the rest of its VM's processes, or is cut off. A
+// generation must not wait for a turn that nobody gives.
+TEST_F(monitor, a_turn_is_taken_where_nobody_gives_any)
+{
+    process_.reset();
+    listening_gateway gateway(port_);
+    gateway.want_turn("a");
+    EXPECT_TRUE(gateway.news.wait_for("turn a"));
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
--- /dev/null
+++ b/tests/gateway/test_programs.cpp
@@ -0,0 +1,228 @@
+#include "../support/child_process.hpp"
+#include "gateway_fixture.hpp"
+#include "stand_in_store.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+/** A settings file that is gone with this object. */
+class settings_text
+{
+public:
+    explicit settings_text(const std::string& text)
+        : path_(std::filesystem::temp_directory_path() /
+                ("gateway-" + std::to_string(::getpid()) + ".toml"))
+    {
+        write(text);
+    }
+    ~settings_text() { std::filesystem::remove(path_); }
+    settings_text(const settings_text&) = delete;
+    settings_text& operator=(const settings_text&) = delete;
+
+    void write(const std::string& text) const { std::ofstream(path_) << text; }
+    std::string path() const { return path_.string(); }
+
+private:
+    std::filesystem::path path_;
+};
+
+std::string gateway_text(const stand_in_store& store)
+{
+    return "name = \"g\"\nregion = \"r\"\nfailure_domain = \"d\"\n"
+           "listen = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\n"
+           "[directory]\naddress = \"" +
+           store.address() +
+           "\"\nconfiguration_lease_ms = 1600\n"
+           "configuration_wait_ms = 200\nupstream_pause_ms = 20\n"
+           "[stop]\ngrace_s = 5\nbalancer_wait_ms = 50\n";
+}
+
+std::string configuration_text(int version, const std::string& key)
+{
+    return "{\"version\":" + std::to_string(version) +
+           R"(,"routes":[{"name":"a","host":"test.example",)"
+           R"("path_prefix":"/a/","type":"idempotent","service":"app",)"
+           R"("max_attempts":2,"timeout_ms":5000,"objective_ms":100}],)"
+           R"("services":[{"name":"app"}],"tenants":[{"name":"north",)"
+           R"("api_keys":[")" +
+           key + "\"]}]}";
+}
+
+/** The program itself, before a stand-in store and one upstream. */
+class gateway_program : public testing::Test
+{
+protected:
+    gateway_program()
+        : upstream_(
+              [this](const arrived_request& request, upstream_reply& reply) {
+                  while (!may_answer_)
+                      std::this_thread::sleep_for(milliseconds(5));
+                  reply.answer(request, 200, "hello");
+              }),
+          settings_(gateway_text(store_))
+    {
+        store_.put("keyed.op", "config", configuration_text(1, "k1"));
+        tell_upstream("ready");
+        process_ = std::make_unique<child_process>(
+            "cyclamenrun-gateway",
+            std::vector<std::string>{"--settings", settings_.path()});
+        ready_ = process_->wait_for_line("ready");
+        address_ = process_->wait_for_line("listening");
+        wait_for_answer("k1", 200);
+    }
+
+    void tell_upstream(const std::string& state)
+    {
+        store_.put("keyed.servers", "i-1",
+                   R"({"service":"app","address":")" +
+                       to_string(upstream_.address()) +
+                       R"(","zone":"d","slots":4,"state":")" + state + "\"}");
+    }
+
+    std::string request_text(const std::string& key)
+    {
+        return "GET /a/x HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: r" +
+               std::to_string(++next_) + "\r\nAuthorization: Bearer " + key +
+               "\r\nDeadline-Ms: 4000\r\n\r\n";
+    }
+
+    unsigned ask(const std::string& key)
+    {
+        test_caller caller(address_);
+        caller.send(request_text(key));
+        return caller.read().status();
+    }
+
+    void wait_for_answer(const std::string& key, unsigned status)
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(10);
+        unsigned last = 0;
+        while ((last = ask(key)) != status && steady_now() < deadline)
+            std::this_thread::sleep_for(milliseconds(10));
+        EXPECT_EQ(last, status);
+    }
+
+    bool wait_for_log(const std::string& text) const
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(10);
+        while (steady_now() < deadline) {
+            if (process_->errors().find(text) != std::string::npos)
+                return true;
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return false;
+    }
+
+    stand_in_store store_;
+    std::atomic<bool> may_answer_ = true;
+    fake_upstream upstream_;
+    settings_text settings_;
+    std::unique_ptr<child_process> process_;
+    std::string ready_;
+    std::string address_;
+    int next_ = 0;
+};
+
+TEST_F(gateway_program, follows_the_store)
+{
+    EXPECT_EQ(ask("k2"), 401U);
+    store_.put("keyed.op", "config", configuration_text(2, "k2"));
+    wait_for_answer("k2", 200);
+    EXPECT_EQ(ask("k1"), 401U);
+    tell_upstream("draining");
+    wait_for_answer("k2", 503);
+    tell_upstream("ready");
+    wait_for_answer("k2", 200);
+}
+
+// Another writer's garbage lies among the records. It names no upstream, and
+// must neither stop the reader nor shift its place.
+TEST_F(gateway_program, reads_on_behind_records_of_other_writers)
+{
+    store_.put("keyed.servers", "i-2", "\xff\xfe garbage");
+    store_.put("keyed.op", "config", "{\"version\":\"seven\"}");
+    store_.put("keyed.op", "other", configuration_text(9, "k9"));
+    store_.put("keyed.op", "config", configuration_text(2, "k2"));
+    wait_for_answer("k2", 200);
+    EXPECT_EQ(ask("k9"), 401U);
+}
+
+// The store does not answer for longer than a key that was taken away may
+// live on, in each of the ways in which it can be away; then it comes back.
+TEST_F(gateway_program, serves_until_its_lease_ends_and_again_afterwards)
+{
+    using mood = stand_in_store::mood;
+    for (const auto away : {mood::silent, mood::busy, mood::cutting}) {
+        store_.set_mood(away);
+        EXPECT_EQ(ask("k1"), 200U);
+        wait_for_answer("k1", 503);
+        store_.set_mood(mood::sound);
+        wait_for_answer("k1", 200);
+    }
+    EXPECT_TRUE(wait_for_log("directory_lost"));
+    EXPECT_TRUE(wait_for_log("directory_regained"));
+}
+
+// The store is away, a key is taken away, and the store drops its history
+// before it comes back: the record is not among those that are read on.
+TEST_F(gateway_program, starts_anew_when_the_history_is_gone)
+{
+    store_.set_mood(stand_in_store::mood::busy);
+    EXPECT_TRUE(wait_for_log("directory_lost"));
+    store_.put("keyed.op", "config", configuration_text(5, "k5"));
+    store_.put("keyed.op", "config", configuration_text(6, "k6"));
+    store_.drop_history();
+    store_.set_mood(stand_in_store::mood::sound);
+    wait_for_answer("k6", 200);
+    EXPECT_EQ(ask("k1"), 401U);
+}
+
+TEST_F(gateway_program, reads_its_settings_again_when_told)
+{
+    settings_.write("name = 7\n");
+    process_->signal(SIGHUP);
+    EXPECT_TRUE(wait_for_log("settings_unusable"));
+    EXPECT_EQ(ask("k1"), 200U);
+    settings_.write(gateway_text(store_));
+    process_->signal(SIGHUP);
+    EXPECT_TRUE(wait_for_log("settings_reloaded"));
+    EXPECT_EQ(ask("k1"), 200U);
+}
+
+// Nobody sends a signal, but the file names another store.
+TEST_F(gateway_program, notices_that_its_settings_have_changed)
+{
+    stand_in_store other;
+    other.put("keyed.op", "config", configuration_text(4, "k4"));
+    other.put("keyed.servers", "i-1",
+              R"({"service":"app","address":")" +
+                  to_string(upstream_.address()) +
+                  R"(","zone":"d","slots":4,"state":"ready"})");
+    settings_.write(gateway_text(other));
+    EXPECT_TRUE(wait_for_log("settings_reloaded"));
+    wait_for_answer("k4", 200);
+    EXPECT_EQ(process_->errors().find("settings_unusable"), std::string::npos);
+}
+
+TEST_F(gateway_program, a_planned_stop_cuts_nothing)
+{
+    may_answer_ = false;
+    test_caller caller(address_);
+    caller.send(request_text("k1"));
+    upstream_.wait_for(2);
+    process_->signal(SIGTERM);
+    EXPECT_TRUE(wait_for_log("process_stopping"));
+    may_answer_ = true;
+    EXPECT_EQ(caller.read().status(), 200U);
+    EXPECT_EQ(process_->wait(), 0);
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
