--- a/tests/settings/test_docs.cpp
+++ b/tests/settings/test_docs.cpp
@@ -1,8 +1,13 @@
 #include "agent_settings.hpp"
 #include "entry_settings.hpp"
 #include "exit_code.hpp"
+#include "gateway_refusal.hpp"
+#include "gateway_settings.hpp"
+#include "http_json.hpp"
 #include "log_event_name.hpp"
+#include "log_field.hpp"
 #include "metric.hpp"
+#include "monitor_settings.hpp"
 #include "refusal.hpp"
 #include "resource_file.hpp"
 #include "settings_writer.hpp"
@@ -12,6 +17,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <iterator>
+#include <set>
+#include <sstream>
 
 namespace cyclamenrun
 {
@@ -71,6 +78,8 @@
     const auto text = page("settings.md");
     EXPECT_THAT(text, HasSubstr(reference_of(entry_rows)));
     EXPECT_THAT(text, HasSubstr(reference_of(agent_rows)));
+    EXPECT_THAT(text, HasSubstr(reference_of(gateway_rows)));
+    EXPECT_THAT(text, HasSubstr(reference_of(monitor_rows)));
     EXPECT_THAT(text, HasSubstr(reference_of(service_rows)));
     EXPECT_THAT(text, HasSubstr(reference_of(team_rows)));
     EXPECT_THAT(text, HasSubstr(reference_of(assignment_rows)));
@@ -110,5 +119,80 @@
     }
 }
 
+TEST(docs, refusals_of_the_gateway_are_told_of)
+{
+    const auto text = page("OPERATIONS.md");
+    for (auto number = 0U;
+         number <= static_cast<unsigned>(gateway_refusal::upstream_lost);
+         ++number) {
+        const auto& each = row_of(static_cast<gateway_refusal>(number));
+        EXPECT_THAT(text,
+                    HasSubstr(row({code(each.name), std::to_string(each.status),
+                                   each.not_run ? "yes" : "no", each.doc})));
+    }
+}
+
+// An engineer looks for what the page shows; a field that was renamed since
+// would never be found.
+TEST(docs, example_lines_have_events_and_fields_that_are_logged)
+{
+    std::set<std::string> known{"time", "severity", "process", "event"};
+    for (auto number = 0U; name_of(static_cast<log_key>(number)) != "other";
+         ++number)
+        known.insert(std::string(name_of(static_cast<log_key>(number))));
+    std::set<std::string> events;
+    for (const auto& each : log_event_table())
+        events.insert(std::string(each.name));
+    std::istringstream text(page("OPERATIONS.md"));
+    int examples = 0;
+    for (std::string line; std::getline(text, line);) {
+        if (!line.starts_with("    {\"time\""))
+            continue;
+        const auto example = parse_json_object(line);
+        ASSERT_TRUE(example) << line;
+        ++examples;
+        EXPECT_TRUE(
+            events.contains(json_string(*example, "event").value_or("")))
+            << line;
+        for (const auto& name : example->getNames())
+            EXPECT_TRUE(known.contains(name)) << name << " in " << line;
+    }
+    EXPECT_GE(examples, 3);
+}
+
+// The page says which test proves what; one that was renamed proves nothing.
+TEST(docs, tests_that_the_page_of_faults_names_exist)
+{
+    const auto tests = std::filesystem::path(CYCLAMENRUN_SOURCE_DIR) / "tests";
+    std::string sources;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(tests)) {
+        if (entry.path().extension() == ".cpp")
+            sources += read_all(entry.path());
+    }
+    std::istringstream text(page("FAULTS.md"));
+    int named = 0;
+    bool in_table = false;
+    for (std::string line; std::getline(text, line);) {
+        if (line.starts_with("## "))
+            in_table = line == "## The gateway on the users' platform";
+        const auto from = line.rfind(" | `");
+        if (!in_table || !line.starts_with("| ") || from == std::string::npos)
+            continue;
+        const auto name = line.substr(from + 4, line.rfind('`') - from - 4);
+        const auto dot = name.find('.');
+        ASSERT_NE(dot, std::string::npos) << line;
+        const auto call = name.substr(0, dot) + ", " + name.substr(dot + 1);
+        const bool there =
+            sources.find("TEST(" + call + ")") != std::string::npos ||
+            sources.find("TEST_F(" + call + ")") != std::string::npos ||
+            sources.find("TEST_F(" + name.substr(0, dot) + ",\n       " +
+                         name.substr(dot + 1) + ")") != std::string::npos;
+        EXPECT_TRUE(there) << name;
+        ++named;
+    }
+    EXPECT_GE(named, 30);
+}
+
 } // namespace
 } // namespace cyclamenrun
