--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -423,7 +423,7 @@
     };
     on.destination = [this](const upstream_record& source,
                             const std::string& refused_by) {
-        const auto to = context_.choice.for_move(
+        auto to = context_.choice.for_move(
             service_, needs(source.failure_domain), {source.id, refused_by},
             context_.reactor->now());
         // Counted at once, so that the next move of this engine's
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -83,7 +83,7 @@
 {
     while (!answer_.whole && receive()) {
     }
-    const auto answer = answer_;
+    auto answer = answer_;
     const bool more = reader_->complete();
     answer_ = {};
     if (more)
@@ -102,18 +102,18 @@
 
 gateway_fixture::gateway_fixture()
 {
-    settings_.name = "gateway-1";
-    settings_.failure_domain = "d1";
-    settings_.listen = {"127.0.0.1", 0};
-    settings_.ready_listen = {"127.0.0.1", 0};
-    settings_.upstream_pause = milliseconds(10);
-    settings_.retry_extra = 1000;
-    settings_.balancer_wait = milliseconds(50);
+    settings.name = "gateway-1";
+    settings.failure_domain = "d1";
+    settings.listen = {"127.0.0.1", 0};
+    settings.ready_listen = {"127.0.0.1", 0};
+    settings.upstream_pause = milliseconds(10);
+    settings.retry_extra = 1000;
+    settings.balancer_wait = milliseconds(50);
 }
 
 gateway_fixture::~gateway_fixture()
 {
-    gateway_.reset();
+    gateway.reset();
 }
 
 gateway_configuration gateway_fixture::configuration() const
@@ -146,17 +146,17 @@
     platform.dialect = std::make_shared<platform::http_dialect>();
     platform.configurations = [this](const std::shared_ptr<link_reactor>& on,
                                      const ip_endpoint&) {
-        configurations_ =
+        configurations =
             std::make_shared<pushed_feed<gateway_configuration>>(on);
-        return configurations_;
+        return configurations;
     };
     platform.upstreams = [this](const std::shared_ptr<link_reactor>& on,
                                 const ip_endpoint&) {
-        changes_ = std::make_shared<pushed_feed<upstream_change>>(on);
-        return changes_;
+        changes = std::make_shared<pushed_feed<upstream_change>>(on);
+        return changes;
     };
-    gateway_ = std::make_unique<gateway_process>(settings_, platform, [this] {
-        return settings_outcome<gateway_settings>(settings_);
+    gateway = std::make_unique<gateway_process>(settings, platform, [this] {
+        return settings_outcome<gateway_settings>(settings);
     });
     if (configured)
         apply(configuration());
@@ -167,7 +167,7 @@
     const auto wanted =
         "\"configuration_version\":" + std::to_string(configuration.version) +
         ",";
-    configurations_->push(std::move(configuration));
+    configurations->push(std::move(configuration));
     const auto deadline = steady_now() + limit;
     while (state().find(wanted) == std::string::npos && steady_now() < deadline)
         std::this_thread::sleep_for(milliseconds(5));
@@ -177,33 +177,33 @@
                                     fake_upstream::script play,
                                     const std::string& service)
 {
-    upstreams_.push_back(std::make_unique<fake_upstream>(std::move(play)));
+    upstreams.push_back(std::make_unique<fake_upstream>(std::move(play)));
     upstream_record record;
     record.id = id;
     record.service = service;
-    record.address = upstreams_.back()->address();
+    record.address = upstreams.back()->address();
     record.failure_domain = "d1";
     record.slots = 8;
-    records_.push_back(record);
+    records.push_back(record);
     tell(record);
-    wait_for_upstreams(records_.size());
-    return *upstreams_.back();
+    wait_for_upstreams(records.size());
+    return *upstreams.back();
 }
 
 void gateway_fixture::tell(const upstream_record& record)
 {
-    changes_->push({record.id, record});
+    changes->push({record.id, record});
 }
 
 void gateway_fixture::forget(const std::string& id)
 {
-    changes_->push({id, std::nullopt});
+    changes->push({id, std::nullopt});
 }
 
 void gateway_fixture::drain(const std::string& id)
 {
     const auto found =
-        std::find_if(records_.begin(), records_.end(),
+        std::find_if(records.begin(), records.end(),
                      [&](const auto& record) { return record.id == id; });
     auto record = *found;
     record.draining = true;
@@ -224,7 +224,7 @@
                                      const std::string& body)
 {
     return "POST " + path + " HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: r" +
-           std::to_string(++next_id_) + "\r\nAuthorization: Bearer " + key +
+           std::to_string(++next_id) + "\r\nAuthorization: Bearer " + key +
            "\r\nToken-Usage: 100,4000\r\nDeadline-Ms: 9000\r\n" + more +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -232,21 +232,21 @@
 caller_answer gateway_fixture::ask(const std::string& path,
                                    const std::string& key)
 {
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request(path, key));
     return caller.read();
 }
 
 std::string gateway_fixture::state()
 {
-    test_caller caller(gateway_->ready_address());
+    test_caller caller(gateway->ready_address());
     caller.send("GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
     return caller.read().body;
 }
 
 unsigned gateway_fixture::readiness()
 {
-    test_caller caller(gateway_->ready_address());
+    test_caller caller(gateway->ready_address());
     caller.send("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
     return caller.read().status();
 }
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -131,13 +131,13 @@
     std::string state();
     unsigned readiness();
 
-    gateway_settings settings_;
-    std::unique_ptr<gateway_process> gateway_;
-    std::vector<std::unique_ptr<fake_upstream>> upstreams_;
-    std::vector<upstream_record> records_;
-    std::shared_ptr<pushed_feed<gateway_configuration>> configurations_;
-    std::shared_ptr<pushed_feed<upstream_change>> changes_;
-    int next_id_ = 0;
+    gateway_settings settings;
+    std::unique_ptr<gateway_process> gateway;
+    std::vector<std::unique_ptr<fake_upstream>> upstreams;
+    std::vector<upstream_record> records;
+    std::shared_ptr<pushed_feed<gateway_configuration>> configurations;
+    std::shared_ptr<pushed_feed<upstream_change>> changes;
+    int next_id = 0;
 };
 
 } // namespace cyclamenrun::testing_support
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -62,10 +62,10 @@
             return;
         }
         if (stop) {
-            stopped = true;
+            stopped_ = true;
             if (on_stop)
                 on_stop();
-            wait_until([&] { return ended.load(); });
+            wait_until([&] { return ended_.load(); });
         }
         reply.answer(request, 200, R"({"handle":"h1","created":3})");
     }
@@ -74,20 +74,20 @@
     {
         const auto from = request.field("Last-Event-Id");
         const int first = from.empty() ? 1 : std::stoi(from) + 1;
-        ended = false;
+        ended_ = false;
         reply.begin_stream(request);
         for (int id = first; id <= last_event; ++id) {
-            wait_until([&] { return id < hold_before || stopped; });
-            if (stopped || (from.empty() && id >= break_before)) {
+            wait_until([&] { return id < hold_before || stopped_; });
+            if (stopped_ || (from.empty() && id >= break_before)) {
                 reply.send("8\r\nid: 99\nd\r\n");
                 reply.close();
-                ended = true;
+                ended_ = true;
                 return;
             }
             reply.event(id);
         }
         reply.end_stream();
-        ended = true;
+        ended_ = true;
     }
 
     /** Ten seconds at most, so that a test which fails also ends. */
@@ -99,8 +99,8 @@
             std::this_thread::sleep_for(milliseconds(1));
     }
 
-    std::atomic<bool> stopped = false;
-    std::atomic<bool> ended = true;
+    std::atomic<bool> stopped_ = false;
+    std::atomic<bool> ended_ = true;
 };
 
 class generations : public gateway_fixture
@@ -133,7 +133,7 @@
     generating_engine engine;
     engine.hold_before = 4;
     add_engine("e1", engine);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     EXPECT_TRUE(caller.wait_for_body(events(1, 3)));
     engine.hold_before = 1000;
@@ -153,7 +153,7 @@
     generating_engine second;
     first.hold_before = 5;
     auto& source = add_engine("e1", first);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
     auto& destination = add_engine("e2", second);
@@ -185,7 +185,7 @@
         wait_for_upstreams(1);
     };
     add_engine("e1", first);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
     add_engine("e2", second);
@@ -203,7 +203,7 @@
     first.hold_before = 5;
     first.has_room = false;
     add_engine("e1", first);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
     add_engine("e2", second);
@@ -233,7 +233,7 @@
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
     std::size_t went_on = 0;
-    for (const auto& upstream : upstreams_) {
+    for (const auto& upstream : upstreams) {
         for (const auto& arrived : streams(*upstream)) {
             if (arrived.field("Kv-From").empty())
                 continue;
@@ -254,7 +254,7 @@
     generating_engine engine;
     engine.break_before = 5;
     auto& upstream = add_engine("e1", engine);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     const auto answer = caller.read();
     EXPECT_FALSE(answer.whole);
@@ -274,7 +274,7 @@
     const auto answer = ask("/res/x");
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
-    for (const auto& upstream : upstreams_) {
+    for (const auto& upstream : upstreams) {
         const auto arrived = streams(*upstream);
         ASSERT_EQ(arrived.size(), 1U);
         EXPECT_EQ(arrived[0].field("Kv-From"), "");
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -91,52 +91,51 @@
 {
 protected:
     monitor()
-        : engine_(
-              [this](const arrived_request& request, upstream_reply& reply) {
-                  const std::string state = leaving_ ? "draining" : "ready";
-                  reply.answer(request, 200,
-                               R"({"queued":2,"active":1,"kv_used":10,)"
-                               R"("kv_total":99,"state":")" +
-                                   state + "\"}");
-              })
+        : engine([this](const arrived_request& request, upstream_reply& reply) {
+              const std::string state = leaving ? "draining" : "ready";
+              reply.answer(request, 200,
+                           R"({"queued":2,"active":1,"kv_used":10,)"
+                           R"("kv_total":99,"state":")" +
+                               state + "\"}");
+          })
     {
         monitor_settings settings;
         settings.listen = {"127.0.0.1", 0};
-        settings.engine = engine_.address();
+        settings.engine = engine.address();
         settings.interval = milliseconds(10);
-        process_ = std::make_unique<monitor_process>(
+        process = std::make_unique<monitor_process>(
             settings, std::make_shared<platform::http_dialect>());
-        port_ = parse_ip_endpoint(process_->address())->port;
+        port = parse_ip_endpoint(process->address())->port;
     }
 
-    std::atomic<bool> leaving_ = false;
-    fake_upstream engine_;
-    std::unique_ptr<monitor_process> process_;
-    std::uint16_t port_ = 0;
+    std::atomic<bool> leaving = false;
+    fake_upstream engine;
+    std::unique_ptr<monitor_process> process;
+    std::uint16_t port = 0;
 };
 
 TEST_F(monitor, tells_who_asks_how_its_engine_is)
 {
-    listening_gateway gateway(port_);
-    const auto line = "load " + to_string(engine_.address()) + " 2";
+    listening_gateway gateway(port);
+    const auto line = "load " + to_string(engine.address()) + " 2";
     EXPECT_TRUE(gateway.news.wait_for(line));
     EXPECT_TRUE(gateway.news.wait_for("gateways 1"));
-    leaving_ = true;
+    leaving = true;
     EXPECT_TRUE(gateway.news.wait_for(line + " leaving"));
-    listening_gateway second(port_);
+    listening_gateway second(port);
     EXPECT_TRUE(second.news.wait_for("gateways 2"));
 }
 
 TEST_F(monitor, does_not_ask_its_engine_for_nobody)
 {
     std::this_thread::sleep_for(milliseconds(60));
-    EXPECT_TRUE(engine_.arrived().empty());
+    EXPECT_TRUE(engine.arrived().empty());
 }
 
 TEST_F(monitor, gives_turns_one_after_another)
 {
-    listening_gateway first(port_);
-    listening_gateway second(port_);
+    listening_gateway first(port);
+    listening_gateway second(port);
     first.want_turn("a");
     ASSERT_TRUE(first.news.wait_for("turn a"));
     second.want_turn("b");
@@ -150,8 +149,8 @@
 // generation must not wait for a turn that nobody gives.
 TEST_F(monitor, a_turn_is_taken_where_nobody_gives_any)
 {
-    process_.reset();
-    listening_gateway gateway(port_);
+    process.reset();
+    listening_gateway gateway(port);
     gateway.want_turn("a");
     EXPECT_TRUE(gateway.news.wait_for("turn a"));
 }
--- a/tests/gateway/test_passing_on.cpp
+++ b/tests/gateway/test_passing_on.cpp
@@ -20,7 +20,7 @@
 {
     start();
     auto& upstream = add("u1", answer_with_body);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/plain/x?a=b", "k1", "X-Own: 1\r\n"));
     const auto answer = caller.read();
     EXPECT_EQ(answer.status(), 200U);
@@ -40,7 +40,7 @@
 {
     start();
     add("u1", answer_with_body);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     // The second is sent before the first is answered.
     caller.send(request("/plain/1", "k1", "", "one") +
                 request("/plain/2", "k1", "", "two"));
@@ -54,7 +54,7 @@
 {
     start();
     auto& upstream = add("u1", answer_with_body);
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send("POST /plain/ HTTP/1.1\r\nHost: test.example\r\n"
                 "Attempt-Id: a\r\nContent-Length: 3\r\n"
                 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
@@ -106,7 +106,7 @@
     next.version = 3;
     next.teams[0].keys = {secret("k2")};
     apply(next);
-    configurations_->push(configuration());
+    configurations->push(configuration());
     auto marker = next;
     marker.version = 4;
     apply(marker);
@@ -117,8 +117,8 @@
 // The directory is silent for longer than a revoked key may live on.
 TEST_F(passing_on, an_old_configuration_serves_no_one)
 {
-    settings_.configuration_lease = milliseconds(900);
-    settings_.configuration_wait = milliseconds(100);
+    settings.configuration_lease = milliseconds(900);
+    settings.configuration_wait = milliseconds(100);
     start();
     add("u1", answer_with_body);
     EXPECT_EQ(ask("/plain/x").status(), 200U);
@@ -161,11 +161,11 @@
                 std::this_thread::sleep_for(milliseconds(5));
             reply.answer(request, 200, "late");
         });
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/plain/x"));
     upstream.wait_for(1);
     bool clean = false;
-    std::thread stop([&] { clean = gateway_->drain(); });
+    std::thread stop([&] { clean = gateway->drain(); });
     std::this_thread::sleep_for(milliseconds(150));
     EXPECT_EQ(readiness(), 503U);
     may_answer = true;
--- a/tests/gateway/test_programs.cpp
+++ b/tests/gateway/test_programs.cpp
@@ -60,42 +60,42 @@
 {
 protected:
     gateway_program()
-        : upstream_(
+        : upstream(
               [this](const arrived_request& request, upstream_reply& reply) {
-                  while (!may_answer_)
+                  while (!may_answer)
                       std::this_thread::sleep_for(milliseconds(5));
                   reply.answer(request, 200, "hello");
               }),
-          settings_(gateway_text(store_))
+          settings(gateway_text(store))
     {
-        store_.put("keyed.op", "config", configuration_text(1, "k1"));
+        store.put("keyed.op", "config", configuration_text(1, "k1"));
         tell_upstream("ready");
-        process_ = std::make_unique<child_process>(
+        process = std::make_unique<child_process>(
             "cyclamenrun-gateway",
-            std::vector<std::string>{"--settings", settings_.path()});
-        ready_ = process_->wait_for_line("ready");
-        address_ = process_->wait_for_line("listening");
+            std::vector<std::string>{"--settings", settings.path()});
+        ready = process->wait_for_line("ready");
+        address = process->wait_for_line("listening");
         wait_for_answer("k1", 200);
     }
 
     void tell_upstream(const std::string& state)
     {
-        store_.put("keyed.servers", "i-1",
-                   R"({"service":"app","address":")" +
-                       to_string(upstream_.address()) +
-                       R"(","zone":"d","slots":4,"state":")" + state + "\"}");
+        store.put("keyed.servers", "i-1",
+                  R"({"service":"app","address":")" +
+                      to_string(upstream.address()) +
+                      R"(","zone":"d","slots":4,"state":")" + state + "\"}");
     }
 
     std::string request_text(const std::string& key)
     {
         return "GET /a/x HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: r" +
-               std::to_string(++next_) + "\r\nAuthorization: Bearer " + key +
+               std::to_string(++next) + "\r\nAuthorization: Bearer " + key +
                "\r\nDeadline-Ms: 4000\r\n\r\n";
     }
 
     unsigned ask(const std::string& key)
     {
-        test_caller caller(address_);
+        test_caller caller(address);
         caller.send(request_text(key));
         return caller.read().status();
     }
@@ -113,27 +113,27 @@
     {
         const auto deadline = steady_now() + std::chrono::seconds(10);
         while (steady_now() < deadline) {
-            if (process_->errors().find(text) != std::string::npos)
+            if (process->errors().find(text) != std::string::npos)
                 return true;
             std::this_thread::sleep_for(milliseconds(10));
         }
         return false;
     }
 
-    stand_in_store store_;
-    std::atomic<bool> may_answer_ = true;
-    fake_upstream upstream_;
-    settings_text settings_;
-    std::unique_ptr<child_process> process_;
-    std::string ready_;
-    std::string address_;
-    int next_ = 0;
+    stand_in_store store;
+    std::atomic<bool> may_answer = true;
+    fake_upstream upstream;
+    settings_text settings;
+    std::unique_ptr<child_process> process;
+    std::string ready;
+    std::string address;
+    int next = 0;
 };
 
 TEST_F(gateway_program, follows_the_store)
 {
     EXPECT_EQ(ask("k2"), 401U);
-    store_.put("keyed.op", "config", configuration_text(2, "k2"));
+    store.put("keyed.op", "config", configuration_text(2, "k2"));
     wait_for_answer("k2", 200);
     EXPECT_EQ(ask("k1"), 401U);
     tell_upstream("draining");
@@ -146,10 +146,10 @@
 // must neither stop the reader nor shift its place.
 TEST_F(gateway_program, reads_on_behind_records_of_other_writers)
 {
-    store_.put("keyed.servers", "i-2", "\xff\xfe garbage");
-    store_.put("keyed.op", "config", "{\"version\":\"seven\"}");
-    store_.put("keyed.op", "other", configuration_text(9, "k9"));
-    store_.put("keyed.op", "config", configuration_text(2, "k2"));
+    store.put("keyed.servers", "i-2", "\xff\xfe garbage");
+    store.put("keyed.op", "config", "{\"version\":\"seven\"}");
+    store.put("keyed.op", "other", configuration_text(9, "k9"));
+    store.put("keyed.op", "config", configuration_text(2, "k2"));
     wait_for_answer("k2", 200);
     EXPECT_EQ(ask("k9"), 401U);
 }
@@ -160,10 +160,10 @@
 {
     using mood = stand_in_store::mood;
     for (const auto away : {mood::silent, mood::busy, mood::cutting}) {
-        store_.set_mood(away);
+        store.set_mood(away);
         EXPECT_EQ(ask("k1"), 200U);
         wait_for_answer("k1", 503);
-        store_.set_mood(mood::sound);
+        store.set_mood(mood::sound);
         wait_for_answer("k1", 200);
     }
     EXPECT_TRUE(wait_for_log("directory_lost"));
@@ -174,24 +174,24 @@
 // before it comes back: the record is not among those that are read on.
 TEST_F(gateway_program, starts_anew_when_the_history_is_gone)
 {
-    store_.set_mood(stand_in_store::mood::busy);
+    store.set_mood(stand_in_store::mood::busy);
     EXPECT_TRUE(wait_for_log("directory_lost"));
-    store_.put("keyed.op", "config", configuration_text(5, "k5"));
-    store_.put("keyed.op", "config", configuration_text(6, "k6"));
-    store_.drop_history();
-    store_.set_mood(stand_in_store::mood::sound);
+    store.put("keyed.op", "config", configuration_text(5, "k5"));
+    store.put("keyed.op", "config", configuration_text(6, "k6"));
+    store.drop_history();
+    store.set_mood(stand_in_store::mood::sound);
     wait_for_answer("k6", 200);
     EXPECT_EQ(ask("k1"), 401U);
 }
 
 TEST_F(gateway_program, reads_its_settings_again_when_told)
 {
-    settings_.write("name = 7\n");
-    process_->signal(SIGHUP);
+    settings.write("name = 7\n");
+    process->signal(SIGHUP);
     EXPECT_TRUE(wait_for_log("settings_unusable"));
     EXPECT_EQ(ask("k1"), 200U);
-    settings_.write(gateway_text(store_));
-    process_->signal(SIGHUP);
+    settings.write(gateway_text(store));
+    process->signal(SIGHUP);
     EXPECT_TRUE(wait_for_log("settings_reloaded"));
     EXPECT_EQ(ask("k1"), 200U);
 }
@@ -203,25 +203,25 @@
     other.put("keyed.op", "config", configuration_text(4, "k4"));
     other.put("keyed.servers", "i-1",
               R"({"service":"app","address":")" +
-                  to_string(upstream_.address()) +
+                  to_string(upstream.address()) +
                   R"(","zone":"d","slots":4,"state":"ready"})");
-    settings_.write(gateway_text(other));
+    settings.write(gateway_text(other));
     EXPECT_TRUE(wait_for_log("settings_reloaded"));
     wait_for_answer("k4", 200);
-    EXPECT_EQ(process_->errors().find("settings_unusable"), std::string::npos);
+    EXPECT_EQ(process->errors().find("settings_unusable"), std::string::npos);
 }
 
 TEST_F(gateway_program, a_planned_stop_cuts_nothing)
 {
-    may_answer_ = false;
-    test_caller caller(address_);
+    may_answer = false;
+    test_caller caller(address);
     caller.send(request_text("k1"));
-    upstream_.wait_for(2);
-    process_->signal(SIGTERM);
+    upstream.wait_for(2);
+    process->signal(SIGTERM);
     EXPECT_TRUE(wait_for_log("process_stopping"));
-    may_answer_ = true;
+    may_answer = true;
     EXPECT_EQ(caller.read().status(), 200U);
-    EXPECT_EQ(process_->wait(), 0);
+    EXPECT_EQ(process->wait(), 0);
 }
 
 } // namespace
--- a/tests/gateway/test_upstream_failures.cpp
+++ b/tests/gateway/test_upstream_failures.cpp
@@ -12,11 +12,11 @@
 {
 protected:
     /** A script that fails once over all upstreams, then answers. */
-    fake_upstream::script once(fake_upstream::script fail)
+    fake_upstream::script once(const fake_upstream::script& fail)
     {
         return [this, fail](const arrived_request& request,
                             upstream_reply& reply) {
-            if (!failed_.exchange(true))
+            if (!failed.exchange(true))
                 fail(request, reply);
             else
                 reply.answer(request, 200, "good");
@@ -34,12 +34,12 @@
     std::size_t arrivals() const
     {
         std::size_t sum = 0;
-        for (const auto& upstream : upstreams_)
+        for (const auto& upstream : upstreams)
             sum += upstream->arrived().size();
         return sum;
     }
 
-    std::atomic<bool> failed_ = false;
+    std::atomic<bool> failed = false;
 };
 
 void reset(const arrived_request&, upstream_reply& reply)
@@ -121,7 +121,7 @@
     add("u1", [](const arrived_request& request, upstream_reply& reply) {
         reply.answer(request, 200, "good");
     });
-    auto dead = records_[0];
+    auto dead = records[0];
     dead.id = "dead";
     dead.address.port = 1; // nothing listens there
     tell(dead);
@@ -202,7 +202,7 @@
         reply.answer(request, 200, "ok");
     });
     // As long as a system's buffers on both sides.
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/plain/x", "k1", "", std::string(3 << 20, 'x')));
     EXPECT_EQ(caller.read().status(), 200U);
     EXPECT_EQ(ask("/plain/x").status(), 200U);
@@ -218,7 +218,7 @@
         add("u1", [&](const arrived_request&, upstream_reply& reply) {
             closed.set_value(reply.wait_for_close());
         });
-    test_caller caller(gateway_->address());
+    test_caller caller(gateway->address());
     caller.send(request("/plain/x"));
     upstream.wait_for(1);
     const auto left_at = steady_now();
