Know unreachable upstreams; begin no stream that a stop would cut; wait out silent streams

Cause: on a VM that is cut off each request waited 0.25 s for each of four connections; a process told to stop began dossiers that its end cut; streams through a cut of 8 s were given up after 3 s though their callers wait for 7 s.

--- a/src/libcyclamenrun/decisions/placement.cpp
+++ b/src/libcyclamenrun/decisions/placement.cpp
@@ -16,7 +16,8 @@
 constexpr double short_memory_cost = 5.0;
 /** An upstream that fails half of its requests is as bad as a full one. */
 constexpr double failure_cost = 2.0;
-/** Only if nothing else is left. */
+/** Only if nothing else is left; it is tried again after a while. */
+constexpr double unreachable_cost = 20.0;
 constexpr double doubtful_cost = 10.0;
 /** Costs that differ by less are drawn among, against herds. */
 constexpr double equal_within = 0.02;
@@ -35,6 +36,8 @@
     cost += failure_cost * candidate.failure_rate;
     if (!candidate.same_failure_domain)
         cost += weights.other_domain;
+    if (candidate.unreachable)
+        cost += unreachable_cost;
     if (candidate.doubtful)
         cost += doubtful_cost;
     return cost;
--- a/src/libcyclamenrun/decisions/placement.hpp
+++ b/src/libcyclamenrun/decisions/placement.hpp
@@ -20,6 +20,8 @@
     /** Part of the latest requests that failed there. */
     double failure_rate = 0;
     bool same_failure_domain = true;
+    /** It could not be reached just now. */
+    bool unreachable = false;
     /** Its absence was reported, perhaps wrongly. */
     bool doubtful = false;
 };
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -13,15 +13,24 @@
 {
 
 /**
- * Time to establish a connection. Delays between failure domains are about
- * a millisecond; the rest is for busy peers. A plain request has an objective
- * of 100 ms, and no byte has gone out, so another upstream is tried soon.
+ * Time to establish a connection, at most. Delays between failure domains are
+ * about a millisecond; the rest is for busy peers. No byte has gone out, so
+ * another upstream is tried while the objective can still be met.
  */
-constexpr milliseconds connect_time{250};
+constexpr milliseconds longest_connect_time{250};
+constexpr milliseconds shortest_connect_time{40};
+/**
+ * A stream that falls silent may go on when a cut heals; callers wait for 7 s
+ * and more. Others are asked for again sooner.
+ */
+constexpr channel_patience stream_patience{milliseconds(10000),
+                                           milliseconds(5000)};
 /** Bytes that a slow caller may leave in this process. */
 constexpr std::size_t most_unsent_bytes = std::size_t(256) << 10;
 /** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
 constexpr milliseconds usual_notice{1500};
+/** A step of an engine with a few requests takes 7 to 8 ms. */
+constexpr milliseconds usual_time_per_token{8};
 /** Slowest usual output of a crowded engine, a token each 10 ms. */
 constexpr milliseconds time_per_token{10};
 
@@ -91,6 +100,11 @@
         return;
     }
     admitted_ = *admitted;
+    // Started here it would be cut; another process can serve it whole.
+    if (outlasts_this_process()) {
+        refuse(gateway_refusal::stopping);
+        return;
+    }
     events_ = event_splitter(facts_.last_event_id);
     context_.reactor->post_at(admitted_.answer_by, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -118,6 +132,16 @@
     return request;
 }
 
+bool exchange::outlasts_this_process() const
+{
+    const auto& route = *admitted_.route;
+    const bool must_end_here =
+        route.shape == answer_shape::event_stream && !route.resumable;
+    const auto lasts = facts_.most_output_tokens * usual_time_per_token / 2;
+    return context_.stop_at && must_end_here &&
+           context_.reactor->now() + lasts > *context_.stop_at;
+}
+
 void exchange::dispatch()
 {
     // Time may have passed in a wait or a suspension since the last look.
@@ -192,8 +216,10 @@
     // A kept connection may have gone silent, and a generation is worth far
     // more than the millisecond that a new one takes.
     what.new_connection = admitted_.route->shape == answer_shape::event_stream;
+    if (what.new_connection)
+        what.patience = stream_patience;
     what.has_no_response_body = request_.head.method == "HEAD";
-    what.connect_deadline = context_.reactor->now() + connect_time;
+    what.connect_deadline = context_.reactor->now() + connect_time();
     tried_.push_back(upstream.id);
     goes_on_ = goes_on;
     passing_ = false;
@@ -216,6 +242,12 @@
     attempt_->start();
 }
 
+milliseconds exchange::connect_time() const
+{
+    return std::clamp(admitted_.route->objective / 2, shortest_connect_time,
+                      longest_connect_time);
+}
+
 void exchange::settle()
 {
     if (attempt_)
@@ -227,6 +259,7 @@
 
 void exchange::take_head(http_head&& head, const response_facts& facts)
 {
+    context_.board.reached(attempt_->upstream().id);
     response_ = facts;
     const bool stream = admitted_.route->shape == answer_shape::event_stream;
     passing_ = stream && is_success(head.status) && facts.sealed;
@@ -365,7 +398,10 @@
     settle();
     if (mover_ && mover_->source_ended())
         return;
-    context_.board.failed(id, context_.reactor->now());
+    if (loss == attempt_loss::not_sent)
+        context_.board.unreached(id, context_.reactor->now());
+    else
+        context_.board.failed(id, context_.reactor->now());
     const auto* state = context_.board.find(id);
     if (begun_ && state != nullptr && !state->leaving)
         context_.backups.crash_seen(context_.reactor->now());
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -53,6 +53,9 @@
     void choose_backup(const upstream_record& upstream);
     placement_request needs(const std::string& from_domain) const;
     const engine_traits* engine() const;
+    milliseconds connect_time() const;
+    /** A stream that would be cut when this process ends. */
+    bool outlasts_this_process() const;
     void settle();
 
     // What an attempt brings.
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -55,6 +55,8 @@
     /** Requests that are being served. */
     std::unordered_set<exchange*> running;
     bool stopping = false;
+    /** When a planned stop ends this process, whatever still runs. */
+    std::optional<time_point> stop_at;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -386,7 +386,10 @@
     const auto began = steady_now();
     const auto give_up =
         began + std::max(grace_of(settings_) - stop_margin, milliseconds(0));
-    on_loop([this] { context_->stopping = true; });
+    on_loop([this, give_up] {
+        context_->stopping = true;
+        context_->stop_at = give_up;
+    });
     std::this_thread::sleep_until(
         std::min(began + settings_.balancer_wait, give_up));
     on_loop([this] {
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -32,6 +32,8 @@
                         "Its time ran out before any upstream had it."},
     gateway_refusal_row{expired, "expired", 504, false,
                         "Its time ran out at an upstream."},
+    gateway_refusal_row{stopping, "stopping", 503, true,
+                        "This process ends before it could be served whole."},
     gateway_refusal_row{upstream_lost, "upstream_lost", 502, false,
                         "It may have run; the answer is lost."},
 };
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -19,6 +19,7 @@
     upstreams_busy, ///< all have turned the request away
     expired_unsent, ///< its time ran out before it was sent anywhere
     expired,        ///< its time ran out at an upstream
+    stopping,       ///< this process ends before it could be served whole
     upstream_lost,  ///< may have run, and its answer is lost
 };
 
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -51,9 +51,10 @@
 
 void upstream_attempt::start()
 {
-    channel_ = request_.new_connection
-                   ? channels_.open(request_.upstream).channel
-                   : channels_.take(request_.upstream, reactor_->now()).channel;
+    channel_ =
+        request_.new_connection
+            ? channels_.open(request_.upstream, request_.patience).channel
+            : channels_.take(request_.upstream, reactor_->now()).channel;
     if (!channel_) {
         reactor_->post([self = shared_from_this()] {
             self->lose(attempt_loss::not_sent);
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -44,6 +44,7 @@
         std::string id; ///< of the request, for telling responses apart
         std::string text;
         bool new_connection = false;       ///< never one that was kept
+        channel_patience patience;         ///< of a new connection
         bool has_no_response_body = false; ///< answers HEAD
         time_point connect_deadline;
     };
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -23,6 +23,12 @@
 constexpr milliseconds load_delay{30};
 /** A load that is older says little; own counts are used in its place. */
 constexpr milliseconds load_lifetime{1500};
+/**
+ * An upstream to which no connection could be made is tried again after this
+ * time: when this VM is cut off, each further request would wait as long as
+ * the first for nothing, and its caller could have gone elsewhere.
+ */
+constexpr milliseconds unreachable_time{600};
 /** Weight of one result in the failure rate. */
 constexpr double failure_weight = 0.15;
 /** Time in which a failure rate halves with no news. */
@@ -258,6 +264,18 @@
         fold_failure(found->second, 1.0, now);
 }
 
+void upstream_board::unreached(const std::string& id, time_point now)
+{
+    if (const auto found = upstreams_.find(id); found != upstreams_.end())
+        found->second.unreachable_until = now + unreachable_time;
+}
+
+void upstream_board::reached(const std::string& id)
+{
+    if (const auto found = upstreams_.find(id); found != upstreams_.end())
+        found->second.unreachable_until = {};
+}
+
 void upstream_board::fold_failure(upstream_state& upstream, double sample,
                                   time_point now) const
 {
@@ -302,6 +320,7 @@
         upstream.record.failure_domain == request.from_domain;
     candidate.failure_rate = failure_rate_at(upstream, now);
     candidate.doubtful = upstream.doubted_until.has_value();
+    candidate.unreachable = now < upstream.unreachable_until;
     const auto load = believed_load(upstream, now);
     const double slots = std::max(1U, upstream.record.slots);
     candidate.slots_taken = (load.requests + 1) / slots;
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -31,6 +31,8 @@
     time_point load_at{};
     /** Requests of this gateway that run there. */
     unsigned own_running = 0;
+    /** No connection could be made; it is not tried again before. */
+    time_point unreachable_until{};
     double failure_rate = 0;
     time_point failure_at{};
 
@@ -79,6 +81,9 @@
     void settled(const std::string& id);
     void succeeded(const std::string& id, time_point now);
     void failed(const std::string& id, time_point now);
+    /** No connection could be made in the time for one. */
+    void unreached(const std::string& id, time_point now);
+    void reached(const std::string& id);
 
     const upstream_state* find(const std::string& id) const;
     /** Those of a service that may get new work. */
--- a/src/libcyclamenrun/gateway/upstream_channels.cpp
+++ b/src/libcyclamenrun/gateway/upstream_channels.cpp
@@ -20,9 +20,11 @@
     return open(upstream);
 }
 
-upstream_channel upstream_channels::open(const upstream_record& upstream)
+upstream_channel upstream_channels::open(const upstream_record& upstream,
+                                         const channel_patience& patience)
 {
-    return {tcp_channel::connect(reactor_, upstream.address, {}, {}), false};
+    return {tcp_channel::connect(reactor_, upstream.address, patience, {}),
+            false};
 }
 
 void upstream_channels::keep(const std::string& upstream_id,
--- a/src/libcyclamenrun/gateway/upstream_channels.hpp
+++ b/src/libcyclamenrun/gateway/upstream_channels.hpp
@@ -36,7 +36,8 @@
     /** The caller sets the channel's hooks and owns it from now on. */
     upstream_channel take(const upstream_record& upstream, time_point now);
     /** Always a new connection. */
-    upstream_channel open(const upstream_record& upstream);
+    upstream_channel open(const upstream_record& upstream,
+                          const channel_patience& patience = {});
     /** Gives back a channel that has ended its exchange cleanly. */
     void keep(const std::string& upstream_id,
               std::shared_ptr<tcp_channel> channel, time_point until);
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -37,7 +37,7 @@
     for (const auto* upstream : from)
         places.push_back(placement_of(*upstream, request, now));
     const auto chosen = choose_placement(places, random_, weights);
-    if (!chosen)
+    if (!chosen || places[*chosen].unreachable)
         return std::nullopt;
     return from[*chosen]->record;
 }
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -21,7 +21,7 @@
     {
     }
 
-    /** For a request that begins; empty if none may be used. */
+    /** For a request that begins; empty if none may be used or reached. */
     std::optional<upstream_record>
     for_request(const std::string& service, const placement_request& request,
                 const std::vector<std::string>& excluded, time_point now);
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -246,6 +246,33 @@
     EXPECT_EQ(went_on, 1U);
 }
 
+// A process is told to stop, and a dossier comes that would outlast it. Begun
+// here it would be cut; turned away at once it is served whole by another.
+TEST_F(generations, a_stream_that_would_outlast_the_process_is_not_begun)
+{
+    settings.stop_grace_s = 4;
+    settings.balancer_wait = milliseconds(1000);
+    start();
+    generating_engine engine;
+    engine.hold_before = 3;
+    auto& upstream = add_engine("e1", engine);
+    test_caller running(gateway->address());
+    running.send(request("/gen/x"));
+    ASSERT_TRUE(running.wait_for_body(events(1, 2)));
+    bool clean = false;
+    std::thread stop([&] { clean = gateway->drain(); });
+    while (readiness() != 503)
+        std::this_thread::yield();
+    const auto refused = ask("/gen/x");
+    EXPECT_EQ(refused.status(), 503U);
+    EXPECT_NE(refused.field("Retry-After"), "");
+    engine.hold_before = 1000;
+    EXPECT_TRUE(running.read().whole);
+    stop.join();
+    EXPECT_TRUE(clean);
+    EXPECT_EQ(streams(upstream).size(), 1U);
+}
+
 // The only engine crashes: there is no backup, and the dossier may not run
 // again. The caller must see that its answer is cut.
 TEST_F(generations, a_stream_that_can_not_go_on_never_looks_whole)
--- a/tests/gateway/test_upstream_board.cpp
+++ b/tests/gateway/test_upstream_board.cpp
@@ -162,6 +162,23 @@
     EXPECT_DOUBLE_EQ(wait(900), 0);
 }
 
+// This VM is cut off. The first request waits in vain for a connection; those
+// behind it must not wait as well, and the upstream is tried again soon.
+TEST_F(upstream_board_test, remembers_for_a_while_that_one_is_unreachable)
+{
+    put(record("a"));
+    const auto unreachable = [&](int ms) {
+        return placement_of(*board.find("a"), {}, at(ms)).unreachable;
+    };
+    EXPECT_FALSE(unreachable(0));
+    board.unreached("a", at(0));
+    EXPECT_TRUE(unreachable(599));
+    EXPECT_FALSE(unreachable(600));
+    board.unreached("a", at(700));
+    board.reached("a");
+    EXPECT_FALSE(unreachable(710));
+}
+
 TEST_F(upstream_board_test, forgives_failures_in_time)
 {
     put(record("a"));
