End the loop before what runs on it

Cause: the thread sanitizer saw the promise of a call to the loop destroyed while the loop was still in set_value, and a monitor's state destroyed under its running loop; both could only meet a process that ends.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -59,7 +59,7 @@
                                  gateway_platform platform,
                                  reread_settings reread)
     : settings_(settings), platform_(std::move(platform)),
-      reread_(std::move(reread))
+      reread_(std::move(reread)), loop_(std::make_unique<link_loop>())
 {
     std::exception_ptr failure;
     on_loop([&] {
@@ -83,21 +83,24 @@
              std::vector(context_->running.begin(), context_->running.end()))
             running->shared_from_this()->caller_left();
     });
+    // No thread of the loop may touch what is destroyed from here on.
+    loop_.reset();
 }
 
 void gateway_process::on_loop(const std::function<void()>& work)
 {
-    std::promise<void> done;
-    loop_.post([&] {
+    // Shared: the waiting thread may go on before set_value() has returned.
+    const auto done = std::make_shared<std::promise<void>>();
+    loop_->post([&work, done] {
         work();
-        done.set_value();
+        done->set_value();
     });
-    done.get_future().wait();
+    done->get_future().wait();
 }
 
 void gateway_process::start()
 {
-    const auto& reactor = loop_.reactor();
+    const auto& reactor = loop_->reactor();
     upstream_board::hooks board;
     board.leaving = [this](const std::string& id,
                            std::optional<time_point> leaves_at) {
@@ -120,7 +123,7 @@
 
 void gateway_process::start_feeds()
 {
-    const auto& reactor = loop_.reactor();
+    const auto& reactor = loop_->reactor();
     feed_pace pace;
     pace.wait = settings_.configuration_wait;
     feed_follower<gateway_configuration>::hooks configurations;
@@ -151,7 +154,7 @@
         directory_lost("upstreams", problem);
     };
     upstreams.regained = [this](duration away) {
-        doubt_until_ = loop_.reactor()->now() + doubt_after_outage;
+        doubt_until_ = loop_->reactor()->now() + doubt_after_outage;
         directory_regained("upstreams", away);
     };
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
@@ -167,7 +170,7 @@
         return;
     monitor_link::hooks on;
     on.load = [this](const ip_endpoint& engine, const engine_load& load) {
-        context_->board.take_load(engine, load, loop_.reactor()->now());
+        context_->board.take_load(engine, load, loop_->reactor()->now());
     };
     on.gateways = [this](unsigned count) {
         context_->budget.set_sharers(count);
@@ -181,7 +184,7 @@
         return hosts;
     };
     context_->monitors = std::make_shared<monitor_link>(
-        loop_.reactor(), settings_.loads_listen,
+        loop_->reactor(), settings_.loads_listen,
         static_cast<std::uint16_t>(settings_.monitor_port), settings_.name,
         std::move(on));
     context_->monitors->start();
@@ -189,10 +192,10 @@
 
 void gateway_process::start_servers()
 {
-    callers_ = std::make_shared<http_server>(loop_.reactor(), settings_.listen,
+    callers_ = std::make_shared<http_server>(loop_->reactor(), settings_.listen,
                                              caller_hooks());
     ready_server_ = std::make_shared<http_server>(
-        loop_.reactor(), settings_.ready_listen, ready_hooks());
+        loop_->reactor(), settings_.ready_listen, ready_hooks());
     callers_->start();
     ready_server_->start();
 }
@@ -288,7 +291,7 @@
 void gateway_process::take_upstreams(std::vector<upstream_change>&& changes,
                                      bool whole)
 {
-    const auto now = loop_.reactor()->now();
+    const auto now = loop_->reactor()->now();
     const bool doubt = now < doubt_until_;
     if (whole)
         context_->board.replace_all(changes, now, doubt);
@@ -330,15 +333,15 @@
 {
     if (ended_)
         return;
-    context_->board.end_doubts(loop_.reactor()->now());
+    context_->board.end_doubts(loop_->reactor()->now());
     look_at_settings();
-    loop_.reactor()->post_at(loop_.reactor()->now() + tick_interval,
-                             [this] { tick(); });
+    loop_->reactor()->post_at(loop_->reactor()->now() + tick_interval,
+                              [this] { tick(); });
 }
 
 void gateway_process::look_at_settings()
 {
-    const auto now = loop_.reactor()->now();
+    const auto now = loop_->reactor()->now();
     if (now < look_at_settings_at_)
         return;
     look_at_settings_at_ = now + settings_look_interval;
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -79,7 +79,7 @@
     gateway_settings settings_;
     gateway_platform platform_;
     reread_settings reread_;
-    link_loop loop_;
+    std::unique_ptr<link_loop> loop_;
     std::unique_ptr<gateway_context> context_;
     std::shared_ptr<http_server> callers_;
     std::shared_ptr<http_server> ready_server_;
--- a/src/libcyclamenrun/gateway/monitor_process.hpp
+++ b/src/libcyclamenrun/gateway/monitor_process.hpp
@@ -17,13 +17,17 @@
 public:
     monitor_process(const monitor_settings& settings,
                     std::shared_ptr<const gateway_dialect> dialect);
+    monitor_process(const monitor_process&) = delete;
+    monitor_process& operator=(const monitor_process&) = delete;
+    /** Ends the loop before what runs on it. */
+    ~monitor_process();
 
     std::string address() const;
     /** Nothing is under way that a planned stop would wait for. */
     bool drain() { return true; }
 
 private:
-    link_loop loop_;
+    std::unique_ptr<link_loop> loop_;
     std::shared_ptr<engine_monitor> monitor_;
 };
 
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -1,5 +1,6 @@
 #include "gateway_fixture.hpp"
 
+#include <memory>
 #include <thread>
 
 namespace cyclamenrun::testing_support
@@ -106,12 +107,13 @@
 class generations : public gateway_fixture
 {
 protected:
-    fake_upstream& add_engine(const std::string& id, generating_engine& engine)
+    fake_upstream& add_engine(const std::string& id,
+                              const std::shared_ptr<generating_engine>& engine)
     {
         return add(
             id,
-            [&engine](const arrived_request& request, upstream_reply& reply) {
-                engine.play(request, reply);
+            [engine](const arrived_request& request, upstream_reply& reply) {
+                engine->play(request, reply);
             },
             "model");
     }
@@ -130,13 +132,13 @@
 TEST_F(generations, events_go_through_as_they_come)
 {
     start();
-    generating_engine engine;
-    engine.hold_before = 4;
+    const auto engine = std::make_shared<generating_engine>();
+    engine->hold_before = 4;
     add_engine("e1", engine);
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     EXPECT_TRUE(caller.wait_for_body(events(1, 3)));
-    engine.hold_before = 1000;
+    engine->hold_before = 1000;
     const auto answer = caller.read();
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
@@ -149,9 +151,9 @@
 TEST_F(generations, a_generation_outlives_its_engine)
 {
     start();
-    generating_engine first;
-    generating_engine second;
-    first.hold_before = 5;
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
     auto& source = add_engine("e1", first);
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
@@ -161,7 +163,7 @@
     const auto answer = caller.read();
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
-    EXPECT_EQ(first.orders, 2); // a copy beside the run, then the rest
+    EXPECT_EQ(first->orders, 2); // a copy beside the run, then the rest
     const auto went_on = streams(destination);
     ASSERT_EQ(went_on.size(), 1U);
     EXPECT_EQ(went_on[0].field("Kv-From"), to_string(source.address()) + "/h1");
@@ -177,10 +179,10 @@
 TEST_F(generations, an_order_outlives_the_entry_of_its_engine)
 {
     start();
-    generating_engine first;
-    generating_engine second;
-    first.hold_before = 5;
-    first.on_stop = [this] {
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->on_stop = [this] {
         forget("e1");
         wait_for_upstreams(1);
     };
@@ -198,19 +200,19 @@
 TEST_F(generations, a_destination_without_room_is_not_the_end)
 {
     start();
-    generating_engine first;
-    generating_engine second;
-    first.hold_before = 5;
-    first.has_room = false;
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->has_room = false;
     add_engine("e1", first);
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
     add_engine("e2", second);
     drain("e1");
-    while (first.orders == 0)
+    while (first->orders == 0)
         std::this_thread::sleep_for(milliseconds(5));
-    first.has_room = true;
+    first->has_room = true;
     const auto answer = caller.read();
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
@@ -221,12 +223,12 @@
 TEST_F(generations, a_crash_is_made_up_for_by_the_backup)
 {
     start();
-    generating_engine first;
-    generating_engine second;
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
     add_engine("e1", first);
     add_engine("e2", second);
-    first.break_before = 5;
-    second.break_before = 5;
+    first->break_before = 5;
+    second->break_before = 5;
     // The first crash is seen: from now on generations have backups.
     EXPECT_FALSE(ask("/gen/x").whole);
     const auto answer = ask("/gen/x");
@@ -253,8 +255,8 @@
     settings.stop_grace_s = 4;
     settings.balancer_wait = milliseconds(1000);
     start();
-    generating_engine engine;
-    engine.hold_before = 3;
+    const auto engine = std::make_shared<generating_engine>();
+    engine->hold_before = 3;
     auto& upstream = add_engine("e1", engine);
     test_caller running(gateway->address());
     running.send(request("/gen/x"));
@@ -266,7 +268,7 @@
     const auto refused = ask("/gen/x");
     EXPECT_EQ(refused.status(), 503U);
     EXPECT_NE(refused.field("Retry-After"), "");
-    engine.hold_before = 1000;
+    engine->hold_before = 1000;
     EXPECT_TRUE(running.read().whole);
     stop.join();
     EXPECT_TRUE(clean);
@@ -278,8 +280,8 @@
 TEST_F(generations, a_stream_that_can_not_go_on_never_looks_whole)
 {
     start();
-    generating_engine engine;
-    engine.break_before = 5;
+    const auto engine = std::make_shared<generating_engine>();
+    engine->break_before = 5;
     auto& upstream = add_engine("e1", engine);
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
@@ -292,10 +294,10 @@
 TEST_F(generations, a_resumable_stream_goes_on_in_a_new_run)
 {
     start();
-    generating_engine first;
-    generating_engine second;
-    first.break_before = 5;
-    second.break_before = 5;
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->break_before = 5;
+    second->break_before = 5;
     add_engine("e1", first);
     add_engine("e2", second);
     const auto answer = ask("/res/x");
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -52,8 +52,9 @@
 {
 public:
     explicit listening_gateway(std::uint16_t monitor_port)
-        : link_(std::make_shared<monitor_link>(
-              loop_.reactor(), ip_endpoint{"127.0.0.1", 0}, monitor_port, "g",
+        : loop_(std::make_unique<link_loop>()),
+          link_(std::make_shared<monitor_link>(
+              loop_->reactor(), ip_endpoint{"127.0.0.1", 0}, monitor_port, "g",
               monitor_link::hooks{
                   [this](const ip_endpoint& engine, const engine_load& load) {
                       news.note("load " + to_string(engine) + " " +
@@ -65,25 +66,29 @@
                   },
                   [] { return std::set<std::string>{"127.0.0.1"}; }}))
     {
-        loop_.post([link = link_] { link->start(); });
+        loop_->post([link = link_] { link->start(); });
     }
 
+    listening_gateway(const listening_gateway&) = delete;
+    listening_gateway& operator=(const listening_gateway&) = delete;
+    ~listening_gateway() { loop_.reset(); }
+
     void want_turn(const std::string& id)
     {
-        loop_.post([this, id] {
+        loop_->post([this, id] {
             link_->want_turn("127.0.0.1", id,
                              [this, id] { news.note("turn " + id); });
         });
     }
     void end_turn(const std::string& id)
     {
-        loop_.post([this, id] { link_->end_turn(id); });
+        loop_->post([this, id] { link_->end_turn(id); });
     }
 
     heard news;
 
 private:
-    link_loop loop_;
+    std::unique_ptr<link_loop> loop_;
     std::shared_ptr<monitor_link> link_;
 };
 
--- a/tests/gateway/test_upstream_failures.cpp
+++ b/tests/gateway/test_upstream_failures.cpp
@@ -213,17 +213,17 @@
 TEST_F(upstream_failures, a_caller_that_leaves_ends_its_run)
 {
     start();
-    std::promise<bool> closed;
+    const auto closed = std::make_shared<std::promise<bool>>();
     auto& upstream =
-        add("u1", [&](const arrived_request&, upstream_reply& reply) {
-            closed.set_value(reply.wait_for_close());
+        add("u1", [closed](const arrived_request&, upstream_reply& reply) {
+            closed->set_value(reply.wait_for_close());
         });
     test_caller caller(gateway->address());
     caller.send(request("/plain/x"));
     upstream.wait_for(1);
     const auto left_at = steady_now();
     caller.leave();
-    EXPECT_TRUE(closed.get_future().get());
+    EXPECT_TRUE(closed->get_future().get());
     EXPECT_LT(steady_now() - left_at, milliseconds(500));
 }
 
