--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -18,8 +18,15 @@
 constexpr milliseconds tell_interval{400};
 constexpr milliseconds engine_timeout{500};
 
+constexpr milliseconds spacing_per_gateway{8};
+
 } // namespace
 
+milliseconds tell_spacing(std::size_t gateways)
+{
+    return static_cast<int>(gateways) * spacing_per_gateway;
+}
+
 engine_monitor::engine_monitor(const std::shared_ptr<link_reactor>& reactor,
                                std::shared_ptr<const gateway_dialect> dialect,
                                const engine_monitor_settings& settings)
@@ -130,8 +137,12 @@
     notice.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
     auto bytes = message.SerializeAsString();
     const auto now = reactor_->now();
-    if (bytes == last_told_ && now < tell_again_at_)
+    const bool same = bytes == last_told_ && now < tell_again_at_;
+    const bool too_soon = now < tell_next_at_ && load.leaving == told_leaving_;
+    if (same || too_soon)
         return;
+    tell_next_at_ = now + tell_spacing(gateways_.size());
+    told_leaving_ = load.leaving;
     for (const auto& [name, listener] : gateways_)
         socket_->send(listener.address, bytes);
     last_told_ = std::move(bytes);
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -63,10 +63,20 @@
     copy_turns turns_;
     std::string last_told_;
     time_point tell_again_at_{};
+    time_point tell_next_at_{};
+    bool told_leaving_ = false;
     time_point next_look_{};
     bool engine_known_ = true;
 };
 
+/**
+ * Least time between two tellings of a load. With many gateways each hears
+ * less often, so that a monitor sends 125 datagrams a second at most: without
+ * it their number grows with gateways times engines, 13,500 a second at 27
+ * gateways and 50 engines. News that the engine leaves does not wait.
+ */
+milliseconds tell_spacing(std::size_t gateways);
+
 /** Gateways that a monitor tells; more are not listened to. */
 inline constexpr std::size_t most_gateways = 512;
 
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -131,6 +131,17 @@
     EXPECT_TRUE(second.news.wait_for("gateways 2"));
 }
 
+TEST_F(monitor, sends_a_bounded_number_of_datagrams_however_many_listen)
+{
+    for (const std::size_t gateways : {1U, 5U, 27U, 370U}) {
+        const auto each =
+            1000.0 / static_cast<double>(tell_spacing(gateways).count());
+        EXPECT_LE(each * static_cast<double>(gateways), 125.0);
+    }
+    // A few gateways hear every look at the engine.
+    EXPECT_LE(tell_spacing(5), monitor_settings().interval);
+}
+
 TEST_F(monitor, does_not_ask_its_engine_for_nobody)
 {
     std::this_thread::sleep_for(milliseconds(60));
