Never put a refusal behind the first part of an answer; close half a request in time

Cause: a resumable stream that broke off after the lease had ended was refused with a whole response inside its body (the test sees bytes that are no part of it); a session's timer was not brought forward, so a head could take as long as an idle connection (10 s and more in place of 0.1 s). Both tests fail before.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -161,9 +161,7 @@
         send(*upstream, std::nullopt);
         return;
     }
-    if (begun_)
-        cut("no_upstream");
-    else if (runs_ > 0)
+    if (runs_ > 0)
         refuse(gateway_refusal::upstream_lost);
     else
         refuse(tried_.empty() ? gateway_refusal::no_upstream
@@ -587,6 +585,11 @@
 void exchange::refuse(gateway_refusal refusal)
 {
     const auto& row = row_of(refusal);
+    // An answer can't follow the first part of another one.
+    if (begun_) {
+        cut(row.name);
+        return;
+    }
     log_event(log_severity::warning, log_event_name::request_refused,
               {{log_key::request_id, facts_.id},
                {log_key::reason, row.name},
@@ -622,11 +625,8 @@
 {
     if (over_)
         return;
-    if (begun_)
-        cut("expired");
-    else
-        refuse(attempt_ || sends_ > 0 ? gateway_refusal::expired
-                                      : gateway_refusal::expired_unsent);
+    refuse(attempt_ || sends_ > 0 ? gateway_refusal::expired
+                                  : gateway_refusal::expired_unsent);
 }
 
 void exchange::caller_left()
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -1,6 +1,5 @@
 #include "gateway_process.hpp"
 
-#include "json_text.hpp"
 #include "log_event.hpp"
 
 #include <algorithm>
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -130,7 +130,9 @@
     if (!std::exchange(source_ended_, false))
         on_.drop_source();
     refused_by_.clear();
-    on_.go_on(step.to, step.from);
+    // A copy: the call may end the exchange, and this with it.
+    const auto go_on = on_.go_on;
+    go_on(step.to, step.from);
 }
 
 bool generation_mover::source_ended()
@@ -180,7 +182,8 @@
         return;
     }
     if (std::exchange(source_ended_, false)) {
-        on_.lost();
+        const auto lost = on_.lost;
+        lost();
         return;
     }
     try_again(source);
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -295,17 +295,20 @@
 void http_session::wait_until(time_point deadline)
 {
     deadline_ = deadline;
-    if (std::exchange(deadline_armed_, true))
+    // A timer that fires sooner looks at the deadline then.
+    if (timer_at_ && *timer_at_ <= deadline)
         return;
-    reactor_->post_at(deadline_, [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
+    timer_at_ = deadline;
+    reactor_->post_at(deadline, [weak = weak_from_this(), deadline] {
+        const auto self = weak.lock();
+        if (self && self->timer_at_ == deadline)
             self->check_deadline();
     });
 }
 
 void http_session::check_deadline()
 {
-    deadline_armed_ = false;
+    timer_at_.reset();
     if (!channel_->open())
         return;
     if (deadline_ > reactor_->now() || serving_) {
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cyclamenrun
@@ -98,7 +99,7 @@
     session_hooks::caller_left caller_left_;
     std::function<void()> on_drained_;
     time_point deadline_;
-    bool deadline_armed_ = false;
+    std::optional<time_point> timer_at_; ///< of the timer that counts
 };
 
 } // namespace cyclamenrun
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -72,8 +72,11 @@
             (void)reader_->end_of_connection();
             return false;
         }
-        return reader_->feed({bytes.data(), static_cast<std::size_t>(count)})
-            .has_value();
+        const bool good =
+            reader_->feed({bytes.data(), static_cast<std::size_t>(count)})
+                .has_value();
+        answer_.malformed = !good;
+        return good;
     } catch (const Poco::Exception&) {
         return false; // reset, or nothing for ten seconds
     }
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -69,6 +69,7 @@
     http_head head;
     std::string body;
     bool whole = false;
+    bool malformed = false; ///< there were bytes that are no part of it
 
     unsigned status() const { return head.status; }
     std::string field(const std::string& name) const
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -248,6 +248,31 @@
     EXPECT_EQ(went_on, 1U);
 }
 
+// A stream breaks off after the lease on the configuration has ended, so that
+// it may not be sent elsewhere. A refusal in the middle of its body would be
+// read as part of it; the caller must see that it is cut.
+TEST_F(generations, no_refusal_follows_the_first_part_of_an_answer)
+{
+    settings.configuration_lease = milliseconds(800);
+    settings.configuration_wait = milliseconds(100);
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->break_before = 5;
+    add_engine("e1", first);
+    test_caller caller(gateway->address());
+    caller.send(request("/res/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    add_engine("e2", std::make_shared<generating_engine>());
+    while (readiness() != 503)
+        std::this_thread::yield();
+    first->hold_before = 1000;
+    const auto answer = caller.read();
+    EXPECT_FALSE(answer.whole);
+    EXPECT_FALSE(answer.malformed);
+    EXPECT_EQ(answer.body, events(1, 4));
+}
+
 // A process is told to stop, and a dossier comes that would outlast it. Begun
 // here it would be cut; turned away at once it is served whole by another.
 TEST_F(generations, a_stream_that_would_outlast_the_process_is_not_begun)
--- a/tests/gateway/test_passing_on.cpp
+++ b/tests/gateway/test_passing_on.cpp
@@ -65,6 +65,23 @@
     EXPECT_TRUE(upstream.arrived().empty());
 }
 
+// A caller sends half a request and falls silent. Its connection is closed
+// after the time for a head, not after that for an idle connection.
+TEST_F(passing_on, a_caller_that_sends_half_a_request_is_closed_soon)
+{
+    start();
+    auto limited = configuration();
+    limited.version = 2;
+    limited.limits.header_timeout = milliseconds(100);
+    limited.limits.idle_timeout = milliseconds(60000);
+    apply(limited);
+    test_caller caller(gateway->address());
+    const auto began = steady_now();
+    caller.send("POST /plain/x HTTP/1.1\r\nHost: te");
+    EXPECT_FALSE(caller.read().whole);
+    EXPECT_LT(steady_now() - began, milliseconds(5000));
+}
+
 // A process has just started and knows no configuration. A 404 or 401 would
 // make callers give up on what is there.
 TEST_F(passing_on, without_a_configuration_it_is_not_ready_and_says_so)
