--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -34,11 +34,6 @@
 /** Slowest usual output of a crowded engine, a token each 10 ms. */
 constexpr milliseconds time_per_token{10};
 
-bool is_success(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
 /** Statuses by which callers learn that a request has not run. */
 bool promises_not_run(unsigned status)
 {
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -128,9 +128,9 @@
     peer_keeps_ = head.keep_alive;
     // Upstreams name the request in every success: one without a name is a
     // stray answer, which came after the next request was sent.
-    const bool success = head.status >= 200 && head.status < 300;
     const bool unnamed = facts_.request_id.empty();
-    const bool other = unnamed ? success : facts_.request_id != request_.id;
+    const bool other =
+        unnamed ? is_success(head.status) : facts_.request_id != request_.id;
     skipping_ = interim || other;
     const auto on = on_;
     if (!skipping_ && on->head)
--- a/src/libcyclamenrun/http/http_head.hpp
+++ b/src/libcyclamenrun/http/http_head.hpp
@@ -40,6 +40,12 @@
 /** Whether one of the comma-separated words of `list` is `word`. */
 bool has_list_word(std::string_view list, std::string_view word);
 
+/** A status by which an answer says that all went well. */
+inline bool is_success(unsigned status)
+{
+    return status >= 200 && status < 300;
+}
+
 /** A field that concerns one connection only and is never passed on. */
 bool is_hop_by_hop(std::string_view name);
 
