--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -111,6 +111,11 @@
     log_event(log_severity::info, log_event_name::generation_moved,
               {{log_key::request_id, request_id_}, {log_key::upstream, to.id}});
     pending_ = pending_step{from, to};
+    go_on_after_last_events();
+}
+
+void generation_mover::go_on_after_last_events()
+{
     if (source_ended_) {
         go_on();
         return;
@@ -170,15 +175,7 @@
     if (kept) {
         // It was stopped, and its memory still lies at the source.
         pending_ = pending_step{*kept, source};
-        if (source_ended_)
-            go_on();
-        else
-            context_.reactor->post_at(context_.reactor->now() +
-                                          last_events_time,
-                                      [weak = weak_from_this()] {
-                                          if (const auto self = weak.lock())
-                                              self->go_on();
-                                      });
+        go_on_after_last_events();
         return;
     }
     if (std::exchange(source_ended_, false)) {
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -60,6 +60,7 @@
     void stopped(const continuation& from, const upstream_record& to);
     void failed(move_failure failure, const std::optional<continuation>& kept,
                 const upstream_record& source);
+    void go_on_after_last_events();
     void go_on();
     void try_again(const upstream_record& source);
 
