--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = cmake ninja-build g++ ccache clang-format clang-tidy \
     libpoco-dev libnghttp2-dev libprotobuf-dev libcli11-dev \
     libgoogle-glog-dev libexpected-dev libtomlplusplus-dev libboost-dev \
-    libssl-dev libgtest-dev libgmock-dev librapidcheck-dev
+    libssl-dev prometheus-cpp-dev libgtest-dev libgmock-dev librapidcheck-dev
 BUILD = build
 JOBS ?= $(shell nproc)
 KNOWN_RED := $(shell scripts/known-red --regex)
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -13,7 +13,7 @@
     program.read_settings = [&](const std::string& file) {
         return read_agent_settings(file).map([&](agent_settings read) {
             settings = std::move(read);
-            return settings.log_level;
+            return log_settings_of(settings);
         });
     };
     program.serve = [&](const stop_signal& stop) {
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -79,6 +79,7 @@
     add_change_commands();
     add_query_commands();
     add_key_command();
+    add_explain_command();
 }
 
 exit_code command_line::run(int argument_count, const char* const* arguments)
@@ -147,8 +148,19 @@
     key->add_subcommand("new-operator", "make a key for operators");
 }
 
+void command_line::add_explain_command()
+{
+    auto* explain = app_.add_subcommand(
+        "explain", "tell the story of one request from the logs");
+    explain->add_option("REQUEST-ID", name_)->required();
+    explain->add_option("FILE", log_files_,
+                        "logs of any processes; none: standard input");
+}
+
 exit_code command_line::run_chosen()
 {
+    if (app_.got_subcommand("explain"))
+        return run_explain(name_, log_files_);
     if (app_.got_subcommand("key"))
         return run_new_key(name_);
     return connected([this](const ctl_options& options) {
--- a/src/ctl/command_line.hpp
+++ b/src/ctl/command_line.hpp
@@ -8,6 +8,7 @@
 #include <CLI/Formatter.hpp>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -25,6 +26,7 @@
     void add_change_commands();
     void add_query_commands();
     void add_key_command();
+    void add_explain_command();
     exit_code run_chosen();
     template <typename Command>
     exit_code connected(Command command) const;
@@ -38,6 +40,7 @@
     std::string file_;
     std::string kind_;
     std::string name_;
+    std::vector<std::string> log_files_;
 };
 
 } // namespace cyclamenrun
--- a/src/ctl/commands.hpp
+++ b/src/ctl/commands.hpp
@@ -5,6 +5,7 @@
 #include "exit_code.hpp"
 
 #include <string>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -23,6 +24,13 @@
 exit_code run_dump(const ctl_options& options, const std::string& upstream);
 exit_code run_revisions(const ctl_options& options);
 
+/**
+ * Tells a request's story from logs: files, or standard input if there are
+ * none. Talks to nobody.
+ */
+exit_code run_explain(const std::string& request_id,
+                      const std::vector<std::string>& files);
+
 /** Makes a key without talking to anyone; an empty team: an operator's. */
 exit_code run_new_key(const std::string& team);
 
--- /dev/null
+++ b/src/ctl/explain_command.cpp
@@ -0,0 +1,45 @@
+#include "commands.hpp"
+#include "request_story.hpp"
+
+#include <fstream>
+#include <iostream>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+void take_lines(request_story& story, std::istream& from)
+{
+    for (std::string line; std::getline(from, line);)
+        story.take(line);
+}
+
+} // namespace
+
+exit_code run_explain(const std::string& request_id,
+                      const std::vector<std::string>& files)
+{
+    request_story story(request_id);
+    for (const auto& file : files) {
+        std::ifstream from(file);
+        if (!from) {
+            std::cerr << "error: " << file << " cannot be read\n";
+            return exit_code::usage;
+        }
+        take_lines(story, from);
+    }
+    if (files.empty())
+        take_lines(story, std::cin);
+    if (story.empty()) {
+        std::cerr << "error: no line has the request id " << request_id
+                  << "; a request that ended well is left out when the log is "
+                     "over its budget, see log_lines_dropped\n";
+        return exit_code::not_found;
+    }
+    story.print(std::cout);
+    return exit_code::ok;
+}
+
+} // namespace cyclamenrun
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,8 +1,6 @@
 #include "daemon_main.hpp"
 #include "entry_process.hpp"
 
-#include <iostream>
-
 using namespace cyclamenrun;
 
 int main(int argc, char** argv)
@@ -15,12 +13,12 @@
     program.read_settings = [&](const std::string& file) {
         return read_entry_settings(file).map([&](entry_settings read) {
             settings = std::move(read);
-            return settings.log_level;
+            return log_settings_of(settings);
         });
     };
     program.serve = [&](const stop_signal& stop) {
         entry_process process(settings);
-        std::cout << "operators " << process.operator_address() << std::endl;
+        announce_listener("operators", process.operator_address());
         return serve_until_stopped(process, stop);
     };
     return daemon_main(program, argc, argv);
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -3,8 +3,6 @@
 #include "http_dialect.hpp"
 #include "store_feed.hpp"
 
-#include <iostream>
-
 using namespace cyclamenrun;
 
 int main(int argc, char** argv)
@@ -19,7 +17,7 @@
         settings_file = file;
         return read_gateway_settings(file).map([&](gateway_settings read) {
             settings = std::move(read);
-            return settings.log_level;
+            return log_settings_of(settings);
         });
     };
     program.serve = [&](const stop_signal& stop) {
@@ -30,7 +28,7 @@
         gateway_process process(settings, platform, [&] {
             return read_gateway_settings(settings_file);
         });
-        std::cout << "ready " << process.ready_address() << std::endl;
+        announce_listener("ready", process.ready_address());
         return serve_until_stopped(process, stop);
     };
     return daemon_main(program, argc, argv);
--- a/src/libcyclamenrun/base/daemon_main.cpp
+++ b/src/libcyclamenrun/base/daemon_main.cpp
@@ -18,17 +18,18 @@
               bool check_only)
 {
     const stop_signal stop;
-    const auto severity = program.read_settings(file);
-    if (!severity) {
-        for (const auto& error : severity.error())
+    const auto log = program.read_settings(file);
+    if (!log) {
+        for (const auto& error : log.error())
             std::cerr << to_string(error) << '\n';
         return exit_code::settings;
     }
     if (check_only)
         return exit_code::ok;
-    start_logging(program.name, *severity);
-    log_event(log_severity::info, log_event_name::process_started,
-              {{log_key::version, build_version}});
+    start_logging(*log, standard_output_writer());
+    log_event(
+        log_severity::info, log_event_name::process_started,
+        {{log_key::name, program.name}, {log_key::version, build_version}});
     try {
         return program.serve(stop);
     } catch (const Poco::Exception& error) {
@@ -69,9 +70,14 @@
     return to_status(run(program, file, check));
 }
 
+void announce_listener(const std::string& name, const std::string& address)
+{
+    log_event(log_severity::info, log_event_name::listener_opened,
+              {{log_key::name, name}, {log_key::address, address}});
+}
+
 void announce_ready(const std::string& address)
 {
-    std::cout << "listening " << address << std::endl;
     log_event(log_severity::info, log_event_name::process_ready,
               {{log_key::address, address}});
 }
--- a/src/libcyclamenrun/base/daemon_main.hpp
+++ b/src/libcyclamenrun/base/daemon_main.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_DAEMON_MAIN_HPP
 
 #include "exit_code.hpp"
-#include "log_severity.hpp"
+#include "logging.hpp"
 #include "settings_error.hpp"
 #include "stop_signal.hpp"
 
@@ -18,13 +18,22 @@
     std::string name;
     std::string description;
     std::function<std::string()> default_settings;
-    /** Reads the settings; the severity is that from which it logs. */
-    std::function<settings_outcome<log_severity>(const std::string& file)>
+    /** Reads the settings, and says how much is to be logged. */
+    std::function<settings_outcome<log_settings>(const std::string& file)>
         read_settings;
     /** Serves until the stop signal, then drains. */
     std::function<exit_code(const stop_signal& stop)> serve;
 };
 
+/** How a process with these settings logs: under its own name. */
+template <typename Settings>
+log_settings log_settings_of(const Settings& settings)
+{
+    auto log = settings.log;
+    log.process = settings.name;
+    return log;
+}
+
 /** The command line that all daemons share; returns the exit status. */
 int daemon_main(const daemon_program& program, int argc, char** argv);
 
@@ -38,7 +47,9 @@
 template <typename Process>
 exit_code serve_until_stopped(Process& process, const stop_signal& stop);
 
-/** Tells the standard output and the log that it serves at `address`. */
+/** A listener is open; `name` says for whom. */
+void announce_listener(const std::string& name, const std::string& address);
+/** It serves, at `address` those whom it is for. */
 void announce_ready(const std::string& address);
 void announce_stopping();
 void announce_stopped();
--- a/src/libcyclamenrun/decisions/attempt_policy.cpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.cpp
@@ -16,6 +16,40 @@
 
 } // namespace
 
+std::string_view name_of(attempt_result result)
+{
+    switch (result) {
+    case attempt_result::not_sent:
+        return "not_sent";
+    case attempt_result::turned_away:
+        return "turned_away";
+    case attempt_result::failed:
+        return "failed";
+    case attempt_result::lost:
+        return "lost";
+    }
+    return "lost";
+}
+
+std::string_view name_of(attempt_step step)
+{
+    switch (step) {
+    case attempt_step::again:
+        return "again";
+    case attempt_step::again_free:
+        return "again_free";
+    case attempt_step::deliver:
+        return "deliver";
+    case attempt_step::refuse:
+        return "refuse";
+    case attempt_step::report_lost:
+        return "report_lost";
+    case attempt_step::cut:
+        return "cut";
+    }
+    return "cut";
+}
+
 attempt_step next_step(attempt_result result, const attempt_state& state)
 {
     if (state.answer_begun)
--- a/src/libcyclamenrun/decisions/attempt_policy.hpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_ATTEMPT_POLICY_HPP
 
 #include <cstdint>
+#include <string_view>
 
 namespace cyclamenrun
 {
@@ -14,6 +15,8 @@
     lost,        ///< it may have run there, and its answer is lost
 };
 
+std::string_view name_of(attempt_result result);
+
 /** How a request stands when an attempt has ended. */
 struct attempt_state {
     bool idempotent = false;
@@ -34,6 +37,8 @@
     cut,         ///< end the answer so that the caller sees it is not whole
 };
 
+std::string_view name_of(attempt_step step);
+
 /**
  * What to do next with a request. Keeps that a request which may not be
  * repeated runs at most once, that a refusal which says "not run" is true, and
--- a/src/libcyclamenrun/decisions/shared_retry_budget.cpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.cpp
@@ -35,15 +35,20 @@
     counts_of(service).requests.add(now);
 }
 
-bool shared_retry_budget::try_retry(const std::string& service, time_point now)
+double shared_retry_budget::left(const std::string& service, time_point now)
 {
     auto& counts = counts_of(service);
     const double earned =
         settings_.share * static_cast<double>(counts.requests.count(now)) +
         settings_.extra / sharers_;
-    if (static_cast<double>(counts.retries.count(now) + 1) > used_part * earned)
+    return used_part * earned - static_cast<double>(counts.retries.count(now));
+}
+
+bool shared_retry_budget::try_retry(const std::string& service, time_point now)
+{
+    if (left(service, now) < 1)
         return false;
-    counts.retries.add(now);
+    counts_of(service).retries.add(now);
     return true;
 }
 
--- a/src/libcyclamenrun/decisions/shared_retry_budget.hpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.hpp
@@ -39,6 +39,8 @@
     void request(const std::string& service, time_point now);
     /** Takes one retry; false when the budget is spent. */
     bool try_retry(const std::string& service, time_point now);
+    /** Retries that could be made now. */
+    double left(const std::string& service, time_point now);
     /** An arrival that can't be forgone, such as a move of a generation. */
     void forced(const std::string& service, time_point now);
 
--- /dev/null
+++ b/src/libcyclamenrun/gateway/answer_relay.cpp
@@ -0,0 +1,143 @@
+#include "answer_relay.hpp"
+
+#include "http_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Bytes that a slow caller may leave in this process. */
+constexpr std::size_t most_unsent_bytes = std::size_t(256) << 10;
+
+http_head without_connection_fields(http_head head)
+{
+    std::erase_if(head.fields, [](const http_field& field) {
+        return is_hop_by_hop(field.name);
+    });
+    return head;
+}
+
+} // namespace
+
+void answer_relay::expect(const gateway_route& route,
+                          std::optional<std::uint64_t> last_event_id)
+{
+    is_stream_ = route.shape == answer_shape::event_stream;
+    first_target_ = route.objective;
+    pause_target_ = route.gap_target;
+    events_ = event_splitter(last_event_id);
+}
+
+void answer_relay::next_response()
+{
+    events_.restart();
+    passing_ = false;
+    body_.clear();
+}
+
+void answer_relay::take_head(http_head&& head, const response_facts& facts)
+{
+    facts_ = facts;
+    passing_ = is_stream_ && is_success(head.status) && facts.sealed;
+    // The caller keeps the head of the first run.
+    if (!begun_)
+        head_ = std::move(head);
+    else
+        head_.status = head.status;
+}
+
+tl::expected<answer_relay::progress, event_order_problem>
+answer_relay::take_body(std::string_view bytes, time_point now)
+{
+    if (passing_ && is_stream_) {
+        const auto passed = events_.feed(bytes);
+        if (!passed)
+            return tl::unexpected(passed.error());
+        return passed->empty() ? progress() : pass(*passed, now);
+    }
+    if (passing_)
+        return pass(bytes, now);
+    body_ += bytes;
+    if (body_.size() <= held_answer_bytes || !facts_.sealed ||
+        !is_success(head_.status))
+        return progress();
+    passing_ = true;
+    return pass(std::exchange(body_, {}), now);
+}
+
+answer_relay::progress answer_relay::pass(std::string_view bytes,
+                                          time_point now)
+{
+    progress result;
+    result.passed_on = true;
+    result.was_first = !begun_;
+    result.late_by_pause = note_part(now);
+    if (!std::exchange(begun_, true))
+        writer_->begin(without_connection_fields(head_));
+    writer_->piece(bytes);
+    return result;
+}
+
+std::optional<milliseconds> answer_relay::note_part(time_point now)
+{
+    const auto pause =
+        std::chrono::duration_cast<milliseconds>(now - last_part_at_);
+    last_part_at_ = now;
+    const auto target = begun_ ? pause_target_ : first_target_;
+    if (!first_after_)
+        first_after_ = std::chrono::duration_cast<milliseconds>(now - arrived_);
+    else
+        longest_pause_ = std::max(longest_pause_, pause);
+    if (target <= milliseconds::zero() || pause <= target)
+        return std::nullopt;
+    return pause;
+}
+
+bool answer_relay::caller_is_slow() const
+{
+    return writer_ && writer_->unsent_bytes() > most_unsent_bytes;
+}
+
+void answer_relay::on_drained(std::function<void()> drained)
+{
+    writer_->on_drained(std::move(drained));
+}
+
+answer_relay::progress answer_relay::deliver(time_point now)
+{
+    progress result;
+    result.passed_on = true;
+    result.was_first = true;
+    result.late_by_pause = note_part(now);
+    writer_->whole(without_connection_fields(std::move(head_)), body_);
+    writer_.reset();
+    return result;
+}
+
+void answer_relay::finish(time_point now)
+{
+    const auto rest = events_.take_rest();
+    if (!rest.empty() || !begun_)
+        pass(rest, now);
+    writer_->finish();
+    writer_.reset();
+}
+
+void answer_relay::refuse(http_head head, std::string_view body)
+{
+    writer_->whole(std::move(head), body);
+    writer_.reset();
+}
+
+void answer_relay::abort()
+{
+    writer_->abort();
+    writer_.reset();
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -26,6 +27,8 @@
 struct directory_page {
     std::vector<Item> items;
     std::uint64_t next_offset = 0;
+    /** Keys of records that were skipped: no item could be read from them. */
+    std::vector<std::string> unreadable = {};
 };
 
 /** Reads one feed of the platform's directory; one call at a time. */
--- /dev/null
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -0,0 +1,180 @@
+#include "directory_watch.hpp"
+
+#include "log_event.hpp"
+
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Records that lapsed in an outage come back for this long after it. */
+constexpr milliseconds doubt_after_outage{1200};
+
+constexpr std::string_view configuration_feed_name = "configurations";
+constexpr std::string_view upstream_feed_name = "upstreams";
+
+} // namespace
+
+directory_watch::directory_watch(gateway_context& context,
+                                 gateway_platform platform)
+    : context_(context), platform_(std::move(platform))
+{
+}
+
+void directory_watch::follow(const gateway_settings& settings)
+{
+    follow_configurations(settings);
+    follow_upstreams(settings);
+}
+
+void directory_watch::stop()
+{
+    configurations_.reset();
+    upstreams_.reset();
+}
+
+template <typename Hooks>
+void directory_watch::add_common_hooks(Hooks& hooks, std::string_view feed)
+{
+    hooks.lost = [this, feed](directory_problem problem) {
+        lost(feed, problem);
+    };
+    hooks.unreadable = [this, feed](const std::vector<std::string>& keys) {
+        unreadable(feed, keys);
+    };
+    hooks.answered = [this, feed](duration took) {
+        context_.metrics.observe(exported_metric::directory_time,
+                                 {std::string(feed)}, took);
+    };
+    hooks.failed = [this, feed](directory_problem problem) {
+        context_.metrics.count(
+            exported_metric::directory_failures,
+            {std::string(feed), std::string(name_of(problem))});
+    };
+}
+
+void directory_watch::follow_configurations(const gateway_settings& settings)
+{
+    feed_pace pace;
+    pace.wait = settings.configuration_wait;
+    feed_follower<gateway_configuration>::hooks on;
+    add_common_hooks(on, configuration_feed_name);
+    on.items = [this](std::vector<gateway_configuration>&& versions, bool) {
+        take_configurations(std::move(versions));
+    };
+    on.current = [this](boot_time asked) {
+        context_.lease.renew(asked);
+        note_lease();
+    };
+    on.regained = [this](duration away) {
+        regained(configuration_feed_name, away);
+    };
+    configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
+        context_.reactor,
+        platform_.configurations(context_.reactor, settings.directory), pace,
+        std::move(on));
+    configurations_->start();
+}
+
+void directory_watch::follow_upstreams(const gateway_settings& settings)
+{
+    feed_pace pace;
+    pace.wait = settings.configuration_wait;
+    pace.pause = settings.upstream_pause;
+    feed_follower<upstream_change>::hooks on;
+    add_common_hooks(on, upstream_feed_name);
+    on.items = [this](std::vector<upstream_change>&& changes, bool whole) {
+        take_upstreams(std::move(changes), whole);
+    };
+    on.regained = [this](duration away) {
+        doubt_until_ = context_.reactor->now() + doubt_after_outage;
+        regained(upstream_feed_name, away);
+    };
+    upstreams_ = std::make_shared<feed_follower<upstream_change>>(
+        context_.reactor,
+        platform_.upstreams(context_.reactor, settings.directory), pace,
+        std::move(on));
+    upstreams_->start();
+}
+
+void directory_watch::tick()
+{
+    context_.board.end_doubts(context_.reactor->now());
+    note_lease();
+}
+
+void directory_watch::note_lease()
+{
+    const auto now = boot_now();
+    const bool held = context_.lease.valid(now);
+    if (held == std::exchange(lease_held_, held))
+        return;
+    const auto age = context_.lease.age(now).value_or(milliseconds(0));
+    log_event(
+        held ? log_severity::info : log_severity::warning,
+        held ? log_event_name::lease_renewed : log_event_name::lease_ended,
+        {{log_key::revision, context_.routes ? context_.routes->version() : 0},
+         {log_key::age_ms, age}});
+}
+
+void directory_watch::take_configurations(
+    std::vector<gateway_configuration>&& versions)
+{
+    for (auto& version : versions) {
+        const auto known = context_.routes ? context_.routes->version() : 0;
+        // A version that is not newer was overtaken on its way.
+        if (context_.routes && version.version <= known)
+            continue;
+        log_event(log_severity::info, log_event_name::configuration_applied,
+                  {{log_key::revision, version.version},
+                   {log_key::count, version.routes.size()}});
+        context_.routes =
+            std::make_shared<const gateway_routes>(std::move(version));
+    }
+}
+
+void directory_watch::take_upstreams(std::vector<upstream_change>&& changes,
+                                     bool whole)
+{
+    const auto now = context_.reactor->now();
+    const bool doubt = now < doubt_until_;
+    if (whole)
+        context_.board.replace_all(changes, now, doubt);
+    else
+        for (const auto& change : changes)
+            context_.board.apply(change, now, doubt);
+    if (!std::exchange(upstreams_known_, true))
+        log_event(log_severity::info, log_event_name::vm_list_read,
+                  {{log_key::count, context_.board.size()}});
+}
+
+void directory_watch::lost(std::string_view feed, directory_problem problem)
+{
+    log_event(log_severity::warning, log_event_name::directory_lost,
+              {{log_key::name, feed}, {log_key::reason, name_of(problem)}});
+}
+
+void directory_watch::regained(std::string_view feed, duration away)
+{
+    log_event(log_severity::info, log_event_name::directory_regained,
+              {{log_key::name, feed},
+               {log_key::duration_ms,
+                std::chrono::duration_cast<milliseconds>(away)}});
+}
+
+void directory_watch::unreadable(std::string_view feed,
+                                 const std::vector<std::string>& keys)
+{
+    context_.metrics.count(exported_metric::unreadable_records,
+                           {std::string(feed)},
+                           static_cast<double>(keys.size()));
+    log_event(log_severity::warning, log_event_name::record_unreadable,
+              {{log_key::name, feed},
+               {log_key::count, keys.size()},
+               {log_key::detail, keys.front()}});
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -0,0 +1,71 @@
+#ifndef CYCLAMENRUN_DIRECTORY_WATCH_HPP
+#define CYCLAMENRUN_DIRECTORY_WATCH_HPP
+
+#include "feed_follower.hpp"
+#include "gateway_context.hpp"
+#include "gateway_settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+/** What a gateway needs of the deployment's platform. */
+struct gateway_platform {
+    std::shared_ptr<const gateway_dialect> dialect;
+    std::function<std::shared_ptr<configuration_feed>(
+        std::shared_ptr<link_reactor>, const ip_endpoint&)>
+        configurations;
+    std::function<std::shared_ptr<upstream_feed>(std::shared_ptr<link_reactor>,
+                                                 const ip_endpoint&)>
+        upstreams;
+};
+
+/**
+ * Keeps a gateway's configuration, lease and upstreams as the platform's
+ * directory has them, and logs what changes and what is lost and regained.
+ * On the reactor's thread only.
+ */
+class directory_watch
+{
+public:
+    directory_watch(gateway_context& context, gateway_platform platform);
+    directory_watch(const directory_watch&) = delete;
+    directory_watch& operator=(const directory_watch&) = delete;
+
+    /** Follows the directory that the settings name; again after a change. */
+    void follow(const gateway_settings& settings);
+    void stop();
+    /** Looks at what changes by itself: doubts and the lease. */
+    void tick();
+
+    bool upstreams_known() const { return upstreams_known_; }
+
+private:
+    void follow_configurations(const gateway_settings& settings);
+    void follow_upstreams(const gateway_settings& settings);
+    template <typename Hooks>
+    void add_common_hooks(Hooks& hooks, std::string_view feed);
+    void take_configurations(std::vector<gateway_configuration>&& versions);
+    void take_upstreams(std::vector<upstream_change>&& changes, bool whole);
+    void lost(std::string_view feed, directory_problem problem);
+    void regained(std::string_view feed, duration away);
+    void unreadable(std::string_view feed,
+                    const std::vector<std::string>& keys);
+    void note_lease();
+
+    gateway_context& context_;
+    gateway_platform platform_;
+    std::shared_ptr<feed_follower<gateway_configuration>> configurations_;
+    std::shared_ptr<feed_follower<upstream_change>> upstreams_;
+    /** The directory was away until just before this time. */
+    time_point doubt_until_{};
+    bool upstreams_known_ = false;
+    bool lease_held_ = false;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_DIRECTORY_WATCH_HPP
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -29,14 +29,16 @@
 
 engine_monitor::engine_monitor(const std::shared_ptr<link_reactor>& reactor,
                                std::shared_ptr<const gateway_dialect> dialect,
-                               const engine_monitor_settings& settings)
+                               const engine_monitor_settings& settings,
+                               exported_metrics& metrics)
     : reactor_(reactor), dialect_(std::move(dialect)), settings_(settings),
       socket_(std::make_shared<datagram_socket>(
           reactor, settings.listen,
           [this](const ip_endpoint& from, std::string_view bytes) {
               take_request(from, bytes);
           })),
-      engine_(std::make_shared<http_caller>(reactor, settings.engine))
+      engine_(std::make_shared<http_caller>(reactor, settings.engine)),
+      metrics_(metrics)
 {
 }
 
@@ -63,10 +65,12 @@
     if (request.turn_wanted().empty())
         return;
     v1::MonitorNotice notice;
-    if (turns_.ask({request.turn_wanted(), name}, now))
+    if (turns_.ask({request.turn_wanted(), name}, now)) {
+        metrics_.count(exported_metric::turns);
         notice.set_turn_given(request.turn_wanted());
-    else
+    } else {
         notice.set_turn_waits(request.turn_wanted());
+    }
     socket_->send(from, notice.SerializeAsString());
 }
 
@@ -79,6 +83,7 @@
     if (found == gateways_.end())
         return;
     v1::MonitorNotice notice;
+    metrics_.count(exported_metric::turns);
     notice.set_turn_given(holder->id);
     socket_->send(found->second.address, notice.SerializeAsString());
 }
@@ -91,6 +96,7 @@
         look_later();
         return;
     }
+    looked_at_ = steady_now();
     engine_->call(dialect_->load_call(), {}, steady_now() + engine_timeout,
                   [weak = weak_from_this()](const call_outcome& outcome) {
                       if (const auto self = weak.lock())
@@ -110,8 +116,13 @@
 {
     const auto load = outcome.and_then(
         [&](const http_reply& reply) { return dialect_->read_load(reply); });
-    if (load)
+    metrics_.observe(exported_metric::load_time, {}, steady_now() - looked_at_);
+    if (load) {
+        measure(*load);
         tell(*load);
+    } else {
+        metrics_.count(exported_metric::load_failures);
+    }
     if (load.has_value() != std::exchange(engine_known_, load.has_value()))
         log_event(log_severity::warning,
                   load ? log_event_name::upstream_recovered
@@ -120,6 +131,16 @@
     look_later();
 }
 
+void engine_monitor::measure(const engine_load& load)
+{
+    metrics_.set(exported_metric::engine_running, {}, load.running);
+    metrics_.set(exported_metric::engine_queued, {}, load.queued);
+    metrics_.set(exported_metric::engine_memory, {"used"},
+                 static_cast<double>(load.memory_used));
+    metrics_.set(exported_metric::engine_memory, {"all"},
+                 static_cast<double>(load.memory_total));
+}
+
 void engine_monitor::tell(const engine_load& load)
 {
     v1::MonitorNotice message;
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -3,6 +3,7 @@
 
 #include "copy_turns.hpp"
 #include "datagram_socket.hpp"
+#include "exported_metrics.hpp"
 #include "gateway_dialect.hpp"
 #include "http_call.hpp"
 
@@ -33,7 +34,8 @@
 public:
     engine_monitor(const std::shared_ptr<link_reactor>& reactor,
                    std::shared_ptr<const gateway_dialect> dialect,
-                   const engine_monitor_settings& settings);
+                   const engine_monitor_settings& settings,
+                   exported_metrics& metrics);
 
     ip_endpoint address() const { return socket_->address(); }
     void start();
@@ -51,6 +53,7 @@
     void look();
     void look_later();
     void take(const call_outcome& outcome);
+    void measure(const engine_load& load);
     void tell(const engine_load& load);
     void forget_silent();
 
@@ -65,7 +68,9 @@
     time_point tell_again_at_{};
     time_point tell_next_at_{};
     bool told_leaving_ = false;
+    exported_metrics& metrics_;
     time_point next_look_{};
+    time_point looked_at_{};
     bool engine_known_ = true;
 };
 
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -1,7 +1,7 @@
 #include "exchange.hpp"
 
 #include "http_text.hpp"
-#include "log_event.hpp"
+#include "response_verdict.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,20 +25,12 @@
  */
 constexpr channel_patience stream_patience{milliseconds(10000),
                                            milliseconds(5000)};
-/** Bytes that a slow caller may leave in this process. */
-constexpr std::size_t most_unsent_bytes = std::size_t(256) << 10;
 /** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
 constexpr milliseconds usual_notice{1500};
 /** A step of an engine with a few requests takes 7 to 8 ms. */
-constexpr milliseconds usual_time_per_token{8};
+constexpr milliseconds time_per_token{8};
 /** Slowest usual output of a crowded engine, a token each 10 ms. */
-constexpr milliseconds time_per_token{10};
-
-/** Statuses by which callers learn that a request has not run. */
-bool promises_not_run(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
+constexpr milliseconds slow_time_per_token{10};
 
 /** What is left when the budget of retries is spent. */
 attempt_step step_without_budget(attempt_result result)
@@ -55,12 +47,23 @@
     return attempt_step::report_lost;
 }
 
-http_head without_connection_fields(http_head head)
+milliseconds since(time_point began, time_point now)
 {
-    std::erase_if(head.fields, [](const http_field& field) {
-        return is_hop_by_hop(field.name);
-    });
-    return head;
+    return std::chrono::duration_cast<milliseconds>(now - began);
+}
+
+/** What decided for an upstream. */
+std::vector<log_field> fields_of(const placed_upstream& placed)
+{
+    constexpr milliseconds never{-1};
+    return {{log_key::upstream, placed.record.id},
+            {log_key::weighed, placed.weighed},
+            {log_key::cost, placed.cost},
+            {log_key::second_cost, placed.second_cost.value_or(-1)},
+            {log_key::wait_taken, placed.place.wait},
+            {log_key::slots_taken, placed.place.slots_taken},
+            {log_key::memory_taken, placed.place.memory_taken},
+            {log_key::load_age_ms, placed.load_age.value_or(never)}};
 }
 
 } // namespace
@@ -68,7 +71,7 @@
 exchange::exchange(gateway_context& context, caller_request request,
                    std::shared_ptr<answer_writer> writer)
     : context_(context), request_(std::move(request)),
-      writer_(std::move(writer)), routes_(context.routes)
+      answer_(std::move(writer), request_.arrived), routes_(context.routes)
 {
 }
 
@@ -87,20 +90,23 @@
         return;
     }
     facts_ = std::move(*facts);
+    const auto now = boot_now();
+    configuration_age_ = context_.lease.age(now).value_or(milliseconds(0));
     const auto admitted =
-        admit_request(routes_.get(), context_.lease.valid(boot_now()), facts_,
+        admit_request(routes_.get(), context_.lease.valid(now), facts_,
                       request_.head.target, request_.arrived);
     if (!admitted) {
         refuse(admitted.error());
         return;
     }
     admitted_ = *admitted;
+    answer_.expect(*admitted_.route, facts_.last_event_id);
+    note_admitted();
     // Started here it would be cut; another process can serve it whole.
     if (outlasts_this_process()) {
         refuse(gateway_refusal::stopping);
         return;
     }
-    events_ = event_splitter(facts_.last_event_id);
     context_.reactor->post_at(admitted_.answer_by, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->expire();
@@ -108,6 +114,18 @@
     dispatch();
 }
 
+void exchange::note_admitted()
+{
+    trace_.note(
+        log_event_name::request_admitted,
+        {{log_key::route, admitted_.route->name},
+         {log_key::team, admitted_.team ? admitted_.team->name : ""},
+         {log_key::revision, routes_->version()},
+         {log_key::age_ms, configuration_age_},
+         {log_key::deadline_ms, since(request_.arrived, admitted_.answer_by)},
+         {log_key::tokens, facts_.prompt_tokens}});
+}
+
 // Where it runs.
 
 const engine_traits* exchange::engine() const
@@ -132,7 +150,7 @@
     const auto& route = *admitted_.route;
     const bool must_end_here =
         route.shape == answer_shape::event_stream && !route.resumable;
-    const auto lasts = facts_.most_output_tokens * usual_time_per_token / 2;
+    const auto lasts = facts_.most_output_tokens * time_per_token / 2;
     return context_.stop_at && must_end_here &&
            context_.reactor->now() + lasts > *context_.stop_at;
 }
@@ -149,11 +167,12 @@
         service_ = choose_service(*admitted_.route, context_.random);
         context_.budget.request(service_, context_.reactor->now());
     }
-    const auto upstream =
+    const auto placed =
         context_.choice.for_request(service_, needs(context_.failure_domain),
                                     tried_, context_.reactor->now());
-    if (upstream) {
-        send(*upstream, std::nullopt);
+    if (placed) {
+        trace_.note(log_event_name::attempt_placed, fields_of(*placed));
+        send(placed->record, std::nullopt);
         return;
     }
     if (runs_ > 0)
@@ -174,6 +193,11 @@
     backup_ =
         context_.choice.for_backup(service_, needs(upstream.failure_domain),
                                    upstream.id, context_.reactor->now());
+    if (!backup_)
+        return;
+    context_.metrics.count(exported_metric::backups, {service_});
+    trace_.note(log_event_name::generation_backed_up,
+                {{log_key::upstream, backup_->id}});
 }
 
 std::string exchange::request_for(const upstream_record& upstream,
@@ -185,8 +209,8 @@
     if (admitted_.team != nullptr)
         facts.team = admitted_.team->name;
     facts.goes_on = goes_on;
-    if (facts.goes_on || begun_)
-        facts.last_event_id = events_.last_id();
+    if (facts.goes_on || answer_.begun())
+        facts.last_event_id = answer_.last_event_id();
     choose_backup(upstream);
     if (backup_)
         facts.backup = backup_->address;
@@ -212,15 +236,15 @@
     if (what.new_connection)
         what.patience = stream_patience;
     what.has_no_response_body = request_.head.method == "HEAD";
-    what.connect_deadline = context_.reactor->now() + connect_time();
+    attempt_began_ = context_.reactor->now();
+    what.connect_deadline = attempt_began_ + connect_time();
     tried_.push_back(upstream.id);
     goes_on_ = goes_on;
-    passing_ = false;
-    body_.clear();
+    answer_.next_response();
     ++sends_;
     // What goes on elsewhere is not read again.
     context_.board.dispatched(upstream.id, goes_on ? 0 : facts_.prompt_tokens,
-                              context_.reactor->now());
+                              attempt_began_);
     const auto self = shared_from_this();
     upstream_attempt::hooks on;
     on.head = [self](http_head&& head, const response_facts& facts) {
@@ -253,60 +277,22 @@
 void exchange::take_head(http_head&& head, const response_facts& facts)
 {
     context_.board.reached(attempt_->upstream().id);
-    response_ = facts;
-    const bool stream = admitted_.route->shape == answer_shape::event_stream;
-    passing_ = stream && is_success(head.status) && facts.sealed;
-    // The caller keeps the head of the first run.
-    if (!begun_)
-        head_ = std::move(head);
-    else
-        head_.status = head.status;
+    answer_.take_head(std::move(head), facts);
 }
 
 void exchange::take_body(std::string_view bytes)
 {
     if (over_)
         return;
-    if (passing_ && admitted_.route->shape == answer_shape::event_stream) {
-        pass_events(bytes);
-        return;
-    }
-    if (passing_) {
-        pass_bytes(bytes);
+    const auto progress = answer_.take_body(bytes, context_.reactor->now());
+    if (!progress) {
+        cut(name_of(progress.error()));
         return;
     }
-    body_ += bytes;
-    if (body_.size() <= held_answer_bytes || !response_.sealed ||
-        !is_success(head_.status))
+    if (!progress->passed_on)
         return;
-    passing_ = true;
-    pass_bytes(std::exchange(body_, {}));
-}
-
-void exchange::begin_answer()
-{
-    if (!std::exchange(begun_, true))
-        writer_->begin(without_connection_fields(head_));
-}
-
-void exchange::pass_bytes(std::string_view bytes)
-{
-    note_pause();
-    begin_answer();
-    writer_->piece(bytes);
+    note_if_late(*progress);
     hold_back_if_slow();
-}
-
-void exchange::pass_events(std::string_view bytes)
-{
-    const auto passed = events_.feed(bytes);
-    if (!passed) {
-        cut(name_of(passed.error()));
-        return;
-    }
-    if (passed->empty())
-        return;
-    pass_bytes(*passed);
     // A generation that had not begun when its engine was told to leave can
     // be moved from its first event on.
     const auto* state =
@@ -315,72 +301,55 @@
         upstream_leaving(state->record.id, state->leaves_at);
 }
 
-void exchange::note_pause()
+void exchange::note_if_late(const answer_relay::progress& progress)
 {
-    const auto now = context_.reactor->now();
-    const auto since = begun_ ? last_piece_at_ : request_.arrived;
-    const auto pause = std::chrono::duration_cast<milliseconds>(now - since);
-    last_piece_at_ = now;
-    const auto& route = *admitted_.route;
-    const auto target = begun_ ? route.gap_target : route.objective;
-    if (target <= milliseconds::zero() || pause <= target)
+    if (!progress.late_by_pause)
         return;
-    log_event(log_severity::info, log_event_name::answer_late,
-              {{log_key::request_id, facts_.id},
-               {log_key::kind, begun_ ? "pause" : "first"},
-               {log_key::duration_ms, pause},
-               {log_key::upstream, tried_.back()},
-               {log_key::attempt, sends_},
-               {log_key::count, events_.events()}});
+    trace_.note_late();
+    trace_.note(log_event_name::answer_late,
+                {{log_key::kind, progress.was_first ? "first" : "pause"},
+                 {log_key::duration_ms, *progress.late_by_pause},
+                 {log_key::upstream, tried_.back()},
+                 {log_key::count, answer_.events()}});
 }
 
 void exchange::hold_back_if_slow()
 {
-    if (writer_->unsent_bytes() <= most_unsent_bytes || !attempt_)
+    if (!attempt_ || !answer_.caller_is_slow())
         return;
     attempt_->pause_reading(true);
-    writer_->on_drained([weak = std::weak_ptr(attempt_)] {
+    answer_.on_drained([weak = std::weak_ptr(attempt_)] {
         if (const auto attempt = weak.lock())
             attempt->pause_reading(false);
     });
 }
 
-attempt_result exchange::judge_response() const
-{
-    if (response_.not_run || head_.status == 421)
-        return attempt_result::turned_away;
-    if (is_success(head_.status) && !response_.sealed)
-        return attempt_result::lost;
-    // It does not vouch that it has not run, and a caller would take the
-    // status for that.
-    if (promises_not_run(head_.status))
-        return attempt_result::lost;
-    return attempt_result::failed;
-}
-
 void exchange::take_complete()
 {
     if (over_)
         return;
     const auto id = attempt_->upstream().id;
     settle();
-    if (passing_) {
+    if (answer_.passing()) {
         context_.board.succeeded(id, context_.reactor->now());
-        finish_stream();
+        note_attempt("complete", "deliver");
+        answer_.finish(context_.reactor->now());
+        end(request_outcome::answered, answer_.status());
         return;
     }
-    const bool vouched = !response_.not_run && response_.sealed;
-    const bool server_error = head_.status >= 500;
-    if (vouched && !server_error && !promises_not_run(head_.status) &&
-        !begun_) {
+    auto result = judge_response(answer_.status(), answer_.facts());
+    if (!result && !answer_.begun()) {
         context_.board.succeeded(id, context_.reactor->now());
+        note_attempt("complete", "deliver");
         deliver();
         return;
     }
-    const auto result = judge_response();
-    if (result != attempt_result::turned_away)
+    // A whole answer can't follow the first part of a stream.
+    if (!result)
+        result = attempt_result::failed;
+    if (*result != attempt_result::turned_away)
         context_.board.failed(id, context_.reactor->now());
-    end_attempt(result);
+    end_attempt(*result);
 }
 
 void exchange::take_lost(attempt_loss loss)
@@ -389,15 +358,17 @@
         return;
     const auto id = attempt_->upstream().id;
     settle();
-    if (mover_ && mover_->source_ended())
+    if (mover_ && mover_->source_ended()) {
+        note_attempt("moving", "go_on");
         return;
+    }
     if (loss == attempt_loss::not_sent)
         context_.board.unreached(id, context_.reactor->now());
     else
         context_.board.failed(id, context_.reactor->now());
     const auto* state = context_.board.find(id);
-    if (begun_ && state != nullptr && !state->leaving)
-        context_.backups.crash_seen(context_.reactor->now());
+    if (answer_.begun() && state != nullptr && !state->leaving)
+        context_.crash_seen(id);
     if (loss == attempt_loss::broken && go_on_at_backup())
         return;
     end_attempt(loss == attempt_loss::not_sent ? attempt_result::not_sent
@@ -414,24 +385,43 @@
     state.runs = runs_ + (goes_on_ ? 1 : 0);
     state.sends = sends_;
     state.time_is_up = now >= admitted_.answer_by;
-    state.answer_begun = begun_ && !route.resumable;
+    state.answer_begun = answer_.begun() && !route.resumable;
     const auto step = next_step(result, state);
     if (step != attempt_step::again || context_.budget.try_retry(service_, now))
         return step;
     return step_without_budget(result);
 }
 
+void exchange::note_attempt(std::string_view result, std::string_view next)
+{
+    const auto now = context_.reactor->now();
+    context_.metrics.count(exported_metric::attempts,
+                           {service_, std::string(result)});
+    context_.metrics.observe(exported_metric::upstream_time, {service_},
+                             since(attempt_began_, now));
+    trace_.note(log_event_name::attempt_ended,
+                {{log_key::upstream, tried_.back()},
+                 {log_key::attempt, sends_},
+                 {log_key::reason, result},
+                 {log_key::status, answer_.status()},
+                 {log_key::duration_ms, since(attempt_began_, now)},
+                 {log_key::retries_left, context_.budget.left(service_, now)},
+                 {log_key::next, next}});
+}
+
 void exchange::end_attempt(attempt_result result)
 {
-    if (goes_on_ && result == attempt_result::turned_away && go_on_at_source())
+    if (goes_on_ && result == attempt_result::turned_away &&
+        go_on_at_source()) {
         return;
+    }
     if (result == attempt_result::failed || result == attempt_result::lost)
         ++runs_;
     const auto step = step_after(result);
+    note_attempt(name_of(result), name_of(step));
     if (step == attempt_step::again || step == attempt_step::again_free) {
-        events_.restart();
         dispatch();
-    } else if (begun_) {
+    } else if (answer_.begun()) {
         cut("upstream_lost");
     } else if (step == attempt_step::deliver) {
         deliver();
@@ -450,17 +440,20 @@
     on.runs_at = [this](const upstream_record& source) {
         return attempt_ && attempt_->upstream().id == source.id;
     };
-    on.destination = [this](const upstream_record& source,
-                            const std::string& refused_by) {
-        auto to = context_.choice.for_move(
+    on.destination =
+        [this](
+            const upstream_record& source,
+            const std::string& refused_by) -> std::optional<upstream_record> {
+        const auto to = context_.choice.for_move(
             service_, needs(source.failure_domain), {source.id, refused_by},
             context_.reactor->now());
+        if (!to)
+            return std::nullopt;
         // Counted at once, so that the next move of this engine's
         // generations sees the room as taken.
-        if (to)
-            context_.board.expect(to->id, facts_.prompt_tokens,
-                                  context_.reactor->now());
-        return to;
+        context_.board.expect(to->record.id, facts_.prompt_tokens,
+                              context_.reactor->now());
+        return to->record;
     };
     on.drop_source = [this] {
         if (attempt_)
@@ -474,6 +467,17 @@
         if (!go_on_at_backup())
             end_attempt(attempt_result::lost);
     };
+    on.tried = [this](const upstream_record& source, const upstream_record& to,
+                      std::optional<move_failure> failure) {
+        const auto result = failure ? name_of(*failure) : "moved";
+        context_.metrics.count(exported_metric::moves,
+                               {service_, std::string(result)});
+        trace_.note(failure ? log_event_name::generation_move_failed
+                            : log_event_name::generation_moved,
+                    {{log_key::name, source.id},
+                     {log_key::upstream, to.id},
+                     {log_key::reason, result}});
+    };
     return std::make_shared<generation_mover>(context_, facts_.id,
                                               std::move(on));
 }
@@ -483,7 +487,7 @@
 {
     const bool here = attempt_ && attempt_->upstream().id == upstream_id;
     // What has not begun can't be moved: its first event asks again.
-    if (over_ || !here || !begun_ || !worth_moving(leaves_at))
+    if (over_ || !here || !answer_.begun() || !worth_moving(leaves_at))
         return;
     if (!mover_)
         mover_ = make_mover();
@@ -497,13 +501,12 @@
     const auto notice = leaves_at
                             ? time_left(*leaves_at, context_.reactor->now())
                             : usual_notice;
-    return facts_.most_output_tokens * time_per_token > notice;
+    return facts_.most_output_tokens * slow_time_per_token > notice;
 }
 
 void exchange::go_on_at(const upstream_record& upstream,
                         const continuation& from)
 {
-    events_.restart();
     context_.budget.forced(service_, context_.reactor->now());
     send(upstream, from);
     const auto* state = context_.board.find(upstream.id);
@@ -521,6 +524,7 @@
             state->record.address != from.source)
             continue;
         const auto record = state->record;
+        note_attempt("turned_away", "back_to_source");
         go_on_at(record, from);
         return true;
     }
@@ -535,9 +539,10 @@
     const auto* state = context_.board.find(backup->id);
     if (state == nullptr || state->record != *backup)
         return false;
-    log_event(
-        log_severity::info, log_event_name::generation_continued,
-        {{log_key::request_id, facts_.id}, {log_key::upstream, backup->id}});
+    note_attempt("lost", "from_backup");
+    context_.metrics.count(exported_metric::moves, {service_, "from_backup"});
+    trace_.note(log_event_name::generation_continued,
+                {{log_key::upstream, backup->id}});
     go_on_at(*backup, {backup->address, facts_.id});
     return true;
 }
@@ -546,23 +551,10 @@
 
 void exchange::deliver()
 {
-    if (head_.status >= 500)
-        log_event(log_severity::warning, log_event_name::request_finished,
-                  {{log_key::request_id, facts_.id},
-                   {log_key::status, head_.status},
-                   {log_key::upstream, tried_.back()},
-                   {log_key::attempt, sends_}});
-    writer_->whole(without_connection_fields(std::move(head_)), body_);
-    end();
-}
-
-void exchange::finish_stream()
-{
-    const auto rest = events_.take_rest();
-    if (!rest.empty() || !begun_)
-        pass_bytes(rest);
-    writer_->finish();
-    end();
+    note_if_late(answer_.deliver(context_.reactor->now()));
+    end(answer_.status() >= 500 ? request_outcome::upstream_error
+                                : request_outcome::answered,
+        answer_.status());
 }
 
 milliseconds exchange::retry_after() const
@@ -581,17 +573,10 @@
 {
     const auto& row = row_of(refusal);
     // An answer can't follow the first part of another one.
-    if (begun_) {
+    if (answer_.begun()) {
         cut(row.name);
         return;
     }
-    log_event(log_severity::warning, log_event_name::request_refused,
-              {{log_key::request_id, facts_.id},
-               {log_key::reason, row.name},
-               {log_key::status, row.status},
-               {log_key::service, service_},
-               {log_key::attempt, sends_},
-               {log_key::revision, routes_ ? routes_->version() : 0}});
     http_head head;
     head.status = row.status;
     head.fields.push_back({"Content-Type", "application/json"});
@@ -600,20 +585,16 @@
             std::chrono::duration<double>(retry_after()).count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
-    const std::string body = "{\"error\":\"" + std::string(row.name) + "\"}";
-    writer_->whole(std::move(head), body);
-    end();
+    answer_.refuse(std::move(head),
+                   "{\"error\":\"" + std::string(row.name) + "\"}");
+    context_.metrics.count(exported_metric::refusals, {std::string(row.name)});
+    end(request_outcome::refused, row.status, row.name);
 }
 
 void exchange::cut(std::string_view reason)
 {
-    log_event(log_severity::warning, log_event_name::answer_cut,
-              {{log_key::request_id, facts_.id},
-               {log_key::reason, reason},
-               {log_key::upstream, tried_.empty() ? "" : tried_.back()},
-               {log_key::count, events_.events()}});
-    writer_->abort();
-    end();
+    answer_.abort();
+    end(request_outcome::cut, answer_.status(), reason);
 }
 
 void exchange::expire()
@@ -628,13 +609,58 @@
 {
     if (over_)
         return;
-    log_event(log_severity::info, log_event_name::request_cancelled,
-              {{log_key::request_id, facts_.id}});
-    end();
+    // It may have left because it got nothing in time.
+    const bool late = admitted_.route != nullptr && !answer_.first_after() &&
+                      since(request_.arrived, context_.reactor->now()) >
+                          admitted_.route->objective;
+    if (late)
+        trace_.note_late();
+    answer_.forget();
+    end(request_outcome::caller_left, answer_.status());
+}
+
+std::vector<log_field> exchange::story(unsigned status,
+                                       std::string_view reason) const
+{
+    constexpr milliseconds none{-1};
+    const auto now = context_.reactor->now();
+    return {{log_key::reason, reason},
+            {log_key::status, status},
+            {log_key::route, admitted_.route ? admitted_.route->name : ""},
+            {log_key::service, service_},
+            {log_key::team, admitted_.team ? admitted_.team->name : ""},
+            {log_key::upstream, tried_.empty() ? "" : tried_.back()},
+            {log_key::attempt, sends_},
+            {log_key::revision, routes_ ? routes_->version() : 0},
+            {log_key::age_ms, configuration_age_},
+            {log_key::first_ms, answer_.first_after().value_or(none)},
+            {log_key::longest_pause_ms, answer_.longest_pause()},
+            {log_key::duration_ms, since(request_.arrived, now)},
+            {log_key::count, answer_.events()}};
+}
+
+void exchange::measure(request_outcome outcome)
+{
+    const auto route = admitted_.route ? admitted_.route->name : "";
+    auto& metrics = context_.metrics;
+    metrics.count(exported_metric::requests,
+                  {route, service_, std::string(row_of(outcome).name)});
+    metrics.observe(exported_metric::answer_time, {route},
+                    context_.reactor->now() - request_.arrived);
+    if (!answer_.first_after())
+        return;
+    metrics.observe(exported_metric::first_part_time, {route},
+                    *answer_.first_after());
+    metrics.observe(exported_metric::longest_pause, {route},
+                    answer_.longest_pause());
 }
 
-void exchange::end()
+void exchange::end(request_outcome outcome, unsigned status,
+                   std::string_view reason)
 {
+    const auto& row = row_of(outcome);
+    trace_.end(facts_.id, row.severity, row.event, story(status, reason));
+    measure(outcome);
     over_ = true;
     const auto self = std::exchange(self_, nullptr);
     context_.running.erase(this);
@@ -643,7 +669,6 @@
     settle();
     if (mover_)
         mover_->cancel();
-    writer_.reset();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -1,13 +1,14 @@
 #ifndef CYCLAMENRUN_EXCHANGE_HPP
 #define CYCLAMENRUN_EXCHANGE_HPP
 
-#include "answer_writer.hpp"
+#include "answer_relay.hpp"
 #include "attempt_policy.hpp"
-#include "event_splitter.hpp"
 #include "gateway_context.hpp"
 #include "generation_mover.hpp"
 #include "http_session.hpp"
 #include "request_admission.hpp"
+#include "request_outcome.hpp"
+#include "request_trace.hpp"
 #include "upstream_attempt.hpp"
 
 #include <memory>
@@ -20,8 +21,8 @@
 
 /**
  * One request of a caller from its admission to its final answer: which
- * upstreams it is sent to, what of their responses the caller gets, and, for
- * a generation, how it goes on at another engine when its own leaves.
+ * upstreams it is sent to, whether their responses make up an answer, and,
+ * for a generation, how it goes on at another engine when its own leaves.
  *
  * Keeps itself alive until the answer is final. The caller's side must call
  * caller_left() when the caller goes, and nothing after it.
@@ -45,6 +46,7 @@
 
 private:
     // Where it runs.
+    void note_admitted();
     void dispatch();
     void send(const upstream_record& upstream,
               const std::optional<continuation>& goes_on);
@@ -63,13 +65,10 @@
     void take_body(std::string_view bytes);
     void take_complete();
     void take_lost(attempt_loss loss);
-    attempt_result judge_response() const;
     void end_attempt(attempt_result result);
     attempt_step step_after(attempt_result result);
-    void pass_events(std::string_view bytes);
-    void pass_bytes(std::string_view bytes);
-    void begin_answer();
-    void note_pause();
+    void note_attempt(std::string_view result, std::string_view next);
+    void note_if_late(const answer_relay::progress& progress);
     void hold_back_if_slow();
 
     // A generation that goes on elsewhere.
@@ -81,35 +80,34 @@
 
     // How it ends.
     void deliver();
-    void finish_stream();
     void refuse(gateway_refusal refusal);
     void cut(std::string_view reason);
     void expire();
-    void end();
+    void end(request_outcome outcome, unsigned status,
+             std::string_view reason = {});
+    std::vector<log_field> story(unsigned status,
+                                 std::string_view reason) const;
+    void measure(request_outcome outcome);
     milliseconds retry_after() const;
 
     gateway_context& context_;
     /** Until the answer is final: between attempts nothing else holds it. */
     std::shared_ptr<exchange> self_;
     caller_request request_;
-    std::shared_ptr<answer_writer> writer_;
+    answer_relay answer_;
+    request_trace trace_;
     std::shared_ptr<const gateway_routes> routes_;
+    milliseconds configuration_age_{0}; ///< at its admission
     request_facts facts_;
     admitted_request admitted_;
     std::string service_;
 
     std::shared_ptr<upstream_attempt> attempt_;
+    time_point attempt_began_{};
     std::vector<std::string> tried_;
     unsigned runs_ = 0;
     unsigned sends_ = 0;
-    http_head head_;
-    response_facts response_;
-    std::string body_;
-    bool passing_ = false; ///< the response at hand goes out as it comes
-    bool begun_ = false;   ///< part of an answer has gone to the caller
     bool over_ = false;
-    event_splitter events_;
-    time_point last_piece_at_{};
 
     std::shared_ptr<generation_mover> mover_;
     /** Engine that keeps a copy of the run at hand as it grows. */
@@ -118,10 +116,6 @@
     std::optional<continuation> goes_on_;
 };
 
-/** An answer up to this size is held until it is whole, so that one that
- * breaks off can be asked for again; plain services answer 800 B on average. */
-inline constexpr std::size_t held_answer_bytes = std::size_t(256) << 10;
-
 } // namespace cyclamenrun
 
 #endif // CYCLAMENRUN_EXCHANGE_HPP
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -8,7 +8,9 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -44,6 +46,12 @@
          */
         std::function<void(boot_time asked)> current;
         std::function<void(directory_problem)> lost;
+        /** Each call that brought nothing, also while it is lost. */
+        std::function<void(directory_problem)> failed;
+        /** How long a call took that was answered. */
+        std::function<void(duration took)> answered;
+        /** Keys of records that were skipped. */
+        std::function<void(const std::vector<std::string>& keys)> unreadable;
         std::function<void(duration away)> regained;
     };
 
@@ -89,6 +97,10 @@
         if (lost_since_ && on_.regained)
             on_.regained(steady_now() - *lost_since_);
         lost_since_.reset();
+        if (on_.answered)
+            on_.answered(steady_now() - asked_at_);
+        if (on_.unreadable && !result->unreadable.empty())
+            on_.unreadable(result->unreadable);
         if (on_.items && (whole || !result->items.empty()))
             on_.items(std::move(result->items), whole);
         if (on_.current)
@@ -98,6 +110,8 @@
 
     void fail(directory_problem problem)
     {
+        if (on_.failed)
+            on_.failed(problem);
         if (problem == directory_problem::history_gone) {
             offset_.reset();
             read_at(steady_now());
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -1,5 +1,7 @@
 #include "gateway_context.hpp"
 
+#include "log_event.hpp"
+
 #include <utility>
 
 namespace cyclamenrun
@@ -17,4 +19,14 @@
 {
 }
 
+void gateway_context::crash_seen(const std::string& upstream_id)
+{
+    const auto now = reactor->now();
+    if (!backups.wanted(now))
+        log_event(log_severity::warning, log_event_name::crash_seen,
+                  {{log_key::upstream, upstream_id},
+                   {log_key::duration_ms, backup_policy::series}});
+    backups.crash_seen(now);
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include "backup_policy.hpp"
 #include "configuration_lease.hpp"
 #include "engine_callers.hpp"
+#include "exported_metrics.hpp"
 #include "gateway_dialect.hpp"
 #include "gateway_routes.hpp"
 #include "link_reactor.hpp"
@@ -36,8 +37,12 @@
     gateway_context(const gateway_context&) = delete;
     gateway_context& operator=(const gateway_context&) = delete;
 
+    /** An engine has broken off a stream without notice. */
+    void crash_seen(const std::string& upstream_id);
+
     std::shared_ptr<link_reactor> reactor;
     std::shared_ptr<const gateway_dialect> dialect;
+    exported_metrics metrics;
     std::string failure_domain; ///< of this process
 
     upstream_channels channels;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -3,6 +3,7 @@
 #include "log_event.hpp"
 
 #include <algorithm>
+#include <future>
 #include <random>
 #include <thread>
 #include <utility>
@@ -22,8 +23,6 @@
 constexpr milliseconds settings_look_interval{1000};
 /** Time between looks at what changes by itself. */
 constexpr milliseconds tick_interval{100};
-/** Records that lapsed in an outage come back for this long after it. */
-constexpr milliseconds doubt_after_outage{1200};
 /** Left of the grace when the last requests are given up. */
 constexpr milliseconds stop_margin{700};
 constexpr milliseconds stop_look_interval{20};
@@ -57,13 +56,13 @@
 gateway_process::gateway_process(const gateway_settings& settings,
                                  gateway_platform platform,
                                  reread_settings reread)
-    : settings_(settings), platform_(std::move(platform)),
-      reread_(std::move(reread)), loop_(std::make_unique<link_loop>())
+    : settings_(settings), reread_(std::move(reread)),
+      loop_(std::make_unique<link_loop>())
 {
     std::exception_ptr failure;
     on_loop([&] {
         try {
-            start();
+            start(std::move(platform));
         } catch (...) {
             failure = std::current_exception();
         }
@@ -76,8 +75,7 @@
 {
     on_loop([this] {
         ended_ = true;
-        configurations_.reset();
-        upstreams_.reset();
+        directory_->stop();
         for (auto* running :
              std::vector(context_->running.begin(), context_->running.end()))
             running->shared_from_this()->caller_left();
@@ -97,7 +95,7 @@
     done->get_future().wait();
 }
 
-void gateway_process::start()
+void gateway_process::start(gateway_platform platform)
 {
     const auto& reactor = loop_->reactor();
     upstream_board::hooks board;
@@ -110,59 +108,17 @@
         context_->callers.forget(id);
     };
     context_ = std::make_unique<gateway_context>(
-        reactor, platform_.dialect, std::move(board),
-        budget_settings(settings_), lease_term(settings_),
-        std::random_device{}());
+        reactor, platform.dialect, std::move(board), budget_settings(settings_),
+        lease_term(settings_), std::random_device{}());
     context_->failure_domain = settings_.failure_domain;
-    start_feeds();
+    directory_ =
+        std::make_unique<directory_watch>(*context_, std::move(platform));
+    directory_->follow(settings_);
     start_monitor_link();
     start_servers();
     tick();
 }
 
-void gateway_process::start_feeds()
-{
-    const auto& reactor = loop_->reactor();
-    feed_pace pace;
-    pace.wait = settings_.configuration_wait;
-    feed_follower<gateway_configuration>::hooks configurations;
-    configurations.items = [this](std::vector<gateway_configuration>&& versions,
-                                  bool) {
-        take_configurations(std::move(versions));
-    };
-    configurations.current = [this](boot_time asked) {
-        context_->lease.renew(asked);
-    };
-    configurations.lost = [this](directory_problem problem) {
-        directory_lost("configurations", problem);
-    };
-    configurations.regained = [this](duration away) {
-        directory_regained("configurations", away);
-    };
-    configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
-        reactor, platform_.configurations(reactor, settings_.directory), pace,
-        std::move(configurations));
-
-    pace.pause = settings_.upstream_pause;
-    feed_follower<upstream_change>::hooks upstreams;
-    upstreams.items = [this](std::vector<upstream_change>&& changes,
-                             bool whole) {
-        take_upstreams(std::move(changes), whole);
-    };
-    upstreams.lost = [this](directory_problem problem) {
-        directory_lost("upstreams", problem);
-    };
-    upstreams.regained = [this](duration away) {
-        doubt_until_ = loop_->reactor()->now() + doubt_after_outage;
-        directory_regained("upstreams", away);
-    };
-    upstreams_ = std::make_shared<feed_follower<upstream_change>>(
-        reactor, platform_.upstreams(reactor, settings_.directory), pace,
-        std::move(upstreams));
-    configurations_->start();
-    upstreams_->start();
-}
-
 void gateway_process::start_monitor_link()
 {
     if (settings_.monitor_port == 0)
@@ -197,6 +153,9 @@
         loop_->reactor(), settings_.ready_listen, ready_hooks());
     callers_->start();
     ready_server_->start();
+    metrics_ = std::make_unique<metrics_listener>(
+        loop_->reactor(), context_->metrics, [this] { refresh_gauges(); });
+    metrics_->open(settings_.metrics_listen);
 }
 
 session_limits gateway_process::limits() const
@@ -252,8 +211,8 @@
 
 bool gateway_process::ready() const
 {
-    return !context_->stopping && context_->routes && upstreams_known_ &&
-           context_->lease.valid(boot_now());
+    return !context_->stopping && context_->routes &&
+           directory_->upstreams_known() && context_->lease.valid(boot_now());
 }
 
 std::string gateway_process::state_text()
@@ -271,48 +230,30 @@
            std::to_string(context_->channels.size()) + "}";
 }
 
-void gateway_process::take_configurations(
-    std::vector<gateway_configuration>&& versions)
-{
-    for (auto& version : versions) {
-        const auto known = context_->routes ? context_->routes->version() : 0;
-        // A version that is not newer was overtaken on its way.
-        if (context_->routes && version.version <= known)
-            continue;
-        log_event(log_severity::info, log_event_name::configuration_applied,
-                  {{log_key::revision, version.version},
-                   {log_key::count, version.routes.size()}});
-        context_->routes =
-            std::make_shared<const gateway_routes>(std::move(version));
-    }
-}
-
-void gateway_process::take_upstreams(std::vector<upstream_change>&& changes,
-                                     bool whole)
+void gateway_process::refresh_gauges()
 {
+    constexpr double ms_per_s = 1000;
+    auto& metrics = context_->metrics;
     const auto now = loop_->reactor()->now();
-    const bool doubt = now < doubt_until_;
-    if (whole)
-        context_->board.replace_all(changes, now, doubt);
-    else
-        for (const auto& change : changes)
-            context_->board.apply(change, now, doubt);
-    upstreams_known_ = true;
-}
-
-void gateway_process::directory_lost(std::string_view feed,
-                                     directory_problem problem)
-{
-    log_event(log_severity::warning, log_event_name::directory_lost,
-              {{log_key::name, feed}, {log_key::reason, name_of(problem)}});
-}
-
-void gateway_process::directory_regained(std::string_view feed, duration away)
-{
-    log_event(log_severity::info, log_event_name::directory_regained,
-              {{log_key::name, feed},
-               {log_key::duration_ms,
-                std::chrono::duration_cast<milliseconds>(away)}});
+    const auto age = context_->lease.age(boot_now());
+    metrics.set(exported_metric::configuration_version, {},
+                context_->routes ? context_->routes->version() : 0);
+    metrics.set(exported_metric::configuration_age, {},
+                age ? static_cast<double>(age->count()) / ms_per_s : -1);
+    metrics.set(exported_metric::running, {}, context_->running.size());
+    metrics.set(exported_metric::connections, {}, callers_->connections());
+    for (const auto& service : context_->board.services()) {
+        const auto believed = context_->board.totals(service, now);
+        metrics.set(exported_metric::upstreams, {service}, believed.upstreams);
+        metrics.set(exported_metric::free_slots, {service},
+                    believed.free_slots);
+        metrics.set(exported_metric::free_memory, {service},
+                    believed.free_memory_tokens);
+        metrics.set(exported_metric::queued, {service}, believed.queued);
+        metrics.set(exported_metric::retries_left, {service},
+                    context_->budget.left(service, now));
+    }
+    export_dropped_lines(metrics);
 }
 
 void gateway_process::upstream_leaving(const std::string& id,
@@ -332,7 +273,7 @@
 {
     if (ended_)
         return;
-    context_->board.end_doubts(loop_->reactor()->now());
+    directory_->tick();
     look_at_settings();
     loop_->reactor()->post_at(loop_->reactor()->now() + tick_interval,
                               [this] { tick(); });
@@ -370,7 +311,7 @@
     const bool moved = settings.directory != settings_.directory;
     settings_ = settings;
     if (moved)
-        start_feeds();
+        directory_->follow(settings_);
 }
 
 std::string gateway_process::address() const
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -1,7 +1,5 @@
 #include "generation_mover.hpp"
 
-#include "log_event.hpp"
-
 #include <utility>
 
 namespace cyclamenrun
@@ -85,9 +83,10 @@
 {
     ++moves_;
     generation_move::hooks on;
-    on.stopped = [weak = weak_from_this(), to](const continuation& from) {
+    on.stopped = [weak = weak_from_this(), source,
+                  to](const continuation& from) {
         if (const auto self = weak.lock())
-            self->stopped(from, to);
+            self->stopped(from, source, to);
     };
     on.failed = [weak = weak_from_this(),
                  source](move_failure failure,
@@ -102,14 +101,14 @@
 }
 
 void generation_mover::stopped(const continuation& from,
+                               const upstream_record& source,
                                const upstream_record& to)
 {
     end_turns();
     move_.reset();
     if (over_)
         return;
-    log_event(log_severity::info, log_event_name::generation_moved,
-              {{log_key::request_id, request_id_}, {log_key::upstream, to.id}});
+    on_.tried(source, to, std::nullopt);
     pending_ = pending_step{from, to};
     go_on_after_last_events();
 }
@@ -166,10 +165,7 @@
     const auto move = std::exchange(move_, nullptr);
     if (over_)
         return;
-    log_event(log_severity::warning, log_event_name::generation_move_failed,
-              {{log_key::request_id, request_id_},
-               {log_key::upstream, move->destination().id},
-               {log_key::reason, name_of(failure)}});
+    on_.tried(source, move->destination(), failure);
     if (failure == move_failure::no_room)
         refused_by_ = move->destination().id;
     if (kept) {
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -37,6 +37,11 @@
         std::function<void(const upstream_record&, const continuation&)> go_on;
         /** It has ended at the source, and there is no memory of it. */
         std::function<void()> lost;
+        /** What became of one move; empty: it goes on at `to`. */
+        std::function<void(const upstream_record& source,
+                           const upstream_record& to,
+                           std::optional<move_failure>)>
+            tried;
     };
 
     generation_mover(gateway_context& context, std::string request_id,
@@ -57,7 +62,8 @@
     void start(const upstream_record& source, const upstream_record& to);
     void end_turns();
     std::string destination_turn() const { return request_id_ + ">"; }
-    void stopped(const continuation& from, const upstream_record& to);
+    void stopped(const continuation& from, const upstream_record& source,
+                 const upstream_record& to);
     void failed(move_failure failure, const std::optional<continuation>& kept,
                 const upstream_record& source);
     void go_on_after_last_events();
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -1,6 +1,7 @@
 #include "monitor_link.hpp"
 
 #include "load.pb.h"
+#include "log_event.hpp"
 
 #include <utility>
 
@@ -19,6 +20,10 @@
 /** A monitor that says nothing for so long is down or cut off. */
 constexpr milliseconds monitor_silence{160};
 
+/** It tells even a load that has not changed 400 ms after the last, so that
+ * four in a row have gone missing by then. */
+constexpr milliseconds monitor_away{1600};
+
 engine_load load_of(const v1::EngineLoad& message)
 {
     engine_load load;
@@ -45,7 +50,9 @@
 {
     socket_ = std::make_shared<datagram_socket>(
         reactor_, listen,
-        [this](const ip_endpoint&, std::string_view bytes) { take(bytes); });
+        [this](const ip_endpoint& from, std::string_view bytes) {
+            take(from, bytes);
+        });
 }
 
 void monitor_link::start()
@@ -69,17 +76,43 @@
         ask_all_at_ = now + ask_interval;
     v1::MonitorRequest request;
     request.set_gateway(name_);
+    std::erase_if(asked_, [&](const auto& asked) {
+        return !hosts.contains(asked.first);
+    });
     for (const auto& host : hosts) {
-        if (all || !asked_.contains(host))
+        const auto [asked, is_new] = asked_.try_emplace(host, asked_host{now});
+        if (all || is_new)
             send(host, request);
+        note_silent(host, asked->second);
     }
-    asked_ = hosts;
     reactor_->post_at(now + look_interval, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->ask_for_loads();
     });
 }
 
+void monitor_link::note_silent(const std::string& host, asked_host& asked)
+{
+    if (asked.lost || reactor_->now() - asked.heard_at < monitor_away)
+        return;
+    asked.lost = true;
+    log_event(log_severity::warning, log_event_name::monitor_lost,
+              {{log_key::address, host}});
+}
+
+void monitor_link::note_heard(const std::string& host)
+{
+    const auto found = asked_.find(host);
+    if (found == asked_.end())
+        return;
+    const auto away = std::chrono::duration_cast<milliseconds>(
+        reactor_->now() - found->second.heard_at);
+    found->second.heard_at = reactor_->now();
+    if (std::exchange(found->second.lost, false))
+        log_event(log_severity::info, log_event_name::monitor_regained,
+                  {{log_key::address, host}, {log_key::duration_ms, away}});
+}
+
 void monitor_link::want_turn(const std::string& host, const std::string& id,
                              std::function<void()> given)
 {
@@ -128,8 +161,9 @@
     turns_.erase(found);
 }
 
-void monitor_link::take(std::string_view bytes)
+void monitor_link::take(const ip_endpoint& from, std::string_view bytes)
 {
+    note_heard(from.host);
     v1::MonitorNotice notice;
     if (!notice.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return;
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -5,6 +5,7 @@
 #include "upstream_record.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -58,10 +59,18 @@
         time_point heard_at;         ///< from the monitor
     };
 
+    /** A host that was asked, and when its monitor was heard. */
+    struct asked_host {
+        time_point heard_at;
+        bool lost = false; ///< it says nothing any more
+    };
+
     void ask_for_loads();
+    void note_silent(const std::string& host, asked_host& asked);
+    void note_heard(const std::string& host);
     void ask_for_turn(const std::string& id);
     void give(const std::string& id);
-    void take(std::string_view bytes);
+    void take(const ip_endpoint& from, std::string_view bytes);
     void send(const std::string& host, const v1::MonitorRequest& request);
 
     std::shared_ptr<link_reactor> reactor_;
@@ -69,7 +78,7 @@
     std::uint16_t monitor_port_;
     std::string name_;
     hooks on_;
-    std::set<std::string> asked_;
+    std::map<std::string, asked_host> asked_;
     time_point ask_all_at_{};
     std::unordered_map<std::string, wanted_turn> turns_;
 };
--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -9,9 +9,19 @@
       monitor_(std::make_shared<engine_monitor>(
           loop_->reactor(), std::move(dialect),
           engine_monitor_settings{settings.engine, settings.listen,
-                                  settings.interval}))
+                                  settings.interval},
+          metrics_))
 {
-    loop_->post([monitor = monitor_] { monitor->start(); });
+    listener_ =
+        std::make_unique<metrics_listener>(loop_->reactor(), metrics_, [this] {
+            metrics_.set(exported_metric::gateways, {},
+                         static_cast<double>(monitor_->gateways()));
+            export_dropped_lines(metrics_);
+        });
+    loop_->post([this, where = settings.metrics_listen] {
+        monitor_->start();
+        listener_->open(where);
+    });
 }
 
 monitor_process::~monitor_process()
--- a/src/libcyclamenrun/gateway/monitor_process.hpp
+++ b/src/libcyclamenrun/gateway/monitor_process.hpp
@@ -3,6 +3,7 @@
 
 #include "engine_monitor.hpp"
 #include "link_loop.hpp"
+#include "metrics_listener.hpp"
 #include "monitor_settings.hpp"
 
 #include <memory>
@@ -27,7 +28,9 @@
     bool drain() { return true; }
 
 private:
+    exported_metrics metrics_;
     std::unique_ptr<link_loop> loop_;
+    std::unique_ptr<metrics_listener> listener_;
     std::shared_ptr<engine_monitor> monitor_;
 };
 
--- /dev/null
+++ b/src/libcyclamenrun/gateway/response_verdict.cpp
@@ -0,0 +1,29 @@
+#include "response_verdict.hpp"
+
+#include "http_head.hpp"
+
+namespace cyclamenrun
+{
+
+bool promises_not_run(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+std::optional<attempt_result> judge_response(unsigned status,
+                                             const response_facts& facts)
+{
+    if (facts.not_run || status == 421)
+        return attempt_result::turned_away;
+    if (is_success(status) && !facts.sealed)
+        return attempt_result::lost;
+    // It does not vouch that it has not run, and a caller would take the
+    // status for that.
+    if (promises_not_run(status))
+        return attempt_result::lost;
+    if (status >= 500 || !facts.sealed)
+        return attempt_result::failed;
+    return std::nullopt;
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -311,6 +311,33 @@
     return result;
 }
 
+std::set<std::string> upstream_board::services() const
+{
+    std::set<std::string> result;
+    for (const auto& [id, upstream] : upstreams_)
+        result.insert(upstream.record.service);
+    return result;
+}
+
+service_totals upstream_board::totals(const std::string& service,
+                                      time_point now) const
+{
+    service_totals result;
+    for (const auto* upstream : available(service)) {
+        const auto load = believed_load(*upstream, now);
+        ++result.upstreams;
+        result.free_slots +=
+            std::max(0.0, upstream->record.slots - load.requests);
+        if (!upstream->load)
+            continue;
+        result.free_memory_tokens +=
+            std::max(0.0, static_cast<double>(upstream->load->memory_total) -
+                              load.memory_tokens);
+        result.queued += upstream->load->queued;
+    }
+    return result;
+}
+
 placement_candidate placement_of(const upstream_state& upstream,
                                  const placement_request& request,
                                  time_point now)
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -44,6 +44,14 @@
     std::deque<dispatch> unreported;
 };
 
+/** What is believed of all upstreams of a service that may get new work. */
+struct service_totals {
+    std::size_t upstreams = 0;
+    double free_slots = 0;
+    double free_memory_tokens = 0; ///< of those whose load is known
+    double queued = 0;
+};
+
 /**
  * The upstreams of all services: who is there, who leaves, and how loaded
  * each is as far as this gateway can know: the latest load that its host sent
@@ -92,6 +100,8 @@
     /** IP numbers of the upstreams of a service. */
     std::set<std::string> hosts(const std::string& service) const;
     std::size_t size() const { return upstreams_.size(); }
+    std::set<std::string> services() const;
+    service_totals totals(const std::string& service, time_point now) const;
 
 private:
     void add(const upstream_record& record, time_point now);
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -13,6 +13,20 @@
 /** Copies between failure domains take twice as long on both links. */
 constexpr double backup_other_domain = 0.1;
 
+/** Cost of the best place but one. */
+std::optional<double> best_but(const std::vector<placement_candidate>& places,
+                               std::size_t but,
+                               const placement_weights& weights)
+{
+    std::optional<double> best;
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        const double cost = placement_cost(places[i], weights);
+        if (i != but && (!best || cost < *best))
+            best = cost;
+    }
+    return best;
+}
+
 } // namespace
 
 std::vector<const upstream_state*>
@@ -27,7 +41,7 @@
     return all;
 }
 
-std::optional<upstream_record>
+std::optional<placed_upstream>
 upstream_choice::choose(const std::vector<const upstream_state*>& from,
                         const placement_request& request,
                         const placement_weights& weights, time_point now)
@@ -39,17 +53,27 @@
     const auto chosen = choose_placement(places, random_, weights);
     if (!chosen || places[*chosen].unreachable)
         return std::nullopt;
-    return from[*chosen]->record;
+    const auto& upstream = *from[*chosen];
+    placed_upstream placed;
+    placed.record = upstream.record;
+    placed.place = places[*chosen];
+    placed.cost = placement_cost(places[*chosen], weights);
+    placed.second_cost = best_but(places, *chosen, weights);
+    placed.weighed = places.size();
+    if (upstream.load)
+        placed.load_age =
+            std::chrono::duration_cast<milliseconds>(now - upstream.load_at);
+    return placed;
 }
 
-std::optional<upstream_record> upstream_choice::for_request(
+std::optional<placed_upstream> upstream_choice::for_request(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
     return choose(candidates(service, excluded), request, {}, now);
 }
 
-std::optional<upstream_record> upstream_choice::for_move(
+std::optional<placed_upstream> upstream_choice::for_move(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -12,6 +12,18 @@
 namespace cyclamenrun
 {
 
+/** An upstream that was chosen, and what decided it. */
+struct placed_upstream {
+    upstream_record record;
+    placement_candidate place; ///< as it would stand with the request
+    double cost = 0;           ///< in parts of the objective
+    /** Of the best of the others. */
+    std::optional<double> second_cost;
+    std::size_t weighed = 0;
+    /** Of the load that was believed; empty: none is known. */
+    std::optional<milliseconds> load_age;
+};
+
 /** Picks upstreams from the board, for one request after another. */
 class upstream_choice
 {
@@ -22,7 +34,7 @@
     }
 
     /** For a request that begins; empty if none may be used or reached. */
-    std::optional<upstream_record>
+    std::optional<placed_upstream>
     for_request(const std::string& service, const placement_request& request,
                 const std::vector<std::string>& excluded, time_point now);
 
@@ -30,7 +42,7 @@
      * For a running generation whose engine leaves: where its memory is
      * copied soonest and finds room.
      */
-    std::optional<upstream_record>
+    std::optional<placed_upstream>
     for_move(const std::string& service, const placement_request& request,
              const std::vector<std::string>& excluded, time_point now);
 
@@ -47,7 +59,7 @@
     std::vector<const upstream_state*>
     candidates(const std::string& service,
                const std::vector<std::string>& excluded) const;
-    std::optional<upstream_record>
+    std::optional<placed_upstream>
     choose(const std::vector<const upstream_state*>& from,
            const placement_request& request, const placement_weights& weights,
            time_point now);
--- /dev/null
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -0,0 +1,133 @@
+#include "exported_metric.hpp"
+
+#include <array>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+constexpr std::array rows{
+    exported_metric_row{exported_metric::requests, "cyclamenrun_requests_total",
+                        exported_kind::counter, "route,service,outcome",
+                        "Requests that have ended."},
+    exported_metric_row{exported_metric::refusals, "cyclamenrun_refusals_total",
+                        exported_kind::counter, "reason",
+                        "Answers of the gateway in place of an upstream."},
+    exported_metric_row{exported_metric::attempts, "cyclamenrun_attempts_total",
+                        exported_kind::counter, "service,result",
+                        "Attempts at upstreams that have ended."},
+    exported_metric_row{exported_metric::moves, "cyclamenrun_moves_total",
+                        exported_kind::counter, "service,result",
+                        "Moves of running generations, tried or done."},
+    exported_metric_row{exported_metric::backups, "cyclamenrun_backups_total",
+                        exported_kind::counter, "service",
+                        "Generations of which a copy was kept."},
+    exported_metric_row{
+        exported_metric::first_part_time, "cyclamenrun_first_part_seconds",
+        exported_kind::histogram, "route",
+        "From the arrival of a request to the first part of its answer."},
+    exported_metric_row{exported_metric::longest_pause,
+                        "cyclamenrun_longest_pause_seconds",
+                        exported_kind::histogram, "route",
+                        "Longest time between two parts of one answer."},
+    exported_metric_row{exported_metric::answer_time,
+                        "cyclamenrun_answer_seconds", exported_kind::histogram,
+                        "route", "From the arrival of a request to its end."},
+    exported_metric_row{
+        exported_metric::upstream_time, "cyclamenrun_upstream_seconds",
+        exported_kind::histogram, "service",
+        "From sending a request to an upstream to the end of the attempt."},
+    exported_metric_row{
+        exported_metric::directory_time, "cyclamenrun_directory_call_seconds",
+        exported_kind::histogram, "feed",
+        "Calls to the directory, with the time for which it holds them."},
+    exported_metric_row{exported_metric::directory_failures,
+                        "cyclamenrun_directory_failures_total",
+                        exported_kind::counter, "feed,reason",
+                        "Calls to the directory that brought nothing."},
+    exported_metric_row{exported_metric::unreadable_records,
+                        "cyclamenrun_unreadable_records_total",
+                        exported_kind::counter, "feed",
+                        "Records of the directory that were skipped."},
+    exported_metric_row{exported_metric::configuration_version,
+                        "cyclamenrun_configuration_version",
+                        exported_kind::gauge, "",
+                        "Version of the configuration in use."},
+    exported_metric_row{
+        exported_metric::configuration_age,
+        "cyclamenrun_configuration_age_seconds", exported_kind::gauge, "",
+        "Time since the configuration was known to be current."},
+    exported_metric_row{exported_metric::running,
+                        "cyclamenrun_requests_running", exported_kind::gauge,
+                        "", "Requests that are being served."},
+    exported_metric_row{exported_metric::connections,
+                        "cyclamenrun_caller_connections", exported_kind::gauge,
+                        "", "Connections of callers."},
+    exported_metric_row{exported_metric::upstreams, "cyclamenrun_upstreams",
+                        exported_kind::gauge, "service",
+                        "Upstreams that may get new work."},
+    exported_metric_row{exported_metric::free_slots,
+                        "cyclamenrun_believed_free_slots", exported_kind::gauge,
+                        "service",
+                        "Slots of these that are believed to be free."},
+    exported_metric_row{exported_metric::free_memory,
+                        "cyclamenrun_believed_free_memory_tokens",
+                        exported_kind::gauge, "service",
+                        "Memory of these that is believed to be free."},
+    exported_metric_row{exported_metric::queued, "cyclamenrun_believed_queued",
+                        exported_kind::gauge, "service",
+                        "Requests that are believed to wait at these."},
+    exported_metric_row{exported_metric::retries_left,
+                        "cyclamenrun_retries_left", exported_kind::gauge,
+                        "service", "Retries that the budget allows now."},
+    exported_metric_row{
+        exported_metric::dropped_lines, "cyclamenrun_log_lines_dropped_total",
+        exported_kind::counter, "severity", "Lines that the log has left out."},
+    exported_metric_row{exported_metric::engine_running,
+                        "cyclamenrun_engine_running", exported_kind::gauge, "",
+                        "Requests that run at the engine."},
+    exported_metric_row{exported_metric::engine_queued,
+                        "cyclamenrun_engine_queued", exported_kind::gauge, "",
+                        "Requests that wait at the engine."},
+    exported_metric_row{exported_metric::engine_memory,
+                        "cyclamenrun_engine_memory_tokens",
+                        exported_kind::gauge, "state",
+                        "Memory of the engine, used and in all."},
+    exported_metric_row{exported_metric::gateways, "cyclamenrun_gateways",
+                        exported_kind::gauge, "",
+                        "Gateways that hear from this monitor."},
+    exported_metric_row{exported_metric::turns, "cyclamenrun_copy_turns_total",
+                        exported_kind::counter, "",
+                        "Turns to copy generations that were given."},
+    exported_metric_row{
+        exported_metric::load_time, "cyclamenrun_load_call_seconds",
+        exported_kind::histogram, "", "Questions for the load of the engine."},
+    exported_metric_row{
+        exported_metric::load_failures, "cyclamenrun_load_failures_total",
+        exported_kind::counter, "",
+        "Questions for the load that the engine has not answered."},
+};
+
+} // namespace
+
+std::span<const exported_metric_row> exported_metric_table()
+{
+    return rows;
+}
+
+std::string_view name_of(exported_kind kind)
+{
+    switch (kind) {
+    case exported_kind::counter:
+        return "counter";
+    case exported_kind::gauge:
+        return "gauge";
+    case exported_kind::histogram:
+        return "histogram";
+    }
+    return "other";
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -0,0 +1,66 @@
+#ifndef CYCLAMENRUN_EXPORTED_METRIC_HPP
+#define CYCLAMENRUN_EXPORTED_METRIC_HPP
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+/** What gateways and monitors serve at their metrics address. */
+enum class exported_metric : std::uint8_t {
+    requests,
+    refusals,
+    attempts,
+    moves,
+    backups,
+    first_part_time,
+    longest_pause,
+    answer_time,
+    upstream_time,
+    directory_time,
+    directory_failures,
+    unreadable_records,
+    configuration_version,
+    configuration_age,
+    running,
+    connections,
+    upstreams,
+    free_slots,
+    free_memory,
+    queued,
+    retries_left,
+    dropped_lines,
+    engine_running,
+    engine_queued,
+    engine_memory,
+    gateways,
+    turns,
+    load_time,
+    load_failures,
+};
+
+enum class exported_kind : std::uint8_t {
+    counter,
+    gauge,
+    histogram, ///< of seconds
+};
+
+std::string_view name_of(exported_kind kind);
+
+struct exported_metric_row {
+    exported_metric what;
+    std::string_view name;
+    exported_kind kind;
+    /** Names of its labels, comma between them; empty: none. */
+    std::string_view labels;
+    std::string_view doc;
+};
+
+/** All in the order of the enum. */
+std::span<const exported_metric_row> exported_metric_table();
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_EXPORTED_METRIC_HPP
--- /dev/null
+++ b/src/libcyclamenrun/observability/exported_metrics.cpp
@@ -0,0 +1,166 @@
+#include "exported_metrics.hpp"
+
+#include "logging.hpp"
+
+#include <array>
+#include <mutex>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+#include <sstream>
+#include <stdexcept>
+#include <variant>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+using prometheus::Counter;
+using prometheus::Family;
+using prometheus::Gauge;
+using prometheus::Histogram;
+
+/** Upper ends of the buckets, in seconds: from a local call to the longest
+ * generation. */
+const Histogram::BucketBoundaries bucket_ends{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64};
+
+using any_family =
+    std::variant<Family<Counter>*, Family<Gauge>*, Family<Histogram>*>;
+
+std::vector<std::string> label_names(std::string_view joined)
+{
+    std::vector<std::string> names;
+    std::istringstream text{std::string(joined)};
+    for (std::string name; std::getline(text, name, ',');)
+        names.push_back(name);
+    return names;
+}
+
+} // namespace
+
+/** The library's registry with one family for each metric. */
+class exported_metrics::registry
+{
+public:
+    registry()
+    {
+        for (const auto& row : exported_metric_table())
+            families_.push_back(
+                {make_family(row), label_names(row.labels), {}});
+    }
+
+    template <typename Series, typename... Buckets>
+    Series& series(exported_metric what, label_values values,
+                   const Buckets&... buckets)
+    {
+        const std::lock_guard lock(mutex_);
+        auto& family = families_.at(static_cast<std::size_t>(what));
+        auto* const typed = std::get<Family<Series>*>(family.family);
+        return typed->Add(labels_of(family, values), buckets...);
+    }
+
+    std::string text() const
+    {
+        return prometheus::TextSerializer().Serialize(registry_.Collect());
+    }
+
+private:
+    struct labelled_family {
+        any_family family;
+        std::vector<std::string> names;
+        std::set<std::vector<std::string>> known;
+    };
+
+    any_family make_family(const exported_metric_row& row)
+    {
+        const std::string name(row.name);
+        const std::string help(row.doc);
+        switch (row.kind) {
+        case exported_kind::counter:
+            return &prometheus::BuildCounter().Name(name).Help(help).Register(
+                registry_);
+        case exported_kind::gauge:
+            return &prometheus::BuildGauge().Name(name).Help(help).Register(
+                registry_);
+        case exported_kind::histogram:
+            return &prometheus::BuildHistogram().Name(name).Help(help).Register(
+                registry_);
+        }
+        throw std::logic_error("metric of no kind");
+    }
+
+    static prometheus::Labels labels_of(labelled_family& family,
+                                        label_values values)
+    {
+        const std::vector<std::string> given(values);
+        const bool full = family.known.size() >= most_series;
+        const bool other = full && !family.known.contains(given);
+        if (!other)
+            family.known.insert(given);
+        prometheus::Labels labels;
+        for (std::size_t i = 0; i < family.names.size(); ++i)
+            labels[family.names[i]] = other ? "other" : given.at(i);
+        return labels;
+    }
+
+    std::mutex mutex_;
+    prometheus::Registry registry_;
+    std::vector<labelled_family> families_;
+};
+
+exported_metrics::exported_metrics() : registry_(std::make_unique<registry>())
+{
+}
+
+exported_metrics::~exported_metrics() = default;
+
+void exported_metrics::count(exported_metric what, label_values labels,
+                             double by)
+{
+    registry_->series<Counter>(what, labels).Increment(by);
+}
+
+void exported_metrics::count_to(exported_metric what, label_values labels,
+                                double total)
+{
+    auto& counter = registry_->series<Counter>(what, labels);
+    counter.Increment(total - counter.Value());
+}
+
+void exported_metrics::set(exported_metric what, label_values labels,
+                           double value)
+{
+    registry_->series<Gauge>(what, labels).Set(value);
+}
+
+void exported_metrics::observe(exported_metric what, label_values labels,
+                               duration value)
+{
+    const std::chrono::duration<double> seconds = value;
+    registry_->series<Histogram>(what, labels, bucket_ends)
+        .Observe(seconds.count());
+}
+
+std::string exported_metrics::text() const
+{
+    return registry_->text();
+}
+
+void export_dropped_lines(exported_metrics& metrics)
+{
+    const auto dropped = all_dropped_lines();
+    for (const auto severity :
+         {log_severity::info, log_severity::warning, log_severity::error})
+        metrics.count_to(exported_metric::dropped_lines,
+                         {std::string(name_of(severity))},
+                         static_cast<double>(dropped.of(severity)));
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/observability/line_output.cpp
@@ -0,0 +1,106 @@
+#include "line_output.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <climits>
+#include <poll.h>
+#include <unistd.h>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Time between two looks at a descriptor that takes nothing. */
+constexpr int look_ms = 100;
+/** For the last lines of a process whose reader is slow. */
+constexpr int last_wait_ms = 200;
+/** A pipe that says it is writable takes so much without waiting. */
+constexpr std::size_t piece_bytes = PIPE_BUF;
+
+} // namespace
+
+line_output::line_output(int descriptor, std::size_t queued_bytes)
+    : descriptor_(descriptor), most_queued_(queued_bytes)
+{
+}
+
+line_output::~line_output()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        ended_ = true;
+    }
+    changed_.notify_one();
+    if (writer_.joinable())
+        writer_.join();
+    if (!queue_.empty() && writable(last_wait_ms))
+        write_some();
+}
+
+bool line_output::has_room(log_severity severity, std::size_t bytes) const
+{
+    // The second half is for what went wrong.
+    const auto most =
+        severity == log_severity::info ? most_queued_ / 2 : most_queued_;
+    return queue_.size() + bytes <= most;
+}
+
+bool line_output::put(log_severity severity, std::string_view line)
+{
+    const std::lock_guard lock(mutex_);
+    if (!has_room(severity, line.size() + 1))
+        return false;
+    queue_ += line;
+    queue_ += '\n';
+    write_some();
+    if (queue_.empty())
+        return true;
+    if (!writer_.joinable())
+        writer_ = std::thread([this] { write_rest(); });
+    changed_.notify_one();
+    return true;
+}
+
+bool line_output::writable(int wait_ms) const
+{
+    pollfd wanted{descriptor_, POLLOUT, 0};
+    return ::poll(&wanted, 1, wait_ms) > 0;
+}
+
+void line_output::write_some()
+{
+    std::size_t done = 0;
+    while (done < queue_.size() && writable(0)) {
+        const auto count = ::write(descriptor_, queue_.data() + done,
+                                   std::min(piece_bytes, queue_.size() - done));
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count <= 0) {
+            // There is no reader any more, and nobody to tell.
+            done = queue_.size();
+            break;
+        }
+        done += static_cast<std::size_t>(count);
+    }
+    queue_.erase(0, done);
+}
+
+void line_output::write_rest()
+{
+    std::unique_lock lock(mutex_);
+    while (!ended_) {
+        if (queue_.empty()) {
+            changed_.wait(lock);
+            continue;
+        }
+        lock.unlock();
+        const bool ready = writable(look_ms);
+        lock.lock();
+        if (ready)
+            write_some();
+    }
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/observability/log_event.cpp
+++ b/src/libcyclamenrun/observability/log_event.cpp
@@ -1,13 +1,16 @@
 #include "log_event.hpp"
 
+#include "line_output.hpp"
 #include "log_line.hpp"
 #include "logging.hpp"
 
-#include <cstdio>
+#include <array>
 #include <cstdlib>
 #include <ctime>
 #include <glog/logging.h>
 #include <memory>
+#include <mutex>
+#include <unistd.h>
 
 namespace cyclamenrun
 {
@@ -15,10 +18,86 @@
 namespace
 {
 
-/** What start_logging() sets before there are threads; constant after. */
-struct log_target {
-    std::string process;
-    log_writer writer = write_log_line;
+/**
+ * Where lines go. The name and the writer are set by start_logging() before
+ * there are threads; the counts are under the lock.
+ */
+class log_target
+{
+public:
+    void start(const log_settings& settings, log_writer writer)
+    {
+        const std::lock_guard lock(mutex_);
+        process_ = settings.process;
+        writer_ = std::move(writer);
+        budget_ = line_budget(settings.lines_per_s);
+        untold_ = {};
+    }
+
+    /** Whether a line of this severity may be built at all. */
+    bool admit(log_severity severity)
+    {
+        const std::lock_guard lock(mutex_);
+        if (budget_.take(severity, steady_now()))
+            return true;
+        drop(severity);
+        return false;
+    }
+
+    /** glog calls it under its own lock. */
+    void write(log_severity severity, std::string_view line)
+    {
+        const std::lock_guard lock(mutex_);
+        if (!writer_)
+            return;
+        if (!tell_dropped() || !writer_(severity, line))
+            drop(severity);
+    }
+
+    std::string format(std::chrono::system_clock::time_point at,
+                       log_severity severity, log_event_name event,
+                       std::span<const log_field> fields) const
+    {
+        return format_log_line(at, process_, severity, event, fields);
+    }
+
+    dropped_lines dropped() const
+    {
+        const std::lock_guard lock(mutex_);
+        return all_;
+    }
+
+private:
+    void drop(log_severity severity)
+    {
+        untold_.add(severity);
+        all_.add(severity);
+    }
+
+    /** False if there is no room for that either. */
+    bool tell_dropped()
+    {
+        if (!untold_.any())
+            return true;
+        const std::array fields{
+            log_field(log_key::infos, untold_.of(log_severity::info)),
+            log_field(log_key::warnings, untold_.of(log_severity::warning)),
+            log_field(log_key::errors, untold_.of(log_severity::error))};
+        if (!writer_(log_severity::warning,
+                     format(std::chrono::system_clock::now(),
+                            log_severity::warning,
+                            log_event_name::log_lines_dropped, fields)))
+            return false;
+        untold_ = {};
+        return true;
+    }
+
+    mutable std::mutex mutex_;
+    std::string process_;
+    log_writer writer_;
+    line_budget budget_{log_settings::default_log_lines_per_s};
+    dropped_lines untold_;
+    dropped_lines all_;
 };
 
 log_target& target()
@@ -27,11 +106,10 @@
     return the_target;
 }
 
-std::string format_now(log_severity severity, log_event_name event,
-                       std::span<const log_field> fields)
+log_severity known_severity(google::LogSeverity severity)
 {
-    return format_log_line(std::chrono::system_clock::now(), target().process,
-                           severity, event, fields);
+    return severity > google::GLOG_ERROR ? log_severity::error
+                                         : static_cast<log_severity>(severity);
 }
 
 /** Takes finished lines; glog calls it under its own lock. */
@@ -39,11 +117,11 @@
 {
 public:
     using google::LogSink::send;
-    void send(google::LogSeverity, const char*, const char*, int,
+    void send(google::LogSeverity severity, const char*, const char*, int,
               const google::LogMessageTime&, const char* message,
               size_t size) override
     {
-        target().writer({message, size});
+        target().write(known_severity(severity), {message, size});
     }
 };
 
@@ -56,12 +134,13 @@
               const google::LogMessageTime&, const char* message,
               size_t size) override
     {
-        const auto known = severity > google::GLOG_ERROR
-                               ? log_severity::error
-                               : static_cast<log_severity>(severity);
+        const auto known = known_severity(severity);
         const log_field text(log_key::detail, std::string_view(message, size));
-        target().writer(
-            format_now(known, log_event_name::library_message, {&text, 1}));
+        if (target().admit(known))
+            target().write(
+                known,
+                target().format(std::chrono::system_clock::now(), known,
+                                log_event_name::library_message, {&text, 1}));
     }
 };
 
@@ -84,21 +163,27 @@
 
 } // namespace
 
-void write_log_line(std::string_view line)
+log_writer standard_output_writer()
+{
+    const auto output = std::make_shared<line_output>(STDOUT_FILENO);
+    return [output](log_severity severity, std::string_view line) {
+        return output->put(severity, line);
+    };
+}
+
+dropped_lines all_dropped_lines()
 {
-    const auto whole = std::string(line) + '\n';
-    std::fwrite(whole.data(), 1, whole.size(), stderr);
+    return target().dropped();
 }
 
-void start_logging(const std::string& process, log_severity least,
-                   log_writer writer)
+void start_logging(const log_settings& settings, log_writer writer)
 {
     static message_sink messages;
     keep_time_in_utc();
-    target() = {process, std::move(writer)};
+    target().start(settings, std::move(writer));
     FLAGS_logtostderr = false;
     FLAGS_stderrthreshold = google::NUM_SEVERITIES;
-    FLAGS_minloglevel = static_cast<int>(least);
+    FLAGS_minloglevel = static_cast<int>(settings.least);
     google::RemoveLogSink(&messages);
     google::AddLogSink(&messages);
     if (google::IsGoogleLoggingInitialized())
@@ -108,15 +193,22 @@
         google::SetLogDestination(level, "");
 }
 
-void log_event(log_severity severity, log_event_name event,
-               std::initializer_list<log_field> fields)
+void log_event_at(std::chrono::system_clock::time_point at,
+                  log_severity severity, log_event_name event,
+                  std::span<const log_field> fields)
 {
     const auto level = static_cast<google::LogSeverity>(severity);
-    if (level < FLAGS_minloglevel)
+    if (level < FLAGS_minloglevel || !target().admit(severity))
         return;
-    const std::span<const log_field> span(fields.begin(), fields.size());
     google::LogMessage(__FILE__, __LINE__, level, &lines(), false).stream()
-        << format_now(severity, event, span);
+        << target().format(at, severity, event, fields);
+}
+
+void log_event(log_severity severity, log_event_name event,
+               std::initializer_list<log_field> fields)
+{
+    log_event_at(std::chrono::system_clock::now(), severity, event,
+                 {fields.begin(), fields.size()});
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/observability/log_event.hpp
+++ b/src/libcyclamenrun/observability/log_event.hpp
@@ -5,19 +5,26 @@
 #include "log_field.hpp"
 #include "log_severity.hpp"
 
+#include <chrono>
 #include <initializer_list>
+#include <span>
 
 namespace cyclamenrun
 {
 
 /**
- * Logs one event as one JSON line on standard error, from any thread. Prompt
- * text is never passed as a field; keys are of type `secret`, which no field
- * takes. Texts are cut at `longest_log_text` bytes.
+ * Logs one event as one JSON line on standard output, from any thread, and
+ * waits for nobody. Prompt text is never passed as a field; keys are of type
+ * `secret`, which no field takes. Texts are cut at `longest_log_text` bytes.
  */
 void log_event(log_severity severity, log_event_name event,
                std::initializer_list<log_field> fields = {});
 
+/** Logs what happened at an earlier time. */
+void log_event_at(std::chrono::system_clock::time_point at,
+                  log_severity severity, log_event_name event,
+                  std::span<const log_field> fields);
+
 inline constexpr std::size_t longest_log_text = 1024;
 
 } // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/operators/log_record.cpp
@@ -0,0 +1,77 @@
+#include "log_record.hpp"
+
+#include "http_json.hpp"
+
+#include <Poco/DateTime.h>
+#include <Poco/DateTimeFormat.h>
+#include <Poco/DateTimeParser.h>
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Members that have a place of their own in the record. */
+bool has_own_place(const std::string& name)
+{
+    return name == "time" || name == "severity" || name == "process" ||
+           name == "event" || name == "request_id";
+}
+
+std::optional<Poco::DateTime> parsed_time(const std::string& text)
+{
+    Poco::DateTime time;
+    int zone = 0;
+    if (!Poco::DateTimeParser::tryParse(
+            Poco::DateTimeFormat::ISO8601_FRAC_FORMAT, text, time, zone))
+        return std::nullopt;
+    return time;
+}
+
+} // namespace
+
+std::string log_record::field(std::string_view name) const
+{
+    const auto found =
+        std::find_if(fields.begin(), fields.end(),
+                     [&](const auto& field) { return field.first == name; });
+    return found == fields.end() ? std::string() : found->second;
+}
+
+std::optional<log_record> read_log_record(const std::string& line)
+{
+    const auto begin = line.find('{');
+    if (begin == std::string::npos)
+        return std::nullopt;
+    const auto object = parse_json_object(line.substr(begin));
+    if (!object)
+        return std::nullopt;
+    const auto time = json_string(*object, "time");
+    const auto event = json_string(*object, "event");
+    if (!time || !event)
+        return std::nullopt;
+    log_record record;
+    record.time = *time;
+    record.event = *event;
+    record.process = json_string(*object, "process").value_or("");
+    record.request_id = json_string(*object, "request_id").value_or("");
+    for (const auto& name : object->getNames()) {
+        if (!has_own_place(name))
+            record.fields.emplace_back(name, object->get(name).toString());
+    }
+    return record;
+}
+
+std::optional<long long> ms_between(const std::string& earlier,
+                                    const std::string& later)
+{
+    const auto from = parsed_time(earlier);
+    const auto to = parsed_time(later);
+    if (!from || !to)
+        return std::nullopt;
+    return (*to - *from).totalMilliseconds();
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_GATEWAY_SETTINGS_HPP
 
 #include "ip_endpoint.hpp"
-#include "log_severity.hpp"
+#include "logging.hpp"
 #include "settings_error.hpp"
 #include "settings_row.hpp"
 
@@ -17,7 +17,8 @@
     std::string name;
     std::string region;
     std::string failure_domain;
-    log_severity log_level = log_severity::info;
+    log_settings log;
+    ip_endpoint metrics_listen{"127.0.0.1", 0}; ///< port 0: nowhere
     ip_endpoint listen{"0.0.0.0", 8080};
     ip_endpoint ready_listen{"127.0.0.1", 8081};
     ip_endpoint directory; ///< the platform's store
--- a/src/libcyclamenrun/settings/monitor_settings.cpp
+++ b/src/libcyclamenrun/settings/monitor_settings.cpp
@@ -22,8 +22,12 @@
     return {
         {"name", &settings.name, required, 1, longest_name, "",
          "Name of this process, unique in the system."},
-        {"log_level", &settings.log_level, optional, 0, 0, "",
+        {"log_level", &settings.log.least, optional, 0, 0, "",
          "Least severity that is logged."},
+        {"log_lines_per_s", &settings.log.lines_per_s, optional, 1, 1e6, "1/s",
+         "Lines logged in a second, at most; what failed goes first."},
+        {"metrics_listen", &settings.metrics_listen, optional, 0, 0, "",
+         "Where `GET /metrics` is answered; port 0: nowhere."},
         {"listen", &settings.listen, optional, 0, 0, "",
          "UDP address at which gateways ask for the load."},
         {"engine", &settings.engine, required, 0, 0, "",
--- a/src/libcyclamenrun/settings/monitor_settings.hpp
+++ b/src/libcyclamenrun/settings/monitor_settings.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_MONITOR_SETTINGS_HPP
 
 #include "ip_endpoint.hpp"
-#include "log_severity.hpp"
+#include "logging.hpp"
 #include "settings_error.hpp"
 #include "settings_row.hpp"
 
@@ -15,7 +15,8 @@
 /** Settings of `cyclamenrun-monitor`. */
 struct monitor_settings {
     std::string name;
-    log_severity log_level = log_severity::info;
+    log_settings log;
+    ip_endpoint metrics_listen{"127.0.0.1", 0}; ///< port 0: nowhere
     ip_endpoint listen{"0.0.0.0", 0};
     ip_endpoint engine; ///< beside which it runs
     milliseconds interval{100};
--- a/src/libcyclamenrun/settings/process_settings.cpp
+++ b/src/libcyclamenrun/settings/process_settings.cpp
@@ -22,8 +22,10 @@
          "Region of this VM."},
         {"failure_domain", &settings.failure_domain, required, 1, longest_name,
          "", "Failure domain of this VM."},
-        {"log_level", &settings.log_level, optional, 0, 0, "",
+        {"log_level", &settings.log.least, optional, 0, 0, "",
          "Least severity that is logged."},
+        {"log_lines_per_s", &settings.log.lines_per_s, optional, 1, 1e6, "1/s",
+         "Lines logged in a second, at most; what failed goes first."},
         {"link_key", &settings.link_key, optional, smallest_link_key,
          largest_link_key, "",
          "Key shared by all processes of the system; give this or "
--- a/src/libcyclamenrun/settings/process_settings.hpp
+++ b/src/libcyclamenrun/settings/process_settings.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_PROCESS_SETTINGS_HPP
 
 #include "ip_endpoint.hpp"
-#include "log_severity.hpp"
+#include "logging.hpp"
 #include "secret.hpp"
 #include "settings_row.hpp"
 
@@ -22,7 +22,7 @@
     std::string name;
     std::string region;
     std::string failure_domain;
-    log_severity log_level = log_severity::info;
+    log_settings log;
     secret link_key;           ///< at least `smallest_link_key` bytes
     std::string link_key_file; ///< where link_key came from, or empty
     platform_settings platform;
--- a/src/monitor/main.cpp
+++ b/src/monitor/main.cpp
@@ -14,7 +14,7 @@
     program.read_settings = [&](const std::string& file) {
         return read_monitor_settings(file).map([&](monitor_settings read) {
             settings = std::move(read);
-            return settings.log_level;
+            return log_settings_of(settings);
         });
     };
     program.serve = [&](const stop_signal& stop) {
--- /dev/null
+++ b/tests/gateway/test_answer_relay.cpp
@@ -0,0 +1,139 @@
+#include "answer_relay.hpp"
+
+#include "response_verdict.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using testing::_;
+using testing::InSequence;
+using testing::StrictMock;
+
+class mock_answer : public answer_writer
+{
+public:
+    MOCK_METHOD(void, whole, (http_head, std::string_view), (override));
+    MOCK_METHOD(void, begin, (http_head), (override));
+    MOCK_METHOD(void, piece, (std::string_view), (override));
+    MOCK_METHOD(void, finish, (), (override));
+    MOCK_METHOD(void, abort, (), (override));
+    MOCK_METHOD(std::size_t, unsent_bytes, (), (const, override));
+    MOCK_METHOD(void, on_drained, (std::function<void()>), (override));
+};
+
+http_head head_of(unsigned status)
+{
+    http_head head;
+    head.status = status;
+    return head;
+}
+
+response_facts vouched()
+{
+    response_facts facts;
+    facts.sealed = true;
+    return facts;
+}
+
+class answer_relays : public testing::Test
+{
+protected:
+    answer_relay relay_of(answer_shape shape)
+    {
+        gateway_route route;
+        route.shape = shape;
+        route.objective = milliseconds(100);
+        route.gap_target = milliseconds(50);
+        answer_relay relay(writer, arrived);
+        relay.expect(route, std::nullopt);
+        return relay;
+    }
+
+    std::shared_ptr<StrictMock<mock_answer>> writer =
+        std::make_shared<StrictMock<mock_answer>>();
+    time_point arrived{std::chrono::hours(1)};
+};
+
+TEST_F(answer_relays, a_whole_answer_is_held_until_it_is_whole)
+{
+    auto relay = relay_of(answer_shape::whole);
+    relay.take_head(head_of(200), vouched());
+    EXPECT_FALSE(relay.take_body("hello", arrived)->passed_on);
+    EXPECT_FALSE(relay.begun());
+    EXPECT_CALL(*writer, whole(_, std::string_view("hello")));
+    const auto late = relay.deliver(arrived + milliseconds(130));
+    EXPECT_EQ(late.late_by_pause, milliseconds(130));
+    EXPECT_EQ(relay.first_after(), milliseconds(130));
+}
+
+// The first upstream breaks off in the middle of its answer, a second one
+// answers. The caller must not get the first half before the second answer.
+TEST_F(answer_relays, nothing_of_a_broken_answer_is_left_in_the_next)
+{
+    auto relay = relay_of(answer_shape::whole);
+    relay.take_head(head_of(200), vouched());
+    EXPECT_TRUE(relay.take_body("half", arrived));
+    relay.next_response();
+    relay.take_head(head_of(200), vouched());
+    EXPECT_TRUE(relay.take_body("whole", arrived));
+    EXPECT_CALL(*writer, whole(_, std::string_view("whole")));
+    relay.deliver(arrived);
+}
+
+TEST_F(answer_relays, an_answer_that_is_too_large_to_hold_is_passed_on)
+{
+    auto relay = relay_of(answer_shape::whole);
+    relay.take_head(head_of(200), vouched());
+    const std::string large(held_answer_bytes, 'x');
+    EXPECT_FALSE(relay.take_body(large, arrived)->passed_on);
+    const InSequence in_order;
+    EXPECT_CALL(*writer, begin(_));
+    EXPECT_CALL(*writer, piece(std::string_view(large + "y")));
+    EXPECT_TRUE(relay.take_body("y", arrived)->passed_on);
+    EXPECT_TRUE(relay.passing());
+}
+
+TEST_F(answer_relays, events_pass_whole_and_pauses_are_measured)
+{
+    auto relay = relay_of(answer_shape::event_stream);
+    relay.take_head(head_of(200), vouched());
+    EXPECT_CALL(*writer, begin(_));
+    EXPECT_CALL(*writer, piece(_)).Times(2);
+    const auto first =
+        relay.take_body("id: 1\ndata: a\n\n", arrived + milliseconds(101));
+    EXPECT_EQ(first->late_by_pause, milliseconds(101));
+    EXPECT_TRUE(first->was_first);
+    EXPECT_FALSE(
+        relay.take_body("id: 2\nda", arrived + milliseconds(120))->passed_on);
+    const auto second =
+        relay.take_body("ta: b\n\n", arrived + milliseconds(150));
+    EXPECT_TRUE(second->passed_on);
+    EXPECT_FALSE(second->late_by_pause);
+    EXPECT_EQ(relay.first_after(), milliseconds(101));
+    EXPECT_EQ(relay.longest_pause(), milliseconds(49));
+    EXPECT_EQ(relay.last_event_id(), 2U);
+}
+
+TEST(response_verdict, only_a_vouched_answer_is_given_to_the_caller)
+{
+    const response_facts unsealed;
+    response_facts turned_away;
+    turned_away.not_run = true;
+    EXPECT_FALSE(judge_response(200, vouched()));
+    EXPECT_FALSE(judge_response(404, vouched()));
+    EXPECT_EQ(judge_response(200, unsealed), attempt_result::lost);
+    EXPECT_EQ(judge_response(404, unsealed), attempt_result::failed);
+    EXPECT_EQ(judge_response(500, vouched()), attempt_result::failed);
+    EXPECT_EQ(judge_response(503, turned_away), attempt_result::turned_away);
+    EXPECT_EQ(judge_response(421, unsealed), attempt_result::turned_away);
+    // It does not say that it has not run; its status would.
+    EXPECT_EQ(judge_response(503, vouched()), attempt_result::lost);
+}
+
+} // namespace
+} // namespace cyclamenrun
--- a/tests/gateway/test_programs.cpp
+++ b/tests/gateway/test_programs.cpp
@@ -1,9 +1,13 @@
 #include "../support/child_process.hpp"
 #include "gateway_fixture.hpp"
+#include "http_json.hpp"
 #include "stand_in_store.hpp"
 
+#include <Poco/Net/ServerSocket.h>
 #include <filesystem>
 #include <fstream>
+#include <gmock/gmock.h>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 
@@ -33,10 +37,21 @@
     std::filesystem::path path_;
 };
 
+/** One that nobody listens at just now. */
+std::uint16_t free_port()
+{
+    const Poco::Net::ServerSocket socket(
+        Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().port();
+}
+
 std::string gateway_text(const stand_in_store& store)
 {
     return "name = \"g\"\nregion = \"r\"\nfailure_domain = \"d\"\n"
            "listen = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\n"
+           "metrics_listen = \"127.0.0.1:" +
+           std::to_string(free_port()) +
+           "\"\n"
            "[directory]\naddress = \"" +
            store.address() +
            "\"\nconfiguration_lease_ms = 1600\n"
@@ -73,8 +88,8 @@
         process = std::make_unique<child_process>(
             "cyclamenrun-gateway",
             std::vector<std::string>{"--settings", settings.path()});
-        ready = process->wait_for_line("ready");
-        address = process->wait_for_line("listening");
+        ready = process->wait_for_listener("ready");
+        address = process->wait_until_ready();
         wait_for_answer("k1", 200);
     }
 
@@ -113,7 +128,7 @@
     {
         const auto deadline = steady_now() + std::chrono::seconds(10);
         while (steady_now() < deadline) {
-            if (process->errors().find(text) != std::string::npos)
+            if (process->output().find(text) != std::string::npos)
                 return true;
             std::this_thread::sleep_for(milliseconds(10));
         }
@@ -208,7 +223,7 @@
     settings.write(gateway_text(other));
     EXPECT_TRUE(wait_for_log("settings_reloaded"));
     wait_for_answer("k4", 200);
-    EXPECT_EQ(process->errors().find("settings_unusable"), std::string::npos);
+    EXPECT_EQ(process->output().find("settings_unusable"), std::string::npos);
 }
 
 TEST_F(gateway_program, a_planned_stop_cuts_nothing)
@@ -224,5 +239,71 @@
     EXPECT_EQ(process->wait(), 0);
 }
 
+std::string metrics_of(const std::string& address)
+{
+    test_caller caller(address);
+    caller.send("GET /metrics HTTP/1.1\r\nHost: g\r\n\r\n");
+    return caller.read().body;
+}
+
+TEST_F(gateway_program, serves_its_metrics)
+{
+    EXPECT_EQ(ask("k1"), 200U);
+    EXPECT_EQ(ask("k9"), 401U);
+    const auto text = metrics_of(process->wait_for_listener("metrics"));
+    using testing::HasSubstr;
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_requests_total{outcome="
+                                "\"answered\",route=\"a\",service=\"app\"}"));
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_refusals_total{reason="
+                                "\"unknown_key\"} 1"));
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_configuration_version 1"));
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_upstreams{service=\"app\"} 1"));
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_first_part_seconds_bucket"));
+    EXPECT_THAT(text, HasSubstr("cyclamenrun_directory_call_seconds_count"));
+}
+
+// A record that another writer has spoiled is skipped; the engineer who looks
+// for the missing upstream finds why.
+TEST_F(gateway_program, tells_of_records_that_it_can_not_read)
+{
+    store.put("keyed.servers", "i-7", R"({"service":7})");
+    EXPECT_TRUE(wait_for_log(R"("event":"record_unreadable","name":"upstreams")"
+                             R"(,"count":1,"detail":"i-7")"));
+    EXPECT_THAT(metrics_of(process->wait_for_listener("metrics")),
+                testing::HasSubstr("cyclamenrun_unreadable_records_total"
+                                   "{feed=\"upstreams\"} 1"));
+}
+
+TEST_F(gateway_program, tells_when_its_lease_ends_and_comes_back)
+{
+    store.set_mood(stand_in_store::mood::silent);
+    EXPECT_TRUE(wait_for_log("lease_ended"));
+    store.set_mood(stand_in_store::mood::sound);
+    wait_for_answer("k1", 200);
+    const auto log = process->output();
+    EXPECT_NE(log.find("lease_renewed", log.find("lease_ended")),
+              std::string::npos);
+}
+
+// Each line that a process writes is JSON with the same four members, or the
+// collector drops it.
+TEST_F(gateway_program, writes_json_lines_and_nothing_else)
+{
+    EXPECT_EQ(ask("k1"), 200U);
+    process->signal(SIGTERM);
+    EXPECT_EQ(process->wait(), 0);
+    std::istringstream log(process->output());
+    int lines = 0;
+    for (std::string line; std::getline(log, line); ++lines) {
+        const auto record = parse_json_object(line);
+        ASSERT_TRUE(record) << line;
+        for (const auto* member : {"time", "severity", "process", "event"})
+            EXPECT_TRUE(record->has(member)) << line;
+        EXPECT_EQ(json_string(*record, "process"), "g");
+    }
+    EXPECT_GT(lines, 5);
+    EXPECT_EQ(process->errors(), "");
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
--- a/tests/processes/deployment.cpp
+++ b/tests/processes/deployment.cpp
@@ -104,7 +104,7 @@
             "\n[replay]\nresume_grace_ms = 2000\n");
     upstream.agent = std::make_unique<child_process>(
         "cyclamenrun-agent", std::vector<std::string>{"--settings", settings});
-    const auto address = upstream.agent->wait_for_line("listening");
+    const auto address = upstream.agent->wait_until_ready();
     if (upstream.agent_link)
         upstream.agent_link->lead_to(address);
     else
@@ -140,8 +140,8 @@
     added->name = name;
     added->process = std::make_unique<child_process>(
         "cyclamenrun-entry", std::vector<std::string>{"--settings", settings});
-    added->operators = added->process->wait_for_line("operators");
-    added->address = added->process->wait_for_line("listening");
+    added->operators = added->process->wait_for_listener("operators");
+    added->address = added->process->wait_until_ready();
     entries_.push_back(std::move(added));
     list_vm(name, entries_.back()->address, "entry");
     return *entries_.back();
@@ -172,7 +172,7 @@
         });
         if (!ready)
             throw std::runtime_error(
-                entry->name + " is not ready: " + entry->process->errors());
+                entry->name + " is not ready: " + entry->process->output());
     }
 }
 
--- a/tests/processes/test_calls.cpp
+++ b/tests/processes/test_calls.cpp
@@ -82,7 +82,7 @@
         if (is_final(GetParam()) || GetParam() == fault::kill_entry)
             return;
         EXPECT_TRUE(wait_until([this] {
-            return system.entry(0).process->errors().find("link_closed") !=
+            return system.entry(0).process->output().find("link_closed") !=
                    std::string::npos;
         }));
         upstream.agent->signal(SIGCONT);
--- a/tests/processes/test_generation_faults.cpp
+++ b/tests/processes/test_generation_faults.cpp
@@ -186,7 +186,7 @@
     /** The entry has noticed that its link to an agent is gone. */
     bool link_closed()
     {
-        return system.entry(0).process->errors().find("link_closed") !=
+        return system.entry(0).process->output().find("link_closed") !=
                std::string::npos;
     }
 };
--- a/tests/processes/test_stops.cpp
+++ b/tests/processes/test_stops.cpp
@@ -74,13 +74,13 @@
     system.wait_for_event("run");
     system.entry(0).process->signal(SIGTERM);
     EXPECT_TRUE(wait_until([&] {
-        return system.entry(0).process->errors().find("drain_started") !=
+        return system.entry(0).process->output().find("drain_started") !=
                std::string::npos;
     }));
     expect_whole(stream);
     EXPECT_EQ(lookup.get()->head.status, 200);
     EXPECT_EQ(system.entry(0).process->wait(), 0)
-        << system.entry(0).process->errors();
+        << system.entry(0).process->output();
 }
 
 // An agent is replaced while its engine makes a guide. The guide ends whole,
@@ -100,7 +100,7 @@
     }
     EXPECT_EQ(stopped.back_end->history("start").size(), 1);
     expect_whole(stream);
-    EXPECT_EQ(stopped.agent->wait(), 0) << stopped.agent->errors();
+    EXPECT_EQ(stopped.agent->wait(), 0) << stopped.agent->output();
 }
 
 TEST_F(stops, a_stop_of_an_agent_lets_a_call_end)
@@ -113,7 +113,7 @@
     auto& stopped = system.wait_for_event("run");
     stopped.agent->signal(SIGTERM);
     EXPECT_EQ(call.get()->head.status, 200);
-    EXPECT_EQ(stopped.agent->wait(), 0) << stopped.agent->errors();
+    EXPECT_EQ(stopped.agent->wait(), 0) << stopped.agent->output();
     EXPECT_EQ(system.count_events("run"), 1);
 }
 
@@ -261,7 +261,7 @@
     expect_whole(stream);
     const auto limit = steady_now() + milliseconds(3000);
     EXPECT_EQ(system.entry(0).process->wait(), 0)
-        << system.entry(0).process->errors();
+        << system.entry(0).process->output();
     EXPECT_LT(steady_now(), limit);
 }
 
--- a/tests/product/test_entry_program.cpp
+++ b/tests/product/test_entry_program.cpp
@@ -90,7 +90,7 @@
 TEST_F(entry_program, callers_that_stop_reading_do_not_keep_threads)
 {
     child_process entry("cyclamenrun-entry", {"--settings", settings.path()});
-    const auto address = parse_ip_endpoint(entry.wait_for_line("listening"));
+    const auto address = parse_ip_endpoint(entry.wait_until_ready());
     ASSERT_TRUE(address);
     std::vector<Poco::Net::StreamSocket> stalled;
     stalled.reserve(4);
@@ -107,7 +107,7 @@
 TEST_F(entry_program, callers_that_send_byte_by_byte_do_not_keep_threads)
 {
     child_process entry("cyclamenrun-entry", {"--settings", settings.path()});
-    const auto address = parse_ip_endpoint(entry.wait_for_line("listening"));
+    const auto address = parse_ip_endpoint(entry.wait_until_ready());
     ASSERT_TRUE(address);
     std::vector<Poco::Net::StreamSocket> callers(4);
     for (auto& caller : callers)
--- a/tests/product/test_logging.cpp
+++ b/tests/product/test_logging.cpp
@@ -1,33 +1,45 @@
+#include "clock.hpp"
+#include "line_budget.hpp"
+#include "line_output.hpp"
 #include "log_event.hpp"
 #include "logging.hpp"
 #include "secret.hpp"
 
 #include <Poco/JSON/Parser.h>
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <deque>
 #include <glog/logging.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <poll.h>
 #include <rapidcheck/gtest.h>
+#include <sstream>
 #include <thread>
 #include <type_traits>
+#include <unistd.h>
 
 namespace cyclamenrun
 {
 namespace
 {
 
-/** Catches log lines in place of standard error. */
+/** Catches log lines in place of standard output. */
 class log_catcher
 {
 public:
     explicit log_catcher(log_severity least = log_severity::info)
     {
-        start_logging("test", least, [this](std::string_view line) {
-            const std::lock_guard lock(mutex_);
-            lines_.emplace_back(line);
-        });
+        start_logging({"test", least, 1e6},
+                      [this](log_severity, std::string_view line) {
+                          const std::lock_guard lock(mutex_);
+                          lines_.emplace_back(line);
+                          return true;
+                      });
     }
-    ~log_catcher() { start_logging("test", log_severity::info); }
+    ~log_catcher() { start_logging({}, nullptr); }
     log_catcher(const log_catcher&) = delete;
     log_catcher& operator=(const log_catcher&) = delete;
 
@@ -114,5 +126,168 @@
     RC_ASSERT(parse(lines.front())->has("path"));
 }
 
+/** A pipe that nobody reads until the test does. */
+class unread_pipe
+{
+public:
+    unread_pipe() { EXPECT_EQ(::pipe(ends_.data()), 0); }
+    ~unread_pipe()
+    {
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    unread_pipe(const unread_pipe&) = delete;
+    unread_pipe& operator=(const unread_pipe&) = delete;
+
+    int writing_end() const { return ends_[1]; }
+
+    /** Reads until so many lines have come, or for ten seconds. */
+    std::vector<std::string> read_lines(std::size_t count) const
+    {
+        std::string text;
+        std::array<char, 65536> piece{};
+        pollfd wanted{ends_[0], POLLIN, 0};
+        while (static_cast<std::size_t>(
+                   std::count(text.begin(), text.end(), '\n')) < count &&
+               ::poll(&wanted, 1, 10000) > 0) {
+            const auto size = ::read(ends_[0], piece.data(), piece.size());
+            text.append(piece.data(), static_cast<std::size_t>(size));
+        }
+        std::vector<std::string> lines;
+        std::istringstream whole(text);
+        for (std::string line; std::getline(whole, line);)
+            lines.push_back(line);
+        return lines;
+    }
+
+private:
+    std::array<int, 2> ends_{};
+};
+
+// The collector of the logs hangs: nobody reads the pipe. A process that
+// wrote on would stop in the middle of a request. Lines of what went well are
+// left out first, and nothing that was taken is lost.
+TEST(line_output, waits_for_no_reader_and_leaves_out_what_went_well_first)
+{
+    constexpr std::size_t queue = 1000000;
+    const unread_pipe pipe;
+    const std::string line(999, 'x');
+    std::size_t infos = 0;
+    std::size_t errors = 0;
+    const auto began = steady_now();
+    {
+        line_output output(pipe.writing_end(), queue);
+        while (output.put(log_severity::info, line))
+            ++infos;
+        while (output.put(log_severity::error, line))
+            ++errors;
+        EXPECT_LT(steady_now() - began, std::chrono::seconds(5));
+        // 64 KiB lie in the pipe itself.
+        EXPECT_NEAR(static_cast<double>(infos), 565, 20);
+        EXPECT_NEAR(static_cast<double>(errors), 500, 20);
+        const auto lines = pipe.read_lines(infos + errors);
+        EXPECT_EQ(lines.size(), infos + errors);
+        EXPECT_THAT(lines, testing::Each(line));
+        EXPECT_TRUE(output.put(log_severity::info, "after"));
+        EXPECT_THAT(pipe.read_lines(1), testing::ElementsAre("after"));
+    }
+}
+
+TEST(line_output, a_reader_that_has_gone_stops_nothing)
+{
+    std::array<int, 2> ends{};
+    ASSERT_EQ(::pipe(ends.data()), 0);
+    std::signal(SIGPIPE, SIG_IGN);
+    ::close(ends[0]);
+    line_output output(ends[1]);
+    for (int i = 0; i < 1000; ++i)
+        EXPECT_TRUE(output.put(log_severity::info, std::string(4000, 'x')));
+    ::close(ends[1]);
+}
+
+TEST(line_budget, keeps_a_part_for_what_went_wrong)
+{
+    line_budget budget(100);
+    const time_point now{std::chrono::hours(1)};
+    int infos = 0;
+    while (budget.take(log_severity::info, now))
+        ++infos;
+    int warnings = 0;
+    while (budget.take(log_severity::warning, now))
+        ++warnings;
+    int errors = 0;
+    while (budget.take(log_severity::error, now))
+        ++errors;
+    EXPECT_EQ(infos, 50);
+    EXPECT_EQ(warnings, 40);
+    EXPECT_EQ(errors, 10);
+    EXPECT_FALSE(budget.take(log_severity::info, now + milliseconds(500)));
+    EXPECT_TRUE(budget.take(log_severity::info, now + milliseconds(600)));
+}
+
+// Whatever comes, and at whatever times, no second takes more than two
+// seconds' worth of lines: one that was saved up, and one that is earned.
+RC_GTEST_PROP(line_budget, holds_over_any_second,
+              (const std::vector<std::uint8_t>& gaps_ms))
+{
+    constexpr int lines_per_s = 20;
+    line_budget budget(lines_per_s);
+    time_point now{std::chrono::hours(1)};
+    std::deque<time_point> taken;
+    for (const auto gap : gaps_ms) {
+        now += milliseconds(gap % 16);
+        while (!taken.empty() && taken.front() < now - milliseconds(1000))
+            taken.pop_front();
+        for (int i = 0; i < 3; ++i) {
+            if (budget.take(log_severity::error, now))
+                taken.push_back(now);
+        }
+        RC_ASSERT(taken.size() <= 2 * lines_per_s);
+    }
+}
+
+// A flood of requests: their lines are over the budget. An engineer who
+// misses one must see that lines are missing, and of what kind.
+TEST(logging, tells_what_the_budget_left_out)
+{
+    std::vector<std::string> lines;
+    start_logging({"test", log_severity::info, 10},
+                  [&](log_severity, std::string_view line) {
+                      lines.emplace_back(line);
+                      return true;
+                  });
+    for (int i = 0; i < 25; ++i)
+        log_event(log_severity::info, log_event_name::request_finished);
+    log_event(log_severity::warning, log_event_name::request_refused);
+    start_logging({}, nullptr);
+    ASSERT_EQ(lines.size(), 7U);
+    const auto told = parse(lines[5]);
+    EXPECT_EQ(told->getValue<std::string>("event"), "log_lines_dropped");
+    EXPECT_EQ(told->getValue<int>("infos"), 20);
+    EXPECT_EQ(told->getValue<int>("warnings"), 0);
+    EXPECT_EQ(parse(lines[6])->getValue<std::string>("event"),
+              "request_refused");
+}
+
+// The output has no room for a while. What it turns away is counted, and the
+// count itself is told again until there is room for it.
+TEST(logging, tells_what_the_output_left_out_once_it_has_room)
+{
+    std::vector<std::string> lines;
+    bool room = false;
+    start_logging({"test"}, [&](log_severity, std::string_view line) {
+        if (room)
+            lines.emplace_back(line);
+        return room;
+    });
+    for (int i = 0; i < 3; ++i)
+        log_event(log_severity::error, log_event_name::answer_cut);
+    room = true;
+    log_event(log_severity::info, log_event_name::request_finished);
+    start_logging({}, nullptr);
+    ASSERT_EQ(lines.size(), 2U);
+    EXPECT_EQ(parse(lines[0])->getValue<int>("errors"), 3);
+}
+
 } // namespace
 } // namespace cyclamenrun
--- a/tests/product/test_watching.cpp
+++ b/tests/product/test_watching.cpp
@@ -25,11 +25,12 @@
 protected:
     watching()
     {
-        start_logging(
-            "test", log_severity::info,
-            [this](std::string_view line) { lines.emplace_back(line); });
+        start_logging({"test"}, [this](log_severity, std::string_view line) {
+            lines.emplace_back(line);
+            return true;
+        });
     }
-    ~watching() override { start_logging("test", log_severity::info); }
+    ~watching() override { start_logging({}, nullptr); }
 
     std::vector<std::string> lines;
     time_point now{};
--- a/tests/settings/test_docs.cpp
+++ b/tests/settings/test_docs.cpp
@@ -1,6 +1,7 @@
 #include "agent_settings.hpp"
 #include "entry_settings.hpp"
 #include "exit_code.hpp"
+#include "exported_metric.hpp"
 #include "gateway_refusal.hpp"
 #include "gateway_settings.hpp"
 #include "http_json.hpp"
@@ -119,6 +120,16 @@
     }
 }
 
+TEST(docs, exported_metrics_are_told_of)
+{
+    const auto text = page("OPERATIONS.md");
+    for (const auto& each : exported_metric_table()) {
+        const auto labels = each.labels.empty() ? "-" : code(each.labels);
+        EXPECT_THAT(text, HasSubstr(row({code(each.name), name_of(each.kind),
+                                         labels, each.doc})));
+    }
+}
+
 TEST(docs, refusals_of_the_gateway_are_told_of)
 {
     const auto text = page("OPERATIONS.md");
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -7,11 +7,11 @@
 #include <cstdio>
 #include <cstdlib>
 #include <optional>
-#include <poll.h>
 #include <stdexcept>
 #include <string>
 #include <sys/prctl.h>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 #include <utility>
 #include <vector>
@@ -35,15 +35,11 @@
         for (auto& option : options)
             arguments.push_back(option.data());
         arguments.push_back(nullptr);
-        std::array<int, 2> ends{};
-        if (::pipe(ends.data()) != 0)
-            throw std::runtime_error("pipe");
+        output_ = std::tmpfile();
         errors_ = std::tmpfile();
         pid_ = ::fork();
         if (pid_ == 0)
-            become(arguments, ends[1]);
-        ::close(ends[1]);
-        output_ = ends[0];
+            become(arguments);
     }
 
     ~child_process()
@@ -52,7 +48,7 @@
             signal(SIGKILL);
             wait();
         }
-        ::close(output_);
+        std::fclose(output_);
         std::fclose(errors_);
     }
 
@@ -92,6 +88,22 @@
         }
     }
 
+    /** All that the program has written to its standard output: its log. */
+    std::string output() const { return read_all(output_); }
+
+    /** Address of the listener of that name, from the log. */
+    std::string wait_for_listener(const std::string& name)
+    {
+        return wait_for_address(R"("event":"listener_opened","name":")" + name +
+                                "\"");
+    }
+
+    /** Where the program serves those whom it is for, from the log. */
+    std::string wait_until_ready()
+    {
+        return wait_for_address(R"("event":"process_ready")");
+    }
+
     /** What follows `word` and a space at the start of a line. */
     std::string wait_for_line(const std::string& word)
     {
@@ -104,13 +116,16 @@
     }
 
     /** All that the program has written to its standard error. */
-    std::string errors() const
+    std::string errors() const { return read_all(errors_); }
+
+private:
+    static std::string read_all(std::FILE* file)
     {
         std::string text;
         std::array<char, 4096> piece{};
         ::off_t at = 0;
         ::ssize_t count = 0;
-        while ((count = ::pread(::fileno(errors_), piece.data(), piece.size(),
+        while ((count = ::pread(::fileno(file), piece.data(), piece.size(),
                                 at)) > 0) {
             text.append(piece.data(), static_cast<std::size_t>(count));
             at += count;
@@ -118,12 +133,38 @@
         return text;
     }
 
-private:
-    [[noreturn]] void become(const std::vector<char*>& arguments,
-                             int output) const
+    std::string wait_for_address(const std::string& line)
+    {
+        const auto deadline =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        do {
+            const auto text = output();
+            const std::string before = R"("address":")";
+            const auto found = text.find(line);
+            const auto from = text.find(before, found);
+            const auto end = text.find('\n', found);
+            if (found != std::string::npos && end != std::string::npos)
+                return text.substr(from + before.size(),
+                                   text.find('"', from + before.size()) - from -
+                                       before.size());
+            std::this_thread::sleep_for(look_interval);
+        } while (std::chrono::steady_clock::now() < deadline && !ended());
+        throw std::runtime_error("no line " + line + ": " + output() +
+                                 errors());
+    }
+
+    bool ended() const
+    {
+        siginfo_t info{};
+        return pid_ <= 0 || (::waitid(P_PID, static_cast<id_t>(pid_), &info,
+                                      WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                             info.si_pid != 0);
+    }
+
+    [[noreturn]] void become(const std::vector<char*>& arguments) const
     {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        ::dup2(output, STDOUT_FILENO);
+        ::dup2(::fileno(output_), STDOUT_FILENO);
         ::dup2(::fileno(errors_), STDERR_FILENO);
         constexpr int first_inherited = 3;
         constexpr int last_inherited = 1024;
@@ -133,26 +174,32 @@
         ::_exit(127);
     }
 
+    /** False at the end of the program's output, or after the deadline. */
     bool read_more(std::chrono::steady_clock::time_point deadline)
     {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            deadline - std::chrono::steady_clock::now());
-        pollfd wanted{output_, POLLIN, 0};
-        if (left.count() <= 0 ||
-            ::poll(&wanted, 1, static_cast<int>(left.count())) <= 0)
-            return false;
-        std::array<char, 4096> piece{};
-        const auto count = ::read(output_, piece.data(), piece.size());
-        if (count <= 0)
-            return false;
-        pending_.append(piece.data(), static_cast<std::size_t>(count));
-        return true;
+        for (;;) {
+            const bool last = ended();
+            std::array<char, 4096> piece{};
+            const auto count = ::pread(::fileno(output_), piece.data(),
+                                       piece.size(), read_bytes_);
+            if (count > 0) {
+                pending_.append(piece.data(), static_cast<std::size_t>(count));
+                read_bytes_ += count;
+                return true;
+            }
+            if (last || std::chrono::steady_clock::now() >= deadline)
+                return false;
+            std::this_thread::sleep_for(look_interval);
+        }
     }
 
+    static constexpr std::chrono::milliseconds look_interval{2};
+
     pid_t pid_ = -1;
-    int output_ = -1;
+    std::FILE* output_ = nullptr;
     std::FILE* errors_ = nullptr;
-    std::string pending_;
+    std::string pending_; ///< output that was read and is no whole line
+    ::off_t read_bytes_ = 0;
 };
 
 } // namespace cyclamenrun::testing_support
