--- a/tests/settings/test_docs.cpp
+++ b/tests/settings/test_docs.cpp
@@ -197,6 +197,7 @@
         const bool there =
             sources.find("TEST(" + call + ")") != std::string::npos ||
             sources.find("TEST_F(" + call + ")") != std::string::npos ||
+            sources.find("RC_GTEST_PROP(" + call + ",") != std::string::npos ||
             sources.find("TEST_F(" + name.substr(0, dot) + ",\n       " +
                          name.substr(dot + 1) + ")") != std::string::npos;
         EXPECT_TRUE(there) << name;
