--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -54,7 +54,7 @@
 }
 
 /** From the file, or else from the environment: never from arguments, which
- * other users of the machine can list. */
+ * other users of the host can list. */
 settings_outcome<secret> read_key(const std::string& key_file)
 {
     if (!key_file.empty())
--- a/src/libcyclamenrun/base/clock.hpp
+++ b/src/libcyclamenrun/base/clock.hpp
@@ -18,7 +18,7 @@
 /** Reads monotonic time; tests put a virtual clock in its place. */
 using clock_function = std::function<time_point()>;
 
-/** The machine's own monotonic clock. */
+/** The host's own monotonic clock. */
 inline time_point steady_now()
 {
     return std::chrono::steady_clock::now();
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -23,8 +23,8 @@
  * A stream that falls silent may go on when a cut heals; callers wait for 7 s
  * and more. Others are asked for again sooner.
  */
-constexpr channel_patience stream_patience{milliseconds(10000),
-                                           milliseconds(5000)};
+constexpr connection_patience stream_patience{milliseconds(10000),
+                                              milliseconds(5000)};
 /** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
 constexpr milliseconds usual_notice{1500};
 /** A step of an engine with a few requests takes 7 to 8 ms. */
@@ -254,8 +254,8 @@
     on.complete = [self] { self->take_complete(); };
     on.lost = [self](attempt_loss loss) { self->take_lost(loss); };
     attempt_ = std::make_shared<upstream_attempt>(
-        context_.reactor, context_.channels, *context_.dialect, std::move(what),
-        std::move(on));
+        context_.reactor, context_.connections, *context_.dialect,
+        std::move(what), std::move(on));
     attempt_->start();
     watch_for_silence();
 }
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -13,7 +13,7 @@
                                  const retry_budget_settings& retries,
                                  std::optional<milliseconds> lease_term,
                                  std::uint64_t seed)
-    : reactor(std::move(on)), dialect(std::move(spoken)), channels(reactor),
+    : reactor(std::move(on)), dialect(std::move(spoken)), connections(reactor),
       callers(reactor), board(std::move(board_hooks)), budget(retries),
       lease(lease_term), random(seed), choice(board, random)
 {
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -12,8 +12,8 @@
 #include "response_time.hpp"
 #include "shared_retry_budget.hpp"
 #include "upstream_board.hpp"
-#include "upstream_channels.hpp"
 #include "upstream_choice.hpp"
+#include "upstream_connections.hpp"
 
 #include <memory>
 #include <random>
@@ -46,7 +46,7 @@
     exported_metrics metrics;
     std::string failure_domain; ///< of this process
 
-    upstream_channels channels;
+    upstream_connections connections;
     engine_callers callers;
     upstream_board board;
     shared_retry_budget budget;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -104,7 +104,7 @@
         upstream_leaving(id, leaves_at);
     };
     board.gone = [this](const std::string& id) {
-        context_->channels.forget(id);
+        context_->connections.forget(id);
         context_->callers.forget(id);
     };
     context_ = std::make_unique<gateway_context>(
@@ -227,7 +227,7 @@
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(callers_->connections()) +
            ",\"idle_upstream_connections\":" +
-           std::to_string(context_->channels.size()) + "}";
+           std::to_string(context_->connections.size()) + "}";
 }
 
 void gateway_process::refresh_gauges()
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -34,11 +34,11 @@
 }
 
 upstream_attempt::upstream_attempt(std::shared_ptr<link_reactor> reactor,
-                                   upstream_channels& channels,
+                                   upstream_connections& connections,
                                    const gateway_dialect& dialect, request what,
                                    hooks on)
-    : reactor_(std::move(reactor)), channels_(channels), dialect_(dialect),
-      request_(std::move(what)),
+    : reactor_(std::move(reactor)), connections_(connections),
+      dialect_(dialect), request_(std::move(what)),
       on_(std::make_shared<const hooks>(std::move(on))),
       reader_(http_message_kind::response, response_limits,
               {[this](http_head&& head) { take_head(std::move(head)); },
@@ -51,26 +51,25 @@
 
 void upstream_attempt::start()
 {
-    channel_ =
-        request_.new_connection
-            ? channels_.open(request_.upstream, request_.patience).channel
-            : channels_.take(request_.upstream, reactor_->now()).channel;
-    if (!channel_) {
+    connection_ = request_.new_connection
+                      ? connections_.open(request_.upstream, request_.patience)
+                      : connections_.take(request_.upstream, reactor_->now());
+    if (!connection_) {
         reactor_->post([self = shared_from_this()] {
             self->lose(attempt_loss::not_sent);
         });
         return;
     }
-    tcp_channel::hooks on;
+    tcp_connection::hooks on;
     on.received = [self = shared_from_this()](std::string_view bytes) {
         self->read(bytes);
     };
-    on.ended = [self = shared_from_this()](channel_end how) {
+    on.ended = [self = shared_from_this()](connection_end how) {
         self->connection_ended(how);
     };
-    channel_->replace_hooks(std::move(on));
-    channel_->send(request_.text);
-    if (!channel_->established())
+    connection_->replace_hooks(std::move(on));
+    connection_->send(request_.text);
+    if (!connection_->established())
         arm_connect_deadline();
 }
 
@@ -78,7 +77,7 @@
 {
     reactor_->post_at(request_.connect_deadline, [weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self && !self->over_ && !self->channel_->established())
+        if (self && !self->over_ && !self->connection_->established())
             self->lose(attempt_loss::not_sent);
     });
 }
@@ -88,14 +87,14 @@
     if (std::exchange(over_, true))
         return;
     on_.reset();
-    if (channel_)
-        channel_->close();
+    if (connection_)
+        connection_->close();
 }
 
 void upstream_attempt::pause_reading(bool paused)
 {
-    if (!over_ && channel_)
-        channel_->pause_reading(paused);
+    if (!over_ && connection_)
+        connection_->pause_reading(paused);
 }
 
 void upstream_attempt::read(std::string_view bytes)
@@ -145,19 +144,19 @@
         on->body(bytes);
 }
 
-void upstream_attempt::connection_ended(channel_end how)
+void upstream_attempt::connection_ended(connection_end how)
 {
     if (over_)
         return;
     // A body without a length ends with its connection, but only with one
     // that ends in good order: after a reset something may be missing.
-    if (how == channel_end::finished && reader_.head_complete() && !skipping_ &&
-        reader_.end_of_connection() && reader_.complete()) {
+    if (how == connection_end::finished && reader_.head_complete() &&
+        !skipping_ && reader_.end_of_connection() && reader_.complete()) {
         complete();
         return;
     }
-    lose(how == channel_end::unreachable ? attempt_loss::not_sent
-                                         : attempt_loss::broken);
+    lose(how == connection_end::unreachable ? attempt_loss::not_sent
+                                            : attempt_loss::broken);
 }
 
 void upstream_attempt::complete()
@@ -174,8 +173,8 @@
 {
     if (std::exchange(over_, true))
         return;
-    if (channel_)
-        channel_->close();
+    if (connection_)
+        connection_->close();
     const auto on = std::exchange(on_, nullptr);
     if (on->lost)
         on->lost(loss);
@@ -187,20 +186,20 @@
     // reading the rest of it; whatever else were sent there would be taken
     // for that rest.
     const bool clean = !request_.new_connection && peer_keeps_ &&
-                       !reader_.has_surplus() && channel_->open() &&
-                       channel_->unsent_bytes() == 0;
+                       !reader_.has_surplus() && connection_->open() &&
+                       connection_->unsent_bytes() == 0;
     if (!clean) {
-        channel_->close();
+        connection_->close();
         return;
     }
     const auto idle = facts_.keeps_idle.value_or(default_idle);
     if (idle <= idle_margin) {
-        channel_->close();
+        connection_->close();
         return;
     }
-    channel_->pause_reading(false);
-    channels_.keep(request_.upstream.id, std::move(channel_),
-                   reactor_->now() + idle - idle_margin);
+    connection_->pause_reading(false);
+    connections_.keep(request_.upstream.id, std::move(connection_),
+                      reactor_->now() + idle - idle_margin);
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -3,7 +3,7 @@
 
 #include "gateway_dialect.hpp"
 #include "http_reader.hpp"
-#include "upstream_channels.hpp"
+#include "upstream_connections.hpp"
 
 #include <functional>
 #include <memory>
@@ -44,13 +44,13 @@
         std::string id; ///< of the request, for telling responses apart
         std::string text;
         bool new_connection = false;       ///< never one that was kept
-        channel_patience patience;         ///< of a new connection
+        connection_patience patience;      ///< of a new connection
         bool has_no_response_body = false; ///< answers HEAD
         time_point connect_deadline;
     };
 
     upstream_attempt(std::shared_ptr<link_reactor> reactor,
-                     upstream_channels& channels,
+                     upstream_connections& connections,
                      const gateway_dialect& dialect, request what, hooks on);
     upstream_attempt(const upstream_attempt&) = delete;
     upstream_attempt& operator=(const upstream_attempt&) = delete;
@@ -70,17 +70,17 @@
     void read(std::string_view bytes);
     void take_head(http_head&& head);
     void take_body(std::string_view bytes);
-    void connection_ended(channel_end how);
+    void connection_ended(connection_end how);
     void complete();
     void lose(attempt_loss loss);
     void keep_or_close();
 
     std::shared_ptr<link_reactor> reactor_;
-    upstream_channels& channels_;
+    upstream_connections& connections_;
     const gateway_dialect& dialect_;
     request request_;
     std::shared_ptr<const hooks> on_;
-    std::shared_ptr<tcp_channel> channel_;
+    std::shared_ptr<tcp_connection> connection_;
     http_reader reader_;
     response_facts facts_;
     bool skipping_ = false; ///< the message at hand answers another request
--- a/src/libcyclamenrun/gateway/upstream_connections.cpp
+++ b/src/libcyclamenrun/gateway/upstream_connections.cpp
@@ -1,61 +1,61 @@
-#include "upstream_channels.hpp"
+#include "upstream_connections.hpp"
 
 #include <numeric>
 
 namespace cyclamenrun
 {
 
-upstream_channel upstream_channels::take(const upstream_record& upstream,
-                                         time_point now)
+std::shared_ptr<tcp_connection>
+upstream_connections::take(const upstream_record& upstream, time_point now)
 {
     const auto found = idle_.find(upstream.id);
     while (found != idle_.end() && !found->second.empty()) {
         // The one used last is the least likely to be closed by its peer.
         auto last = std::move(found->second.back());
         found->second.pop_back();
-        if (last.channel->open() && now < last.until)
-            return {std::move(last.channel), true};
-        last.channel->close();
+        if (last.connection->open() && now < last.until)
+            return std::move(last.connection);
+        last.connection->close();
     }
     return open(upstream);
 }
 
-upstream_channel upstream_channels::open(const upstream_record& upstream,
-                                         const channel_patience& patience)
+std::shared_ptr<tcp_connection>
+upstream_connections::open(const upstream_record& upstream,
+                           const connection_patience& patience)
 {
-    return {tcp_channel::connect(reactor_, upstream.address, patience, {}),
-            false};
+    return tcp_connection::connect(reactor_, upstream.address, patience, {});
 }
 
-void upstream_channels::keep(const std::string& upstream_id,
-                             std::shared_ptr<tcp_channel> channel,
-                             time_point until)
+void upstream_connections::keep(const std::string& upstream_id,
+                                std::shared_ptr<tcp_connection> connection,
+                                time_point until)
 {
     auto& kept = idle_[upstream_id];
-    if (kept.size() >= most_idle_channels || !channel->open()) {
-        channel->close();
+    if (kept.size() >= most_idle_connections || !connection->open()) {
+        connection->close();
         return;
     }
-    tcp_channel::hooks on;
-    on.received = [weak = std::weak_ptr(channel)](std::string_view) {
+    tcp_connection::hooks on;
+    on.received = [weak = std::weak_ptr(connection)](std::string_view) {
         if (const auto stray = weak.lock())
             stray->close();
     };
-    channel->replace_hooks(std::move(on));
-    kept.push_back({std::move(channel), until});
+    connection->replace_hooks(std::move(on));
+    kept.push_back({std::move(connection), until});
 }
 
-void upstream_channels::forget(const std::string& upstream_id)
+void upstream_connections::forget(const std::string& upstream_id)
 {
     const auto found = idle_.find(upstream_id);
     if (found == idle_.end())
         return;
     for (const auto& idle : found->second)
-        idle.channel->close();
+        idle.connection->close();
     idle_.erase(found);
 }
 
-std::size_t upstream_channels::size() const
+std::size_t upstream_connections::size() const
 {
     return std::accumulate(idle_.begin(), idle_.end(), std::size_t(0),
                            [](std::size_t sum, const auto& entry) {
--- a/src/libcyclamenrun/http/http_call.cpp
+++ b/src/libcyclamenrun/http/http_call.cpp
@@ -35,9 +35,9 @@
 
 void http_caller::close()
 {
-    if (channel_)
-        channel_->close();
-    channel_.reset();
+    if (connection_)
+        connection_->close();
+    connection_.reset();
 }
 
 void http_caller::call(http_head head, const std::string& body,
@@ -62,10 +62,10 @@
 
 void http_caller::send_call()
 {
-    if (!channel_ || !channel_->open())
+    if (!connection_ || !connection_->open())
         open_connection();
-    if (channel_)
-        channel_->send(request_);
+    if (connection_)
+        connection_->send(request_);
     else
         reactor_->post([weak = weak_from_this(), number = call_] {
             const auto self = weak.lock();
@@ -85,16 +85,16 @@
     reader_ = std::make_unique<http_reader>(
         http_message_kind::response,
         http_limits{std::size_t(16) << 10, largest_reply_bytes}, read);
-    tcp_channel::hooks on;
+    tcp_connection::hooks on;
     on.received = [weak = weak_from_this()](std::string_view bytes) {
         if (const auto self = weak.lock())
             self->read(bytes);
     };
-    on.ended = [weak = weak_from_this()](channel_end how) {
+    on.ended = [weak = weak_from_this()](connection_end how) {
         if (const auto self = weak.lock())
             self->connection_ended(how);
     };
-    channel_ = tcp_channel::connect(reactor_, peer_, {}, std::move(on));
+    connection_ = tcp_connection::connect(reactor_, peer_, {}, std::move(on));
 }
 
 void http_caller::read(std::string_view bytes)
@@ -117,17 +117,17 @@
     finish(std::move(reply_));
 }
 
-void http_caller::connection_ended(channel_end how)
+void http_caller::connection_ended(connection_end how)
 {
-    channel_.reset();
+    connection_.reset();
     if (!busy())
         return;
-    if (how == channel_end::finished && reader_->head_complete() &&
+    if (how == connection_end::finished && reader_->head_complete() &&
         reader_->end_of_connection() && reader_->complete()) {
         finish(std::move(reply_));
         return;
     }
-    finish(tl::unexpected(how == channel_end::unreachable
+    finish(tl::unexpected(how == connection_end::unreachable
                               ? call_failure::unreachable
                               : call_failure::broken));
 }
--- a/src/libcyclamenrun/http/http_call.hpp
+++ b/src/libcyclamenrun/http/http_call.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_HTTP_CALL_HPP
 
 #include "http_reader.hpp"
-#include "tcp_channel.hpp"
+#include "tcp_connection.hpp"
 
 #include <functional>
 #include <memory>
@@ -53,12 +53,12 @@
     void send_call();
     void open_connection();
     void read(std::string_view bytes);
-    void connection_ended(channel_end how);
+    void connection_ended(connection_end how);
     void finish(call_outcome outcome);
 
     std::shared_ptr<link_reactor> reactor_;
     ip_endpoint peer_;
-    std::shared_ptr<tcp_channel> channel_;
+    std::shared_ptr<tcp_connection> connection_;
     std::unique_ptr<http_reader> reader_;
     std::shared_ptr<http_caller> self_;
     std::string request_;
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -28,9 +28,9 @@
 
 void http_server::add(const Poco::Net::StreamSocket& socket)
 {
-    auto channel = std::make_shared<tcp_channel>(reactor_, socket, false);
+    auto connection = std::make_shared<tcp_connection>(reactor_, socket, false);
     auto session =
-        std::make_shared<http_session>(reactor_, std::move(channel), hooks_);
+        std::make_shared<http_session>(reactor_, std::move(connection), hooks_);
     session->start();
     sessions_.push_back(session);
     if (sessions_.size() >= drop_at_)
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -76,7 +76,7 @@
     }
     std::size_t unsent_bytes() const override
     {
-        return session_->channel_->unsent_bytes();
+        return session_->connection_->unsent_bytes();
     }
     void on_drained(std::function<void()> drained) override
     {
@@ -95,24 +95,24 @@
 };
 
 http_session::http_session(std::shared_ptr<link_reactor> reactor,
-                           std::shared_ptr<tcp_channel> channel,
+                           std::shared_ptr<tcp_connection> connection,
                            std::shared_ptr<const session_hooks> hooks)
-    : reactor_(std::move(reactor)), channel_(std::move(channel)),
+    : reactor_(std::move(reactor)), connection_(std::move(connection)),
       hooks_(std::move(hooks))
 {
 }
 
 void http_session::start()
 {
-    tcp_channel::hooks on;
+    tcp_connection::hooks on;
     on.received = [self = shared_from_this()](std::string_view bytes) {
         self->read(bytes);
     };
-    on.ended = [self = shared_from_this()](channel_end) {
+    on.ended = [self = shared_from_this()](connection_end) {
         self->caller_ended();
     };
     on.drained = [self = shared_from_this()] { self->drained(); };
-    channel_->start(std::move(on));
+    connection_->start(std::move(on));
     limits_ = hooks_->limits();
     reader_ = std::make_unique<http_reader>(
         http_message_kind::request, limits_.message,
@@ -131,7 +131,7 @@
         // Held until the answer is over; too much is held back at the caller.
         (void)reader_->feed(bytes);
         if (reader_->pending_bytes() > most_ahead_bytes)
-            channel_->pause_reading(true);
+            connection_->pause_reading(true);
         return;
     }
     if (!reader_->in_message())
@@ -145,7 +145,7 @@
     request_keeps_ = request_.head.keep_alive;
     const auto expected = request_.head.find("Expect");
     if (expected && same_field_name(*expected, "100-continue"))
-        channel_->send("HTTP/1.1 100 Continue\r\n\r\n");
+        connection_->send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void http_session::after_read(const tl::expected<void, http_problem>& result)
@@ -211,9 +211,9 @@
     const bool no_body = head_only_ || has_no_body(head.status);
     const auto framing =
         has_no_body(head.status) ? http_framing::none : http_framing::length;
-    channel_->send(response_text(head, framing, body.size()));
+    connection_->send(response_text(head, framing, body.size()));
     if (!no_body)
-        channel_->send(body);
+        connection_->send(body);
     answer_over();
 }
 
@@ -221,17 +221,17 @@
 {
     if (closes_after_answer())
         head.fields.push_back({"Connection", "close"});
-    channel_->send(response_text(head, http_framing::chunked, 0));
+    connection_->send(response_text(head, http_framing::chunked, 0));
 }
 
 void http_session::piece(std::string_view bytes)
 {
-    channel_->send(chunk_text(bytes));
+    connection_->send(chunk_text(bytes));
 }
 
 void http_session::finish()
 {
-    channel_->send(last_chunk_text);
+    connection_->send(last_chunk_text);
     answer_over();
 }
 
@@ -241,7 +241,7 @@
     closing_ = true;
     caller_left_ = nullptr;
     on_drained_ = nullptr;
-    channel_->abort();
+    connection_->abort();
 }
 
 void http_session::drained()
@@ -269,11 +269,11 @@
 
 void http_session::next_request()
 {
-    if (serving_ || closing_ || !channel_->open())
+    if (serving_ || closing_ || !connection_->open())
         return;
     if (!reader_->complete())
         return;
-    channel_->pause_reading(false);
+    connection_->pause_reading(false);
     limits_ = hooks_->limits();
     request_.arrived = reactor_->now();
     after_read(reader_->next_message());
@@ -282,7 +282,7 @@
 void http_session::close_in_order()
 {
     closing_ = true;
-    channel_->end_sending();
+    connection_->end_sending();
     wait_until(reactor_->now() + linger_time);
 }
 
@@ -309,14 +309,14 @@
 void http_session::check_deadline()
 {
     timer_at_.reset();
-    if (!channel_->open())
+    if (!connection_->open())
         return;
     if (deadline_ > reactor_->now() || serving_) {
         wait_until(std::max(deadline_, reactor_->now() + limits_.idle_timeout));
         return;
     }
     if (closing_) {
-        channel_->close();
+        connection_->close();
         return;
     }
     close_in_order();
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -3,7 +3,7 @@
 
 #include "answer_writer.hpp"
 #include "http_reader.hpp"
-#include "tcp_channel.hpp"
+#include "tcp_connection.hpp"
 
 #include <functional>
 #include <memory>
@@ -50,7 +50,7 @@
 {
 public:
     http_session(std::shared_ptr<link_reactor> reactor,
-                 std::shared_ptr<tcp_channel> channel,
+                 std::shared_ptr<tcp_connection> connection,
                  std::shared_ptr<const session_hooks> hooks);
     http_session(const http_session&) = delete;
     http_session& operator=(const http_session&) = delete;
@@ -58,7 +58,7 @@
     void start();
     /** Closes the connection if no request is under way. */
     void close_if_idle();
-    bool open() const { return channel_->open(); }
+    bool open() const { return connection_->open(); }
 
 private:
     friend class session_writer;
@@ -86,7 +86,7 @@
     void check_deadline();
 
     std::shared_ptr<link_reactor> reactor_;
-    std::shared_ptr<tcp_channel> channel_;
+    std::shared_ptr<tcp_connection> connection_;
     std::shared_ptr<const session_hooks> hooks_;
     session_limits limits_;
     std::unique_ptr<http_reader> reader_;
--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -1,4 +1,4 @@
-#include "tcp_channel.hpp"
+#include "tcp_connection.hpp"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
@@ -29,7 +29,7 @@
  * Guards against a peer behind a partition, which neither answers nor resets:
  * without it a connection would hang for as long as the system retransmits.
  */
-void set_patience(int socket, const channel_patience& patience)
+void set_patience(int socket, const connection_patience& patience)
 {
     const auto idle = static_cast<int>(
         std::max<std::int64_t>(1, patience.idle_probe / second));
@@ -48,45 +48,46 @@
 
 } // namespace
 
-std::string_view name_of(channel_end end)
+std::string_view name_of(connection_end end)
 {
     switch (end) {
-    case channel_end::finished:
+    case connection_end::finished:
         return "finished";
-    case channel_end::broken:
+    case connection_end::broken:
         return "broken";
-    case channel_end::unreachable:
+    case connection_end::unreachable:
         return "unreachable";
     }
     return "broken";
 }
 
-tcp_channel::tcp_channel(std::shared_ptr<link_reactor> reactor,
-                         const Poco::Net::StreamSocket& socket, bool connecting)
+tcp_connection::tcp_connection(std::shared_ptr<link_reactor> reactor,
+                               const Poco::Net::StreamSocket& socket,
+                               bool connecting)
     : reactor_(std::move(reactor)), socket_(socket), connecting_(connecting)
 {
 }
 
-std::shared_ptr<tcp_channel>
-tcp_channel::connect(std::shared_ptr<link_reactor> reactor,
-                     const ip_endpoint& peer, const channel_patience& patience,
-                     hooks on)
+std::shared_ptr<tcp_connection>
+tcp_connection::connect(std::shared_ptr<link_reactor> reactor,
+                        const ip_endpoint& peer,
+                        const connection_patience& patience, hooks on)
 {
     try {
         Poco::Net::StreamSocket socket;
         socket.connectNB(Poco::Net::SocketAddress(peer.host, peer.port));
         socket.setNoDelay(true);
         set_patience(socket.impl()->sockfd(), patience);
-        auto channel =
-            std::make_shared<tcp_channel>(std::move(reactor), socket, true);
-        channel->start(std::move(on));
-        return channel;
+        auto connection =
+            std::make_shared<tcp_connection>(std::move(reactor), socket, true);
+        connection->start(std::move(on));
+        return connection;
     } catch (const Poco::Exception&) {
         return nullptr;
     }
 }
 
-void tcp_channel::start(hooks on)
+void tcp_connection::start(hooks on)
 {
     open_ = true;
     hooks_ = std::make_shared<const hooks>(std::move(on));
@@ -94,13 +95,13 @@
                              connecting_);
 }
 
-void tcp_channel::replace_hooks(hooks on)
+void tcp_connection::replace_hooks(hooks on)
 {
     if (open_)
         hooks_ = std::make_shared<const hooks>(std::move(on));
 }
 
-void tcp_channel::send(std::string_view bytes)
+void tcp_connection::send(std::string_view bytes)
 {
     if (!open_ || bytes.empty())
         return;
@@ -111,7 +112,7 @@
     reactor_->flush_later(shared_from_this());
 }
 
-void tcp_channel::pause_reading(bool paused)
+void tcp_connection::pause_reading(bool paused)
 {
     if (paused_ == paused || !open_)
         return;
@@ -119,14 +120,14 @@
     update_interest();
 }
 
-void tcp_channel::update_interest()
+void tcp_connection::update_interest()
 {
     if (open_)
         reactor_->set_interest(watch_, !paused_,
                                connecting_ || unsent_bytes() > 0);
 }
 
-void tcp_channel::close()
+void tcp_connection::close()
 {
     if (!std::exchange(open_, false))
         return;
@@ -136,7 +137,7 @@
     hooks_.reset();
 }
 
-void tcp_channel::abort()
+void tcp_connection::abort()
 {
     if (!open_)
         return;
@@ -146,14 +147,14 @@
     close();
 }
 
-void tcp_channel::end_sending()
+void tcp_connection::end_sending()
 {
     end_sending_ = true;
     if (open_ && unsent_bytes() == 0)
         ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
 }
 
-void tcp_channel::end(channel_end how)
+void tcp_connection::end(connection_end how)
 {
     const auto on = hooks_;
     close();
@@ -161,7 +162,7 @@
         on->ended(how);
 }
 
-void tcp_channel::ready(bool readable, bool writable)
+void tcp_connection::ready(bool readable, bool writable)
 {
     const auto self = shared_from_this();
     if (connecting_) {
@@ -174,13 +175,13 @@
         read_some();
 }
 
-void tcp_channel::finish_connecting()
+void tcp_connection::finish_connecting()
 {
     int error = 0;
     socklen_t size = sizeof error;
     ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-        end(channel_end::unreachable);
+        end(connection_end::unreachable);
         return;
     }
     connecting_ = false;
@@ -191,18 +192,18 @@
         write_some();
 }
 
-void tcp_channel::read_some()
+void tcp_connection::read_some()
 {
     const auto room = reactor_->read_buffer();
     const auto count =
         ::recv(socket_.impl()->sockfd(), room.data(), room.size(), 0);
     if (count == 0) {
-        end(channel_end::finished);
+        end(connection_end::finished);
         return;
     }
     if (count < 0) {
         if (!would_block(errno))
-            end(channel_end::broken);
+            end(connection_end::broken);
         return;
     }
     const auto on = hooks_;
@@ -210,7 +211,7 @@
         on->received({room.data(), static_cast<std::size_t>(count)});
 }
 
-void tcp_channel::write_some()
+void tcp_connection::write_some()
 {
     const bool had_output = unsent_bytes() > 0;
     while (unsent_bytes() > 0) {
@@ -220,7 +221,7 @@
         if (count < 0 && would_block(errno))
             break;
         if (count <= 0) {
-            end(channel_end::broken);
+            end(connection_end::broken);
             return;
         }
         sent_ += static_cast<std::size_t>(count);
@@ -239,16 +240,16 @@
         on->drained();
 }
 
-void tcp_channel::flush()
+void tcp_connection::flush()
 {
     flush_wanted_ = false;
     if (open_ && !connecting_)
         write_some();
 }
 
-void tcp_channel::loop_stopping()
+void tcp_connection::loop_stopping()
 {
-    end(channel_end::broken);
+    end(connection_end::broken);
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/tcp_connection.hpp
+++ b/src/libcyclamenrun/http/tcp_connection.hpp
@@ -1,5 +1,5 @@
-#ifndef CYCLAMENRUN_TCP_CHANNEL_HPP
-#define CYCLAMENRUN_TCP_CHANNEL_HPP
+#ifndef CYCLAMENRUN_TCP_CONNECTION_HPP
+#define CYCLAMENRUN_TCP_CONNECTION_HPP
 
 #include "ip_endpoint.hpp"
 #include "link_reactor.hpp"
@@ -16,16 +16,16 @@
 {
 
 /** How a connection came to its end. */
-enum class channel_end : std::uint8_t {
+enum class connection_end : std::uint8_t {
     finished,    ///< The peer ended it in good order.
     broken,      ///< Reset, or the peer's host is silent.
     unreachable, ///< It was never established: no byte reached the peer.
 };
 
-std::string_view name_of(channel_end end);
+std::string_view name_of(connection_end end);
 
 /** For how long a peer's host may stay silent before a connection is broken. */
-struct channel_patience {
+struct connection_patience {
     milliseconds unacknowledged{3000};
     milliseconds idle_probe{1000};
 };
@@ -35,26 +35,26 @@
  * It keeps itself alive while it is open, and its hooks with it; close() lets
  * go of both and calls no hook.
  */
-class tcp_channel final : public link_watcher,
-                          public std::enable_shared_from_this<tcp_channel>
+class tcp_connection final : public link_watcher,
+                             public std::enable_shared_from_this<tcp_connection>
 {
 public:
     struct hooks {
         std::function<void()> connected;
         std::function<void(std::string_view)> received;
-        std::function<void(channel_end)> ended;
+        std::function<void(connection_end)> ended;
         /** All that was sent has been handed to the system. */
         std::function<void()> drained;
     };
 
     /** Of an accepted connection; start() makes it serve. */
-    tcp_channel(std::shared_ptr<link_reactor> reactor,
-                const Poco::Net::StreamSocket& socket, bool connecting);
+    tcp_connection(std::shared_ptr<link_reactor> reactor,
+                   const Poco::Net::StreamSocket& socket, bool connecting);
 
     /** Starts to connect; empty if the address can't be used at all. */
-    static std::shared_ptr<tcp_channel>
+    static std::shared_ptr<tcp_connection>
     connect(std::shared_ptr<link_reactor> reactor, const ip_endpoint& peer,
-            const channel_patience& patience, hooks on);
+            const connection_patience& patience, hooks on);
 
     void start(hooks on);
     /** Other hooks from now on; those at work end undisturbed. */
@@ -80,7 +80,7 @@
     void finish_connecting();
     void read_some();
     void write_some();
-    void end(channel_end how);
+    void end(connection_end how);
     void update_interest();
 
     std::shared_ptr<link_reactor> reactor_;
@@ -98,4 +98,4 @@
 
 } // namespace cyclamenrun
 
-#endif // CYCLAMENRUN_TCP_CHANNEL_HPP
+#endif // CYCLAMENRUN_TCP_CONNECTION_HPP
