Begin no second run when the order to stop a generation was lost

Changed: after a lost order the mover waits for the source's stream. If it ends, the engine has stopped, and the generation goes on from the memory it keeps; if it does not, the order is given again.

The hook drop_order of the test's engine, which nothing had used, is gone.

--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -47,7 +47,8 @@
 
 void generation_mover::source_leaving(const upstream_record& source)
 {
-    if (over_ || move_ || pending_ || turn_wanted_ || moves_ >= most_moves)
+    const bool under_way = move_ || pending_ || doubtful_ || turn_wanted_;
+    if (over_ || under_way || moves_ >= most_moves)
         return;
     if (!context_.monitors) {
         choose_destination(source);
@@ -172,6 +173,8 @@
 
 bool generation_mover::source_ended()
 {
+    if (doubtful_)
+        pending_ = std::exchange(doubtful_, std::nullopt);
     if (pending_) {
         source_ended_ = true;
         go_on();
@@ -199,6 +202,10 @@
     on_.tried(source, move->destination(), failure);
     if (failure == move_failure::no_room)
         refused_by_ = move->destination().id;
+    if (kept && failure == move_failure::uncertain && !source_ended_) {
+        wait_for_stop(*kept, source);
+        return;
+    }
     if (kept) {
         // It was stopped, and its memory still lies at the source.
         pending_ = pending_step{*kept, source};
@@ -213,6 +220,23 @@
     try_again(source);
 }
 
+void generation_mover::wait_for_stop(const continuation& kept,
+                                     const upstream_record& source)
+{
+    doubtful_ = pending_step{kept, source};
+    context_.reactor->post_at(context_.reactor->now() + last_events_time,
+                              [weak = weak_from_this(), source] {
+                                  const auto self = weak.lock();
+                                  if (!self || self->over_ || !self->doubtful_)
+                                      return;
+                                  // Its stream goes on, so the order has not
+                                  // reached it. To begin it anywhere now would
+                                  // be a second run.
+                                  self->doubtful_.reset();
+                                  self->try_again(source);
+                              });
+}
+
 void generation_mover::try_again(const upstream_record& source)
 {
     if (over_)
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -83,6 +83,7 @@
                  const upstream_record& to);
     void failed(move_failure failure, const std::optional<continuation>& kept,
                 const upstream_record& source);
+    void wait_for_stop(const continuation& kept, const upstream_record& source);
     void go_on_after_last_events();
     void go_on();
     void try_again(const upstream_record& source);
@@ -102,6 +103,11 @@
         upstream_record to;
     };
     std::optional<pending_step> pending_;
+    /**
+     * The order to stop was sent and its answer is lost. If the source's
+     * stream ends now, it was carried out, and this is how to go on.
+     */
+    std::optional<pending_step> doubtful_;
 };
 
 } // namespace cyclamenrun
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -43,7 +43,10 @@
     /** Breaks a run's first connection in the middle of this event. */
     std::atomic<int> break_before = 1000;
     std::atomic<bool> has_room = true;
-    std::atomic<bool> drop_order = false;
+    /** Orders to stop that are carried out, and their answers are lost. */
+    std::atomic<int> lost_stop_answers = 0;
+    /** Orders to stop that are lost themselves. */
+    std::atomic<int> lost_stop_orders = 0;
     std::atomic<int> orders = 0;
     /** Called when the order to stop has come, before it is answered. */
     std::function<void()> on_stop;
@@ -54,20 +57,26 @@
         ++orders;
         const bool stop =
             request.body.find("\"last\":true") != std::string::npos;
-        if (drop_order) {
-            reply.close();
-            return;
-        }
         if (!has_room) {
             reply.answer(request, 503, "{}");
             return;
         }
+        if (stop && lost_stop_orders-- > 0) {
+            reply.reset();
+            return;
+        }
         if (stop) {
             stopped_ = true;
             if (on_stop)
                 on_stop();
             wait_until([&] { return ended_.load(); });
         }
+        if (stop && lost_stop_answers-- > 0) {
+            stopped_ = false;
+            hold_before = 1000;
+            reply.reset();
+            return;
+        }
         reply.answer(request, 200, R"({"handle":"h1","created":3})");
     }
 
@@ -197,6 +206,53 @@
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
 }
 
+// The engine was told to stop and copy the rest, and the answer to that order
+// is lost. Its stream has ended, so it has stopped: the dossier goes on from
+// the memory that it keeps, and every event reaches the caller once.
+TEST_F(generations, a_lost_answer_to_the_last_order_loses_nothing)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->lost_stop_answers = 1;
+    auto& source = add_engine("e1", first);
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    add_engine("e2", second);
+    drain("e1");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    const auto runs = streams(source);
+    ASSERT_EQ(runs.size(), 2U);
+    EXPECT_EQ(runs[1].field("Kv-From"), to_string(source.address()) + "/h1");
+    EXPECT_EQ(runs[1].field("Last-Event-Id"), "4");
+}
+
+// The same order never reaches the engine, which streams on. To begin the
+// dossier anywhere else now would be a second run; the order is given again.
+TEST_F(generations, a_lost_last_order_starts_no_second_run)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->lost_stop_orders = 1;
+    auto& source = add_engine("e1", first);
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    auto& destination = add_engine("e2", second);
+    drain("e1");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(streams(source).size(), 1U);
+    EXPECT_EQ(streams(destination).size(), 1U);
+}
+
 TEST_F(generations, a_destination_without_room_is_not_the_end)
 {
     start();
