Refuse at once what would run out of time in an engine's queue

Changed: where the best engine's latest load says that the first part would come after the request's time, it is refused with 503 "overloaded". Retry-After is when the queue will be short enough, a fifth more or less, so that callers do not return in one wave.

Left: between requests that can be served, urgent ones still wait behind long ones, since the engines' queues are in the order of arrival.

--- a/src/libcyclamenrun/decisions/attempt_policy.cpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.cpp
@@ -96,4 +96,12 @@
     return milliseconds(std::llround(std::clamp(usual, first, last)));
 }
 
+milliseconds spread_retry(milliseconds after, std::mt19937_64& random)
+{
+    constexpr double spread = 0.2;
+    std::uniform_real_distribution<double> factor(1 - spread, 1 + spread);
+    return milliseconds(
+        std::llround(factor(random) * static_cast<double>(after.count())));
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/decisions/attempt_policy.hpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string_view>
 
 namespace cyclamenrun
@@ -65,6 +66,12 @@
 silence_limit(const attempt_state& state, milliseconds objective,
               std::optional<milliseconds> usual_bound);
 
+/**
+ * A time to come back after, up to a fifth earlier or later, so that callers
+ * who were refused in one moment do not return in one wave.
+ */
+milliseconds spread_retry(milliseconds after, std::mt19937_64& random);
+
 /**
  * Upstreams that one request may be sent to, when each has turned it away:
  * after three the service is most likely full, and the caller knows better
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -170,6 +170,15 @@
     const auto placed =
         context_.choice.for_request(service_, needs(context_.failure_domain),
                                     tried_, context_.reactor->now());
+    if (placed && is_hopeless(*placed)) {
+        trace_.note(log_event_name::attempt_placed, fields_of(*placed));
+        // Half of its time is then left for what comes before it.
+        const auto left =
+            time_left(admitted_.answer_by, context_.reactor->now());
+        refuse(gateway_refusal::overloaded,
+               placed->first_part_after - left / 2);
+        return;
+    }
     if (placed) {
         trace_.note(log_event_name::attempt_placed, fields_of(*placed));
         send(placed->record, std::nullopt);
@@ -182,6 +191,15 @@
                               : gateway_refusal::upstreams_busy);
 }
 
+bool exchange::is_hopeless(const placed_upstream& placed) const
+{
+    // It has run, or is going on: there is no better answer than its own.
+    if (runs_ > 0 || answer_.begun())
+        return false;
+    return placed.first_part_after >
+           time_left(admitted_.answer_by, context_.reactor->now());
+}
+
 void exchange::choose_backup(const upstream_record& upstream)
 {
     backup_.reset();
@@ -629,19 +647,24 @@
         answer_.status());
 }
 
-milliseconds exchange::retry_after() const
+milliseconds exchange::retry_after(std::optional<milliseconds> room_in) const
 {
     // A quarter of the objective leaves room for the second try within it;
     // where none is known, a time in which a short queue empties.
     constexpr milliseconds usual{200};
     constexpr milliseconds longest{1000};
+    constexpr milliseconds longest_queue{5000};
+    if (room_in)
+        return spread_retry(std::clamp(*room_in, usual, longest_queue),
+                            context_.random);
     if (admitted_.route == nullptr)
         return usual;
     return std::clamp(admitted_.route->objective / 4, milliseconds(20),
                       longest);
 }
 
-void exchange::refuse(gateway_refusal refusal)
+void exchange::refuse(gateway_refusal refusal,
+                      std::optional<milliseconds> room_in)
 {
     const auto& row = row_of(refusal);
     // An answer can't follow the first part of another one.
@@ -654,7 +677,7 @@
     head.fields.push_back({"Content-Type", "application/json"});
     if (row.status == 503) {
         const double seconds =
-            std::chrono::duration<double>(retry_after()).count();
+            std::chrono::duration<double>(retry_after(room_in)).count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
     answer_.refuse(std::move(head),
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -52,6 +52,8 @@
               const std::optional<continuation>& goes_on);
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& goes_on);
+    /** Its time would run out in the queue of the best upstream. */
+    bool is_hopeless(const placed_upstream& placed) const;
     void choose_backup(const upstream_record& upstream);
     placement_request needs(const std::string& from_domain) const;
     const engine_traits* engine() const;
@@ -87,7 +89,9 @@
 
     // How it ends.
     void deliver();
-    void refuse(gateway_refusal refusal);
+    /** `room_in`: when there will be room again, if that is known. */
+    void refuse(gateway_refusal refusal,
+                std::optional<milliseconds> room_in = std::nullopt);
     void cut(std::string_view reason);
     void expire();
     void end(request_outcome outcome, unsigned status,
@@ -95,7 +99,7 @@
     std::vector<log_field> story(unsigned status,
                                  std::string_view reason) const;
     void measure(request_outcome outcome);
-    milliseconds retry_after() const;
+    milliseconds retry_after(std::optional<milliseconds> room_in) const;
 
     gateway_context& context_;
     /** Until the answer is final: between attempts nothing else holds it. */
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -28,6 +28,8 @@
                         "No upstream of the service may be used."},
     gateway_refusal_row{upstreams_busy, "upstreams_busy", 503, true,
                         "All upstreams have turned the request away."},
+    gateway_refusal_row{overloaded, "overloaded", 503, true,
+                        "Its time would run out in an upstream's queue."},
     gateway_refusal_row{expired_unsent, "expired_unsent", 503, true,
                         "Its time ran out before any upstream had it."},
     gateway_refusal_row{expired, "expired", 504, false,
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -17,6 +17,7 @@
     unknown_key,
     no_upstream,    ///< none that may be used
     upstreams_busy, ///< all have turned the request away
+    overloaded,     ///< its time would run out in an upstream's queue
     expired_unsent, ///< its time ran out before it was sent anywhere
     expired,        ///< its time ran out at an upstream
     stopping,       ///< this process ends before it could be served whole
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -363,4 +363,14 @@
     return candidate;
 }
 
+milliseconds first_part_after(const upstream_state& upstream,
+                              const placement_request& request, time_point now)
+{
+    if (request.engine_tokens == 0 || !upstream.load)
+        return milliseconds(0);
+    const double tokens = believed_load(upstream, now).unread_tokens +
+                          static_cast<double>(request.prompt_tokens);
+    return milliseconds(std::llround(tokens / tokens_read_per_ms));
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -126,6 +126,13 @@
     std::string from_domain;
 };
 
+/**
+ * Time until the first part of a generation there, as far as the latest load
+ * tells; zero for a plain service and where no load is known.
+ */
+milliseconds first_part_after(const upstream_state& upstream,
+                              const placement_request& request, time_point now);
+
 /** An upstream as it would stand with the request. */
 placement_candidate placement_of(const upstream_state& upstream,
                                  const placement_request& request,
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -63,6 +63,7 @@
     if (upstream.load)
         placed.load_age =
             std::chrono::duration_cast<milliseconds>(now - upstream.load_at);
+    placed.first_part_after = first_part_after(upstream, request, now);
     return placed;
 }
 
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -22,6 +22,8 @@
     std::size_t weighed = 0;
     /** Of the load that was believed; empty: none is known. */
     std::optional<milliseconds> load_age;
+    /** Until its first part, for prompts that are read before and its own. */
+    milliseconds first_part_after{0};
 };
 
 /** Picks upstreams from the board, for one request after another. */
--- a/tests/decisions/test_gateway_decisions.cpp
+++ b/tests/decisions/test_gateway_decisions.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace cyclamenrun
 {
@@ -280,6 +281,21 @@
               milliseconds(200));
 }
 
+// A hundred callers are refused in one moment. If all came back in the same
+// one, the queue would be as long as before.
+TEST(spread_retry, keeps_callers_from_coming_back_in_one_wave)
+{
+    std::mt19937_64 random(1);
+    std::set<milliseconds> times;
+    for (int i = 0; i < 100; ++i) {
+        const auto after = spread_retry(milliseconds(1000), random);
+        EXPECT_GE(after, milliseconds(800));
+        EXPECT_LE(after, milliseconds(1200));
+        times.insert(after);
+    }
+    EXPECT_GT(times.size(), 50U);
+}
+
 TEST(response_time, bounds_what_is_usual)
 {
     response_times times;
--- /dev/null
+++ b/tests/gateway/test_overload.cpp
@@ -0,0 +1,100 @@
+#include "gateway_fixture.hpp"
+#include "load.pb.h"
+
+#include <Poco/Net/DatagramSocket.h>
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+std::uint16_t free_udp_port()
+{
+    const Poco::Net::DatagramSocket socket(
+        Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().port();
+}
+
+/** A gateway that hears the load of one engine. */
+class overload : public gateway_fixture
+{
+protected:
+    overload()
+    {
+        settings.loads_listen = {"127.0.0.1", free_udp_port()};
+        settings.monitor_port = free_udp_port();
+        start();
+        auto& engine = add(
+            "e1",
+            [](const arrived_request& request, upstream_reply& reply) {
+                reply.begin_stream(request);
+                reply.event(1);
+                reply.end_stream();
+            },
+            "model");
+        address = to_string(engine.address());
+    }
+
+    /** Until the gateway must have it: no answer tells that it has. */
+    void tell_load(unsigned queued, unsigned next_tokens)
+    {
+        v1::MonitorNotice notice;
+        auto& load = *notice.mutable_load();
+        load.set_engine_address(address);
+        load.set_queued(queued);
+        load.set_next_tokens(next_tokens);
+        load.set_memory_total(100000);
+        const auto bytes = notice.SerializeAsString();
+        Poco::Net::DatagramSocket socket;
+        const Poco::Net::SocketAddress gateway_address(
+            settings.loads_listen.host, settings.loads_listen.port);
+        for (int i = 0; i < 5; ++i) {
+            socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+                          gateway_address);
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+    }
+
+    caller_answer ask_within(int ms)
+    {
+        auto text = request("/res/x");
+        const std::string usual = "Deadline-Ms: 9000";
+        text.replace(text.find(usual), usual.size(),
+                     "Deadline-Ms: " + std::to_string(ms));
+        test_caller caller(gateway->address());
+        caller.send(text);
+        return caller.read();
+    }
+
+    std::string address;
+};
+
+// Crowds of callers: the engine's queue holds prompts for four seconds. Who
+// can wait for no more than two would wait for nothing, and is told so while
+// it can still do something else.
+TEST_F(overload, what_can_not_be_in_time_is_refused_at_once)
+{
+    tell_load(12, 2500); // 30,000 tokens, at 7 a millisecond 4.3 s
+    const auto began = steady_now();
+    const auto answer = ask_within(2000);
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_EQ(answer.body, R"({"error":"overloaded"})");
+    EXPECT_LT(steady_now() - began, milliseconds(1500));
+    // 4.3 s less half of its time, and a fifth more or less.
+    const auto after = std::stod(answer.field("Retry-After"));
+    EXPECT_GE(after, 2.5);
+    EXPECT_LE(after, 4.2);
+    EXPECT_TRUE(upstreams.front()->arrived().empty());
+}
+
+TEST_F(overload, who_can_wait_is_served)
+{
+    tell_load(12, 2500);
+    EXPECT_EQ(ask_within(8000).status(), 200U);
+    tell_load(0, 0);
+    EXPECT_EQ(ask_within(2000).status(), 200U);
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
