--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -12,26 +12,12 @@
 namespace
 {
 
-/**
- * Time to establish a connection, at most. Delays between failure domains are
- * about a millisecond; the rest is for busy peers. No byte has gone out, so
- * another upstream is tried while the objective can still be met.
- */
-constexpr milliseconds longest_connect_time{250};
-constexpr milliseconds shortest_connect_time{40};
 /**
  * A stream that falls silent may go on when a cut heals; callers wait for 7 s
  * and more. Others are asked for again sooner.
  */
 constexpr connection_patience stream_patience{milliseconds(10000),
                                               milliseconds(5000)};
-/** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
-constexpr milliseconds usual_notice{1500};
-/** A step of an engine with a few requests takes 7 to 8 ms. */
-constexpr milliseconds time_per_token{8};
-/** Slowest usual output of a crowded engine, a token each 10 ms. */
-constexpr milliseconds slow_time_per_token{10};
-
 /** What is left when the budget of retries is spent. */
 attempt_step step_without_budget(attempt_result result)
 {
@@ -52,26 +38,13 @@
     return std::chrono::duration_cast<milliseconds>(now - began);
 }
 
-/** What decided for an upstream. */
-std::vector<log_field> fields_of(const placed_upstream& placed)
-{
-    constexpr milliseconds never{-1};
-    return {{log_key::upstream, placed.record.id},
-            {log_key::weighed, placed.weighed},
-            {log_key::cost, placed.cost},
-            {log_key::second_cost, placed.second_cost.value_or(-1)},
-            {log_key::wait_taken, placed.place.wait},
-            {log_key::slots_taken, placed.place.slots_taken},
-            {log_key::memory_taken, placed.place.memory_taken},
-            {log_key::load_age_ms, placed.load_age.value_or(never)}};
-}
-
 } // namespace
 
 exchange::exchange(gateway_context& context, caller_request request,
                    std::shared_ptr<answer_writer> writer)
     : context_(context), request_(std::move(request)),
-      answer_(std::move(writer), request_.arrived), routes_(context.routes)
+      answer_(std::move(writer), request_.arrived), notes_(context.metrics),
+      routes_(context.routes)
 {
 }
 
@@ -100,10 +73,16 @@
         return;
     }
     admitted_ = *admitted;
+    profile_ = request_profile(routes_, admitted_, facts_);
     answer_.expect(*admitted_.route, facts_.last_event_id);
-    note_admitted();
+    notes_.admitted(admitted_, routes_->version(), configuration_age_,
+                    since(request_.arrived, admitted_.answer_by),
+                    facts_.prompt_tokens);
     // Started here it would be cut; another process can serve it whole.
-    if (outlasts_this_process()) {
+    const bool outlasts_this_process =
+        context_.stop_at && profile_.must_end_here() &&
+        context_.reactor->now() + profile_.usual_duration() > *context_.stop_at;
+    if (outlasts_this_process) {
         refuse(gateway_refusal::stopping);
         return;
     }
@@ -114,47 +93,8 @@
     dispatch();
 }
 
-void exchange::note_admitted()
-{
-    trace_.note(
-        log_event_name::request_admitted,
-        {{log_key::route, admitted_.route->name},
-         {log_key::team, admitted_.team ? admitted_.team->name : ""},
-         {log_key::revision, routes_->version()},
-         {log_key::age_ms, configuration_age_},
-         {log_key::deadline_ms, since(request_.arrived, admitted_.answer_by)},
-         {log_key::tokens, facts_.prompt_tokens}});
-}
-
 // Where it runs.
 
-const engine_traits* exchange::engine() const
-{
-    const auto* service = routes_->service(service_);
-    return service != nullptr && service->engine ? &*service->engine : nullptr;
-}
-
-placement_request exchange::needs(const std::string& from_domain) const
-{
-    placement_request request;
-    request.prompt_tokens = facts_.prompt_tokens;
-    request.output_tokens = facts_.most_output_tokens / 2;
-    request.objective = admitted_.route->objective;
-    request.engine_tokens = engine() != nullptr ? engine()->memory_tokens : 0;
-    request.from_domain = from_domain;
-    return request;
-}
-
-bool exchange::outlasts_this_process() const
-{
-    const auto& route = *admitted_.route;
-    const bool must_end_here =
-        route.shape == answer_shape::event_stream && !route.resumable;
-    const auto lasts = facts_.most_output_tokens * time_per_token / 2;
-    return context_.stop_at && must_end_here &&
-           context_.reactor->now() + lasts > *context_.stop_at;
-}
-
 void exchange::dispatch()
 {
     // Time may have passed in a wait or a suspension since the last look.
@@ -165,13 +105,14 @@
     }
     if (service_.empty()) {
         service_ = choose_service(*admitted_.route, context_.random);
+        profile_.set_service(service_);
         context_.budget.request(service_, context_.reactor->now());
     }
-    const auto placed =
-        context_.choice.for_request(service_, needs(context_.failure_domain),
-                                    tried_, context_.reactor->now());
+    const auto placed = context_.choice.for_request(
+        service_, profile_.needs(context_.failure_domain), tried_,
+        context_.reactor->now());
     if (placed && is_hopeless(*placed)) {
-        trace_.note(log_event_name::attempt_placed, fields_of(*placed));
+        notes_.placed(*placed);
         // Half of its time is then left for what comes before it.
         const auto left =
             time_left(admitted_.answer_by, context_.reactor->now());
@@ -180,7 +121,7 @@
         return;
     }
     if (placed) {
-        trace_.note(log_event_name::attempt_placed, fields_of(*placed));
+        notes_.placed(*placed);
         send(placed->record, std::nullopt);
         return;
     }
@@ -203,19 +144,15 @@
 void exchange::choose_backup(const upstream_record& upstream)
 {
     backup_.reset();
-    const bool repeatable = admitted_.route->resumable;
-    if (!context_.backups.wanted(context_.reactor->now()) ||
-        engine() == nullptr || !engine()->backups || repeatable ||
-        admitted_.route->shape != answer_shape::event_stream)
+    if (!profile_.may_be_backed_up() ||
+        !context_.backups.wanted(context_.reactor->now()))
         return;
-    backup_ =
-        context_.choice.for_backup(service_, needs(upstream.failure_domain),
-                                   upstream.id, context_.reactor->now());
+    backup_ = context_.choice.for_backup(
+        service_, profile_.needs(upstream.failure_domain), upstream.id,
+        context_.reactor->now());
     if (!backup_)
         return;
-    context_.metrics.count(exported_metric::backups, {service_});
-    trace_.note(log_event_name::generation_backed_up,
-                {{log_key::upstream, backup_->id}});
+    notes_.backed_up(service_, backup_->id);
 }
 
 std::string exchange::request_for(const upstream_record& upstream,
@@ -255,7 +192,7 @@
         what.patience = stream_patience;
     what.has_no_response_body = request_.head.method == "HEAD";
     attempt_began_ = context_.reactor->now();
-    what.connect_deadline = attempt_began_ + connect_time();
+    what.connect_deadline = attempt_began_ + profile_.connect_time();
     tried_.push_back(upstream.id);
     goes_on_ = goes_on;
     answer_.next_response();
@@ -278,12 +215,6 @@
     watch_for_silence();
 }
 
-milliseconds exchange::connect_time() const
-{
-    return std::clamp(admitted_.route->objective / 2, shortest_connect_time,
-                      longest_connect_time);
-}
-
 void exchange::settle()
 {
     if (attempt_)
@@ -315,7 +246,7 @@
     }
     if (!progress->passed_on)
         return;
-    note_if_late(*progress);
+    notes_.late(*progress, tried_.back(), answer_.events());
     hold_back_if_slow();
     // A generation that had not begun when its engine was told to leave can
     // be moved from its first event on.
@@ -325,18 +256,6 @@
         upstream_leaving(state->record.id, state->leaves_at);
 }
 
-void exchange::note_if_late(const answer_relay::progress& progress)
-{
-    if (!progress.late_by_pause)
-        return;
-    trace_.note_late();
-    trace_.note(log_event_name::answer_late,
-                {{log_key::kind, progress.was_first ? "first" : "pause"},
-                 {log_key::duration_ms, *progress.late_by_pause},
-                 {log_key::upstream, tried_.back()},
-                 {log_key::count, answer_.events()}});
-}
-
 void exchange::hold_back_if_slow()
 {
     if (!attempt_ || !answer_.caller_is_slow())
@@ -434,8 +353,8 @@
         now + admitted_.route->objective < admitted_.answer_by;
     if (over_ || !is_silent() || queues || !has_time ||
         context_.budget.left(service_, now) < 1 ||
-        !context_.choice.for_request(service_, needs(context_.failure_domain),
-                                     tried_, now))
+        !context_.choice.for_request(
+            service_, profile_.needs(context_.failure_domain), tried_, now))
         return;
     context_.board.failed(id, now);
     attempt_->cancel();
@@ -468,18 +387,14 @@
 void exchange::note_attempt(std::string_view result, std::string_view next)
 {
     const auto now = context_.reactor->now();
-    context_.metrics.count(exported_metric::attempts,
-                           {service_, std::string(result)});
-    context_.metrics.observe(exported_metric::upstream_time, {service_},
-                             since(attempt_began_, now));
-    trace_.note(log_event_name::attempt_ended,
-                {{log_key::upstream, tried_.back()},
-                 {log_key::attempt, sends_},
-                 {log_key::reason, result},
-                 {log_key::status, answer_.status()},
-                 {log_key::duration_ms, since(attempt_began_, now)},
-                 {log_key::retries_left, context_.budget.left(service_, now)},
-                 {log_key::next, next}});
+    request_notes::attempt ended;
+    ended.service = service_;
+    ended.upstream = tried_.back();
+    ended.number = sends_;
+    ended.status = answer_.status();
+    ended.took = since(attempt_began_, now);
+    ended.retries_left = context_.budget.left(service_, now);
+    notes_.attempt_ended(ended, result, next);
 }
 
 void exchange::end_attempt(attempt_result result)
@@ -510,7 +425,11 @@
 std::shared_ptr<generation_mover> exchange::make_mover()
 {
     generation_mover::hooks on;
-    on.memory_tokens = [this] { return memory_tokens(); };
+    on.memory_tokens = [this] {
+        const auto first = answer_.first_after();
+        const auto age = since(request_.arrived, context_.reactor->now());
+        return profile_.memory_tokens(first ? age - *first : milliseconds(0));
+    };
     on.runs_at = [this](const upstream_record& source) {
         return attempt_ && attempt_->upstream().id == source.id;
     };
@@ -519,8 +438,8 @@
             const upstream_record& source,
             const std::string& refused_by) -> std::optional<upstream_record> {
         const auto to = context_.choice.for_move(
-            service_, needs(source.failure_domain), {source.id, refused_by},
-            context_.reactor->now());
+            service_, profile_.needs(source.failure_domain),
+            {source.id, refused_by}, context_.reactor->now());
         if (!to)
             return std::nullopt;
         // Counted at once, so that the next move of this engine's
@@ -542,58 +461,31 @@
             end_attempt(attempt_result::lost);
     };
     on.step = [this](move_step step, const upstream_record& engine) {
-        trace_.note(
-            log_event_name::generation_move_step,
-            {{log_key::kind, name_of(step)}, {log_key::upstream, engine.id}});
+        notes_.move_step_taken(step, engine.id);
     };
     on.tried = [this](const upstream_record& source, const upstream_record& to,
                       std::optional<move_failure> failure) {
-        const auto result = failure ? name_of(*failure) : "moved";
-        context_.metrics.count(exported_metric::moves,
-                               {service_, std::string(result)});
-        trace_.note(failure ? log_event_name::generation_move_failed
-                            : log_event_name::generation_moved,
-                    {{log_key::name, source.id},
-                     {log_key::upstream, to.id},
-                     {log_key::reason, result}});
+        notes_.move_tried(service_, source.id, to.id, failure);
     };
     return std::make_shared<generation_mover>(context_, facts_.id,
                                               std::move(on));
 }
 
-std::uint64_t exchange::memory_tokens() const
-{
-    const auto first = answer_.first_after();
-    const auto running =
-        first ? since(request_.arrived, context_.reactor->now()) - *first
-              : milliseconds(0);
-    const auto made = static_cast<std::uint64_t>(running / time_per_token);
-    return facts_.prompt_tokens +
-           std::min<std::uint64_t>(made, facts_.most_output_tokens);
-}
-
 void exchange::upstream_leaving(const std::string& upstream_id,
                                 std::optional<time_point> leaves_at)
 {
     const bool here = attempt_ && attempt_->upstream().id == upstream_id;
     // What has not begun can't be moved: its first event asks again.
-    if (over_ || !here || !answer_.begun() || !worth_moving(leaves_at))
+    const auto* engine = profile_.engine();
+    if (over_ || !here || !answer_.begun() || engine == nullptr ||
+        !engine->moves ||
+        !profile_.outlives(leaves_at, context_.reactor->now()))
         return;
     if (!mover_)
         mover_ = make_mover();
     mover_->source_leaving(attempt_->upstream());
 }
 
-bool exchange::worth_moving(std::optional<time_point> leaves_at) const
-{
-    if (engine() == nullptr || !engine()->moves)
-        return false;
-    const auto notice = leaves_at
-                            ? time_left(*leaves_at, context_.reactor->now())
-                            : usual_notice;
-    return facts_.most_output_tokens * slow_time_per_token > notice;
-}
-
 void exchange::go_on_at(const upstream_record& upstream,
                         const continuation& from)
 {
@@ -630,9 +522,7 @@
     if (state == nullptr || state->record != *backup)
         return false;
     note_attempt("lost", "from_backup");
-    context_.metrics.count(exported_metric::moves, {service_, "from_backup"});
-    trace_.note(log_event_name::generation_continued,
-                {{log_key::upstream, backup->id}});
+    notes_.continued(service_, backup->id);
     go_on_at(*backup, {backup->address, facts_.id});
     return true;
 }
@@ -641,28 +531,12 @@
 
 void exchange::deliver()
 {
-    note_if_late(answer_.deliver(context_.reactor->now()));
+    notes_.late(answer_.deliver(context_.reactor->now()), tried_.back(), 0);
     end(answer_.status() >= 500 ? request_outcome::upstream_error
                                 : request_outcome::answered,
         answer_.status());
 }
 
-milliseconds exchange::retry_after(std::optional<milliseconds> room_in) const
-{
-    // A quarter of the objective leaves room for the second try within it;
-    // where none is known, a time in which a short queue empties.
-    constexpr milliseconds usual{200};
-    constexpr milliseconds longest{1000};
-    constexpr milliseconds longest_queue{5000};
-    if (room_in)
-        return spread_retry(std::clamp(*room_in, usual, longest_queue),
-                            context_.random);
-    if (admitted_.route == nullptr)
-        return usual;
-    return std::clamp(admitted_.route->objective / 4, milliseconds(20),
-                      longest);
-}
-
 void exchange::refuse(gateway_refusal refusal,
                       std::optional<milliseconds> room_in)
 {
@@ -677,12 +551,13 @@
     head.fields.push_back({"Content-Type", "application/json"});
     if (row.status == 503) {
         const double seconds =
-            std::chrono::duration<double>(retry_after(room_in)).count();
+            std::chrono::duration<double>(
+                profile_.retry_after(room_in, context_.random))
+                .count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
     answer_.refuse(std::move(head),
                    "{\"error\":\"" + std::string(row.name) + "\"}");
-    context_.metrics.count(exported_metric::refusals, {std::string(row.name)});
     end(request_outcome::refused, row.status, row.name);
 }
 
@@ -712,53 +587,39 @@
                       since(request_.arrived, context_.reactor->now()) >
                           admitted_.route->objective;
     if (late)
-        trace_.note_late();
+        notes_.late();
     answer_.forget();
     end(request_outcome::caller_left, answer_.status());
 }
 
-std::vector<log_field> exchange::story(unsigned status,
-                                       std::string_view reason) const
+request_report exchange::report(request_outcome outcome, unsigned status,
+                                std::string_view reason) const
 {
-    constexpr milliseconds none{-1};
-    const auto now = context_.reactor->now();
-    return {{log_key::reason, reason},
-            {log_key::status, status},
-            {log_key::route, admitted_.route ? admitted_.route->name : ""},
-            {log_key::service, service_},
-            {log_key::team, admitted_.team ? admitted_.team->name : ""},
-            {log_key::upstream, tried_.empty() ? "" : tried_.back()},
-            {log_key::attempt, sends_},
-            {log_key::revision, routes_ ? routes_->version() : 0},
-            {log_key::age_ms, configuration_age_},
-            {log_key::first_ms, answer_.first_after().value_or(none)},
-            {log_key::longest_pause_ms, answer_.longest_pause()},
-            {log_key::duration_ms, since(request_.arrived, now)},
-            {log_key::count, answer_.events()}};
-}
-
-void exchange::measure(request_outcome outcome)
-{
-    const auto route = admitted_.route ? admitted_.route->name : "";
-    auto& metrics = context_.metrics;
-    metrics.count(exported_metric::requests,
-                  {route, service_, std::string(row_of(outcome).name)});
-    metrics.observe(exported_metric::answer_time, {route},
-                    context_.reactor->now() - request_.arrived);
-    if (!answer_.first_after())
-        return;
-    metrics.observe(exported_metric::first_part_time, {route},
-                    *answer_.first_after());
-    metrics.observe(exported_metric::longest_pause, {route},
-                    answer_.longest_pause());
+    request_report report;
+    report.outcome = outcome;
+    report.status = status;
+    report.reason = reason;
+    if (admitted_.route != nullptr)
+        report.route = admitted_.route->name;
+    if (admitted_.team != nullptr)
+        report.team = admitted_.team->name;
+    report.service = service_;
+    if (!tried_.empty())
+        report.upstream = tried_.back();
+    report.sends = sends_;
+    report.revision = routes_ ? routes_->version() : 0;
+    report.configuration_age = configuration_age_;
+    report.first_after = answer_.first_after();
+    report.longest_pause = answer_.longest_pause();
+    report.took = since(request_.arrived, context_.reactor->now());
+    report.events = answer_.events();
+    return report;
 }
 
 void exchange::end(request_outcome outcome, unsigned status,
                    std::string_view reason)
 {
-    const auto& row = row_of(outcome);
-    trace_.end(facts_.id, row.severity, row.event, story(status, reason));
-    measure(outcome);
+    notes_.ended(facts_.id, report(outcome, status, reason));
     over_ = true;
     const auto self = std::exchange(self_, nullptr);
     context_.running.erase(this);
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -7,8 +7,8 @@
 #include "generation_mover.hpp"
 #include "http_session.hpp"
 #include "request_admission.hpp"
-#include "request_outcome.hpp"
-#include "request_trace.hpp"
+#include "request_notes.hpp"
+#include "request_profile.hpp"
 #include "upstream_attempt.hpp"
 
 #include <memory>
@@ -46,7 +46,6 @@
 
 private:
     // Where it runs.
-    void note_admitted();
     void dispatch();
     void send(const upstream_record& upstream,
               const std::optional<continuation>& goes_on);
@@ -55,11 +54,6 @@
     /** Its time would run out in the queue of the best upstream. */
     bool is_hopeless(const placed_upstream& placed) const;
     void choose_backup(const upstream_record& upstream);
-    placement_request needs(const std::string& from_domain) const;
-    const engine_traits* engine() const;
-    milliseconds connect_time() const;
-    /** A stream that would be cut when this process ends. */
-    bool outlasts_this_process() const;
     void settle();
 
     // What an attempt brings.
@@ -75,14 +69,10 @@
     void end_attempt(attempt_result result);
     attempt_step step_after(attempt_result result);
     void note_attempt(std::string_view result, std::string_view next);
-    void note_if_late(const answer_relay::progress& progress);
     void hold_back_if_slow();
 
     // A generation that goes on elsewhere.
     std::shared_ptr<generation_mover> make_mover();
-    /** Memory that it takes at its engine, by the time that it has run. */
-    std::uint64_t memory_tokens() const;
-    bool worth_moving(std::optional<time_point> leaves_at) const;
     void go_on_at(const upstream_record& upstream, const continuation& from);
     bool go_on_at_backup();
     bool go_on_at_source();
@@ -96,21 +86,20 @@
     void expire();
     void end(request_outcome outcome, unsigned status,
              std::string_view reason = {});
-    std::vector<log_field> story(unsigned status,
-                                 std::string_view reason) const;
-    void measure(request_outcome outcome);
-    milliseconds retry_after(std::optional<milliseconds> room_in) const;
+    request_report report(request_outcome outcome, unsigned status,
+                          std::string_view reason) const;
 
     gateway_context& context_;
     /** Until the answer is final: between attempts nothing else holds it. */
     std::shared_ptr<exchange> self_;
     caller_request request_;
     answer_relay answer_;
-    request_trace trace_;
+    request_notes notes_;
     std::shared_ptr<const gateway_routes> routes_;
     milliseconds configuration_age_{0}; ///< at its admission
     request_facts facts_;
     admitted_request admitted_;
+    request_profile profile_;
     std::string service_;
 
     std::shared_ptr<upstream_attempt> attempt_;
--- /dev/null
+++ b/src/libcyclamenrun/gateway/request_notes.cpp
@@ -0,0 +1,100 @@
+#include "request_notes.hpp"
+
+namespace cyclamenrun
+{
+
+void request_notes::admitted(const admitted_request& request,
+                             std::uint64_t revision,
+                             milliseconds configuration_age,
+                             milliseconds time_left,
+                             std::uint32_t prompt_tokens)
+{
+    trace_.note(log_event_name::request_admitted,
+                {{log_key::route, request.route->name},
+                 {log_key::team, request.team ? request.team->name : ""},
+                 {log_key::revision, revision},
+                 {log_key::age_ms, configuration_age},
+                 {log_key::deadline_ms, time_left},
+                 {log_key::tokens, prompt_tokens}});
+}
+
+void request_notes::placed(const placed_upstream& upstream)
+{
+    trace_.note(log_event_name::attempt_placed, fields_of(upstream));
+}
+
+void request_notes::attempt_ended(const attempt& ended, std::string_view result,
+                                  std::string_view next)
+{
+    metrics_.count(exported_metric::attempts,
+                   {ended.service, std::string(result)});
+    metrics_.observe(exported_metric::upstream_time, {ended.service},
+                     ended.took);
+    trace_.note(log_event_name::attempt_ended,
+                {{log_key::upstream, ended.upstream},
+                 {log_key::attempt, ended.number},
+                 {log_key::reason, result},
+                 {log_key::status, ended.status},
+                 {log_key::duration_ms, ended.took},
+                 {log_key::retries_left, ended.retries_left},
+                 {log_key::next, next}});
+}
+
+void request_notes::late(const answer_relay::progress& progress,
+                         const std::string& upstream, std::uint64_t events)
+{
+    if (!progress.late_by_pause)
+        return;
+    trace_.note_late();
+    trace_.note(log_event_name::answer_late,
+                {{log_key::kind, progress.was_first ? "first" : "pause"},
+                 {log_key::duration_ms, *progress.late_by_pause},
+                 {log_key::upstream, upstream},
+                 {log_key::count, events}});
+}
+
+void request_notes::backed_up(const std::string& service,
+                              const std::string& upstream)
+{
+    metrics_.count(exported_metric::backups, {service});
+    trace_.note(log_event_name::generation_backed_up,
+                {{log_key::upstream, upstream}});
+}
+
+void request_notes::move_step_taken(move_step step, const std::string& upstream)
+{
+    trace_.note(
+        log_event_name::generation_move_step,
+        {{log_key::kind, name_of(step)}, {log_key::upstream, upstream}});
+}
+
+void request_notes::move_tried(const std::string& service,
+                               const std::string& from, const std::string& to,
+                               std::optional<move_failure> failure)
+{
+    const auto result = failure ? name_of(*failure) : "moved";
+    metrics_.count(exported_metric::moves, {service, std::string(result)});
+    trace_.note(failure ? log_event_name::generation_move_failed
+                        : log_event_name::generation_moved,
+                {{log_key::name, from},
+                 {log_key::upstream, to},
+                 {log_key::reason, result}});
+}
+
+void request_notes::continued(const std::string& service,
+                              const std::string& upstream)
+{
+    metrics_.count(exported_metric::moves, {service, "from_backup"});
+    trace_.note(log_event_name::generation_continued,
+                {{log_key::upstream, upstream}});
+}
+
+void request_notes::ended(const std::string& request_id,
+                          const request_report& report)
+{
+    const auto& row = row_of(report.outcome);
+    trace_.end(request_id, row.severity, row.event, fields_of(report));
+    measure(metrics_, report);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/request_notes.hpp
@@ -0,0 +1,63 @@
+#ifndef CYCLAMENRUN_REQUEST_NOTES_HPP
+#define CYCLAMENRUN_REQUEST_NOTES_HPP
+
+#include "answer_relay.hpp"
+#include "generation_mover.hpp"
+#include "request_admission.hpp"
+#include "request_report.hpp"
+#include "request_trace.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamenrun
+{
+
+/**
+ * What is told of one request: each decision goes into its trace, and into the
+ * metrics where it counts.
+ */
+class request_notes
+{
+public:
+    explicit request_notes(exported_metrics& metrics) : metrics_(metrics) {}
+
+    void admitted(const admitted_request& request, std::uint64_t revision,
+                  milliseconds configuration_age, milliseconds time_left,
+                  std::uint32_t prompt_tokens);
+    void placed(const placed_upstream& upstream);
+
+    struct attempt {
+        std::string service;
+        std::string upstream;
+        unsigned number = 0; ///< from 1
+        unsigned status = 0;
+        milliseconds took{0};
+        double retries_left = 0;
+    };
+    void attempt_ended(const attempt& ended, std::string_view result,
+                       std::string_view next);
+
+    void late(const answer_relay::progress& progress,
+              const std::string& upstream, std::uint64_t events);
+    /** Nothing of an answer has come in the time for it. */
+    void late() { trace_.note_late(); }
+
+    void backed_up(const std::string& service, const std::string& upstream);
+    void move_step_taken(move_step step, const std::string& upstream);
+    /** No failure: it goes on at `to`. */
+    void move_tried(const std::string& service, const std::string& from,
+                    const std::string& to, std::optional<move_failure> failure);
+    void continued(const std::string& service, const std::string& upstream);
+
+    void ended(const std::string& request_id, const request_report& report);
+
+private:
+    exported_metrics& metrics_;
+    request_trace trace_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REQUEST_NOTES_HPP
--- /dev/null
+++ b/src/libcyclamenrun/gateway/request_profile.cpp
@@ -0,0 +1,108 @@
+#include "request_profile.hpp"
+
+#include "attempt_policy.hpp"
+
+#include <algorithm>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/**
+ * Time to establish a connection, at most. Delays between failure domains are
+ * about a millisecond; the rest is for busy peers. No byte has gone out, so
+ * another upstream is tried while the objective can still be met.
+ */
+constexpr milliseconds longest_connect_time{250};
+constexpr milliseconds shortest_connect_time{40};
+/** Notice of a reclaim whose time is not told; the shortest is 1.5 s. */
+constexpr milliseconds usual_notice{1500};
+/** A step of an engine with a few requests takes 7 to 8 ms. */
+constexpr milliseconds time_per_token{8};
+/** Slowest usual output of a crowded engine, a token each 10 ms. */
+constexpr milliseconds slow_time_per_token{10};
+
+/** A time in which a short queue empties. */
+constexpr milliseconds usual_retry{200};
+constexpr milliseconds shortest_retry{20};
+constexpr milliseconds longest_retry{1000};
+constexpr milliseconds longest_queue{5000};
+
+} // namespace
+
+request_profile::request_profile(std::shared_ptr<const gateway_routes> routes,
+                                 const admitted_request& admitted,
+                                 const request_facts& facts)
+    : routes_(std::move(routes)), route_(admitted.route),
+      prompt_tokens_(facts.prompt_tokens),
+      most_output_tokens_(facts.most_output_tokens)
+{
+}
+
+const engine_traits* request_profile::engine() const
+{
+    const auto* service = routes_ ? routes_->service(service_) : nullptr;
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
+placement_request request_profile::needs(const std::string& from_domain) const
+{
+    placement_request request;
+    request.prompt_tokens = prompt_tokens_;
+    request.output_tokens = most_output_tokens_ / 2;
+    request.objective = route_->objective;
+    request.engine_tokens = engine() != nullptr ? engine()->memory_tokens : 0;
+    request.from_domain = from_domain;
+    return request;
+}
+
+milliseconds request_profile::connect_time() const
+{
+    return std::clamp(route_->objective / 2, shortest_connect_time,
+                      longest_connect_time);
+}
+
+bool request_profile::must_end_here() const
+{
+    return route_->shape == answer_shape::event_stream && !route_->resumable;
+}
+
+milliseconds request_profile::usual_duration() const
+{
+    return most_output_tokens_ * time_per_token / 2;
+}
+
+std::uint64_t request_profile::memory_tokens(milliseconds running) const
+{
+    const auto made = static_cast<std::uint64_t>(running / time_per_token);
+    return prompt_tokens_ + std::min(made, most_output_tokens_);
+}
+
+bool request_profile::outlives(std::optional<time_point> engine_leaves_at,
+                               time_point now) const
+{
+    const auto notice =
+        engine_leaves_at ? time_left(*engine_leaves_at, now) : usual_notice;
+    return most_output_tokens_ * slow_time_per_token > notice;
+}
+
+bool request_profile::may_be_backed_up() const
+{
+    return engine() != nullptr && engine()->backups && must_end_here();
+}
+
+milliseconds request_profile::retry_after(std::optional<milliseconds> room_in,
+                                          std::mt19937_64& random) const
+{
+    if (room_in)
+        return spread_retry(std::clamp(*room_in, usual_retry, longest_queue),
+                            random);
+    if (route_ == nullptr)
+        return usual_retry;
+    // A quarter of the objective leaves room for the second try within it.
+    return std::clamp(route_->objective / 4, shortest_retry, longest_retry);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/request_report.hpp
@@ -0,0 +1,44 @@
+#ifndef CYCLAMENRUN_REQUEST_REPORT_HPP
+#define CYCLAMENRUN_REQUEST_REPORT_HPP
+
+#include "clock.hpp"
+#include "exported_metrics.hpp"
+#include "log_field.hpp"
+#include "request_outcome.hpp"
+#include "upstream_choice.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** What is told of a request at its end, in the log and in the metrics. */
+struct request_report {
+    request_outcome outcome = request_outcome::answered;
+    unsigned status = 0;
+    std::string_view reason; ///< empty: none
+    std::string route;
+    std::string service;
+    std::string team;
+    std::string upstream; ///< the last
+    unsigned sends = 0;
+    std::uint64_t revision = 0; ///< of the configuration that was used
+    milliseconds configuration_age{0};
+    std::optional<milliseconds> first_after;
+    milliseconds longest_pause{0};
+    milliseconds took{0};
+    std::uint64_t events = 0;
+};
+
+std::vector<log_field> fields_of(const request_report& report);
+void measure(exported_metrics& metrics, const request_report& report);
+
+/** What decided for an upstream. */
+std::vector<log_field> fields_of(const placed_upstream& placed);
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_REQUEST_REPORT_HPP
