Attribute the end of a moved attempt to its own upstream

When the order's answer came before the stream's end, the mover began the next attempt first, and the line of the ended one named the new upstream. Found when reading the diff.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -300,9 +300,11 @@
     if (over_)
         return;
     const auto id = attempt_->upstream().id;
+    // The mover may begin the next attempt at once.
+    const auto ended = attempt_now();
     settle();
     if (mover_ && mover_->source_ended()) {
-        note_attempt("moving", "go_on");
+        notes_.attempt_ended(ended, "moving", "go_on");
         return;
     }
     if (loss == attempt_loss::not_sent)
@@ -384,7 +386,7 @@
     return step_without_budget(result);
 }
 
-void exchange::note_attempt(std::string_view result, std::string_view next)
+request_notes::attempt exchange::attempt_now()
 {
     const auto now = context_.reactor->now();
     request_notes::attempt ended;
@@ -394,7 +396,12 @@
     ended.status = answer_.status();
     ended.took = since(attempt_began_, now);
     ended.retries_left = context_.budget.left(service_, now);
-    notes_.attempt_ended(ended, result, next);
+    return ended;
+}
+
+void exchange::note_attempt(std::string_view result, std::string_view next)
+{
+    notes_.attempt_ended(attempt_now(), result, next);
 }
 
 void exchange::end_attempt(attempt_result result)
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -68,6 +68,7 @@
     attempt_state state_now() const;
     void end_attempt(attempt_result result);
     attempt_step step_after(attempt_result result);
+    request_notes::attempt attempt_now();
     void note_attempt(std::string_view result, std::string_view next);
     void hold_back_if_slow();
 
