--- a/tests/gateway/test_explaining.cpp
+++ b/tests/gateway/test_explaining.cpp
@@ -11,7 +11,6 @@
 
 using testing::AllOf;
 using testing::ContainsRegex;
-using testing::HasSubstr;
 
 /** The walk-throughs of docs/OPERATIONS.md, on the program's own log. */
 class explaining : public gateway_program
