--- a/src/libcyclamenrun/decisions/admission_settings.hpp
+++ b/src/libcyclamenrun/decisions/admission_settings.hpp
@@ -48,7 +48,7 @@
     /** Teams remembered beyond those with work here. */
     std::size_t max_teams = 512;
     admission_parts parts;
-    /** Tells an answer's length where it is known: a bound in the bench. */
+    /** Tells an answer's length where it is known, to compare with. */
     std::function<std::optional<std::uint32_t>(work_id)> known_length;
 };
 
--- a/src/libcyclamenrun/gateway/answer_relay.cpp
+++ b/src/libcyclamenrun/gateway/answer_relay.cpp
@@ -90,7 +90,7 @@
     last_part_at_ = now;
     const auto target = begun_ ? pause_target_ : first_target_;
     if (!first_after_)
-        first_after_ = std::chrono::duration_cast<milliseconds>(now - arrived_);
+        first_after_ = pause;
     else
         longest_pause_ = std::max(longest_pause_, pause);
     if (target <= milliseconds::zero() || pause <= target)
--- a/src/libcyclamenrun/gateway/answer_relay.hpp
+++ b/src/libcyclamenrun/gateway/answer_relay.hpp
@@ -33,7 +33,7 @@
     };
 
     answer_relay(std::shared_ptr<answer_writer> writer, time_point arrived)
-        : writer_(std::move(writer)), last_part_at_(arrived), arrived_(arrived)
+        : writer_(std::move(writer)), last_part_at_(arrived)
     {
     }
 
@@ -93,8 +93,7 @@
     event_splitter events_;
     bool passing_ = false;
     bool begun_ = false;
-    time_point last_part_at_;
-    time_point arrived_;
+    time_point last_part_at_; ///< before the first: of the arrival
     std::optional<milliseconds> first_after_;
     milliseconds longest_pause_{0};
 };
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -39,6 +39,12 @@
 template <typename Hooks>
 void directory_watch::add_common_hooks(Hooks& hooks, std::string_view feed)
 {
+    hooks.regained = [this, feed](duration away) {
+        // Either feed: the other may have waited through a short outage
+        // unaware.
+        doubt_until_ = context_.reactor->now() + doubt_after_outage;
+        regained(feed, away);
+    };
     hooks.lost = [this, feed](directory_problem problem) {
         lost(feed, problem);
     };
@@ -69,11 +75,6 @@
         context_.lease.renew(asked);
         note_lease();
     };
-    on.regained = [this](duration away) {
-        // The other feed may have waited through a short outage unaware.
-        doubt_until_ = context_.reactor->now() + doubt_after_outage;
-        regained(configuration_feed_name, away);
-    };
     configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
         context_.reactor,
         platform_.configurations(context_.reactor, settings.directory), pace,
@@ -91,10 +92,6 @@
     on.items = [this](std::vector<upstream_change>&& changes, bool whole) {
         take_upstreams(std::move(changes), whole);
     };
-    on.regained = [this](duration away) {
-        doubt_until_ = context_.reactor->now() + doubt_after_outage;
-        regained(upstream_feed_name, away);
-    };
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
         context_.reactor,
         platform_.upstreams(context_.reactor, settings.directory), pace,
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -111,18 +111,19 @@
     const auto placed = context_.choice.for_request(
         service_, profile_.needs(context_.failure_domain), tried_,
         context_.reactor->now());
-    if (placed && is_hopeless(*placed)) {
+    if (placed) {
         notes_.placed(*placed);
-        // Half of its time is then left for what comes before it.
         const auto left =
             time_left(admitted_.answer_by, context_.reactor->now());
-        refuse(gateway_refusal::overloaded,
-               placed->first_part_after - left / 2);
-        return;
-    }
-    if (placed) {
-        notes_.placed(*placed);
-        send(placed->record, std::nullopt);
+        // What has run, or goes on, has no better answer than its own.
+        const bool may_be_refused = runs_ == 0 && !answer_.begun();
+        // Its time would run out in the queue of the best upstream. Half of
+        // it is then left for what comes before it when it comes back.
+        if (may_be_refused && placed->first_part_after > left)
+            refuse(gateway_refusal::overloaded,
+                   placed->first_part_after - left / 2);
+        else
+            send(placed->record, std::nullopt);
         return;
     }
     if (runs_ > 0)
@@ -132,15 +133,6 @@
                               : gateway_refusal::upstreams_busy);
 }
 
-bool exchange::is_hopeless(const placed_upstream& placed) const
-{
-    // It has run, or is going on: there is no better answer than its own.
-    if (runs_ > 0 || answer_.begun())
-        return false;
-    return placed.first_part_after >
-           time_left(admitted_.answer_by, context_.reactor->now());
-}
-
 void exchange::choose_backup(const upstream_record& upstream)
 {
     backup_.reset();
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -51,8 +51,6 @@
               const std::optional<continuation>& goes_on);
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& goes_on);
-    /** Its time would run out in the queue of the best upstream. */
-    bool is_hopeless(const placed_upstream& placed) const;
     void choose_backup(const upstream_record& upstream);
     void settle();
 
--- a/src/libcyclamenrun/operators/request_story.cpp
+++ b/src/libcyclamenrun/operators/request_story.cpp
@@ -37,8 +37,6 @@
     belief_row{"upstream", log_event_name::upstream_leaving},
     belief_row{"upstream", log_event_name::upstream_lost},
     belief_row{"upstream", log_event_name::upstream_recovered},
-    belief_row{"monitor", log_event_name::monitor_lost},
-    belief_row{"monitor", log_event_name::monitor_regained},
     belief_row{"log", log_event_name::log_lines_dropped},
 };
 
@@ -51,10 +49,10 @@
     return found == beliefs.end() ? nullptr : &*found;
 }
 
-/** Of one upstream or one VM, not of the process as a whole. */
+/** Of one upstream, not of the process as a whole. */
 bool is_of_one_peer(std::string_view about)
 {
-    return about == "upstream" || about == "monitor";
+    return about == "upstream";
 }
 
 /** When the request came: a line of its end says how long it took. */
@@ -156,28 +154,21 @@
     }
 }
 
-bool request_story::concerns(const log_record& belief,
-                             const std::set<std::string>& upstreams) const
-{
-    if (belief.time < came_at(steps_.front()) ||
-        belief.time > steps_.back().time)
-        return false;
-    if (!processes().contains(belief.process))
-        return false;
-    return !is_of_one_peer(belief_of(belief.event)->about) ||
-           upstreams.contains(belief.field("upstream"));
-}
-
 void request_story::print_steps(std::ostream& to) const
 {
+    const auto begin = came_at(steps_.front());
+    const auto own_processes = processes();
     const auto peers = upstreams();
     auto lines = steps_;
     for (const auto& belief : beliefs_) {
-        if (concerns(belief, peers))
+        const bool meanwhile =
+            belief.time >= begin && belief.time <= steps_.back().time;
+        const bool of_peer = !is_of_one_peer(belief_of(belief.event)->about) ||
+                             peers.contains(belief.field("upstream"));
+        if (meanwhile && of_peer && own_processes.contains(belief.process))
             lines.push_back(belief);
     }
     std::stable_sort(lines.begin(), lines.end(), by_time);
-    const auto begin = came_at(steps_.front());
     to << "\nwhat happened, in ms since " << begin
        << " (*: not of this request alone):\n";
     for (const auto& line : lines) {
--- a/src/libcyclamenrun/operators/request_story.hpp
+++ b/src/libcyclamenrun/operators/request_story.hpp
@@ -37,8 +37,6 @@
     std::set<std::string> upstreams() const;
     void print_beliefs(std::ostream& to, const std::string& process) const;
     void print_steps(std::ostream& to) const;
-    bool concerns(const log_record& belief,
-                  const std::set<std::string>& upstreams) const;
 
     std::string request_id_;
     std::vector<log_record> steps_;
