--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -153,8 +153,8 @@
     const bool taken = other != upstreams_.end() &&
                        other->first != upstream.record.id &&
                        other->second.record.address == upstream.record.address;
-    upstream.superseded = taken && other->second.record.started_ms >
-                                       upstream.record.started_ms;
+    upstream.superseded =
+        taken && other->second.record.started_ms > upstream.record.started_ms;
     if (upstream.superseded)
         return;
     if (taken)
