Let monitors tell how long and how fast their engine reads

A gateway believed that every engine reads 7 tokens a millisecond, that a prompt has 2,500 tokens and that there are 5 gateways. Monitors tell it now as they observe it; one prior is left for engines that have not been seen to read.

--- a/src/libcyclamenrun/decisions/engine_outlook.cpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.cpp
@@ -128,8 +128,11 @@
     // Gateways that hear no monitor send without asking.
     const std::size_t unbegun = view_.starting + view_.queued;
     const auto unasked = unbegun - std::min(unbegun, given_.size());
-    auto left = reading_time(static_cast<std::uint64_t>(
-        static_cast<double>(unasked) * mean_prompt_));
+    const double prompt = mean_prompt_ > 0
+                              ? mean_prompt_
+                              : static_cast<double>(view_.next_tokens);
+    auto left = reading_time(
+        static_cast<std::uint64_t>(static_cast<double>(unasked) * prompt));
     for (const auto& each : given_)
         left += reading_time(each.who.prompt_tokens);
     if (given_.empty() || given_.front().reading_since == time_point{})
--- a/src/libcyclamenrun/decisions/engine_outlook.hpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.hpp
@@ -39,6 +39,7 @@
     std::uint32_t running = 0;  ///< those included whose prompt is being read
     std::uint32_t starting = 0; ///< of these: no token yet
     std::uint32_t queued = 0;
+    std::uint32_t next_tokens = 0; ///< prompt of the first that is queued
     std::uint64_t memory_used = 0; ///< tokens that can't yield
     std::uint64_t memory_total = 0;
     std::vector<held_generation> generations;
@@ -67,6 +68,7 @@
     given_place place() const;
     /** Time in which the engine reads the prompts that it has yet to read. */
     milliseconds unread(time_point now) const;
+    double tokens_read_per_ms() const { return speed_.tokens_per_ms(); }
     /** Time in which it reads so many tokens. */
     milliseconds reading_time(std::uint64_t tokens) const;
     /** The prompt fits, and what is running has room to grow. */
--- a/src/libcyclamenrun/decisions/reading_speed.hpp
+++ b/src/libcyclamenrun/decisions/reading_speed.hpp
@@ -17,6 +17,12 @@
 class reading_speed
 {
 public:
+    /**
+     * Prior: an engine of some ten billion parameters reads a chunk of a
+     * hundred tokens in a step of 15 ms.
+     */
+    static constexpr double prior_tokens_per_ms = 7;
+
     /** A prompt of so many tokens was read. */
     void read(std::uint64_t tokens) { tokens_ += static_cast<double>(tokens); }
     /** It was reading all the while. */
@@ -25,11 +31,7 @@
     double tokens_per_ms() const;
 
 private:
-    /**
-     * Prior: an engine of some ten billion parameters reads a chunk of a
-     * hundred tokens in a step of 15 ms. It weighs as a second of reading.
-     */
-    static constexpr double prior_tokens_per_ms = 7;
+    /** The prior weighs as a second of reading. */
     static constexpr double prior_ms = 1000;
 
     double tokens_ = prior_tokens_per_ms * prior_ms;
--- a/src/libcyclamenrun/decisions/shared_retry_budget.hpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.hpp
@@ -33,6 +33,7 @@
     {
     }
 
+    unsigned sharers() const { return sharers_; }
     /** How many gateways share the budget now. */
     void set_sharers(unsigned count) { sharers_ = count > 0 ? count : 1; }
 
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -47,8 +47,8 @@
     {
         return outlook_.was_given(id);
     }
-    /** What the engine holds with all that was given. */
-    given_place place() const { return outlook_.place(); }
+    /** The engine as it is with all that was given. */
+    const engine_outlook& outlook() const { return outlook_; }
     bool leaving() const { return leaving_; }
     /** When give() is due if nothing else happens; empty: after a view. */
     std::optional<time_point> next_event(time_point now) const;
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -26,6 +26,7 @@
     view.running = load.running;
     view.starting = load.starting;
     view.queued = load.queued;
+    view.next_tokens = load.next_tokens;
     view.memory_used = load.memory_used;
     view.memory_total = load.memory_total;
     view.generations = load.generations;
@@ -142,7 +143,7 @@
     if (found == gateways_.end())
         return;
     v1::MonitorNotice notice;
-    const auto place = starts_.place();
+    const auto place = starts_.outlook().place();
     auto& given = *notice.mutable_start_given();
     given.set_id(id);
     given.set_slots_taken(static_cast<std::uint32_t>(place.slots_taken));
@@ -237,9 +238,11 @@
     notice.set_engine_address(to_string(settings_.engine));
     notice.set_running(load.running);
     notice.set_queued(load.queued);
-    notice.set_starting(load.starting);
-    notice.set_next_tokens(load.next_tokens);
-    notice.set_memory_used(load.memory_used);
+    const auto& outlook = starts_.outlook();
+    notice.set_unread_ms(
+        static_cast<std::uint32_t>(outlook.unread(reactor_->now()).count()));
+    notice.set_tokens_read_per_ms(outlook.tokens_read_per_ms());
+    notice.set_memory_used(outlook.place().memory_taken);
     notice.set_memory_total(load.memory_total);
     notice.set_leaving(load.leaving);
     if (load.leaves_in_ms)
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -115,6 +115,18 @@
         dispatch_by_beliefs();
 }
 
+placement_request exchange::needs() const
+{
+    return needs(context_.failure_domain);
+}
+
+placement_request exchange::needs(const std::string& from_domain) const
+{
+    auto request = profile_.needs(from_domain);
+    request.gateways = context_.budget.sharers();
+    return request;
+}
+
 void exchange::search_start()
 {
     start_search::hooks on;
@@ -122,13 +134,11 @@
                            std::size_t count) {
         auto excluded = tried_;
         excluded.insert(excluded.end(), but.begin(), but.end());
-        return context_.choice.to_ask(service_,
-                                      profile_.needs(context_.failure_domain),
-                                      excluded, count, context_.reactor->now());
+        return context_.choice.to_ask(service_, needs(), excluded, count,
+                                      context_.reactor->now());
     };
     on.cost = [this](const upstream_record& engine, const given_place& place) {
-        return context_.choice.cost_of(engine, place,
-                                       profile_.needs(context_.failure_domain),
+        return context_.choice.cost_of(engine, place, needs(),
                                        context_.reactor->now());
     };
     on.found = [this, asked_at = context_.reactor->now()](
@@ -162,9 +172,8 @@
 
 void exchange::dispatch_by_beliefs()
 {
-    const auto placed = context_.choice.for_request(
-        service_, profile_.needs(context_.failure_domain), tried_,
-        context_.reactor->now());
+    const auto placed = context_.choice.for_request(service_, needs(), tried_,
+                                                    context_.reactor->now());
     if (placed) {
         notes_.placed(*placed);
         const auto left =
@@ -193,9 +202,9 @@
     if (!profile_.may_be_backed_up() ||
         !context_.backups.wanted(context_.reactor->now()))
         return;
-    backup_ = context_.choice.for_backup(
-        service_, profile_.needs(upstream.failure_domain), upstream.id,
-        context_.reactor->now());
+    backup_ =
+        context_.choice.for_backup(service_, needs(upstream.failure_domain),
+                                   upstream.id, context_.reactor->now());
     if (!backup_)
         return;
     notes_.backed_up(service_, backup_->id);
@@ -411,8 +420,7 @@
         now + admitted_.route->objective < admitted_.answer_by;
     if (over_ || !is_silent() || queues || !has_time ||
         context_.budget.left(service_, now) < 1 ||
-        !context_.choice.for_request(
-            service_, profile_.needs(context_.failure_domain), tried_, now))
+        !context_.choice.for_request(service_, needs(), tried_, now))
         return;
     context_.board.failed(id, now);
     attempt_->cancel();
@@ -501,8 +509,8 @@
             const upstream_record& source,
             const std::string& refused_by) -> std::optional<upstream_record> {
         const auto to = context_.choice.for_move(
-            service_, profile_.needs(source.failure_domain),
-            {source.id, refused_by}, context_.reactor->now());
+            service_, needs(source.failure_domain), {source.id, refused_by},
+            context_.reactor->now());
         if (!to)
             return std::nullopt;
         // Counted at once, so that the next move of this engine's
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -48,6 +48,9 @@
 private:
     // Where it runs.
     void dispatch();
+    /** What an upstream must have for it, nearest to this VM or elsewhere. */
+    placement_request needs() const;
+    placement_request needs(const std::string& from_domain) const;
     void search_start();
     void start_found(const upstream_record& upstream);
     void dispatch_by_beliefs();
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -28,9 +28,9 @@
 {
     engine_load load;
     load.running = message.running();
-    load.starting = message.starting();
     load.queued = message.queued();
-    load.next_tokens = message.next_tokens();
+    load.unread = milliseconds(message.unread_ms());
+    load.tokens_read_per_ms = message.tokens_read_per_ms();
     load.memory_used = message.memory_used();
     load.memory_total = message.memory_total();
     load.leaving = message.leaving();
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -1,5 +1,7 @@
 #include "upstream_board.hpp"
 
+#include "reading_speed.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -33,20 +35,8 @@
 constexpr double failure_weight = 0.15;
 /** Time in which a failure rate halves with no news. */
 constexpr milliseconds failure_half_life{2000};
-/** Prompt of a request that waits at an engine, for which no size is told. */
-constexpr double usual_prompt_tokens = 2500;
-/**
- * Requests of other gateways at an engine whose host sends no load: as many
- * as own ones for each of a few other gateways.
- */
-constexpr unsigned usual_gateways = 5;
-/**
- * Prompts are read one after another, in chunks between the tokens of what
- * runs: 112 tokens in a step of 15 to 16 ms, as engines of this size do.
- */
-constexpr double tokens_read_per_ms = 7;
-/** Tokens by which a running request may still grow. */
-constexpr double usual_growth = 300;
+/** Part of its output that a running request has yet to make, on average. */
+constexpr double part_to_grow = 0.5;
 
 double unreported_tokens(const upstream_state& upstream)
 {
@@ -67,34 +57,46 @@
 
 struct believed {
     double requests = 0;
-    double unread_tokens = 0; ///< of prompts that come before a new one
+    double unread_ms = 0; ///< to read the prompts that come before a new one
     double memory_tokens = 0;
 };
 
-/** From the latest load and own dispatches since, or own counts alone. */
-believed believed_load(const upstream_state& upstream, time_point now)
+double reading_ms(const upstream_state& upstream, double tokens)
+{
+    const bool told = upstream.load && upstream.load->tokens_read_per_ms > 0;
+    return tokens / (told ? upstream.load->tokens_read_per_ms
+                          : reading_speed::prior_tokens_per_ms);
+}
+
+/**
+ * From the latest load and own dispatches since, or own counts alone. Of the
+ * requests that run there no more is known than of the one to be placed: they
+ * are taken for its like.
+ */
+believed believed_load(const upstream_state& upstream,
+                       const placement_request& request, time_point now)
 {
     believed result;
     const bool fresh = upstream.load && now - upstream.load_at <= load_lifetime;
     const double unreported = unreported_tokens(upstream);
+    const double growth =
+        static_cast<double>(request.output_tokens) * part_to_grow;
     if (!fresh) {
+        // Other gateways send there as much as this one does.
         result.requests = upstream.own_running;
-        result.memory_tokens = result.requests * usual_gateways *
-                               (usual_prompt_tokens + usual_growth);
-        result.unread_tokens = unreported;
+        result.memory_tokens =
+            result.requests * request.gateways *
+            (static_cast<double>(request.prompt_tokens) + growth);
+        result.unread_ms = reading_ms(upstream, unreported);
         return result;
     }
     const auto& load = *upstream.load;
-    const double waiting =
-        load.queued == 0
-            ? 0
-            : load.next_tokens + (load.queued - 1) * usual_prompt_tokens;
     result.requests = static_cast<double>(load.running + load.queued +
                                           upstream.unreported.size());
-    result.unread_tokens =
-        waiting + load.starting * usual_prompt_tokens / 2 + unreported;
-    result.memory_tokens = static_cast<double>(load.memory_used) + waiting +
-                           unreported + load.running * usual_growth;
+    result.unread_ms = static_cast<double>(load.unread.count()) +
+                       reading_ms(upstream, unreported);
+    result.memory_tokens = static_cast<double>(load.memory_used) + unreported +
+                           load.running * growth;
     return result;
 }
 
@@ -347,7 +349,7 @@
 {
     service_totals result;
     for (const auto* upstream : available(service)) {
-        const auto load = believed_load(*upstream, now);
+        const auto load = believed_load(*upstream, {}, now);
         ++result.upstreams;
         result.free_slots +=
             std::max(0.0, upstream->record.slots - load.requests);
@@ -371,14 +373,14 @@
     candidate.failure_rate = failure_rate_at(upstream, now);
     candidate.doubtful = upstream.doubted_until.has_value();
     candidate.unreachable = now < upstream.unreachable_until;
-    const auto load = believed_load(upstream, now);
+    const auto load = believed_load(upstream, request, now);
     const double slots = std::max(1U, upstream.record.slots);
     candidate.slots_taken = (load.requests + 1) / slots;
     if (request.engine_tokens == 0)
         return candidate;
     const double objective = static_cast<double>(
         std::max(request.objective, milliseconds(1)).count());
-    candidate.wait = load.unread_tokens / tokens_read_per_ms / objective;
+    candidate.wait = load.unread_ms / objective;
     candidate.memory_taken =
         (load.memory_tokens +
          static_cast<double>(request.prompt_tokens + request.output_tokens)) /
@@ -391,9 +393,10 @@
 {
     if (request.engine_tokens == 0 || !upstream.load)
         return milliseconds(0);
-    const double tokens = believed_load(upstream, now).unread_tokens +
-                          static_cast<double>(request.prompt_tokens);
-    return milliseconds(std::llround(tokens / tokens_read_per_ms));
+    const double ms =
+        believed_load(upstream, request, now).unread_ms +
+        reading_ms(upstream, static_cast<double>(request.prompt_tokens));
+    return milliseconds(std::llround(ms));
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -137,6 +137,7 @@
     /** Memory of an engine, as configured; 0: a plain service. */
     std::uint64_t engine_tokens = 0;
     std::string from_domain;
+    unsigned gateways = 1; ///< that send to the same upstreams
 };
 
 /**
--- a/src/libcyclamenrun/gateway/upstream_record.hpp
+++ b/src/libcyclamenrun/gateway/upstream_record.hpp
@@ -40,6 +40,10 @@
     std::uint32_t next_tokens = 0;  ///< prompt of the first that waits
     std::uint64_t memory_used = 0;  ///< tokens that can't yield
     std::uint64_t memory_total = 0; ///< tokens
+    /** Time in which it reads the prompts that come before a new one, and how
+     * fast: the monitor's word; the engine itself does not tell. */
+    milliseconds unread{0};
+    double tokens_read_per_ms = 0;
     bool leaving = false;
     std::optional<std::uint32_t> leaves_in_ms;
 };
--- a/tests/decisions/test_start_queue.cpp
+++ b/tests/decisions/test_start_queue.cpp
@@ -226,6 +226,21 @@
     EXPECT_EQ(give(290), names{});
 }
 
+// A monitor has just started again beside a crowded engine: it has let nobody
+// start there yet and must not take the prompts that wait for nothing.
+TEST_F(start_queues, take_the_first_in_the_queue_for_the_like_of_all)
+{
+    auto view = idle_engine();
+    view.running = 1;
+    view.starting = 1;
+    view.queued = 3;
+    view.next_tokens = 2100;
+    queue.take_view(view, false, at(0));
+    EXPECT_EQ(queue.outlook().unread(at(0)), milliseconds(1200));
+    queue.ask(wanting("a"), at(0));
+    EXPECT_EQ(give(10), names{});
+}
+
 TEST_F(start_queues, are_bounded)
 {
     for (std::size_t i = 0; i < 2 * most_waiting_starts; ++i)
