Let one gateway read the directory of upstreams for all

Each gateway had a read waiting at the store, and news of an engine that came or left reached each by its own read, up to 0.9 s late. The first to wake now waits for all, says so, and passes on by monitors what it reads. Nobody is elected; who hears of no reader reads, within the bound for leaving upstreams.

The fixture's feed tells offsets, as the feed's contract says.

--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -27,6 +27,8 @@
 struct directory_page {
     std::vector<Item> items;
     std::uint64_t next_offset = 0;
+    /** Offset of each item; empty if they are the newest of each key. */
+    std::vector<std::uint64_t> offsets = {};
     /** Keys of records that were skipped: no item could be read from them. */
     std::vector<std::string> unreadable = {};
 };
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -1,5 +1,7 @@
 #include "directory_watch.hpp"
 
+#include "directory_news.hpp"
+#include "load.pb.h"
 #include "log_event.hpp"
 
 #include <utility>
@@ -13,6 +15,19 @@
 /** Records that lapsed in an outage come back for this long after it. */
 constexpr milliseconds doubt_after_outage{1200};
 
+/**
+ * Gateways that hear of each other's reads wait for a time between this part
+ * of the pause and all of it: the first to wake reads for all, and of 25 three
+ * read in a second in place of 28.
+ */
+constexpr double least_part_of_pause = 0.5;
+
+/**
+ * What others read is waited for so long, as a part of the time after which a
+ * leaving upstream must get no work; the rest is for an own read.
+ */
+constexpr double part_of_bound = 0.7;
+
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
 
@@ -86,12 +101,21 @@
 {
     feed_pace pace;
     pace.wait = settings.upstream_wait;
-    pace.pause = settings.upstream_pause;
+    pace.longest_put_off = std::chrono::duration_cast<milliseconds>(
+        part_of_bound * settings.leaving_bound);
     feed_follower<upstream_change>::hooks on;
     add_common_hooks(on, upstream_feed_name);
     on.items = [this](std::vector<upstream_change>&& changes, bool whole) {
         take_upstreams(std::move(changes), whole);
     };
+    on.read = [this](std::uint64_t from,
+                     const directory_page<upstream_change>& page) {
+        tell_news(from, page);
+    };
+    on.reading = [this](std::uint64_t from) { tell_reading(from); };
+    on.pause = [this, longest = settings.upstream_pause] {
+        return pause(longest);
+    };
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
         context_.reactor,
         platform_.upstreams(context_.reactor, settings.directory), pace,
@@ -99,6 +123,50 @@
     upstreams_->start();
 }
 
+milliseconds directory_watch::pause(milliseconds longest)
+{
+    if (!context_.monitors)
+        return longest;
+    std::uniform_real_distribution<double> part(least_part_of_pause, 1.0);
+    return std::chrono::duration_cast<milliseconds>(part(context_.random) *
+                                                    longest);
+}
+
+void directory_watch::tell_news(std::uint64_t from,
+                                const directory_page<upstream_change>& page)
+{
+    if (!context_.monitors)
+        return;
+    const auto message = message_of(news_of(from, page, context_.board));
+    if (message.ByteSizeLong() <= most_news_bytes)
+        context_.monitors->pass_on(message);
+}
+
+void directory_watch::tell_reading(std::uint64_t from)
+{
+    if (context_.monitors)
+        context_.monitors->pass_on(message_of({from, {{}, from, {}, {}}}));
+}
+
+void directory_watch::take_news(const v1::DirectoryNews& message)
+{
+    // Nothing is read yet: its call is under way.
+    if (message.next() == message.from()) {
+        if (upstreams_)
+            upstreams_->take_reading(message.from());
+        return;
+    }
+    auto news = read_news(message);
+    if (!news) {
+        log_event(log_severity::warning, log_event_name::record_unreadable,
+                  {{log_key::name, upstream_feed_name},
+                   {log_key::reason, name_of(news.error())}});
+        return;
+    }
+    if (upstreams_ && upstreams_->take_news(news->from, std::move(news->page)))
+        context_.metrics.count(exported_metric::directory_news);
+}
+
 void directory_watch::tick()
 {
     context_.board.end_doubts(context_.reactor->now());
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -9,6 +9,11 @@
 #include <memory>
 #include <string_view>
 
+namespace cyclamenrun::v1
+{
+class DirectoryNews;
+} // namespace cyclamenrun::v1
+
 namespace cyclamenrun
 {
 
@@ -41,6 +46,9 @@
     /** Looks at what changes by itself: doubts and the lease. */
     void tick();
 
+    /** Another gateway has read the directory of upstreams. */
+    void take_news(const v1::DirectoryNews& message);
+
     bool upstreams_known() const { return upstreams_known_; }
 
 private:
@@ -49,6 +57,10 @@
     template <typename Hooks>
     void add_common_hooks(Hooks& hooks, std::string_view feed);
     void take_configurations(std::vector<gateway_configuration>&& versions);
+    void tell_news(std::uint64_t from,
+                   const directory_page<upstream_change>& page);
+    void tell_reading(std::uint64_t from);
+    milliseconds pause(milliseconds longest);
     void take_upstreams(std::vector<upstream_change>&& changes, bool whole);
     void lost(std::string_view feed, directory_problem problem);
     void regained(std::string_view feed, duration away);
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -79,6 +79,8 @@
         starts_.end(request.start_ended());
         give_starts();
     }
+    if (request.has_news())
+        pass_on(request.news(), name);
     if (request.has_start_wanted())
         take_start(from, name, request.start_wanted());
     if (request.turn_wanted().empty())
@@ -93,6 +95,18 @@
     socket_->send(from, notice.SerializeAsString());
 }
 
+void engine_monitor::pass_on(const v1::DirectoryNews& news,
+                             const std::string& sender)
+{
+    v1::MonitorNotice notice;
+    *notice.mutable_news() = news;
+    const auto bytes = notice.SerializeAsString();
+    for (const auto& [name, listener] : gateways_) {
+        if (name != sender)
+            socket_->send(listener.address, bytes);
+    }
+}
+
 void engine_monitor::give_turn()
 {
     const auto holder = turns_.holder(reactor_->now());
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -14,6 +14,7 @@
 
 namespace cyclamenrun::v1
 {
+class DirectoryNews;
 class StartWanted;
 } // namespace cyclamenrun::v1
 
@@ -55,6 +56,8 @@
 
     void take_request(const ip_endpoint& from, std::string_view bytes);
     void give_turn();
+    /** To all gateways that ask here, but for the one that sent it. */
+    void pass_on(const v1::DirectoryNews& news, const std::string& sender);
     void take_start(const ip_endpoint& from, const std::string& gateway,
                     const v1::StartWanted& wanted);
     void give_starts();
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -131,6 +131,9 @@
     on.gateways = [this](unsigned count) {
         context_->budget.set_sharers(count);
     };
+    on.news = [this](const v1::DirectoryNews& news) {
+        directory_->take_news(news);
+    };
     on.engine_hosts = [this] {
         std::set<std::string> hosts;
         if (!context_->routes)
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -56,6 +56,11 @@
                         "cyclamenrun_unreadable_records_total",
                         exported_kind::counter, "feed",
                         "Records of the directory that were skipped."},
+    exported_metric_row{exported_metric::directory_news,
+                        "cyclamenrun_directory_news_total",
+                        exported_kind::counter, "",
+                        "Reads of the directory by other gateways that were "
+                        "taken in place of an own one."},
     exported_metric_row{exported_metric::configuration_version,
                         "cyclamenrun_configuration_version",
                         exported_kind::gauge, "",
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -66,7 +66,12 @@
          "upstreams."},
         {"directory.upstream_pause_ms", &settings.upstream_pause, optional, 10,
          minute_ms, "ms",
-         "Least time between two questions for changes of upstreams."},
+         "Most time from one look at changes of upstreams to the next; where "
+         "gateways tell each other, a part of it."},
+        {"directory.leaving_bound_ms", &settings.leaving_bound, optional, 100,
+         minute_ms, "ms",
+         "Time after which an upstream that leaves, as the store knows, must "
+         "get no new work."},
     };
 }
 
--- a/tests/decisions/test_herds.cpp
+++ b/tests/decisions/test_herds.cpp
@@ -97,7 +97,7 @@
 class fleet
 {
 public:
-    explicit fleet(std::uint64_t seed) : random_(seed) {}
+    explicit fleet(std::uint64_t seed) : random(seed) {}
     virtual ~fleet() = default;
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
@@ -105,16 +105,16 @@
     /** Share of first parts that came later than the objective. */
     double late_share()
     {
-        for (now_ = 0; now_ < length_ms; now_ += step_ms) {
-            if (now_ % 3300 == 0)
+        for (now_ms = 0; now_ms < length_ms; now_ms += step_ms) {
+            if (now_ms % 3300 == 0)
                 take_some_away();
             std::poisson_distribution<int> arrivals(arrivals_per_s * step_ms /
                                                     1000);
-            for (int i = arrivals(random_); i > 0; --i)
+            for (int i = arrivals(random); i > 0; --i)
                 arrive(draw());
             decide();
-            for (auto& each : engines_)
-                each.step(now_, in_time_, late_);
+            for (auto& each : upstreams)
+                each.step(now_ms, in_time_, late_);
         }
         return static_cast<double>(late_) / (in_time_ + late_);
     }
@@ -125,24 +125,24 @@
     virtual void decide() {}
     virtual void went(int) {}
 
-    bool away(int index) const { return engines_[index].back_at_ms > now_; }
-    int draw_gateway() { return static_cast<int>(random_() % gateways); }
+    bool away(int index) const { return upstreams[index].back_at_ms > now_ms; }
+    int draw_gateway() { return static_cast<int>(random() % gateways); }
 
-    int now_ = 0;
-    std::mt19937_64 random_;
-    std::vector<engine> engines_{engines};
+    int now_ms = 0;
+    std::mt19937_64 random;
+    std::vector<engine> upstreams{engines};
 
 private:
     generation draw()
     {
         generation drawn;
-        drawn.arrived_ms = now_;
-        drawn.prompt = std::uniform_real_distribution<>(1000, 5000)(random_);
+        drawn.arrived_ms = now_ms;
+        drawn.prompt = std::uniform_real_distribution<>(1000, 5000)(random);
         drawn.unread = drawn.prompt;
         // Half are of a few tokens, the others of hundreds.
         std::exponential_distribution<> length(1.0 / 600);
         drawn.output =
-            random_() % 2 == 0 ? 10 : std::min(1768.0, length(random_));
+            random() % 2 == 0 ? 10 : std::min(1768.0, length(random));
         drawn.id = std::to_string(drawn_++);
         return drawn;
     }
@@ -150,9 +150,9 @@
     void take_some_away()
     {
         for (int i = 0; i < engines / 6; ++i) {
-            const int index = static_cast<int>(random_() % engines);
-            engines_[index] = engine{};
-            engines_[index].back_at_ms = now_ + 4000;
+            const int index = static_cast<int>(random() % engines);
+            upstreams[index] = engine{};
+            upstreams[index].back_at_ms = now_ms + 4000;
             went(index);
         }
     }
@@ -186,24 +186,24 @@
             places.push_back(place);
             indexes.push_back(i);
         }
-        const auto chosen = choose_placement(places, random_);
+        const auto chosen = choose_placement(places, random);
         const int index = indexes[*chosen];
         own_[gateway][index].push_back(wants);
-        engines_[index].queue.push_back(std::move(wants));
+        upstreams[index].queue.push_back(std::move(wants));
     }
 
     void decide() override
     {
-        if (now_ % load_age_ms != 0)
+        if (now_ms % load_age_ms != 0)
             return;
         for (int i = 0; i < engines; ++i) {
             double unread = 0;
-            for (const auto& each : engines_[i].queue)
+            for (const auto& each : upstreams[i].queue)
                 unread += each.unread;
             told_[i].wait = unread / read_per_ms / objective_ms;
             told_[i].slots_taken =
-                static_cast<double>(engines_[i].running.size()) / 24;
-            told_[i].memory_taken = (engines_[i].used() + unread) / memory;
+                static_cast<double>(upstreams[i].running.size()) / 24;
+            told_[i].memory_taken = (upstreams[i].used() + unread) / memory;
         }
         own_.assign(gateways, std::vector<std::vector<generation>>(engines));
     }
@@ -247,13 +247,13 @@
     void decide() override
     {
         for (int i = 0; i < engines; ++i) {
-            if (now_ % look_ms == 0 && !away(i))
-                queues_[i]->take_view(engines_[i].view(), false, at(now_));
-            for (const auto& given : queues_[i]->give(at(now_)))
+            if (now_ms % look_ms == 0 && !away(i))
+                queues_[i]->take_view(upstreams[i].view(), false, at(now_ms));
+            for (const auto& given : queues_[i]->give(at(now_ms)))
                 begin(i, given.id);
         }
         for (auto& each : searches_) {
-            if ((now_ - each.wants.arrived_ms) % 150 == 140)
+            if ((now_ms - each.wants.arrived_ms) % 150 == 140)
                 ask_more(each);
         }
     }
@@ -262,7 +262,7 @@
     void ask_more(search& of)
     {
         for (int i = 0; i < 8 && of.asked.size() < 32; ++i) {
-            const int index = static_cast<int>(random_() % engines);
+            const int index = static_cast<int>(random() % engines);
             if (!away(index))
                 of.asked.push_back(index);
         }
@@ -272,7 +272,7 @@
         wanted.output_tokens = of.wants.output > 10 ? 600 : 10;
         wanted.first_due = at(of.wants.arrived_ms + objective_ms);
         for (const int index : of.asked)
-            queues_[index]->ask(wanted, at(now_));
+            queues_[index]->ask(wanted, at(now_ms));
     }
 
     void begin(int index, const std::string& id)
@@ -288,7 +288,7 @@
             if (other != index)
                 queues_[other]->end(id);
         }
-        engines_[index].queue.push_back(std::move(found->wants));
+        upstreams[index].queue.push_back(std::move(found->wants));
         searches_.erase(found);
     }
 
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -52,10 +52,14 @@
     {
         if (!waiting_ || items_.size() <= from_)
             return;
-        const std::vector<Item> news(
-            items_.begin() + static_cast<std::ptrdiff_t>(from_), items_.end());
+        directory_page<Item> page;
+        for (auto offset = from_; offset < items_.size(); ++offset) {
+            page.items.push_back(items_[offset]);
+            page.offsets.push_back(offset);
+        }
+        page.next_offset = items_.size();
         const auto answer = std::exchange(waiting_, nullptr);
-        answer(directory_page<Item>{news, items_.size()});
+        answer(std::move(page));
     }
 
     std::shared_ptr<link_reactor> reactor_;
