Read a feed at once when the other one reaches the store again

Each feed tried by its own growing waits. Ruled out: shorter waits for all, whose calls in an outage cost as much as they gain.

Test first: without it the next call comes after 0.8 s.

--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -59,6 +59,7 @@
         // unaware.
         doubt_until_ = context_.reactor->now() + doubt_after_outage;
         regained(feed, away);
+        directory_is_back();
     };
     hooks.lost = [this, feed](directory_problem problem) {
         lost(feed, problem);
@@ -163,8 +164,19 @@
                    {log_key::reason, name_of(news.error())}});
         return;
     }
-    if (upstreams_ && upstreams_->take_news(news->from, std::move(news->page)))
-        context_.metrics.count(exported_metric::directory_news);
+    if (!upstreams_ ||
+        !upstreams_->take_news(news->from, std::move(news->page)))
+        return;
+    context_.metrics.count(exported_metric::directory_news);
+    directory_is_back();
+}
+
+void directory_watch::directory_is_back()
+{
+    if (configurations_)
+        configurations_->try_again_now();
+    if (upstreams_)
+        upstreams_->try_again_now();
 }
 
 void directory_watch::tick()
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -60,6 +60,11 @@
     void tell_news(std::uint64_t from,
                    const directory_page<upstream_change>& page);
     void tell_reading(std::uint64_t from);
+    /**
+     * One feed or another gateway reaches it. The other feed's next try may be
+     * 0.8 s away, and until then callers are refused for want of a lease.
+     */
+    void directory_is_back();
     milliseconds pause(milliseconds longest);
     void take_upstreams(std::vector<upstream_change>&& changes, bool whole);
     void lost(std::string_view feed, directory_problem problem);
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -104,6 +104,13 @@
             read_at(put_off);
     }
 
+    /** The directory may be back: there is no need to wait any longer. */
+    void try_again_now()
+    {
+        if (lost_since_ && !reading_)
+            read_at(steady_now());
+    }
+
 private:
     using page = directory_page<Item>;
 
--- a/tests/gateway/test_feed_follower.cpp
+++ b/tests/gateway/test_feed_follower.cpp
@@ -358,5 +358,27 @@
     EXPECT_LE(steady_now() - began, milliseconds(1600));
 }
 
+// The directory was away for so long that the next try is most of a second
+// off. Another feed has just reached it: waiting on would refuse callers who
+// could be served.
+TEST_F(feed_news, tries_again_at_once_when_the_directory_is_back)
+{
+    for (std::size_t call = 1; call <= 5; ++call) {
+        wait_for_call(call);
+        on_loop([&] { feed->held(tl::unexpected(away)); });
+    }
+    const auto back_at = steady_now();
+    on_loop([&] { follower->try_again_now(); });
+    wait_for_call(6);
+    EXPECT_LE(steady_now() - back_at, milliseconds(400));
+    // While a call is under way, and when nothing is lost, there is no other.
+    on_loop([&] { follower->try_again_now(); });
+    pause = milliseconds(300);
+    on_loop([&] { feed->held(read_in_order(5, {6})); });
+    on_loop([&] { follower->try_again_now(); });
+    std::this_thread::sleep_for(milliseconds(50));
+    on_loop([&] { EXPECT_EQ(feed->asked_from.size(), 6U); });
+}
+
 } // namespace
 } // namespace cyclamenrun
