Say once when a request asks to start and how it is refused without a lease

The same choice of refusal stood in dispatch and where a start was found, and the same condition where a start is asked for and given back. No behaviour changes.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -100,8 +100,7 @@
 {
     // Time may have passed in a wait or a suspension since the last look.
     if (!context_.lease.valid(boot_now())) {
-        refuse(runs_ > 0 ? gateway_refusal::upstream_lost
-                         : gateway_refusal::no_configuration);
+        refuse_without_lease();
         return;
     }
     if (service_.empty()) {
@@ -109,12 +108,23 @@
         profile_.set_service(service_);
         context_.budget.request(service_, context_.reactor->now());
     }
-    if (profile_.engine() != nullptr && context_.monitors)
+    if (asks_to_start())
         search_start();
     else
         dispatch_by_beliefs();
 }
 
+void exchange::refuse_without_lease()
+{
+    refuse(runs_ > 0 ? gateway_refusal::upstream_lost
+                     : gateway_refusal::no_configuration);
+}
+
+bool exchange::asks_to_start() const
+{
+    return profile_.engine() != nullptr && context_.monitors;
+}
+
 placement_request exchange::needs() const
 {
     return needs(context_.failure_domain);
@@ -163,8 +173,7 @@
     search_.reset();
     if (!context_.lease.valid(boot_now())) {
         context_.monitors->end_start(upstream.address.host, facts_.id);
-        refuse(runs_ > 0 ? gateway_refusal::upstream_lost
-                         : gateway_refusal::no_configuration);
+        refuse_without_lease();
         return;
     }
     send(upstream, std::nullopt);
@@ -275,10 +284,7 @@
     if (attempt_) {
         context_.board.settled(attempt_->upstream().id);
         // What has begun is in the engine's own word.
-        const bool may_count_there = context_.monitors &&
-                                     profile_.engine() != nullptr &&
-                                     !answer_.begun();
-        if (may_count_there)
+        if (asks_to_start() && !answer_.begun())
             context_.monitors->end_start(attempt_->upstream().address.host,
                                          facts_.id);
     }
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -51,6 +51,10 @@
     /** What an upstream must have for it, nearest to this VM or elsewhere. */
     placement_request needs() const;
     placement_request needs(const std::string& from_domain) const;
+    /** Monitors beside the engines say where it may start. */
+    bool asks_to_start() const;
+    /** The configuration may be out of date: nothing more may run by it. */
+    void refuse_without_lease();
     void search_start();
     void start_found(const upstream_record& upstream);
     void dispatch_by_beliefs();
