--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon_main.hpp"
 #include "gateway_process.hpp"
 #include "http_dialect.hpp"
+#include "record_codec.hpp"
 #include "store_feed.hpp"
 
 using namespace cyclamenrun;
@@ -25,6 +26,7 @@
         platform.dialect = std::make_shared<platform::http_dialect>();
         platform.configurations = platform::make_configuration_feed;
         platform.upstreams = platform::make_upstream_feed;
+        platform.read_configuration = platform::read_configuration;
         gateway_process process(settings, platform, [&] {
             return read_gateway_settings(settings_file);
         });
--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_DIRECTORY_FEED_HPP
 #define CYCLAMENRUN_DIRECTORY_FEED_HPP
 
+#include "boot_clock.hpp"
 #include "clock.hpp"
 #include "gateway_configuration.hpp"
 #include "upstream_record.hpp"
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -31,6 +33,18 @@
     std::vector<std::uint64_t> offsets = {};
     /** Keys of records that were skipped: no item could be read from them. */
     std::vector<std::string> unreadable = {};
+    /**
+     * When the call was sent that brought it, if another than the one that it
+     * answers: all that the directory held then is in it or was known before.
+     */
+    std::optional<boot_time> asked = {};
+    /** Another process reads for many and paces them: ask it again at once. */
+    bool relayed = false;
+};
+
+/** A configuration as the directory holds it. */
+struct configuration_text {
+    std::string text;
 };
 
 /** Reads one feed of the platform's directory; one call at a time. */
@@ -57,6 +71,7 @@
 };
 
 using configuration_feed = directory_feed<gateway_configuration>;
+using configuration_text_feed = directory_feed<configuration_text>;
 using upstream_feed = directory_feed<upstream_change>;
 
 } // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -0,0 +1,150 @@
+#include "directory_messages.hpp"
+
+#include "directory.pb.h"
+
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+std::optional<upstream_record> record_of(const std::string& id,
+                                         const v1::DirectoryRecord& message)
+{
+    const auto address = parse_ip_endpoint(message.address());
+    if (!address || address->port == 0 || message.service().empty())
+        return std::nullopt;
+    upstream_record record;
+    record.id = id;
+    record.service = message.service();
+    record.address = *address;
+    record.failure_domain = message.failure_domain();
+    record.slots = message.slots();
+    record.draining = message.draining();
+    record.started_ms = message.started_ms();
+    return record;
+}
+
+void write(const upstream_change& change, v1::DirectoryAnswer& answer)
+{
+    auto& message = *answer.add_changes();
+    message.set_id(change.id);
+    if (!change.record)
+        return;
+    auto& record = *message.mutable_record();
+    record.set_service(change.record->service);
+    record.set_address(to_string(change.record->address));
+    record.set_failure_domain(change.record->failure_domain);
+    record.set_slots(change.record->slots);
+    record.set_draining(change.record->draining);
+    record.set_started_ms(change.record->started_ms);
+}
+
+void write(const configuration_text& configuration, v1::DirectoryAnswer& answer)
+{
+    answer.add_configurations(configuration.text);
+}
+
+v1::DirectoryProblem message_of(directory_problem problem)
+{
+    return problem == directory_problem::history_gone
+               ? v1::DIRECTORY_PROBLEM_HISTORY_GONE
+               : v1::DIRECTORY_PROBLEM_UNAVAILABLE;
+}
+
+template <typename Item>
+v1::DirectoryAnswer
+written(const tl::expected<directory_page<Item>, directory_problem>& result)
+{
+    v1::DirectoryAnswer answer;
+    if (!result) {
+        answer.set_problem(message_of(result.error()));
+        return answer;
+    }
+    answer.set_next(result->next_offset);
+    for (const auto& item : result->items)
+        write(item, answer);
+    return answer;
+}
+
+std::optional<answer_problem> problem_of(const v1::DirectoryAnswer& answer)
+{
+    switch (answer.problem()) {
+    case v1::DIRECTORY_PROBLEM_NONE:
+        return std::nullopt;
+    case v1::DIRECTORY_PROBLEM_UNAVAILABLE:
+        return answer_problem::unavailable;
+    case v1::DIRECTORY_PROBLEM_HISTORY_GONE:
+        return answer_problem::history_gone;
+    default:
+        return answer_problem::malformed;
+    }
+}
+
+} // namespace
+
+std::string_view name_of(answer_problem problem)
+{
+    switch (problem) {
+    case answer_problem::unavailable:
+        return "unavailable";
+    case answer_problem::history_gone:
+        return "history_gone";
+    case answer_problem::malformed:
+        return "malformed";
+    }
+    return "malformed";
+}
+
+v1::DirectoryAnswer
+answer_of(const tl::expected<directory_page<upstream_change>,
+                             directory_problem>& result)
+{
+    return written(result);
+}
+
+v1::DirectoryAnswer
+answer_of(const tl::expected<directory_page<configuration_text>,
+                             directory_problem>& result)
+{
+    return written(result);
+}
+
+tl::expected<directory_page<upstream_change>, answer_problem>
+read_upstreams(const v1::DirectoryAnswer& answer)
+{
+    if (const auto problem = problem_of(answer))
+        return tl::unexpected(*problem);
+    directory_page<upstream_change> page;
+    page.next_offset = answer.next();
+    for (const auto& change : answer.changes()) {
+        upstream_change item{change.id(), std::nullopt};
+        if (change.has_record())
+            item.record = record_of(change.id(), change.record());
+        if (change.id().empty() || change.has_record() != !!item.record)
+            return tl::unexpected(answer_problem::malformed);
+        page.items.push_back(std::move(item));
+    }
+    return page;
+}
+
+tl::expected<directory_page<gateway_configuration>, answer_problem>
+read_configurations(const v1::DirectoryAnswer& answer,
+                    const configuration_reader& read)
+{
+    if (const auto problem = problem_of(answer))
+        return tl::unexpected(*problem);
+    directory_page<gateway_configuration> page;
+    page.next_offset = answer.next();
+    for (const auto& text : answer.configurations()) {
+        if (auto configuration = read(text))
+            page.items.push_back(std::move(*configuration));
+        else
+            page.unreadable.emplace_back("configuration");
+    }
+    return page;
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/directory_relay.cpp
@@ -0,0 +1,120 @@
+#include "directory_relay.hpp"
+
+#include "directory.pb.h"
+#include "directory_messages.hpp"
+#include "link_loop.hpp"
+
+#include <Poco/Net/SocketAddress.h>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/**
+ * Time between two reads of the upstreams: their heartbeats leave the
+ * directory always something to say.
+ */
+constexpr milliseconds upstream_pause{450};
+
+coalescer_pace upstream_pace()
+{
+    coalescer_pace pace;
+    pace.pause = upstream_pause;
+    return pace;
+}
+
+/** Answers a call on its stream, or forgets the call when the stream ends. */
+template <typename Calls>
+void relay(Calls& calls, const v1::DirectoryCall& call,
+           const std::shared_ptr<server_stream>& stream)
+{
+    std::optional<std::uint64_t> from;
+    if (call.has_from())
+        from = call.from();
+    const auto id = calls.ask(
+        from, milliseconds(call.wait_ms()), [stream](const auto& result) {
+            stream->respond_once(answer_of(result).SerializeAsString());
+        });
+    if (!id)
+        return;
+    stream->on_closed([weak = calls.weak_from_this(), id = *id] {
+        if (const auto self = weak.lock())
+            self->forget(id);
+    });
+}
+
+void refuse(server_stream& stream)
+{
+    v1::DirectoryAnswer answer;
+    answer.set_problem(v1::DIRECTORY_PROBLEM_UNAVAILABLE);
+    stream.respond_once(answer.SerializeAsString());
+}
+
+} // namespace
+
+link_limits directory_link_limits()
+{
+    constexpr milliseconds silence{400};
+    constexpr milliseconds ping_time{500};
+    constexpr milliseconds handshake_time{800};
+    constexpr std::uint32_t streams_per_gateway = 8;
+    link_limits limits;
+    limits.max_streams = streams_per_gateway;
+    limits.busy_ping_after = silence;
+    limits.ping_time = ping_time;
+    limits.handshake_time = handshake_time;
+    return limits;
+}
+
+directory_relay::directory_relay(link_loop& loop, const ip_endpoint& listen,
+                                 const relay_feeds& feeds,
+                                 exported_metrics& metrics)
+    : configurations_(
+          std::make_shared<relayed_calls<configuration_text_traits>>(
+              loop.reactor(), "configurations", feeds.configurations,
+              coalescer_pace(), metrics)),
+      upstreams_(std::make_shared<relayed_calls<upstream_record_traits>>(
+          loop.reactor(), "upstreams", feeds.upstreams, upstream_pace(),
+          metrics)),
+      server_(std::make_unique<link_server>(
+          loop, Poco::Net::SocketAddress(listen.host, listen.port),
+          std::string(), directory_link_limits(),
+          [this](const std::shared_ptr<server_stream>& stream) {
+              take(stream);
+          }))
+{
+}
+
+directory_relay::~directory_relay()
+{
+    server_.reset();
+}
+
+ip_endpoint directory_relay::address() const
+{
+    return {server_->address().host().toString(), server_->address().port()};
+}
+
+void directory_relay::leave()
+{
+    configurations_->leave();
+    upstreams_->leave();
+}
+
+void directory_relay::take(const std::shared_ptr<server_stream>& stream)
+{
+    v1::DirectoryCall call;
+    const bool readable = stream->path() == directory_path &&
+                          call.ParseFromString(stream->request());
+    if (readable && call.feed() == v1::DIRECTORY_FEED_CONFIGURATIONS)
+        relay(*configurations_, call, stream);
+    else if (readable && call.feed() == v1::DIRECTORY_FEED_UPSTREAMS)
+        relay(*upstreams_, call, stream);
+    else
+        refuse(*stream);
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/directory_relay.hpp
@@ -0,0 +1,53 @@
+#ifndef CYCLAMENRUN_DIRECTORY_RELAY_HPP
+#define CYCLAMENRUN_DIRECTORY_RELAY_HPP
+
+#include "exported_metrics.hpp"
+#include "link_server.hpp"
+#include "relayed_calls.hpp"
+
+#include <memory>
+
+namespace cyclamenrun
+{
+
+/** The feeds of the directory that a monitor reads for gateways. */
+struct relay_feeds {
+    std::shared_ptr<configuration_text_feed> configurations;
+    std::shared_ptr<upstream_feed> upstreams;
+};
+
+/**
+ * Reads the directory for the gateways that ask a monitor to, and only while
+ * they ask. Calls of many gateways share a read. On the loop's thread only.
+ */
+class directory_relay
+{
+public:
+    /** Throws Poco::Exception if it can't listen. */
+    directory_relay(link_loop& loop, const ip_endpoint& listen,
+                    const relay_feeds& feeds, exported_metrics& metrics);
+    directory_relay(const directory_relay&) = delete;
+    directory_relay& operator=(const directory_relay&) = delete;
+    ~directory_relay();
+
+    ip_endpoint address() const;
+    /** Its VM leaves: the gateways have to ask another one. */
+    void leave();
+
+private:
+    void take(const std::shared_ptr<server_stream>& stream);
+
+    std::shared_ptr<relayed_calls<configuration_text_traits>> configurations_;
+    std::shared_ptr<relayed_calls<upstream_record_traits>> upstreams_;
+    std::unique_ptr<link_server> server_;
+};
+
+/** Path of the streams on which gateways ask. */
+inline constexpr std::string_view directory_path = "/directory";
+
+/** Both ends: a peer that has frozen is noticed within a second. */
+link_limits directory_link_limits();
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_DIRECTORY_RELAY_HPP
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -1,7 +1,5 @@
 #include "directory_watch.hpp"
 
-#include "directory_news.hpp"
-#include "load.pb.h"
 #include "log_event.hpp"
 
 #include <utility>
@@ -16,17 +14,10 @@
 constexpr milliseconds doubt_after_outage{1200};
 
 /**
- * Gateways that hear of each other's reads wait for a time between this part
- * of the pause and all of it, and the first to wake reads for all. On a day on
- * which 25 gateways called the directory 3,150 times they call it 2,135 times.
+ * Upstreams leave with seconds of notice: a monitor that has lost the directory
+ * must be noticed in a part of that.
  */
-constexpr double least_part_of_pause = 0.5;
-
-/**
- * What others read is waited for so long, as a part of the time after which a
- * leaving upstream must get no work; the rest is for an own read.
- */
-constexpr double part_of_bound = 0.7;
+constexpr milliseconds longest_relayed_wait{450};
 
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
@@ -49,6 +40,31 @@
 {
     configurations_.reset();
     upstreams_.reset();
+    relays_.reset();
+}
+
+bool directory_watch::relayed() const
+{
+    return configurations_ && configurations_->relayed() && upstreams_ &&
+           upstreams_->relayed();
+}
+
+void directory_watch::use_relays(std::shared_ptr<directory_relays> relays)
+{
+    relays_ = std::move(relays);
+}
+
+template <typename Item>
+typename relayed_feed<Item>::hooks
+directory_watch::relay_hooks(std::string_view feed)
+{
+    typename relayed_feed<Item>::hooks on;
+    on.relays = [this] { return relays_; };
+    on.relayed = [this, feed] {
+        context_.metrics.count(exported_metric::directory_relayed,
+                               {std::string(feed)});
+    };
+    return on;
 }
 
 template <typename Hooks>
@@ -91,10 +107,16 @@
         context_.lease.renew(asked);
         note_lease();
     };
+    auto relayed = relay_hooks<gateway_configuration>(configuration_feed_name);
+    relayed.read = [this](const v1::DirectoryAnswer& answer) {
+        return read_configurations(answer, platform_.read_configuration);
+    };
+    const auto feed = std::make_shared<relayed_feed<gateway_configuration>>(
+        context_.reactor, v1::DIRECTORY_FEED_CONFIGURATIONS,
+        platform_.configurations(context_.reactor, settings.directory),
+        context_.random, std::move(relayed));
     configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
-        context_.reactor,
-        platform_.configurations(context_.reactor, settings.directory), pace,
-        std::move(on));
+        context_.reactor, feed, pace, std::move(on));
     configurations_->start();
 }
 
@@ -102,75 +124,24 @@
 {
     feed_pace pace;
     pace.wait = settings.upstream_wait;
-    pace.longest_put_off = std::chrono::duration_cast<milliseconds>(
-        part_of_bound * settings.leaving_bound);
     feed_follower<upstream_change>::hooks on;
     add_common_hooks(on, upstream_feed_name);
     on.items = [this](std::vector<upstream_change>&& changes, bool whole) {
         take_upstreams(std::move(changes), whole);
     };
-    on.read = [this](std::uint64_t from,
-                     const directory_page<upstream_change>& page) {
-        tell_news(from, page);
-    };
-    on.reading = [this](std::uint64_t from) { tell_reading(from); };
-    on.pause = [this, longest = settings.upstream_pause] {
-        return pause(longest);
-    };
+    on.pause = [pause = settings.upstream_pause] { return pause; };
+    auto relayed = relay_hooks<upstream_change>(upstream_feed_name);
+    relayed.read = read_upstreams;
+    relayed.longest_wait = longest_relayed_wait;
+    const auto feed = std::make_shared<relayed_feed<upstream_change>>(
+        context_.reactor, v1::DIRECTORY_FEED_UPSTREAMS,
+        platform_.upstreams(context_.reactor, settings.directory),
+        context_.random, std::move(relayed));
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
-        context_.reactor,
-        platform_.upstreams(context_.reactor, settings.directory), pace,
-        std::move(on));
+        context_.reactor, feed, pace, std::move(on));
     upstreams_->start();
 }
 
-milliseconds directory_watch::pause(milliseconds longest)
-{
-    if (!context_.monitors)
-        return longest;
-    std::uniform_real_distribution<double> part(least_part_of_pause, 1.0);
-    return std::chrono::duration_cast<milliseconds>(part(context_.random) *
-                                                    longest);
-}
-
-void directory_watch::tell_news(std::uint64_t from,
-                                const directory_page<upstream_change>& page)
-{
-    if (!context_.monitors)
-        return;
-    const auto message = message_of(news_of(from, page, context_.board));
-    if (message.ByteSizeLong() <= most_news_bytes)
-        context_.monitors->pass_on(message);
-}
-
-void directory_watch::tell_reading(std::uint64_t from)
-{
-    if (context_.monitors)
-        context_.monitors->pass_on(message_of({from, {{}, from, {}, {}}}));
-}
-
-void directory_watch::take_news(const v1::DirectoryNews& message)
-{
-    // Nothing is read yet: its call is under way.
-    if (message.next() == message.from()) {
-        if (upstreams_)
-            upstreams_->take_reading(message.from());
-        return;
-    }
-    auto news = read_news(message);
-    if (!news) {
-        log_event(log_severity::warning, log_event_name::record_unreadable,
-                  {{log_key::name, upstream_feed_name},
-                   {log_key::reason, name_of(news.error())}});
-        return;
-    }
-    if (!upstreams_ ||
-        !upstreams_->take_news(news->from, std::move(news->page)))
-        return;
-    context_.metrics.count(exported_metric::directory_news);
-    directory_is_back();
-}
-
 void directory_watch::directory_is_back()
 {
     if (configurations_)
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -1,19 +1,17 @@
 #ifndef CYCLAMENRUN_DIRECTORY_WATCH_HPP
 #define CYCLAMENRUN_DIRECTORY_WATCH_HPP
 
+#include "directory_messages.hpp"
+#include "directory_relays.hpp"
 #include "feed_follower.hpp"
 #include "gateway_context.hpp"
 #include "gateway_settings.hpp"
+#include "relayed_feed.hpp"
 
 #include <functional>
 #include <memory>
 #include <string_view>
 
-namespace cyclamenrun::v1
-{
-class DirectoryNews;
-} // namespace cyclamenrun::v1
-
 namespace cyclamenrun
 {
 
@@ -26,6 +24,8 @@
     std::function<std::shared_ptr<upstream_feed>(std::shared_ptr<link_reactor>,
                                                  const ip_endpoint&)>
         upstreams;
+    /** A configuration as monitors pass it on. */
+    configuration_reader read_configuration;
 };
 
 /**
@@ -46,10 +46,12 @@
     /** Looks at what changes by itself: doubts and the lease. */
     void tick();
 
-    /** Another gateway has read the directory of upstreams. */
-    void take_news(const v1::DirectoryNews& message);
+    /** Monitors that read the directory for this gateway. */
+    void use_relays(std::shared_ptr<directory_relays> relays);
 
     bool upstreams_known() const { return upstreams_known_; }
+    /** A monitor has read both feeds for this gateway the last time. */
+    bool relayed() const;
 
 private:
     void follow_configurations(const gateway_settings& settings);
@@ -57,15 +59,13 @@
     template <typename Hooks>
     void add_common_hooks(Hooks& hooks, std::string_view feed);
     void take_configurations(std::vector<gateway_configuration>&& versions);
-    void tell_news(std::uint64_t from,
-                   const directory_page<upstream_change>& page);
-    void tell_reading(std::uint64_t from);
+    template <typename Item>
+    typename relayed_feed<Item>::hooks relay_hooks(std::string_view feed);
     /**
-     * One feed or another gateway reaches it. The other feed's next try may be
-     * 0.8 s away, and until then callers are refused for want of a lease.
+     * One feed reaches it. The other one's next try may be 0.8 s away, and
+     * until then callers are refused for want of a lease.
      */
     void directory_is_back();
-    milliseconds pause(milliseconds longest);
     void take_upstreams(std::vector<upstream_change>&& changes, bool whole);
     void lost(std::string_view feed, directory_problem problem);
     void regained(std::string_view feed, duration away);
@@ -75,6 +75,7 @@
 
     gateway_context& context_;
     gateway_platform platform_;
+    std::shared_ptr<directory_relays> relays_;
     std::shared_ptr<feed_follower<gateway_configuration>> configurations_;
     std::shared_ptr<feed_follower<upstream_change>> upstreams_;
     /** The directory was away until just before this time. */
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -79,8 +79,6 @@
         starts_.end(request.start_ended());
         give_starts();
     }
-    if (request.has_news())
-        pass_on(request.news(), name);
     if (request.has_start_wanted())
         take_start(from, name, request.start_wanted());
     if (request.turn_wanted().empty())
@@ -95,18 +93,6 @@
     socket_->send(from, notice.SerializeAsString());
 }
 
-void engine_monitor::pass_on(const v1::DirectoryNews& news,
-                             const std::string& sender)
-{
-    v1::MonitorNotice notice;
-    *notice.mutable_news() = news;
-    const auto bytes = notice.SerializeAsString();
-    for (const auto& [name, listener] : gateways_) {
-        if (name != sender)
-            socket_->send(listener.address, bytes);
-    }
-}
-
 void engine_monitor::give_turn()
 {
     const auto holder = turns_.holder(reactor_->now());
@@ -224,6 +210,8 @@
         starts_.take_view(view_of(*load), load->leaving, reactor_->now());
         give_starts();
         tell(*load);
+        if (load->leaving && leaving_)
+            std::exchange(leaving_, nullptr)();
     } else {
         metrics_.count(exported_metric::load_failures);
     }
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -8,13 +8,13 @@
 #include "http_call.hpp"
 #include "start_queue.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
 namespace cyclamenrun::v1
 {
-class DirectoryNews;
 class StartWanted;
 } // namespace cyclamenrun::v1
 
@@ -46,6 +46,8 @@
 
     ip_endpoint address() const { return socket_->address(); }
     void start();
+    /** Called once when the engine is first seen to leave. */
+    void on_leaving(std::function<void()> call) { leaving_ = std::move(call); }
     std::size_t gateways() const { return gateways_.size(); }
 
 private:
@@ -56,8 +58,6 @@
 
     void take_request(const ip_endpoint& from, std::string_view bytes);
     void give_turn();
-    /** To all gateways that ask here, but for the one that sent it. */
-    void pass_on(const v1::DirectoryNews& news, const std::string& sender);
     void take_start(const ip_endpoint& from, const std::string& gateway,
                     const v1::StartWanted& wanted);
     void give_starts();
@@ -84,6 +84,7 @@
     time_point tell_again_at_{};
     time_point tell_next_at_{};
     bool told_leaving_ = false;
+    std::function<void()> leaving_;
     exported_metrics& metrics_;
     time_point next_look_{};
     time_point looked_at_{};
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -23,9 +23,6 @@
     milliseconds slack{1200};
     milliseconds first_retry{100};
     milliseconds longest_retry{800};
-    /** What others say that they read puts a call off no longer than this
-     * after the last one that was answered, or news. */
-    milliseconds longest_put_off{0};
 };
 
 /**
@@ -33,12 +30,6 @@
  * record of each key first, then every record in its order. When the history
  * is gone it starts anew from the newest ones; when the directory is away it
  * keeps what it has and tries again, more and more slowly.
- *
- * Others who follow the same feed may tell what they have read: it is taken if
- * it goes on where this one is, and puts the next call off. Late or repeated
- * news is recognised by its offsets, so nothing is taken twice or goes back.
- * They also tell that their call is under way, since the directory may hold it
- * for long; this one then waits for their news, but not beyond its bound.
  */
 template <typename Item>
 class feed_follower : public std::enable_shared_from_this<feed_follower<Item>>
@@ -47,12 +38,7 @@
     struct hooks {
         /** `whole`: these are all there is; what is missing has gone. */
         std::function<void(std::vector<Item>&& items, bool whole)> items;
-        /** A call brought records, from that offset on. */
-        std::function<void(std::uint64_t from, const directory_page<Item>&)>
-            read;
-        /** A call from that offset on is under way; told again and again. */
-        std::function<void(std::uint64_t from)> reading;
-        /** Least time between two calls, or to a call after news; empty: 0. */
+        /** Least time between two calls of the directory; empty: 0. */
         std::function<milliseconds()> pause;
         /**
          * The directory has answered: all that it held at `asked`, when the
@@ -79,30 +65,8 @@
 
     void start() { read(); }
 
-    /**
-     * What another follower has read, from an offset on. False: it does not
-     * go on where this one is, or brings nothing new.
-     */
-    bool take_news(std::uint64_t from, directory_page<Item>&& news)
-    {
-        if (!offset_ || from > *offset_ || news.next_offset <= *offset_)
-            return false;
-        take_items(std::move(news), false);
-        read_at(steady_now() + pause());
-        return true;
-    }
-
-    /** Another follower's call from that offset on is under way. */
-    void take_reading(std::uint64_t from)
-    {
-        if (!offset_ || from != *offset_)
-            return;
-        const auto now = steady_now();
-        const auto put_off = std::min(now + reading_lifetime,
-                                      progress_at_ + pace_.longest_put_off);
-        if (!reading_ && put_off > next_read_)
-            read_at(put_off);
-    }
+    /** Another process has made the last call that was answered. */
+    bool relayed() const { return relayed_; }
 
     /** The directory may be back: there is no need to wait any longer. */
     void try_again_now()
@@ -114,11 +78,6 @@
 private:
     using page = directory_page<Item>;
 
-    /** It is told that a call is under way each such time. */
-    static constexpr milliseconds reading_interval{150};
-    /** Who has not been heard for two of them has died or is cut off. */
-    static constexpr milliseconds reading_lifetime{400};
-
     milliseconds pause() const
     {
         return on_.pause ? on_.pause() : milliseconds(0);
@@ -127,35 +86,18 @@
     void read()
     {
         reading_ = true;
-        asked_from_ = offset_.value_or(0);
         asked_ = boot_now();
         asked_at_ = steady_now();
         auto answer = [weak = this->weak_from_this()](auto result) {
             if (const auto self = weak.lock())
                 self->take(std::move(result));
         };
-        const bool newest = !offset_.has_value();
-        if (newest)
-            feed_->read_newest(asked_at_ + pace_.slack, std::move(answer));
-        else
+        if (offset_)
             feed_->read_from(*offset_, pace_.wait,
                              asked_at_ + pace_.wait + pace_.slack,
                              std::move(answer));
-        tell_reading(asked_at_);
-    }
-
-    /** While that call is under way and nobody else's news overtakes it. */
-    void tell_reading(time_point call)
-    {
-        if (!on_.reading || !reading_ || call != asked_at_ ||
-            offset_ != asked_from_)
-            return;
-        on_.reading(asked_from_);
-        reactor_->post_at(steady_now() + reading_interval,
-                          [weak = this->weak_from_this(), call] {
-                              if (const auto self = weak.lock())
-                                  self->tell_reading(call);
-                          });
+        else
+            feed_->read_newest(asked_at_ + pace_.slack, std::move(answer));
     }
 
     void take(tl::expected<page, directory_problem> result)
@@ -165,9 +107,6 @@
             fail(result.error());
             return;
         }
-        const bool whole = !offset_.has_value();
-        if (on_.read && !whole && result->next_offset > asked_from_)
-            on_.read(asked_from_, *result);
         retry_in_ = pace_.first_retry;
         if (lost_since_ && on_.regained)
             on_.regained(steady_now() - *lost_since_);
@@ -176,31 +115,22 @@
             on_.answered(steady_now() - asked_at_);
         if (on_.unreadable && !result->unreadable.empty())
             on_.unreadable(result->unreadable);
-        take_items(std::move(*result), whole);
+        const auto asked = result->asked.value_or(asked_);
+        relayed_ = result->relayed;
+        take_items(std::move(*result));
         if (on_.current)
-            on_.current(asked_);
-        read_at(asked_at_ + pause());
+            on_.current(asked);
+        read_at(relayed_ ? steady_now() : asked_at_ + pause());
     }
 
-    void take_items(page&& taken, bool whole)
+    void take_items(page&& taken)
     {
-        if (!whole)
-            drop_known(taken);
-        offset_ = std::max(taken.next_offset, offset_.value_or(0));
-        progress_at_ = steady_now();
+        const bool whole = !offset_.has_value();
+        offset_ = taken.next_offset;
         if (on_.items && (whole || !taken.items.empty()))
             on_.items(std::move(taken.items), whole);
     }
 
-    /** News may have been faster than an answer of the directory. */
-    void drop_known(page& taken) const
-    {
-        const auto known = std::lower_bound(taken.offsets.begin(),
-                                            taken.offsets.end(), *offset_) -
-                           taken.offsets.begin();
-        taken.items.erase(taken.items.begin(), taken.items.begin() + known);
-    }
-
     void fail(directory_problem problem)
     {
         if (on_.failed)
@@ -240,9 +170,8 @@
     feed_pace pace_;
     hooks on_;
     std::optional<std::uint64_t> offset_;
-    std::uint64_t asked_from_ = 0;
     bool reading_ = false;
-    time_point progress_at_{};
+    bool relayed_ = false;
     time_point next_read_{};
     boot_time asked_{};
     time_point asked_at_{};
--- /dev/null
+++ b/src/libcyclamenrun/gateway/feed_history.hpp
@@ -0,0 +1,130 @@
+#ifndef CYCLAMENRUN_FEED_HISTORY_HPP
+#define CYCLAMENRUN_FEED_HISTORY_HPP
+
+#include "directory_feed.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+/** How records of a feed relate to one another. */
+struct upstream_record_traits {
+    using item = upstream_change;
+    static std::string key(const item& record) { return record.id; }
+    static bool removes_key(const item& record) { return !record.record; }
+    /** A heartbeat that changes nothing. */
+    static bool same(const item& left, const item& right)
+    {
+        return left.record == right.record;
+    }
+};
+
+struct configuration_text_traits {
+    using item = configuration_text;
+    static std::string key(const item&) { return {}; }
+    static bool removes_key(const item&) { return false; }
+    static bool same(const item& left, const item& right)
+    {
+        return left.text == right.text;
+    }
+};
+
+/**
+ * The newest record of each key of a feed, and the latest changes, for readers
+ * that know the feed up to some offset. Bounded: the oldest changes go first.
+ */
+template <typename Traits>
+class feed_history
+{
+public:
+    using item = typename Traits::item;
+    using page = directory_page<item>;
+
+    explicit feed_history(std::size_t most_changes)
+        : most_changes_(most_changes)
+    {
+    }
+
+    bool known() const { return known_; }
+    std::uint64_t next_offset() const { return next_; }
+
+    void forget() { known_ = false; }
+
+    /** These are the newest of all keys; what was before them is unknown. */
+    void restart(const page& newest)
+    {
+        newest_.clear();
+        changes_.clear();
+        for (const auto& record : newest.items)
+            keep(record);
+        first_ = next_ = newest.next_offset;
+        known_ = true;
+    }
+
+    /** Records from next_offset() on. */
+    void extend(const page& read)
+    {
+        for (std::size_t i = 0; i < read.items.size(); ++i) {
+            if (keep(read.items[i]))
+                changes_.emplace_back(read.offsets.at(i), read.items[i]);
+        }
+        next_ = std::max(next_, read.next_offset);
+        for (; changes_.size() > most_changes_; changes_.pop_front())
+            first_ = changes_.front().first + 1;
+    }
+
+    /** What has changed from an offset on; empty if that is not known. */
+    std::optional<page> since(std::uint64_t from) const
+    {
+        if (!known_ || from < first_ || from > next_)
+            return std::nullopt;
+        page result;
+        result.next_offset = next_;
+        for (const auto& [offset, record] : changes_) {
+            if (offset < from)
+                continue;
+            result.items.push_back(record);
+            result.offsets.push_back(offset);
+        }
+        return result;
+    }
+
+    page newest() const
+    {
+        page result;
+        result.next_offset = next_;
+        for (const auto& [key, record] : newest_)
+            result.items.push_back(record);
+        return result;
+    }
+
+private:
+    /** False: it says what was known. */
+    bool keep(const item& record)
+    {
+        const auto key = Traits::key(record);
+        const auto known = newest_.find(key);
+        if (Traits::removes_key(record))
+            return newest_.erase(key) > 0;
+        if (known != newest_.end() && Traits::same(known->second, record))
+            return false;
+        newest_.insert_or_assign(key, record);
+        return true;
+    }
+
+    std::size_t most_changes_;
+    bool known_ = false;
+    std::uint64_t first_ = 0; ///< changes from here on are in changes_
+    std::uint64_t next_ = 0;
+    std::map<std::string, item> newest_;
+    std::deque<std::pair<std::uint64_t, item>> changes_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_FEED_HISTORY_HPP
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -131,9 +131,6 @@
     on.gateways = [this](unsigned count) {
         context_->budget.set_sharers(count);
     };
-    on.news = [this](const v1::DirectoryNews& news) {
-        directory_->take_news(news);
-    };
     on.engine_hosts = [this] {
         std::set<std::string> hosts;
         if (!context_->routes)
@@ -142,11 +139,37 @@
             hosts.merge(context_->board.hosts(name));
         return hosts;
     };
+    const auto monitor_port =
+        static_cast<std::uint16_t>(settings_.monitor_port);
     context_->monitors = std::make_shared<monitor_link>(
-        loop_->reactor(), settings_.loads_listen,
-        static_cast<std::uint16_t>(settings_.monitor_port), settings_.name,
+        loop_->reactor(), settings_.loads_listen, monitor_port, settings_.name,
         std::move(on));
     context_->monitors->start();
+    use_relays(monitor_port);
+}
+
+void gateway_process::use_relays(std::uint16_t port)
+{
+    directory_relays::hooks on;
+    on.candidates = [this] { return relay_candidates(); };
+    on.gateways = [this] { return context_->budget.sharers(); };
+    directory_->use_relays(std::make_shared<directory_relays>(
+        loop_->reactor(), settings_.name, port, std::move(on)));
+}
+
+std::vector<relay_candidate> gateway_process::relay_candidates() const
+{
+    std::vector<relay_candidate> candidates;
+    if (!context_->routes)
+        return candidates;
+    for (const auto& name : context_->routes->engine_services()) {
+        for (const auto* engine : context_->board.available(name)) {
+            const auto& host = engine->record.address.host;
+            if (context_->monitors->hears(host))
+                candidates.push_back({host, engine->record.failure_domain});
+        }
+    }
+    return candidates;
 }
 
 void gateway_process::start_servers()
@@ -227,6 +250,7 @@
            std::to_string(context_->routes ? context_->routes->version() : 0) +
            ",\"configuration_age_ms\":" +
            std::to_string(age ? age->count() : -1) +
+           ",\"relayed\":" + (directory_->relayed() ? "true" : "false") +
            ",\"upstreams\":" + std::to_string(context_->board.size()) +
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(callers_->connections()) +
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -47,6 +48,8 @@
     void start(gateway_platform platform);
     void start_servers();
     void start_monitor_link();
+    void use_relays(std::uint16_t port);
+    std::vector<relay_candidate> relay_candidates() const;
     session_hooks caller_hooks();
     session_hooks ready_hooks();
     session_limits limits() const;
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -20,9 +20,6 @@
 /** A monitor that says nothing for so long is down or cut off. */
 constexpr milliseconds monitor_silence{160};
 
-/** Monitors that pass news on, in case one of them can't. */
-constexpr std::size_t news_copies = 2;
-
 /** It tells even a load that has not changed 400 ms after the last, so that
  * four in a row have gone missing by then. */
 constexpr milliseconds monitor_away{1600};
@@ -111,6 +108,7 @@
     const auto away = std::chrono::duration_cast<milliseconds>(
         reactor_->now() - found->second.heard_at);
     found->second.heard_at = reactor_->now();
+    found->second.heard = true;
     if (std::exchange(found->second.lost, false))
         log_event(log_severity::info, log_event_name::monitor_regained,
                   {{log_key::address, host}, {log_key::duration_ms, away}});
@@ -194,24 +192,10 @@
     send(host, request);
 }
 
-void monitor_link::pass_on(const v1::DirectoryNews& news)
+bool monitor_link::hears(const std::string& host) const
 {
-    v1::MonitorRequest request;
-    request.set_gateway(name_);
-    *request.mutable_news() = news;
-    // In turn, so that one that is cut off from others is soon left behind.
-    auto host = asked_.upper_bound(passed_on_by_);
-    std::size_t sent = 0;
-    for (std::size_t i = 0; i < asked_.size() && sent < news_copies; ++i) {
-        if (host == asked_.end())
-            host = asked_.begin();
-        if (!host->second.lost) {
-            passed_on_by_ = host->first;
-            send(host->first, request);
-            ++sent;
-        }
-        ++host;
-    }
+    const auto found = asked_.find(host);
+    return found != asked_.end() && found->second.heard && !found->second.lost;
 }
 
 void monitor_link::take_start_given(const std::string& host,
@@ -256,9 +240,6 @@
     if (notice.has_start_waits())
         take_start_waits(from.host, notice.start_waits().id(),
                          notice.start_waits().refused());
-    // Whoever else sends news would choose where requests go.
-    if (notice.has_news() && asked_.contains(from.host))
-        on_.news(notice.news());
     if (!notice.has_load())
         return;
     const auto engine = parse_ip_endpoint(notice.load().engine_address());
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -14,7 +14,6 @@
 
 namespace cyclamenrun::v1
 {
-class DirectoryNews;
 class MonitorNotice;
 class MonitorRequest;
 class StartGiven;
@@ -34,8 +33,6 @@
         std::function<void(const ip_endpoint& engine, const engine_load&)> load;
         /** How many gateways the monitors hear of. */
         std::function<void(unsigned)> gateways;
-        /** Another gateway has read the directory. */
-        std::function<void(const v1::DirectoryNews&)> news;
         /** IP numbers of the VMs on which engines run. */
         std::function<std::set<std::string>()> engine_hosts;
     };
@@ -72,8 +69,8 @@
     /** It does not wait there any more, or does not use what was given. */
     void end_start(const std::string& host, const std::string& id);
 
-    /** Some monitors tell the other gateways. */
-    void pass_on(const v1::DirectoryNews& news);
+    /** The monitor on that host has spoken of late. */
+    bool hears(const std::string& host) const;
 
 private:
     struct wanted_turn {
@@ -86,7 +83,8 @@
     /** A host that was asked, and when its monitor was heard. */
     struct asked_host {
         time_point heard_at;
-        bool lost = false; ///< it says nothing any more
+        bool heard = false; ///< it has spoken at all
+        bool lost = false;  ///< it says nothing any more
     };
 
     void ask_for_loads();
@@ -107,7 +105,6 @@
     std::string name_;
     hooks on_;
     std::map<std::string, asked_host> asked_;
-    std::string passed_on_by_; ///< the last host that was given news
     time_point ask_all_at_{};
     std::unordered_map<std::string, wanted_turn> turns_;
     std::unordered_map<std::string, start_hooks> starts_;
--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -1,13 +1,17 @@
 #include "monitor_process.hpp"
 
+#include "log_event.hpp"
+
+#include <Poco/Exception.h>
+
 namespace cyclamenrun
 {
 
 monitor_process::monitor_process(const monitor_settings& settings,
-                                 std::shared_ptr<const gateway_dialect> dialect)
+                                 const monitor_platform& platform)
     : loop_(std::make_unique<link_loop>()),
       monitor_(std::make_shared<engine_monitor>(
-          loop_->reactor(), std::move(dialect),
+          loop_->reactor(), platform.dialect,
           engine_monitor_settings{settings.engine, settings.listen,
                                   settings.interval},
           metrics_))
@@ -18,6 +22,8 @@
                          static_cast<double>(monitor_->gateways()));
             export_dropped_lines(metrics_);
         });
+    if (settings.directory.port != 0)
+        open_relay(settings.directory, platform);
     loop_->post([this, where = settings.metrics_listen] {
         monitor_->start();
         listener_->open(where);
@@ -26,9 +32,29 @@
 
 monitor_process::~monitor_process()
 {
+    relay_.reset();
     loop_.reset();
 }
 
+void monitor_process::open_relay(const ip_endpoint& directory,
+                                 const monitor_platform& platform)
+{
+    // The port of the datagrams, for connections.
+    const auto where = monitor_->address();
+    try {
+        relay_ = std::make_unique<directory_relay>(
+            *loop_, where, platform.feeds(loop_->reactor(), directory),
+            metrics_);
+    } catch (const Poco::Exception& error) {
+        log_event(log_severity::error, log_event_name::listener_failed,
+                  {{log_key::name, "directory"},
+                   {log_key::address, to_string(where)},
+                   {log_key::detail, error.displayText()}});
+        return;
+    }
+    monitor_->on_leaving([this] { relay_->leave(); });
+}
+
 std::string monitor_process::address() const
 {
     return to_string(monitor_->address());
--- /dev/null
+++ b/src/libcyclamenrun/gateway/relayed_calls.hpp
@@ -0,0 +1,178 @@
+#ifndef CYCLAMENRUN_RELAYED_CALLS_HPP
+#define CYCLAMENRUN_RELAYED_CALLS_HPP
+
+#include "exported_metrics.hpp"
+#include "link_reactor.hpp"
+#include "log_event.hpp"
+#include "read_coalescer.hpp"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+/** Sends the reads of a read_coalescer to one feed of the directory. */
+template <typename Traits>
+class relayed_calls : public std::enable_shared_from_this<relayed_calls<Traits>>
+{
+public:
+    using item = typename Traits::item;
+    using result = tl::expected<directory_page<item>, directory_problem>;
+    using answered = std::function<void(const result&)>;
+    using call_id = typename read_coalescer<Traits>::call_id;
+
+    relayed_calls(std::shared_ptr<link_reactor> reactor, std::string_view name,
+                  std::shared_ptr<directory_feed<item>> feed,
+                  const coalescer_pace& pace, exported_metrics& metrics)
+        : reactor_(std::move(reactor)), name_(name), feed_(std::move(feed)),
+          coalescer_(pace), metrics_(metrics)
+    {
+    }
+
+    /** Empty: it was refused, and answered so. */
+    std::optional<call_id> ask(std::optional<std::uint64_t> from,
+                               milliseconds wait, answered on_answer)
+    {
+        const auto call =
+            leaving_ ? std::nullopt : coalescer_.ask(from, wait, steady_now());
+        if (!call) {
+            on_answer(tl::unexpected(directory_problem::unavailable));
+            return std::nullopt;
+        }
+        waiting_.emplace(*call, std::move(on_answer));
+        read_later();
+        return call;
+    }
+
+    void forget(call_id call)
+    {
+        coalescer_.forget(call);
+        waiting_.erase(call);
+    }
+
+    void leave()
+    {
+        leaving_ = true;
+        tell(coalescer_.refuse_all());
+    }
+
+private:
+    /** Time for an answer beyond the wait, even of a slow directory. */
+    static constexpr milliseconds slack{1200};
+
+    void read_later()
+    {
+        const auto due = coalescer_.next_read();
+        if (!due || (timer_due_ > steady_now() && timer_due_ <= *due))
+            return;
+        timer_due_ = *due;
+        reactor_->post_at(*due, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->read_if_due();
+        });
+    }
+
+    void read_if_due()
+    {
+        const auto due = coalescer_.next_read();
+        if (due && *due <= steady_now())
+            read();
+        else
+            read_later();
+    }
+
+    void read()
+    {
+        const auto now = steady_now();
+        const auto next = coalescer_.begin_read(now);
+        began_ = now;
+        metrics_.count(exported_metric::relay_reads, {std::string(name_)});
+        reactor_->post_at(
+            *coalescer_.overdue_at(), [weak = this->weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->tell(self->coalescer_.give_up(steady_now()));
+            });
+        auto answer = [weak = this->weak_from_this()](result read) {
+            if (const auto self = weak.lock())
+                self->take(read);
+        };
+        const auto deadline = now + next.wait + slack;
+        if (next.from)
+            feed_->read_from(*next.from, next.wait, deadline,
+                             std::move(answer));
+        else
+            feed_->read_newest(deadline, std::move(answer));
+    }
+
+    void take(const result& read)
+    {
+        const auto now = steady_now();
+        if (read)
+            note_answered(*read, now - began_);
+        else
+            note_failed(read.error());
+        tell(coalescer_.end_read(read, now));
+        read_later();
+    }
+
+    void note_answered(const directory_page<item>& page, duration took)
+    {
+        metrics_.observe(exported_metric::directory_time, {std::string(name_)},
+                         took);
+        if (std::exchange(lost_, false))
+            log_event(log_severity::info, log_event_name::directory_regained,
+                      {{log_key::name, name_}});
+        if (page.unreadable.empty())
+            return;
+        metrics_.count(exported_metric::unreadable_records,
+                       {std::string(name_)},
+                       static_cast<double>(page.unreadable.size()));
+        log_event(log_severity::warning, log_event_name::record_unreadable,
+                  {{log_key::name, name_},
+                   {log_key::count, page.unreadable.size()},
+                   {log_key::detail, page.unreadable.front()}});
+    }
+
+    void note_failed(directory_problem problem)
+    {
+        metrics_.count(exported_metric::directory_failures,
+                       {std::string(name_), std::string(name_of(problem))});
+        if (problem == directory_problem::history_gone ||
+            std::exchange(lost_, true))
+            return;
+        log_event(
+            log_severity::warning, log_event_name::directory_lost,
+            {{log_key::name, name_}, {log_key::reason, name_of(problem)}});
+    }
+
+    void tell(const std::vector<typename read_coalescer<Traits>::answer>& all)
+    {
+        for (const auto& each : all) {
+            const auto found = waiting_.find(each.call);
+            if (found == waiting_.end())
+                continue;
+            const auto on_answer = std::move(found->second);
+            waiting_.erase(found);
+            on_answer(each.result);
+        }
+    }
+
+    std::shared_ptr<link_reactor> reactor_;
+    std::string_view name_;
+    std::shared_ptr<directory_feed<item>> feed_;
+    read_coalescer<Traits> coalescer_;
+    exported_metrics& metrics_;
+    std::unordered_map<call_id, answered> waiting_;
+    time_point timer_due_{};
+    time_point began_{};
+    bool lost_ = false;
+    bool leaving_ = false;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RELAYED_CALLS_HPP
--- /dev/null
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -0,0 +1,196 @@
+#ifndef CYCLAMENRUN_RELAYED_FEED_HPP
+#define CYCLAMENRUN_RELAYED_FEED_HPP
+
+#include "directory.pb.h"
+#include "directory_messages.hpp"
+#include "directory_relays.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/**
+ * A feed of the directory as a gateway reads it: by monitors that read it for
+ * many, and from the directory itself where none of them can tell.
+ *
+ * While the monitors are there and do not reach the directory either, it is
+ * called but now and then: an outage seen by all of them is hardly one of this
+ * VM alone, and a fleet that calls in it delays the directory's return.
+ */
+template <typename Item>
+class relayed_feed final
+    : public directory_feed<Item>,
+      public std::enable_shared_from_this<relayed_feed<Item>>
+{
+public:
+    using typename directory_feed<Item>::answered;
+    using page = directory_page<Item>;
+
+    struct hooks {
+        /** Empty, or gives null, where there are no monitors. */
+        std::function<std::shared_ptr<directory_relays>()> relays;
+        std::function<tl::expected<page, answer_problem>(
+            const v1::DirectoryAnswer&)>
+            read;
+        /** A monitor has read it for this gateway. */
+        std::function<void()> relayed;
+        /**
+         * Monitors hold a call no longer, so that one that has lost the
+         * directory is noticed in time.
+         */
+        milliseconds longest_wait{900};
+    };
+
+    relayed_feed(std::shared_ptr<link_reactor> reactor, v1::DirectoryFeed which,
+                 std::shared_ptr<directory_feed<Item>> direct,
+                 std::mt19937_64& random, hooks on)
+        : reactor_(std::move(reactor)), which_(which),
+          direct_(std::move(direct)), random_(random), on_(std::move(on))
+    {
+    }
+
+    void read_newest(time_point deadline, answered on_answer) override
+    {
+        begin({std::nullopt, milliseconds(0), deadline, std::move(on_answer)});
+    }
+
+    void read_from(std::uint64_t offset, milliseconds wait, time_point deadline,
+                   answered on_answer) override
+    {
+        begin({offset, wait, deadline, std::move(on_answer)});
+    }
+
+private:
+    /** Monitors that one call tries before the directory itself. */
+    static constexpr std::size_t most_tries = 2;
+    /** Beyond the wait: a read that was under way at the monitor ends first,
+     * and the next one may be slow. */
+    static constexpr milliseconds patience{800};
+    /** For the directory itself, after monitors have been tried in vain. */
+    static constexpr milliseconds direct_time{1200};
+    /** Between two calls to the directory while monitors tell that it is
+     * away; up to half as much again, so that gateways do not call together. */
+    static constexpr milliseconds direct_spacing{2000};
+
+    struct call {
+        std::optional<std::uint64_t> from;
+        milliseconds wait;
+        time_point deadline;
+        answered on_answer;
+        std::vector<std::string> hosts = {};
+        std::size_t tried = 0;
+        bool heard_away = false; ///< a monitor told so
+    };
+
+    void begin(call what)
+    {
+        relays_ = on_.relays ? on_.relays() : nullptr;
+        if (relays_)
+            what.hosts = relays_->hosts();
+        go_on(std::make_shared<call>(std::move(what)));
+    }
+
+    void go_on(const std::shared_ptr<call>& what)
+    {
+        if (what->tried < std::min(most_tries, what->hosts.size()))
+            ask_relay(what);
+        else
+            ask_directory(what);
+    }
+
+    void ask_relay(const std::shared_ptr<call>& what)
+    {
+        const auto& host = what->hosts[what->tried++];
+        v1::DirectoryCall message;
+        message.set_feed(which_);
+        if (what->from)
+            message.set_from(*what->from);
+        const auto wait = std::min(what->wait, on_.longest_wait);
+        message.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+        relays_->ask(
+            host, message, steady_now() + wait + patience,
+            [self = this->shared_from_this(), what, host, asked = boot_now()](
+                const std::optional<v1::DirectoryAnswer>& answer) {
+                self->take(what, host, asked, answer);
+            });
+    }
+
+    void take(const std::shared_ptr<call>& what, const std::string& host,
+              boot_time asked, const std::optional<v1::DirectoryAnswer>& answer)
+    {
+        if (!answer) {
+            go_on(what);
+            return;
+        }
+        auto read = on_.read(*answer);
+        if (read) {
+            read->asked = asked;
+            read->relayed = true;
+            on_.relayed();
+            what->on_answer(std::move(*read));
+            return;
+        }
+        if (read.error() == answer_problem::history_gone) {
+            what->on_answer(tl::unexpected(directory_problem::history_gone));
+            return;
+        }
+        what->heard_away = true;
+        if (relays_)
+            relays_->without_directory(host);
+        go_on(what);
+    }
+
+    void ask_directory(const std::shared_ptr<call>& what)
+    {
+        const auto now = steady_now();
+        if (what->heard_away && now < direct_after_) {
+            what->on_answer(tl::unexpected(directory_problem::unavailable));
+            return;
+        }
+        auto answer =
+            [self = this->shared_from_this(), what,
+             asked = boot_now()](tl::expected<page, directory_problem> result) {
+                if (!result)
+                    self->space_direct();
+                else
+                    result->asked = asked;
+                what->on_answer(std::move(result));
+            };
+        // After a vain try the answer is wanted soon, whatever it says.
+        const bool first = what->tried == 0;
+        const auto deadline = first ? what->deadline : now + direct_time;
+        if (what->from)
+            direct_->read_from(*what->from,
+                               first ? what->wait : milliseconds(0), deadline,
+                               std::move(answer));
+        else
+            direct_->read_newest(deadline, std::move(answer));
+    }
+
+    void space_direct()
+    {
+        std::uniform_real_distribution<double> part(1.0, 1.5);
+        direct_after_ = steady_now() + std::chrono::duration_cast<milliseconds>(
+                                           part(random_) * direct_spacing);
+    }
+
+    std::shared_ptr<link_reactor> reactor_;
+    v1::DirectoryFeed which_;
+    std::shared_ptr<directory_feed<Item>> direct_;
+    std::mt19937_64& random_;
+    hooks on_;
+    std::shared_ptr<directory_relays> relays_;
+    time_point direct_after_{};
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_RELAYED_FEED_HPP
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -56,11 +56,11 @@
                         "cyclamenrun_unreadable_records_total",
                         exported_kind::counter, "feed",
                         "Records of the directory that were skipped."},
-    exported_metric_row{exported_metric::directory_news,
-                        "cyclamenrun_directory_news_total",
-                        exported_kind::counter, "",
-                        "Reads of the directory by other gateways that were "
-                        "taken in place of an own one."},
+    exported_metric_row{exported_metric::directory_relayed,
+                        "cyclamenrun_directory_relayed_total",
+                        exported_kind::counter, "feed",
+                        "Reads of the directory that a monitor has made for "
+                        "this gateway."},
     exported_metric_row{exported_metric::configuration_version,
                         "cyclamenrun_configuration_version",
                         exported_kind::gauge, "",
@@ -125,6 +125,11 @@
         exported_metric::load_failures, "cyclamenrun_load_failures_total",
         exported_kind::counter, "",
         "Questions for the load that the engine has not answered."},
+    exported_metric_row{exported_metric::relay_reads,
+                        "cyclamenrun_relay_reads_total", exported_kind::counter,
+                        "feed",
+                        "Reads of the directory that this monitor has made "
+                        "for gateways."},
 };
 
 } // namespace
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -23,7 +23,7 @@
     directory_time,
     directory_failures,
     unreadable_records,
-    directory_news,
+    directory_relayed,
     configuration_version,
     configuration_age,
     running,
@@ -43,6 +43,7 @@
     turns,
     load_time,
     load_failures,
+    relay_reads,
 };
 
 enum class exported_kind : std::uint8_t {
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -142,6 +142,9 @@
                   "The monitor beside an engine says nothing any more."},
     log_event_row{log_event_name::monitor_regained, "monitor_regained",
                   "The monitor beside an engine is heard again."},
+    log_event_row{log_event_name::relay_lost, "relay_lost",
+                  "A monitor that read the directory for this gateway does "
+                  "not answer; another one is asked."},
     log_event_row{log_event_name::settings_reloaded, "settings_reloaded",
                   "The settings file has changed and was read again."},
     log_event_row{log_event_name::settings_unusable, "settings_unusable",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -70,6 +70,7 @@
     record_unreadable,
     monitor_lost,
     monitor_regained,
+    relay_lost,
     settings_reloaded,
     settings_unusable,
     library_message,
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -66,12 +66,8 @@
          "upstreams."},
         {"directory.upstream_pause_ms", &settings.upstream_pause, optional, 10,
          minute_ms, "ms",
-         "Most time from one look at changes of upstreams to the next; where "
-         "gateways tell each other, a part of it."},
-        {"directory.leaving_bound_ms", &settings.leaving_bound, optional, 100,
-         minute_ms, "ms",
-         "Time after which an upstream that leaves, as the store knows, must "
-         "get no new work."},
+         "Time from one look of its own at changes of upstreams to the next; "
+         "monitors that look for it have a pace of their own."},
     };
 }
 
@@ -82,7 +78,8 @@
          "UDP address for the loads that monitors tell."},
         {"loads.monitor_port", &settings.monitor_port, optional, 0,
          highest_port, "",
-         "UDP port of the monitors beside engines; 0: there are none."},
+         "UDP and TCP port of the monitors beside engines; 0: there are "
+         "none."},
     };
 }
 
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -32,7 +32,6 @@
     milliseconds upstream_pause{900};
     milliseconds configuration_wait{900};
     milliseconds upstream_wait{3000};
-    milliseconds leaving_bound{2000};
 
     double retry_share = 0.2;
     double retry_extra = 50;
--- a/src/libcyclamenrun/settings/monitor_settings.cpp
+++ b/src/libcyclamenrun/settings/monitor_settings.cpp
@@ -29,11 +29,15 @@
         {"metrics_listen", &settings.metrics_listen, optional, 0, 0, "",
          "Where `GET /metrics` is answered; port 0: nowhere."},
         {"listen", &settings.listen, optional, 0, 0, "",
-         "UDP address at which gateways ask for the load."},
+         "UDP address at which gateways ask for the load, and TCP address at "
+         "which they have the directory read."},
         {"engine", &settings.engine, required, 0, 0, "",
          "The engine on this VM, at the address that the directory names."},
         {"interval_ms", &settings.interval, optional, 10, longest_interval_ms,
          "ms", "Time between two looks at the engine."},
+        {"directory.address", &settings.directory, optional, 0, 0, "",
+         "The platform's store, which is read for gateways that ask; port 0: "
+         "it is not."},
     };
 }
 
--- a/src/libcyclamenrun/settings/monitor_settings.hpp
+++ b/src/libcyclamenrun/settings/monitor_settings.hpp
@@ -20,6 +20,8 @@
     ip_endpoint listen{"0.0.0.0", 0};
     ip_endpoint engine; ///< beside which it runs
     milliseconds interval{100};
+    /** The platform's store; port 0: it is not read for gateways. */
+    ip_endpoint directory{"127.0.0.1", 0};
 };
 
 settings_table monitor_rows(monitor_settings& settings);
--- a/src/monitor/main.cpp
+++ b/src/monitor/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon_main.hpp"
 #include "http_dialect.hpp"
 #include "monitor_process.hpp"
+#include "store_feed.hpp"
 
 using namespace cyclamenrun;
 
@@ -18,8 +19,10 @@
         });
     };
     program.serve = [&](const stop_signal& stop) {
-        monitor_process process(settings,
-                                std::make_shared<platform::http_dialect>());
+        monitor_platform platform;
+        platform.dialect = std::make_shared<platform::http_dialect>();
+        platform.feeds = platform::make_relay_feeds;
+        monitor_process process(settings, platform);
         return serve_until_stopped(process, stop);
     };
     return daemon_main(program, argc, argv);
--- /dev/null
+++ b/tests/decisions/test_relay_choice.cpp
@@ -0,0 +1,101 @@
+#include "relay_choice.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+std::vector<relay_candidate> candidates(int count, int domains)
+{
+    std::vector<relay_candidate> all;
+    for (int i = 0; i < count; ++i)
+        all.push_back({"10.0.0." + std::to_string(i + 1),
+                       "d" + std::to_string(i % domains)});
+    return all;
+}
+
+std::set<std::string> chosen_by(const std::vector<relay_candidate>& from,
+                                int gateways, std::size_t count)
+{
+    std::set<std::string> hosts;
+    for (int i = 0; i < gateways; ++i) {
+        const auto chosen =
+            choose_relays(from, "gateway-" + std::to_string(i), count);
+        hosts.insert(chosen.begin(), chosen.end());
+    }
+    return hosts;
+}
+
+TEST(relay_choice, is_the_same_for_all_gateways)
+{
+    for (const int gateways : {1, 4, 103, 370})
+        EXPECT_EQ(chosen_by(candidates(115, 5), gateways, 2).size(), 2U);
+}
+
+TEST(relay_choice, spreads_gateways_over_the_relays)
+{
+    const auto all = candidates(115, 5);
+    std::map<std::string, int> first;
+    for (int i = 0; i < 370; ++i)
+        ++first[choose_relays(all, "gateway-" + std::to_string(i), 3).front()];
+    ASSERT_EQ(first.size(), 3U);
+    for (const auto& [host, gateways] : first)
+        EXPECT_GT(gateways, 370 / 6) << host;
+}
+
+// A failure domain is cut off with the relay in it: the second one must lie
+// elsewhere, whatever the hash says.
+TEST(relay_choice, takes_different_failure_domains)
+{
+    for (int shift = 0; shift < 50; ++shift) {
+        auto all = candidates(40, 2);
+        std::rotate(all.begin(), all.begin() + shift % 40, all.end());
+        for (auto& candidate : all)
+            candidate.host += std::to_string(shift);
+        const auto chosen = choose_relays(all, "g", 2);
+        ASSERT_EQ(chosen.size(), 2U);
+        std::set<std::string> domains;
+        for (const auto& candidate : all) {
+            if (std::find(chosen.begin(), chosen.end(), candidate.host) !=
+                chosen.end())
+                domains.insert(candidate.failure_domain);
+        }
+        EXPECT_EQ(domains.size(), 2U);
+    }
+}
+
+TEST(relay_choice, takes_what_there_is)
+{
+    EXPECT_TRUE(choose_relays({}, "g", 2).empty());
+    EXPECT_EQ(choose_relays(candidates(1, 1), "g", 2).size(), 1U);
+    EXPECT_EQ(choose_relays(candidates(5, 1), "g", 2).size(), 2U);
+}
+
+// A sixth of the engines is replaced every few seconds. Each relay that
+// changes reads the directory anew, so only those that went may change.
+TEST(relay_choice, changes_only_what_has_gone)
+{
+    auto all = candidates(115, 5);
+    const auto before = choose_relays(all, "g", 2);
+    std::erase_if(all, [&](const auto& candidate) {
+        return candidate.host == before.front();
+    });
+    const auto after = choose_relays(all, "g", 2);
+    EXPECT_NE(std::find(after.begin(), after.end(), before.back()),
+              after.end());
+}
+
+TEST(relay_choice, needs_more_relays_for_very_many_gateways_only)
+{
+    EXPECT_EQ(relay_count(1), 2U);
+    EXPECT_EQ(relay_count(103), 2U);
+    EXPECT_EQ(relay_count(370), 3U);
+}
+
+} // namespace
+} // namespace cyclamenrun
--- a/tests/gateway/stand_in_store.hpp
+++ b/tests/gateway/stand_in_store.hpp
@@ -38,6 +38,8 @@
     void put(const std::string& topic, const std::string& key,
              const std::string& value);
     void set_mood(mood next);
+    /** Calls of all kinds so far, those that were turned away included. */
+    std::size_t calls() const { return server_.arrived().size(); }
     /** Readers behind the newest record are told that it is gone. */
     void drop_history();
 
--- /dev/null
+++ b/tests/gateway/test_directory_messages.cpp
@@ -0,0 +1,117 @@
+#include "directory_messages.hpp"
+
+#include "directory.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+upstream_record record(const std::string& id, bool draining = false)
+{
+    upstream_record result;
+    result.id = id;
+    result.service = "model";
+    result.address = {"10.0.0.1", 80};
+    result.failure_domain = "d";
+    result.slots = 24;
+    result.draining = draining;
+    result.started_ms = 1700000000000;
+    return result;
+}
+
+using upstream_result =
+    tl::expected<directory_page<upstream_change>, directory_problem>;
+
+v1::DirectoryAnswer good_answer()
+{
+    directory_page<upstream_change> page;
+    page.items = {{"b", record("b", true)}, {"a", std::nullopt}};
+    page.next_offset = 12;
+    return answer_of(upstream_result(page));
+}
+
+TEST(directory_messages, arrive_as_they_were_sent)
+{
+    const auto read = read_upstreams(good_answer());
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->next_offset, 12U);
+    ASSERT_EQ(read->items.size(), 2U);
+    EXPECT_EQ(read->items[0].record, record("b", true));
+    EXPECT_EQ(read->items[1].id, "a");
+    EXPECT_FALSE(read->items[1].record);
+}
+
+TEST(directory_messages, tell_why_there_is_nothing)
+{
+    const auto problem = [](directory_problem what) {
+        return read_upstreams(answer_of(upstream_result(tl::unexpected(what))))
+            .error();
+    };
+    EXPECT_EQ(problem(directory_problem::unavailable),
+              answer_problem::unavailable);
+    EXPECT_EQ(problem(directory_problem::history_gone),
+              answer_problem::history_gone);
+}
+
+// A peer of another release, or a stranger, sends what it likes.
+TEST(directory_messages, are_refused_when_spoiled)
+{
+    const auto problem = [](const auto& spoil) {
+        auto answer = good_answer();
+        spoil(answer);
+        const auto read = read_upstreams(answer);
+        EXPECT_FALSE(read);
+        return read ? answer_problem::unavailable : read.error();
+    };
+    EXPECT_EQ(problem([](auto& m) { m.mutable_changes(0)->clear_id(); }),
+              answer_problem::malformed);
+    EXPECT_EQ(problem([](auto& m) {
+                  m.mutable_changes(0)->mutable_record()->set_address("x:1");
+              }),
+              answer_problem::malformed);
+    EXPECT_EQ(problem([](auto& m) {
+                  m.mutable_changes(0)->mutable_record()->set_address(
+                      "10.0.0.1:0");
+              }),
+              answer_problem::malformed);
+    EXPECT_EQ(problem([](auto& m) {
+                  m.mutable_changes(0)->mutable_record()->clear_service();
+              }),
+              answer_problem::malformed);
+    EXPECT_EQ(problem([](auto& m) {
+                  m.set_problem(static_cast<v1::DirectoryProblem>(99));
+              }),
+              answer_problem::malformed);
+}
+
+// Another writer's garbage stands where the configuration should: it is told
+// as unreadable and the one before it holds.
+TEST(directory_messages, tell_of_configurations_that_can_not_be_read)
+{
+    directory_page<configuration_text> page;
+    page.items = {{"garbage"}, {"7"}};
+    page.next_offset = 3;
+    const auto read = read_configurations(
+        answer_of(
+            tl::expected<directory_page<configuration_text>, directory_problem>(
+                page)),
+        [](std::string_view text) {
+            std::optional<gateway_configuration> configuration;
+            if (text != "7")
+                return configuration;
+            configuration.emplace();
+            configuration->version = 7;
+            return configuration;
+        });
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->next_offset, 3U);
+    EXPECT_EQ(read->unreadable.size(), 1U);
+    ASSERT_EQ(read->items.size(), 1U);
+    EXPECT_EQ(read->items[0].version, 7U);
+}
+
+} // namespace
+} // namespace cyclamenrun
--- /dev/null
+++ b/tests/gateway/test_read_coalescer.cpp
@@ -0,0 +1,513 @@
+#include "configuration_lease.hpp"
+#include "read_coalescer.hpp"
+
+#include <array>
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+
+namespace cyclamenrun
+{
+namespace
+{
+
+using coalescer = read_coalescer<upstream_record_traits>;
+using upstream_page = directory_page<upstream_change>;
+
+upstream_change change(const std::string& id, bool draining = false)
+{
+    upstream_record record;
+    record.id = id;
+    record.service = "model";
+    record.address = {"10.0.0.1", 80};
+    record.draining = draining;
+    return {id, record};
+}
+
+upstream_page newest(std::vector<upstream_change> items, std::uint64_t next)
+{
+    upstream_page page;
+    page.items = std::move(items);
+    page.next_offset = next;
+    return page;
+}
+
+upstream_page read_from(std::uint64_t from, std::vector<upstream_change> items)
+{
+    upstream_page page;
+    page.items = std::move(items);
+    for (std::size_t i = 0; i < page.items.size(); ++i)
+        page.offsets.push_back(from + i);
+    page.next_offset = from + page.items.size();
+    return page;
+}
+
+/** One whose directory holds "a" up to offset 5, in virtual time. */
+class coalesced_reads : public testing::Test
+{
+protected:
+    coalesced_reads() : reads(pace())
+    {
+        (void)reads.ask(std::nullopt, milliseconds(0), now);
+        (void)read(newest({change("a")}, 5));
+    }
+
+    static coalescer_pace pace()
+    {
+        coalescer_pace pace;
+        pace.most_changes = 3;
+        pace.most_calls = 4;
+        return pace;
+    }
+
+    coalescer::call_id ask(std::optional<std::uint64_t> from)
+    {
+        return reads.ask(from, milliseconds(900), now).value();
+    }
+
+    /** The next read, as soon as it is due. */
+    coalescer::read begin()
+    {
+        now = std::max(now, reads.next_read().value());
+        return reads.begin_read(now);
+    }
+
+    std::vector<coalescer::answer>
+    end(const tl::expected<upstream_page, directory_problem>& result)
+    {
+        now += milliseconds(5);
+        return reads.end_read(result, now);
+    }
+
+    std::vector<coalescer::answer>
+    read(const tl::expected<upstream_page, directory_problem>& result)
+    {
+        (void)begin();
+        return end(result);
+    }
+
+    coalescer reads;
+    time_point now = time_point(std::chrono::hours(1));
+};
+
+TEST_F(coalesced_reads, answer_many_calls_with_one_read)
+{
+    const auto first = ask(5);
+    now += milliseconds(4);
+    const auto second = ask(5);
+    const auto sent = begin();
+    EXPECT_EQ(sent.from, 5U);
+    EXPECT_EQ(sent.wait, milliseconds(900));
+    EXPECT_FALSE(reads.next_read());
+    const auto answers = end(read_from(5, {change("b")}));
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].call, first);
+    EXPECT_EQ(answers[1].call, second);
+    EXPECT_EQ(answers[0].result->items.front().id, "b");
+    EXPECT_EQ(answers[0].result->next_offset, 6U);
+    EXPECT_FALSE(reads.next_read()) << "nobody waits";
+}
+
+// A key is taken away while a read is under way, and the read does not have
+// it. A call that came in between must not be told that all is known.
+TEST_F(coalesced_reads, never_answer_a_call_that_came_after_the_read_was_sent)
+{
+    ask(5);
+    (void)begin();
+    const auto late = ask(5);
+    EXPECT_EQ(end(read_from(5, {})).size(), 1U);
+    // It has waited long enough: the next read asks the directory at once.
+    EXPECT_EQ(begin().wait, milliseconds(0));
+    const auto answers = end(read_from(5, {change("b")}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].call, late);
+}
+
+TEST_F(coalesced_reads, leave_heartbeats_out_and_tell_what_changes_back)
+{
+    ask(5);
+    auto answers = read(read_from(
+        5, {change("a"), change("a", true), change("a"), {"c", std::nullopt}}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].result->items.size(), 2U);
+    EXPECT_EQ(answers[0].result->next_offset, 9U);
+}
+
+TEST_F(coalesced_reads, tell_each_caller_what_it_has_missed)
+{
+    ask(5);
+    (void)read(read_from(5, {change("b"), change("c")}));
+    const auto behind = ask(6);
+    const auto knows_none = ask(std::nullopt);
+    const auto answers = read(read_from(7, {{"a", std::nullopt}}));
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].call, behind);
+    ASSERT_EQ(answers[0].result->items.size(), 2U);
+    EXPECT_EQ(answers[0].result->items[0].id, "c");
+    EXPECT_FALSE(answers[0].result->items[1].record);
+    EXPECT_EQ(answers[1].call, knows_none);
+    EXPECT_EQ(answers[1].result->items.size(), 2U) << "b and c";
+}
+
+// A relay that has just begun, or has had to forget, does not know what a
+// caller has missed. It must say so: a change would be skipped for good.
+TEST_F(coalesced_reads, admit_what_they_do_not_remember)
+{
+    ask(4);
+    auto answers = read(read_from(5, {}));
+    EXPECT_EQ(answers.at(0).result.error(), directory_problem::history_gone);
+    ask(5);
+    (void)read(read_from(
+        5, {change("b"), change("c"), change("d"), change("e"), change("f")}));
+    ask(6);
+    answers = read(read_from(10, {}));
+    EXPECT_EQ(answers.at(0).result.error(), directory_problem::history_gone);
+    ask(7);
+    answers = read(read_from(10, {}));
+    EXPECT_EQ(answers.at(0).result->items.size(), 3U);
+}
+
+// The directory tells less than the caller has heard elsewhere.
+TEST_F(coalesced_reads, vouch_for_nothing_to_a_caller_that_knows_more)
+{
+    ask(9);
+    const auto answers = read(read_from(5, {change("b")}));
+    EXPECT_EQ(answers.at(0).result.error(), directory_problem::unavailable);
+}
+
+TEST_F(coalesced_reads, start_anew_when_the_history_is_gone)
+{
+    ask(5);
+    EXPECT_TRUE(read(tl::unexpected(directory_problem::history_gone)).empty());
+    const auto again = begin();
+    EXPECT_FALSE(again.from);
+    const auto answers = end(newest({change("b")}, 90));
+    EXPECT_EQ(answers.at(0).result.error(), directory_problem::history_gone);
+    ask(std::nullopt);
+    EXPECT_EQ(read(read_from(90, {})).at(0).result->next_offset, 90U);
+}
+
+// The directory is away. Who waits is told and asks elsewhere; it is tried
+// again more and more slowly, and only while somebody asks.
+TEST_F(coalesced_reads, tell_at_once_that_the_directory_is_away)
+{
+    auto last = milliseconds(0);
+    ask(5);
+    for (int i = 0; i < 6; ++i) {
+        const auto answers =
+            read(tl::unexpected(directory_problem::unavailable));
+        ASSERT_EQ(answers.size(), 1U);
+        EXPECT_EQ(answers[0].result.error(), directory_problem::unavailable);
+        EXPECT_FALSE(reads.next_read());
+        ask(5);
+        const auto pause =
+            std::chrono::duration_cast<milliseconds>(*reads.next_read() - now);
+        EXPECT_GE(pause, last);
+        EXPECT_LE(pause, pace().longest_retry);
+        last = pause;
+    }
+    EXPECT_EQ(last, pace().longest_retry);
+}
+
+// A connection to the directory has gone silent. Those who wait for its read
+// ask elsewhere before their lease ends.
+TEST_F(coalesced_reads, give_up_on_a_read_that_hangs)
+{
+    ask(5);
+    (void)begin();
+    const auto late = ask(5);
+    now = *reads.overdue_at() - milliseconds(1);
+    EXPECT_TRUE(reads.give_up(now).empty());
+    now += milliseconds(1);
+    const auto answers = reads.give_up(now);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_NE(answers[0].call, late);
+    EXPECT_EQ(answers[0].result.error(), directory_problem::unavailable);
+    EXPECT_EQ(reads.calls(), 1U);
+}
+
+TEST_F(coalesced_reads, hold_a_bounded_number_of_calls)
+{
+    for (int i = 0; i < 4; ++i)
+        ask(5);
+    EXPECT_FALSE(reads.ask(5, milliseconds(900), now));
+    EXPECT_EQ(reads.refuse_all().size(), 4U);
+    EXPECT_EQ(reads.calls(), 0U);
+}
+
+TEST_F(coalesced_reads, forget_callers_that_have_left)
+{
+    const auto left = ask(5);
+    const auto stays = ask(5);
+    (void)begin();
+    reads.forget(left);
+    const auto answers = end(read_from(5, {}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].call, stays);
+}
+
+/**
+ * Gateways that renew their leases by relays, in virtual time: messages take
+ * any time, processes stand still for seconds, relays lose the directory.
+ */
+class lease_world
+{
+public:
+    explicit lease_world(unsigned seed) : random_(seed)
+    {
+        for (auto& each : relays_)
+            each.reads.emplace(coalescer_pace());
+    }
+
+    /** False: somebody has acted on what was out of date for too long. */
+    bool run()
+    {
+        for (long at = 0; at < duration_ms; at += 50)
+            this->at(at, [this] { disturb(); });
+        for (std::size_t i = 0; i < gateways_.size(); ++i)
+            at(chance(100), [this, i] { ask(i); });
+        while (!events_.empty() && sound_) {
+            const auto event = events_.extract(events_.begin());
+            now_ = event.key();
+            event.mapped()();
+        }
+        return sound_;
+    }
+
+    int renewals() const { return renewals_; }
+
+private:
+    using text_coalescer = read_coalescer<configuration_text_traits>;
+    using text_page = directory_page<configuration_text>;
+
+    static constexpr long duration_ms = 20000;
+    static constexpr long term_ms = 4600;
+
+    struct process {
+        long frozen_until = 0;
+    };
+    struct relay : process {
+        std::optional<text_coalescer> reads;
+        bool cut = false; ///< from the directory
+        std::map<text_coalescer::call_id,
+                 std::function<void(const text_coalescer::answer&)>>
+            waiting;
+    };
+    struct gateway : process {
+        std::optional<std::uint64_t> offset;
+        std::uint64_t version = 0; ///< versions accepted are 1, 2, ...
+        configuration_lease lease{milliseconds(term_ms)};
+        std::uint64_t call = 0;
+        bool asking = false;
+    };
+
+    long chance(long below) { return static_cast<long>(random_() % below); }
+    void at(long when, std::function<void()> what)
+    {
+        events_.emplace(std::max(when, now_), std::move(what));
+    }
+    /** Mostly short, sometimes seconds. */
+    long delay() { return chance(20) == 0 ? chance(6000) : 1 + chance(20); }
+    /** As soon as the process runs. */
+    void on(process& who, std::function<void()> what)
+    {
+        if (who.frozen_until <= now_) {
+            what();
+            return;
+        }
+        at(who.frozen_until,
+           [this, &who, what = std::move(what)] { on(who, what); });
+    }
+    boot_time boot() const { return boot_time(milliseconds(now_)); }
+    time_point steady() const { return time_point(milliseconds(now_)); }
+
+    void disturb()
+    {
+        if (chance(40) == 0)
+            accepted_.push_back(now_);
+        if (chance(60) == 0)
+            relays_.at(chance(2)).frozen_until = now_ + chance(6000);
+        if (chance(60) == 0)
+            gateways_.at(chance(3)).frozen_until = now_ + chance(6000);
+        if (chance(40) == 0)
+            relays_.at(chance(2)).cut = chance(2) == 0;
+        for (auto& each : gateways_)
+            check(each);
+    }
+
+    void check(const gateway& who)
+    {
+        if (who.frozen_until > now_ || !who.lease.valid(boot()))
+            return;
+        const auto must_know = static_cast<std::uint64_t>(
+            std::upper_bound(accepted_.begin(), accepted_.end(),
+                             now_ - term_ms) -
+            accepted_.begin());
+        sound_ = sound_ && who.version >= must_know;
+    }
+
+    void ask(std::size_t index)
+    {
+        auto& who = gateways_.at(index);
+        if (now_ >= duration_ms)
+            return;
+        const auto call = ++who.call;
+        who.asking = true;
+        const auto asked = boot();
+        const auto from = who.offset;
+        auto& asked_relay = relays_.at(chance(2));
+        // It goes elsewhere, but a late answer to this call may still come.
+        at(now_ + 1700, [this, index, call] {
+            on(gateways_.at(index), [this, index, call] {
+                if (gateways_.at(index).call == call &&
+                    gateways_.at(index).asking)
+                    ask(index);
+            });
+        });
+        at(now_ + delay(), [this, index, call, asked, from, &asked_relay] {
+            on(asked_relay, [this, index, call, asked, from, &asked_relay] {
+                take_call(index, call, asked, from, asked_relay);
+            });
+        });
+    }
+
+    void take_call(std::size_t index, std::uint64_t call, boot_time asked,
+                   std::optional<std::uint64_t> from, relay& at_relay)
+    {
+        const auto id = at_relay.reads->ask(from, milliseconds(900), steady());
+        if (!id)
+            return;
+        at_relay.waiting[*id] = [this, index, call, asked,
+                                 from](const text_coalescer::answer& answer) {
+            at(now_ + delay(), [this, index, call, asked, from, answer] {
+                on(gateways_.at(index),
+                   [this, index, call, asked, from, answer] {
+                       take_answer(index, call, asked, from, answer);
+                   });
+            });
+        };
+        look(at_relay);
+    }
+
+    void look(relay& who)
+    {
+        const auto due = who.reads->next_read();
+        if (!due)
+            return;
+        const auto when =
+            std::chrono::duration_cast<milliseconds>(due->time_since_epoch())
+                .count();
+        at(when, [this, &who] {
+            on(who, [this, &who] {
+                const auto next = who.reads->next_read();
+                if (next && *next <= steady())
+                    read(who);
+            });
+        });
+    }
+
+    void read(relay& who)
+    {
+        const auto sent = who.reads->begin_read(steady());
+        at(now_ + delay(), [this, &who, sent] { serve(who, sent); });
+    }
+
+    /** The directory's part: it holds the read until there is a record. */
+    void serve(relay& who, const text_coalescer::read& asked)
+    {
+        const auto end = accepted_.size();
+        const bool holds = asked.from && *asked.from >= end &&
+                           asked.wait > milliseconds(0) && !who.cut;
+        if (holds) {
+            const auto step = std::min(milliseconds(50), asked.wait);
+            at(now_ + step.count(), [this, &who, asked, step] {
+                serve(who, {asked.from, asked.wait - step});
+            });
+            return;
+        }
+        tl::expected<text_page, directory_problem> result =
+            tl::unexpected(directory_problem::unavailable);
+        if (!who.cut)
+            result = records(asked.from);
+        at(now_ + delay(), [this, &who, result] {
+            on(who, [this, &who, result] {
+                for (const auto& answer : who.reads->end_read(result, steady()))
+                    tell(who, answer);
+                look(who);
+            });
+        });
+    }
+
+    text_page records(std::optional<std::uint64_t> from) const
+    {
+        text_page page;
+        const auto end = accepted_.size();
+        page.next_offset = end;
+        for (auto offset = from ? *from : std::max<std::size_t>(end, 1) - 1;
+             offset < end; ++offset) {
+            page.items.push_back({std::to_string(offset + 1)});
+            page.offsets.push_back(offset);
+        }
+        return page;
+    }
+
+    void tell(relay& who, const text_coalescer::answer& answer)
+    {
+        const auto found = who.waiting.find(answer.call);
+        if (found == who.waiting.end())
+            return;
+        const auto on_answer = std::move(found->second);
+        who.waiting.erase(found);
+        on_answer(answer);
+    }
+
+    void take_answer(std::size_t index, std::uint64_t call, boot_time asked,
+                     std::optional<std::uint64_t> from,
+                     const text_coalescer::answer& answer)
+    {
+        auto& who = gateways_.at(index);
+        const bool latest = who.call == call;
+        if (answer.result && who.offset == from) {
+            for (const auto& item : answer.result->items)
+                who.version = std::max(who.version,
+                                       std::uint64_t{std::stoull(item.text)});
+            who.offset = answer.result->next_offset;
+            who.lease.renew(asked);
+            ++renewals_;
+        } else if (!answer.result && latest &&
+                   answer.result.error() == directory_problem::history_gone) {
+            who.offset.reset();
+        }
+        if (!latest)
+            return;
+        who.asking = false;
+        ask(index);
+    }
+
+    std::mt19937 random_;
+    std::multimap<long, std::function<void()>> events_;
+    long now_ = 0;
+    std::vector<long> accepted_; ///< when each version was accepted
+    std::array<relay, 2> relays_;
+    std::array<gateway, 3> gateways_;
+    bool sound_ = true;
+    int renewals_ = 0;
+};
+
+// A gateway goes on serving by a key that was taken away longer ago than its
+// lease, since a relay that was frozen, cut off or late has renewed it.
+TEST(leases_by_relays, never_outlive_their_term)
+{
+    constexpr unsigned seeds = 3000;
+    int renewals = 0;
+    for (unsigned seed = 0; seed < seeds; ++seed) {
+        lease_world world(seed);
+        ASSERT_TRUE(world.run()) << "seed " << seed;
+        renewals += world.renewals();
+    }
+    EXPECT_GT(renewals, static_cast<int>(seeds) * 20) << "they are renewed";
+}
+
+} // namespace
+} // namespace cyclamenrun
