Use an engine that its monitor names before the directory lists it

The engines are back at 35.0 s under new ids, but the directory lists their predecessors until 38 s: of the starts of those three seconds 1,048 were turned away with 421, four in a row each, and 256 requests ended as 503.

Change: a monitor asks its engine once for each time that it comes up who it is (at the target of the service's health, which gateways tell), and says so with loads and starts. A gateway then uses the new process in place of the record at that address: for 5 s until the directory lists it, and never one that the directory has dropped.

Ruled out: the id that a 421 names, without the monitor's word (the address may belong to another service by now) and because each 421 is an arrival of the retry budget (450 in three seconds against 437 allowed); waiting for the directory (3 s of callers).

Tests that fail without it: upstream_board_test.uses_an_engine_that_its_monitor_tells_of, start_searches.begin_at_the_process_that_answers_now.

--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -17,6 +17,8 @@
  * datagram was lost. */
 constexpr milliseconds tell_interval{400};
 constexpr milliseconds engine_timeout{500};
+/** An engine whose slots are taken answers who it is when one is free. */
+constexpr milliseconds identity_timeout{2000};
 
 constexpr milliseconds spacing_per_gateway{8};
 
@@ -51,6 +53,7 @@
               take_request(from, bytes);
           })),
       engine_(std::make_shared<http_caller>(reactor, settings.engine)),
+      identity_(std::make_shared<http_caller>(reactor, settings.engine)),
       metrics_(metrics)
 {
 }
@@ -71,6 +74,8 @@
     const auto name = to_string(from);
     if (gateways_.size() < most_gateways || gateways_.contains(name))
         gateways_[name] = {from, now + gateway_lifetime};
+    if (!request.health_target().empty())
+        health_target_ = request.health_target();
     if (!request.turn_ended().empty()) {
         turns_.end(request.turn_ended());
         give_turn();
@@ -143,6 +148,7 @@
     if (found == gateways_.end())
         return;
     v1::MonitorNotice notice;
+    write_identity(notice);
     const auto place = starts_.outlook().place();
     auto& given = *notice.mutable_start_given();
     given.set_id(id);
@@ -176,6 +182,39 @@
     });
 }
 
+void engine_monitor::identify()
+{
+    const auto now = steady_now();
+    if (health_target_.empty() || identity_->busy() || now < identify_at_)
+        return;
+    identify_at_ = now + identity_timeout;
+    identity_->call(dialect_->health_call(health_target_), {}, identify_at_,
+                    [weak = weak_from_this()](const call_outcome& outcome) {
+                        if (const auto self = weak.lock())
+                            self->take_identity(outcome);
+                    });
+}
+
+void engine_monitor::take_identity(const call_outcome& outcome)
+{
+    if (!outcome)
+        return;
+    const auto id = dialect_->read_identity(*outcome);
+    if (!id)
+        return;
+    engine_id_ = *id;
+    tell_next_at_ = {};
+    last_told_.clear();
+}
+
+void engine_monitor::write_identity(v1::MonitorNotice& notice) const
+{
+    if (engine_id_.empty())
+        return;
+    notice.mutable_engine()->set_address(to_string(settings_.engine));
+    notice.mutable_engine()->set_id(engine_id_);
+}
+
 void engine_monitor::look()
 {
     next_look_ = steady_now() + settings_.interval;
@@ -214,7 +253,11 @@
             std::exchange(leaving_, nullptr)();
     } else {
         metrics_.count(exported_metric::load_failures);
+        // It may be another one when it answers again.
+        engine_id_.clear();
     }
+    if (load && engine_id_.empty())
+        identify();
     if (load.has_value() != std::exchange(engine_known_, load.has_value()))
         log_event(log_severity::warning,
                   load ? log_event_name::upstream_recovered
@@ -236,6 +279,7 @@
 void engine_monitor::tell(const engine_load& load)
 {
     v1::MonitorNotice message;
+    write_identity(message);
     auto& notice = *message.mutable_load();
     notice.set_engine_address(to_string(settings_.engine));
     notice.set_running(load.running);
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -15,6 +15,7 @@
 
 namespace cyclamenrun::v1
 {
+class MonitorNotice;
 class StartWanted;
 } // namespace cyclamenrun::v1
 
@@ -64,6 +65,11 @@
     void give_starts_later();
     void send_given(const std::string& gateway, const std::string& id);
 
+    /** Learns the id of the engine that answers now. */
+    void identify();
+    void take_identity(const call_outcome& outcome);
+    void write_identity(v1::MonitorNotice& notice) const;
+
     void look();
     void look_later();
     void take(const call_outcome& outcome);
@@ -76,6 +82,10 @@
     engine_monitor_settings settings_;
     std::shared_ptr<datagram_socket> socket_;
     std::shared_ptr<http_caller> engine_;
+    std::shared_ptr<http_caller> identity_;
+    std::string health_target_;
+    std::string engine_id_; ///< empty: not known
+    time_point identify_at_{};
     std::map<std::string, subscriber> gateways_;
     copy_turns turns_;
     start_queue starts_;
--- a/src/libcyclamenrun/gateway/gateway_configuration.hpp
+++ b/src/libcyclamenrun/gateway/gateway_configuration.hpp
@@ -54,6 +54,7 @@
 struct gateway_service {
     std::string name;
     std::optional<engine_traits> engine; ///< empty: a plain service
+    std::string health_target = {};      ///< of each of its upstreams
 };
 
 struct gateway_team {
--- a/src/libcyclamenrun/gateway/gateway_dialect.hpp
+++ b/src/libcyclamenrun/gateway/gateway_dialect.hpp
@@ -7,6 +7,7 @@
 #include "request_facts.hpp"
 #include "upstream_record.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -49,6 +50,12 @@
     /** Frees a copy that will not be used. */
     virtual http_head free_copy_call(const std::string& handle) const = 0;
 
+    /** Asks an upstream at the target of its service's health who it is. */
+    virtual http_head health_call(const std::string& target) const = 0;
+    /** Empty: the reply does not tell. */
+    virtual std::optional<std::string>
+    read_identity(const http_reply& reply) const = 0;
+
     /** Asks an engine for its load. */
     virtual http_head load_call() const = 0;
     virtual tl::expected<engine_load, call_failure>
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -128,6 +128,13 @@
     on.load = [this](const ip_endpoint& engine, const engine_load& load) {
         context_->board.take_load(engine, load, loop_->reactor()->now());
     };
+    on.identity = [this](const ip_endpoint& engine, const std::string& id) {
+        context_->board.take_identity(engine, id, loop_->reactor()->now());
+    };
+    on.health_target = [this] {
+        return context_->routes ? context_->routes->engine_health_target()
+                                : std::string();
+    };
     on.gateways = [this](unsigned count) {
         context_->budget.set_sharers(count);
     };
--- a/src/libcyclamenrun/gateway/gateway_routes.cpp
+++ b/src/libcyclamenrun/gateway/gateway_routes.cpp
@@ -74,6 +74,15 @@
     return names;
 }
 
+std::string gateway_routes::engine_health_target() const
+{
+    for (const auto& service : configuration_.services) {
+        if (service.engine)
+            return service.health_target;
+    }
+    return {};
+}
+
 bool gateway_routes::needs_key(const gateway_route& route) const
 {
     return configuration_.has_teams && !route.is_public;
--- a/src/libcyclamenrun/gateway/gateway_routes.hpp
+++ b/src/libcyclamenrun/gateway/gateway_routes.hpp
@@ -33,6 +33,8 @@
     const gateway_service* service(const std::string& name) const;
     /** Names of the services that are model engines. */
     std::vector<std::string> engine_services() const;
+    /** Where engines say who they are; empty: they do not. */
+    std::string engine_health_target() const;
     bool needs_key(const gateway_route& route) const;
 
     std::uint64_t version() const { return configuration_.version; }
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -76,6 +76,7 @@
         ask_all_at_ = now + ask_interval;
     v1::MonitorRequest request;
     request.set_gateway(name_);
+    request.set_health_target(on_.health_target());
     std::erase_if(asked_, [&](const auto& asked) {
         return !hosts.contains(asked.first);
     });
@@ -222,12 +223,23 @@
     waits(host, refused);
 }
 
+void monitor_link::take_identity(const std::string& host,
+                                 const v1::EngineIdentity& engine)
+{
+    const auto address = parse_ip_endpoint(engine.address());
+    // A monitor speaks for the engine of its own VM only.
+    if (address && address->host == host && !engine.id().empty())
+        on_.identity(*address, engine.id());
+}
+
 void monitor_link::take(const ip_endpoint& from, std::string_view bytes)
 {
     note_heard(from.host);
     v1::MonitorNotice notice;
     if (!notice.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return;
+    if (notice.has_engine())
+        take_identity(from.host, notice.engine());
     if (notice.has_turn_given())
         give(notice.turn_given());
     if (notice.has_turn_waits()) {
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -14,6 +14,7 @@
 
 namespace cyclamenrun::v1
 {
+class EngineIdentity;
 class MonitorNotice;
 class MonitorRequest;
 class StartGiven;
@@ -31,10 +32,15 @@
 public:
     struct hooks {
         std::function<void(const ip_endpoint& engine, const engine_load&)> load;
+        /** Who answers at an engine's address now. */
+        std::function<void(const ip_endpoint& engine, const std::string& id)>
+            identity;
         /** How many gateways the monitors hear of. */
         std::function<void(unsigned)> gateways;
         /** IP numbers of the VMs on which engines run. */
         std::function<std::set<std::string>()> engine_hosts;
+        /** Where engines say who they are; empty: it is not known. */
+        std::function<std::string()> health_target;
     };
 
     /** Monitors listen at `monitor_port` of the engines' VMs. */
@@ -96,6 +102,8 @@
                           const v1::StartGiven& notice);
     void take_start_waits(const std::string& host, const std::string& id,
                           bool refused);
+    void take_identity(const std::string& host,
+                       const v1::EngineIdentity& engine);
     void take(const ip_endpoint& from, std::string_view bytes);
     void send(const std::string& host, const v1::MonitorRequest& request);
 
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -165,6 +165,10 @@
     }
     found->heard = true;
     found->place = place;
+    // The engine may have started again since it was asked.
+    const auto* there = context_.board.find_at(found->engine.address);
+    if (there != nullptr)
+        found->engine = there->record;
     if (all_heard()) {
         choose();
         return;
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -31,6 +31,14 @@
  * the first for nothing, and its caller could have gone elsewhere.
  */
 constexpr milliseconds unreachable_time{600};
+/**
+ * An upstream that has started is in the directory after this time, or it is
+ * not used any more.
+ */
+constexpr milliseconds listing_time{5000};
+/** A monitor may tell of an upstream for so long after it was dropped. */
+constexpr milliseconds dropped_memory{60000};
+constexpr std::size_t most_dropped = 4096;
 /** Weight of one result in the failure rate. */
 constexpr double failure_weight = 0.15;
 /** Time in which a failure rate halves with no news. */
@@ -122,7 +130,7 @@
     }
     std::vector<std::string> missing;
     for (const auto& [id, upstream] : upstreams_) {
-        if (!present.contains(id))
+        if (!present.contains(id) && !upstream.vouched_until)
             missing.push_back(id);
     }
     for (const auto& id : missing)
@@ -133,12 +141,14 @@
 {
     const auto found = upstreams_.find(record.id);
     // A process that starts again under its id knows nothing of before.
-    if (found != upstreams_.end() &&
+    if (found != upstreams_.end() && !found->second.vouched_until &&
         (found->second.record.started_ms != record.started_ms ||
          found->second.record.address != record.address))
         drop(record.id);
+    dropped_.erase(record.id);
     auto& upstream = upstreams_[record.id];
     upstream.record = record;
+    upstream.vouched_until.reset();
     upstream.doubted_until.reset();
     upstream.removed = false;
     list(upstream);
@@ -175,6 +185,7 @@
             upstream.doubted_until = now + doubt_time;
         return;
     }
+    note_dropped(id, now);
     // It serves on for a while, so what runs there is left alone.
     upstream.doubted_until.reset();
     leave(upstream, std::nullopt);
@@ -187,13 +198,53 @@
 {
     std::vector<std::string> gone;
     for (const auto& [id, upstream] : upstreams_) {
-        if (upstream.doubted_until && *upstream.doubted_until <= now)
+        const bool unlisted =
+            upstream.vouched_until && *upstream.vouched_until <= now;
+        const bool lapsed =
+            upstream.doubted_until && *upstream.doubted_until <= now;
+        if ((unlisted && !upstream.removed) || lapsed)
             gone.push_back(id);
     }
     for (const auto& id : gone)
         remove(id, now, false);
 }
 
+void upstream_board::note_dropped(const std::string& id, time_point now)
+{
+    if (dropped_.size() >= most_dropped)
+        std::erase_if(dropped_,
+                      [&](const auto& each) { return each.second <= now; });
+    if (dropped_.size() < most_dropped)
+        dropped_[id] = now + dropped_memory;
+}
+
+void upstream_board::take_identity(const ip_endpoint& address,
+                                   const std::string& id, time_point now)
+{
+    const auto listed = by_address_.find(to_string(address));
+    if (listed == by_address_.end() || listed->second == id)
+        return;
+    auto& predecessor = upstreams_.at(listed->second);
+    const auto dropped = dropped_.find(id);
+    if (dropped != dropped_.end() && dropped->second > now)
+        return;
+    auto record = predecessor.record;
+    record.id = id;
+    record.draining = false;
+    // Later than its predecessor; the directory tells when.
+    ++record.started_ms;
+    const auto [found, is_new] = upstreams_.try_emplace(id);
+    if (is_new) {
+        found->second.record = record;
+        found->second.vouched_until = now + listing_time;
+    }
+    if (found->second.record.address != address)
+        return;
+    predecessor.superseded = true;
+    found->second.superseded = false;
+    listed->second = id;
+}
+
 void upstream_board::leave(upstream_state& upstream,
                            std::optional<time_point> leaves_at)
 {
@@ -314,6 +365,12 @@
     return found == upstreams_.end() ? nullptr : &found->second;
 }
 
+const upstream_state* upstream_board::find_at(const ip_endpoint& address) const
+{
+    const auto listed = by_address_.find(to_string(address));
+    return listed == by_address_.end() ? nullptr : find(listed->second);
+}
+
 std::vector<const upstream_state*>
 upstream_board::available(const std::string& service) const
 {
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -27,6 +27,8 @@
     bool removed = false; ///< no longer in the directory
     /** One that has started later is at its address. */
     bool superseded = false;
+    /** Only its monitor has told of it, and is believed until then. */
+    std::optional<time_point> vouched_until;
     /** The directory has dropped it just after an outage of its own. */
     std::optional<time_point> doubted_until;
     std::optional<engine_load> load;
@@ -84,8 +86,17 @@
     /** These are all there is. */
     void replace_all(const std::vector<upstream_change>& all, time_point now,
                      bool doubt);
-    /** Drops those whose doubt has not been lifted in time. */
+    /** Drops those whose doubt has not been lifted in time, and those that
+     * the directory does not list in time. */
     void end_doubts(time_point now);
+    /**
+     * The monitor beside an address tells who answers there now. An engine
+     * that has started again is used at once: the directory lists it seconds
+     * later, and its predecessor for as long, to which requests would be sent
+     * and turned away. Not one that the directory has dropped.
+     */
+    void take_identity(const ip_endpoint& address, const std::string& id,
+                       time_point now);
     void take_load(const ip_endpoint& address, const engine_load& load,
                    time_point now);
 
@@ -105,6 +116,8 @@
     void misplaced(const std::string& id);
 
     const upstream_state* find(const std::string& id) const;
+    /** Who is at an address, as far as is known. */
+    const upstream_state* find_at(const ip_endpoint& address) const;
     /** Those of a service that may get new work. */
     std::vector<const upstream_state*>
     available(const std::string& service) const;
@@ -119,6 +132,7 @@
     void remove(const std::string& id, time_point now, bool doubt);
     void leave(upstream_state& upstream, std::optional<time_point> leaves_at);
     void drop(const std::string& id);
+    void note_dropped(const std::string& id, time_point now);
     void list(upstream_state& upstream);
     void fold_failure(upstream_state& upstream, double sample,
                       time_point now) const;
@@ -127,6 +141,8 @@
     std::map<std::string, upstream_state> upstreams_;
     /** Who is at an address: of several records the one started last. */
     std::unordered_map<std::string, std::string> by_address_;
+    /** Those that the directory has dropped, and until when that is kept. */
+    std::unordered_map<std::string, time_point> dropped_;
 };
 
 /** What placement needs to know of a request. */
--- a/src/libcyclamenrun/http/http_call.cpp
+++ b/src/libcyclamenrun/http/http_call.cpp
@@ -79,6 +79,7 @@
     http_reader::hooks read;
     read.head = [this](http_head&& head) {
         reply_.status = head.status;
+        reply_.fields = std::move(head.fields);
         peer_keeps_ = head.keep_alive;
     };
     read.body = [this](std::string_view bytes) { reply_.body += bytes; };
--- a/src/libcyclamenrun/http/http_call.hpp
+++ b/src/libcyclamenrun/http/http_call.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -14,6 +15,7 @@
 struct http_reply {
     unsigned status = 0;
     std::string body;
+    std::vector<http_field> fields = {};
 };
 
 enum class call_failure : std::uint8_t {
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -54,18 +54,9 @@
 public:
     explicit listening_gateway(std::uint16_t monitor_port)
         : loop_(std::make_unique<link_loop>()),
-          link_(std::make_shared<monitor_link>(
-              loop_->reactor(), ip_endpoint{"127.0.0.1", 0}, monitor_port, "g",
-              monitor_link::hooks{
-                  [this](const ip_endpoint& engine, const engine_load& load) {
-                      news.note("load " + to_string(engine) + " " +
-                                std::to_string(load.queued) +
-                                (load.leaving ? " leaving" : ""));
-                  },
-                  [this](unsigned count) {
-                      news.note("gateways " + std::to_string(count));
-                  },
-                  [] { return std::set<std::string>{"127.0.0.1"}; }}))
+          link_(std::make_shared<monitor_link>(loop_->reactor(),
+                                               ip_endpoint{"127.0.0.1", 0},
+                                               monitor_port, "g", hooks()))
     {
         loop_->post([link = link_] { link->start(); });
     }
@@ -89,6 +80,25 @@
     heard news;
 
 private:
+    monitor_link::hooks hooks()
+    {
+        monitor_link::hooks on;
+        on.load = [this](const ip_endpoint& engine, const engine_load& load) {
+            news.note("load " + to_string(engine) + " " +
+                      std::to_string(load.queued) +
+                      (load.leaving ? " leaving" : ""));
+        };
+        on.identity = [this](const ip_endpoint& engine, const std::string& id) {
+            news.note(id + " at " + to_string(engine));
+        };
+        on.gateways = [this](unsigned count) {
+            news.note("gateways " + std::to_string(count));
+        };
+        on.engine_hosts = [] { return std::set<std::string>{"127.0.0.1"}; };
+        on.health_target = [] { return std::string("/health"); };
+        return on;
+    }
+
     std::unique_ptr<link_loop> loop_;
     std::shared_ptr<monitor_link> link_;
 };
@@ -98,6 +108,15 @@
 protected:
     monitor()
         : engine([this](const arrived_request& request, upstream_reply& reply) {
+              if (away) {
+                  reply.reset();
+                  return;
+              }
+              if (request.head.target == "/health") {
+                  reply.answer(request, 200, "",
+                               "Instance-Id: " + identity() + "\r\n");
+                  return;
+              }
               const std::string state = leaving ? "draining" : "ready";
               reply.answer(request, 200,
                            R"({"queued":2,"active":1,"kv_used":10,)"
@@ -115,6 +134,23 @@
         port = parse_ip_endpoint(process->address())->port;
     }
 
+    std::string identity()
+    {
+        const std::scoped_lock lock(mutex);
+        return engine_id;
+    }
+    void start_again(const std::string& id)
+    {
+        away = true;
+        std::this_thread::sleep_for(milliseconds(100));
+        const std::scoped_lock lock(mutex);
+        engine_id = id;
+        away = false;
+    }
+
+    std::mutex mutex;
+    std::string engine_id = "e1";
+    std::atomic<bool> away = false;
     std::atomic<bool> leaving = false;
     fake_upstream engine;
     std::unique_ptr<monitor_process> process;
@@ -133,6 +169,31 @@
     EXPECT_TRUE(second.news.wait_for("gateways 2"));
 }
 
+// The engine crashes and starts again under another id. The directory lists
+// the old one for seconds; the monitor beside it knows better at once.
+TEST_F(monitor, tells_who_its_engine_is)
+{
+    listening_gateway gateway(port);
+    const auto where = " at " + to_string(engine.address());
+    EXPECT_TRUE(gateway.news.wait_for("e1" + where));
+    start_again("e2");
+    EXPECT_TRUE(gateway.news.wait_for("e2" + where));
+}
+
+// Each question takes a slot of the engine, or its turn in the queue.
+TEST_F(monitor, asks_its_engine_who_it_is_but_once)
+{
+    listening_gateway gateway(port);
+    ASSERT_TRUE(gateway.news.wait_for("e1 at " + to_string(engine.address())));
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto asked = engine.arrived();
+    EXPECT_EQ(std::count_if(asked.begin(), asked.end(),
+                            [](const arrived_request& request) {
+                                return request.head.target == "/health";
+                            }),
+              1);
+}
+
 TEST_F(monitor, sends_a_bounded_number_of_datagrams_however_many_listen)
 {
     for (const std::size_t gateways : {1U, 5U, 27U, 370U}) {
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -185,6 +185,44 @@
     EXPECT_EQ(two->arrived().size(), 1U);
 }
 
+// The engine has started again, and the directory still names the process
+// before it. Sent to that, the request would be turned away.
+TEST_F(start_searches, begin_at_the_process_that_answers_now)
+{
+    const auto tells_of_another =
+        monitor("127.0.0.1", [&](const v1::MonitorRequest& request) -> notice {
+            if (!wants_start(request))
+                return std::nullopt;
+            auto given = start_given(request.start_wanted().id());
+            given.mutable_engine()->set_address(to_string(one->address()));
+            given.mutable_engine()->set_id("e9");
+            return given;
+        });
+    const auto waits = monitor("127.0.0.2", let_all_wait());
+    EXPECT_EQ(ask("/gen/x").status(), 200U);
+    ASSERT_EQ(one->arrived().size(), 1U);
+    EXPECT_EQ(one->arrived().front().field("Expect-Instance"), "e9");
+}
+
+// A monitor speaks for the engine of its own VM and for no other.
+TEST_F(start_searches, believe_no_monitor_about_the_engines_of_others)
+{
+    const auto lies =
+        monitor("127.0.0.2", [&](const v1::MonitorRequest& request) -> notice {
+            if (!wants_start(request))
+                return std::nullopt;
+            auto waits = start_waits(request.start_wanted().id());
+            waits.mutable_engine()->set_address(to_string(one->address()));
+            waits.mutable_engine()->set_id("e9");
+            return waits;
+        });
+    const auto gives = monitor("127.0.0.1", give_all());
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(ask("/gen/x").status(), 200U);
+    for (const auto& request : one->arrived())
+        EXPECT_EQ(request.field("Expect-Instance"), "e1");
+}
+
 // A stranger, or a start that was given twice: nothing is begun for it.
 TEST_F(start_searches, give_back_starts_that_nobody_waits_for)
 {
--- a/tests/gateway/test_upstream_board.cpp
+++ b/tests/gateway/test_upstream_board.cpp
@@ -77,6 +77,82 @@
     EXPECT_EQ(board.available("s").front()->record.id, "before");
 }
 
+// All VMs have lost power at once. Engines answer again within a second under
+// new ids, and the directory names their predecessors for three seconds more.
+// Whoever believes it is turned away by each engine that it tries.
+TEST_F(upstream_board_test, uses_an_engine_that_its_monitor_tells_of)
+{
+    put(record("before"));
+    board.take_identity(record("x").address, "after", at(0));
+    ASSERT_EQ(usable(), 1U);
+    const auto& told = board.available("s").front()->record;
+    EXPECT_EQ(told.id, "after");
+    EXPECT_EQ(told.slots, 10U);
+    EXPECT_EQ(board.find_at(told.address)->record.id, "after");
+    board.dispatched("after", 100, at(10));
+    // The directory has its own record of it: the same process.
+    auto listed = record("after");
+    listed.started_ms = 777;
+    put(listed, 100);
+    EXPECT_TRUE(gone.empty());
+    EXPECT_EQ(board.find("after")->own_running, 1U);
+    EXPECT_EQ(board.find("after")->record, listed);
+    // Late heartbeats of its predecessor change nothing.
+    put(record("before"), 200);
+    EXPECT_EQ(board.available("s").front()->record.id, "after");
+    drop("before", 300);
+    EXPECT_EQ(usable(), 1U);
+}
+
+// A snapshot of the directory was on its way when the engine started.
+TEST_F(upstream_board_test, keeps_one_that_is_too_new_for_a_snapshot)
+{
+    put(record("before"));
+    board.take_identity(record("x").address, "after", at(0));
+    board.replace_all({{"before", record("before")}}, at(100), false);
+    EXPECT_EQ(board.available("s").front()->record.id, "after");
+}
+
+// What is told of an engine that the directory never lists must not be
+// believed for good, nor again and again.
+TEST_F(upstream_board_test, drops_one_that_the_directory_does_not_list)
+{
+    put(record("before"));
+    board.take_identity(record("x").address, "after", at(0));
+    board.end_doubts(at(4900));
+    EXPECT_EQ(usable(), 1U);
+    board.end_doubts(at(5000));
+    EXPECT_EQ(usable(), 0U);
+    put(record("other"), 5100);
+    board.take_identity(record("x").address, "after", at(5200));
+    EXPECT_EQ(board.available("s").front()->record.id, "other");
+}
+
+// It never says that it drains: its entry goes and it serves on, beside a
+// monitor that still tells of it. No new work may go there.
+TEST_F(upstream_board_test, believes_the_directory_that_one_has_gone)
+{
+    put(record("a"));
+    board.dispatched("a", 100, at(0));
+    drop("a");
+    put(record("next"));
+    board.take_identity(record("x").address, "a", at(10));
+    ASSERT_EQ(usable(), 1U);
+    EXPECT_EQ(board.available("s").front()->record.id, "next");
+}
+
+TEST_F(upstream_board_test, learns_nothing_of_addresses_that_it_does_not_know)
+{
+    board.take_identity(record("x").address, "after", at(0));
+    EXPECT_EQ(board.size(), 0U);
+    put(record("a", 80));
+    put(record("b", 81));
+    // "b" is elsewhere: a monitor does not speak for it.
+    board.take_identity(record("x", 80).address, "b", at(0));
+    EXPECT_EQ(usable(), 2U);
+    EXPECT_EQ(board.find_at(record("x", 80).address)->record.id, "a");
+}
+
 TEST_F(upstream_board_test, gives_no_work_to_one_that_drains)
 {
     put(record("a"));
