Ask several engines for a turn before a generation is copied to one

Change: once it has its turn at the source, a generation asks the monitors beside four engines for one at theirs (turn_search), takes the best that gives one and returns the others. A monitor refuses a copy when its engine leaves or has no room, and tells its load with each answer.

--- a/src/libcyclamenrun/decisions/engine_outlook.hpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.hpp
@@ -62,6 +62,7 @@
     void forget(const std::string& id);
 
     bool known() const { return view_.memory_total > 0; }
+    std::uint64_t memory_total() const { return view_.memory_total; }
     /** Generations that run there or will. */
     std::size_t taken_slots() const;
     /** What it holds with all that was given. */
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -86,6 +86,16 @@
     return given;
 }
 
+bool start_queue::has_room_for_copy(std::uint64_t tokens) const
+{
+    if (leaving_ || !outlook_.known())
+        return !leaving_;
+    // How many it runs at once may not have been told yet.
+    const bool slot = slots_ == 0 || outlook_.taken_slots() < slots_;
+    return slot &&
+           outlook_.place().memory_taken + tokens <= outlook_.memory_total();
+}
+
 std::optional<time_point> start_queue::next_event(time_point now) const
 {
     const auto unread = outlook_.unread(now);
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -47,6 +47,8 @@
     {
         return outlook_.was_given(id);
     }
+    /** A running generation of so many tokens could be copied to it. */
+    bool has_room_for_copy(std::uint64_t tokens) const;
     /** The engine as it is with all that was given. */
     const engine_outlook& outlook() const { return outlook_; }
     bool leaving() const { return leaving_; }
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds engine_timeout{500};
 /** An engine whose slots are taken answers who it is when one is free. */
 constexpr milliseconds identity_timeout{2000};
+constexpr milliseconds identity_retry{300};
 
 constexpr milliseconds spacing_per_gateway{8};
 
@@ -86,15 +87,28 @@
     }
     if (request.has_start_wanted())
         take_start(from, name, request.start_wanted());
-    if (request.turn_wanted().empty())
-        return;
+    if (!request.turn_wanted().empty())
+        take_turn(from, name, request);
+}
+
+void engine_monitor::take_turn(const ip_endpoint& from,
+                               const std::string& gateway,
+                               const v1::MonitorRequest& request)
+{
+    const auto& id = request.turn_wanted();
+    const auto tokens = request.turn_tokens();
     v1::MonitorNotice notice;
-    if (turns_.ask({request.turn_wanted(), name, request.turn_tokens()}, now)) {
+    if (request.turn_into() && !starts_.has_room_for_copy(tokens)) {
+        turns_.end(id);
+        notice.set_turn_refused(id);
+    } else if (turns_.ask({id, gateway, tokens}, reactor_->now())) {
         metrics_.count(exported_metric::turns);
-        notice.set_turn_given(request.turn_wanted());
+        notice.set_turn_given(id);
     } else {
-        notice.set_turn_waits(request.turn_wanted());
+        notice.set_turn_waits(id);
     }
+    if (last_load_)
+        write_load(*last_load_, *notice.mutable_load_now());
     socket_->send(from, notice.SerializeAsString());
 }
 
@@ -187,8 +201,9 @@
     const auto now = steady_now();
     if (health_target_.empty() || identity_->busy() || now < identify_at_)
         return;
-    identify_at_ = now + identity_timeout;
-    identity_->call(dialect_->health_call(health_target_), {}, identify_at_,
+    identify_at_ = now + identity_retry;
+    identity_->call(dialect_->health_call(health_target_), {},
+                    now + identity_timeout,
                     [weak = weak_from_this()](const call_outcome& outcome) {
                         if (const auto self = weak.lock())
                             self->take_identity(outcome);
@@ -246,6 +261,7 @@
     metrics_.observe(exported_metric::load_time, {}, steady_now() - looked_at_);
     if (load) {
         measure(*load);
+        last_load_ = *load;
         starts_.take_view(view_of(*load), load->leaving, reactor_->now());
         give_starts();
         tell(*load);
@@ -255,6 +271,7 @@
         metrics_.count(exported_metric::load_failures);
         // It may be another one when it answers again.
         engine_id_.clear();
+        last_load_.reset();
     }
     if (load && engine_id_.empty())
         identify();
@@ -276,24 +293,29 @@
                  static_cast<double>(load.memory_total));
 }
 
-void engine_monitor::tell(const engine_load& load)
+void engine_monitor::write_load(const engine_load& load,
+                                v1::EngineLoad& message) const
 {
-    v1::MonitorNotice message;
-    write_identity(message);
-    auto& notice = *message.mutable_load();
-    notice.set_engine_address(to_string(settings_.engine));
-    notice.set_running(load.running);
-    notice.set_queued(load.queued);
+    message.set_engine_address(to_string(settings_.engine));
+    message.set_running(load.running);
+    message.set_queued(load.queued);
     const auto& outlook = starts_.outlook();
-    notice.set_unread_ms(
+    message.set_unread_ms(
         static_cast<std::uint32_t>(outlook.unread(reactor_->now()).count()));
-    notice.set_tokens_read_per_ms(outlook.tokens_read_per_ms());
-    notice.set_memory_used(outlook.place().memory_taken);
-    notice.set_memory_total(load.memory_total);
-    notice.set_leaving(load.leaving);
+    message.set_tokens_read_per_ms(outlook.tokens_read_per_ms());
+    message.set_memory_used(outlook.place().memory_taken);
+    message.set_memory_total(load.memory_total);
+    message.set_leaving(load.leaving);
     if (load.leaves_in_ms)
-        notice.set_leaves_in_ms(*load.leaves_in_ms);
-    notice.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
+        message.set_leaves_in_ms(*load.leaves_in_ms);
+    message.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
+}
+
+void engine_monitor::tell(const engine_load& load)
+{
+    v1::MonitorNotice message;
+    write_identity(message);
+    write_load(load, *message.mutable_load());
     auto bytes = message.SerializeAsString();
     const auto now = reactor_->now();
     const bool same = bytes == last_told_ && now < tell_again_at_;
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -15,7 +15,9 @@
 
 namespace cyclamenrun::v1
 {
+class EngineLoad;
 class MonitorNotice;
+class MonitorRequest;
 class StartWanted;
 } // namespace cyclamenrun::v1
 
@@ -58,6 +60,8 @@
     };
 
     void take_request(const ip_endpoint& from, std::string_view bytes);
+    void take_turn(const ip_endpoint& from, const std::string& gateway,
+                   const v1::MonitorRequest& request);
     void give_turn();
     void take_start(const ip_endpoint& from, const std::string& gateway,
                     const v1::StartWanted& wanted);
@@ -75,6 +79,7 @@
     void take(const call_outcome& outcome);
     void measure(const engine_load& load);
     void tell(const engine_load& load);
+    void write_load(const engine_load& load, v1::EngineLoad& message) const;
     void forget_silent();
 
     std::shared_ptr<link_reactor> reactor_;
@@ -90,6 +95,7 @@
     copy_turns turns_;
     start_queue starts_;
     time_point give_due_{}; ///< of the next look at who may start
+    std::optional<engine_load> last_load_; ///< empty: it does not answer
     std::string last_told_;
     time_point tell_again_at_{};
     time_point tell_next_at_{};
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -525,6 +525,18 @@
                               context_.reactor->now());
         return to->record;
     };
+    on.candidates = [this](const upstream_record& source,
+                           const std::vector<std::string>& but,
+                           std::size_t count) {
+        return context_.choice.to_copy_to(service_,
+                                          needs(source.failure_domain), but,
+                                          count, context_.reactor->now());
+    };
+    on.cost = [this](const upstream_record& source,
+                     const upstream_record& engine) {
+        return context_.choice.cost_of_copy(
+            engine, needs(source.failure_domain), context_.reactor->now());
+    };
     on.drop_source = [this] {
         if (attempt_)
             attempt_->cancel();
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -57,12 +57,13 @@
     turn_wanted_ = true;
     source_ended_ = false;
     on_.step(move_step::source_turn_wanted, source);
-    context_.monitors->want_turn(source.address.host, request_id_,
-                                 on_.memory_tokens(),
-                                 [weak = weak_from_this(), source] {
-                                     if (const auto self = weak.lock())
-                                         self->source_turn_given(source);
-                                 });
+    monitor_link::turn_hooks on;
+    on.given = [weak = weak_from_this(), source] {
+        if (const auto self = weak.lock())
+            self->source_turn_given(source);
+    };
+    context_.monitors->want_turn(
+        {source.address.host, request_id_, on_.memory_tokens()}, std::move(on));
 }
 
 void generation_mover::source_turn_given(const upstream_record& source)
@@ -70,14 +71,15 @@
     if (over_)
         return;
     on_.step(move_step::source_turn_given, source);
-    choose_destination(source);
+    search_destination(source);
 }
 
 void generation_mover::end_turns()
 {
     if (!std::exchange(turn_wanted_, false) || !context_.monitors)
         return;
-    context_.monitors->end_turn(destination_turn());
+    if (const auto search = std::exchange(search_, nullptr))
+        search->end();
     context_.monitors->end_turn(request_id_);
 }
 
@@ -87,26 +89,47 @@
     // Passed over once only: it may be the one place that is left.
     const auto refused_by = std::exchange(refused_by_, {});
     const auto to = here ? on_.destination(source, refused_by) : std::nullopt;
-    if (!to) {
-        if (here)
-            on_.step(move_step::no_destination, source);
-        end_turns();
-        try_again(source);
-        return;
-    }
-    if (!context_.monitors) {
+    if (to)
         start(source, *to);
-        return;
-    }
-    on_.step(move_step::destination_turn_wanted, *to);
-    context_.monitors->want_turn(
-        to->address.host, destination_turn(), on_.memory_tokens(),
-        [weak = weak_from_this(), source, to = *to] {
-            const auto self = weak.lock();
-            if (self && !self->over_ && !self->source_ended_ &&
-                self->on_.runs_at(source))
-                self->start(source, to);
-        });
+    else
+        no_destination(source);
+}
+
+void generation_mover::no_destination(const upstream_record& source)
+{
+    if (!over_ && !source_ended_ && on_.runs_at(source))
+        on_.step(move_step::no_destination, source);
+    end_turns();
+    try_again(source);
+}
+
+void generation_mover::search_destination(const upstream_record& source)
+{
+    turn_search::hooks on;
+    on.candidates = [this, source, refused_by = std::exchange(refused_by_, {})](
+                        std::vector<std::string> but, std::size_t count) {
+        but.push_back(source.id);
+        // Passed over once only: it may be the one place that is left.
+        but.push_back(refused_by);
+        return on_.candidates(source, but, count);
+    };
+    on.cost = [this, source](const upstream_record& engine) {
+        return on_.cost(source, engine);
+    };
+    on.found = [weak = weak_from_this(), source](const upstream_record& to) {
+        const auto self = weak.lock();
+        if (self && !self->over_ && !self->source_ended_ &&
+            self->on_.runs_at(source))
+            self->start(source, to);
+    };
+    on.none = [weak = weak_from_this(), source] {
+        if (const auto self = weak.lock())
+            self->no_destination(source);
+    };
+    on_.step(move_step::destination_turn_wanted, source);
+    search_ = std::make_shared<turn_search>(context_, request_id_,
+                                            on_.memory_tokens(), std::move(on));
+    search_->start();
 }
 
 void generation_mover::start(const upstream_record& source,
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway_context.hpp"
 #include "generation_move.hpp"
+#include "turn_search.hpp"
 
 #include <functional>
 #include <memory>
@@ -26,12 +27,11 @@
 
 /**
  * Takes one generation away from engines that leave: waits for its turn at
- * the engine's link, chooses where to, waits for its turn at that link too,
- * orders the move, and says when and from which memory the generation goes on.
- * A turn at a destination is asked for only while that at the source is held,
- * and no engine that leaves is a destination, so two never wait for each
- * other. When no destination has room it
- * tries others until the engine is gone.
+ * the engine's link, finds a destination with room whose link is free, orders
+ * the move, and says when and from which memory the generation goes on. Turns
+ * at destinations are asked for only while that at the source is held, and no
+ * engine that leaves is a destination, so two never wait for each other. When
+ * no destination has room it tries others until the engine is gone.
  */
 class generation_mover : public std::enable_shared_from_this<generation_mover>
 {
@@ -41,10 +41,19 @@
         std::function<std::uint64_t()> memory_tokens;
         /** Whether it runs there now. */
         std::function<bool(const upstream_record&)> runs_at;
-        /** Where it may go; empty if nowhere. */
+        /** Where it may go, by beliefs alone; empty if nowhere. */
         std::function<std::optional<upstream_record>(
             const upstream_record& source, const std::string& refused_by)>
             destination;
+        /** Engines to ask whether it may come, none of those in `but`. */
+        std::function<std::vector<upstream_record>(
+            const upstream_record& source, const std::vector<std::string>& but,
+            std::size_t count)>
+            candidates;
+        /** Cost of copying it from `source` to an engine; lower is better. */
+        std::function<double(const upstream_record& source,
+                             const upstream_record& engine)>
+            cost;
         /** The source sends nothing more: its connection may be dropped. */
         std::function<void()> drop_source;
         /** It has stopped, and goes on there from this memory. */
@@ -76,9 +85,10 @@
 private:
     void source_turn_given(const upstream_record& source);
     void choose_destination(const upstream_record& source);
+    void search_destination(const upstream_record& source);
+    void no_destination(const upstream_record& source);
     void start(const upstream_record& source, const upstream_record& to);
     void end_turns();
-    std::string destination_turn() const { return request_id_ + ">"; }
     void stopped(const continuation& from, const upstream_record& source,
                  const upstream_record& to);
     void failed(move_failure failure, const std::optional<continuation>& kept,
@@ -92,7 +102,8 @@
     std::string request_id_;
     hooks on_;
     std::shared_ptr<generation_move> move_;
-    bool turn_wanted_ = false; ///< or held
+    std::shared_ptr<turn_search> search_; ///< holds the destination's turn
+    bool turn_wanted_ = false;            ///< or held
     bool source_ended_ = false;
     bool over_ = false;
     std::string refused_by_; ///< destination that had no room
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -115,17 +115,16 @@
                   {{log_key::address, host}, {log_key::duration_ms, away}});
 }
 
-void monitor_link::want_turn(const std::string& host, const std::string& id,
-                             std::uint64_t tokens, std::function<void()> given)
+void monitor_link::want_turn(const wanted_copy& copy, turn_hooks on)
 {
-    turns_[id] = {host, tokens, std::move(given), reactor_->now()};
-    ask_for_turn(id);
+    turns_[copy.id] = {copy, std::move(on), reactor_->now()};
+    ask_for_turn(copy.id);
 }
 
 void monitor_link::ask_for_turn(const std::string& id)
 {
     const auto found = turns_.find(id);
-    if (found == turns_.end() || !found->second.given)
+    if (found == turns_.end() || !found->second.on.given)
         return;
     if (reactor_->now() - found->second.heard_at >= monitor_silence) {
         give(id);
@@ -134,8 +133,9 @@
     v1::MonitorRequest request;
     request.set_gateway(name_);
     request.set_turn_wanted(id);
-    request.set_turn_tokens(found->second.tokens);
-    send(found->second.host, request);
+    request.set_turn_tokens(found->second.copy.tokens);
+    request.set_turn_into(found->second.copy.into);
+    send(found->second.copy.host, request);
     reactor_->post_at(reactor_->now() + turn_interval,
                       [weak = weak_from_this(), id] {
                           if (const auto self = weak.lock())
@@ -148,8 +148,19 @@
     const auto found = turns_.find(id);
     if (found == turns_.end())
         return;
-    if (const auto given = std::exchange(found->second.given, nullptr))
-        given();
+    const auto on = std::exchange(found->second.on, {});
+    if (on.given)
+        on.given();
+}
+
+void monitor_link::refuse_turn(const std::string& id)
+{
+    const auto found = turns_.find(id);
+    if (found == turns_.end() || !found->second.on.refused)
+        return;
+    const auto refused = found->second.on.refused;
+    turns_.erase(found);
+    refused();
 }
 
 void monitor_link::end_turn(const std::string& id)
@@ -160,7 +171,7 @@
     v1::MonitorRequest request;
     request.set_gateway(name_);
     request.set_turn_ended(id);
-    send(found->second.host, request);
+    send(found->second.copy.host, request);
     turns_.erase(found);
 }
 
@@ -240,8 +251,12 @@
         return;
     if (notice.has_engine())
         take_identity(from.host, notice.engine());
+    if (notice.has_load_now())
+        take_load(notice.load_now());
     if (notice.has_turn_given())
         give(notice.turn_given());
+    if (notice.has_turn_refused())
+        refuse_turn(notice.turn_refused());
     if (notice.has_turn_waits()) {
         const auto found = turns_.find(notice.turn_waits());
         if (found != turns_.end())
@@ -252,14 +267,18 @@
     if (notice.has_start_waits())
         take_start_waits(from.host, notice.start_waits().id(),
                          notice.start_waits().refused());
-    if (!notice.has_load())
-        return;
-    const auto engine = parse_ip_endpoint(notice.load().engine_address());
+    if (notice.has_load())
+        take_load(notice.load());
+}
+
+void monitor_link::take_load(const v1::EngineLoad& message)
+{
+    const auto engine = parse_ip_endpoint(message.engine_address());
     if (!engine)
         return;
-    on_.load(*engine, load_of(notice.load()));
-    if (notice.load().gateways() > 0)
-        on_.gateways(notice.load().gateways());
+    on_.load(*engine, load_of(message));
+    if (message.gateways() > 0)
+        on_.gateways(message.gateways());
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -15,6 +15,7 @@
 namespace cyclamenrun::v1
 {
 class EngineIdentity;
+class EngineLoad;
 class MonitorNotice;
 class MonitorRequest;
 class StartGiven;
@@ -50,13 +51,22 @@
 
     void start();
 
-    /**
-     * Calls `given` once this gateway may copy the generation from the engine
-     * on that host; also if the monitor there does not answer, since a copy
-     * beside others is better than none.
-     */
-    void want_turn(const std::string& host, const std::string& id,
-                   std::uint64_t tokens, std::function<void()> given);
+    /** A copy that wants a turn at the link of the engine on a host. */
+    struct wanted_copy {
+        std::string host;
+        std::string id;
+        std::uint64_t tokens = 0; ///< of memory to copy
+        bool into = false;        ///< that engine; else from it
+    };
+    struct turn_hooks {
+        /** Also if the monitor there does not answer, since a copy beside
+         * others is better than none. */
+        std::function<void()> given;
+        /** Of a copy into an engine: it leaves, or has no room. */
+        std::function<void()> refused;
+    };
+    /** Calls one of the hooks, once. */
+    void want_turn(const wanted_copy& copy, turn_hooks on);
     /** The copy is done, or no longer wanted. */
     void end_turn(const std::string& id);
 
@@ -80,10 +90,9 @@
 
 private:
     struct wanted_turn {
-        std::string host;
-        std::uint64_t tokens;        ///< of memory to copy
-        std::function<void()> given; ///< empty once it was given
-        time_point heard_at;         ///< from the monitor
+        wanted_copy copy;
+        turn_hooks on;       ///< empty once it was given
+        time_point heard_at; ///< from the monitor
     };
 
     /** A host that was asked, and when its monitor was heard. */
@@ -98,6 +107,8 @@
     void note_heard(const std::string& host);
     void ask_for_turn(const std::string& id);
     void give(const std::string& id);
+    void refuse_turn(const std::string& id);
+    void take_load(const v1::EngineLoad& message);
     void take_start_given(const std::string& host,
                           const v1::StartGiven& notice);
     void take_start_waits(const std::string& host, const std::string& id,
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -23,6 +23,9 @@
  */
 constexpr double asking_width = 1.0;
 
+/** For copies: engines of the same failure domain are asked first. */
+constexpr double copying_width = 0.2;
+
 /** Cost of the best place but one. */
 std::optional<double> best_but(const std::vector<placement_candidate>& places,
                                std::size_t but,
@@ -87,15 +90,33 @@
 std::vector<upstream_record> upstream_choice::to_ask(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
+{
+    return draw(candidates(service, excluded), request, {}, asking_width, count,
+                now);
+}
+
+std::vector<upstream_record> upstream_choice::to_copy_to(
+    const std::string& service, const placement_request& request,
+    const std::vector<std::string>& excluded, std::size_t count, time_point now)
+{
+    return draw(candidates(service, excluded), request, copy_weights,
+                copying_width, count, now);
+}
+
+std::vector<upstream_record>
+upstream_choice::draw(const std::vector<const upstream_state*>& from,
+                      const placement_request& request,
+                      const placement_weights& weights, double width,
+                      std::size_t count, time_point now)
 {
     // Without replacement, each with a weight of exp(-cost / width): the
     // least of costs with noise of that distribution.
-    std::extreme_value_distribution<double> noise(0, asking_width);
+    std::extreme_value_distribution<double> noise(0, width);
     std::vector<std::pair<double, const upstream_state*>> drawn;
-    for (const auto* upstream : candidates(service, excluded)) {
+    for (const auto* upstream : from) {
         const auto place = placement_of(*upstream, request, now);
         if (!place.unreachable)
-            drawn.emplace_back(placement_cost(place) - noise(random_),
+            drawn.emplace_back(placement_cost(place, weights) - noise(random_),
                                upstream);
     }
     std::sort(drawn.begin(), drawn.end());
@@ -126,6 +147,16 @@
     return placement_cost(told);
 }
 
+double upstream_choice::cost_of_copy(const upstream_record& engine,
+                                     const placement_request& request,
+                                     time_point now) const
+{
+    const auto* state = board_.find(engine.id);
+    return placement_cost(state == nullptr ? placement_candidate()
+                                           : placement_of(*state, request, now),
+                          copy_weights);
+}
+
 std::optional<placed_upstream> upstream_choice::for_move(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -46,9 +46,19 @@
            const std::vector<std::string>& excluded, std::size_t count,
            time_point now);
 
+    /** Engines to ask whether a running generation whose engine leaves may be
+     * copied there; those where it is copied soonest are likelier. */
+    std::vector<upstream_record>
+    to_copy_to(const std::string& service, const placement_request& request,
+               const std::vector<std::string>& excluded, std::size_t count,
+               time_point now);
+
     /** Cost of a place that its own monitor has told. */
     double cost_of(const upstream_record& engine, const given_place& place,
                    const placement_request& request, time_point now) const;
+    /** Cost of copying a running generation there. */
+    double cost_of_copy(const upstream_record& engine,
+                        const placement_request& request, time_point now) const;
 
     /**
      * For a running generation whose engine leaves: where its memory is
@@ -71,6 +81,10 @@
     std::vector<const upstream_state*>
     candidates(const std::string& service,
                const std::vector<std::string>& excluded) const;
+    std::vector<upstream_record>
+    draw(const std::vector<const upstream_state*>& from,
+         const placement_request& request, const placement_weights& weights,
+         double width, std::size_t count, time_point now);
     std::optional<placed_upstream>
     choose(const std::vector<const upstream_state*>& from,
            const placement_request& request, const placement_weights& weights,
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -65,11 +65,14 @@
     listening_gateway& operator=(const listening_gateway&) = delete;
     ~listening_gateway() { loop_.reset(); }
 
-    void want_turn(const std::string& id)
+    void want_turn(const std::string& id, std::uint64_t tokens = 100,
+                   bool into = false)
     {
-        loop_->post([this, id] {
-            link_->want_turn("127.0.0.1", id, 100,
-                             [this, id] { news.note("turn " + id); });
+        loop_->post([this, id, tokens, into] {
+            monitor_link::turn_hooks on;
+            on.given = [this, id] { news.note("turn " + id); };
+            on.refused = [this, id] { news.note("no turn " + id); };
+            link_->want_turn({"127.0.0.1", id, tokens, into}, std::move(on));
         });
     }
     void end_turn(const std::string& id)
@@ -224,6 +227,31 @@
     EXPECT_TRUE(second.news.wait_for("turn b"));
 }
 
+// Its copy would be turned away by the engine, and the turn at its source is
+// spent meanwhile.
+TEST_F(monitor, refuses_copies_into_an_engine_without_room)
+{
+    listening_gateway gateway(port);
+    ASSERT_TRUE(gateway.news.wait_for("gateways 1"));
+    gateway.want_turn("small", 80, true);
+    EXPECT_TRUE(gateway.news.wait_for("turn small"));
+    gateway.want_turn("large", 95, true);
+    EXPECT_TRUE(gateway.news.wait_for("no turn large"));
+    gateway.want_turn("from it", 95);
+    gateway.end_turn("small");
+    EXPECT_TRUE(gateway.news.wait_for("turn from it"));
+}
+
+TEST_F(monitor, refuses_copies_into_an_engine_that_leaves)
+{
+    leaving = true;
+    listening_gateway gateway(port);
+    ASSERT_TRUE(gateway.news.wait_for("load " + to_string(engine.address()) +
+                                      " 2 leaving"));
+    gateway.want_turn("a", 10, true);
+    EXPECT_TRUE(gateway.news.wait_for("no turn a"));
+}
+
 // The monitor has died with the rest of its VM's processes, or is cut off. A
 // generation must not wait for a turn that nobody gives.
 TEST_F(monitor, a_turn_is_taken_where_nobody_gives_any)
--- /dev/null
+++ b/tests/gateway/test_turn_search.cpp
@@ -0,0 +1,231 @@
+#include "turn_search.hpp"
+
+#include "http_dialect.hpp"
+#include "link_loop.hpp"
+#include "scripted_monitor.hpp"
+
+#include <condition_variable>
+#include <future>
+#include <gtest/gtest.h>
+#include <mutex>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+using notice = std::optional<v1::MonitorNotice>;
+
+enum class answer : std::uint8_t { given, waits, refused, silence };
+
+scripted_monitor::script always(answer what)
+{
+    return [what](const v1::MonitorRequest& request) -> notice {
+        v1::MonitorNotice reply;
+        if (request.turn_wanted().empty() || what == answer::silence)
+            return std::nullopt;
+        if (what == answer::given)
+            reply.set_turn_given(request.turn_wanted());
+        else if (what == answer::waits)
+            reply.set_turn_waits(request.turn_wanted());
+        else
+            reply.set_turn_refused(request.turn_wanted());
+        return reply;
+    };
+}
+
+bool ends_turn(const v1::MonitorRequest& request)
+{
+    return !request.turn_ended().empty();
+}
+
+/** Engines with monitors on hosts of their own, and a copy that looks for a
+ * place among them. */
+class turn_searches : public testing::Test
+{
+protected:
+    turn_searches() : port(scripted_monitor::free_port())
+    {
+        on_loop([this] {
+            context = std::make_unique<gateway_context>(
+                loop->reactor(), std::make_shared<platform::http_dialect>(),
+                upstream_board::hooks(), retry_budget_settings(), std::nullopt,
+                1);
+            monitor_link::hooks on;
+            on.load = [](const ip_endpoint&, const engine_load&) {};
+            on.identity = [](const ip_endpoint&, const std::string&) {};
+            on.gateways = [](unsigned) {};
+            on.engine_hosts = [] { return std::set<std::string>(); };
+            on.health_target = [] { return std::string(); };
+            context->monitors = std::make_shared<monitor_link>(
+                loop->reactor(), ip_endpoint{"127.0.0.1", 0}, port, "g",
+                std::move(on));
+            context->monitors->start();
+        });
+    }
+
+    ~turn_searches() override
+    {
+        on_loop([this] { search.reset(); });
+        loop.reset();
+    }
+
+    template <typename Call>
+    void on_loop(Call call)
+    {
+        std::promise<void> done;
+        loop->post([&] {
+            call();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    scripted_monitor& add(const std::string& host,
+                          scripted_monitor::script play)
+    {
+        upstream_record record;
+        record.id = "on-" + host;
+        record.service = "model";
+        record.address = {host, 80};
+        record.slots = 8;
+        engines.push_back(record);
+        on_loop([&] { context->board.apply({record.id, record}, {}, false); });
+        monitors.push_back(
+            std::make_unique<scripted_monitor>(host, port, std::move(play)));
+        return *monitors.back();
+    }
+
+    void begin()
+    {
+        turn_search::hooks on;
+        on.candidates = [this](const std::vector<std::string>& but,
+                               std::size_t count) {
+            std::vector<upstream_record> left;
+            for (const auto& each : engines) {
+                if (left.size() < count &&
+                    std::find(but.begin(), but.end(), each.id) == but.end())
+                    left.push_back(each);
+            }
+            return left;
+        };
+        on.cost = [this](const upstream_record& engine) {
+            return engine.id == cheapest ? 0.0 : 1.0;
+        };
+        on.found = [this](const upstream_record& to) { end_with(to.id); };
+        on.none = [this] { end_with("none"); };
+        on_loop([&] {
+            search = std::make_shared<turn_search>(*context, "r1", 100,
+                                                   std::move(on));
+            search->start();
+        });
+    }
+
+    void end_with(const std::string& what)
+    {
+        const std::scoped_lock lock(mutex);
+        result = what;
+        changed.notify_all();
+    }
+
+    std::string wait_for_result()
+    {
+        std::unique_lock lock(mutex);
+        changed.wait_for(lock, std::chrono::seconds(10),
+                         [this] { return !result.empty(); });
+        return result;
+    }
+
+    std::uint16_t port;
+    std::unique_ptr<link_loop> loop = std::make_unique<link_loop>();
+    std::unique_ptr<gateway_context> context;
+    std::shared_ptr<turn_search> search;
+    std::vector<upstream_record> engines;
+    std::vector<std::unique_ptr<scripted_monitor>> monitors;
+    std::string cheapest;
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string result;
+};
+
+// Many generations leave their engines at once. The destination that looked
+// best a moment ago is copied to by others; waiting for it, the notice runs
+// out while links beside it are idle.
+TEST_F(turn_searches, go_where_the_link_is_free)
+{
+    const auto& busy = add("127.0.0.2", always(answer::waits));
+    const auto& idle = add("127.0.0.3", always(answer::given));
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
+    EXPECT_TRUE(busy.wait_for(ends_turn)) << "it waits there in vain";
+    EXPECT_EQ(idle.count_of(ends_turn), 0U);
+    on_loop([this] { search->end(); });
+    EXPECT_TRUE(idle.wait_for(ends_turn));
+}
+
+TEST_F(turn_searches, take_the_better_of_two)
+{
+    const auto& other = add("127.0.0.2", always(answer::given));
+    add("127.0.0.3", always(answer::given));
+    cheapest = "on-127.0.0.3";
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
+    EXPECT_TRUE(other.wait_for(ends_turn));
+}
+
+// The engine that looked best leaves itself, or has filled meanwhile.
+TEST_F(turn_searches, go_on_where_they_are_refused)
+{
+    for (const auto* host :
+         {"127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5", "127.0.0.6"})
+        add(host, always(answer::refused));
+    add("127.0.0.7", always(answer::given));
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.7");
+}
+
+TEST_F(turn_searches, end_when_all_have_refused)
+{
+    add("127.0.0.2", always(answer::refused));
+    add("127.0.0.3", always(answer::refused));
+    begin();
+    EXPECT_EQ(wait_for_result(), "none");
+}
+
+// All links are busy: further engines are asked.
+TEST_F(turn_searches, ask_more_while_they_wait)
+{
+    for (const auto* host :
+         {"127.0.0.2", "127.0.0.3", "127.0.0.4", "127.0.0.5"})
+        add(host, always(answer::waits));
+    add("127.0.0.6", always(answer::given));
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.6");
+}
+
+// The directory knows that it leaves, and its monitor does not yet.
+TEST_F(turn_searches, use_no_engine_that_leaves)
+{
+    add("127.0.0.2", always(answer::given));
+    add("127.0.0.3", always(answer::given));
+    cheapest = "on-127.0.0.2";
+    on_loop([this] {
+        auto leaving = engines.front();
+        leaving.draining = true;
+        context->board.apply({leaving.id, leaving}, {}, false);
+    });
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
+}
+
+// The monitor beside the only engine has died. A copy beside others is better
+// than none.
+TEST_F(turn_searches, go_where_no_monitor_answers_if_nothing_else_is_left)
+{
+    add("127.0.0.2", always(answer::silence));
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.2");
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
