Tell loads to the gateways that want them, and start without calls to the store

And a gateway that starts called the store itself until it heard monitors, of whom it was to hear their engine's load first.

Change: a gateway asks for the loads of engines at which its own requests run, and of the monitors that may read the directory for it; monitors tell their load beside each answer about a start or a turn, and greet who asks anew. A monitor that was never heard is not called lost, and one that tells many is given time for four of its words. A start names where engines say who they are, and no start is given before its engine has. While no upstream is known, the read of configurations is held for 3 s; a gateway that has just learnt of monitors waits 0.6 s to hear them.

--- a/src/libcyclamenrun/gateway/directory_relays.cpp
+++ b/src/libcyclamenrun/gateway/directory_relays.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds avoid_time{3000};
 /** One that does not reach the directory is asked after the others. */
 constexpr milliseconds last_time{1000};
+/** Monitors are heard so soon after they are known, if at all. */
+constexpr milliseconds hearing_time{600};
 
 /** One call on its way to a relay; whichever end comes first counts. */
 struct relayed_call {
@@ -45,7 +47,7 @@
     drop_unused({});
 }
 
-std::vector<std::string> directory_relays::hosts()
+std::vector<std::string> directory_relays::wanted()
 {
     const auto now = steady_now();
     auto candidates = on_.candidates();
@@ -55,6 +57,24 @@
     });
     auto chosen =
         choose_relays(candidates, gateway_, relay_count(on_.gateways()));
+    if (!chosen.empty() && !first_wanted_)
+        first_wanted_ = now;
+    return chosen;
+}
+
+bool directory_relays::expected() const
+{
+    return !ever_heard_ && first_wanted_ &&
+           steady_now() < *first_wanted_ + hearing_time;
+}
+
+std::vector<std::string> directory_relays::hosts()
+{
+    const auto now = steady_now();
+    auto chosen = wanted();
+    std::erase_if(chosen,
+                  [&](const std::string& host) { return !on_.heard(host); });
+    ever_heard_ = ever_heard_ || !chosen.empty();
     std::stable_partition(
         chosen.begin(), chosen.end(), [&](const std::string& host) {
             const auto known = relays_.find(host);
--- a/src/libcyclamenrun/gateway/directory_relays.hpp
+++ b/src/libcyclamenrun/gateway/directory_relays.hpp
@@ -30,8 +30,10 @@
 {
 public:
     struct hooks {
-        /** VMs whose monitors are heard and do not leave. */
+        /** VMs with a monitor that may be heard and do not leave. */
         std::function<std::vector<relay_candidate>()> candidates;
+        /** Its monitor is heard. */
+        std::function<bool(const std::string& host)> heard;
         std::function<std::size_t()> gateways;
     };
     /** Empty: the monitor could not be asked. */
@@ -46,6 +48,13 @@
 
     /** Whom to ask, in this order; empty: nobody. */
     std::vector<std::string> hosts();
+    /**
+     * This process has just learnt of monitors that it is about to hear: it
+     * need not call the directory itself meanwhile.
+     */
+    bool expected() const;
+    /** Whom to hear from, to know whether they can be asked. */
+    std::vector<std::string> wanted();
 
     /** Answered once, by the deadline at the latest. */
     void ask(const std::string& host, const v1::DirectoryCall& call,
@@ -71,6 +80,9 @@
     std::uint16_t port_;
     hooks on_;
     std::map<std::string, known_relay> relays_;
+    /** When it first knew of monitors that could be asked. */
+    std::optional<time_point> first_wanted_;
+    bool ever_heard_ = false;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "log_event.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -19,6 +20,9 @@
  */
 constexpr milliseconds longest_relayed_wait{450};
 
+/** While no upstream is known nothing is served, and no lease is needed. */
+constexpr milliseconds idle_wait{3000};
+
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
 
@@ -103,6 +107,9 @@
     on.items = [this](std::vector<gateway_configuration>&& versions, bool) {
         take_configurations(std::move(versions));
     };
+    on.wait = [this, wait = settings.configuration_wait] {
+        return context_.board.size() == 0 ? std::max(wait, idle_wait) : wait;
+    };
     on.current = [this](boot_time asked) {
         context_.lease.renew(asked);
         note_lease();
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -3,6 +3,7 @@
 #include "load.pb.h"
 #include "log_event.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -71,12 +72,14 @@
     v1::MonitorRequest request;
     if (!request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return;
-    const auto now = reactor_->now();
     const auto name = to_string(from);
-    if (gateways_.size() < most_gateways || gateways_.contains(name))
-        gateways_[name] = {from, now + gateway_lifetime};
-    if (!request.health_target().empty())
+    auto* const gateway = know(from, name);
+    if (!request.health_target().empty()) {
         health_target_ = request.health_target();
+        identify();
+    }
+    if (request.loads_wanted() && gateway != nullptr)
+        take_subscription(*gateway);
     if (!request.turn_ended().empty()) {
         turns_.end(request.turn_ended());
         give_turn();
@@ -91,6 +94,39 @@
         take_turn(from, name, request);
 }
 
+engine_monitor::known_gateway* engine_monitor::know(const ip_endpoint& from,
+                                                    const std::string& name)
+{
+    if (gateways_.size() >= most_gateways && !gateways_.contains(name))
+        return nullptr;
+    auto& gateway = gateways_[name];
+    gateway.address = from;
+    gateway.forget_at = reactor_->now() + gateway_lifetime;
+    return &gateway;
+}
+
+void engine_monitor::take_subscription(known_gateway& gateway)
+{
+    const auto now = reactor_->now();
+    const bool is_new = gateway.loads_until <= now;
+    gateway.loads_until = now + gateway_lifetime;
+    if (!is_new)
+        return;
+    // Who is heard can be asked to read the directory, whatever its engine.
+    v1::MonitorNotice greeting;
+    greeting.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
+    socket_->send(gateway.address, last_load_ ? load_notice(*last_load_)
+                                              : greeting.SerializeAsString());
+}
+
+std::size_t engine_monitor::listeners() const
+{
+    const auto now = reactor_->now();
+    return std::count_if(
+        gateways_.begin(), gateways_.end(),
+        [&](const auto& entry) { return entry.second.loads_until > now; });
+}
+
 void engine_monitor::take_turn(const ip_endpoint& from,
                                const std::string& gateway,
                                const v1::MonitorRequest& request)
@@ -107,6 +143,7 @@
     } else {
         notice.set_turn_waits(id);
     }
+    write_identity(notice);
     if (last_load_)
         write_load(*last_load_, *notice.mutable_load_now());
     socket_->send(from, notice.SerializeAsString());
@@ -152,6 +189,8 @@
     v1::MonitorNotice notice;
     notice.mutable_start_waits()->set_id(wanted.id());
     notice.mutable_start_waits()->set_refused(starts_.leaving());
+    if (last_load_)
+        write_load(*last_load_, *notice.mutable_load_now());
     socket_->send(from, notice.SerializeAsString());
 }
 
@@ -168,11 +207,16 @@
     given.set_id(id);
     given.set_slots_taken(static_cast<std::uint32_t>(place.slots_taken));
     given.set_memory_taken(place.memory_taken);
+    if (last_load_)
+        write_load(*last_load_, *notice.mutable_load_now());
     socket_->send(found->second.address, notice.SerializeAsString());
 }
 
 void engine_monitor::give_starts()
 {
+    // A start that does not say who the engine is may be turned away there.
+    if (is_identifying())
+        return;
     for (const auto& start : starts_.give(reactor_->now())) {
         metrics_.count(exported_metric::starts);
         send_given(start.gateway, start.id);
@@ -199,7 +243,8 @@
 void engine_monitor::identify()
 {
     const auto now = steady_now();
-    if (health_target_.empty() || identity_->busy() || now < identify_at_)
+    if (health_target_.empty() || !engine_id_.empty() || !last_load_ ||
+        identity_->busy() || now < identify_at_)
         return;
     identify_at_ = now + identity_retry;
     identity_->call(dialect_->health_call(health_target_), {},
@@ -220,6 +265,13 @@
     engine_id_ = *id;
     tell_next_at_ = {};
     last_told_.clear();
+    give_starts();
+}
+
+bool engine_monitor::is_identifying() const
+{
+    return engine_id_.empty() && identity_->busy() &&
+           steady_now() < identify_at_;
 }
 
 void engine_monitor::write_identity(v1::MonitorNotice& notice) const
@@ -273,8 +325,7 @@
         engine_id_.clear();
         last_load_.reset();
     }
-    if (load && engine_id_.empty())
-        identify();
+    identify();
     if (load.has_value() != std::exchange(engine_known_, load.has_value()))
         log_event(log_severity::warning,
                   load ? log_event_name::upstream_recovered
@@ -308,24 +359,31 @@
     message.set_leaving(load.leaving);
     if (load.leaves_in_ms)
         message.set_leaves_in_ms(*load.leaves_in_ms);
-    message.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
 }
 
-void engine_monitor::tell(const engine_load& load)
+std::string engine_monitor::load_notice(const engine_load& load) const
 {
     v1::MonitorNotice message;
+    message.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
     write_identity(message);
     write_load(load, *message.mutable_load());
-    auto bytes = message.SerializeAsString();
+    return message.SerializeAsString();
+}
+
+void engine_monitor::tell(const engine_load& load)
+{
+    auto bytes = load_notice(load);
     const auto now = reactor_->now();
     const bool same = bytes == last_told_ && now < tell_again_at_;
     const bool too_soon = now < tell_next_at_ && load.leaving == told_leaving_;
     if (same || too_soon)
         return;
-    tell_next_at_ = now + tell_spacing(gateways_.size());
+    tell_next_at_ = now + tell_spacing(listeners());
     told_leaving_ = load.leaving;
-    for (const auto& [name, listener] : gateways_)
-        socket_->send(listener.address, bytes);
+    for (const auto& [name, gateway] : gateways_) {
+        if (gateway.loads_until > now)
+            socket_->send(gateway.address, bytes);
+    }
     last_told_ = std::move(bytes);
     tell_again_at_ = now + tell_interval;
 }
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -54,12 +54,17 @@
     std::size_t gateways() const { return gateways_.size(); }
 
 private:
-    struct subscriber {
+    /** A gateway that has asked for something of late. */
+    struct known_gateway {
         ip_endpoint address;
         time_point forget_at;
+        time_point loads_until{}; ///< it wants to be told the load
     };
 
     void take_request(const ip_endpoint& from, std::string_view bytes);
+    known_gateway* know(const ip_endpoint& from, const std::string& name);
+    void take_subscription(known_gateway& gateway);
+    std::size_t listeners() const;
     void take_turn(const ip_endpoint& from, const std::string& gateway,
                    const v1::MonitorRequest& request);
     void give_turn();
@@ -72,6 +77,7 @@
     /** Learns the id of the engine that answers now. */
     void identify();
     void take_identity(const call_outcome& outcome);
+    bool is_identifying() const;
     void write_identity(v1::MonitorNotice& notice) const;
 
     void look();
@@ -79,6 +85,7 @@
     void take(const call_outcome& outcome);
     void measure(const engine_load& load);
     void tell(const engine_load& load);
+    std::string load_notice(const engine_load& load) const;
     void write_load(const engine_load& load, v1::EngineLoad& message) const;
     void forget_silent();
 
@@ -91,7 +98,7 @@
     std::string health_target_;
     std::string engine_id_; ///< empty: not known
     time_point identify_at_{};
-    std::map<std::string, subscriber> gateways_;
+    std::map<std::string, known_gateway> gateways_;
     copy_turns turns_;
     start_queue starts_;
     time_point give_due_{}; ///< of the next look at who may start
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -40,6 +40,9 @@
         std::function<void(std::vector<Item>&& items, bool whole)> items;
         /** Least time between two calls of the directory; empty: 0. */
         std::function<milliseconds()> pause;
+        /** Time for which the directory holds the next call; empty: as the
+         * pace has it. */
+        std::function<milliseconds()> wait;
         /**
          * The directory has answered: all that it held at `asked`, when the
          * call was sent, is known here.
@@ -92,9 +95,9 @@
             if (const auto self = weak.lock())
                 self->take(std::move(result));
         };
+        const auto wait = on_.wait ? on_.wait() : pace_.wait;
         if (offset_)
-            feed_->read_from(*offset_, pace_.wait,
-                             asked_at_ + pace_.wait + pace_.slack,
+            feed_->read_from(*offset_, wait, asked_at_ + wait + pace_.slack,
                              std::move(answer));
         else
             feed_->read_newest(asked_at_ + pace_.slack, std::move(answer));
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -76,6 +76,7 @@
     on_loop([this] {
         ended_ = true;
         directory_->stop();
+        relays_.reset();
         for (auto* running :
              std::vector(context_->running.begin(), context_->running.end()))
             running->shared_from_this()->caller_left();
@@ -138,14 +139,7 @@
     on.gateways = [this](unsigned count) {
         context_->budget.set_sharers(count);
     };
-    on.engine_hosts = [this] {
-        std::set<std::string> hosts;
-        if (!context_->routes)
-            return hosts;
-        for (const auto& name : context_->routes->engine_services())
-            hosts.merge(context_->board.hosts(name));
-        return hosts;
-    };
+    on.hosts = [this] { return hosts_to_hear(); };
     const auto monitor_port =
         static_cast<std::uint16_t>(settings_.monitor_port);
     context_->monitors = std::make_shared<monitor_link>(
@@ -159,9 +153,25 @@
 {
     directory_relays::hooks on;
     on.candidates = [this] { return relay_candidates(); };
+    on.heard = [this](const std::string& host) {
+        return context_->monitors->hears(host);
+    };
     on.gateways = [this] { return context_->budget.sharers(); };
-    directory_->use_relays(std::make_shared<directory_relays>(
-        loop_->reactor(), settings_.name, port, std::move(on)));
+    relays_ = std::make_shared<directory_relays>(
+        loop_->reactor(), settings_.name, port, std::move(on));
+    directory_->use_relays(relays_);
+}
+
+std::set<std::string> gateway_process::hosts_to_hear() const
+{
+    std::set<std::string> hosts;
+    if (!context_->routes || !relays_)
+        return hosts;
+    for (const auto& name : context_->routes->engine_services())
+        hosts.merge(context_->board.hosts_in_use(name));
+    for (auto& host : relays_->wanted())
+        hosts.insert(std::move(host));
+    return hosts;
 }
 
 std::vector<relay_candidate> gateway_process::relay_candidates() const
@@ -172,7 +182,7 @@
     for (const auto& name : context_->routes->engine_services()) {
         for (const auto* engine : context_->board.available(name)) {
             const auto& host = engine->record.address.host;
-            if (context_->monitors->hears(host))
+            if (!context_->monitors->misses(host))
                 candidates.push_back({host, engine->record.failure_domain});
         }
     }
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -49,6 +49,7 @@
     void start_servers();
     void start_monitor_link();
     void use_relays(std::uint16_t port);
+    std::set<std::string> hosts_to_hear() const;
     std::vector<relay_candidate> relay_candidates() const;
     session_hooks caller_hooks();
     session_hooks ready_hooks();
@@ -71,6 +72,7 @@
     std::shared_ptr<http_server> callers_;
     std::shared_ptr<http_server> ready_server_;
     std::unique_ptr<directory_watch> directory_;
+    std::shared_ptr<directory_relays> relays_;
     std::unique_ptr<metrics_listener> metrics_;
     time_point look_at_settings_at_{};
     bool ended_ = false;
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -1,8 +1,10 @@
 #include "monitor_link.hpp"
 
+#include "engine_monitor.hpp"
 #include "load.pb.h"
 #include "log_event.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -23,6 +25,11 @@
 /** It tells even a load that has not changed 400 ms after the last, so that
  * four in a row have gone missing by then. */
 constexpr milliseconds monitor_away{1600};
+/** The same for a monitor that tells many gateways, and each less often. */
+constexpr int most_missed = 4;
+/** Nothing of any monitor for so long: there are none, or this VM is cut off
+ * from all. */
+constexpr milliseconds all_away{3000};
 
 engine_load load_of(const v1::EngineLoad& message)
 {
@@ -58,6 +65,7 @@
 void monitor_link::start()
 {
     socket_->start();
+    heard_at_ = reactor_->now();
     ask_for_loads();
 }
 
@@ -70,13 +78,14 @@
 void monitor_link::ask_for_loads()
 {
     const auto now = reactor_->now();
-    const auto hosts = on_.engine_hosts();
+    const auto hosts = on_.hosts();
     const bool all = now >= ask_all_at_;
     if (all)
         ask_all_at_ = now + ask_interval;
     v1::MonitorRequest request;
     request.set_gateway(name_);
     request.set_health_target(on_.health_target());
+    request.set_loads_wanted(true);
     std::erase_if(asked_, [&](const auto& asked) {
         return !hosts.contains(asked.first);
     });
@@ -94,23 +103,28 @@
 
 void monitor_link::note_silent(const std::string& host, asked_host& asked)
 {
-    if (asked.lost || reactor_->now() - asked.heard_at < monitor_away)
+    const auto away =
+        std::max(monitor_away, most_missed * tell_spacing(asked.gateways));
+    if (asked.lost || reactor_->now() - asked.heard_at < away)
         return;
     asked.lost = true;
-    log_event(log_severity::warning, log_event_name::monitor_lost,
-              {{log_key::address, host}});
+    // One that was never heard is no news.
+    if (asked.heard)
+        log_event(log_severity::warning, log_event_name::monitor_lost,
+                  {{log_key::address, host}});
 }
 
 void monitor_link::note_heard(const std::string& host)
 {
+    heard_at_ = reactor_->now();
     const auto found = asked_.find(host);
     if (found == asked_.end())
         return;
     const auto away = std::chrono::duration_cast<milliseconds>(
         reactor_->now() - found->second.heard_at);
     found->second.heard_at = reactor_->now();
-    found->second.heard = true;
-    if (std::exchange(found->second.lost, false))
+    const bool known = std::exchange(found->second.heard, true);
+    if (std::exchange(found->second.lost, false) && known)
         log_event(log_severity::info, log_event_name::monitor_regained,
                   {{log_key::address, host}, {log_key::duration_ms, away}});
 }
@@ -187,6 +201,7 @@
         wanted.first_due - reactor_->now());
     v1::MonitorRequest request;
     request.set_gateway(name_);
+    request.set_health_target(on_.health_target());
     auto& start = *request.mutable_start_wanted();
     start.set_id(wanted.id);
     start.set_prompt_tokens(wanted.prompt_tokens);
@@ -210,6 +225,17 @@
     return found != asked_.end() && found->second.heard && !found->second.lost;
 }
 
+bool monitor_link::misses(const std::string& host) const
+{
+    const auto found = asked_.find(host);
+    return found != asked_.end() && found->second.lost;
+}
+
+bool monitor_link::silent() const
+{
+    return reactor_->now() - heard_at_ > all_away;
+}
+
 void monitor_link::take_start_given(const std::string& host,
                                     const v1::StartGiven& notice)
 {
@@ -249,6 +275,7 @@
     v1::MonitorNotice notice;
     if (!notice.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return;
+    note_gateways(from.host, notice.gateways());
     if (notice.has_engine())
         take_identity(from.host, notice.engine());
     if (notice.has_load_now())
@@ -271,14 +298,27 @@
         take_load(notice.load());
 }
 
+void monitor_link::note_gateways(const std::string& host, unsigned count)
+{
+    const auto found = asked_.find(host);
+    if (found == asked_.end() || count == 0)
+        return;
+    found->second.gateways = count;
+    // Those that all gateways ask hear of most.
+    unsigned most = 0;
+    for (const auto& [name, asked] : asked_) {
+        if (!asked.lost)
+            most = std::max(most, asked.gateways);
+    }
+    on_.gateways(most);
+}
+
 void monitor_link::take_load(const v1::EngineLoad& message)
 {
     const auto engine = parse_ip_endpoint(message.engine_address());
     if (!engine)
         return;
     on_.load(*engine, load_of(message));
-    if (message.gateways() > 0)
-        on_.gateways(message.gateways());
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -26,7 +26,12 @@
 
 /**
  * A gateway's side of the datagrams to the monitors beside engines: it asks
- * for their loads again and again, and for turns to copy generations.
+ * some for their loads again and again, and any of them for starts and for
+ * turns to copy generations.
+ *
+ * Loads are wanted of the engines at which this gateway's own requests run,
+ * and of a few more: told by each engine to each gateway, they would grow with
+ * both, and a gateway among a hundred would hear of each once a second.
  */
 class monitor_link : public std::enable_shared_from_this<monitor_link>
 {
@@ -38,8 +43,8 @@
             identity;
         /** How many gateways the monitors hear of. */
         std::function<void(unsigned)> gateways;
-        /** IP numbers of the VMs on which engines run. */
-        std::function<std::set<std::string>()> engine_hosts;
+        /** IP numbers of the VMs whose engines' loads are wanted. */
+        std::function<std::set<std::string>()> hosts;
         /** Where engines say who they are; empty: it is not known. */
         std::function<std::string()> health_target;
     };
@@ -87,6 +92,10 @@
 
     /** The monitor on that host has spoken of late. */
     bool hears(const std::string& host) const;
+    /** It was asked and says nothing. */
+    bool misses(const std::string& host) const;
+    /** No monitor at all has spoken for seconds. */
+    bool silent() const;
 
 private:
     struct wanted_turn {
@@ -98,8 +107,9 @@
     /** A host that was asked, and when its monitor was heard. */
     struct asked_host {
         time_point heard_at;
-        bool heard = false; ///< it has spoken at all
-        bool lost = false;  ///< it says nothing any more
+        bool heard = false;    ///< it has spoken at all
+        bool lost = false;     ///< it says nothing any more
+        unsigned gateways = 0; ///< that its monitor hears of
     };
 
     void ask_for_loads();
@@ -109,6 +119,7 @@
     void give(const std::string& id);
     void refuse_turn(const std::string& id);
     void take_load(const v1::EngineLoad& message);
+    void note_gateways(const std::string& host, unsigned count);
     void take_start_given(const std::string& host,
                           const v1::StartGiven& notice);
     void take_start_waits(const std::string& host, const std::string& id,
@@ -125,6 +136,7 @@
     hooks on_;
     std::map<std::string, asked_host> asked_;
     time_point ask_all_at_{};
+    time_point heard_at_{}; ///< any monitor
     std::unordered_map<std::string, wanted_turn> turns_;
     std::unordered_map<std::string, start_hooks> starts_;
 };
--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -79,6 +79,7 @@
     /** Between two calls to the directory while monitors tell that it is
      * away; up to half as much again, so that gateways do not call together. */
     static constexpr milliseconds direct_spacing{2000};
+    static constexpr milliseconds relays_look{50};
 
     struct call {
         std::optional<std::uint64_t> from;
@@ -90,12 +91,26 @@
         bool heard_away = false; ///< a monitor told so
     };
 
-    void begin(call what)
+    void begin(call what) { begin(std::make_shared<call>(std::move(what))); }
+
+    void begin(const std::shared_ptr<call>& what)
     {
         relays_ = on_.relays ? on_.relays() : nullptr;
         if (relays_)
-            what.hosts = relays_->hosts();
-        go_on(std::make_shared<call>(std::move(what)));
+            what->hosts = relays_->hosts();
+        if (what->from && relays_ && relays_->expected())
+            begin_later(what);
+        else
+            go_on(what);
+    }
+
+    void begin_later(const std::shared_ptr<call>& what)
+    {
+        reactor_->post_at(steady_now() + relays_look,
+                          [weak = this->weak_from_this(), what] {
+                              if (const auto self = weak.lock())
+                                  self->begin(what);
+                          });
     }
 
     void go_on(const std::shared_ptr<call>& what)
--- a/src/libcyclamenrun/gateway/upstream_board.cpp
+++ b/src/libcyclamenrun/gateway/upstream_board.cpp
@@ -85,7 +85,7 @@
                        const placement_request& request, time_point now)
 {
     believed result;
-    const bool fresh = upstream.load && now - upstream.load_at <= load_lifetime;
+    const bool fresh = has_fresh_load(upstream, now);
     const double unreported = unreported_tokens(upstream);
     const double growth =
         static_cast<double>(request.output_tokens) * part_to_grow;
@@ -103,6 +103,11 @@
                                           upstream.unreported.size());
     result.unread_ms = static_cast<double>(load.unread.count()) +
                        reading_ms(upstream, unreported);
+    // The engine's own word has no times, only those that wait.
+    if (load.tokens_read_per_ms <= 0)
+        result.unread_ms += reading_ms(
+            upstream, static_cast<double>((load.starting + load.queued) *
+                                          request.prompt_tokens));
     result.memory_tokens = static_cast<double>(load.memory_used) + unreported +
                            load.running * growth;
     return result;
@@ -110,6 +115,11 @@
 
 } // namespace
 
+bool has_fresh_load(const upstream_state& upstream, time_point now)
+{
+    return upstream.load && now - upstream.load_at <= load_lifetime;
+}
+
 void upstream_board::apply(const upstream_change& change, time_point now,
                            bool doubt)
 {
@@ -383,11 +393,12 @@
     return result;
 }
 
-std::set<std::string> upstream_board::hosts(const std::string& service) const
+std::set<std::string>
+upstream_board::hosts_in_use(const std::string& service) const
 {
     std::set<std::string> result;
     for (const auto& [id, upstream] : upstreams_) {
-        if (upstream.record.service == service)
+        if (upstream.record.service == service && upstream.own_running > 0)
             result.insert(upstream.record.address.host);
     }
     return result;
--- a/src/libcyclamenrun/gateway/upstream_board.hpp
+++ b/src/libcyclamenrun/gateway/upstream_board.hpp
@@ -121,8 +121,8 @@
     /** Those of a service that may get new work. */
     std::vector<const upstream_state*>
     available(const std::string& service) const;
-    /** IP numbers of the upstreams of a service. */
-    std::set<std::string> hosts(const std::string& service) const;
+    /** IP numbers of those of a service at which own requests run. */
+    std::set<std::string> hosts_in_use(const std::string& service) const;
     std::size_t size() const { return upstreams_.size(); }
     std::set<std::string> services() const;
     service_totals totals(const std::string& service, time_point now) const;
@@ -145,6 +145,9 @@
     std::unordered_map<std::string, time_point> dropped_;
 };
 
+/** Its load is known and not too old to be believed. */
+bool has_fresh_load(const upstream_state& upstream, time_point now);
+
 /** What placement needs to know of a request. */
 struct placement_request {
     std::uint64_t prompt_tokens = 0;
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -87,6 +87,21 @@
     return choose(candidates(service, excluded), request, {}, now);
 }
 
+std::optional<placed_upstream>
+upstream_choice::for_request_among(const std::vector<upstream_record>& engines,
+                                   const placement_request& request,
+                                   time_point now)
+{
+    std::vector<const upstream_state*> known;
+    for (const auto& engine : engines) {
+        const auto* state = board_.find(engine.id);
+        if (state != nullptr && !state->leaving && !state->superseded &&
+            has_fresh_load(*state, now))
+            known.push_back(state);
+    }
+    return choose(known, request, {}, now);
+}
+
 std::vector<upstream_record> upstream_choice::to_ask(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
@@ -171,7 +186,15 @@
 {
     double least = backup_below_memory;
     std::optional<upstream_record> backup;
-    for (const auto* other : candidates(service, {running_at})) {
+    auto others = candidates(service, {running_at});
+    const auto known = std::stable_partition(
+        others.begin(), others.end(), [&](const upstream_state* other) {
+            return has_fresh_load(*other, now);
+        });
+    // Beside those of which a load is known, the others may be full.
+    if (known != others.begin())
+        others.erase(known, others.end());
+    for (const auto* other : others) {
         const auto place = placement_of(*other, request, now);
         const double taken =
             place.memory_taken +
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -40,6 +40,11 @@
     for_request(const std::string& service, const placement_request& request,
                 const std::vector<std::string>& excluded, time_point now);
 
+    /** The same among those whose load was just asked for. */
+    std::optional<placed_upstream>
+    for_request_among(const std::vector<upstream_record>& engines,
+                      const placement_request& request, time_point now);
+
     /** Engines to ask whether it may start; the better are likelier. */
     std::vector<upstream_record>
     to_ask(const std::string& service, const placement_request& request,
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -36,6 +36,12 @@
         });
     }
 
+    std::size_t count(const std::string& what)
+    {
+        const std::scoped_lock lock(mutex_);
+        return std::count(lines_.begin(), lines_.end(), what);
+    }
+
     bool has(const std::string& what)
     {
         const std::scoped_lock lock(mutex_);
@@ -52,11 +58,12 @@
 class listening_gateway
 {
 public:
-    explicit listening_gateway(std::uint16_t monitor_port)
+    explicit listening_gateway(std::uint16_t monitor_port,
+                               std::set<std::string> hosts = {"127.0.0.1"})
         : loop_(std::make_unique<link_loop>()),
-          link_(std::make_shared<monitor_link>(loop_->reactor(),
-                                               ip_endpoint{"127.0.0.1", 0},
-                                               monitor_port, "g", hooks()))
+          link_(std::make_shared<monitor_link>(
+              loop_->reactor(), ip_endpoint{"127.0.0.1", 0}, monitor_port, "g",
+              hooks(std::move(hosts))))
     {
         loop_->post([link = link_] { link->start(); });
     }
@@ -83,7 +90,7 @@
     heard news;
 
 private:
-    monitor_link::hooks hooks()
+    monitor_link::hooks hooks(std::set<std::string> hosts)
     {
         monitor_link::hooks on;
         on.load = [this](const ip_endpoint& engine, const engine_load& load) {
@@ -97,7 +104,7 @@
         on.gateways = [this](unsigned count) {
             news.note("gateways " + std::to_string(count));
         };
-        on.engine_hosts = [] { return std::set<std::string>{"127.0.0.1"}; };
+        on.hosts = [hosts = std::move(hosts)] { return hosts; };
         on.health_target = [] { return std::string("/health"); };
         return on;
     }
@@ -197,6 +204,24 @@
               1);
 }
 
+// A hundred gateways hear from a hundred monitors, each of each: thousands of
+// datagrams a second, and a load is old when it comes. Who wants something else
+// of a monitor is told the load beside the answer, and no more.
+TEST_F(monitor, tells_its_load_again_only_to_those_who_want_it)
+{
+    listening_gateway wants(port);
+    listening_gateway copies(port, {});
+    const auto line = "load " + to_string(engine.address()) + " 2";
+    ASSERT_TRUE(wants.news.wait_for(line));
+    copies.want_turn("a");
+    ASSERT_TRUE(copies.news.wait_for("turn a"));
+    EXPECT_TRUE(copies.news.has(line));
+    const auto told = wants.news.count(line);
+    std::this_thread::sleep_for(milliseconds(1000));
+    EXPECT_GT(wants.news.count(line), told);
+    EXPECT_EQ(copies.news.count(line), 1U);
+}
+
 TEST_F(monitor, sends_a_bounded_number_of_datagrams_however_many_listen)
 {
     for (const std::size_t gateways : {1U, 5U, 27U, 370U}) {
--- a/tests/gateway/test_turn_search.cpp
+++ b/tests/gateway/test_turn_search.cpp
@@ -55,7 +55,7 @@
             on.load = [](const ip_endpoint&, const engine_load&) {};
             on.identity = [](const ip_endpoint&, const std::string&) {};
             on.gateways = [](unsigned) {};
-            on.engine_hosts = [] { return std::set<std::string>(); };
+            on.hosts = [] { return std::set<std::string>(); };
             on.health_target = [] { return std::string(); };
             context->monitors = std::make_shared<monitor_link>(
                 loop->reactor(), ip_endpoint{"127.0.0.1", 0}, port, "g",
