Ask two engines for their load where no monitor is heard

Each start asked 8 monitors in vain for 30 ms first.

Change: where no monitor has been heard for 3 s none is asked, and two engines drawn at random are asked for their load themselves; the better one is taken.

Fleets with monitors do not ask engines.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -18,6 +18,12 @@
  */
 constexpr connection_patience stream_patience{milliseconds(10000),
                                               milliseconds(5000)};
+/**
+ * Engines that are asked for their load where no monitor is heard. The better
+ * of two at random spreads almost as well as the best of all.
+ */
+constexpr std::size_t engines_probed = 2;
+
 /** What is left when the budget of retries is spent. */
 attempt_step step_without_budget(attempt_result result)
 {
@@ -110,6 +116,8 @@
     }
     if (asks_to_start())
         search_start();
+    else if (profile_.engine() != nullptr)
+        probe_loads();
     else
         dispatch_by_beliefs();
 }
@@ -122,7 +130,8 @@
 
 bool exchange::asks_to_start() const
 {
-    return profile_.engine() != nullptr && context_.monitors;
+    return profile_.engine() != nullptr && context_.monitors &&
+           !context_.monitors->silent();
 }
 
 placement_request exchange::needs() const
@@ -160,7 +169,7 @@
     on.unheard = [this] {
         notes_.start_unheard(search_->asked());
         search_.reset();
-        dispatch_by_beliefs();
+        probe_loads();
     };
     search_ = std::make_shared<start_search>(
         context_, profile_.start_wanted(facts_.id, request_.arrived),
@@ -179,10 +188,39 @@
     send(upstream, std::nullopt);
 }
 
+void exchange::probe_loads()
+{
+    auto engines = context_.choice.to_ask(
+        service_, needs(), tried_, engines_probed, context_.reactor->now());
+    probe_ = std::make_shared<load_probe>(
+        context_, std::move(engines), [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (!self || self->over_)
+                return;
+            if (self->context_.lease.valid(boot_now()))
+                self->dispatch_by_beliefs();
+            else
+                self->refuse_without_lease();
+        });
+    probe_->start();
+}
+
+std::optional<placed_upstream> exchange::place()
+{
+    const auto now = context_.reactor->now();
+    const auto probe = std::exchange(probe_, nullptr);
+    if (probe) {
+        auto placed =
+            context_.choice.for_request_among(probe->engines(), needs(), now);
+        if (placed)
+            return placed;
+    }
+    return context_.choice.for_request(service_, needs(), tried_, now);
+}
+
 void exchange::dispatch_by_beliefs()
 {
-    const auto placed = context_.choice.for_request(service_, needs(), tried_,
-                                                    context_.reactor->now());
+    const auto placed = place();
     if (placed) {
         notes_.placed(*placed);
         const auto left =
@@ -284,7 +322,8 @@
     if (attempt_) {
         context_.board.settled(attempt_->upstream().id);
         // What has begun is in the engine's own word.
-        if (asks_to_start() && !answer_.begun())
+        if (profile_.engine() != nullptr && context_.monitors &&
+            !answer_.begun())
             context_.monitors->end_start(attempt_->upstream().address.host,
                                          facts_.id);
     }
@@ -719,6 +758,8 @@
         mover_->cancel();
     if (search_)
         search_->cancel();
+    if (probe_)
+        probe_->cancel();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -6,6 +6,7 @@
 #include "gateway_context.hpp"
 #include "generation_mover.hpp"
 #include "http_session.hpp"
+#include "load_probe.hpp"
 #include "request_admission.hpp"
 #include "request_notes.hpp"
 #include "request_profile.hpp"
@@ -57,7 +58,10 @@
     void refuse_without_lease();
     void search_start();
     void start_found(const upstream_record& upstream);
+    /** No monitor is heard: a few engines are asked themselves. */
+    void probe_loads();
     void dispatch_by_beliefs();
+    std::optional<placed_upstream> place();
     void send(const upstream_record& upstream,
               const std::optional<continuation>& goes_on);
     std::string request_for(const upstream_record& upstream,
@@ -120,6 +124,7 @@
     bool over_ = false;
 
     std::shared_ptr<start_search> search_; ///< while it waits for a start
+    std::shared_ptr<load_probe> probe_;    ///< while engines tell their loads
     std::shared_ptr<generation_mover> mover_;
     /** Engine that keeps a copy of the run at hand as it grows. */
     std::optional<upstream_record> backup_;
--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -154,13 +154,17 @@
                 return;
             if (!reader.complete())
                 continue;
-            {
-                const std::scoped_lock lock(mutex_);
-                arrived_.push_back(request);
-            }
-            changed_.notify_all();
             upstream_reply reply(socket);
-            play_(request, reply);
+            if (tells_no_load && request.head.target == "/report") {
+                reply.answer(request, 404, "");
+            } else {
+                {
+                    const std::scoped_lock lock(mutex_);
+                    arrived_.push_back(request);
+                }
+                changed_.notify_all();
+                play_(request, reply);
+            }
             request = {};
             (void)reader.next_message();
         }
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -66,6 +66,9 @@
     fake_upstream& operator=(const fake_upstream&) = delete;
     ~fake_upstream();
 
+    /** Questions for its load are answered for the script, and not counted. */
+    std::atomic<bool> tells_no_load = false;
+
     ip_endpoint address() const;
     std::vector<arrived_request> arrived() const;
     /** Waits until so many requests have arrived. */
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -1,7 +1,9 @@
 #include "gateway_fixture.hpp"
 #include "scripted_monitor.hpp"
 
+#include <algorithm>
 #include <atomic>
+#include <set>
 #include <thread>
 
 namespace cyclamenrun::testing_support
@@ -21,10 +23,15 @@
     return !request.start_ended().empty();
 }
 
+/** Streams go on after their first event once this is false. */
+std::atomic<bool> hold = false;
+
 void answer_shortly(const arrived_request& request, upstream_reply& reply)
 {
     reply.begin_stream(request);
     reply.event(1);
+    while (hold)
+        std::this_thread::sleep_for(milliseconds(2));
     reply.end_stream();
 }
 
@@ -128,6 +135,76 @@
     EXPECT_LT(steady_now() - began, milliseconds(500));
 }
 
+/** Streams, and says how many requests wait at it. */
+fake_upstream::script answer_with_queue(int queued)
+{
+    return [queued](const arrived_request& request, upstream_reply& reply) {
+        if (request.head.target == "/report")
+            reply.answer(request, 200,
+                         R"({"active":2,"kv_used":100,"kv_total":100000,)"
+                         R"("runs":[],"queued":)" +
+                             std::to_string(queued) + "}");
+        else
+            answer_shortly(request, reply);
+    };
+}
+
+// A fleet without monitors: of other gateways' requests nothing is known, and
+// prompts are sent to engines that have many to read. Asked itself, an engine
+// tells.
+TEST_F(start_searches, ask_engines_themselves_where_no_monitor_is_heard)
+{
+    forget("e1");
+    forget("e2");
+    auto& busy = add("e3", answer_with_queue(9), "model", "127.0.0.3");
+    auto& idle = add("e4", answer_with_queue(0), "model", "127.0.0.4");
+    for (auto* engine : {&busy, &idle})
+        engine->tells_no_load = false;
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(ask("/gen/x").status(), 200U);
+    const auto streams = [](const fake_upstream& engine) {
+        const auto arrived = engine.arrived();
+        return std::count_if(arrived.begin(), arrived.end(),
+                             [](const arrived_request& request) {
+                                 return request.head.target == "/gen/x";
+                             });
+    };
+    EXPECT_EQ(streams(busy), 0);
+    EXPECT_EQ(streams(idle), 5);
+}
+
+// There are no monitors, or this VM is cut off from all of them. To ask them
+// for each start delays it for nothing; one that is heard again is asked.
+TEST_F(start_searches, ask_nobody_while_no_monitor_is_heard)
+{
+    std::atomic<bool> speaks = false;
+    const auto play = [&](const v1::MonitorRequest& request) -> notice {
+        if (!speaks)
+            return std::nullopt;
+        if (wants_start(request))
+            return start_given(request.start_wanted().id());
+        v1::MonitorNotice load;
+        load.mutable_load()->set_engine_address(to_string(one->address()));
+        return load;
+    };
+    const auto first = monitor("127.0.0.1", play);
+    const auto second = monitor("127.0.0.2", play);
+    EXPECT_EQ(ask("/gen/x").status(), 200U);
+    const auto asked = [&] {
+        return first->count_of(wants_start) + second->count_of(wants_start);
+    };
+    EXPECT_GT(asked(), 0U);
+    std::this_thread::sleep_for(milliseconds(3200));
+    const auto before = asked();
+    EXPECT_EQ(ask("/gen/x").status(), 200U);
+    EXPECT_EQ(asked(), before);
+    speaks = true;
+    const auto deadline = steady_now() + std::chrono::seconds(10);
+    while (asked() == before && steady_now() < deadline)
+        EXPECT_EQ(ask("/gen/x").status(), 200U);
+    EXPECT_GT(asked(), before);
+}
+
 // The engine is full. Its caller leaves before there is room, and no start may
 // be kept for it.
 TEST_F(start_searches, end_with_their_caller)
@@ -223,6 +300,61 @@
         EXPECT_EQ(request.field("Expect-Instance"), "e1");
 }
 
+bool wants_loads(const v1::MonitorRequest& request)
+{
+    return request.loads_wanted();
+}
+
+// Loads told by each engine to each gateway grow with both. A gateway wants
+// those of the engines where its own requests run, and of two that may read
+// the directory for it.
+TEST_F(start_searches, hear_from_a_few_engines_only)
+{
+    std::vector<std::unique_ptr<scripted_monitor>> monitors;
+    std::atomic<int> chosen = 0;
+    for (int host = 1; host <= 6; ++host) {
+        const auto name = "127.0.0." + std::to_string(host);
+        if (host > 2)
+            add("e" + std::to_string(host), answer_shortly, "model", name);
+        monitors.push_back(monitor(
+            name, [&, host](const v1::MonitorRequest& request) -> notice {
+                if (!wants_start(request)) {
+                    v1::MonitorNotice load;
+                    load.mutable_load()->set_engine_address(
+                        to_string(upstreams[host - 1]->address()));
+                    return load;
+                }
+                if (chosen != host)
+                    return start_waits(request.start_wanted().id());
+                return start_given(request.start_wanted().id());
+            }));
+    }
+    const auto heard = [&] {
+        std::set<int> hosts;
+        for (std::size_t i = 0; i < monitors.size(); ++i) {
+            if (monitors[i]->count_of(wants_loads) > 0)
+                hosts.insert(static_cast<int>(i) + 1);
+        }
+        return hosts;
+    };
+    const auto deadline = steady_now() + std::chrono::seconds(10);
+    while (heard().size() < 2 && steady_now() < deadline)
+        std::this_thread::sleep_for(milliseconds(10));
+    std::this_thread::sleep_for(milliseconds(1200));
+    const auto relays = heard();
+    EXPECT_EQ(relays.size(), 2U);
+    chosen = relays.contains(6) ? 5 : 6;
+    while (relays.contains(chosen))
+        --chosen;
+    hold = true;
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    EXPECT_TRUE(monitors[chosen - 1]->wait_for(wants_loads));
+    hold = false;
+    EXPECT_EQ(caller.read().status(), 200U);
+    EXPECT_EQ(heard().size(), 3U);
+}
+
 // A stranger, or a start that was given twice: nothing is begun for it.
 TEST_F(start_searches, give_back_starts_that_nobody_waits_for)
 {
