--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -156,6 +156,7 @@
 {
     forget("e1");
     forget("e2");
+    records.clear();
     auto& busy = add("e3", answer_with_queue(9), "model", "127.0.0.3");
     auto& idle = add("e4", answer_with_queue(0), "model", "127.0.0.4");
     for (auto* engine : {&busy, &idle})
