Read a long directory once for all gateways that start together

Each fresh gateway reads all pages of some 3,000 records within one time of 1.2 s for all pages together; a hundred of them share the store's 80 MB/s, none is done in time, and all begin again together.

Change: each page has its own time. The first page goes to the board and names monitors; the rest is asked of one of them, which reads it once for all. A gateway that hears none within 1 s reads all pages itself. A relay writes the bytes of an answer that many get once.

Ruled out: more time for the whole (the reads stay as many, and the bandwidth is the bound); pages of more records (the store decides).

Tests: relayed_directory.reads_a_long_directory_once_for_all, .reads_a_long_directory_alone_if_it_has_to.

--- a/fuzz/fuzz_directory_answers.cpp
+++ b/fuzz/fuzz_directory_answers.cpp
@@ -60,9 +60,7 @@
             check(!change.record || change.record->address.port != 0);
             check(!change.record || !change.record->service.empty());
         }
-        const auto again = read_upstreams(answer_of(
-            tl::expected<directory_page<upstream_change>, directory_problem>(
-                *page)));
+        const auto again = read_upstreams(answer_of(*page));
         check(again && again->items.size() == page->items.size());
         check_history(std::move(*page));
     }
--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -54,14 +54,21 @@
 public:
     using answered = std::function<void(
         tl::expected<directory_page<Item>, directory_problem>)>;
+    /** Items of the first pages, with more to come; false: read no further,
+     * and there will be no answer. */
+    using page_read = std::function<bool(const std::vector<Item>& so_far)>;
 
     directory_feed() = default;
     directory_feed(const directory_feed&) = delete;
     directory_feed& operator=(const directory_feed&) = delete;
     virtual ~directory_feed() = default;
 
-    /** The newest record of each key; what is not in it does not exist. */
-    virtual void read_newest(time_point deadline, answered on_answer) = 0;
+    /**
+     * The newest record of each key; what is not in it does not exist. A long
+     * answer comes in pages, each of which has as much time as the first.
+     */
+    virtual void read_newest(time_point deadline, answered on_answer,
+                             page_read on_page = {}) = 0;
     /**
      * Records from an offset on; waits up to `wait` for the first. Records
      * that can't be understood are left out but counted in the offset.
--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -55,16 +55,11 @@
 }
 
 template <typename Item>
-v1::DirectoryAnswer
-written(const tl::expected<directory_page<Item>, directory_problem>& result)
+v1::DirectoryAnswer written(const directory_page<Item>& page)
 {
     v1::DirectoryAnswer answer;
-    if (!result) {
-        answer.set_problem(message_of(result.error()));
-        return answer;
-    }
-    answer.set_next(result->next_offset);
-    for (const auto& item : result->items)
+    answer.set_next(page.next_offset);
+    for (const auto& item : page.items)
         write(item, answer);
     return answer;
 }
@@ -98,18 +93,36 @@
     return "malformed";
 }
 
-v1::DirectoryAnswer
-answer_of(const tl::expected<directory_page<upstream_change>,
-                             directory_problem>& result)
+v1::DirectoryAnswer answer_of(const directory_page<upstream_change>& page)
+{
+    return written(page);
+}
+
+v1::DirectoryAnswer answer_of(const directory_page<configuration_text>& page)
+{
+    return written(page);
+}
+
+v1::DirectoryAnswer answer_of(directory_problem problem)
+{
+    v1::DirectoryAnswer answer;
+    answer.set_problem(message_of(problem));
+    return answer;
+}
+
+std::string page_bytes(const directory_page<upstream_change>& page)
+{
+    return answer_of(page).SerializeAsString();
+}
+
+std::string page_bytes(const directory_page<configuration_text>& page)
 {
-    return written(result);
+    return answer_of(page).SerializeAsString();
 }
 
-v1::DirectoryAnswer
-answer_of(const tl::expected<directory_page<configuration_text>,
-                             directory_problem>& result)
+std::string refusal_bytes(directory_problem problem)
 {
-    return written(result);
+    return answer_of(problem).SerializeAsString();
 }
 
 tl::expected<directory_page<upstream_change>, answer_problem>
--- a/src/libcyclamenrun/gateway/directory_messages.hpp
+++ b/src/libcyclamenrun/gateway/directory_messages.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 
@@ -25,12 +26,13 @@
 
 std::string_view name_of(answer_problem problem);
 
-v1::DirectoryAnswer
-answer_of(const tl::expected<directory_page<upstream_change>,
-                             directory_problem>& result);
-v1::DirectoryAnswer
-answer_of(const tl::expected<directory_page<configuration_text>,
-                             directory_problem>& result);
+v1::DirectoryAnswer answer_of(const directory_page<upstream_change>& page);
+v1::DirectoryAnswer answer_of(const directory_page<configuration_text>& page);
+v1::DirectoryAnswer answer_of(directory_problem problem);
+/** The same as bytes. */
+std::string page_bytes(const directory_page<upstream_change>& page);
+std::string page_bytes(const directory_page<configuration_text>& page);
+std::string refusal_bytes(directory_problem problem);
 
 /** Whatever a peer sends, what is read can be taken. */
 tl::expected<directory_page<upstream_change>, answer_problem>
--- a/src/libcyclamenrun/gateway/directory_relay.cpp
+++ b/src/libcyclamenrun/gateway/directory_relay.cpp
@@ -27,17 +27,18 @@
 }
 
 /** Answers a call on its stream, or forgets the call when the stream ends. */
-template <typename Calls>
-void relay(Calls& calls, const v1::DirectoryCall& call,
+template <typename Calls, typename Encoded>
+void relay(Calls& calls, Encoded& encoded, const v1::DirectoryCall& call,
            const std::shared_ptr<server_stream>& stream)
 {
     std::optional<std::uint64_t> from;
     if (call.has_from())
         from = call.from();
-    const auto id = calls.ask(
-        from, milliseconds(call.wait_ms()), [stream](const auto& result) {
-            stream->respond_once(answer_of(result).SerializeAsString());
-        });
+    const auto id =
+        calls.ask(from, milliseconds(call.wait_ms()),
+                  [stream, &encoded](const auto& result) {
+                      stream->respond_once(encoded.bytes_of(result));
+                  });
     if (!id)
         return;
     stream->on_closed([weak = calls.weak_from_this(), id = *id] {
@@ -110,9 +111,9 @@
     const bool readable = stream->path() == directory_path &&
                           call.ParseFromString(stream->request());
     if (readable && call.feed() == v1::DIRECTORY_FEED_CONFIGURATIONS)
-        relay(*configurations_, call, stream);
+        relay(*configurations_, encoded_configurations_, call, stream);
     else if (readable && call.feed() == v1::DIRECTORY_FEED_UPSTREAMS)
-        relay(*upstreams_, call, stream);
+        relay(*upstreams_, encoded_upstreams_, call, stream);
     else
         refuse(*stream);
 }
--- a/src/libcyclamenrun/gateway/directory_relay.hpp
+++ b/src/libcyclamenrun/gateway/directory_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_DIRECTORY_RELAY_HPP
 #define CYCLAMENRUN_DIRECTORY_RELAY_HPP
 
+#include "directory_messages.hpp"
 #include "exported_metrics.hpp"
 #include "link_server.hpp"
 #include "relayed_calls.hpp"
@@ -16,6 +17,30 @@
     std::shared_ptr<upstream_feed> upstreams;
 };
 
+/** The bytes of an answer that many get, written once. */
+template <typename Item>
+class encoded_answer
+{
+public:
+    using shared_page = std::shared_ptr<const directory_page<Item>>;
+
+    std::string
+    bytes_of(const tl::expected<shared_page, directory_problem>& result)
+    {
+        if (!result)
+            return refusal_bytes(result.error());
+        if (page_ != *result) {
+            page_ = *result;
+            bytes_ = page_bytes(*page_);
+        }
+        return bytes_;
+    }
+
+private:
+    shared_page page_;
+    std::string bytes_;
+};
+
 /**
  * Reads the directory for the gateways that ask a monitor to, and only while
  * they ask. Calls of many gateways share a read. On the loop's thread only.
@@ -39,6 +64,8 @@
 
     std::shared_ptr<relayed_calls<configuration_text_traits>> configurations_;
     std::shared_ptr<relayed_calls<upstream_record_traits>> upstreams_;
+    encoded_answer<configuration_text> encoded_configurations_;
+    encoded_answer<upstream_change> encoded_upstreams_;
     std::unique_ptr<link_server> server_;
 };
 
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -140,6 +140,9 @@
     auto relayed = relay_hooks<upstream_change>(upstream_feed_name);
     relayed.read = read_upstreams;
     relayed.longest_wait = longest_relayed_wait;
+    relayed.partial = [this](std::vector<upstream_change>&& some) {
+        take_upstreams(std::move(some), false);
+    };
     const auto feed = std::make_shared<relayed_feed<upstream_change>>(
         context_.reactor, v1::DIRECTORY_FEED_UPSTREAMS,
         platform_.upstreams(context_.reactor, settings.directory),
--- a/src/libcyclamenrun/gateway/read_coalescer.hpp
+++ b/src/libcyclamenrun/gateway/read_coalescer.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -24,6 +25,8 @@
     milliseconds longest_wait{30000};
     /** A read that takes so much longer than its wait is not waited for. */
     milliseconds patience{500};
+    /** The same for all records, which may come in many pages. */
+    milliseconds newest_patience{2500};
     milliseconds first_retry{100};
     milliseconds longest_retry{400};
     std::size_t most_changes = 4096;
@@ -45,11 +48,13 @@
 public:
     using item = typename Traits::item;
     using page = directory_page<item>;
+    /** Calls that are to be told the same share it. */
+    using shared_page = std::shared_ptr<const page>;
     using call_id = std::uint64_t;
 
     struct answer {
         call_id call;
-        tl::expected<page, directory_problem> result;
+        tl::expected<shared_page, directory_problem> result;
     };
 
     struct read {
@@ -103,7 +108,8 @@
             result.from = history_.next_offset();
         else
             result.wait = milliseconds(0);
-        give_up_at_ = now + result.wait + pace_.patience;
+        give_up_at_ = now + result.wait +
+                      (result.from ? pace_.patience : pace_.newest_patience);
         return result;
     }
 
@@ -120,13 +126,17 @@
             history_.extend(*result);
         else
             history_.restart(*result);
+        std::map<std::optional<std::uint64_t>, outcome> told;
         std::vector<answer> answers;
         for (const auto& [id, call] : calls_) {
             if (!call.covered)
                 continue;
-            auto told = answer_to(call, now);
-            if (told)
-                answers.push_back({id, std::move(*told)});
+            const auto [found, is_new] = told.try_emplace(call.from);
+            if (is_new)
+                found->second = answer_to(call.from);
+            if (is_held(call, found->second, now))
+                continue;
+            answers.push_back({id, found->second});
         }
         drop_answered(answers);
         return answers;
@@ -168,25 +178,29 @@
         bool delayed = false;
     };
 
-    using outcome = tl::expected<page, directory_problem>;
+    using outcome = tl::expected<shared_page, directory_problem>;
 
-    std::optional<outcome> answer_to(const pending_call& to,
-                                     time_point now) const
+    /** There is nothing to say, and it can wait. */
+    bool is_held(const pending_call& call, const outcome& told,
+                 time_point now) const
     {
-        if (!to.from)
-            return history_.newest();
-        auto news = history_.since(*to.from);
+        return call.from && told && (*told)->items.empty() &&
+               now < call.asked + pace_.hold;
+    }
+
+    outcome answer_to(std::optional<std::uint64_t> from) const
+    {
+        if (!from)
+            return std::make_shared<const page>(history_.newest());
+        auto news = history_.since(*from);
         if (!news) {
             // Behind the directory's own end: this read told less than is
             // known elsewhere.
-            const bool ahead = *to.from > history_.next_offset();
-            return outcome(
-                tl::unexpected(ahead ? directory_problem::unavailable
-                                     : directory_problem::history_gone));
+            const bool ahead = *from > history_.next_offset();
+            return tl::unexpected(ahead ? directory_problem::unavailable
+                                        : directory_problem::history_gone);
         }
-        if (news->items.empty() && now < to.asked + pace_.hold)
-            return std::nullopt;
-        return std::move(*news);
+        return std::make_shared<const page>(std::move(*news));
     }
 
     std::vector<answer> fail(directory_problem problem, time_point now)
--- a/src/libcyclamenrun/gateway/relayed_calls.hpp
+++ b/src/libcyclamenrun/gateway/relayed_calls.hpp
@@ -22,7 +22,8 @@
 public:
     using item = typename Traits::item;
     using result = tl::expected<directory_page<item>, directory_problem>;
-    using answered = std::function<void(const result&)>;
+    using outcome = decltype(read_coalescer<Traits>::answer::result);
+    using answered = std::function<void(const outcome&)>;
     using call_id = typename read_coalescer<Traits>::call_id;
 
     relayed_calls(std::shared_ptr<link_reactor> reactor, std::string_view name,
--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -32,6 +32,7 @@
 {
 public:
     using typename directory_feed<Item>::answered;
+    using typename directory_feed<Item>::page_read;
     using page = directory_page<Item>;
 
     struct hooks {
@@ -47,6 +48,8 @@
          * directory is noticed in time.
          */
         milliseconds longest_wait{900};
+        /** The first of many records, before the rest is known. */
+        std::function<void(std::vector<Item>&&)> partial;
     };
 
     relayed_feed(std::shared_ptr<link_reactor> reactor, v1::DirectoryFeed which,
@@ -57,7 +60,8 @@
     {
     }
 
-    void read_newest(time_point deadline, answered on_answer) override
+    void read_newest(time_point deadline, answered on_answer,
+                     page_read = {}) override
     {
         begin({std::nullopt, milliseconds(0), deadline, std::move(on_answer)});
     }
@@ -80,6 +84,10 @@
      * away; up to half as much again, so that gateways do not call together. */
     static constexpr milliseconds direct_spacing{2000};
     static constexpr milliseconds relays_look{50};
+    /** A monitor that has itself just started reads many pages first. */
+    static constexpr milliseconds newest_patience{3000};
+    /** After the first of many pages, monitors are heard in this time. */
+    static constexpr milliseconds relays_due{1000};
 
     struct call {
         std::optional<std::uint64_t> from;
@@ -89,6 +97,8 @@
         std::vector<std::string> hosts = {};
         std::size_t tried = 0;
         bool heard_away = false; ///< a monitor told so
+        /** The first page is known, and the rest is asked of monitors. */
+        std::optional<time_point> relays_by = {};
     };
 
     void begin(call what) { begin(std::make_shared<call>(std::move(what))); }
@@ -98,12 +108,19 @@
         relays_ = on_.relays ? on_.relays() : nullptr;
         if (relays_)
             what->hosts = relays_->hosts();
-        if (what->from && relays_ && relays_->expected())
+        if (relays_ && what->hosts.empty() && waits_for_relays(*what))
             begin_later(what);
         else
             go_on(what);
     }
 
+    bool waits_for_relays(const call& what) const
+    {
+        if (what.relays_by)
+            return steady_now() < *what.relays_by;
+        return what.from && relays_->expected();
+    }
+
     void begin_later(const std::shared_ptr<call>& what)
     {
         reactor_->post_at(steady_now() + relays_look,
@@ -130,8 +147,9 @@
             message.set_from(*what->from);
         const auto wait = std::min(what->wait, on_.longest_wait);
         message.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+        const auto time = what->from ? wait + patience : newest_patience;
         relays_->ask(
-            host, message, steady_now() + wait + patience,
+            host, message, steady_now() + time,
             [self = this->shared_from_this(), what, host, asked = boot_now()](
                 const std::optional<v1::DirectoryAnswer>& answer) {
                 self->take(what, host, asked, answer);
@@ -181,13 +199,39 @@
             };
         // After a vain try the answer is wanted soon, whatever it says.
         const bool first = what->tried == 0;
-        const auto deadline = first ? what->deadline : now + direct_time;
+        const auto deadline = first
+                                  ? std::max(what->deadline, now + direct_time)
+                                  : now + direct_time;
         if (what->from)
             direct_->read_from(*what->from,
                                first ? what->wait : milliseconds(0), deadline,
                                std::move(answer));
         else
-            direct_->read_newest(deadline, std::move(answer));
+            direct_->read_newest(deadline, std::move(answer), pages_of(what));
+    }
+
+    /**
+     * Of a long answer the first page names enough monitors to ask for the
+     * rest. Hundreds of gateways that start at once and read all pages each
+     * share the directory's bandwidth for so long that none is done in time.
+     */
+    page_read pages_of(const std::shared_ptr<call>& what)
+    {
+        if (!on_.partial || what->tried > 0 || what->relays_by)
+            return {};
+        return [weak = this->weak_from_this(),
+                what](const std::vector<Item>& so_far) {
+            const auto self = weak.lock();
+            if (!self)
+                return false;
+            // The gateway may not have had any when the call began.
+            if (!self->on_.relays || !self->on_.relays())
+                return true;
+            self->on_.partial(std::vector<Item>(so_far));
+            what->relays_by = steady_now() + relays_due;
+            self->begin(what);
+            return false;
+        };
     }
 
     void space_direct()
--- a/tests/decisions/test_relay_choice.cpp
+++ b/tests/decisions/test_relay_choice.cpp
@@ -13,6 +13,7 @@
 std::vector<relay_candidate> candidates(int count, int domains)
 {
     std::vector<relay_candidate> all;
+    all.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         all.push_back({"10.0.0." + std::to_string(i + 1),
                        "d" + std::to_string(i % domains)});
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -20,6 +20,7 @@
 {
 public:
     using typename directory_feed<Item>::answered;
+    using typename directory_feed<Item>::page_read;
 
     explicit pushed_feed(std::shared_ptr<link_reactor> reactor)
         : reactor_(std::move(reactor))
@@ -35,7 +36,7 @@
         });
     }
 
-    void read_newest(time_point, answered on_answer) override
+    void read_newest(time_point, answered on_answer, page_read) override
     {
         on_answer(directory_page<Item>{items_, items_.size()});
     }
--- a/tests/gateway/stand_in_store.cpp
+++ b/tests/gateway/stand_in_store.cpp
@@ -92,7 +92,7 @@
     else if (now == mood::cutting)
         reply.close();
     else if (uri.getPath() == "/log-newest")
-        newest(query["topic"], request, reply);
+        newest(query, request, reply);
     else
         read(query, request, reply);
 }
@@ -119,26 +119,48 @@
     reply.answer(request, 200, body);
 }
 
-void stand_in_store::newest(const std::string& topic_name,
+std::size_t stand_in_store::count_of(const std::string& target) const
+{
+    const auto calls = server_.arrived();
+    return std::count_if(calls.begin(), calls.end(),
+                         [&](const arrived_request& call) {
+                             return call.head.target.starts_with(target);
+                         });
+}
+
+void stand_in_store::set_page_size(std::size_t records)
+{
+    const std::scoped_lock lock(mutex_);
+    page_size_ = records;
+}
+
+void stand_in_store::newest(const std::map<std::string, std::string>& query,
                             const arrived_request& request,
                             upstream_reply& reply)
 {
     std::unique_lock lock(mutex_);
-    const auto& topic = topics_[topic_name];
+    const auto& topic = topics_[query.at("topic")];
+    const auto after = query.find("after");
     std::map<std::string, std::string> values;
     for (const auto& each : topic.records)
         values[each.key] = each.value;
     std::string items;
+    std::size_t count = 0;
+    bool truncated = false;
     for (const auto& [key, value] : values) {
-        if (value.empty())
+        if (value.empty() || (after != query.end() && key <= after->second))
             continue;
+        truncated = count++ == page_size_;
+        if (truncated)
+            break;
         items += std::string(items.empty() ? "" : ",") + R"({"key":")" + key +
                  R"(","value":")" + base64(value) + R"("})";
     }
     const auto end = topic.records.size();
     lock.unlock();
     reply.answer(request, 200,
-                 "{\"items\":[" + items + "],\"truncated\":false," +
+                 "{\"items\":[" + items +
+                     "],\"truncated\":" + (truncated ? "true" : "false") + "," +
                      "\"end_offset\":" + std::to_string(end) + "}");
 }
 
--- a/tests/gateway/stand_in_store.hpp
+++ b/tests/gateway/stand_in_store.hpp
@@ -38,8 +38,12 @@
     void put(const std::string& topic, const std::string& key,
              const std::string& value);
     void set_mood(mood next);
+    /** Records on a page of the newest. */
+    void set_page_size(std::size_t records);
     /** Calls of all kinds so far, those that were turned away included. */
     std::size_t calls() const { return server_.arrived().size(); }
+    /** Those whose target begins so. */
+    std::size_t count_of(const std::string& target) const;
     /** Readers behind the newest record are told that it is gone. */
     void drop_history();
 
@@ -56,13 +60,14 @@
     void play(const arrived_request& request, upstream_reply& reply);
     void read(const std::map<std::string, std::string>& query,
               const arrived_request& request, upstream_reply& reply);
-    void newest(const std::string& topic, const arrived_request& request,
-                upstream_reply& reply);
+    void newest(const std::map<std::string, std::string>& query,
+                const arrived_request& request, upstream_reply& reply);
 
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, topic_log> topics_;
     mood mood_ = mood::sound;
+    std::size_t page_size_ = 500;
     bool stopping_ = false;
     fake_upstream server_;
 };
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -22,15 +22,12 @@
     return result;
 }
 
-using upstream_result =
-    tl::expected<directory_page<upstream_change>, directory_problem>;
-
 v1::DirectoryAnswer good_answer()
 {
     directory_page<upstream_change> page;
     page.items = {{"b", record("b", true)}, {"a", std::nullopt}};
     page.next_offset = 12;
-    return answer_of(upstream_result(page));
+    return answer_of(page);
 }
 
 TEST(directory_messages, arrive_as_they_were_sent)
@@ -47,8 +44,7 @@
 TEST(directory_messages, tell_why_there_is_nothing)
 {
     const auto problem = [](directory_problem what) {
-        return read_upstreams(answer_of(upstream_result(tl::unexpected(what))))
-            .error();
+        return read_upstreams(answer_of(what)).error();
     };
     EXPECT_EQ(problem(directory_problem::unavailable),
               answer_problem::unavailable);
@@ -94,11 +90,8 @@
     directory_page<configuration_text> page;
     page.items = {{"garbage"}, {"7"}};
     page.next_offset = 3;
-    const auto read = read_configurations(
-        answer_of(
-            tl::expected<directory_page<configuration_text>, directory_problem>(
-                page)),
-        [](std::string_view text) {
+    const auto read =
+        read_configurations(answer_of(page), [](std::string_view text) {
             std::optional<gateway_configuration> configuration;
             if (text != "7")
                 return configuration;
--- a/tests/gateway/test_directory_relay.cpp
+++ b/tests/gateway/test_directory_relay.cpp
@@ -96,7 +96,7 @@
     }
 
     /** Started, and told of the store by monitors. */
-    gateway_process& start_gateway()
+    gateway_process& start_gateway(bool with_relays = true)
     {
         gateway_settings settings;
         settings.name = "gateway-" + std::to_string(gateways.size());
@@ -119,16 +119,22 @@
                 return settings_outcome<gateway_settings>(settings);
             }));
         EXPECT_TRUE(comes_to(*gateways.back(), "k1", 200));
-        EXPECT_TRUE(eventually([&] { return is_told(*gateways.back()); }));
+        EXPECT_TRUE(!with_relays ||
+                    eventually([&] { return is_told(*gateways.back()); }));
         return *gateways.back();
     }
 
     /** Its configuration is renewed though the store holds no call of it. */
     bool is_told(gateway_process& gateway)
+    {
+        return state_of(gateway).find("\"relayed\":true") != std::string::npos;
+    }
+
+    std::string state_of(gateway_process& gateway)
     {
         test_caller caller(gateway.ready_address());
         caller.send("GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
-        return caller.read().body.find("\"relayed\":true") != std::string::npos;
+        return caller.read().body;
     }
 
     template <typename Condition>
@@ -287,6 +293,42 @@
     EXPECT_LT(steady_now() - back_at, milliseconds(2000));
 }
 
+// Thousands of upstreams come in many pages. Gateways that start together and
+// read all of them each are slower than any time-out. Each reads the first
+// page, which names a monitor, and one monitor reads the rest.
+TEST_F(relayed_directory, reads_a_long_directory_once_for_all)
+{
+    constexpr int others = 60;
+    for (int i = 0; i < others; ++i)
+        store.put(
+            "keyed.servers", "z-other-" + std::to_string(100 + i),
+            upstream("other", {"10.0.0.1", std::uint16_t(1000 + i)}, "d"));
+    store.set_page_size(4);
+    constexpr std::size_t fleet = 6;
+    for (std::size_t i = 0; i < fleet; ++i)
+        start_gateway();
+    for (const auto& gateway : gateways)
+        EXPECT_TRUE(eventually([&] {
+            return state_of(*gateway).find("\"upstreams\":63,") !=
+                   std::string::npos;
+        }));
+    // Sixteen pages each, or one page each and sixteen for a relay or two.
+    EXPECT_LE(store.count_of("/log-newest?topic=keyed.servers"),
+              fleet + 2 * 17);
+}
+
+// The monitors do not answer: a gateway reads all pages itself.
+TEST_F(relayed_directory, reads_a_long_directory_alone_if_it_has_to)
+{
+    store.set_page_size(1);
+    engines.clear();
+    start_gateway(false);
+    EXPECT_TRUE(eventually([&] {
+        return state_of(*gateways.back()).find("\"upstreams\":3,") !=
+               std::string::npos;
+    }));
+}
+
 // The history was dropped while relays and gateways were at different places
 // in it; a change in between must not be lost.
 TEST_F(relayed_directory, starts_anew_when_the_history_is_gone)
--- a/tests/gateway/test_feed_follower.cpp
+++ b/tests/gateway/test_feed_follower.cpp
@@ -28,7 +28,7 @@
     {
     }
 
-    void read_newest(time_point, answered on_answer) override
+    void read_newest(time_point, answered on_answer, page_read) override
     {
         play({true, 0}, on_answer);
     }
@@ -169,7 +169,7 @@
     class held_feed final : public directory_feed<int>
     {
     public:
-        void read_newest(time_point, answered on_answer) override
+        void read_newest(time_point, answered on_answer, page_read) override
         {
             on_answer(page({1}, 5));
         }
--- a/tests/gateway/test_read_coalescer.cpp
+++ b/tests/gateway/test_read_coalescer.cpp
@@ -104,8 +104,8 @@
     ASSERT_EQ(answers.size(), 2U);
     EXPECT_EQ(answers[0].call, first);
     EXPECT_EQ(answers[1].call, second);
-    EXPECT_EQ(answers[0].result->items.front().id, "b");
-    EXPECT_EQ(answers[0].result->next_offset, 6U);
+    EXPECT_EQ((*answers[0].result)->items.front().id, "b");
+    EXPECT_EQ((*answers[0].result)->next_offset, 6U);
     EXPECT_FALSE(reads.next_read()) << "nobody waits";
 }
 
@@ -130,8 +130,8 @@
     auto answers = read(read_from(
         5, {change("a"), change("a", true), change("a"), {"c", std::nullopt}}));
     ASSERT_EQ(answers.size(), 1U);
-    EXPECT_EQ(answers[0].result->items.size(), 2U);
-    EXPECT_EQ(answers[0].result->next_offset, 9U);
+    EXPECT_EQ((*answers[0].result)->items.size(), 2U);
+    EXPECT_EQ((*answers[0].result)->next_offset, 9U);
 }
 
 TEST_F(coalesced_reads, tell_each_caller_what_it_has_missed)
@@ -143,11 +143,11 @@
     const auto answers = read(read_from(7, {{"a", std::nullopt}}));
     ASSERT_EQ(answers.size(), 2U);
     EXPECT_EQ(answers[0].call, behind);
-    ASSERT_EQ(answers[0].result->items.size(), 2U);
-    EXPECT_EQ(answers[0].result->items[0].id, "c");
-    EXPECT_FALSE(answers[0].result->items[1].record);
+    ASSERT_EQ((*answers[0].result)->items.size(), 2U);
+    EXPECT_EQ((*answers[0].result)->items[0].id, "c");
+    EXPECT_FALSE((*answers[0].result)->items[1].record);
     EXPECT_EQ(answers[1].call, knows_none);
-    EXPECT_EQ(answers[1].result->items.size(), 2U) << "b and c";
+    EXPECT_EQ((*answers[1].result)->items.size(), 2U) << "b and c";
 }
 
 // A relay that has just begun, or has had to forget, does not know what a
@@ -165,7 +165,7 @@
     EXPECT_EQ(answers.at(0).result.error(), directory_problem::history_gone);
     ask(7);
     answers = read(read_from(10, {}));
-    EXPECT_EQ(answers.at(0).result->items.size(), 3U);
+    EXPECT_EQ((*answers.at(0).result)->items.size(), 3U);
 }
 
 // The directory tells less than the caller has heard elsewhere.
@@ -185,7 +185,7 @@
     const auto answers = end(newest({change("b")}, 90));
     EXPECT_EQ(answers.at(0).result.error(), directory_problem::history_gone);
     ask(std::nullopt);
-    EXPECT_EQ(read(read_from(90, {})).at(0).result->next_offset, 90U);
+    EXPECT_EQ((*read(read_from(90, {})).at(0).result)->next_offset, 90U);
 }
 
 // The directory is away. Who waits is told and asks elsewhere; it is tried
@@ -469,10 +469,10 @@
         auto& who = gateways_.at(index);
         const bool latest = who.call == call;
         if (answer.result && who.offset == from) {
-            for (const auto& item : answer.result->items)
+            for (const auto& item : (*answer.result)->items)
                 who.version = std::max(who.version,
                                        std::uint64_t{std::stoull(item.text)});
-            who.offset = answer.result->next_offset;
+            who.offset = (*answer.result)->next_offset;
             who.lease.renew(asked);
             ++renewals_;
         } else if (!answer.result && latest &&
