Ask other monitors when both relays leave at once

Change: a relay whose VM leaves says so, and is not chosen any more; a gateway that has chosen others waits up to 0.6 s until it hears one of them, as it does at its start.

--- a/src/libcyclamenrun/gateway/directory_feed.cpp
+++ b/src/libcyclamenrun/gateway/directory_feed.cpp
@@ -10,6 +10,8 @@
         return "unavailable";
     case directory_problem::history_gone:
         return "history_gone";
+    case directory_problem::leaving:
+        return "leaving";
     }
     return "unavailable";
 }
--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -20,6 +20,7 @@
 enum class directory_problem : std::uint8_t {
     unavailable,  ///< No answer, or the service turned the call away.
     history_gone, ///< The records asked for are no longer kept.
+    leaving,      ///< Who was asked to read it leaves.
 };
 
 std::string_view name_of(directory_problem problem);
--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -49,9 +49,15 @@
 
 v1::DirectoryProblem message_of(directory_problem problem)
 {
-    return problem == directory_problem::history_gone
-               ? v1::DIRECTORY_PROBLEM_HISTORY_GONE
-               : v1::DIRECTORY_PROBLEM_UNAVAILABLE;
+    switch (problem) {
+    case directory_problem::history_gone:
+        return v1::DIRECTORY_PROBLEM_HISTORY_GONE;
+    case directory_problem::leaving:
+        return v1::DIRECTORY_PROBLEM_LEAVING;
+    case directory_problem::unavailable:
+        break;
+    }
+    return v1::DIRECTORY_PROBLEM_UNAVAILABLE;
 }
 
 template <typename Item>
@@ -73,6 +79,8 @@
         return answer_problem::unavailable;
     case v1::DIRECTORY_PROBLEM_HISTORY_GONE:
         return answer_problem::history_gone;
+    case v1::DIRECTORY_PROBLEM_LEAVING:
+        return answer_problem::leaving;
     default:
         return answer_problem::malformed;
     }
@@ -87,6 +95,8 @@
         return "unavailable";
     case answer_problem::history_gone:
         return "history_gone";
+    case answer_problem::leaving:
+        return "leaving";
     case answer_problem::malformed:
         return "malformed";
     }
--- a/src/libcyclamenrun/gateway/directory_messages.hpp
+++ b/src/libcyclamenrun/gateway/directory_messages.hpp
@@ -19,8 +19,9 @@
 
 /** Why an answer of a monitor about the directory can't be used. */
 enum class answer_problem : std::uint8_t {
-    unavailable,  ///< It does not reach the directory, or its VM leaves.
+    unavailable,  ///< It does not reach the directory.
     history_gone, ///< It does not know the records that were asked for.
+    leaving,      ///< Its VM leaves.
     malformed,    ///< It is no answer.
 };
 
--- a/src/libcyclamenrun/gateway/directory_relays.cpp
+++ b/src/libcyclamenrun/gateway/directory_relays.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds avoid_time{3000};
 /** One that does not reach the directory is asked after the others. */
 constexpr milliseconds last_time{1000};
-/** Monitors are heard so soon after they are known, if at all. */
+/** Monitors are heard so soon after they are wanted, if at all. */
 constexpr milliseconds hearing_time{600};
 
 /** One call on its way to a relay; whichever end comes first counts. */
@@ -55,26 +55,25 @@
         const auto known = relays_.find(candidate.host);
         return known != relays_.end() && known->second.avoid_until > now;
     });
-    auto chosen =
-        choose_relays(candidates, gateway_, relay_count(on_.gateways()));
-    if (!chosen.empty() && !first_wanted_)
-        first_wanted_ = now;
-    return chosen;
+    return choose_relays(candidates, gateway_, relay_count(on_.gateways()));
 }
 
 bool directory_relays::expected() const
 {
-    return !ever_heard_ && first_wanted_ &&
-           steady_now() < *first_wanted_ + hearing_time;
+    return unheard_since_ && steady_now() < *unheard_since_ + hearing_time;
 }
 
 std::vector<std::string> directory_relays::hosts()
 {
     const auto now = steady_now();
     auto chosen = wanted();
+    const bool any = !chosen.empty();
     std::erase_if(chosen,
                   [&](const std::string& host) { return !on_.heard(host); });
-    ever_heard_ = ever_heard_ || !chosen.empty();
+    if (!any || !chosen.empty())
+        unheard_since_.reset();
+    else if (!unheard_since_)
+        unheard_since_ = now;
     std::stable_partition(
         chosen.begin(), chosen.end(), [&](const std::string& host) {
             const auto known = relays_.find(host);
@@ -157,4 +156,9 @@
     relays_[host].last_until = steady_now() + last_time;
 }
 
+void directory_relays::leaves(const std::string& host)
+{
+    relays_[host].avoid_until = steady_now() + avoid_time;
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/directory_relays.hpp
+++ b/src/libcyclamenrun/gateway/directory_relays.hpp
@@ -49,8 +49,8 @@
     /** Whom to ask, in this order; empty: nobody. */
     std::vector<std::string> hosts();
     /**
-     * This process has just learnt of monitors that it is about to hear: it
-     * need not call the directory itself meanwhile.
+     * None of the monitors that could be asked is heard yet, but they are
+     * about to be: no need to call the directory itself meanwhile.
      */
     bool expected() const;
     /** Whom to hear from, to know whether they can be asked. */
@@ -62,6 +62,8 @@
 
     /** It does not reach the directory: another one is asked first. */
     void without_directory(const std::string& host);
+    /** Its VM leaves: another one is chosen in its place. */
+    void leaves(const std::string& host);
 
 private:
     struct known_relay {
@@ -80,9 +82,8 @@
     std::uint16_t port_;
     hooks on_;
     std::map<std::string, known_relay> relays_;
-    /** When it first knew of monitors that could be asked. */
-    std::optional<time_point> first_wanted_;
-    bool ever_heard_ = false;
+    /** Since when there are monitors to ask and none of them is heard. */
+    std::optional<time_point> unheard_since_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/read_coalescer.hpp
+++ b/src/libcyclamenrun/gateway/read_coalescer.hpp
@@ -157,9 +157,9 @@
     }
 
     /** No more calls can be answered. */
-    std::vector<answer> refuse_all()
+    std::vector<answer> refuse_all(directory_problem why)
     {
-        return refuse([](const pending_call&) { return true; });
+        return refuse([](const pending_call&) { return true; }, why);
     }
 
 private:
@@ -210,13 +210,13 @@
     }
 
     template <typename Which>
-    std::vector<answer> refuse(Which which)
+    std::vector<answer>
+    refuse(Which which, directory_problem why = directory_problem::unavailable)
     {
         std::vector<answer> answers;
         for (const auto& [id, call] : calls_) {
             if (which(call))
-                answers.push_back(
-                    {id, tl::unexpected(directory_problem::unavailable)});
+                answers.push_back({id, tl::unexpected(why)});
         }
         drop_answered(answers);
         return answers;
--- a/src/libcyclamenrun/gateway/relayed_calls.hpp
+++ b/src/libcyclamenrun/gateway/relayed_calls.hpp
@@ -41,7 +41,9 @@
         const auto call =
             leaving_ ? std::nullopt : coalescer_.ask(from, wait, steady_now());
         if (!call) {
-            on_answer(tl::unexpected(directory_problem::unavailable));
+            on_answer(tl::unexpected(leaving_
+                                         ? directory_problem::leaving
+                                         : directory_problem::unavailable));
             return std::nullopt;
         }
         waiting_.emplace(*call, std::move(on_answer));
@@ -58,7 +60,7 @@
     void leave()
     {
         leaving_ = true;
-        tell(coalescer_.refuse_all());
+        tell(coalescer_.refuse_all(directory_problem::leaving));
     }
 
 private:
--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -75,6 +75,7 @@
 private:
     /** Monitors that one call tries before the directory itself. */
     static constexpr std::size_t most_tries = 2;
+    static constexpr std::size_t most_leaving = 4;
     /** Beyond the wait: a read that was under way at the monitor ends first,
      * and the next one may be slow. */
     static constexpr milliseconds patience{800};
@@ -97,6 +98,7 @@
         std::vector<std::string> hosts = {};
         std::size_t tried = 0;
         bool heard_away = false; ///< a monitor told so
+        std::size_t leaving = 0; ///< monitors that told so
         /** The first page is known, and the rest is asked of monitors. */
         std::optional<time_point> relays_by = {};
     };
@@ -175,12 +177,34 @@
             what->on_answer(tl::unexpected(directory_problem::history_gone));
             return;
         }
+        if (read.error() == answer_problem::leaving)
+            take_leaving(what, host);
+        else
+            take_away(what, host);
+    }
+
+    void take_away(const std::shared_ptr<call>& what, const std::string& host)
+    {
         what->heard_away = true;
         if (relays_)
             relays_->without_directory(host);
         go_on(what);
     }
 
+    /** Others are chosen in its place; the next may be about to leave too. */
+    void take_leaving(const std::shared_ptr<call>& what,
+                      const std::string& host)
+    {
+        if (relays_)
+            relays_->leaves(host);
+        if (++what->leaving < most_leaving) {
+            what->tried = 0;
+            begin(what);
+        } else {
+            go_on(what);
+        }
+    }
+
     void ask_directory(const std::shared_ptr<call>& what)
     {
         const auto now = steady_now();
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -50,6 +50,7 @@
               answer_problem::unavailable);
     EXPECT_EQ(problem(directory_problem::history_gone),
               answer_problem::history_gone);
+    EXPECT_EQ(problem(directory_problem::leaving), answer_problem::leaving);
 }
 
 // A peer of another release, or a stranger, sends what it likes.
--- a/tests/gateway/test_directory_relay.cpp
+++ b/tests/gateway/test_directory_relay.cpp
@@ -4,10 +4,12 @@
 #include "http_dialect.hpp"
 #include "monitor_process.hpp"
 #include "record_codec.hpp"
+#include "relay_choice.hpp"
 #include "scripted_monitor.hpp"
 #include "stand_in_store.hpp"
 #include "store_feed.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <gtest/gtest.h>
 #include <memory>
@@ -48,10 +50,12 @@
     engine_host(const std::string& host, std::uint16_t port,
                 const std::string& store)
         : engine(
-              [](const arrived_request& request, upstream_reply& reply) {
+              [this](const arrived_request& request, upstream_reply& reply) {
                   reply.answer(request, 200,
-                               R"({"queued":0,"active":0,"kv_used":0,)"
-                               R"("kv_total":99,"state":"ready"})");
+                               std::string(R"({"queued":0,"active":0,)"
+                                           R"("kv_used":0,"kv_total":99,)"
+                                           R"("state":")") +
+                                   (leaves ? "draining" : "ready") + "\"}");
               },
               host)
     {
@@ -65,6 +69,7 @@
                              platform::make_relay_feeds});
     }
 
+    std::atomic<bool> leaves = false; ///< it has been told to
     fake_upstream engine;
     std::unique_ptr<monitor_process> monitor;
 };
@@ -86,13 +91,17 @@
         store.put("keyed.op", "config", configuration(1, "k1"));
         store.put("keyed.servers", "app-1",
                   upstream("app", app.address(), "d1"));
-        for (const auto* host : {"127.0.0.2", "127.0.0.3"}) {
-            engines.push_back(std::make_unique<engine_host>(
-                host, port, monitors_path.address()));
-            store.put("keyed.servers", std::string("engine-") + host,
-                      upstream("model", engines.back()->engine.address(),
-                               std::string("domain-") + host));
-        }
+        for (const auto* host : {"127.0.0.2", "127.0.0.3"})
+            add_engine(host);
+    }
+
+    void add_engine(const std::string& host)
+    {
+        engines.push_back(
+            std::make_unique<engine_host>(host, port, monitors_path.address()));
+        store.put("keyed.servers", "engine-" + host,
+                  upstream("model", engines.back()->engine.address(),
+                           "domain-" + host));
     }
 
     /** Started, and told of the store by monitors. */
@@ -249,6 +258,33 @@
     expect_served_on(gateway);
 }
 
+// The VMs of both monitors that read for all are reclaimed at once. A fleet
+// that asks the store itself until it hears others makes a burst of calls.
+TEST_F(relayed_directory, asks_other_monitors_when_both_relays_leave)
+{
+    add_engine("127.0.0.4");
+    add_engine("127.0.0.5");
+    std::vector<relay_candidate> candidates;
+    for (const auto& each : engines) {
+        const auto host = each->engine.address().host;
+        candidates.push_back({host, "domain-" + host});
+    }
+    constexpr std::size_t fleet = 6;
+    for (std::size_t i = 0; i < fleet; ++i)
+        start_gateway();
+    const auto relays = choose_relays(candidates, "gateway-0", 2);
+    const auto own_calls = [&] { return gateways_path.carried(); };
+    const auto before = own_calls();
+    for (const auto& each : engines)
+        each->leaves = std::find(relays.begin(), relays.end(),
+                                 each->engine.address().host) != relays.end();
+    std::this_thread::sleep_for(milliseconds(1500));
+    EXPECT_LT(own_calls() - before, fleet);
+    store.put("keyed.op", "config", configuration(2, "k2"));
+    for (const auto& gateway : gateways)
+        EXPECT_TRUE(comes_to(*gateway, "k2", 200));
+}
+
 // Gateway and monitors are behind the same cut when a key is taken away. What
 // the monitors answer from memory must not keep the key alive.
 TEST_F(relayed_directory, keeps_no_key_alive_behind_a_cut)
--- a/tests/gateway/test_read_coalescer.cpp
+++ b/tests/gateway/test_read_coalescer.cpp
@@ -274,7 +274,7 @@
     for (int i = 0; i < 4; ++i)
         ask(5);
     EXPECT_FALSE(reads.ask(5, milliseconds(900), now));
-    EXPECT_EQ(reads.refuse_all().size(), 4U);
+    EXPECT_EQ(reads.refuse_all(directory_problem::leaving).size(), 4U);
     EXPECT_EQ(reads.calls(), 0U);
 }
 
--- a/tests/support/tcp_relay.hpp
+++ b/tests/support/tcp_relay.hpp
@@ -5,6 +5,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <list>
 #include <mutex>
@@ -46,6 +47,8 @@
     tcp_relay& operator=(const tcp_relay&) = delete;
 
     std::string address() const { return socket_.address().toString(); }
+    /** Pieces that callers have sent: one a call, or more. */
+    std::size_t carried() const { return carried_; }
 
     /** For new connections, after the target has come back elsewhere. */
     void lead_to(const std::string& target)
@@ -140,6 +143,8 @@
             for (;;) {
                 const int count = from.receiveBytes(
                     piece.data(), static_cast<int>(piece.size()));
+                if (direction == way::to_target && count > 0)
+                    ++carried_;
                 if (!may_pass(opened, direction))
                     return;
                 if (count <= 0)
@@ -171,6 +176,7 @@
     std::array<bool, 2> stalled_{};
     bool cut_ = false;
     bool stopping_ = false;
+    std::atomic<std::size_t> carried_ = 0;
     std::thread acceptor_;
 };
 
