--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -75,6 +75,7 @@
 private:
     /** Monitors that one call tries before the directory itself. */
     static constexpr std::size_t most_tries = 2;
+    /** Monitors that leave one after another; then the others decide. */
     static constexpr std::size_t most_leaving = 4;
     /** Beyond the wait: a read that was under way at the monitor ends first,
      * and the next one may be slow. */
