Hold no feed alive by its own calls

Cause: 55 tests of the gateway under the address sanitizer leaked 68 KB each: the answer of a call held the relayed feed, the feed held the one that it reads, and that one held the call for ever where it was never answered.

Change: the answers hold the feed weakly, as the follower's do. 66 tests of the gateway that leaked or are near them: none leaks.

--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -153,9 +153,10 @@
         const auto time = what->from ? wait + patience : newest_patience;
         relays_->ask(
             host, message, steady_now() + time,
-            [self = this->shared_from_this(), what, host, asked = boot_now()](
+            [weak = this->weak_from_this(), what, host, asked = boot_now()](
                 const std::optional<v1::DirectoryAnswer>& answer) {
-                self->take(what, host, asked, answer);
+                if (const auto self = weak.lock())
+                    self->take(what, host, asked, answer);
             });
     }
 
@@ -213,15 +214,18 @@
             what->on_answer(tl::unexpected(directory_problem::unavailable));
             return;
         }
-        auto answer =
-            [self = this->shared_from_this(), what,
-             asked = boot_now()](tl::expected<page, directory_problem> result) {
-                if (!result)
-                    self->space_direct();
-                else
-                    result->asked = asked;
-                what->on_answer(std::move(result));
-            };
+        // Weak: a feed may keep a call that is never answered.
+        auto answer = [weak = this->weak_from_this(), what, asked = boot_now()](
+                          tl::expected<page, directory_problem> result) {
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            if (!result)
+                self->space_direct();
+            else
+                result->asked = asked;
+            what->on_answer(std::move(result));
+        };
         // After a vain try the answer is wanted soon, whatever it says.
         const bool first = what->tried == 0;
         const auto deadline = first
