Touch no member of a gateway that ends from its loop's thread

Cause: the destructor clears the pointer to the loop before the loop's thread has ended, and a load that came meanwhile read it to ask for the time. Found by the thread sanitizer in relayed_directory.reads_a_long_directory_once_for_all; the context holds the same reactor and outlives the loop.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -127,10 +127,10 @@
         return;
     monitor_link::hooks on;
     on.load = [this](const ip_endpoint& engine, const engine_load& load) {
-        context_->board.take_load(engine, load, loop_->reactor()->now());
+        context_->board.take_load(engine, load, context_->reactor->now());
     };
     on.identity = [this](const ip_endpoint& engine, const std::string& id) {
-        context_->board.take_identity(engine, id, loop_->reactor()->now());
+        context_->board.take_identity(engine, id, context_->reactor->now());
     };
     on.health_target = [this] {
         return context_->routes ? context_->routes->engine_health_target()
@@ -279,7 +279,7 @@
 {
     constexpr double ms_per_s = 1000;
     auto& metrics = context_->metrics;
-    const auto now = loop_->reactor()->now();
+    const auto now = context_->reactor->now();
     const auto age = context_->lease.age(boot_now());
     metrics.set(exported_metric::configuration_version, {},
                 context_->routes ? context_->routes->version() : 0);
@@ -320,13 +320,13 @@
         return;
     directory_->tick();
     look_at_settings();
-    loop_->reactor()->post_at(loop_->reactor()->now() + tick_interval,
-                              [this] { tick(); });
+    context_->reactor->post_at(context_->reactor->now() + tick_interval,
+                               [this] { tick(); });
 }
 
 void gateway_process::look_at_settings()
 {
-    const auto now = loop_->reactor()->now();
+    const auto now = context_->reactor->now();
     if (now < look_at_settings_at_)
         return;
     look_at_settings_at_ = now + settings_look_interval;
