--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -317,12 +317,13 @@
         const auto name = "127.0.0." + std::to_string(host);
         if (host > 2)
             add("e" + std::to_string(host), answer_shortly, "model", name);
+        const auto engine = to_string(upstreams.at(host - 1)->address());
         monitors.push_back(monitor(
-            name, [&, host](const v1::MonitorRequest& request) -> notice {
+            name,
+            [&, host, engine](const v1::MonitorRequest& request) -> notice {
                 if (!wants_start(request)) {
                     v1::MonitorNotice load;
-                    load.mutable_load()->set_engine_address(
-                        to_string(upstreams[host - 1]->address()));
+                    load.mutable_load()->set_engine_address(engine);
                     return load;
                 }
                 if (chosen != host)
