--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -130,8 +130,12 @@
 
 bool exchange::asks_to_start() const
 {
-    return profile_.engine() != nullptr && context_.monitors &&
-           !context_.monitors->silent();
+    return has_monitors() && !context_.monitors->silent();
+}
+
+bool exchange::has_monitors() const
+{
+    return profile_.engine() != nullptr && context_.monitors;
 }
 
 placement_request exchange::needs() const
@@ -322,8 +326,7 @@
     if (attempt_) {
         context_.board.settled(attempt_->upstream().id);
         // What has begun is in the engine's own word.
-        if (profile_.engine() != nullptr && context_.monitors &&
-            !answer_.begun())
+        if (has_monitors() && !answer_.begun())
             context_.monitors->end_start(attempt_->upstream().address.host,
                                          facts_.id);
     }
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -54,6 +54,8 @@
     placement_request needs(const std::string& from_domain) const;
     /** Monitors beside the engines say where it may start. */
     bool asks_to_start() const;
+    /** It goes to engines, beside which there may be monitors. */
+    bool has_monitors() const;
     /** The configuration may be out of date: nothing more may run by it. */
     void refuse_without_lease();
     void search_start();
