End a monitor's feeds after its loop

The thread sanitizer's run of relayed_directory.serves_on_when_the_relays_have_gone saw the main thread close a store connection while the monitor's loop closed it too: the relay, and with it its feeds and their connections, was destroyed before the loop had ended. A stop at the wrong moment could abort the monitor.

Ruled out: the gateway ends its relays on its loop's thread, and joins the loop before the rest.

--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -32,7 +32,7 @@
 
 monitor_process::~monitor_process()
 {
-    relay_.reset();
+    // No thread of the loop may touch what is destroyed from here on.
     loop_.reset();
 }
 
