Let no team that floods make the others' generations late

Change: of the starts that can be on time those of the team that holds least of the engine's memory go first (start_queue; the team travels in StartWanted). A start that is late and behind teams that hold less at most of the engines that it asked is refused at once (share_spent, 503 with Retry-After) instead of waiting for nothing.

--- a/src/libcyclamenrun/decisions/engine_outlook.cpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.cpp
@@ -157,6 +157,21 @@
     return tokens;
 }
 
+std::map<std::string, std::uint64_t> engine_outlook::memory_by_team() const
+{
+    std::map<std::string, std::uint64_t> tokens;
+    for (const auto& each : given_)
+        tokens[each.who.team] += each.who.prompt_tokens;
+    for (const auto& held : view_.generations) {
+        const auto known = std::find_if(
+            begun_.begin(), begun_.end(),
+            [&](const start_request& each) { return each.id == held.id; });
+        if (known != begun_.end())
+            tokens[known->team] += held.memory_tokens;
+    }
+    return tokens;
+}
+
 double engine_outlook::expected_left(const held_generation& held,
                                      const start_request& wanted) const
 {
@@ -194,11 +209,14 @@
 
 bool engine_outlook::has_memory_for(const start_request& wanted) const
 {
+    const double needed =
+        planned_memory() + static_cast<double>(wanted.prompt_tokens);
+    const double total = static_cast<double>(view_.memory_total);
+    // Asked for hundreds that wait at a full engine.
+    if (needed > total)
+        return false;
     const bool empty = view_.generations.empty() && given_.empty();
-    const double needed = planned_memory() +
-                          static_cast<double>(wanted.prompt_tokens) +
-                          (empty ? 0.0 : room_to_grow(wanted));
-    return needed <= static_cast<double>(view_.memory_total);
+    return needed + (empty ? 0.0 : room_to_grow(wanted)) <= total;
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/decisions/engine_outlook.hpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,7 @@
 struct start_request {
     std::string id;
     std::string gateway; ///< who asks, and is told
+    std::string team;    ///< empty: none
     std::uint64_t prompt_tokens = 0;
     std::uint64_t output_tokens = 0; ///< expected
     /** Its first part is on time until then. */
@@ -72,6 +74,8 @@
     double tokens_read_per_ms() const { return speed_.tokens_per_ms(); }
     /** Time in which it reads so many tokens. */
     milliseconds reading_time(std::uint64_t tokens) const;
+    /** Memory that each team's generations hold or were given, in tokens. */
+    std::map<std::string, std::uint64_t> memory_by_team() const;
     /** The prompt fits, and what is running has room to grow. */
     bool has_memory_for(const start_request& wanted) const;
 
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -1,6 +1,7 @@
 #include "start_queue.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cyclamenrun
 {
@@ -11,10 +12,17 @@
 /**
  * The next start is given this long before the engine has read the prompts
  * before it, so that it is there by then: a few milliseconds for the ways, the
- * rest for a speed that varies. With 10 or 100 ms nothing changed.
+ * rest for a speed that varies.
  */
 constexpr milliseconds lookahead{30};
 
+std::uint64_t held_by(const std::map<std::string, std::uint64_t>& held,
+                      const std::string& team)
+{
+    const auto found = held.find(team);
+    return found == held.end() ? 0 : found->second;
+}
+
 } // namespace
 
 void start_queue::take_view(const engine_view& view, bool leaving,
@@ -30,9 +38,9 @@
         waiting_.begin(), waiting_.end(),
         [&](const waiting_start& each) { return each.who.id == wanted.id; });
     if (found != waiting_.end())
-        *found = {wanted, now};
+        *found = {wanted, now, false, 0};
     else if (!was_given(wanted.id) && waiting_.size() < most_waiting_starts)
-        waiting_.push_back({wanted, now});
+        waiting_.push_back({wanted, now, false, 0});
 }
 
 void start_queue::end(const std::string& id)
@@ -49,15 +57,32 @@
 
 void start_queue::sort(time_point now)
 {
+    const auto held = outlook_.memory_by_team();
+    for (auto& each : waiting_) {
+        each.late = is_late(each.who, now);
+        each.team_holds = held_by(held, each.who.team);
+    }
     std::stable_sort(waiting_.begin(), waiting_.end(),
-                     [&](const waiting_start& a, const waiting_start& b) {
-                         const bool late = is_late(a.who, now);
-                         if (late != is_late(b.who, now))
-                             return !late;
-                         return a.who.first_due < b.who.first_due;
+                     [](const waiting_start& a, const waiting_start& b) {
+                         return std::tie(a.late, a.team_holds,
+                                         a.who.first_due) <
+                                std::tie(b.late, b.team_holds, b.who.first_due);
                      });
 }
 
+bool start_queue::is_passed_over(const start_request& wanted,
+                                 time_point now) const
+{
+    if (!is_late(wanted, now))
+        return false;
+    const auto held = outlook_.memory_by_team();
+    const auto own = held_by(held, wanted.team);
+    return std::any_of(waiting_.begin(), waiting_.end(),
+                       [&](const waiting_start& each) {
+                           return held_by(held, each.who.team) < own;
+                       });
+}
+
 bool start_queue::may_read_more(time_point now) const
 {
     return outlook_.unread(now) <= lookahead && outlook_.taken_slots() < slots_;
@@ -71,8 +96,8 @@
     std::vector<start_request> given;
     if (leaving_ || !outlook_.known())
         return given;
-    sort(now);
-    while (may_read_more(now)) {
+    while (!waiting_.empty() && may_read_more(now)) {
+        sort(now);
         const auto next = std::find_if(
             waiting_.begin(), waiting_.end(), [&](const waiting_start& each) {
                 return outlook_.has_memory_for(each.who);
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -20,11 +20,11 @@
  * Guards against herds: gateways that each choose by what they heard of all
  * engines a moment ago send their requests to the same few, and an engine
  * that is new gets ten at once. Here a start counts at once, whoever asked.
- * On days with 25 gateways, 46 engines and three quarters of their memory
- * taken, first parts that were late fell from 32% to 2%.
  *
- * Who can still be on time goes first, by the time left; a smaller one goes
- * before if the next does not fit. Who is late waits until nobody else does.
+ * Who can still be on time goes first; of these the team that holds least of
+ * the engine, so that one that floods makes the others no later; then by the
+ * time left. A smaller one goes before if the next does not fit. Who is late
+ * waits until nobody else does.
  *
  * Bounded; no I/O; one thread. Who falls silent loses its place.
  */
@@ -47,6 +47,11 @@
     {
         return outlook_.was_given(id);
     }
+    /**
+     * It is late, and teams that hold less wait as well: whatever is on time
+     * goes before it, and so do their late ones.
+     */
+    bool is_passed_over(const start_request& wanted, time_point now) const;
     /** A running generation of so many tokens could be copied to it. */
     bool has_room_for_copy(std::uint64_t tokens) const;
     /** The engine as it is with all that was given. */
@@ -60,6 +65,8 @@
     struct waiting_start {
         start_request who;
         time_point asked_at;
+        bool late = false;            ///< at the last sort()
+        std::uint64_t team_holds = 0; ///< tokens, at the last sort()
     };
 
     bool may_read_more(time_point now) const;
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -176,6 +176,7 @@
     start_request asked;
     asked.id = wanted.id();
     asked.gateway = gateway;
+    asked.team = wanted.team();
     asked.prompt_tokens = wanted.prompt_tokens();
     asked.output_tokens = wanted.output_tokens();
     asked.first_due = now + milliseconds(wanted.first_due_ms());
@@ -189,6 +190,8 @@
     v1::MonitorNotice notice;
     notice.mutable_start_waits()->set_id(wanted.id());
     notice.mutable_start_waits()->set_refused(starts_.leaving());
+    notice.mutable_start_waits()->set_passed_over(
+        starts_.is_passed_over(asked, now));
     if (last_load_)
         write_load(*last_load_, *notice.mutable_load_now());
     socket_->send(from, notice.SerializeAsString());
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -170,6 +170,15 @@
                            since(asked_at, context_.reactor->now()));
         start_found(engine);
     };
+    on.passed_over = [this] {
+        // What has run, or goes on, has no better answer than its own.
+        const bool waits_on = runs_ > 0 || answer_.begun();
+        notes_.start_passed_over(search_->asked(), waits_on);
+        if (waits_on)
+            return false;
+        refuse(gateway_refusal::share_spent, admitted_.route->objective);
+        return true;
+    };
     on.unheard = [this] {
         notes_.start_unheard(search_->asked());
         search_.reset();
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -30,6 +30,8 @@
                         "All upstreams have turned the request away."},
     gateway_refusal_row{overloaded, "overloaded", 503, true,
                         "Its time would run out in an upstream's queue."},
+    gateway_refusal_row{share_spent, "share_spent", 503, true,
+                        "Its team holds its part of engines that are full."},
     gateway_refusal_row{expired_unsent, "expired_unsent", 503, true,
                         "Its time ran out before any upstream had it."},
     gateway_refusal_row{expired, "expired", 504, false,
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -18,6 +18,7 @@
     no_upstream,    ///< none that may be used
     upstreams_busy, ///< all have turned the request away
     overloaded,     ///< its time would run out in an upstream's queue
+    share_spent,    ///< its team's part of what is short is used up
     expired_unsent, ///< its time ran out before it was sent anywhere
     expired,        ///< its time ran out at an upstream
     stopping,       ///< this process ends before it could be served whole
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -204,6 +204,7 @@
     request.set_health_target(on_.health_target());
     auto& start = *request.mutable_start_wanted();
     start.set_id(wanted.id);
+    start.set_team(wanted.team);
     start.set_prompt_tokens(wanted.prompt_tokens);
     start.set_output_tokens(wanted.output_tokens);
     start.set_first_due_ms(left.count());
@@ -251,13 +252,18 @@
 }
 
 void monitor_link::take_start_waits(const std::string& host,
-                                    const std::string& id, bool refused)
+                                    const v1::StartWaits& notice)
 {
-    const auto found = starts_.find(id);
+    const auto found = starts_.find(notice.id());
     if (found == starts_.end())
         return;
+    auto wait = start_wait::for_room;
+    if (notice.passed_over())
+        wait = start_wait::passed_over;
+    if (notice.refused())
+        wait = start_wait::refused;
     const auto waits = found->second.waits;
-    waits(host, refused);
+    waits(host, wait);
 }
 
 void monitor_link::take_identity(const std::string& host,
@@ -292,8 +298,7 @@
     if (notice.has_start_given())
         take_start_given(from.host, notice.start_given());
     if (notice.has_start_waits())
-        take_start_waits(from.host, notice.start_waits().id(),
-                         notice.start_waits().refused());
+        take_start_waits(from.host, notice.start_waits());
     if (notice.has_load())
         take_load(notice.load());
 }
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -5,6 +5,7 @@
 #include "engine_outlook.hpp"
 #include "upstream_record.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,11 +20,19 @@
 class MonitorNotice;
 class MonitorRequest;
 class StartGiven;
+class StartWaits;
 } // namespace cyclamenrun::v1
 
 namespace cyclamenrun
 {
 
+/** Why a generation may not start at an engine yet. */
+enum class start_wait : std::uint8_t {
+    for_room,
+    passed_over, ///< It is late, and its team holds more than its part.
+    refused,     ///< The engine leaves.
+};
+
 /**
  * A gateway's side of the datagrams to the monitors beside engines: it asks
  * some for their loads again and again, and any of them for starts and for
@@ -78,8 +87,8 @@
     struct start_hooks {
         /** It may start at the engine on that host. */
         std::function<void(const std::string& host, const given_place&)> given;
-        /** Not yet; `refused`: never there. The monitor is alive. */
-        std::function<void(const std::string& host, bool refused)> waits;
+        /** Not yet. The monitor is alive. */
+        std::function<void(const std::string& host, start_wait)> waits;
     };
     /** What monitors answer about a start goes there until forgotten. */
     void hear_of_start(const std::string& id, start_hooks on);
@@ -122,8 +131,8 @@
     void note_gateways(const std::string& host, unsigned count);
     void take_start_given(const std::string& host,
                           const v1::StartGiven& notice);
-    void take_start_waits(const std::string& host, const std::string& id,
-                          bool refused);
+    void take_start_waits(const std::string& host,
+                          const v1::StartWaits& notice);
     void take_identity(const std::string& host,
                        const v1::EngineIdentity& engine);
     void take(const ip_endpoint& from, std::string_view bytes);
--- a/src/libcyclamenrun/gateway/request_notes.hpp
+++ b/src/libcyclamenrun/gateway/request_notes.hpp
@@ -34,6 +34,8 @@
     void start_found(const std::string& service, const std::string& upstream,
                      std::size_t asked, milliseconds took);
     void start_unheard(std::size_t asked);
+    /** Most of those that were asked let other teams go first. */
+    void start_passed_over(std::size_t asked, bool waits_on);
 
     struct attempt {
         std::string service;
--- a/src/libcyclamenrun/gateway/request_profile.cpp
+++ b/src/libcyclamenrun/gateway/request_profile.cpp
@@ -37,7 +37,8 @@
                                  const request_facts& facts)
     : routes_(std::move(routes)), route_(admitted.route),
       prompt_tokens_(facts.prompt_tokens),
-      most_output_tokens_(facts.most_output_tokens)
+      most_output_tokens_(facts.most_output_tokens),
+      team_(admitted.team == nullptr ? std::string() : admitted.team->name)
 {
 }
 
@@ -63,6 +64,7 @@
 {
     start_request wanted;
     wanted.id = id;
+    wanted.team = team_;
     wanted.prompt_tokens = prompt_tokens_;
     wanted.output_tokens = most_output_tokens_ / 2;
     wanted.first_due = arrived + route_->objective;
--- a/src/libcyclamenrun/gateway/request_profile.hpp
+++ b/src/libcyclamenrun/gateway/request_profile.hpp
@@ -61,6 +61,7 @@
     const gateway_route* route_ = nullptr;
     std::uint64_t prompt_tokens_ = 0;
     std::uint64_t most_output_tokens_ = 0;
+    std::string team_; ///< empty: none
     std::string service_;
 };
 
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -9,15 +9,10 @@
 namespace
 {
 
-/**
- * Engines that are asked at first. Mean worth of ten days with 46 engines
- * nearly full: 0.578 with 2, 0.598 with 4, 0.626 with 8, 0.636 with 16, 0.641
- * with all. Messages grow with it and not with the number of engines.
- */
+/** Engines that are asked at first; messages grow with it alone. */
 constexpr std::size_t first_asked = 8;
 /** With each further time of asking, until it has asked `most_asked`. */
 constexpr std::size_t more_asked = 8;
-/** With 8 more each time up to 32 the same days give 0.647. */
 constexpr std::size_t most_asked = 32;
 /** In case a datagram was lost, and because other engines may have room. */
 constexpr milliseconds ask_interval{150};
@@ -49,9 +44,9 @@
             self->take_given(host, place);
     };
     on.waits = [weak = weak_from_this()](const std::string& host,
-                                         bool refused) {
+                                         start_wait wait) {
         if (const auto self = weak.lock())
-            self->take_waits(host, refused);
+            self->take_waits(host, wait);
     };
     context_.monitors->hear_of_start(wanted_.id, std::move(on));
     ask_more(first_asked);
@@ -70,7 +65,7 @@
     for (const auto& each : asked_)
         but.push_back(each.engine.id);
     for (const auto& engine : on_.candidates(but, count)) {
-        asked_.push_back({engine, false, std::nullopt});
+        asked_.push_back({engine, false, false, std::nullopt});
         context_.monitors->ask_start(engine.address.host, wanted_,
                                      engine.slots);
     }
@@ -133,19 +128,41 @@
                         });
 }
 
-void start_search::take_waits(const std::string& host, bool refused)
+void start_search::take_waits(const std::string& host, start_wait wait)
 {
     const auto found = find(host);
     if (found == asked_.end())
         return;
     found->heard = true;
-    if (refused) {
+    found->passes_over = wait == start_wait::passed_over;
+    if (wait == start_wait::refused) {
         asked_.erase(found);
         ask_more(1);
         return;
     }
     if (choosing_ && all_heard())
         choose();
+    else
+        end_if_passed_over();
+}
+
+bool start_search::is_passed_over() const
+{
+    const auto over = static_cast<std::size_t>(std::count_if(
+        asked_.begin(), asked_.end(),
+        [](const asked_engine& each) { return each.passes_over; }));
+    return !choosing_ && over > asked_.size() / 2;
+}
+
+void start_search::end_if_passed_over()
+{
+    if (over_ || !is_passed_over())
+        return;
+    // Copies: the call may end the exchange, and this with it.
+    const auto self = shared_from_this();
+    const auto passed_over = on_.passed_over;
+    if (passed_over())
+        cancel();
 }
 
 bool start_search::may_use(const asked_engine& engine) const
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -31,6 +31,8 @@
         std::function<double(const upstream_record&, const given_place&)> cost;
         /** It starts there. */
         std::function<void(const upstream_record&)> found;
+        /** Most engines let others go first; false: it waits on. */
+        std::function<bool()> passed_over;
         /** No monitor has answered in the time for it. */
         std::function<void()> unheard;
     };
@@ -48,6 +50,7 @@
     struct asked_engine {
         upstream_record engine;
         bool heard = false;               ///< its monitor answers
+        bool passes_over = false;         ///< others go first there
         std::optional<given_place> place; ///< where it may start
     };
 
@@ -60,7 +63,9 @@
     void take_given(const std::string& host, const given_place& place);
     bool may_use(const asked_engine& engine) const;
     void choose();
-    void take_waits(const std::string& host, bool refused);
+    void take_waits(const std::string& host, start_wait wait);
+    bool is_passed_over() const;
+    void end_if_passed_over();
     void end_but(const std::string& host);
     std::vector<asked_engine>::iterator find(const std::string& host);
 
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -23,6 +23,7 @@
     request_admitted,
     start_found,
     start_unheard,
+    start_passed_over,
     attempt_placed,
     attempt_ended,
     generation_resumed,
--- a/tests/decisions/test_herds.cpp
+++ b/tests/decisions/test_herds.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <deque>
 #include <gtest/gtest.h>
+#include <map>
 #include <memory>
 #include <random>
+#include <string>
 
 namespace cyclamenrun
 {
@@ -25,6 +27,10 @@
 constexpr int look_ms = 100;
 constexpr int objective_ms = 1500;
 constexpr int length_ms = 30000;
+/** Callers who have got nothing by then have left. */
+constexpr int patience_ms = 4 * objective_ms;
+constexpr std::uint64_t calm_team_count = 20;
+const std::string flooding_team = "flood";
 const time_point epoch{std::chrono::hours(1)};
 
 time_point at(int ms)
@@ -39,6 +45,18 @@
     double unread = 0;
     double made = 0;
     std::string id;
+    std::string team;
+};
+
+/** How a team's generations fared. */
+struct team_result {
+    int in_time = 0;
+    int late = 0;
+
+    double late_share() const
+    {
+        return static_cast<double>(late) / std::max(1, in_time + late);
+    }
 };
 
 /** Reads one prompt after another, beside what it runs; a token a step. */
@@ -56,7 +74,7 @@
         return sum;
     }
 
-    void step(int now, int& in_time, int& late)
+    void step(int now, std::map<std::string, team_result>& results)
     {
         if (!reading && !queue.empty())
             reading = used() + queue.front().prompt <= memory;
@@ -71,7 +89,9 @@
         head.unread -= read_per_ms * step_ms;
         if (head.unread > 0)
             return;
-        ++(now - head.arrived_ms <= objective_ms ? in_time : late);
+        auto& result = results[head.team];
+        ++(now - head.arrived_ms <= objective_ms ? result.in_time
+                                                 : result.late);
         running.push_back(head);
         queue.pop_front();
         reading = false;
@@ -111,20 +131,30 @@
             std::poisson_distribution<int> arrivals(arrivals_per_s * step_ms /
                                                     1000);
             for (int i = arrivals(random); i > 0; --i)
-                arrive(draw());
+                arrive(draw(std::to_string(random() % calm_team_count)));
+            std::poisson_distribution<int> floods(flood_per_s_ * step_ms /
+                                                  1000);
+            for (int i = flood_per_s_ > 0 ? floods(random) : 0; i > 0; --i)
+                arrive(draw(flooding_team));
             decide();
             for (auto& each : upstreams)
-                each.step(now_ms, in_time_, late_);
+                each.step(now_ms, results_);
         }
-        return static_cast<double>(late_) / (in_time_ + late_);
+        return all().late_share();
     }
-    int begun() const { return in_time_ + late_; }
+    int begun() const { return all().in_time + all().late; }
+    /** Of all teams but those that flood. */
+    team_result calm_teams() const { return all(flooding_team); }
+
+    /** One team sends so many a second beside all others; 0: none does. */
+    void flood(double per_s) { flood_per_s_ = per_s; }
 
 protected:
     virtual void arrive(generation&& wants) = 0;
     virtual void decide() {}
     virtual void went(int) {}
 
+    void note_late(const generation& who) { ++results_[who.team].late; }
     bool away(int index) const { return upstreams[index].back_at_ms > now_ms; }
     int draw_gateway() { return static_cast<int>(random() % gateways); }
 
@@ -133,9 +163,22 @@
     std::vector<engine> upstreams{engines};
 
 private:
-    generation draw()
+    team_result all(const std::string& but = {}) const
+    {
+        team_result sum;
+        for (const auto& [team, result] : results_) {
+            if (team == but)
+                continue;
+            sum.in_time += result.in_time;
+            sum.late += result.late;
+        }
+        return sum;
+    }
+
+    generation draw(const std::string& team)
     {
         generation drawn;
+        drawn.team = team;
         drawn.arrived_ms = now_ms;
         drawn.prompt = std::uniform_real_distribution<>(1000, 5000)(random);
         drawn.unread = drawn.prompt;
@@ -157,8 +200,8 @@
         }
     }
 
-    int in_time_ = 0;
-    int late_ = 0;
+    std::map<std::string, team_result> results_;
+    double flood_per_s_ = 0;
     int drawn_ = 0;
 };
 
@@ -218,7 +261,8 @@
 class asking_fleet : public fleet
 {
 public:
-    explicit asking_fleet(std::uint64_t seed) : fleet(seed)
+    explicit asking_fleet(std::uint64_t seed, bool knows_teams = true)
+        : fleet(seed), knows_teams_(knows_teams)
     {
         for (auto& each : queues_) {
             each = std::make_unique<start_queue>();
@@ -252,6 +296,12 @@
             for (const auto& given : queues_[i]->give(at(now_ms)))
                 begin(i, given.id);
         }
+        std::erase_if(searches_, [&](const search& each) {
+            const bool leaves = now_ms - each.wants.arrived_ms >= patience_ms;
+            if (leaves)
+                leave(each);
+            return leaves;
+        });
         for (auto& each : searches_) {
             if ((now_ms - each.wants.arrived_ms) % 150 == 140)
                 ask_more(each);
@@ -268,6 +318,7 @@
         }
         start_request wanted;
         wanted.id = of.wants.id;
+        wanted.team = knows_teams_ ? of.wants.team : std::string();
         wanted.prompt_tokens = static_cast<std::uint64_t>(of.wants.prompt);
         wanted.output_tokens = of.wants.output > 10 ? 600 : 10;
         wanted.first_due = at(of.wants.arrived_ms + objective_ms);
@@ -275,6 +326,13 @@
             queues_[index]->ask(wanted, at(now_ms));
     }
 
+    void leave(const search& who)
+    {
+        for (const int index : who.asked)
+            queues_[index]->end(who.wants.id);
+        note_late(who.wants);
+    }
+
     void begin(int index, const std::string& id)
     {
         const auto found = std::find_if(
@@ -294,6 +352,7 @@
 
     std::vector<std::unique_ptr<start_queue>> queues_{engines};
     std::deque<search> searches_;
+    bool knows_teams_;
 };
 
 // A fleet that has room for its callers, most of whom are kept waiting: each
@@ -318,5 +377,24 @@
     EXPECT_LT(asked, chosen / 4);
 }
 
+// One of twenty-one teams sends as much as all others together, and the
+// engines are full. The others' callers wait behind it and are late.
+TEST(herds, let_no_team_that_floods_make_the_others_late)
+{
+    constexpr double flood_per_s = 75;
+    asking_fleet unaware(1, false);
+    unaware.flood(flood_per_s);
+    unaware.late_share();
+    const double in_order = unaware.calm_teams().late_share();
+    asking_fleet aware(1);
+    aware.flood(flood_per_s);
+    aware.late_share();
+    const double shared = aware.calm_teams().late_share();
+    RecordProperty("late_in_order", std::to_string(in_order));
+    RecordProperty("late_shared", std::to_string(shared));
+    EXPECT_GT(in_order, 0.05);
+    EXPECT_LT(shared, in_order / 2);
+}
+
 } // namespace
 } // namespace cyclamenrun
--- a/tests/decisions/test_start_queue.cpp
+++ b/tests/decisions/test_start_queue.cpp
@@ -114,6 +114,64 @@
     EXPECT_EQ(give(260), names{"late"});
 }
 
+start_request of_team(const std::string& team, const std::string& id,
+                      int due_ms = 1500)
+{
+    auto request = wanting(id, 2000, due_ms);
+    request.team = team;
+    return request;
+}
+
+/** Three of one team's generations, 40% of the memory, and one of another's. */
+void run_a_flood(start_queue& queue)
+{
+    std::vector<std::uint64_t> sizes;
+    std::vector<std::string> running;
+    queue.take_view(idle_engine(), false, at(0));
+    for (const std::string id : {"f1", "f2", "f3", "c1"}) {
+        queue.ask(of_team(id[0] == 'f' ? "flood" : "calm", id), at(0));
+        EXPECT_EQ(queue.give(at(0)).size(), 1U);
+        sizes.push_back(2700);
+        running.push_back(id);
+        auto view = engine_with(sizes);
+        for (std::size_t i = 0; i < running.size(); ++i)
+            view.generations[i].id = running[i];
+        queue.take_view(view, false, at(0));
+    }
+}
+
+// A team sends many times its usual: its generations fill the engine, and
+// the callers of other teams wait behind it until they are late.
+TEST_F(start_queues, let_other_teams_before_one_that_holds_most)
+{
+    run_a_flood(queue);
+    queue.ask(of_team("flood", "f4", 1600), at(1200));
+    queue.ask(of_team("calm", "c2", 1700), at(1200));
+    EXPECT_EQ(give(1200), names{"c2"});
+}
+
+// Nobody else wants the engine: a flood may have all of it.
+TEST_F(start_queues, hold_no_team_back_where_no_other_waits)
+{
+    run_a_flood(queue);
+    queue.ask(of_team("flood", "f4"), at(1200));
+    EXPECT_EQ(give(1200), names{"f4"});
+}
+
+// A flood's callers that are late already wait behind all others for as long
+// as it lasts, and leave in the end with nothing: they are to be told.
+TEST_F(start_queues, say_who_is_late_and_passed_over)
+{
+    run_a_flood(queue);
+    const auto late = of_team("flood", "late", 1200);
+    EXPECT_FALSE(queue.is_passed_over(late, at(1200)));
+    queue.ask(of_team("new", "n1", 1400), at(1200));
+    EXPECT_TRUE(queue.is_passed_over(late, at(1200)));
+    EXPECT_FALSE(
+        queue.is_passed_over(of_team("flood", "on_time", 2700), at(1200)));
+    EXPECT_FALSE(queue.is_passed_over(of_team("new", "other", 1200), at(1200)));
+}
+
 // A long prompt waits for memory while a short one behind it would fit.
 TEST_F(start_queues, let_a_smaller_one_go_before_what_does_not_fit)
 {
--- a/tests/gateway/scripted_monitor.cpp
+++ b/tests/gateway/scripted_monitor.cpp
@@ -88,6 +88,13 @@
     return notice;
 }
 
+v1::MonitorNotice start_passed_over(const std::string& id)
+{
+    auto notice = start_waits(id);
+    notice.mutable_start_waits()->set_passed_over(true);
+    return notice;
+}
+
 v1::MonitorNotice start_waits(const std::string& id, bool refused)
 {
     v1::MonitorNotice notice;
--- a/tests/gateway/scripted_monitor.hpp
+++ b/tests/gateway/scripted_monitor.hpp
@@ -55,6 +55,8 @@
 v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken = 1);
 /** It may not yet, or never there. */
 v1::MonitorNotice start_waits(const std::string& id, bool refused = false);
+/** It is late, and teams that hold less wait as well. */
+v1::MonitorNotice start_passed_over(const std::string& id);
 
 } // namespace cyclamenrun::testing_support
 
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -223,6 +223,47 @@
     EXPECT_TRUE(one->arrived().empty());
 }
 
+scripted_monitor::script pass_all_over()
+{
+    return [](const v1::MonitorRequest& request) -> notice {
+        if (!wants_start(request))
+            return std::nullopt;
+        return start_passed_over(request.start_wanted().id());
+    };
+}
+
+// A team floods: its callers that are late wait behind all others, for all
+// the time that they have, and get nothing.
+TEST_F(start_searches, refuse_at_once_what_others_go_before)
+{
+    const auto first = monitor("127.0.0.1", pass_all_over());
+    const auto second = monitor("127.0.0.2", pass_all_over());
+    const auto began = steady_now();
+    const auto answer = ask("/gen/x");
+    EXPECT_LT(steady_now() - began, std::chrono::seconds(2));
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_EQ(answer.body, R"({"error":"share_spent"})");
+    EXPECT_GT(std::stod(answer.field("Retry-After")), 0);
+    EXPECT_TRUE(first->wait_for(ends_start));
+    EXPECT_TRUE(one->arrived().empty() && two->arrived().empty());
+}
+
+// Only one engine of two lets others go first: there may be room at the other.
+TEST_F(start_searches, wait_on_where_room_may_come)
+{
+    const auto full = monitor("127.0.0.1", pass_all_over());
+    std::atomic<int> asked = 0;
+    const auto other =
+        monitor("127.0.0.2", [&](const v1::MonitorRequest& request) -> notice {
+            if (!wants_start(request))
+                return std::nullopt;
+            return asked++ == 0 ? start_waits(request.start_wanted().id())
+                                : start_given(request.start_wanted().id());
+        });
+    EXPECT_EQ(ask("/gen/x").status(), 200U);
+    EXPECT_EQ(two->arrived().size(), 1U);
+}
+
 // The datagram that says that it may start is lost.
 TEST_F(start_searches, ask_again_in_case_a_datagram_was_lost)
 {
