--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -172,10 +172,9 @@
     };
     on.passed_over = [this] {
         // What has run, or goes on, has no better answer than its own.
-        const bool waits_on = runs_ > 0 || answer_.begun();
-        notes_.start_passed_over(search_->asked(), waits_on);
-        if (waits_on)
+        if (runs_ > 0 || answer_.begun())
             return false;
+        notes_.start_passed_over(search_->asked());
         refuse(gateway_refusal::share_spent, admitted_.route->objective);
         return true;
     };
--- a/src/libcyclamenrun/gateway/request_notes.cpp
+++ b/src/libcyclamenrun/gateway/request_notes.cpp
@@ -40,11 +40,9 @@
     trace_.note(log_event_name::start_unheard, {{log_key::weighed, asked}});
 }
 
-void request_notes::start_passed_over(std::size_t asked, bool waits_on)
+void request_notes::start_passed_over(std::size_t asked)
 {
-    trace_.note(log_event_name::start_passed_over,
-                {{log_key::weighed, asked},
-                 {log_key::next, waits_on ? "wait" : "refuse"}});
+    trace_.note(log_event_name::start_passed_over, {{log_key::weighed, asked}});
 }
 
 void request_notes::attempt_ended(const attempt& ended, std::string_view result,
--- a/src/libcyclamenrun/gateway/request_notes.hpp
+++ b/src/libcyclamenrun/gateway/request_notes.hpp
@@ -35,7 +35,7 @@
                      std::size_t asked, milliseconds took);
     void start_unheard(std::size_t asked);
     /** Most of those that were asked let other teams go first. */
-    void start_passed_over(std::size_t asked, bool waits_on);
+    void start_passed_over(std::size_t asked);
 
     struct attempt {
         std::string service;
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -40,7 +40,7 @@
                   "No monitor answers; the gateway's own beliefs decide."},
     log_event_row{log_event_name::start_passed_over, "start_passed_over",
                   "It is late, and its team holds more of the engines than "
-                  "teams that wait as well; whether it waits on."},
+                  "teams that wait as well."},
     log_event_row{
         log_event_name::attempt_placed, "attempt_placed",
         "An upstream was chosen among those weighed; lower cost is better."},
