Count no caller who left among the generations that began

The fleets of test_herds let callers leave since the test of floods came, and counted who left as late and so as begun: the older assertion that a fleet which asks begins at least as many generations as one which chooses had become weaker. Who left counts apart now, and in the late share as before. No bound is changed; both tests pass.

--- a/tests/decisions/test_herds.cpp
+++ b/tests/decisions/test_herds.cpp
@@ -52,10 +52,12 @@
 struct team_result {
     int in_time = 0;
     int late = 0;
+    int left = 0; ///< their callers gave up before they began
 
+    int begun() const { return in_time + late; }
     double late_share() const
     {
-        return static_cast<double>(late) / std::max(1, in_time + late);
+        return static_cast<double>(late + left) / std::max(1, begun() + left);
     }
 };
 
@@ -122,7 +124,7 @@
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
 
-    /** Share of first parts that came later than the objective. */
+    /** Share of first parts that came after the objective, or not at all. */
     double late_share(int until_ms = length_ms)
     {
         for (now_ms = 0; now_ms < until_ms; now_ms += step_ms) {
@@ -142,7 +144,7 @@
         }
         return all().late_share();
     }
-    int begun() const { return all().in_time + all().late; }
+    int begun() const { return all().begun(); }
     /** Of all teams but those that flood. */
     team_result calm_teams() const { return all(flooding_team); }
 
@@ -154,7 +156,7 @@
     virtual void decide() {}
     virtual void went(int) {}
 
-    void note_late(const generation& who) { ++results_[who.team].late; }
+    void note_left(const generation& who) { ++results_[who.team].left; }
     bool away(int index) const { return upstreams[index].back_at_ms > now_ms; }
     int draw_gateway() { return static_cast<int>(random() % gateways); }
 
@@ -171,6 +173,7 @@
                 continue;
             sum.in_time += result.in_time;
             sum.late += result.late;
+            sum.left += result.left;
         }
         return sum;
     }
@@ -330,7 +333,7 @@
     {
         for (const int index : who.asked)
             queues_[index]->end(who.wants.id);
-        note_late(who.wants);
+        note_left(who.wants);
     }
 
     void begin(int index, const std::string& id)
