Say once what the change had written twice

- engine_outlook finds what has begun in one place (find_begun).
- A monitor adds its load to a notice by write_load_now, in three places before.
- directory_relay refuses by refusal_bytes, which writes the same answer.
- exchange::may_be_refused stands for a condition and its comment that stood twice; the hook for a start that is passed over returns nothing, since the end of an exchange cancels its search already.
- test_start_search: three scripts of a monitor share answer_starts; the fuzz target of datagrams passes teams and asks who is passed over.

Behaviour and assertions are as they were.

--- a/fuzz/fuzz_monitor_datagrams.cpp
+++ b/fuzz/fuzz_monitor_datagrams.cpp
@@ -67,12 +67,14 @@
         start_request asked;
         asked.id = wanted.id();
         asked.gateway = "g";
+        asked.team = wanted.team();
         asked.prompt_tokens = wanted.prompt_tokens();
         asked.output_tokens = wanted.output_tokens();
         asked.first_due =
             now_ + milliseconds(wanted.first_due_ms() % (1 << 30));
         starts_.set_slots(wanted.slots());
         starts_.ask(asked, now_);
+        (void)starts_.is_passed_over(asked, now_);
     }
 
     time_point now_{std::chrono::hours(1)};
--- a/src/libcyclamenrun/decisions/engine_outlook.cpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.cpp
@@ -157,16 +157,22 @@
     return tokens;
 }
 
+const start_request* engine_outlook::find_begun(const std::string& id) const
+{
+    const auto found =
+        std::find_if(begun_.begin(), begun_.end(),
+                     [&](const start_request& each) { return each.id == id; });
+    return found == begun_.end() ? nullptr : &*found;
+}
+
 std::map<std::string, std::uint64_t> engine_outlook::memory_by_team() const
 {
     std::map<std::string, std::uint64_t> tokens;
     for (const auto& each : given_)
         tokens[each.who.team] += each.who.prompt_tokens;
     for (const auto& held : view_.generations) {
-        const auto known = std::find_if(
-            begun_.begin(), begun_.end(),
-            [&](const start_request& each) { return each.id == held.id; });
-        if (known != begun_.end())
+        const auto* known = find_begun(held.id);
+        if (known != nullptr)
             tokens[known->team] += held.memory_tokens;
     }
     return tokens;
@@ -175,11 +181,9 @@
 double engine_outlook::expected_left(const held_generation& held,
                                      const start_request& wanted) const
 {
-    const auto known = std::find_if(
-        begun_.begin(), begun_.end(),
-        [&](const start_request& each) { return each.id == held.id; });
+    const auto* known = find_begun(held.id);
     // One that came from another engine has been running for a while.
-    if (known == begun_.end())
+    if (known == nullptr)
         return static_cast<double>(wanted.output_tokens) / 2;
     const auto expected = static_cast<double>(known->output_tokens);
     const auto made = static_cast<double>(held.memory_tokens) -
--- a/src/libcyclamenrun/decisions/engine_outlook.hpp
+++ b/src/libcyclamenrun/decisions/engine_outlook.hpp
@@ -90,6 +90,8 @@
     void drop_unseen(time_point now);
     void note_reading(time_point now);
     double planned_memory() const;
+    /** Null: it did not start here by this monitor's word. */
+    const start_request* find_begun(const std::string& id) const;
     /**
      * Memory that is left free so that what runs can grow until one of them
      * ends. While none ends, `n` generations that each have `m` tokens left
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -38,9 +38,9 @@
         waiting_.begin(), waiting_.end(),
         [&](const waiting_start& each) { return each.who.id == wanted.id; });
     if (found != waiting_.end())
-        *found = {wanted, now, false, 0};
+        *found = {wanted, now};
     else if (!was_given(wanted.id) && waiting_.size() < most_waiting_starts)
-        waiting_.push_back({wanted, now, false, 0});
+        waiting_.push_back({wanted, now});
 }
 
 void start_queue::end(const std::string& id)
--- a/src/libcyclamenrun/gateway/directory_relay.cpp
+++ b/src/libcyclamenrun/gateway/directory_relay.cpp
@@ -47,13 +47,6 @@
     });
 }
 
-void refuse(server_stream& stream)
-{
-    v1::DirectoryAnswer answer;
-    answer.set_problem(v1::DIRECTORY_PROBLEM_UNAVAILABLE);
-    stream.respond_once(answer.SerializeAsString());
-}
-
 } // namespace
 
 link_limits directory_link_limits()
@@ -115,7 +108,7 @@
     else if (readable && call.feed() == v1::DIRECTORY_FEED_UPSTREAMS)
         relay(*upstreams_, encoded_upstreams_, call, stream);
     else
-        refuse(*stream);
+        stream->respond_once(refusal_bytes(directory_problem::unavailable));
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -144,8 +144,7 @@
         notice.set_turn_waits(id);
     }
     write_identity(notice);
-    if (last_load_)
-        write_load(*last_load_, *notice.mutable_load_now());
+    write_load_now(notice);
     socket_->send(from, notice.SerializeAsString());
 }
 
@@ -192,8 +191,7 @@
     notice.mutable_start_waits()->set_refused(starts_.leaving());
     notice.mutable_start_waits()->set_passed_over(
         starts_.is_passed_over(asked, now));
-    if (last_load_)
-        write_load(*last_load_, *notice.mutable_load_now());
+    write_load_now(notice);
     socket_->send(from, notice.SerializeAsString());
 }
 
@@ -210,8 +208,7 @@
     given.set_id(id);
     given.set_slots_taken(static_cast<std::uint32_t>(place.slots_taken));
     given.set_memory_taken(place.memory_taken);
-    if (last_load_)
-        write_load(*last_load_, *notice.mutable_load_now());
+    write_load_now(notice);
     socket_->send(found->second.address, notice.SerializeAsString());
 }
 
@@ -364,6 +361,12 @@
         message.set_leaves_in_ms(*load.leaves_in_ms);
 }
 
+void engine_monitor::write_load_now(v1::MonitorNotice& notice) const
+{
+    if (last_load_)
+        write_load(*last_load_, *notice.mutable_load_now());
+}
+
 std::string engine_monitor::load_notice(const engine_load& load) const
 {
     v1::MonitorNotice message;
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -87,6 +87,8 @@
     void tell(const engine_load& load);
     std::string load_notice(const engine_load& load) const;
     void write_load(const engine_load& load, v1::EngineLoad& message) const;
+    /** Beside what else the notice says, if the load is known. */
+    void write_load_now(v1::MonitorNotice& notice) const;
     void forget_silent();
 
     std::shared_ptr<link_reactor> reactor_;
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -128,6 +128,11 @@
                      : gateway_refusal::no_configuration);
 }
 
+bool exchange::may_be_refused() const
+{
+    return runs_ == 0 && !answer_.begun();
+}
+
 bool exchange::asks_to_start() const
 {
     return has_monitors() && !context_.monitors->silent();
@@ -171,12 +176,10 @@
         start_found(engine);
     };
     on.passed_over = [this] {
-        // What has run, or goes on, has no better answer than its own.
-        if (runs_ > 0 || answer_.begun())
-            return false;
+        if (!may_be_refused())
+            return;
         notes_.start_passed_over(search_->asked());
         refuse(gateway_refusal::share_spent, admitted_.route->objective);
-        return true;
     };
     on.unheard = [this] {
         notes_.start_unheard(search_->asked());
@@ -237,11 +240,9 @@
         notes_.placed(*placed);
         const auto left =
             time_left(admitted_.answer_by, context_.reactor->now());
-        // What has run, or goes on, has no better answer than its own.
-        const bool may_be_refused = runs_ == 0 && !answer_.begun();
         // Its time would run out in the queue of the best upstream. Half of
         // it is then left for what comes before it when it comes back.
-        if (may_be_refused && placed->first_part_after > left)
+        if (may_be_refused() && placed->first_part_after > left)
             refuse(gateway_refusal::overloaded,
                    placed->first_part_after - left / 2);
         else
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -52,6 +52,8 @@
     /** What an upstream must have for it, nearest to this VM or elsewhere. */
     placement_request needs() const;
     placement_request needs(const std::string& from_domain) const;
+    /** What has run, or goes on, has no better answer than its own. */
+    bool may_be_refused() const;
     /** Monitors beside the engines say where it may start. */
     bool asks_to_start() const;
     /** It goes to engines, beside which there may be monitors. */
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -158,11 +158,9 @@
 {
     if (over_ || !is_passed_over())
         return;
-    // Copies: the call may end the exchange, and this with it.
-    const auto self = shared_from_this();
+    // A copy: the call may end the exchange, and this with it.
     const auto passed_over = on_.passed_over;
-    if (passed_over())
-        cancel();
+    passed_over();
 }
 
 bool start_search::may_use(const asked_engine& engine) const
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -31,8 +31,8 @@
         std::function<double(const upstream_record&, const given_place&)> cost;
         /** It starts there. */
         std::function<void(const upstream_record&)> found;
-        /** Most engines let others go first; false: it waits on. */
-        std::function<bool()> passed_over;
+        /** Most engines let others go first; it waits on unless cancelled. */
+        std::function<void()> passed_over;
         /** No monitor has answered in the time for it. */
         std::function<void()> unheard;
     };
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -60,22 +60,30 @@
     fake_upstream* two = nullptr;
 };
 
-scripted_monitor::script give_all()
+/** Answers each that wants to start alike. */
+template <typename Answer>
+scripted_monitor::script answer_starts(Answer answer)
 {
-    return [](const v1::MonitorRequest& request) -> notice {
+    return [answer](const v1::MonitorRequest& request) -> notice {
         if (!wants_start(request))
             return std::nullopt;
-        return start_given(request.start_wanted().id());
+        return answer(request.start_wanted().id());
     };
 }
 
+scripted_monitor::script give_all()
+{
+    return answer_starts([](const auto& id) { return start_given(id); });
+}
+
 scripted_monitor::script let_all_wait()
 {
-    return [](const v1::MonitorRequest& request) -> notice {
-        if (!wants_start(request))
-            return std::nullopt;
-        return start_waits(request.start_wanted().id());
-    };
+    return answer_starts([](const auto& id) { return start_waits(id); });
+}
+
+scripted_monitor::script pass_all_over()
+{
+    return answer_starts([](const auto& id) { return start_passed_over(id); });
 }
 
 TEST_F(start_searches, begin_where_a_monitor_lets_them_and_tell_the_others)
@@ -223,15 +231,6 @@
     EXPECT_TRUE(one->arrived().empty());
 }
 
-scripted_monitor::script pass_all_over()
-{
-    return [](const v1::MonitorRequest& request) -> notice {
-        if (!wants_start(request))
-            return std::nullopt;
-        return start_passed_over(request.start_wanted().id());
-    };
-}
-
 // A team floods: its callers that are late wait behind all others, for all
 // the time that they have, and get nothing.
 TEST_F(start_searches, refuse_at_once_what_others_go_before)
