Let no port of another test stand for a fault of a monitor's end

Cause: the relay listens for connections at the port that the system gave for datagrams; where a connection of another test has that port on 127.0.0.1, no relay is opened, and its feeds, which have never read, end at once.

--- a/tests/gateway/test_monitor_process.cpp
+++ b/tests/gateway/test_monitor_process.cpp
@@ -3,6 +3,8 @@
 #include "link_reactor.hpp"
 #include "monitor_process.hpp"
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <atomic>
 #include <gtest/gtest.h>
 #include <memory>
@@ -59,7 +61,9 @@
         });
     const auto ended_safely = std::make_shared<std::atomic<int>>(0);
     monitor_settings settings;
-    settings.listen = {"127.0.0.1", 0};
+    // A host of its own: its relay takes the port of its datagrams, which a
+    // connection of another test may have.
+    settings.listen = {"127.0.0.9", 0};
     settings.engine = engine.address();
     settings.directory = engine.address();
     monitor_platform platform;
@@ -71,7 +75,11 @@
                            std::make_shared<watched_feed<upstream_change>>(
                                reactor, ended_safely)};
     };
-    std::make_unique<monitor_process>(settings, platform).reset();
+    auto process = std::make_unique<monitor_process>(settings, platform);
+    ASSERT_NO_THROW(
+        Poco::Net::StreamSocket(Poco::Net::SocketAddress(process->address())))
+        << "it relays nothing";
+    process.reset();
     EXPECT_EQ(*ended_safely, 2);
 }
 
