Log the fingerprint of requests and the crashes of upstreams

The logs could not tell the hypotheses apart: work that is sent again under a new id had to be matched by team and token counts, and a lost attempt looks alike whether its upstream ended or only its connection.

request_admitted now has the fingerprint of the work (team, method, host, target, body). After a broken connection crash_detector makes one connection to the upstream; if its host refuses it, upstream_crashed is logged with the request's id, so that explain shows it. No decision changes. tcp_connection tells a refused connection from an unreachable peer.

--- /dev/null
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -0,0 +1,67 @@
+#ifndef CYCLAMENRUN_CRASH_DETECTOR_HPP
+#define CYCLAMENRUN_CRASH_DETECTOR_HPP
+
+#include "link_reactor.hpp"
+#include "tcp_connection.hpp"
+#include "upstream_record.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cyclamenrun
+{
+
+/** A request whose connection to an upstream broke. */
+struct lost_request {
+    std::string id;
+    std::uint64_t fingerprint = 0;
+};
+
+/**
+ * Finds out whether an upstream that broke a connection has crashed. A network
+ * fault, a full upstream and a faulty one break connections too. An upstream
+ * has crashed if its host refuses a new connection; one that accepts it lives,
+ * and one that does not respond may be cut off.
+ *
+ * One connection is made per upstream, however many of its requests are lost at
+ * once. Used on the reactor's thread only.
+ */
+class crash_detector : public std::enable_shared_from_this<crash_detector>
+{
+public:
+    /** Called for each lost request of an upstream that has crashed. */
+    using crash_handler =
+        std::function<void(const upstream_record&, const lost_request&)>;
+
+    crash_detector(std::shared_ptr<link_reactor> reactor,
+                   crash_handler on_crash);
+
+    void record_loss(const upstream_record& upstream, lost_request request);
+    /** Ends all checks without a result. */
+    void stop();
+
+private:
+    struct check {
+        upstream_record upstream;
+        std::vector<lost_request> lost;
+        std::shared_ptr<tcp_connection> connection;
+        bool crashed = false;
+        time_point expires_at;
+    };
+
+    void start_check(check& started);
+    void handle_refused(const std::string& upstream_id);
+    void remove_expired();
+
+    std::shared_ptr<link_reactor> reactor_;
+    crash_handler on_crash_;
+    std::unordered_map<std::string, check> checks_; ///< by upstream id
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_CRASH_DETECTOR_HPP
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.hpp"
 
 #include "http_text.hpp"
+#include "request_fingerprint.hpp"
 #include "response_classification.hpp"
 
 #include <algorithm>
@@ -82,10 +83,14 @@
         return;
     }
     admitted_ = *admitted;
+    fingerprint_ = request_fingerprint(
+        admitted_.team != nullptr ? admitted_.team->name : "", request_.head,
+        request_.body);
     profile_ = request_profile(routes_, admitted_, facts_);
     answer_.set_route(*admitted_.route, facts_.last_event_id);
     recorder_.admitted(admitted_, routes_->version(), configuration_age_,
-                       since(request_.arrived, admitted_.deadline), facts_);
+                       since(request_.arrived, admitted_.deadline), facts_,
+                       fingerprint_);
     // This process would exit before the stream ends; another gateway can
     // complete it.
     const bool outlasts_this_process =
@@ -435,7 +440,8 @@
 {
     if (over_)
         return;
-    const auto id = attempt_->upstream().id;
+    const auto upstream = attempt_->upstream();
+    const auto& id = upstream.id;
     // Recorded first, since the mover may start the next attempt at once.
     const auto ended = attempt_record();
     release_attempt();
@@ -449,6 +455,10 @@
     else
         context_.upstreams.record_failure(id, context_.reactor->now());
     const auto* state = context_.upstreams.find(id);
+    // An upstream that leaves ends with its requests, whatever they are.
+    const bool leaves = state != nullptr && state->leaving;
+    if (loss == attempt_loss::broken && !leaves)
+        context_.crashes->record_loss(upstream, {facts_.id, fingerprint_});
     if (answer_.begun() && state != nullptr && !state->leaving)
         context_.record_crash(id);
     if (loss == attempt_loss::broken && resume_at_backup())
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -122,6 +122,7 @@
     std::shared_ptr<const gateway_routes> routes_;
     milliseconds configuration_age_{0}; ///< at the admission
     request_facts facts_;
+    std::uint64_t fingerprint_ = 0;
     admitted_request admitted_;
     request_profile profile_;
     std::string service_;
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -1,6 +1,7 @@
 #include "gateway_context.hpp"
 
 #include "log_event.hpp"
+#include "request_fingerprint.hpp"
 
 #include <utility>
 
@@ -18,6 +19,15 @@
       upstreams(std::move(upstream_hooks)), budget(retries), lease(lease_term),
       random(seed), choice(upstreams, random)
 {
+    crashes = std::make_shared<crash_detector>(
+        reactor, [](const upstream_record& upstream, const lost_request& lost) {
+            log_event(
+                log_severity::warning, log_event_name::upstream_crashed,
+                {{log_key::request_id, lost.id},
+                 {log_key::upstream, upstream.id},
+                 {log_key::address, to_string(upstream.address)},
+                 {log_key::fingerprint, fingerprint_text(lost.fingerprint)}});
+        });
 }
 
 void gateway_context::record_crash(const std::string& upstream_id)
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -3,6 +3,7 @@
 
 #include "backup_policy.hpp"
 #include "configuration_lease.hpp"
+#include "crash_detector.hpp"
 #include "engine_clients.hpp"
 #include "exported_metrics.hpp"
 #include "gateway_dialect.hpp"
@@ -58,6 +59,7 @@
     response_times route_response_times;
     configuration_lease lease;
     backup_policy backups;
+    std::shared_ptr<crash_detector> crashes;
     /** Null until a configuration is known; replaced, never modified. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -79,6 +79,7 @@
         ended_ = true;
         directory_->stop();
         relays_.reset();
+        context_->crashes->stop();
         for (auto* running :
              std::vector(context_->running.begin(), context_->running.end()))
             running->shared_from_this()->on_caller_disconnected();
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -1,5 +1,7 @@
 #include "request_recorder.hpp"
 
+#include "request_fingerprint.hpp"
+
 namespace cyclamenrun
 {
 
@@ -7,7 +9,8 @@
                                 std::uint64_t revision,
                                 milliseconds configuration_age,
                                 milliseconds time_left,
-                                const request_facts& facts)
+                                const request_facts& facts,
+                                std::uint64_t fingerprint)
 {
     trace_.record(
         log_event_name::request_admitted,
@@ -18,7 +21,8 @@
          {log_key::deadline_ms, time_left},
          {log_key::tokens, facts.prompt_tokens},
          {log_key::output_tokens, facts.output_token_limit},
-         {log_key::expected_tokens, facts.expected_output_tokens.value_or(0)}});
+         {log_key::expected_tokens, facts.expected_output_tokens.value_or(0)},
+         {log_key::fingerprint, fingerprint_text(fingerprint)}});
 }
 
 void request_recorder::placed(const placed_upstream& upstream)
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -25,7 +25,7 @@
 
     void admitted(const admitted_request& request, std::uint64_t revision,
                   milliseconds configuration_age, milliseconds time_left,
-                  const request_facts& facts);
+                  const request_facts& facts, std::uint64_t fingerprint);
     void placed(const placed_upstream& upstream);
     /**
      * One of the `requested` engines granted the start; `took` is the time that
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -156,8 +156,8 @@
         complete();
         return;
     }
-    lose(how == connection_end::unreachable ? attempt_loss::not_sent
-                                            : attempt_loss::broken);
+    lose(never_established(how) ? attempt_loss::not_sent
+                                : attempt_loss::broken);
 }
 
 void upstream_attempt::complete()
--- a/src/libcyclamenrun/http/http_client.cpp
+++ b/src/libcyclamenrun/http/http_client.cpp
@@ -129,9 +129,8 @@
         finish(std::move(reply_));
         return;
     }
-    finish(tl::unexpected(reason == connection_end::unreachable
-                              ? call_failure::unreachable
-                              : call_failure::broken));
+    finish(tl::unexpected(never_established(reason) ? call_failure::unreachable
+                                                    : call_failure::broken));
 }
 
 void http_client::finish(call_outcome outcome)
--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -58,6 +58,8 @@
         return "broken";
     case connection_end::unreachable:
         return "unreachable";
+    case connection_end::refused:
+        return "refused";
     }
     return "broken";
 }
@@ -182,7 +184,8 @@
     socklen_t size = sizeof error;
     ::getsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-        end(connection_end::unreachable);
+        end(error == ECONNREFUSED ? connection_end::refused
+                                  : connection_end::unreachable);
         return;
     }
     connecting_ = false;
--- a/src/libcyclamenrun/http/tcp_connection.hpp
+++ b/src/libcyclamenrun/http/tcp_connection.hpp
@@ -21,10 +21,17 @@
     /** It was reset, the peer's host does not respond, or the reactor stops. */
     broken,
     unreachable, ///< It was never established: no byte reached the peer.
+    refused,     ///< The same, because the peer's host has no listener.
 };
 
 std::string_view name_of(connection_end end);
 
+/** True if the connection was never established. */
+inline bool never_established(connection_end end)
+{
+    return end == connection_end::unreachable || end == connection_end::refused;
+}
+
 /**
  * How long a peer's host may stay unresponsive before the connection counts as
  * broken.
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -144,6 +144,9 @@
     log_event_row{log_event_name::crash_seen, "crash_seen",
                   "An engine closed a stream without notice; the gateway "
                   "starts to keep backup copies."},
+    log_event_row{log_event_name::upstream_crashed, "upstream_crashed",
+                  "An upstream crashed while it had the request: it broke the "
+                  "connection, and its host refuses a new one."},
     log_event_row{log_event_name::directory_lost, "directory_lost",
                   "The platform's directory does not respond."},
     log_event_row{log_event_name::directory_regained, "directory_regained",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -64,6 +64,7 @@
     generation_continued,
     generation_backed_up,
     crash_seen,
+    upstream_crashed,
     directory_lost,
     directory_regained,
     lease_ended,
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -28,6 +28,7 @@
     key_row{log_key::expected_tokens, "expected_tokens"},
     key_row{log_key::failure_domain, "failure_domain"},
     key_row{log_key::fence, "fence"},
+    key_row{log_key::fingerprint, "fingerprint"},
     key_row{log_key::first_ms, "first_ms"},
     key_row{log_key::generation, "generation"},
     key_row{log_key::incarnation, "incarnation"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -30,6 +30,7 @@
     expected_tokens,
     failure_domain,
     fence,
+    fingerprint,
     first_ms,
     generation,
     incarnation,
