--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -112,6 +112,16 @@
         thread.join();
 }
 
+void fake_upstream::crash()
+{
+    if (crashed_.exchange(true))
+        return;
+    ::shutdown(listener_.impl()->sockfd(), SHUT_RDWR);
+    const std::scoped_lock lock(mutex_);
+    for (auto& socket : sockets_)
+        ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
+}
+
 ip_endpoint fake_upstream::address() const
 {
     const auto address = listener_.address();
@@ -134,14 +144,18 @@
 
 void fake_upstream::accept()
 {
-    while (!stopping_) {
-        auto socket = listener_.acceptConnection();
-        if (stopping_)
-            break;
-        socket.setNoDelay(true);
-        const std::scoped_lock lock(mutex_);
-        sockets_.push_back(socket);
-        threads_.emplace_back([this, socket] { serve(socket); });
+    try {
+        while (!stopping_) {
+            auto socket = listener_.acceptConnection();
+            if (stopping_)
+                break;
+            socket.setNoDelay(true);
+            const std::scoped_lock lock(mutex_);
+            sockets_.push_back(socket);
+            threads_.emplace_back([this, socket] { serve(socket); });
+        }
+    } catch (const Poco::Exception&) {
+        // crash() has shut the listener down.
     }
     acceptor_ended_ = true;
 }
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -73,6 +73,13 @@
      */
     std::atomic<bool> rejects_load_requests = false;
 
+    /**
+     * Ends as a crashed process does: closes all connections, and the host
+     * refuses new ones.
+     */
+    void crash();
+    bool crashed() const { return crashed_; }
+
     ip_endpoint address() const;
     std::vector<arrived_request> arrived() const;
     /** Waits until `count` requests have arrived, at most ten seconds. */
@@ -90,6 +97,7 @@
     std::vector<Poco::Net::StreamSocket> sockets_;
     std::vector<std::thread> threads_;
     std::atomic<bool> stopping_ = false;
+    std::atomic<bool> crashed_ = false;
     std::atomic<bool> acceptor_ended_ = false;
     std::thread acceptor_;
 };
--- /dev/null
+++ b/tests/gateway/gateway_fleet.cpp
@@ -0,0 +1,134 @@
+#include "gateway_fleet.hpp"
+
+#include "http_dialect.hpp"
+
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+
+namespace
+{
+
+/** Time in which what one gateway has learnt must reach the others. */
+constexpr milliseconds learning_bound{3000};
+
+} // namespace
+
+gateway_fleet::~gateway_fleet()
+{
+    nodes_.clear();
+}
+
+void gateway_fleet::start_node(node& started)
+{
+    gateway_platform platform;
+    platform.dialect = std::make_shared<platform::http_dialect>();
+    platform.configurations = [&](const std::shared_ptr<link_reactor>& on,
+                                  const ip_endpoint&) {
+        started.configurations =
+            std::make_shared<pushed_feed<gateway_configuration>>(on);
+        return started.configurations;
+    };
+    platform.upstreams = [&](const std::shared_ptr<link_reactor>& on,
+                             const ip_endpoint&) {
+        started.changes = std::make_shared<pushed_feed<upstream_change>>(on);
+        return started.changes;
+    };
+    started.process = std::make_unique<gateway_process>(
+        started.settings, platform, [&started] {
+            return settings_outcome<gateway_settings>(started.settings);
+        });
+    started.configurations->push(configuration());
+    for (const auto& record : records)
+        started.changes->push({record.id, record});
+}
+
+void gateway_fleet::start_fleet(std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        auto added = std::make_unique<node>();
+        added->settings = settings;
+        added->settings.name = "gateway-" + std::to_string(i + 1);
+        nodes_.push_back(std::move(added));
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        start_node(*nodes_[i]);
+        ASSERT_TRUE(wait_for_state(i, "\"configuration_version\":1,"));
+    }
+}
+
+void gateway_fleet::restart(std::size_t index)
+{
+    auto& restarted = *nodes_[index];
+    restarted.process.reset();
+    start_node(restarted);
+    ASSERT_TRUE(wait_for_state(index, "\"configuration_version\":1,"));
+    ASSERT_TRUE(wait_for_state(
+        index, "\"upstreams\":" + std::to_string(records.size()) + ","));
+}
+
+fake_upstream& gateway_fleet::add_to_all(const std::string& id,
+                                         fake_upstream::script respond,
+                                         const std::string& service)
+{
+    upstreams.push_back(std::make_unique<fake_upstream>(std::move(respond)));
+    auto& added = *upstreams.back();
+    added.rejects_load_requests = true;
+    upstream_record record;
+    record.id = id;
+    record.service = service;
+    record.address = added.address();
+    record.failure_domain = "d1";
+    record.slots = 8;
+    records.push_back(record);
+    const auto wanted = "\"upstreams\":" + std::to_string(records.size()) + ",";
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        nodes_[i]->changes->push({record.id, record});
+        EXPECT_TRUE(wait_for_state(i, wanted));
+    }
+    return added;
+}
+
+caller_answer gateway_fleet::send_to(std::size_t index, const std::string& path,
+                                     const std::string& body)
+{
+    test_caller caller(nodes_[index]->process->address());
+    caller.send(request(path, "k1", "", body));
+    return caller.read();
+}
+
+std::string gateway_fleet::state_of(std::size_t index)
+{
+    test_caller caller(nodes_[index]->process->ready_address());
+    caller.send("GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
+    return caller.read().body;
+}
+
+bool gateway_fleet::wait_for_state(std::size_t index, const std::string& text)
+{
+    const auto deadline = steady_now() + learning_bound;
+    while (state_of(index).find(text) == std::string::npos) {
+        if (steady_now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    return true;
+}
+
+bool gateway_fleet::all_learn(const std::string& text)
+{
+    const auto deadline = steady_now() + learning_bound;
+    std::size_t known = 0;
+    while (known < nodes_.size()) {
+        if (state_of(known).find(text) != std::string::npos)
+            ++known;
+        else if (steady_now() >= deadline)
+            return false;
+        else
+            std::this_thread::sleep_for(milliseconds(5));
+    }
+    return true;
+}
+
+} // namespace cyclamenrun::testing_support
