--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,5 @@
 
 # Only needed after a schema change, since generated code is committed.
 schema:
+	@command -v protoc >/dev/null || scripts/install-packages protobuf-compiler
 	cd schema && protoc --cpp_out=generated *.proto
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -10,6 +10,7 @@
 #include "gateway_routes.hpp"
 #include "link_reactor.hpp"
 #include "monitor_link.hpp"
+#include "peer_link.hpp"
 #include "response_time.hpp"
 #include "shared_retry_budget.hpp"
 #include "upstream_choice.hpp"
@@ -66,6 +67,8 @@
     upstream_choice choice;
     /** Null in a deployment without monitors. */
     std::shared_ptr<monitor_link> monitors;
+    /** Null in a deployment whose gateways do not know each other. */
+    std::shared_ptr<peer_link> peers;
     /** Requests in progress. */
     std::unordered_set<exchange*> running;
     bool stopping = false; ///< a planned stop has begun
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -47,6 +47,17 @@
     return budget;
 }
 
+/** The addresses of seeds without their ports. */
+std::vector<std::string> seed_hosts(const std::vector<std::string>& seeds)
+{
+    std::vector<std::string> hosts;
+    for (const auto& seed : seeds) {
+        const auto endpoint = parse_ip_endpoint(seed);
+        hosts.push_back(endpoint ? endpoint->host : seed);
+    }
+    return hosts;
+}
+
 milliseconds stop_grace(const gateway_settings& settings)
 {
     return std::chrono::duration_cast<milliseconds>(
@@ -121,6 +132,7 @@
         std::make_unique<directory_watch>(*context_, std::move(platform));
     directory_->follow(settings_);
     start_monitor_link();
+    start_peer_link();
     start_servers();
     tick();
 }
@@ -154,6 +166,17 @@
     start_relays(monitor_port);
 }
 
+void gateway_process::start_peer_link()
+{
+    if (settings_.peers_listen.port == 0)
+        return;
+    context_->peers = std::make_shared<peer_link>(
+        loop_->reactor(), settings_.peers_listen,
+        seed_hosts(settings_.peer_seeds), std::vector<peer_table>(),
+        std::random_device{}());
+    context_->peers->start();
+}
+
 void gateway_process::start_relays(std::uint16_t port)
 {
     relay_clients::hooks on;
@@ -274,6 +297,9 @@
            std::to_string(age ? age->count() : -1) +
            ",\"relayed\":" + (directory_->relayed() ? "true" : "false") +
            ",\"upstreams\":" + std::to_string(context_->upstreams.size()) +
+           ",\"peers\":" +
+           std::to_string(context_->peers ? context_->peers->gateway_count() - 1
+                                          : 0) +
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(caller_server_->connections()) +
            ",\"idle_upstream_connections\":" +
@@ -293,6 +319,9 @@
     metrics.set(exported_metric::running, {}, context_->running.size());
     metrics.set(exported_metric::connections, {},
                 caller_server_->connections());
+    if (context_->peers)
+        metrics.set(exported_metric::peers, {},
+                    static_cast<double>(context_->peers->gateway_count() - 1));
     for (const auto& service : context_->upstreams.services()) {
         const auto estimated = context_->upstreams.totals(service, now);
         metrics.set(exported_metric::upstreams, {service}, estimated.upstreams);
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -49,6 +49,7 @@
     void start(gateway_platform platform);
     void start_servers();
     void start_monitor_link();
+    void start_peer_link();
     void start_relays(std::uint16_t port);
     std::set<std::string> monitored_hosts() const;
     std::vector<relay_candidate> relay_candidates() const;
--- /dev/null
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -0,0 +1,280 @@
+#include "peer_exchange.hpp"
+
+#include "peers.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cyclamenrun
+{
+
+namespace
+{
+
+/** Peers that get each push and each probe. */
+constexpr std::size_t fanout = 3;
+/**
+ * Peers named in each datagram, drawn from those heard of last. In a large
+ * fleet most gateways are heard of only in this way, and news of them must not
+ * be crowded out by old news.
+ */
+constexpr std::size_t named_peers = 16;
+constexpr std::size_t peers_to_name = 64;
+constexpr milliseconds probe_interval{1000};
+/** A change is pushed again, to other peers, while some may lack it. */
+constexpr milliseconds push_interval{100};
+constexpr unsigned pushes_per_change = 4;
+/**
+ * A gateway that was not heard of for this long has ended or is cut off. News
+ * of each one is rarer the more there are, since a datagram names a few only.
+ */
+constexpr milliseconds base_silence_timeout{15000};
+constexpr milliseconds silence_timeout_per_peer{100};
+/** In one of so many probes a seed is asked that is not known as a peer. */
+constexpr unsigned seed_probe_period = 4;
+
+} // namespace
+
+peer_exchange::peer_exchange(std::string own_host,
+                             std::vector<std::string> seeds,
+                             std::vector<peer_table> tables,
+                             std::uint64_t incarnation, std::mt19937_64& random)
+    : own_host_(std::move(own_host)), seeds_(std::move(seeds)),
+      tables_(std::move(tables)), incarnation_(incarnation), random_(random),
+      pushed_(tables_.size(), 0)
+{
+}
+
+bool peer_exchange::changed_since_push() const
+{
+    for (std::size_t i = 0; i < tables_.size(); ++i)
+        if (tables_[i].version() != pushed_[i])
+            return true;
+    return false;
+}
+
+bool peer_exchange::is_behind(const peer& known) const
+{
+    for (std::size_t i = 0; i < tables_.size(); ++i)
+        if (tables_[i].version() != known.tables[i].acknowledged)
+            return true;
+    return false;
+}
+
+time_point peer_exchange::next_send() const
+{
+    if (pushes_left_ > 0 || changed_since_push())
+        return std::min(next_push_, next_probe_);
+    return next_probe_;
+}
+
+std::vector<peer_exchange::datagram> peer_exchange::send_due(time_point now)
+{
+    std::vector<datagram> out;
+    if (changed_since_push()) {
+        for (std::size_t i = 0; i < tables_.size(); ++i)
+            pushed_[i] = tables_[i].version();
+        pushes_left_ = pushes_per_change;
+    }
+    if (pushes_left_ > 0 && now >= next_push_) {
+        --pushes_left_;
+        next_push_ = now + push_interval;
+        push(out);
+    }
+    if (now >= next_probe_) {
+        next_probe_ = now + probe_interval;
+        remove_silent(now);
+        probe(out, now);
+    }
+    return out;
+}
+
+void peer_exchange::push(std::vector<datagram>& out)
+{
+    std::vector<std::string> behind;
+    for (const auto& [host, known] : peers_)
+        if (is_behind(known))
+            behind.push_back(host);
+    if (behind.empty())
+        pushes_left_ = 0;
+    const auto now = next_push_ - push_interval;
+    for (const auto& host : sample(std::move(behind), fanout))
+        out.push_back(message_to(host, false, now));
+}
+
+void peer_exchange::probe(std::vector<datagram>& out, time_point now)
+{
+    std::vector<std::string> known;
+    known.reserve(peers_.size());
+    for (const auto& [host, state] : peers_)
+        known.push_back(host);
+    std::vector<std::string> unknown_seeds;
+    for (const auto& seed : seeds_)
+        if (seed != own_host_ && !peers_.contains(seed))
+            unknown_seeds.push_back(seed);
+    auto chosen = sample(std::move(known), fanout);
+    // Seeds that are down are asked rarely, and all at once while no other way
+    // leads to the fleet. That joins parts of the fleet that were cut off from
+    // each other.
+    const bool alone = peers_.empty();
+    if (alone || random_() % seed_probe_period == 0)
+        for (auto& seed :
+             sample(std::move(unknown_seeds), alone ? seeds_.size() : 1))
+            chosen.push_back(std::move(seed));
+    for (const auto& host : chosen)
+        out.push_back(message_to(host, true, now));
+}
+
+milliseconds peer_exchange::silence_timeout() const
+{
+    return base_silence_timeout +
+           static_cast<int>(peers_.size()) * silence_timeout_per_peer;
+}
+
+void peer_exchange::remove_silent(time_point now)
+{
+    std::erase_if(peers_, [now, limit = silence_timeout()](const auto& entry) {
+        return now - entry.second.heard_at > limit;
+    });
+}
+
+void peer_exchange::name_peers(v1::PeerMessage& message,
+                               const std::string& receiver, time_point now)
+{
+    std::vector<std::pair<time_point, std::string>> others;
+    others.reserve(peers_.size());
+    for (const auto& [host, known] : peers_)
+        if (host != receiver)
+            others.emplace_back(known.heard_at, host);
+    const auto count = std::min(others.size(), peers_to_name);
+    std::partial_sort(others.begin(),
+                      others.begin() + static_cast<std::ptrdiff_t>(count),
+                      others.end(), std::greater<>());
+    std::vector<std::string> latest;
+    for (std::size_t i = 0; i < count; ++i)
+        latest.push_back(others[i].second);
+    for (const auto& host : sample(std::move(latest), named_peers)) {
+        const auto age = std::chrono::duration_cast<milliseconds>(
+            now - peers_.at(host).heard_at);
+        auto& named = *message.add_peers();
+        named.set_host(host);
+        named.set_age_ms(
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count())));
+    }
+}
+
+std::vector<std::string> peer_exchange::sample(std::vector<std::string> from,
+                                               std::size_t count)
+{
+    count = std::min(count, from.size());
+    for (std::size_t i = 0; i < count; ++i)
+        std::swap(from[i], from[i + random_() % (from.size() - i)]);
+    from.resize(count);
+    return from;
+}
+
+peer_exchange::peer* peer_exchange::find_or_add(const std::string& host,
+                                                time_point heard_at)
+{
+    if (host.empty() || host == own_host_)
+        return nullptr;
+    auto found = peers_.find(host);
+    if (found == peers_.end()) {
+        if (peers_.size() >= max_peers)
+            return nullptr;
+        found = peers_.try_emplace(host).first;
+        found->second.heard_at = heard_at;
+        found->second.tables.resize(tables_.size());
+    }
+    found->second.heard_at = std::max(found->second.heard_at, heard_at);
+    return &found->second;
+}
+
+void peer_exchange::learn_peers(const v1::PeerMessage& message, time_point now)
+{
+    const auto limit = silence_timeout();
+    for (const auto& named : message.peers()) {
+        const milliseconds age(named.age_ms());
+        if (age < limit)
+            (void)find_or_add(named.host(), now - age);
+    }
+}
+
+std::optional<peer_exchange::datagram>
+peer_exchange::receive(const std::string& host, std::string_view bytes,
+                       time_point now)
+{
+    v1::PeerMessage message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+        message.incarnation() == 0)
+        return std::nullopt;
+    if (message.incarnation() == incarnation_) {
+        own_host_ = host;
+        peers_.erase(host);
+        return std::nullopt;
+    }
+    auto* const from = find_or_add(host, now);
+    if (from == nullptr)
+        return std::nullopt;
+    if (std::exchange(from->incarnation, message.incarnation()) !=
+        message.incarnation())
+        from->tables.assign(tables_.size(), table_state());
+    const bool progress = read_positions(*from, message);
+    bool has_changes = false;
+    for (const auto& position : message.tables())
+        has_changes = has_changes || position.up_to() != position.after();
+    for (const auto& table : tables_)
+        if (has_changes)
+            table.merge(message, now);
+    learn_peers(message, now);
+    // Without progress the peer would be sent the same changes in a loop.
+    const bool has_more = progress && is_behind(*from);
+    if (!message.reply_wanted() && !has_changes && !has_more)
+        return std::nullopt;
+    return message_to(host, false, now);
+}
+
+bool peer_exchange::read_positions(peer& from, const v1::PeerMessage& message)
+{
+    bool progress = false;
+    const auto count = std::min(
+        tables_.size(), static_cast<std::size_t>(message.tables_size()));
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto& position = message.tables(static_cast<int>(i));
+        auto& known = from.tables[i];
+        // Changes behind a gap are merged, but not acknowledged.
+        if (position.after() <= known.merged)
+            known.merged = std::max(known.merged, position.up_to());
+        if (message.receiver_incarnation() != incarnation_)
+            continue;
+        const auto acknowledged =
+            std::min(position.acknowledged(), tables_[i].version());
+        progress = progress || acknowledged > known.acknowledged;
+        known.acknowledged = acknowledged;
+    }
+    return progress;
+}
+
+peer_exchange::datagram peer_exchange::message_to(const std::string& host,
+                                                  bool reply_wanted,
+                                                  time_point now)
+{
+    v1::PeerMessage message;
+    message.set_incarnation(incarnation_);
+    message.set_reply_wanted(reply_wanted);
+    const auto found = peers_.find(host);
+    if (found != peers_.end())
+        message.set_receiver_incarnation(found->second.incarnation);
+    for (std::size_t i = 0; i < tables_.size(); ++i) {
+        auto& position = *message.add_tables();
+        if (found != peers_.end()) {
+            position.set_after(found->second.tables[i].acknowledged);
+            position.set_acknowledged(found->second.tables[i].merged);
+        }
+        position.set_up_to(tables_[i].write(position.after(), message));
+    }
+    name_peers(message, host, now);
+    return {host, message.SerializeAsString()};
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -33,6 +33,7 @@
     free_memory,
     queued,
     retries_left,
+    peers,
     dropped_log_lines,
     engine_running,
     engine_queued,
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -16,6 +16,7 @@
 constexpr double hour_s = 3600;
 constexpr double minute_ms = 60000;
 constexpr double max_port = 65535;
+constexpr double max_seeds = 64;
 
 void append(settings_table& table, const settings_table& rows)
 {
@@ -83,6 +84,18 @@
     };
 }
 
+settings_table peer_rows(gateway_settings& settings)
+{
+    return {
+        {"peers.listen", &settings.peers_listen, optional, 0, 0, "",
+         "UDP address for what gateways tell each other; they use the same "
+         "port on all VMs. Port 0: this gateway learns nothing from others."},
+        {"peers.seeds", &settings.peer_seeds, optional, 0, max_seeds, "",
+         "IP addresses of some gateways, by which a gateway finds the others; "
+         "a port after an address is ignored. They may be down."},
+    };
+}
+
 settings_table time_rows(gateway_settings& settings)
 {
     return {
@@ -121,6 +134,7 @@
     auto table = top_level_rows(settings);
     append(table, directory_rows(settings));
     append(table, load_rows(settings));
+    append(table, peer_rows(settings));
     append(table, time_rows(settings));
     return table;
 }
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -29,6 +30,10 @@
     ip_endpoint loads_listen{"0.0.0.0", 0}; ///< UDP, for monitors' loads
     std::uint64_t monitor_port = 0;         ///< 0: no monitors are queried
 
+    ip_endpoint peers_listen{"0.0.0.0", 0}; ///< UDP; port 0: no peers
+    /** IP addresses of some gateways; a port after an address is ignored. */
+    std::vector<std::string> peer_seeds;
+
     /** 0: the configuration never expires. */
     milliseconds configuration_lease{0};
     /** Time between two of the gateway's own queries for upstream changes. */
