Refuse requests that crash upstreams, at all gateways

Cause: a gateway judged each request id on its own. After two lost attempts it answered 502; the same work came again under a new id, often through another gateway, and no one knew it. The entries' path had poison marks, the gateways' path none.

The marks of that path are shared now, not written again: poison_register with two losses that convict, held by poison_guard and exchanged between gateways by peer_exchange. crash_detector tells a crash from a broken connection, so resets convict nobody; a request that had run for half a second when its upstream crashed is marked at half the weight; a success clears the marks everywhere. A convicted request is refused at once with 503, or reported lost if it may have run, and Retry-After is the time until one gateway may try it again, once, after a minute and after ten more.

--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_CRASH_DETECTOR_HPP
 
 #include "link_reactor.hpp"
+#include "poison_register.hpp"
 #include "tcp_connection.hpp"
 #include "upstream_record.hpp"
 
@@ -19,6 +20,7 @@
 struct lost_request {
     std::string id;
     std::uint64_t fingerprint = 0;
+    mark_strength strength = mark_strength::strong;
 };
 
 /**
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -25,6 +25,11 @@
  * of two random engines balances almost as well as the best of all.
  */
 constexpr std::size_t probed_engines = 2;
+/**
+ * A request that crashes its upstream does so when it begins to run. One that
+ * has run for this long is less likely the cause.
+ */
+constexpr milliseconds settling_time{500};
 
 /** Step after a failed attempt when the retry budget is exhausted. */
 attempt_step step_without_budget(attempt_result result)
@@ -112,11 +117,8 @@
 
 void exchange::dispatch()
 {
-    // The lease may have expired during a wait or a suspension of the VM.
-    if (!context_.lease.valid(boot_now())) {
-        refuse_without_lease();
+    if (!may_send())
         return;
-    }
     if (service_.empty()) {
         service_ = choose_service(*admitted_.route, context_.random);
         profile_.set_service(service_);
@@ -130,10 +132,32 @@
         dispatch_by_estimates();
 }
 
-void exchange::refuse_without_lease()
+bool exchange::may_send()
 {
-    refuse(runs_ > 0 ? gateway_refusal::upstream_lost
-                     : gateway_refusal::no_configuration);
+    // The lease may have expired during a wait or a suspension of the VM.
+    if (!context_.lease.valid(boot_now())) {
+        refuse_or_report_lost(gateway_refusal::no_configuration);
+        return false;
+    }
+    const auto now = context_.reactor->now();
+    if (on_trial_ && sends_ == 0)
+        return true;
+    const auto admission = context_.poison.admit(fingerprint_, now);
+    on_trial_ = admission == poison_admission::trial;
+    if (admission != poison_admission::refused)
+        return true;
+    refuse_or_report_lost(gateway_refusal::poison,
+                          context_.poison.time_to_trial(fingerprint_, now));
+    return false;
+}
+
+void exchange::refuse_or_report_lost(gateway_refusal refusal,
+                                     std::optional<milliseconds> time_to_room)
+{
+    if (runs_ > 0)
+        refuse(gateway_refusal::upstream_lost);
+    else
+        refuse(refusal, time_to_room);
 }
 
 bool exchange::may_refuse() const
@@ -207,12 +231,10 @@
 void exchange::start_found(const upstream_record& upstream)
 {
     search_.reset();
-    if (!context_.lease.valid(boot_now())) {
+    if (may_send())
+        send(upstream, std::nullopt);
+    else
         context_.monitors->end_start(upstream.address.host, facts_.id);
-        refuse_without_lease();
-        return;
-    }
-    send(upstream, std::nullopt);
 }
 
 void exchange::probe_loads()
@@ -220,16 +242,14 @@
     auto engines = context_.choice.start_candidates(
         service_, make_placement_request(), tried_, probed_engines,
         context_.reactor->now());
-    probe_ = std::make_shared<load_probe>(
-        context_, std::move(engines), [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (!self || self->over_)
-                return;
-            if (self->context_.lease.valid(boot_now()))
-                self->dispatch_by_estimates();
-            else
-                self->refuse_without_lease();
-        });
+    probe_ = std::make_shared<load_probe>(context_, std::move(engines),
+                                          [weak = weak_from_this()] {
+                                              const auto self = weak.lock();
+                                              if (!self || self->over_)
+                                                  return;
+                                              if (self->may_send())
+                                                  self->dispatch_by_estimates();
+                                          });
     probe_->start();
 }
 
@@ -325,6 +345,7 @@
     outgoing.has_no_response_body = request_.head.method == "HEAD";
     attempt_began_ = context_.reactor->now();
     outgoing.connect_deadline = attempt_began_ + profile_.connect_timeout();
+    first_part_at_.reset();
     tried_.push_back(upstream.id);
     resume_from_ = resume_from;
     answer_.prepare_next_response();
@@ -383,6 +404,8 @@
         cut(name_of(progress.error()));
         return;
     }
+    if (!first_part_at_)
+        first_part_at_ = context_.reactor->now();
     if (!progress->relayed)
         return;
     recorder_.record_late_part(*progress, tried_.back(), answer_.events());
@@ -413,7 +436,7 @@
     const auto id = attempt_->upstream().id;
     release_attempt();
     if (answer_.relaying()) {
-        context_.upstreams.record_success(id, context_.reactor->now());
+        record_upstream_success(id);
         record_attempt("complete", "deliver");
         answer_.finish(context_.reactor->now());
         end(request_outcome::answered, answer_.status());
@@ -421,7 +444,7 @@
     }
     auto result = classify_response(answer_.status(), answer_.facts());
     if (!result && !answer_.begun()) {
-        context_.upstreams.record_success(id, context_.reactor->now());
+        record_upstream_success(id);
         record_attempt("complete", "deliver");
         deliver();
         return;
@@ -436,6 +459,13 @@
     end_attempt(*result);
 }
 
+void exchange::record_upstream_success(const std::string& upstream_id)
+{
+    const auto now = context_.reactor->now();
+    context_.upstreams.record_success(upstream_id, now);
+    context_.poison.record_success(fingerprint_, now);
+}
+
 void exchange::handle_loss(attempt_loss loss)
 {
     if (over_)
@@ -458,7 +488,8 @@
     // An upstream that leaves ends with its requests, whatever they are.
     const bool leaves = state != nullptr && state->leaving;
     if (loss == attempt_loss::broken && !leaves)
-        context_.crashes->record_loss(upstream, {facts_.id, fingerprint_});
+        context_.crashes->record_loss(upstream,
+                                      {facts_.id, fingerprint_, suspicion()});
     if (answer_.begun() && state != nullptr && !state->leaving)
         context_.record_crash(id);
     if (loss == attempt_loss::broken && resume_at_backup())
@@ -467,6 +498,14 @@
                                                : attempt_result::lost);
 }
 
+mark_strength exchange::suspicion() const
+{
+    const bool settled =
+        first_part_at_ &&
+        context_.reactor->now() - *first_part_at_ > settling_time;
+    return settled ? mark_strength::weak : mark_strength::strong;
+}
+
 void exchange::arm_response_timeout()
 {
     const auto& route = *admitted_.route;
@@ -529,9 +568,12 @@
 {
     const auto step = next_step(result, current_state());
     const auto now = context_.reactor->now();
-    if (step != attempt_step::again || context_.budget.try_retry(service_, now))
+    if (step != attempt_step::again)
         return step;
-    return step_without_budget(result);
+    // A trial shows after one loss that the request is poison.
+    if (on_trial_ || !context_.budget.try_retry(service_, now))
+        return step_without_budget(result);
+    return step;
 }
 
 request_recorder::attempt exchange::attempt_record()
@@ -686,7 +728,9 @@
 bool exchange::resume_at_backup()
 {
     const auto backup = std::exchange(backup_, std::nullopt);
-    if (!backup || context_.reactor->now() >= admitted_.deadline)
+    const auto now = context_.reactor->now();
+    if (!backup || now >= admitted_.deadline ||
+        context_.poison.is_poison(fingerprint_, now))
         return false;
     const auto* state = context_.upstreams.find(backup->id);
     if (state == nullptr || state->record != *backup)
@@ -721,10 +765,11 @@
     head.status = row.status;
     head.fields.push_back({"Content-Type", "application/json"});
     if (row.status == 503) {
-        const double seconds =
-            std::chrono::duration<double>(
-                profile_.retry_after(time_to_room, context_.random))
-                .count();
+        const auto delay =
+            refusal == gateway_refusal::poison && time_to_room
+                ? jitter_retry_delay(*time_to_room, context_.random)
+                : profile_.retry_after(time_to_room, context_.random);
+        const double seconds = std::chrono::duration<double>(delay).count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
     answer_.refuse(std::move(head),
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -63,8 +63,16 @@
     bool needs_start_grant() const;
     /** True if the service has engines and this gateway uses monitors. */
     bool uses_monitors() const;
-    /** Refuses the request because the lease on the configuration expired. */
-    void refuse_without_lease();
+    /**
+     * Returns whether the request may be sent to an upstream now. Otherwise
+     * refuses it: the lease on the configuration has expired, or upstreams have
+     * crashed under the request.
+     */
+    bool may_send();
+    /** Refuses the request, or reports it lost if it may have run. */
+    void refuse_or_report_lost(
+        gateway_refusal refusal,
+        std::optional<milliseconds> time_to_room = std::nullopt);
     void search_start();
     void start_found(const upstream_record& upstream);
     /** Queries a few engines for their load when no monitor responds. */
@@ -83,6 +91,9 @@
     void handle_head(http_head&& head, const response_facts& facts);
     void handle_body(std::string_view bytes);
     void handle_complete();
+    void record_upstream_success(const std::string& upstream_id);
+    /** How likely the request is the cause if its upstream has crashed. */
+    mark_strength suspicion() const;
     void handle_loss(attempt_loss loss);
     /** Sets the timeout for the start of the response. */
     void arm_response_timeout();
@@ -129,6 +140,8 @@
 
     std::shared_ptr<upstream_attempt> attempt_;
     time_point attempt_began_{};
+    std::optional<time_point> first_part_at_; ///< of the attempt's response
+    bool on_trial_ = false;          ///< run once more although it is poison
     std::vector<std::string> tried_; ///< upstream ids; the last is the latest
     unsigned runs_ = 0;              ///< attempts that may have run
     unsigned sends_ = 0;             ///< all attempts
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -17,19 +17,40 @@
     : reactor(std::move(shared_reactor)), dialect(std::move(wire_dialect)),
       connections(reactor), engine_client_pool(reactor),
       upstreams(std::move(upstream_hooks)), budget(retries), lease(lease_term),
-      random(seed), choice(upstreams, random)
+      random(seed), choice(upstreams, random), poison(random)
 {
+    poison_guard::hooks on;
+    on.changed = [this] {
+        if (peers)
+            peers->push_changes();
+    };
+    on.convicted = [](std::uint64_t fingerprint) {
+        log_event(log_severity::warning, log_event_name::poison_convicted,
+                  {{log_key::fingerprint, fingerprint_text(fingerprint)}});
+    };
+    poison.set_hooks(std::move(on));
     crashes = std::make_shared<crash_detector>(
-        reactor, [](const upstream_record& upstream, const lost_request& lost) {
-            log_event(
-                log_severity::warning, log_event_name::upstream_crashed,
-                {{log_key::request_id, lost.id},
-                 {log_key::upstream, upstream.id},
-                 {log_key::address, to_string(upstream.address)},
-                 {log_key::fingerprint, fingerprint_text(lost.fingerprint)}});
+        reactor,
+        [this](const upstream_record& upstream, const lost_request& lost) {
+            handle_crash(upstream, lost);
         });
 }
 
+void gateway_context::handle_crash(const upstream_record& upstream,
+                                   const lost_request& lost)
+{
+    log_event(log_severity::warning, log_event_name::upstream_crashed,
+              {{log_key::request_id, lost.id},
+               {log_key::upstream, upstream.id},
+               {log_key::address, to_string(upstream.address)},
+               {log_key::fingerprint, fingerprint_text(lost.fingerprint)},
+               {log_key::kind,
+                lost.strength == mark_strength::strong ? "begun" : "running"}});
+    metrics.count(exported_metric::crashes_seen, {upstream.service});
+    poison.record_crash(upstream.id, lost.fingerprint, lost.strength,
+                        reactor->now());
+}
+
 void gateway_context::record_crash(const std::string& upstream_id)
 {
     const auto now = reactor->now();
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include "link_reactor.hpp"
 #include "monitor_link.hpp"
 #include "peer_link.hpp"
+#include "poison_guard.hpp"
 #include "response_time.hpp"
 #include "shared_retry_budget.hpp"
 #include "upstream_choice.hpp"
@@ -45,6 +46,9 @@
      * for a while. Logs it unless they are made already.
      */
     void record_crash(const std::string& upstream_id);
+    /** Marks a request that an upstream had when it crashed. */
+    void handle_crash(const upstream_record& upstream,
+                      const lost_request& lost);
 
     std::shared_ptr<link_reactor> reactor;
     std::shared_ptr<const gateway_dialect> dialect;
@@ -60,11 +64,12 @@
     response_times route_response_times;
     configuration_lease lease;
     backup_policy backups;
-    std::shared_ptr<crash_detector> crashes;
     /** Null until a configuration is known; replaced, never modified. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
     upstream_choice choice;
+    poison_guard poison;
+    std::shared_ptr<crash_detector> crashes;
     /** Null in a deployment without monitors. */
     std::shared_ptr<monitor_link> monitors;
     /** Null in a deployment whose gateways do not know each other. */
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -172,7 +172,8 @@
         return;
     context_->peers = std::make_shared<peer_link>(
         loop_->reactor(), settings_.peers_listen,
-        seed_hosts(settings_.peer_seeds), std::vector<peer_table>(),
+        seed_hosts(settings_.peer_seeds),
+        std::vector<peer_table>{context_->poison.table()},
         std::random_device{}());
     context_->peers->start();
 }
@@ -300,6 +301,9 @@
            ",\"peers\":" +
            std::to_string(context_->peers ? context_->peers->gateway_count() - 1
                                           : 0) +
+           ",\"poison_requests\":" +
+           std::to_string(
+               context_->poison.count_poison(context_->reactor->now())) +
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(caller_server_->connections()) +
            ",\"idle_upstream_connections\":" +
@@ -319,6 +323,8 @@
     metrics.set(exported_metric::running, {}, context_->running.size());
     metrics.set(exported_metric::connections, {},
                 caller_server_->connections());
+    metrics.set(exported_metric::poison_requests, {},
+                static_cast<double>(context_->poison.count_poison(now)));
     if (context_->peers)
         metrics.set(exported_metric::peers, {},
                     static_cast<double>(context_->peers->gateway_count() - 1));
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -35,6 +35,9 @@
     gateway_refusal_row{
         share_spent, "share_spent", 503, true,
         "The engines are full and the team has used its fair share."},
+    gateway_refusal_row{
+        gateway_refusal::poison, "poison", 503, true,
+        "Upstreams have crashed while they ran a request with this work."},
     gateway_refusal_row{expired_unsent, "expired_unsent", 503, true,
                         "The deadline passed before the request was sent."},
     gateway_refusal_row{expired, "expired", 504, false,
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -284,7 +284,7 @@
             position.set_after(found->second.tables[i].acknowledged);
             position.set_acknowledged(found->second.tables[i].merged);
         }
-        position.set_up_to(tables_[i].write(position.after(), message));
+        position.set_up_to(tables_[i].write(position.after(), message, now));
     }
     name_peers(message, host, now);
     return {host, message.SerializeAsString()};
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -31,7 +31,9 @@
      * Adds the oldest changes after a version to the message, as many as fit
      * into a datagram, and returns the version that they reach.
      */
-    std::function<std::uint64_t(std::uint64_t after, v1::PeerMessage&)> write;
+    std::function<std::uint64_t(std::uint64_t after, v1::PeerMessage&,
+                                time_point now)>
+        write;
     /** Merges the changes in the message that are new to this copy. */
     std::function<void(const v1::PeerMessage&, time_point now)> merge;
 };
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -34,6 +34,8 @@
     queued,
     retries_left,
     peers,
+    poison_requests,
+    crashes_seen,
     dropped_log_lines,
     engine_running,
     engine_queued,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -119,6 +119,9 @@
     log_event_row{log_event_name::poison_marked, "poison_marked",
                   "A request was marked as a suspect because its upstream was "
                   "lost while serving it."},
+    log_event_row{log_event_name::poison_convicted, "poison_convicted",
+                  "Several upstreams crashed while they ran requests with this "
+                  "fingerprint; the gateway refuses them."},
     log_event_row{log_event_name::order_given, "order_given",
                   "The engine accepted an order; fence is its fencing number."},
     log_event_row{log_event_name::order_refused, "order_refused",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -54,6 +54,7 @@
     drain_finished,
     drain_timed_out,
     poison_marked,
+    poison_convicted,
     order_given,
     order_refused,
     answer_cut,
--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fleet.hpp"
 
 #include "http_dialect.hpp"
+#include "scripted_monitor.hpp"
 
 #include <thread>
 
@@ -46,16 +47,21 @@
 
 void gateway_fleet::start_fleet(std::size_t count)
 {
+    const auto peers_port = scripted_monitor::free_port();
     for (std::size_t i = 0; i < count; ++i) {
         auto added = std::make_unique<node>();
         added->settings = settings;
         added->settings.name = "gateway-" + std::to_string(i + 1);
+        added->settings.peers_listen = {"127.0.0." + std::to_string(i + 1),
+                                        peers_port};
+        added->settings.peer_seeds = {"127.0.0.1"};
         nodes_.push_back(std::move(added));
     }
     for (std::size_t i = 0; i < count; ++i) {
         start_node(*nodes_[i]);
         ASSERT_TRUE(wait_for_state(i, "\"configuration_version\":1,"));
     }
+    ASSERT_TRUE(all_learn("\"peers\":" + std::to_string(count - 1) + ","));
 }
 
 void gateway_fleet::restart(std::size_t index)
--- a/tests/gateway/test_peer_exchange.cpp
+++ b/tests/gateway/test_peer_exchange.cpp
@@ -24,9 +24,8 @@
     std::vector<peer_table> tables()
     {
         return {{[this] { return version_; },
-                 [this](std::uint64_t after, v1::PeerMessage& message) {
-                     return write(after, message);
-                 },
+                 [this](std::uint64_t after, v1::PeerMessage& message,
+                        time_point) { return write(after, message); },
                  [this](const v1::PeerMessage& message, time_point) {
                      for (const auto& mark : message.marks())
                          add(mark.fingerprint());
