--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -386,6 +386,9 @@
 void exchange::handle_head(http_head&& head, const response_facts& facts)
 {
     context_.upstreams.record_connection_success(attempt_->upstream().id);
+    // Another process answers for a misdirected request.
+    if (!is_misdirected(head.status))
+        context_.record_limit(attempt_->upstream(), facts.request_limit);
     // A resumed generation does not prefill its prompt, so its response time
     // is not typical.
     if (!resume_from_)
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -36,6 +36,20 @@
         });
 }
 
+void gateway_context::record_limit(const upstream_record& upstream,
+                                   std::optional<double> limit)
+{
+    if (!limits.record_answer(upstream.id, limit, reactor->now()))
+        return;
+    log_event(log_severity::warning,
+              limit ? log_event_name::upstream_limited
+                    : log_event_name::upstream_limit_lifted,
+              {{log_key::upstream, upstream.id},
+               {log_key::address, to_string(upstream.address)},
+               {log_key::service, upstream.service},
+               {log_key::limit, limit.value_or(-1)}});
+}
+
 void gateway_context::handle_crash(const upstream_record& upstream,
                                    const lost_request& lost)
 {
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -16,6 +16,7 @@
 #include "shared_retry_budget.hpp"
 #include "upstream_choice.hpp"
 #include "upstream_connections.hpp"
+#include "upstream_limits.hpp"
 #include "upstream_registry.hpp"
 
 #include <memory>
@@ -46,6 +47,9 @@
      * for a while. Logs it unless they are made already.
      */
     void record_crash(const std::string& upstream_id);
+    /** Records the limit that an answer names, and logs a change. */
+    void record_limit(const upstream_record& upstream,
+                      std::optional<double> limit);
     /** Marks a request that an upstream had when it crashed. */
     void handle_crash(const upstream_record& upstream,
                       const lost_request& lost);
@@ -60,6 +64,7 @@
     upstream_connections connections;
     engine_clients engine_client_pool;
     upstream_registry upstreams;
+    upstream_limits limits;
     shared_retry_budget budget;
     response_times route_response_times;
     configuration_lease lease;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -301,6 +301,9 @@
            ",\"peers\":" +
            std::to_string(context_->peers ? context_->peers->gateway_count() - 1
                                           : 0) +
+           ",\"limited_upstreams\":" +
+           std::to_string(
+               context_->limits.count_limited(context_->reactor->now())) +
            ",\"poison_requests\":" +
            std::to_string(
                context_->poison.count_poison(context_->reactor->now())) +
@@ -323,6 +326,8 @@
     metrics.set(exported_metric::running, {}, context_->running.size());
     metrics.set(exported_metric::connections, {},
                 caller_server_->connections());
+    metrics.set(exported_metric::limited_upstreams, {},
+                static_cast<double>(context_->limits.count_limited(now)));
     metrics.set(exported_metric::poison_requests, {},
                 static_cast<double>(context_->poison.count_poison(now)));
     if (context_->peers)
--- a/src/libcyclamenrun/gateway/request_facts.hpp
+++ b/src/libcyclamenrun/gateway/request_facts.hpp
@@ -58,6 +58,11 @@
     bool not_run = false;
     /** The upstream confirms that the body is valid. */
     bool sealed = false;
+    /**
+     * Requests a second that the upstream takes from all gateways together;
+     * empty: it names no limit.
+     */
+    std::optional<double> request_limit;
     /** Time for which the upstream keeps an idle connection, if stated. */
     std::optional<milliseconds> keep_alive_timeout;
 };
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -99,6 +99,9 @@
     exported_metric_row{exported_metric::peers, "cyclamenrun_peers",
                         exported_kind::gauge, "",
                         "Other gateways that this gateway exchanges with."},
+    exported_metric_row{exported_metric::limited_upstreams,
+                        "cyclamenrun_limited_upstreams", exported_kind::gauge,
+                        "", "Upstreams that name a limit in their answers."},
     exported_metric_row{
         exported_metric::poison_requests, "cyclamenrun_poison_requests",
         exported_kind::gauge, "",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -34,6 +34,7 @@
     queued,
     retries_left,
     peers,
+    limited_upstreams,
     poison_requests,
     crashes_seen,
     dropped_log_lines,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -150,6 +150,12 @@
     log_event_row{log_event_name::upstream_crashed, "upstream_crashed",
                   "An upstream crashed while it had the request: it broke the "
                   "connection, and its host refuses a new one."},
+    log_event_row{log_event_name::upstream_limited, "upstream_limited",
+                  "An upstream names a limit in its answers: the requests a "
+                  "second that it takes from all gateways together."},
+    log_event_row{log_event_name::upstream_limit_lifted,
+                  "upstream_limit_lifted",
+                  "An upstream no longer names a limit."},
     log_event_row{log_event_name::directory_lost, "directory_lost",
                   "The platform's directory does not respond."},
     log_event_row{log_event_name::directory_regained, "directory_regained",
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -35,6 +35,7 @@
     key_row{log_key::infos, "infos"},
     key_row{log_key::kind, "kind"},
     key_row{log_key::left_out, "left_out"},
+    key_row{log_key::limit, "limit"},
     key_row{log_key::load_age_ms, "load_age_ms"},
     key_row{log_key::longest_pause_ms, "longest_pause_ms"},
     key_row{log_key::memory_taken, "memory_taken"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -37,6 +37,7 @@
     infos,
     kind,
     left_out,
+    limit,
     load_age_ms,
     longest_pause_ms,
     memory_taken,
