--- a/src/libcyclamenrun/decisions/team_limiter.cpp
+++ b/src/libcyclamenrun/decisions/team_limiter.cpp
@@ -62,11 +62,11 @@
         return tl::unexpected(over_limit("max_concurrent", slot_retry_after));
     fill(current, limits, now);
     if (current.rate > 0.0) {
-        if (current.tokens <= 0.0)
-            return tl::unexpected(
-                over_limit("tokens_per_second",
-                           to_retry_after(-current.tokens / current.rate)));
-        current.tokens -= prompt_tokens;
+        const double tokens = current.bucket.tokens();
+        if (tokens <= 0.0)
+            return tl::unexpected(over_limit(
+                "tokens_per_second", to_retry_after(-tokens / current.rate)));
+        current.bucket.take(prompt_tokens);
     }
     ++current.running;
     return {};
@@ -78,12 +78,10 @@
     const bool is_new = current.rate == 0.0;
     current.rate = static_cast<double>(limits.tokens_per_second) / entries_;
     const double capacity = current.rate * bucket_s;
-    const double elapsed =
-        std::chrono::duration<double>(now - current.filled_at).count();
-    current.filled_at = now;
-    current.tokens =
-        is_new ? capacity
-               : std::min(current.tokens + elapsed * current.rate, capacity);
+    if (is_new)
+        current.bucket = token_bucket(capacity, now);
+    else
+        current.bucket.fill(current.rate, capacity, now);
 }
 
 bool team_limiter::make_room()
@@ -92,7 +90,7 @@
         return true;
     // A team in debt is kept, or a burst of new teams would erase its debt.
     std::erase_if(teams_, [](const auto& item) {
-        return item.second.running == 0 && item.second.tokens >= 0.0;
+        return item.second.running == 0 && item.second.bucket.tokens() >= 0.0;
     });
     return teams_.size() < max_teams_;
 }
@@ -101,7 +99,7 @@
 {
     const auto found = teams_.find(team);
     if (found != teams_.end() && found->second.rate > 0.0)
-        found->second.tokens -= tokens;
+        found->second.bucket.take(tokens);
 }
 
 void team_limiter::record_end(const std::string& team)
--- a/src/libcyclamenrun/decisions/team_limiter.hpp
+++ b/src/libcyclamenrun/decisions/team_limiter.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 #include "refusal.hpp"
+#include "token_bucket.hpp"
 
 #include <cstdint>
 #include <string>
@@ -48,9 +49,8 @@
 private:
     struct state {
         std::uint32_t running = 0;
-        double tokens = 0.0; ///< left in the bucket; below 0: debt
-        double rate = 0.0;   ///< this entry's share, in tokens per second
-        time_point filled_at{};
+        token_bucket bucket;
+        double rate = 0.0; ///< this entry's share, in tokens per second
     };
 
     bool make_room();
