Keep the limits that upstreams name, over all gateways

No gateway obeyed it, and those without an answer of that upstream could not know it.

A gateway keeps the limit of each upstream from its latest answer and tells the others by the exchange that carries poison marks, with the age of the observation; the newest wins. Each uses an equal share and saves up one request at most. Upstreams without room are passed over; if none has room the request is refused at once with the time when the share has room, one request later for each further caller. Forced sends leave a debt.

--- a/src/libcyclamenrun/decisions/upstream_limits.cpp
+++ b/src/libcyclamenrun/decisions/upstream_limits.cpp
@@ -1,6 +1,8 @@
 #include "upstream_limits.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace cyclamenrun
 {
@@ -13,9 +15,27 @@
  * upstream.
  */
 constexpr milliseconds limit_lifetime{60000};
+/** Other gateways are told that an unchanged limit holds after this time. */
+constexpr milliseconds confirm_interval{10000};
+/** Requests that a gateway may save up. */
+constexpr double bucket_capacity = 1;
+/** Smaller changes of a limit matter less than the shares' inaccuracy. */
+constexpr double significant_change = 0.05;
+
+bool differs(std::optional<double> left, std::optional<double> right)
+{
+    if (!left || !right)
+        return left.has_value() != right.has_value();
+    return std::abs(*left - *right) > significant_change * *left;
+}
 
 } // namespace
 
+void upstream_limits::set_gateway_count(std::size_t count)
+{
+    gateways_ = std::max<std::size_t>(1, count);
+}
+
 upstream_limits::record*
 upstream_limits::find_or_add(const std::string& upstream, time_point now)
 {
@@ -31,36 +51,159 @@
     return &records_[upstream];
 }
 
+const upstream_limits::record*
+upstream_limits::find_limited(const std::string& upstream, time_point now) const
+{
+    const auto known = records_.find(upstream);
+    const bool is_limited = known != records_.end() && known->second.limit &&
+                            now - known->second.observed_at < limit_lifetime;
+    return is_limited ? &known->second : nullptr;
+}
+
+bool upstream_limits::observe(const std::string& upstream,
+                              std::optional<double> limit,
+                              time_point observed_at, time_point now)
+{
+    auto* const found = find_or_add(upstream, now);
+    if (found == nullptr)
+        return false;
+    auto& known = *found;
+    const auto before = find_limited(upstream, now) != nullptr
+                            ? known.limit
+                            : std::optional<double>();
+    if (!before && limit) {
+        std::uniform_real_distribution<double> part(0, bucket_capacity);
+        known.bucket = token_bucket(part(random_), now);
+        known.next_return = {};
+    }
+    if (before)
+        known.bucket.fill(share_of(known), bucket_capacity, now);
+    known.observed_at = observed_at;
+    known.limit = limit;
+    const bool changed = differs(before, limit);
+    if (changed || observed_at - known.shared_at >= confirm_interval) {
+        known.shared_at = observed_at;
+        known.changed = ++version_;
+    }
+    return changed;
+}
+
 bool upstream_limits::record_answer(const std::string& upstream,
                                     std::optional<double> limit, time_point now)
 {
-    const auto known = limit_of(upstream, now);
-    if (!limit && !known)
+    if (!limit && find_limited(upstream, now) == nullptr)
         return false;
-    auto* const found = find_or_add(upstream, now);
-    if (found == nullptr)
+    return observe(upstream, limit, now, now);
+}
+
+bool upstream_limits::merge(const limit_observation& observed, time_point now)
+{
+    if (now - observed.observed_at >= limit_lifetime)
+        return false;
+    const auto known = records_.find(observed.upstream);
+    if (known != records_.end() &&
+        observed.observed_at <= known->second.observed_at)
         return false;
-    found->limit = limit;
-    found->observed_at = now;
-    return known != limit;
+    return observe(observed.upstream, observed.limit, observed.observed_at,
+                   now);
 }
 
 std::optional<double> upstream_limits::limit_of(const std::string& upstream,
                                                 time_point now) const
 {
-    const auto known = records_.find(upstream);
-    if (known == records_.end() ||
-        now - known->second.observed_at >= limit_lifetime)
-        return std::nullopt;
-    return known->second.limit;
+    const auto* const known = find_limited(upstream, now);
+    return known != nullptr ? known->limit : std::nullopt;
 }
 
 std::size_t upstream_limits::count_limited(time_point now) const
 {
     return static_cast<std::size_t>(
         std::count_if(records_.begin(), records_.end(), [&](const auto& known) {
-            return limit_of(known.first, now).has_value();
+            return find_limited(known.first, now) != nullptr;
         }));
 }
 
+double upstream_limits::share_of(const record& known) const
+{
+    return *known.limit / static_cast<double>(gateways_);
+}
+
+milliseconds upstream_limits::time_between_requests(const record& known) const
+{
+    const double share = share_of(known);
+    const double longest =
+        std::chrono::duration<double>(limit_lifetime).count();
+    const double seconds = share > 0 ? std::min(longest, 1 / share) : longest;
+    return milliseconds(std::llround(seconds * 1000));
+}
+
+bool upstream_limits::has_room(const std::string& upstream,
+                               time_point now) const
+{
+    return time_to_room(upstream, now) == milliseconds::zero();
+}
+
+milliseconds upstream_limits::time_to_room(const std::string& upstream,
+                                           time_point now) const
+{
+    const auto* const known = find_limited(upstream, now);
+    if (known == nullptr)
+        return milliseconds(0);
+    const double missing =
+        bucket_capacity -
+        known->bucket.tokens_at(share_of(*known), bucket_capacity, now);
+    if (missing <= 0)
+        return milliseconds(0);
+    const double wait =
+        missing * static_cast<double>(time_between_requests(*known).count());
+    return milliseconds(std::llround(std::ceil(wait)));
+}
+
+void upstream_limits::record_send(const std::string& upstream, time_point now)
+{
+    if (find_limited(upstream, now) == nullptr)
+        return;
+    auto& known = records_.at(upstream);
+    known.bucket.fill(share_of(known), bucket_capacity, now);
+    known.bucket.take(1);
+}
+
+milliseconds upstream_limits::reserve_return(const std::string& upstream,
+                                             time_point now)
+{
+    if (find_limited(upstream, now) == nullptr)
+        return milliseconds(0);
+    auto& known = records_.at(upstream);
+    const auto return_at =
+        std::max(now + time_to_room(upstream, now), known.next_return);
+    known.next_return = return_at + time_between_requests(known);
+    // Far returns are not worth a promise: callers give up before.
+    known.next_return = std::min(known.next_return, now + limit_lifetime);
+    return time_left(return_at, now);
+}
+
+upstream_limits::batch upstream_limits::oldest_since(std::uint64_t version,
+                                                     std::size_t count,
+                                                     time_point now) const
+{
+    std::vector<std::pair<std::uint64_t, const std::string*>> changed;
+    for (const auto& [upstream, known] : records_)
+        if (known.changed > version)
+            changed.emplace_back(known.changed, &upstream);
+    std::sort(changed.begin(), changed.end());
+    batch result;
+    result.version = version_;
+    for (const auto& [change, upstream] : changed) {
+        if (result.observations.size() == count) {
+            result.version = change - 1;
+            break;
+        }
+        const auto& known = records_.at(*upstream);
+        if (now - known.observed_at < limit_lifetime)
+            result.observations.push_back(
+                {*upstream, known.limit, known.observed_at});
+    }
+    return result;
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -124,6 +124,8 @@
         profile_.set_service(service_);
         context_.budget.record_request(service_, context_.reactor->now());
     }
+    if (refuse_over_limit())
+        return;
     if (needs_start_grant())
         search_start();
     else if (profile_.engine() != nullptr)
@@ -151,6 +153,19 @@
     return false;
 }
 
+bool exchange::refuse_over_limit()
+{
+    const auto now = context_.reactor->now();
+    const auto first = context_.choice.first_with_room(service_, tried_, now);
+    if (!first)
+        return false;
+    recorder_.over_limit(*first, context_.limits.limit_of(*first, now),
+                         context_.limits.gateway_count());
+    refuse_or_report_lost(gateway_refusal::over_limit,
+                          context_.limits.reserve_return(*first, now));
+    return true;
+}
+
 void exchange::refuse_or_report_lost(gateway_refusal refusal,
                                      std::optional<milliseconds> time_to_room)
 {
@@ -231,10 +246,16 @@
 void exchange::start_found(const upstream_record& upstream)
 {
     search_.reset();
-    if (may_send())
+    // Other requests may have used the room at the engine's limit meanwhile.
+    const bool has_room =
+        context_.limits.has_room(upstream.id, context_.reactor->now());
+    if (has_room && may_send()) {
         send(upstream, std::nullopt);
-    else
-        context_.monitors->end_start(upstream.address.host, facts_.id);
+        return;
+    }
+    context_.monitors->end_start(upstream.address.host, facts_.id);
+    if (!has_room)
+        dispatch();
 }
 
 void exchange::probe_loads()
@@ -284,6 +305,8 @@
             send(placed->record, std::nullopt);
         return;
     }
+    if (refuse_over_limit())
+        return;
     if (runs_ > 0)
         refuse(gateway_refusal::upstream_lost);
     else
@@ -351,6 +374,7 @@
     answer_.prepare_next_response();
     ++sends_;
     // A resumed generation does not prefill its prompt again.
+    context_.limits.record_send(upstream.id, attempt_began_);
     context_.upstreams.record_dispatch(
         upstream.id, resume_from ? 0 : facts_.prompt_tokens, attempt_began_);
     const auto self = shared_from_this();
@@ -574,7 +598,8 @@
     if (step != attempt_step::again)
         return step;
     // A trial shows after one loss that the request is poison.
-    if (on_trial_ || !context_.budget.try_retry(service_, now))
+    if (on_trial_ || context_.choice.first_with_room(service_, tried_, now) ||
+        !context_.budget.try_retry(service_, now))
         return step_without_budget(result);
     return step;
 }
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -69,6 +69,11 @@
      * crashed under the request.
      */
     bool may_send();
+    /**
+     * Refuses the request if all usable upstreams are at their limit. Returns
+     * whether it did.
+     */
+    bool refuse_over_limit();
     /** Refuses the request, or reports it lost if it may have run. */
     void refuse_or_report_lost(
         gateway_refusal refusal,
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -3,6 +3,7 @@
 #include "log_event.hpp"
 #include "request_fingerprint.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -17,7 +18,8 @@
     : reactor(std::move(shared_reactor)), dialect(std::move(wire_dialect)),
       connections(reactor), engine_client_pool(reactor),
       upstreams(std::move(upstream_hooks)), budget(retries), lease(lease_term),
-      random(seed), choice(upstreams, random), poison(random)
+      random(seed), limits(random), choice(upstreams, limits, random),
+      poison(random)
 {
     poison_guard::hooks on;
     on.changed = [this] {
@@ -39,15 +41,44 @@
 void gateway_context::record_limit(const upstream_record& upstream,
                                    std::optional<double> limit)
 {
-    if (!limits.record_answer(upstream.id, limit, reactor->now()))
-        return;
+    const auto version = limits.version();
+    if (limits.record_answer(upstream.id, limit, reactor->now()))
+        log_limit(upstream.id, limit, "answer");
+    if (limits.version() != version && peers)
+        peers->push_changes();
+}
+
+void gateway_context::log_limit(const std::string& upstream_id,
+                                std::optional<double> limit,
+                                std::string_view source) const
+{
+    const auto* state = upstreams.find(upstream_id);
     log_event(log_severity::warning,
               limit ? log_event_name::upstream_limited
                     : log_event_name::upstream_limit_lifted,
-              {{log_key::upstream, upstream.id},
-               {log_key::address, to_string(upstream.address)},
-               {log_key::service, upstream.service},
-               {log_key::limit, limit.value_or(-1)}});
+              {{log_key::upstream, upstream_id},
+               {log_key::service,
+                state != nullptr ? state->record.service : std::string()},
+               {log_key::limit, limit.value_or(-1)},
+               {log_key::count, limits.gateway_count()},
+               {log_key::kind, source}});
+}
+
+void gateway_context::update_gateway_count()
+{
+    // Monitors may know gateways that have not found each other.
+    std::size_t count = peers ? peers->gateway_count() : 0;
+    if (monitors || !peers)
+        count = std::max<std::size_t>(count, budget.gateway_count());
+    limits.set_gateway_count(count);
+}
+
+std::vector<peer_table> gateway_context::shared_tables()
+{
+    return {poison.table(),
+            make_limits_table(limits, [this](const limit_observation& merged) {
+                log_limit(merged.upstream, merged.limit, "gateway");
+            })};
 }
 
 void gateway_context::handle_crash(const upstream_record& upstream,
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -13,6 +13,7 @@
 #include "peer_link.hpp"
 #include "poison_guard.hpp"
 #include "response_time.hpp"
+#include "shared_limits.hpp"
 #include "shared_retry_budget.hpp"
 #include "upstream_choice.hpp"
 #include "upstream_connections.hpp"
@@ -22,6 +23,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 namespace cyclamenrun
@@ -50,6 +52,12 @@
     /** Records the limit that an answer names, and logs a change. */
     void record_limit(const upstream_record& upstream,
                       std::optional<double> limit);
+    void log_limit(const std::string& upstream_id, std::optional<double> limit,
+                   std::string_view source) const;
+    /** Shares of limits are by the number of gateways, as far as known. */
+    void update_gateway_count();
+    /** Tables that this gateway shares with the others. */
+    std::vector<peer_table> shared_tables();
     /** Marks a request that an upstream had when it crashed. */
     void handle_crash(const upstream_record& upstream,
                       const lost_request& lost);
@@ -64,7 +72,6 @@
     upstream_connections connections;
     engine_clients engine_client_pool;
     upstream_registry upstreams;
-    upstream_limits limits;
     shared_retry_budget budget;
     response_times route_response_times;
     configuration_lease lease;
@@ -72,6 +79,7 @@
     /** Null until a configuration is known; replaced, never modified. */
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
+    upstream_limits limits;
     upstream_choice choice;
     poison_guard poison;
     std::shared_ptr<crash_detector> crashes;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -172,8 +172,7 @@
         return;
     context_->peers = std::make_shared<peer_link>(
         loop_->reactor(), settings_.peers_listen,
-        seed_hosts(settings_.peer_seeds),
-        std::vector<peer_table>{context_->poison.table()},
+        seed_hosts(settings_.peer_seeds), context_->shared_tables(),
         std::random_device{}());
     context_->peers->start();
 }
@@ -365,6 +364,7 @@
     if (ended_)
         return;
     directory_->tick();
+    context_->update_gateway_count();
     check_settings();
     context_->reactor->post_at(context_->reactor->now() + tick_interval,
                                [this] { tick(); });
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -35,6 +35,10 @@
     gateway_refusal_row{
         share_spent, "share_spent", 503, true,
         "The engines are full and the team has used its fair share."},
+    gateway_refusal_row{
+        over_limit, "over_limit", 503, true,
+        "All upstreams have named limits, and this gateway has used its "
+        "share."},
     gateway_refusal_row{
         gateway_refusal::poison, "poison", 503, true,
         "Upstreams have crashed while they ran a request with this work."},
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -19,6 +19,7 @@
     upstreams_busy, ///< all upstreams rejected the request without running it
     overloaded,     ///< its deadline would pass in an upstream's queue
     share_spent,    ///< engines are full; its team has used its fair share
+    over_limit,     ///< its share of the upstreams' limits is used
     poison,         ///< upstreams have crashed while they ran it
     expired_unsent, ///< its deadline passed before it was sent
     expired,        ///< its deadline passed at an upstream
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -52,6 +52,16 @@
                   {{log_key::weighed, requested}});
 }
 
+void request_recorder::over_limit(const std::string& upstream,
+                                  std::optional<double> limit,
+                                  std::size_t gateways)
+{
+    trace_.record(log_event_name::limit_reached,
+                  {{log_key::upstream, upstream},
+                   {log_key::limit, limit.value_or(-1)},
+                   {log_key::count, gateways}});
+}
+
 void request_recorder::attempt_ended(const attempt& ended,
                                      std::string_view result,
                                      std::string_view next)
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -38,6 +38,13 @@
     /** Most of the requested engines grant other teams' requests first. */
     void start_passed_over(std::size_t requested);
 
+    /**
+     * All usable upstreams are at their limit. `upstream`: the one that has
+     * room first; `gateways` share its limit.
+     */
+    void over_limit(const std::string& upstream, std::optional<double> limit,
+                    std::size_t gateways);
+
     /** An attempt at an upstream that has ended. */
     struct attempt {
         std::string service;
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -29,6 +29,11 @@
 /** The same for copies; low, to favour engines of the same failure domain. */
 constexpr double copy_request_width = 0.2;
 
+bool contains(const std::vector<std::string>& ids, const std::string& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
 /** Lowest cost among all placements except the one at index `exclude`. */
 std::optional<double>
 lowest_cost_except(const std::vector<placement_candidate>& placements,
@@ -47,16 +52,38 @@
 
 std::vector<const upstream_state*>
 upstream_choice::candidates(const std::string& service,
-                            const std::vector<std::string>& excluded) const
+                            const std::vector<std::string>& excluded,
+                            time_point now) const
 {
     auto all = upstreams_.available(service);
     std::erase_if(all, [&](const upstream_state* upstream) {
-        return std::find(excluded.begin(), excluded.end(),
-                         upstream->record.id) != excluded.end();
+        return contains(excluded, upstream->record.id) ||
+               !limits_.has_room(upstream->record.id, now);
     });
     return all;
 }
 
+std::optional<std::string>
+upstream_choice::first_with_room(const std::string& service,
+                                 const std::vector<std::string>& excluded,
+                                 time_point now) const
+{
+    std::optional<std::string> first;
+    auto least = milliseconds::max();
+    for (const auto* upstream : upstreams_.available(service)) {
+        const auto& id = upstream->record.id;
+        if (contains(excluded, id))
+            continue;
+        const auto wait = limits_.time_to_room(id, now);
+        if (wait == milliseconds::zero())
+            return std::nullopt;
+        if (wait < least)
+            first = id;
+        least = std::min(least, wait);
+    }
+    return first;
+}
+
 std::optional<placed_upstream>
 upstream_choice::choose(const std::vector<const upstream_state*>& from,
                         const placement_request& request,
@@ -88,7 +115,7 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
-    return choose(candidates(service, excluded), request, {}, now);
+    return choose(candidates(service, excluded, now), request, {}, now);
 }
 
 std::optional<placed_upstream>
@@ -100,7 +127,7 @@
     for (const auto& engine : engines) {
         const auto* state = upstreams_.find(engine.id);
         if (state != nullptr && !state->leaving && !state->superseded &&
-            has_fresh_load(*state, now))
+            limits_.has_room(engine.id, now) && has_fresh_load(*state, now))
             known.push_back(state);
     }
     return choose(known, request, {}, now);
@@ -110,15 +137,15 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
 {
-    return draw(candidates(service, excluded), request, {}, start_request_width,
-                count, now);
+    return draw(candidates(service, excluded, now), request, {},
+                start_request_width, count, now);
 }
 
 std::vector<upstream_record> upstream_choice::copy_candidates(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
 {
-    return draw(candidates(service, excluded), request, copy_weights,
+    return draw(candidates(service, excluded, now), request, copy_weights,
                 copy_request_width, count, now);
 }
 
@@ -182,7 +209,8 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
-    return choose(candidates(service, excluded), request, copy_weights, now);
+    return choose(candidates(service, excluded, now), request, copy_weights,
+                  now);
 }
 
 std::optional<upstream_record>
@@ -192,7 +220,7 @@
 {
     double least = backup_below_memory;
     std::optional<upstream_record> backup;
-    auto others = candidates(service, {running_at});
+    auto others = candidates(service, {running_at}, now);
     const auto known = std::stable_partition(
         others.begin(), others.end(), [&](const upstream_state* other) {
             return has_fresh_load(*other, now);
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_UPSTREAM_CHOICE_HPP
 
 #include "gateway_configuration.hpp"
+#include "upstream_limits.hpp"
 #include "upstream_registry.hpp"
 
 #include <optional>
@@ -30,11 +31,22 @@
 class upstream_choice
 {
 public:
-    upstream_choice(const upstream_registry& upstreams, std::mt19937_64& random)
-        : upstreams_(upstreams), random_(random)
+    /** Upstreams at whose limit this gateway is are not chosen. */
+    upstream_choice(const upstream_registry& upstreams,
+                    const upstream_limits& limits, std::mt19937_64& random)
+        : upstreams_(upstreams), limits_(limits), random_(random)
     {
     }
 
+    /**
+     * Returns the upstream that has room first if all that are usable are at
+     * their limit; empty if one is not, or none is usable.
+     */
+    std::optional<std::string>
+    first_with_room(const std::string& service,
+                    const std::vector<std::string>& excluded,
+                    time_point now) const;
+
     /** Upstream for a new request; empty if none is usable and reachable. */
     std::optional<placed_upstream>
     for_request(const std::string& service, const placement_request& request,
@@ -92,7 +104,7 @@
 private:
     std::vector<const upstream_state*>
     candidates(const std::string& service,
-               const std::vector<std::string>& excluded) const;
+               const std::vector<std::string>& excluded, time_point now) const;
     /**
      * Draws up to `count` engines at random, favouring a low cost. `width`: of
      * the random spread, in units of cost.
@@ -107,6 +119,7 @@
            time_point now);
 
     const upstream_registry& upstreams_;
+    const upstream_limits& limits_;
     std::mt19937_64& random_;
 };
 
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -156,6 +156,10 @@
     log_event_row{log_event_name::upstream_limit_lifted,
                   "upstream_limit_lifted",
                   "An upstream no longer names a limit."},
+    log_event_row{
+        log_event_name::limit_reached, "limit_reached",
+        "All usable upstreams are at their limit; limit is that of the "
+        "upstream that has room first, count the gateways that share it."},
     log_event_row{log_event_name::directory_lost, "directory_lost",
                   "The platform's directory does not respond."},
     log_event_row{log_event_name::directory_regained, "directory_regained",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -68,6 +68,7 @@
     upstream_crashed,
     upstream_limited,
     upstream_limit_lifted,
+    limit_reached,
     directory_lost,
     directory_regained,
     lease_ended,
