--- a/bench/capacity_probes.cpp
+++ b/bench/capacity_probes.cpp
@@ -3,6 +3,7 @@
 #include "gate.hpp"
 #include "length_predictor.hpp"
 #include "link.pb.h"
+#include "peer_probes.hpp"
 #include "poison_register.hpp"
 #include "route_table.hpp"
 #include "team_registry.hpp"
@@ -363,7 +364,7 @@
 
 std::vector<capacity_constant> measure_constants()
 {
-    return {
+    std::vector<capacity_constant> constants{
         {"entry", "heartbeat: reply read, next written", "us",
          time_of_heartbeat_at_entry()},
         {"agent", "heartbeat: read, answered", "us",
@@ -377,6 +378,9 @@
         {"agent", "work: submitted, admitted, finished", "us",
          time_of_submission()},
     };
+    for (auto& each : measure_peer_exchange())
+        constants.push_back(std::move(each));
+    return constants;
 }
 
 } // namespace cyclamenrun::bench
--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -85,7 +85,8 @@
                   if (request.head.target.starts_with("/s/"))
                       break_off(request, reply);
                   else
-                      reply.answer(request, 200, "hello");
+                      reply.answer(request, 200, "hello",
+                                   names_limit ? "Server-Limit: 0\r\n" : "");
               }),
           settings(gateway_settings_text(store))
     {
@@ -154,6 +155,7 @@
 
     fake_store store;
     std::atomic<bool> may_answer = true;
+    std::atomic<bool> names_limit = false; ///< the upstream, of zero
     fake_upstream upstream;
     temporary_settings_file settings;
     std::unique_ptr<child_process> process;
--- a/tests/gateway/test_explaining.cpp
+++ b/tests/gateway/test_explaining.cpp
@@ -107,6 +107,49 @@
                                     "revision=2 status=401")));
 }
 
+// Walk-through: a caller is refused because its request crashes upstreams.
+TEST_F(request_explanation, shows_which_upstreams_a_poison_request_crashed)
+{
+    std::vector<std::unique_ptr<fake_upstream>> crashing;
+    for (std::size_t i = 0; i < 2; ++i) {
+        crashing.push_back(std::make_unique<fake_upstream>(
+            [&, i](const arrived_request&, upstream_reply&) {
+                crashing[i]->crash();
+            }));
+        store.put("keyed.servers", "i-c" + std::to_string(i),
+                  R"({"service":"app","address":")" +
+                      to_string(crashing[i]->address()) +
+                      R"(","zone":"d","slots":4,"state":"ready"})");
+    }
+    put_upstream("draining");
+    ASSERT_TRUE(wait_for_log("upstream_leaving"));
+    const auto crashed = send("k1", "/a/poison");
+    ASSERT_TRUE(wait_for_log("poison_convicted"));
+    EXPECT_THAT(explain(crashed),
+                AllOf(ContainsRegex("upstream_crashed .*upstream=i-c0"),
+                      ContainsRegex("upstream_crashed .*upstream=i-c1")));
+    const auto refused = send("k1", "/a/poison");
+    EXPECT_EQ(last_answer.status(), 503U);
+    ASSERT_TRUE(wait_for_end(refused));
+    EXPECT_THAT(explain(refused),
+                AllOf(ContainsRegex("request_admitted .*fingerprint="),
+                      ContainsRegex("request_refused .*reason=poison")));
+}
+
+// Walk-through: a caller is refused because the only upstream names a limit.
+TEST_F(request_explanation, shows_the_limit_of_an_upstream)
+{
+    names_limit = true;
+    (void)send("k1", "/a/x");
+    ASSERT_TRUE(wait_for_log("upstream_limited"));
+    const auto id = send("k1", "/a/x");
+    EXPECT_EQ(last_answer.status(), 503U);
+    ASSERT_TRUE(wait_for_end(id));
+    EXPECT_THAT(explain(id),
+                AllOf(ContainsRegex("limit_reached .*limit=0 .*upstream=i-1"),
+                      ContainsRegex("request_refused .*reason=over_limit")));
+}
+
 TEST(request_timeline, skips_lines_that_are_not_log_events)
 {
     request_timeline timeline("a");
