--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -161,8 +161,11 @@
         return false;
     recorder_.over_limit(*first, context_.limits.limit_of(*first, now),
                          context_.limits.gateway_count());
-    refuse_or_report_lost(gateway_refusal::over_limit,
-                          context_.limits.reserve_return(*first, now));
+    if (runs_ > 0)
+        refuse(gateway_refusal::upstream_lost);
+    else
+        refuse(gateway_refusal::over_limit,
+               context_.limits.reserve_return(*first, now));
     return true;
 }
 
@@ -245,6 +248,7 @@
 
 void exchange::start_found(const upstream_record& upstream)
 {
+    const auto self = shared_from_this();
     search_.reset();
     // Other requests may have used the room at the engine's limit meanwhile.
     const bool has_room =
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -83,7 +83,7 @@
     if (pushes_left_ > 0 && now >= next_push_) {
         --pushes_left_;
         next_push_ = now + push_interval;
-        push(out);
+        push(out, now);
     }
     if (now >= next_probe_) {
         const bool is_new = probes_ < first_probes;
@@ -95,7 +95,7 @@
     return out;
 }
 
-void peer_exchange::push(std::vector<datagram>& out)
+void peer_exchange::push(std::vector<datagram>& out, time_point now)
 {
     std::vector<std::string> behind;
     for (const auto& [host, known] : peers_)
@@ -103,7 +103,6 @@
             behind.push_back(host);
     if (behind.empty())
         pushes_left_ = 0;
-    const auto now = next_push_ - push_interval;
     for (const auto& host : sample(std::move(behind), fanout))
         out.push_back(message_to(host, false, now));
 }
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -89,7 +89,7 @@
 
     bool changed_since_push() const;
     bool is_behind(const peer& known) const;
-    void push(std::vector<datagram>& out);
+    void push(std::vector<datagram>& out, time_point now);
     void probe(std::vector<datagram>& out, time_point now);
     milliseconds silence_timeout() const;
     void remove_silent(time_point now);
