Judge no other process by time that this one slept through

What callers saw: two streams that stood still for as long as both were copied over one link. After a pause of its own of over 160 ms a gateway took a monitor for down and granted itself the copy turn that another gateway had. The same pause made gateways drop monitors, relays and upstreams, and monitors drop gateways.

Cause: silence of others was measured by the monotonic clock, which goes on while a process is paused. A stop also ends the wait for sockets with EINTR, and that round handled the timeouts without reading any socket.

Change: awake_clock measures the time for which a loop could react. All timeouts on others use it: link_reactor::post_timeout() and awake_now() in the gateway, the monitor and on links; wait_awake() where a thread blocks (calls to engines, runners and the platform, queries of agents, requests that are read slowly). The gate and the relay extend the time in which others may return by what was missed. Interrupted and full rounds of the loop read on before timers run. Leases, deadlines of requests and delays keep their clocks. link_reactor takes its clock as a hook, so that tests run the real classes on virtual time.

--- a/src/libcyclamenrun/agent/agent_server.cpp
+++ b/src/libcyclamenrun/agent/agent_server.cpp
@@ -287,6 +287,10 @@
     loop_.post_at(clock_() + tick_interval, [this, alive = alive_] {
         if (!*alive)
             return;
+        const auto missed = loop_.reactor()->missed();
+        const auto missed_now = missed - std::exchange(missed_, missed);
+        if (missed_now > duration::zero())
+            gate_.record_missed(missed_now);
         gate_.tick(clock_());
         answer_heartbeats();
         schedule_tick();
--- a/src/libcyclamenrun/agent/agent_server.hpp
+++ b/src/libcyclamenrun/agent/agent_server.hpp
@@ -98,6 +98,7 @@
     configuration_revisions entry_revisions_;
 
     /** Checked by timer callbacks, since they can outlive this object. */
+    duration missed_{0}; ///< by the loop, as of the last tick
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::unique_ptr<link_server> server_;
 };
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -39,10 +39,11 @@
                                     [&](const waiting_start& each) {
                                         return each.request.id == request.id;
                                     });
+    const auto requested_at = awake_time(now);
     if (found != waiting_.end())
-        *found = {request, now};
+        *found = {request, requested_at};
     else if (!is_granted(request.id) && waiting_.size() < max_waiting_starts)
-        waiting_.push_back({request, now});
+        waiting_.push_back({request, requested_at});
 }
 
 void start_queue::end(const std::string& id)
@@ -96,7 +97,7 @@
 std::vector<start_request> start_queue::grant_starts(time_point now)
 {
     std::erase_if(waiting_, [&](const waiting_start& each) {
-        return each.requested_at + start_request_timeout <= now;
+        return each.requested_at + start_request_timeout <= awake_time(now);
     });
     std::vector<start_request> granted;
     if (leaving_ || !load_estimate_.known())
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cyclamenrun
@@ -34,6 +35,15 @@
 class start_queue
 {
 public:
+    /**
+     * `awake_clock`: by which requests expire that are not repeated, see
+     * awake_clock. Without it they expire by the time that is passed in.
+     */
+    explicit start_queue(clock_function awake_clock = {})
+        : awake_clock_(std::move(awake_clock))
+    {
+    }
+
     /** Replaces the engine's status. `leaving`: no more starts are granted. */
     void update_status(const engine_status& status, bool leaving,
                        time_point now);
@@ -80,7 +90,7 @@
 private:
     struct waiting_start {
         start_request request;
-        time_point requested_at;
+        time_point requested_at;       ///< awake time
         bool late = false;             ///< as of the last sort()
         std::uint64_t team_memory = 0; ///< tokens, as of the last sort()
     };
@@ -91,8 +101,13 @@
      */
     bool can_start_prefill(time_point now) const;
     void sort(time_point now);
+    time_point awake_time(time_point now) const
+    {
+        return awake_clock_ ? awake_clock_() : now;
+    }
     bool is_late(const start_request& request, time_point now) const;
 
+    clock_function awake_clock_;
     engine_load_estimate load_estimate_;
     std::deque<waiting_start> waiting_;
     unsigned slots_ = 0;
--- a/src/libcyclamenrun/entry/relay_runner.cpp
+++ b/src/libcyclamenrun/entry/relay_runner.cpp
@@ -1,6 +1,7 @@
 #include "relay_runner.hpp"
 
 #include "agent_links.hpp"
+#include "awake_clock.hpp"
 #include "caller_writer.hpp"
 #include "client_stream.hpp"
 
@@ -54,10 +55,17 @@
     run_state state{relay, writer, std::make_shared<relay_mailbox>(),
                     {},    {},     {}};
     perform(state, relay.start(clock_()));
+    awake_clock awake(clock_());
     while (!relay.done()) {
+        const auto now = clock_();
         const auto wake_at =
-            std::min(relay.next_event(), clock_() + caller_check_interval);
-        if (const auto event = state.mailbox->take(wake_at)) {
+            std::min(relay.next_event(), now + caller_check_interval);
+        const auto missed_before = awake.missed();
+        awake.begin_wait(now, wake_at);
+        const auto event = state.mailbox->take(wake_at);
+        awake.end_wait(clock_());
+        relay.record_missed(awake.missed() - missed_before);
+        if (event) {
             handle_event(state, *event);
         } else if (writer.is_disconnected()) {
             state.result.caller_disconnected = true;
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -84,7 +84,8 @@
     hooks.regained = [this, feed](duration outage) {
         // Applies to both feeds: a call of the other feed may have outlasted a
         // short outage without an error.
-        unconfirmed_until_ = context_.reactor->now() + unconfirmed_after_outage;
+        unconfirmed_until_ =
+            context_.reactor->awake_now() + unconfirmed_after_outage;
         regained(feed, outage);
         retry_feeds();
     };
@@ -170,7 +171,7 @@
 
 void directory_watch::tick()
 {
-    context_.upstreams.remove_unlisted(context_.reactor->now());
+    context_.upstreams.remove_unlisted(context_.reactor->awake_now());
     log_lease_change();
 }
 
@@ -207,7 +208,8 @@
 void directory_watch::apply_upstreams(std::vector<upstream_change>&& changes,
                                       bool whole)
 {
-    const auto now = context_.reactor->now();
+    // An upstream is not judged by records that this process has not read.
+    const auto now = context_.reactor->awake_now();
     const bool unconfirmed = now < unconfirmed_until_;
     if (whole)
         context_.upstreams.replace_all(changes, now, unconfirmed);
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -64,7 +64,7 @@
           })),
       load_client_(std::make_shared<http_client>(reactor, settings.engine)),
       identity_client_(std::make_shared<http_client>(reactor, settings.engine)),
-      metrics_(metrics)
+      starts_([reactor] { return reactor->awake_now(); }), metrics_(metrics)
 {
 }
 
@@ -110,13 +110,13 @@
         return nullptr;
     auto& gateway = gateways_[key];
     gateway.address = from;
-    gateway.expires_at = reactor_->now() + gateway_lifetime;
+    gateway.expires_at = reactor_->awake_now() + gateway_lifetime;
     return &gateway;
 }
 
 void engine_monitor::handle_subscription(known_gateway& gateway)
 {
-    const auto now = reactor_->now();
+    const auto now = reactor_->awake_now();
     const bool is_new = gateway.subscribed_until <= now;
     gateway.subscribed_until = now + gateway_lifetime;
     if (!is_new)
@@ -132,7 +132,7 @@
 
 std::size_t engine_monitor::count_subscribers() const
 {
-    const auto now = reactor_->now();
+    const auto now = reactor_->awake_now();
     return std::count_if(
         gateways_.begin(), gateways_.end(),
         [&](const auto& entry) { return entry.second.subscribed_until > now; });
@@ -148,7 +148,8 @@
     if (request.turn_into() && !starts_.has_room_for_copy(tokens)) {
         turns_.end(id);
         notice.set_turn_refused(id);
-    } else if (turns_.request_turn({id, gateway, tokens}, reactor_->now())) {
+    } else if (turns_.request_turn({id, gateway, tokens},
+                                   reactor_->awake_now())) {
         metrics_.count(exported_metric::copy_turns);
         notice.set_turn_given(id);
     } else {
@@ -161,7 +162,7 @@
 
 void engine_monitor::grant_next_turn()
 {
-    const auto holder = turns_.holder(reactor_->now());
+    const auto holder = turns_.holder(reactor_->awake_now());
     if (!holder)
         return;
     const auto found = gateways_.find(holder->gateway);
@@ -256,7 +257,7 @@
 
 void engine_monitor::query_identity()
 {
-    const auto now = steady_now();
+    const auto now = reactor_->now();
     if (health_target_.empty() || !engine_id_.empty() || !last_load_ ||
         identity_client_->busy() || now < next_identity_query_)
         return;
@@ -286,7 +287,7 @@
 bool engine_monitor::is_identifying() const
 {
     return engine_id_.empty() && identity_client_->busy() &&
-           steady_now() < next_identity_query_;
+           reactor_->now() < next_identity_query_;
 }
 
 void engine_monitor::write_identity(v1::MonitorNotice& notice) const
@@ -299,14 +300,15 @@
 
 void engine_monitor::poll_engine()
 {
-    next_poll_ = steady_now() + settings_.interval;
+    next_poll_ = reactor_->now() + settings_.interval;
     remove_expired_gateways();
     if (gateways_.empty()) {
         schedule_poll();
         return;
     }
-    polled_at_ = steady_now();
-    load_client_->call(dialect_->load_call(), {}, steady_now() + engine_timeout,
+    polled_at_ = reactor_->now();
+    load_client_->call(dialect_->load_call(), {},
+                       reactor_->now() + engine_timeout,
                        [weak = weak_from_this()](const call_outcome& outcome) {
                            if (const auto self = weak.lock())
                                self->handle_load_reply(outcome);
@@ -325,7 +327,8 @@
 {
     const auto load = outcome.and_then(
         [&](const http_reply& reply) { return dialect_->read_load(reply); });
-    metrics_.observe(exported_metric::load_time, {}, steady_now() - polled_at_);
+    metrics_.observe(exported_metric::load_time, {},
+                     reactor_->now() - polled_at_);
     if (load) {
         record_load_metrics(*load);
         last_load_ = *load;
@@ -403,7 +406,7 @@
     next_publish_at_ = now + load_publish_interval(count_subscribers());
     published_leaving_ = load.leaving;
     for (const auto& [key, gateway] : gateways_) {
-        if (gateway.subscribed_until > now)
+        if (gateway.subscribed_until > reactor_->awake_now())
             socket_->send(gateway.address, bytes);
     }
     last_published_ = std::move(bytes);
@@ -412,7 +415,7 @@
 
 void engine_monitor::remove_expired_gateways()
 {
-    const auto now = reactor_->now();
+    const auto now = reactor_->awake_now();
     std::erase_if(gateways_, [&](const auto& entry) {
         return entry.second.expires_at <= now;
     });
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -348,6 +348,7 @@
         outgoing.timeouts = stream_timeouts;
     outgoing.has_no_response_body = request_.head.method == "HEAD";
     attempt_began_ = context_.reactor->now();
+    missed_before_attempt_ = context_.reactor->missed();
     outgoing.connect_deadline = attempt_began_ + profile_.connect_timeout();
     first_part_at_.reset();
     tried_.push_back(upstream.id);
@@ -529,8 +530,8 @@
         context_.route_response_times.usual_bound(route.name));
     if (!limit)
         return;
-    context_.reactor->post_at(
-        attempt_began_ + *limit,
+    context_.reactor->post_timeout(
+        context_.reactor->awake_deadline(attempt_began_ + *limit),
         [weak = weak_from_this(), watched = std::weak_ptr(attempt_)] {
             const auto self = weak.lock();
             const auto attempt = watched.lock();
@@ -805,13 +806,20 @@
     if (over_)
         return;
     // The upstream may never respond; later requests should avoid it.
-    if (awaits_response())
+    if (awaits_response() && has_watched_attempt())
         context_.upstreams.record_failure(attempt_->upstream().id,
                                           context_.reactor->now());
     refuse(history_.may_have_run() ? gateway_refusal::expired
                                    : gateway_refusal::expired_unsent);
 }
 
+bool exchange::has_watched_attempt() const
+{
+    constexpr int missed_part = 10;
+    const auto missed = context_.reactor->missed() - missed_before_attempt_;
+    return missed * missed_part <= context_.reactor->now() - attempt_began_;
+}
+
 void exchange::on_caller_disconnected()
 {
     if (over_)
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -124,6 +124,8 @@
                 std::optional<milliseconds> time_to_room = std::nullopt);
     void cut(std::string_view reason);
     void expire();
+    /** True if this process was awake for nine tenths of the attempt. */
+    bool has_watched_attempt() const;
     void end(request_outcome outcome, unsigned status,
              std::string_view reason = {});
     request_summary summarize(request_outcome outcome, unsigned status,
@@ -145,6 +147,7 @@
 
     std::shared_ptr<upstream_attempt> attempt_;
     time_point attempt_began_{};
+    duration missed_before_attempt_{0};       ///< by the loop, see awake_clock
     std::optional<time_point> first_part_at_; ///< of the attempt's response
     bool on_trial_ = false;          ///< run once more although it is poison
     std::vector<std::string> tried_; ///< upstream ids; the last is the latest
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -147,7 +147,7 @@
     };
     on.identity = [this](const ip_endpoint& engine, const std::string& id) {
         context_->upstreams.update_identity(engine, id,
-                                            context_->reactor->now());
+                                            context_->reactor->awake_now());
     };
     on.health_target = [this] {
         return context_->routes ? context_->routes->engine_health_target()
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -176,11 +176,12 @@
         resume();
         return;
     }
-    context_.reactor->post_at(context_.reactor->now() + last_events_timeout,
-                              [weak = weak_from_this()] {
-                                  if (const auto self = weak.lock())
-                                      self->resume();
-                              });
+    context_.reactor->post_timeout(context_.reactor->awake_now() +
+                                       last_events_timeout,
+                                   [weak = weak_from_this()] {
+                                       if (const auto self = weak.lock())
+                                           self->resume();
+                                   });
 }
 
 void generation_mover::resume()
@@ -250,18 +251,18 @@
                                      const upstream_record& source)
 {
     unconfirmed_ = resume_point{kept, source};
-    context_.reactor->post_at(context_.reactor->now() + last_events_timeout,
-                              [weak = weak_from_this(), source] {
-                                  const auto self = weak.lock();
-                                  if (!self || self->over_ ||
-                                      !self->unconfirmed_)
-                                      return;
-                                  // The stream continues, so the source did
-                                  // not receive the order. Starting the
-                                  // generation elsewhere would run it twice.
-                                  self->unconfirmed_.reset();
-                                  self->retry_later(source);
-                              });
+    context_.reactor->post_timeout(
+        context_.reactor->awake_now() + last_events_timeout,
+        [weak = weak_from_this(), source] {
+            const auto self = weak.lock();
+            if (!self || self->over_ || !self->unconfirmed_)
+                return;
+            // The stream continues, so the source did
+            // not receive the order. Starting the
+            // generation elsewhere would run it twice.
+            self->unconfirmed_.reset();
+            self->retry_later(source);
+        });
 }
 
 void generation_mover::retry_later(const upstream_record& source)
--- a/src/libcyclamenrun/gateway/load_probe.cpp
+++ b/src/libcyclamenrun/gateway/load_probe.cpp
@@ -28,11 +28,12 @@
 
 void load_probe::start()
 {
-    context_.reactor->post_at(context_.reactor->now() + response_timeout,
-                              [weak = weak_from_this()] {
-                                  if (const auto self = weak.lock())
-                                      self->finish();
-                              });
+    context_.reactor->post_timeout(context_.reactor->awake_now() +
+                                       response_timeout,
+                                   [weak = weak_from_this()] {
+                                       if (const auto self = weak.lock())
+                                           self->finish();
+                                   });
     for (const auto& engine : engines_)
         query(engine);
     if (engines_.empty())
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -78,7 +78,7 @@
 void monitor_link::start()
 {
     socket_->start();
-    last_response_at_ = reactor_->now();
+    last_response_at_ = reactor_->awake_now();
     subscribe_to_loads();
 }
 
@@ -104,7 +104,7 @@
     });
     for (const auto& host : hosts) {
         const auto [monitor, is_new] =
-            monitors_.try_emplace(host, monitor_state{now});
+            monitors_.try_emplace(host, monitor_state{reactor_->awake_now()});
         if (renew_all || is_new)
             send(host, request);
         check_monitor_timeout(host, monitor->second);
@@ -122,7 +122,7 @@
         std::max(monitor_timeout,
                  max_missed_loads * load_publish_interval(monitor.gateways));
     if (monitor.timed_out ||
-        reactor_->now() - monitor.last_response_at < timeout)
+        reactor_->awake_now() - monitor.last_response_at < timeout)
         return;
     monitor.timed_out = true;
     // A host that never responded may have no monitor.
@@ -133,13 +133,13 @@
 
 void monitor_link::record_response(const std::string& host)
 {
-    last_response_at_ = reactor_->now();
+    last_response_at_ = reactor_->awake_now();
     const auto found = monitors_.find(host);
     if (found == monitors_.end())
         return;
     const auto outage = std::chrono::duration_cast<milliseconds>(
-        reactor_->now() - found->second.last_response_at);
-    found->second.last_response_at = reactor_->now();
+        reactor_->awake_now() - found->second.last_response_at);
+    found->second.last_response_at = reactor_->awake_now();
     const bool had_responded = std::exchange(found->second.has_responded, true);
     if (std::exchange(found->second.timed_out, false) && had_responded)
         log_event(log_severity::info, log_event_name::monitor_regained,
@@ -148,7 +148,7 @@
 
 void monitor_link::request_turn(const copy_request& copy, turn_hooks on)
 {
-    turns_[copy.id] = {copy, std::move(on), reactor_->now()};
+    turns_[copy.id] = {copy, std::move(on), reactor_->awake_now()};
     send_turn_request(copy.id);
 }
 
@@ -157,7 +157,7 @@
     const auto found = turns_.find(id);
     if (found == turns_.end() || !found->second.on.granted)
         return;
-    if (reactor_->now() - found->second.last_response_at >=
+    if (reactor_->awake_now() - found->second.last_response_at >=
         turn_response_timeout) {
         grant_turn(id);
         return;
@@ -253,7 +253,7 @@
 
 bool monitor_link::no_monitor_responds() const
 {
-    return reactor_->now() - last_response_at_ > all_monitors_timeout;
+    return reactor_->awake_now() - last_response_at_ > all_monitors_timeout;
 }
 
 void monitor_link::handle_start_grant(const std::string& host,
@@ -315,7 +315,7 @@
     if (notice.has_turn_waits()) {
         const auto found = turns_.find(notice.turn_waits());
         if (found != turns_.end())
-            found->second.last_response_at = reactor_->now();
+            found->second.last_response_at = reactor_->awake_now();
     }
     if (notice.has_start_given())
         handle_start_grant(from.host, notice.start_given());
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -126,14 +126,15 @@
 private:
     struct pending_turn {
         copy_request copy;
-        turn_hooks on;               ///< empty after the turn was granted
-        time_point last_response_at; ///< of the monitor; initially the time of
-                                     ///< the request
+        turn_hooks on; ///< empty after the turn was granted
+        /** Awake time; of the monitor, initially the time of the request. */
+        time_point last_response_at;
     };
 
     /** State of the monitor on a host with a load subscription. */
     struct monitor_state {
-        time_point last_response_at; ///< initially the time of the subscription
+        /** Awake time; initially the time of the subscription. */
+        time_point last_response_at;
         bool has_responded = false;
         bool timed_out = false;
         unsigned gateways = 0; ///< number of gateways known to the monitor
@@ -163,7 +164,7 @@
     hooks on_;
     std::map<std::string, monitor_state> monitors_;
     time_point renew_all_at_{};
-    time_point last_response_at_{}; ///< last datagram of any monitor
+    time_point last_response_at_{}; ///< awake time, of any monitor
     std::unordered_map<std::string, pending_turn> turns_;
     std::unordered_map<std::string, start_hooks> starts_;
 };
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -42,10 +42,11 @@
 peer_exchange::peer_exchange(std::string own_host,
                              std::vector<std::string> seeds,
                              std::vector<peer_table> tables,
-                             std::uint64_t incarnation, std::mt19937_64& random)
+                             std::uint64_t incarnation, std::mt19937_64& random,
+                             clock_function awake_clock)
     : own_host_(std::move(own_host)), seeds_(std::move(seeds)),
       tables_(std::move(tables)), incarnation_(incarnation), random_(random),
-      pushed_(tables_.size(), 0)
+      awake_clock_(std::move(awake_clock)), pushed_(tables_.size(), 0)
 {
 }
 
@@ -138,7 +139,8 @@
 
 void peer_exchange::remove_silent(time_point now)
 {
-    std::erase_if(peers_, [now, limit = silence_timeout()](const auto& entry) {
+    std::erase_if(peers_, [now = awake_time(now),
+                           limit = silence_timeout()](const auto& entry) {
         return now - entry.second.heard_at > limit;
     });
 }
@@ -164,7 +166,7 @@
             const auto left = static_cast<std::size_t>(end - begin) - i;
             std::swap(begin[i], begin[i + random_() % left]);
             const auto age = std::chrono::duration_cast<milliseconds>(
-                now - begin[i]->second.heard_at);
+                awake_time(now) - begin[i]->second.heard_at);
             auto& named = *message.add_peers();
             named.set_host(begin[i]->first);
             named.set_age_ms(static_cast<std::uint32_t>(
@@ -208,7 +210,7 @@
     for (const auto& named : message.peers()) {
         const milliseconds age(named.age_ms());
         if (age < limit)
-            (void)find_or_add(named.host(), now - age);
+            (void)find_or_add(named.host(), awake_time(now) - age);
     }
 }
 
@@ -225,7 +227,7 @@
         peers_.erase(host);
         return std::nullopt;
     }
-    auto* const from = find_or_add(host, now);
+    auto* const from = find_or_add(host, awake_time(now));
     if (from == nullptr)
         return std::nullopt;
     if (std::exchange(from->incarnation, message.incarnation()) !=
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -63,7 +63,7 @@
      */
     peer_exchange(std::string own_host, std::vector<std::string> seeds,
                   std::vector<peer_table> tables, std::uint64_t incarnation,
-                  std::mt19937_64& random);
+                  std::mt19937_64& random, clock_function awake_clock = {});
 
     /** Returns the datagrams that are due. */
     std::vector<datagram> send_due(time_point now);
@@ -83,7 +83,7 @@
     };
     struct peer {
         std::uint64_t incarnation = 0; ///< 0: not heard directly
-        time_point heard_at;
+        time_point heard_at;           ///< awake time
         std::vector<table_state> tables;
     };
 
@@ -97,6 +97,10 @@
                     time_point now);
     std::vector<std::string> sample(std::vector<std::string> from,
                                     std::size_t count);
+    time_point awake_time(time_point now) const
+    {
+        return awake_clock_ ? awake_clock_() : now;
+    }
     peer* find_or_add(const std::string& host, time_point heard_at);
     void learn_peers(const v1::PeerMessage& message, time_point now);
     /** Returns true if the peer has acknowledged further changes. */
@@ -109,6 +113,7 @@
     std::vector<peer_table> tables_;
     std::uint64_t incarnation_;
     std::mt19937_64& random_;
+    clock_function awake_clock_;
     std::map<std::string, peer> peers_; ///< by host
     time_point next_probe_{};
     std::uint64_t probes_ = 0;
--- a/src/libcyclamenrun/gateway/peer_link.cpp
+++ b/src/libcyclamenrun/gateway/peer_link.cpp
@@ -13,7 +13,8 @@
                      std::vector<peer_table> tables, std::uint64_t seed)
     : reactor_(std::move(reactor)), port_(listen.port), random_(seed),
       exchange_(listen.host, std::move(seeds), std::move(tables),
-                std::max<std::uint64_t>(1, random_u64()), random_),
+                std::max<std::uint64_t>(1, random_u64()), random_,
+                [reactor = reactor_] { return reactor->awake_now(); }),
       socket_(std::make_shared<datagram_socket>(
           reactor_, listen,
           [this](const ip_endpoint& from, std::string_view bytes) {
--- a/src/libcyclamenrun/gateway/relay_clients.cpp
+++ b/src/libcyclamenrun/gateway/relay_clients.cpp
@@ -63,7 +63,7 @@
 bool relay_clients::awaits_first_report() const
 {
     return no_response_since_ &&
-           steady_now() < *no_response_since_ + first_report_timeout;
+           reactor_->awake_now() < *no_response_since_ + first_report_timeout;
 }
 
 std::vector<std::string> relay_clients::usable_hosts()
@@ -76,7 +76,7 @@
     if (!any_chosen || !chosen.empty())
         no_response_since_.reset();
     else if (!no_response_since_)
-        no_response_since_ = now;
+        no_response_since_ = reactor_->awake_now();
     std::stable_partition(
         chosen.begin(), chosen.end(), [&](const std::string& host) {
             const auto known = relays_.find(host);
@@ -132,18 +132,20 @@
     sent_call->stream =
         link->open(std::string(directory_path), call.SerializeAsString(),
                    std::move(handlers));
-    reactor_->post_at(deadline, [weak = weak_from_this(),
-                                 weak_call = std::weak_ptr(sent_call), host] {
-        const auto pending = weak_call.lock();
-        const auto self = weak.lock();
-        if (!pending || !pending->on_answer)
-            return;
-        if (self)
-            self->handle_unreachable(host, name_of(link_failure::timed_out));
-        pending->finish(std::nullopt);
-        if (pending->stream)
-            pending->stream->cancel();
-    });
+    reactor_->post_timeout(
+        reactor_->awake_deadline(deadline),
+        [weak = weak_from_this(), weak_call = std::weak_ptr(sent_call), host] {
+            const auto pending = weak_call.lock();
+            const auto self = weak.lock();
+            if (!pending || !pending->on_answer)
+                return;
+            if (self)
+                self->handle_unreachable(host,
+                                         name_of(link_failure::timed_out));
+            pending->finish(std::nullopt);
+            if (pending->stream)
+                pending->stream->cancel();
+        });
 }
 
 void relay_clients::handle_unreachable(const std::string& host,
--- a/src/libcyclamenrun/gateway/relayed_calls.hpp
+++ b/src/libcyclamenrun/gateway/relayed_calls.hpp
@@ -96,8 +96,9 @@
         const auto next = coalescer_.begin_read(now);
         read_sent_at_ = now;
         metrics_.count(exported_metric::relay_reads, {std::string(name_)});
-        reactor_->post_at(
-            *coalescer_.timeout_at(), [weak = this->weak_from_this()] {
+        reactor_->post_timeout(
+            reactor_->awake_deadline(*coalescer_.timeout_at()),
+            [weak = this->weak_from_this()] {
                 if (const auto self = weak.lock())
                     self->deliver(self->coalescer_.expire_read(steady_now()));
             });
--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -118,8 +118,8 @@
         /** Number of monitors that reported that their VM is leaving. */
         std::size_t leaving = 0;
         /**
-         * Set once the first page is known. Until this time the call waits for
-         * a monitor that responds and can read the other pages.
+         * Set once the first page is known. Until this awake time the call
+         * waits for a monitor that responds and can read the other pages.
          */
         std::optional<time_point> relays_deadline = {};
     };
@@ -143,7 +143,7 @@
     bool waits_for_relays(const call& pending) const
     {
         if (pending.relays_deadline)
-            return steady_now() < *pending.relays_deadline;
+            return reactor_->awake_now() < *pending.relays_deadline;
         return pending.from && relays_->awaits_first_report();
     }
 
@@ -290,7 +290,8 @@
             if (!self->on_.relays || !self->on_.relays())
                 return true;
             self->on_.partial(std::vector<Item>(so_far));
-            pending->relays_deadline = steady_now() + relay_response_timeout;
+            pending->relays_deadline =
+                self->reactor_->awake_now() + relay_response_timeout;
             self->begin(pending);
             return false;
         };
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -54,11 +54,12 @@
     };
     context_.monitors->watch_start(request_.id, std::move(on));
     request_more(initial_engines);
-    context_.reactor->post_at(context_.reactor->now() + response_timeout,
-                              [weak = weak_from_this()] {
-                                  if (const auto self = weak.lock())
-                                      self->check_responses();
-                              });
+    context_.reactor->post_timeout(context_.reactor->awake_now() +
+                                       response_timeout,
+                                   [weak = weak_from_this()] {
+                                       if (const auto self = weak.lock())
+                                           self->check_responses();
+                                   });
     schedule_repeat();
 }
 
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -76,11 +76,13 @@
 
 void upstream_attempt::arm_connect_deadline()
 {
-    reactor_->post_at(request_.connect_deadline, [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && !self->over_ && !self->connection_->established())
-            self->lose(attempt_loss::not_sent);
-    });
+    reactor_->post_timeout(reactor_->awake_deadline(request_.connect_deadline),
+                           [weak = weak_from_this()] {
+                               const auto self = weak.lock();
+                               if (self && !self->over_ &&
+                                   !self->connection_->established())
+                                   self->lose(attempt_loss::not_sent);
+                           });
 }
 
 void upstream_attempt::cancel()
--- a/src/libcyclamenrun/http/http_client.cpp
+++ b/src/libcyclamenrun/http/http_client.cpp
@@ -52,11 +52,12 @@
     on_answer_ = std::move(on_answer);
     self_ = shared_from_this();
     const auto number = ++call_number_;
-    reactor_->post_at(deadline, [weak = weak_from_this(), number] {
-        const auto self = weak.lock();
-        if (self && self->call_number_ == number && self->busy())
-            self->finish(tl::unexpected(call_failure::timed_out));
-    });
+    reactor_->post_timeout(
+        reactor_->awake_deadline(deadline), [weak = weak_from_this(), number] {
+            const auto self = weak.lock();
+            if (self && self->call_number_ == number && self->busy())
+                self->finish(tl::unexpected(call_failure::timed_out));
+        });
     send_call();
 }
 
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -121,7 +121,7 @@
             [this](http_head&& head) { handle_head(std::move(head)); },
             [this](std::string_view bytes) { request_.body += bytes; },
             {}});
-    set_deadline(reactor_->now() + limits_.idle_timeout);
+    set_deadline(reactor_->awake_now() + limits_.idle_timeout);
 }
 
 void http_session::read(std::string_view bytes)
@@ -165,7 +165,7 @@
         return;
     const auto limit = reader_->head_complete() ? limits_.idle_timeout
                                                 : limits_.header_timeout;
-    set_deadline(reactor_->now() + limit);
+    set_deadline(reactor_->awake_now() + limit);
 }
 
 void http_session::serve()
@@ -262,7 +262,7 @@
         close_gracefully();
         return;
     }
-    set_deadline(reactor_->now() + limits_.idle_timeout);
+    set_deadline(reactor_->awake_now() + limits_.idle_timeout);
     // Deferred, since the answer may be written from within a reader hook.
     reactor_->post([weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -286,7 +286,7 @@
 {
     closing_ = true;
     connection_->end_sending();
-    set_deadline(reactor_->now() + linger_time);
+    set_deadline(reactor_->awake_now() + linger_time);
 }
 
 void http_session::close_if_idle()
@@ -302,7 +302,7 @@
     if (timer_at_ && *timer_at_ <= deadline)
         return;
     timer_at_ = deadline;
-    reactor_->post_at(deadline, [weak = weak_from_this(), deadline] {
+    reactor_->post_timeout(deadline, [weak = weak_from_this(), deadline] {
         const auto self = weak.lock();
         if (self && self->timer_at_ == deadline)
             self->check_deadline();
@@ -314,9 +314,9 @@
     timer_at_.reset();
     if (!connection_->open())
         return;
-    if (deadline_ > reactor_->now() || serving_) {
-        set_deadline(
-            std::max(deadline_, reactor_->now() + limits_.idle_timeout));
+    const auto now = reactor_->awake_now();
+    if (deadline_ > now || serving_) {
+        set_deadline(std::max(deadline_, now + limits_.idle_timeout));
         return;
     }
     if (closing_) {
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -88,6 +88,7 @@
     void next_request();
     void close_gracefully();
     bool closes_after_answer() const;
+    /** Sets when the caller has timed out, in awake time. */
     void set_deadline(time_point deadline);
     void check_deadline();
 
--- a/src/libcyclamenrun/links/agent_query.cpp
+++ b/src/libcyclamenrun/links/agent_query.cpp
@@ -1,5 +1,7 @@
 #include "agent_query.hpp"
 
+#include "awake_clock.hpp"
+
 namespace cyclamenrun
 {
 
@@ -24,7 +26,10 @@
 std::optional<std::string> agent_query::wait(time_point deadline)
 {
     std::unique_lock lock(mutex_);
-    ended_cv_.wait_until(lock, deadline, [this] { return ended_; });
+    awake_clock awake(steady_now());
+    wait_awake(awake, steady_now, deadline, [&](milliseconds part) {
+        return ended_cv_.wait_for(lock, part, [this] { return ended_; });
+    });
     if (!ended_ && stream_)
         stream_->cancel();
     stream_.reset();
--- a/src/libcyclamenrun/links/link_client_connection.cpp
+++ b/src/libcyclamenrun/links/link_client_connection.cpp
@@ -50,7 +50,8 @@
     hooks owner_hooks)
     : link_connection(std::move(reactor), limits, socket),
       link_key_(std::move(link_key)), hooks_(std::move(owner_hooks)),
-      handshake_deadline_(this->reactor().now() + limits.handshake_timeout)
+      handshake_deadline_(this->reactor().awake_now() +
+                          limits.handshake_timeout)
 {
 }
 
@@ -164,7 +165,7 @@
     if (node.empty())
         return nullptr;
     if (streams_.empty()) {
-        idle_deadline_ = reactor().now() + limits().idle_timeout;
+        idle_deadline_ = reactor().awake_now() + limits().idle_timeout;
         schedule_check(idle_deadline_);
     }
     if (streams_.empty() && retired_)
--- a/src/libcyclamenrun/links/link_connection.cpp
+++ b/src/libcyclamenrun/links/link_connection.cpp
@@ -30,7 +30,7 @@
                                  const link_limits& limits,
                                  const Poco::Net::StreamSocket& socket)
     : reactor_(std::move(reactor)), limits_(limits), socket_(socket),
-      keepalive_(limits, reactor_->now())
+      keepalive_(limits, reactor_->awake_now())
 {
 }
 
@@ -57,7 +57,7 @@
                                           window);
     watch_ =
         reactor_->watch(descriptor_of(socket_), shared_from_this(), connecting);
-    schedule_check(reactor_->now() + limits_.handshake_timeout);
+    schedule_check(reactor_->awake_now() + limits_.handshake_timeout);
     flush_later();
 }
 
@@ -114,7 +114,7 @@
         fail(link_failure::connection_lost);
         return;
     }
-    keepalive_.received(reactor_->now());
+    keepalive_.received(reactor_->awake_now());
     const auto* bytes = reinterpret_cast<const std::uint8_t*>(room.data());
     if (nghttp2_session_mem_recv(session_, bytes, size) < 0)
         fail(link_failure::protocol_error);
@@ -201,7 +201,7 @@
     if (closed_ || (timer_ && *timer_ <= when))
         return;
     timer_ = when;
-    reactor_->post_at(when, [weak = weak_from_this(), when] {
+    reactor_->post_timeout(when, [weak = weak_from_this(), when] {
         if (const auto self = weak.lock())
             self->timer_fired(when);
     });
@@ -218,7 +218,7 @@
     if (closed_ || timer_ != when)
         return;
     timer_.reset();
-    const time_point now = reactor_->now();
+    const time_point now = reactor_->awake_now();
     check_deadlines(now);
     if (connecting_ || failure_)
         return;
--- a/src/libcyclamenrun/links/link_connection.hpp
+++ b/src/libcyclamenrun/links/link_connection.hpp
@@ -95,7 +95,7 @@
      * other than heartbeats.
      */
     virtual bool busy() const = 0;
-    /** Checks the deadlines of the derived class. */
+    /** Checks the deadlines of the derived class, in awake time. */
     virtual void check_deadlines(time_point now) = 0;
 
     nghttp2_session* session() const { return session_; }
@@ -109,7 +109,7 @@
 
     /** Sends the session's output at the end of this loop iteration. */
     void flush_later();
-    /** Schedules a check of the deadlines at `when` or earlier. */
+    /** Schedules a check of the deadlines at awake time `when` or earlier. */
     void schedule_check(time_point when);
     /** Schedules the next keepalive check; to be called when busy() changes. */
     void check_keepalive();
--- a/src/libcyclamenrun/links/link_reactor.cpp
+++ b/src/libcyclamenrun/links/link_reactor.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <limits>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -17,6 +18,8 @@
 
 constexpr std::size_t read_buffer_bytes = std::size_t{64} << 10;
 constexpr std::size_t max_events_per_iteration = 256;
+/** Rounds of input per iteration, so that timers cannot starve. */
+constexpr int max_input_rounds = 8;
 constexpr link_reactor::watch_id wake_up_id = 0;
 
 int checked(int result, const char* what)
@@ -41,10 +44,11 @@
 
 } // namespace
 
-link_reactor::link_reactor()
+link_reactor::link_reactor(clock_function clock)
     : epoll_(checked(epoll_create1(EPOLL_CLOEXEC), "epoll")),
       wake_up_(checked(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd")),
-      now_(steady_now()), read_buffer_(read_buffer_bytes)
+      clock_(std::move(clock)), now_(clock_()), awake_(now_),
+      read_buffer_(read_buffer_bytes)
 {
     epoll_event event = event_of(wake_up_id, EPOLLIN);
     checked(epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_up_, &event), "epoll");
@@ -88,6 +92,17 @@
     });
 }
 
+bool link_reactor::post_timeout(time_point awake_deadline, task work)
+{
+    if (on_loop_thread()) {
+        timeouts_.emplace(awake_deadline, std::move(work));
+        return true;
+    }
+    return post([this, awake_deadline, work = std::move(work)]() mutable {
+        timeouts_.emplace(awake_deadline, std::move(work));
+    });
+}
+
 void link_reactor::stop()
 {
     post([this] { stopping_ = true; });
@@ -136,23 +151,52 @@
 {
     thread_ = std::this_thread::get_id();
     while (!stopping_)
-        run_once();
+        run_once(true);
     finish();
 }
 
-void link_reactor::run_once()
+void link_reactor::step()
 {
-    std::array<epoll_event, max_events_per_iteration> events{};
-    const int count = epoll_wait(epoll_, events.data(),
-                                 max_events_per_iteration, wait_milliseconds());
-    now_ = steady_now();
-    for (int i = 0; i < count; ++i)
-        handle_event(events.at(i).data.u64, events.at(i).events);
+    thread_ = std::this_thread::get_id();
+    run_once(false);
+}
+
+void link_reactor::run_once(bool may_wait)
+{
+    const auto began = clock_();
+    const auto wake_at = has_work() ? began : wake_time(began);
+    if (may_wait)
+        awake_.begin_wait(began, wake_at);
+    handle_input(may_wait ? milliseconds_until(wake_at, began) : 0);
     // Timers run after the sockets, so that data that arrived while this
     // process was paused is read before a passed deadline is handled.
-    run_timers();
+    run_due(timers_, now_);
+    run_due(timeouts_, awake_.now());
     run_tasks();
     flush_handlers();
+    if (!may_wait)
+        awake_.begin_wait(now_, wake_time(now_));
+}
+
+void link_reactor::handle_input(int wait_ms)
+{
+    std::array<epoll_event, max_events_per_iteration> events{};
+    for (int round = 0; round < max_input_rounds; ++round) {
+        const int count = epoll_wait(epoll_, events.data(),
+                                     max_events_per_iteration, wait_ms);
+        wait_ms = 0;
+        if (round == 0) {
+            now_ = clock_();
+            awake_.end_wait(now_);
+        }
+        for (int i = 0; i < count; ++i)
+            handle_event(events.at(i).data.u64, events.at(i).events);
+        // A wait that a signal ends, as a pause of the process does, returns
+        // no events although there may be some.
+        const bool interrupted = count < 0 && errno == EINTR;
+        if (!interrupted && count < static_cast<int>(max_events_per_iteration))
+            return;
+    }
 }
 
 void link_reactor::handle_event(watch_id id, std::uint32_t events)
@@ -172,21 +216,37 @@
                    broken || (events & EPOLLOUT) != 0);
 }
 
-int link_reactor::wait_milliseconds()
+bool link_reactor::has_work()
 {
-    {
-        const std::lock_guard lock(mutex_);
-        if (!tasks_.empty())
-            return 0;
+    const std::lock_guard lock(mutex_);
+    return !tasks_.empty() || !unflushed_.empty();
+}
+
+time_point link_reactor::wake_time(time_point now) const
+{
+    auto wake_at = timers_.empty() ? time_point::max() : timers_.begin()->first;
+    if (!timeouts_.empty()) {
+        const auto left = timeouts_.begin()->first - awake_.now();
+        wake_at = std::min(wake_at, now + awake_clock::longest_wait(left));
     }
-    if (!unflushed_.empty())
-        return 0;
-    if (timers_.empty())
+    return wake_at;
+}
+
+std::optional<time_point> link_reactor::next_iteration() const
+{
+    const auto wake_at = wake_time(now_);
+    if (wake_at == time_point::max())
+        return std::nullopt;
+    return wake_at;
+}
+
+int link_reactor::milliseconds_until(time_point wake_at, time_point now)
+{
+    if (wake_at == time_point::max())
         return -1;
-    const duration remaining = timers_.begin()->first - steady_now();
-    if (remaining <= duration::zero())
+    if (wake_at <= now)
         return 0;
-    const auto wait_ms = std::chrono::ceil<milliseconds>(remaining).count();
+    const auto wait_ms = std::chrono::ceil<milliseconds>(wake_at - now).count();
     constexpr auto max_wait_ms = std::numeric_limits<int>::max();
     return static_cast<int>(std::min<std::int64_t>(wait_ms, max_wait_ms));
 }
@@ -197,10 +257,11 @@
     [[maybe_unused]] const auto size = ::read(wake_up_, &count, sizeof count);
 }
 
-void link_reactor::run_timers()
+void link_reactor::run_due(std::multimap<time_point, task>& timers,
+                           time_point now)
 {
-    while (!timers_.empty() && timers_.begin()->first <= now_)
-        timers_.extract(timers_.begin()).mapped()();
+    while (!timers.empty() && timers.begin()->first <= now)
+        timers.extract(timers.begin()).mapped()();
 }
 
 void link_reactor::run_tasks()
@@ -241,6 +302,7 @@
         stopped_ = empty;
     }
     timers_.clear();
+    timeouts_.clear();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/links/link_reactor.hpp
+++ b/src/libcyclamenrun/links/link_reactor.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_LINK_REACTOR_HPP
 #define CYCLAMENRUN_LINK_REACTOR_HPP
 
+#include "awake_clock.hpp"
 #include "clock.hpp"
 #include "socket_event_handler.hpp"
 
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <thread>
 #include <unordered_map>
@@ -29,7 +31,8 @@
     using task = std::function<void()>;
     using watch_id = std::uint64_t;
 
-    link_reactor();
+    /** `clock`: monotonic time; a test that calls step() passes its own. */
+    explicit link_reactor(clock_function clock = steady_now);
     link_reactor(const link_reactor&) = delete;
     link_reactor& operator=(const link_reactor&) = delete;
     ~link_reactor();
@@ -40,12 +43,25 @@
      */
     void run();
 
+    /**
+     * Runs one iteration without blocking. Called in place of run(), on the
+     * thread that plays the loop's thread.
+     */
+    void step();
+    /** When the next iteration is due without input; none: never. */
+    std::optional<time_point> next_iteration() const;
+
     // Thread-safe.
 
     void stop();
     /** Returns false, and drops the task, if the loop has ended. */
     bool post(task work);
     bool post_at(time_point when, task work);
+    /**
+     * Runs a task that judges another process by its silence, at a time of the
+     * awake clock, see awake_now(). Input that has arrived is handled before.
+     */
+    bool post_timeout(time_point awake_deadline, task work);
     bool on_loop_thread() const;
 
     // To be called on the loop's thread only.
@@ -60,6 +76,18 @@
     bool stopping() const { return stopping_; }
     /** Time at the start of this loop iteration. */
     time_point now() const { return now_; }
+    /**
+     * Time at the start of this loop iteration, less all time for which the
+     * loop could not run; see awake_clock.
+     */
+    time_point awake_now() const { return awake_.now(); }
+    /** Converts a deadline of now()'s clock for post_timeout(). */
+    time_point awake_deadline(time_point deadline) const
+    {
+        return awake_now() + (deadline - now());
+    }
+    /** All time for which the loop could not run. */
+    duration missed() const { return awake_.missed(); }
     /** Buffer for one read, shared by all sockets of the loop. */
     std::span<char> read_buffer() { return read_buffer_; }
 
@@ -70,10 +98,14 @@
         std::uint32_t events;
     };
 
-    void run_once();
-    int wait_milliseconds();
+    void run_once(bool may_wait);
+    void handle_input(int wait_ms);
+    time_point wake_time(time_point now) const;
+    bool has_work();
+    static int milliseconds_until(time_point wake_at, time_point now);
     void handle_event(watch_id id, std::uint32_t events);
-    void run_timers();
+    static void run_due(std::multimap<time_point, task>& timers,
+                        time_point now);
     void run_tasks();
     void flush_handlers();
     void finish();
@@ -90,10 +122,13 @@
 
     // The members below are used on the loop's thread only.
     bool stopping_ = false;
+    clock_function clock_;
     time_point now_;
+    awake_clock awake_;
     std::uint64_t next_watch_ = 1;
     std::unordered_map<watch_id, watch_entry> watches_;
     std::multimap<time_point, task> timers_;
+    std::multimap<time_point, task> timeouts_; ///< by awake time
     std::vector<std::shared_ptr<socket_event_handler>> unflushed_;
     std::vector<char> read_buffer_;
 };
--- a/src/libcyclamenrun/links/link_server_connection.cpp
+++ b/src/libcyclamenrun/links/link_server_connection.cpp
@@ -26,7 +26,8 @@
       context_(std::move(context)), peer_(std::make_shared<const std::string>(
                                         socket.peerAddress().toString())),
       hooks_(std::move(owner_hooks)),
-      handshake_deadline_(this->reactor().now() + limits().handshake_timeout)
+      handshake_deadline_(this->reactor().awake_now() +
+                          limits().handshake_timeout)
 {
 }
 
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -483,6 +483,18 @@
     run(deferred);
 }
 
+void gate::record_missed(duration missed)
+{
+    const std::scoped_lock lock(mutex_);
+    linger_deadline_ += missed;
+    for (auto& [work, session] : sessions_.all()) {
+        if (session.orphan_deadline)
+            *session.orphan_deadline += missed;
+        if (session.state == work_state::ended)
+            session.keep_until += missed;
+    }
+}
+
 void gate::expire(time_point now, deferred_calls& deferred)
 {
     for (const auto work : admission_.expired(now)) {
--- a/src/libcyclamenrun/outcomes/gate.hpp
+++ b/src/libcyclamenrun/outcomes/gate.hpp
@@ -111,6 +111,11 @@
                      time_point now);
     /** Applies expired deadlines and admits work; to be called periodically. */
     void tick(time_point now);
+    /**
+     * Extends the time in which callers and entries may return: this process
+     * could not react for `missed`; see awake_clock.
+     */
+    void record_missed(duration missed);
 
     // Queries.
     /** Whether the upstream should run this work item. */
--- a/src/libcyclamenrun/outcomes/relay.cpp
+++ b/src/libcyclamenrun/outcomes/relay.cpp
@@ -374,6 +374,11 @@
     return {};
 }
 
+void relay::record_missed(duration missed)
+{
+    reattach_deadline_ += missed;
+}
+
 time_point relay::next_event() const
 {
     return reattach_at_ ? std::min(*reattach_at_, request_.deadline)
--- a/src/libcyclamenrun/outcomes/relay.hpp
+++ b/src/libcyclamenrun/outcomes/relay.hpp
@@ -79,6 +79,11 @@
     relay_actions on_caller_disconnected(time_point now);
     /** Handles expired deadlines; to be called at next_event(). */
     relay_actions on_time(time_point now);
+    /**
+     * Extends the time in which the agent may be reached again: this process
+     * could not react for `missed`; see awake_clock.
+     */
+    void record_missed(duration missed);
 
     bool done() const { return done_; }
     /** When on_time() is due next. */
@@ -139,7 +144,7 @@
     bool suspect_ = false;
     bool done_ = false;
     std::optional<time_point> reattach_at_;
-    time_point reattach_deadline_;
+    time_point reattach_deadline_; ///< extended by record_missed()
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/outside/http_deadline_socket.cpp
+++ b/src/libcyclamenrun/outside/http_deadline_socket.cpp
@@ -27,7 +27,7 @@
                                            milliseconds response_timeout,
                                            clock_function clock)
     : deadline_(deadline), response_timeout_(response_timeout),
-      clock_(std::move(clock))
+      clock_(std::move(clock)), awake_(clock_())
 {
 }
 
@@ -65,10 +65,13 @@
 
 void http_deadline_socket::wait_until_ready(int mode)
 {
-    const auto wait =
-        std::min(time_left(deadline_, clock_()), response_timeout_);
-    const Poco::Timespan span(wait.count() * Poco::Timespan::MILLISECONDS);
-    if (wait.count() == 0 || !poll(span, mode))
+    const auto give_up_at =
+        std::min(deadline_, awake_.now() + response_timeout_);
+    const auto poll_for = [this, mode](milliseconds wait) {
+        return poll(Poco::Timespan(wait.count() * Poco::Timespan::MILLISECONDS),
+                    mode);
+    };
+    if (!wait_awake(awake_, clock_, give_up_at, poll_for))
         throw Poco::TimeoutException("deadline or response timeout reached");
 }
 
--- a/src/libcyclamenrun/outside/http_deadline_socket.hpp
+++ b/src/libcyclamenrun/outside/http_deadline_socket.hpp
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENRUN_HTTP_DEADLINE_SOCKET_HPP
 #define CYCLAMENRUN_HTTP_DEADLINE_SOCKET_HPP
 
-#include "clock.hpp"
+#include "awake_clock.hpp"
 
 #include <Poco/Net/StreamSocketImpl.h>
 #include <string>
@@ -14,7 +14,7 @@
  * A client socket with one absolute deadline for all reads and writes. With
  * only a timeout for each read, a peer that sends single bytes slowly could
  * hold a call forever. Each read or write is also limited by the response
- * timeout. Reaching either limit throws Poco::TimeoutException.
+ * timeout. Reaching either limit in awake time throws Poco::TimeoutException.
  */
 class http_deadline_socket : public Poco::Net::StreamSocketImpl
 {
@@ -37,6 +37,7 @@
     time_point deadline_;
     milliseconds response_timeout_;
     clock_function clock_;
+    awake_clock awake_;
     bool closed_by_peer_ = false;
     std::string tail_;
 };
--- a/src/libcyclamenrun/outside/request_deadline_socket.cpp
+++ b/src/libcyclamenrun/outside/request_deadline_socket.cpp
@@ -27,12 +27,13 @@
 
 int request_deadline_socket::receiveBytes(void* buffer, int length, int flags)
 {
-    const auto now = steady_now();
     if (!deadline_)
-        deadline_ = now + request_timeout_;
-    const auto left = time_left(*deadline_, now);
-    const Poco::Timespan wait(left.count() * Poco::Timespan::MILLISECONDS);
-    if (left.count() == 0 || !poll(wait, SELECT_READ))
+        deadline_ = awake_.now() + request_timeout_;
+    const auto poll_for = [this](milliseconds wait) {
+        return poll(Poco::Timespan(wait.count() * Poco::Timespan::MILLISECONDS),
+                    SELECT_READ);
+    };
+    if (!wait_awake(awake_, steady_now, *deadline_, poll_for))
         throw Poco::TimeoutException(
             "client did not send the whole request in time");
     return StreamSocketImpl::receiveBytes(buffer, length, flags);
--- a/src/libcyclamenrun/outside/request_deadline_socket.hpp
+++ b/src/libcyclamenrun/outside/request_deadline_socket.hpp
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENRUN_REQUEST_DEADLINE_SOCKET_HPP
 #define CYCLAMENRUN_REQUEST_DEADLINE_SOCKET_HPP
 
-#include "clock.hpp"
+#include "awake_clock.hpp"
 
 #include <Poco/Net/StreamSocketImpl.h>
 #include <atomic>
@@ -17,7 +17,7 @@
  * read never expires for them, so each can hold a thread indefinitely, and a
  * few such clients block all others. Here the time runs from the first
  * read of a request until the server sends data. A read that reaches the
- * deadline throws Poco::TimeoutException.
+ * deadline in awake time throws Poco::TimeoutException.
  */
 class request_deadline_socket : public Poco::Net::StreamSocketImpl
 {
@@ -38,7 +38,9 @@
     void record_use();
 
     milliseconds request_timeout_;
-    std::optional<time_point> deadline_; ///< of the request being read
+    awake_clock awake_{steady_now()};
+    /** Of the request being read, in awake time. */
+    std::optional<time_point> deadline_;
     /**
      * Orders each use before the destructor, which another thread may run.
      * POCO's reference count orders them as well, but ThreadSanitizer does not
