Reject numbers beyond their limits where messages are read

What callers saw: nothing yet; a fuzz target found it. One datagram with a prompt of 10^19 tokens led a monitor into undefined arithmetic, after which callers may wait for a start that is never granted. An engine's load with a number over 2^63 ended the process by an exception.

Cause: nothing stood between the parsers and the decisions. Each decision bounded the numbers that its author thought of; start_queue::is_late() was one that did not.

Evidence: the listed input fails on each run: signed overflow in is_late.

Change: read_checked() parses a message and checks each number in it, nested ones too, against the limits of its kind; all readers use it. JSON readers take a limit, headers are checked in the dialect. A rejected message is counted and logged once a second for each kind. Estimates of prefill time and memory saturate, since the fuzz target feeds them directly.

--- a/src/libcyclamenrun/agent/agent_process.cpp
+++ b/src/libcyclamenrun/agent/agent_process.cpp
@@ -4,8 +4,10 @@
 #include "build_info.hpp"
 #include "digest.hpp"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 #include "order_worker.hpp"
 #include "platform_log_client.hpp"
+#include "state_dump_sections.hpp"
 #include "upstream_driver.hpp"
 
 #include <Poco/JSON/Array.h>
@@ -108,7 +110,7 @@
     hooks.apply_configuration = [this](const link::Heartbeat& heartbeat) {
         v1::ConfigurationDelta delta;
         if (!heartbeat.config_delta().empty() &&
-            delta.ParseFromString(heartbeat.config_delta()))
+            read_checked(heartbeat.config_delta(), delta))
             configuration_.apply(delta);
     };
     hooks.configuration_revision = [this] { return configuration_.revision(); };
@@ -215,6 +217,7 @@
         section.set("expected_wait_ms", load.expected_wait_ms());
         section.set("queued_tokens", load.queued_tokens());
     });
+    add_rejected_messages_section(dump_);
     dump_.add_section("orders", [this](Poco::JSON::Object& section) {
         if (!orders_)
             return;
--- a/src/libcyclamenrun/agent/agent_server.cpp
+++ b/src/libcyclamenrun/agent/agent_server.cpp
@@ -4,6 +4,7 @@
 #include "link_messages.hpp"
 #include "link_server.hpp"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 #include "operator.pb.h"
 #include "server_stream.hpp"
 
@@ -95,7 +96,7 @@
 void agent_server::dispatch(const stream_pointer& stream)
 {
     link::Dispatch message;
-    if (!message.ParseFromString(stream->take_request())) {
+    if (!read_checked(stream->take_request(), message)) {
         stream->respond_once(make_refused_frame(
             {}, not_run(refusal_reason::protocol_error), {}));
         return;
@@ -106,7 +107,7 @@
 void agent_server::resume(const stream_pointer& stream)
 {
     link::Resume message;
-    if (!message.ParseFromString(stream->take_request())) {
+    if (!read_checked(stream->take_request(), message)) {
         stream->respond_once(make_refused_frame(
             {}, outcome_unknown(refusal_reason::protocol_error), {}));
         return;
@@ -152,7 +153,7 @@
 void agent_server::cancel(const stream_pointer& stream)
 {
     link::Cancel message;
-    if (!message.ParseFromString(stream->take_request())) {
+    if (!read_checked(stream->take_request(), message)) {
         stream->respond_once({});
         return;
     }
@@ -164,7 +165,7 @@
 void agent_server::acknowledge(const stream_pointer& stream)
 {
     link::Acknowledge message;
-    if (message.ParseFromString(stream->take_request()))
+    if (read_checked(stream->take_request(), message))
         gate_.acknowledge(message, clock_());
     stream->respond_once({});
 }
@@ -173,7 +174,7 @@
 {
     link::Drain message;
     const auto now = clock_();
-    if (!message.ParseFromString(stream->take_request())) {
+    if (!read_checked(stream->take_request(), message)) {
         stream->respond_once({});
         return;
     }
@@ -189,7 +190,7 @@
 {
     // The deadline is the time of arrival until the wait is added below.
     pending_heartbeat pending{stream, {}, clock_()};
-    if (!pending.request.ParseFromString(stream->take_request())) {
+    if (!read_checked(stream->take_request(), pending.request)) {
         stream->respond_once({});
         return;
     }
--- a/src/libcyclamenrun/configuration/configuration_state.cpp
+++ b/src/libcyclamenrun/configuration/configuration_state.cpp
@@ -2,6 +2,7 @@
 
 #include "change_validation.hpp"
 #include "digest.hpp"
+#include "message_reader.hpp"
 
 namespace cyclamenrun
 {
@@ -66,7 +67,7 @@
     if (bytes.size() > change_limits::max_record_bytes)
         return apply_result::oversized;
     v1::LogRecord record;
-    if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    if (!read_checked(bytes, record))
         return apply_result::unparsable;
     if (record.schema() > schema)
         return apply_result::newer_schema;
--- a/src/libcyclamenrun/configuration/configuration_store.cpp
+++ b/src/libcyclamenrun/configuration/configuration_store.cpp
@@ -1,5 +1,7 @@
 #include "configuration_store.hpp"
 
+#include "message_reader.hpp"
+
 namespace cyclamenrun
 {
 
@@ -69,7 +71,7 @@
 bool configuration_store::restore_from_peer(std::string_view bytes)
 {
     v1::SnapshotRecord snapshot;
-    if (!snapshot.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    if (!read_checked(bytes, snapshot))
         return false;
     std::unique_lock lock(mutex_);
     if (!state_.restore(snapshot))
--- a/src/libcyclamenrun/configuration/log_tail_cursor.cpp
+++ b/src/libcyclamenrun/configuration/log_tail_cursor.cpp
@@ -1,6 +1,7 @@
 #include "log_tail_cursor.hpp"
 
 #include "configuration_store.hpp"
+#include "message_reader.hpp"
 
 #include <algorithm>
 #include <array>
@@ -91,7 +92,7 @@
 void log_tail_cursor::add_snapshot_part(const platform_log_record& record)
 {
     v1::LogRecord parsed;
-    if (!parsed.ParseFromString(record.data) || !parsed.has_snapshot() ||
+    if (!read_checked(record.data, parsed) || !parsed.has_snapshot() ||
         parsed.schema() != configuration_state::schema)
         return;
     const auto complete_snapshot = assembler_.add(parsed.snapshot());
--- a/src/libcyclamenrun/daemon/daemon_main.cpp
+++ b/src/libcyclamenrun/daemon/daemon_main.cpp
@@ -3,6 +3,7 @@
 #include "build_info.hpp"
 #include "log_event.hpp"
 #include "logging.hpp"
+#include "rejected_messages.hpp"
 
 #include <CLI/CLI.hpp>
 #include <Poco/Exception.h>
@@ -14,6 +15,15 @@
 namespace
 {
 
+void log_rejected_message(const message_error& error, std::uint64_t count)
+{
+    log_event(log_severity::warning, log_event_name::message_rejected,
+              {{log_key::name, error.message},
+               {log_key::reason, name_of(error.problem)},
+               {log_key::detail, error.field},
+               {log_key::count, count}});
+}
+
 exit_code run(const daemon_program& program, const std::string& file,
               bool check_only)
 {
@@ -27,6 +37,7 @@
     if (check_only)
         return exit_code::ok;
     start_logging(*log, standard_output_writer());
+    process_rejected_messages().set_reporter(log_rejected_message);
     log_event(
         log_severity::info, log_event_name::process_started,
         {{log_key::name, program.name}, {log_key::version, build_version}});
--- a/src/libcyclamenrun/daemon/state_dump_sections.cpp
+++ b/src/libcyclamenrun/daemon/state_dump_sections.cpp
@@ -3,6 +3,7 @@
 #include "build_info.hpp"
 #include "metrics.hpp"
 #include "process_settings.hpp"
+#include "rejected_messages.hpp"
 
 namespace cyclamenrun
 {
@@ -53,6 +54,15 @@
     });
 }
 
+void add_rejected_messages_section(state_dump& dump)
+{
+    dump.add_section("rejected_messages", [](Object& object) {
+        for (const auto& [kind, count] : process_rejected_messages().counts())
+            object.set(kind.first + " " + std::string(name_of(kind.second)),
+                       count);
+    });
+}
+
 void add_metrics_section(state_dump& dump, const metrics& recorded_metrics,
                          clock_function clock)
 {
--- a/src/libcyclamenrun/daemon/state_dump_sections.hpp
+++ b/src/libcyclamenrun/daemon/state_dump_sections.hpp
@@ -19,6 +19,9 @@
 void add_process_section(state_dump& dump, const process_settings& settings,
                          std::string_view role, clock_function clock);
 
+/** Adds section `rejected_messages`: their numbers, by kind and reason. */
+void add_rejected_messages_section(state_dump& dump);
+
 /** Adds section `metrics`: each metric that has samples, with its unit. */
 void add_metrics_section(state_dump& dump, const metrics& recorded_metrics,
                          clock_function clock);
--- a/src/libcyclamenrun/decisions/engine_load_estimate.cpp
+++ b/src/libcyclamenrun/decisions/engine_load_estimate.cpp
@@ -1,5 +1,7 @@
 #include "engine_load_estimate.hpp"
 
+#include "number_limits.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -24,6 +26,14 @@
 constexpr double value_lost_by_preemption = 0.85;
 /** Weight of the newest prompt in the moving mean of prompt lengths. */
 constexpr double mean_weight = 1.0 / 16;
+/** A prefill that seems to take longer is estimated to take this: a day. */
+constexpr double longest_prefill_ms = 86'400'000;
+
+std::uint64_t to_tokens(double tokens)
+{
+    constexpr auto most = static_cast<double>(number_limits::memory_tokens);
+    return static_cast<std::uint64_t>(std::clamp(tokens, 0.0, most));
+}
 
 } // namespace
 
@@ -120,13 +130,13 @@
 
 engine_occupancy engine_load_estimate::occupancy() const
 {
-    return {taken_slots(), static_cast<std::uint64_t>(planned_memory())};
+    return {taken_slots(), to_tokens(planned_memory())};
 }
 
 milliseconds engine_load_estimate::prefill_time(std::uint64_t tokens) const
 {
-    return milliseconds(
-        std::llround(static_cast<double>(tokens) / speed_.tokens_per_ms()));
+    const double ms = static_cast<double>(tokens) / speed_.tokens_per_ms();
+    return milliseconds(std::llround(std::min(ms, longest_prefill_ms)));
 }
 
 milliseconds engine_load_estimate::prefill_backlog(time_point now) const
@@ -137,8 +147,8 @@
     const double prompt = mean_prompt_ > 0
                               ? mean_prompt_
                               : static_cast<double>(status_.next_prompt_tokens);
-    auto remaining = prefill_time(
-        static_cast<std::uint64_t>(static_cast<double>(ungranted) * prompt));
+    auto remaining =
+        prefill_time(to_tokens(static_cast<double>(ungranted) * prompt));
     for (const auto& each : granted_)
         remaining += prefill_time(each.request.prompt_tokens);
     if (granted_.empty() || granted_.front().prefill_since == time_point{})
--- a/src/libcyclamenrun/entry/caller_request.cpp
+++ b/src/libcyclamenrun/entry/caller_request.cpp
@@ -2,6 +2,7 @@
 
 #include "digest.hpp"
 #include "http_json.hpp"
+#include "number_limits.hpp"
 #include "ticket_authority.hpp"
 
 #include <algorithm>
@@ -119,10 +120,10 @@
     if (!body.has("max_tokens"))
         return 0U;
     const auto requested = json_u64(body, "max_tokens");
-    if (!requested || *requested == 0 ||
-        *requested > std::numeric_limits<std::uint32_t>::max())
+    if (!requested || *requested == 0 || *requested > number_limits::tokens)
         return tl::unexpected(
-            invalid_request("max_tokens must be a whole number, 1 or more"));
+            invalid_request("max_tokens must be a whole number from 1 to " +
+                            std::to_string(number_limits::tokens)));
     return static_cast<std::uint32_t>(*requested);
 }
 
--- a/src/libcyclamenrun/entry/entry_core.cpp
+++ b/src/libcyclamenrun/entry/entry_core.cpp
@@ -3,6 +3,7 @@
 #include "agent_query.hpp"
 #include "caller_writer.hpp"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 #include "metrics_caller_writer.hpp"
 #include "operator.pb.h"
 #include "outcome_metrics.hpp"
@@ -306,7 +307,7 @@
     for (const auto& query : queries) {
         v1::ListRevisionsResponse response;
         const auto answer = query->wait(deadline);
-        if (!answer || !response.ParseFromString(*answer))
+        if (!answer || !read_checked(*answer, response))
             continue;
         for (const auto& row : response.processes())
             revisions_.record(
--- a/src/libcyclamenrun/entry/entry_process.cpp
+++ b/src/libcyclamenrun/entry/entry_process.cpp
@@ -8,6 +8,7 @@
 #include "log_event.hpp"
 #include "log_tailer.hpp"
 #include "logging_platform_log.hpp"
+#include "message_reader.hpp"
 #include "operator_commands.hpp"
 #include "operator_queries.hpp"
 #include "platform_log_client.hpp"
@@ -297,7 +298,7 @@
     if (!answer)
         return tl::unexpected(answer.error());
     link::LoadReport load;
-    if (!load.ParseFromString(*answer))
+    if (!read_checked(*answer, load))
         return tl::unexpected(outcome_unknown(refusal_reason::protocol_error));
     core_->routes().update_report(load, steady_now());
     v1::DrainUpstreamResponse response;
@@ -386,6 +387,7 @@
         section.set("failures", status.failures);
         section.set("failures_in_a_row", status.failures_in_a_row);
     });
+    add_rejected_messages_section(dump_);
     add_metrics_section(dump_, core_->measurements(), steady_now);
 }
 
--- a/src/libcyclamenrun/entry/relay_runner.cpp
+++ b/src/libcyclamenrun/entry/relay_runner.cpp
@@ -4,6 +4,7 @@
 #include "awake_clock.hpp"
 #include "caller_writer.hpp"
 #include "client_stream.hpp"
+#include "message_reader.hpp"
 
 #include <algorithm>
 
@@ -90,7 +91,7 @@
         return;
     }
     link::AgentFrame frame;
-    if (!frame.ParseFromString(event.frame)) {
+    if (!read_checked(event.frame, frame)) {
         // The relay rejects a frame with another request's id, so an
         // unparsable frame is passed to it as one.
         frame.Clear();
--- a/src/libcyclamenrun/gateway/directory_relay.cpp
+++ b/src/libcyclamenrun/gateway/directory_relay.cpp
@@ -3,6 +3,7 @@
 #include "directory.pb.h"
 #include "directory_messages.hpp"
 #include "link_loop.hpp"
+#include "message_reader.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 #include <utility>
@@ -103,7 +104,7 @@
 {
     v1::DirectoryCall call;
     const bool readable = stream->path() == directory_path &&
-                          call.ParseFromString(stream->request());
+                          read_checked(stream->request(), call).has_value();
     if (readable && call.feed() == v1::DIRECTORY_FEED_CONFIGURATIONS)
         relay_call(*configurations_, encoded_configurations_, call, stream);
     else if (readable && call.feed() == v1::DIRECTORY_FEED_UPSTREAMS)
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include "load.pb.h"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -77,9 +78,10 @@
 void engine_monitor::handle_request(const ip_endpoint& from,
                                     std::string_view bytes)
 {
-    v1::MonitorRequest request;
-    if (!request.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    const auto read = parse_message<v1::MonitorRequest>(bytes);
+    if (!read)
         return;
+    const auto& request = *read;
     const auto key = to_string(from);
     auto* const gateway = find_or_add_gateway(from, key);
     if (!request.health_target().empty()) {
--- a/src/libcyclamenrun/gateway/event_splitter.cpp
+++ b/src/libcyclamenrun/gateway/event_splitter.cpp
@@ -1,5 +1,8 @@
 #include "event_splitter.hpp"
 
+#include "number_limits.hpp"
+#include "rejected_messages.hpp"
+
 #include <algorithm>
 #include <charconv>
 
@@ -98,6 +101,11 @@
     const auto id = id_of(event);
     if (!id)
         return true;
+    if (*id > number_limits::position) {
+        process_rejected_messages().record(
+            {message_problem::out_of_range, "event", "id"});
+        return tl::unexpected(event_problem::gap);
+    }
     if (last_id_ && *id <= *last_id_)
         return false;
     if (last_id_ && *id != *last_id_ + 1)
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -344,6 +344,7 @@
                     context_->budget.remaining(service, now));
     }
     export_dropped_lines(metrics);
+    export_rejected_messages(metrics);
 }
 
 void gateway_process::upstream_leaving(const std::string& id,
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -3,6 +3,7 @@
 #include "engine_monitor.hpp"
 #include "load.pb.h"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -299,10 +300,11 @@
 void monitor_link::handle_datagram(const ip_endpoint& from,
                                    std::string_view bytes)
 {
-    record_response(from.host);
-    v1::MonitorNotice notice;
-    if (!notice.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    const auto read = parse_message<v1::MonitorNotice>(bytes);
+    if (!read)
         return;
+    const auto& notice = *read;
+    record_response(from.host);
     update_gateway_count(from.host, notice.gateways());
     if (notice.has_engine())
         handle_identity(from.host, notice.engine());
--- a/src/libcyclamenrun/gateway/monitor_process.cpp
+++ b/src/libcyclamenrun/gateway/monitor_process.cpp
@@ -21,6 +21,7 @@
             metrics_.set(exported_metric::gateways, {},
                          static_cast<double>(monitor_->gateways()));
             export_dropped_lines(metrics_);
+            export_rejected_messages(metrics_);
         });
     if (settings.directory.port != 0)
         open_relay(settings.directory, platform);
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "peer_exchange.hpp"
 
+#include "message_reader.hpp"
 #include "peers.pb.h"
 
 #include <algorithm>
@@ -219,8 +220,7 @@
                        time_point now)
 {
     v1::PeerMessage message;
-    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-        message.incarnation() == 0)
+    if (!read_checked(bytes, message) || message.incarnation() == 0)
         return std::nullopt;
     if (message.incarnation() == incarnation_) {
         own_host_ = host;
--- a/src/libcyclamenrun/gateway/relay_clients.cpp
+++ b/src/libcyclamenrun/gateway/relay_clients.cpp
@@ -3,6 +3,7 @@
 #include "directory.pb.h"
 #include "directory_relay.hpp"
 #include "log_event.hpp"
+#include "message_reader.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -116,7 +117,7 @@
     client_handlers handlers;
     handlers.on_frame = [sent_call](const std::string& frame) {
         v1::DirectoryAnswer answer;
-        if (answer.ParseFromString(frame))
+        if (read_checked(frame, answer))
             sent_call->finish(answer);
     };
     handlers.on_end = [weak = weak_from_this(), sent_call,
--- a/src/libcyclamenrun/links/agent_links.cpp
+++ b/src/libcyclamenrun/links/agent_links.cpp
@@ -4,6 +4,7 @@
 #include "link_client.hpp"
 #include "link_loop.hpp"
 #include "link_reactor.hpp"
+#include "message_reader.hpp"
 
 #include <Poco/Net/SocketAddress.h>
 
@@ -157,7 +158,7 @@
                                          const std::string& frame)
 {
     link::HeartbeatReply reply;
-    if (is_watched(agent) && reply.ParseFromString(frame))
+    if (is_watched(agent) && read_checked(frame, reply))
         hooks_.on_reply(agent.upstream, reply);
 }
 
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -59,6 +59,12 @@
                         exported_kind::counter, "feed",
                         "Records of the directory that were skipped because "
                         "they cannot be read."},
+    exported_metric_row{exported_metric::rejected_messages,
+                        "cyclamenrun_messages_rejected_total",
+                        exported_kind::counter, "message,reason",
+                        "Messages of other processes that were rejected "
+                        "because they do not parse or a number in them is "
+                        "beyond its limits."},
     exported_metric_row{
         exported_metric::directory_relayed,
         "cyclamenrun_directory_relayed_total", exported_kind::counter, "feed",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -23,6 +23,7 @@
     directory_time,
     directory_failures,
     unreadable_records,
+    rejected_messages,
     directory_relayed,
     configuration_version,
     configuration_age,
--- a/src/libcyclamenrun/observability/exported_metrics.cpp
+++ b/src/libcyclamenrun/observability/exported_metrics.cpp
@@ -1,6 +1,7 @@
 #include "exported_metrics.hpp"
 
 #include "logging.hpp"
+#include "rejected_messages.hpp"
 
 #include <array>
 #include <mutex>
@@ -162,4 +163,12 @@
                             static_cast<double>(dropped.of(severity)));
 }
 
+void export_rejected_messages(exported_metrics& metrics)
+{
+    for (const auto& [kind, count] : process_rejected_messages().counts())
+        metrics.set_counter(exported_metric::rejected_messages,
+                            {kind.first, std::string(name_of(kind.second))},
+                            static_cast<double>(count));
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/observability/exported_metrics.hpp
+++ b/src/libcyclamenrun/observability/exported_metrics.hpp
@@ -49,6 +49,9 @@
 /** Updates the counters of dropped log lines. */
 void export_dropped_lines(exported_metrics& metrics);
 
+/** Updates the counters of rejected messages. */
+void export_rejected_messages(exported_metrics& metrics);
+
 } // namespace cyclamenrun
 
 #endif // CYCLAMENRUN_EXPORTED_METRICS_HPP
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -173,6 +173,10 @@
                   "configuration is current."},
     log_event_row{log_event_name::record_unreadable, "record_unreadable",
                   "A record of the directory cannot be read and was skipped."},
+    log_event_row{log_event_name::message_rejected, "message_rejected",
+                  "A message of another process was rejected: it does not "
+                  "parse, or the number in `detail` is beyond its limits. "
+                  "Logged once a second for each kind; `count` is the total."},
     log_event_row{log_event_name::monitor_lost, "monitor_lost",
                   "The monitor of an engine does not respond."},
     log_event_row{log_event_name::monitor_regained, "monitor_regained",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -74,6 +74,7 @@
     lease_ended,
     lease_renewed,
     record_unreadable,
+    message_rejected,
     monitor_lost,
     monitor_regained,
     relay_lost,
--- a/src/libcyclamenrun/operators/rpc_codec.cpp
+++ b/src/libcyclamenrun/operators/rpc_codec.cpp
@@ -1,5 +1,7 @@
 #include "rpc_codec.hpp"
 
+#include "message_reader.hpp"
+
 #include <google/protobuf/util/json_util.h>
 
 namespace cyclamenrun
@@ -38,12 +40,17 @@
                      google::protobuf::Message& message)
 {
     if (encoding == rpc_encoding::proto)
-        return message.ParseFromString(body);
+        return read_checked(body, message).has_value();
     // A newer client may send fields that are unknown to this release.
     google::protobuf::util::JsonParseOptions options;
     options.ignore_unknown_fields = true;
-    return google::protobuf::util::JsonStringToMessage(body, &message, options)
-        .ok();
+    if (!google::protobuf::util::JsonStringToMessage(body, &message, options)
+             .ok())
+        return false;
+    const auto error = find_out_of_range(message);
+    if (error)
+        process_rejected_messages().record(*error);
+    return !error;
 }
 
 std::optional<std::string>
--- a/src/libcyclamenrun/operators/rpc_http_handler.cpp
+++ b/src/libcyclamenrun/operators/rpc_http_handler.cpp
@@ -53,7 +53,8 @@
     Poco::UInt64 requested = 0;
     if (!Poco::NumberParser::tryParseUnsigned64(header, requested))
         return default_timeout;
-    return std::min(milliseconds(requested), max_timeout);
+    const auto longest = static_cast<Poco::UInt64>(max_timeout.count());
+    return milliseconds(std::min(requested, longest));
 }
 
 /**
--- a/src/libcyclamenrun/outcomes/ticket_authority.cpp
+++ b/src/libcyclamenrun/outcomes/ticket_authority.cpp
@@ -2,6 +2,7 @@
 
 #include "digest.hpp"
 #include "link.pb.h"
+#include "message_reader.hpp"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
@@ -87,7 +88,7 @@
             invalid_ticket("ticket contains a character outside base64"));
     const auto bytes = decode_base64(text);
     link::Ticket ticket;
-    if (!ticket.ParseFromString(bytes) || ticket.upstream().empty())
+    if (!read_checked(bytes, ticket) || ticket.upstream().empty())
         return tl::unexpected(invalid_ticket("ticket cannot be decoded"));
     return ticket;
 }
--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -224,10 +224,12 @@
     const auto document = parse_json_object(answer->body);
     if (!document)
         return malformed("the load is not a JSON object");
-    const auto running = json_u64(*document, "running");
-    const auto waiting = json_u64(*document, "waiting");
-    const auto used = json_u64(*document, "memory_tokens_used");
-    const auto total = json_u64(*document, "memory_tokens_total");
+    const auto running = json_u64(*document, "running", number_limits::count);
+    const auto waiting = json_u64(*document, "waiting", number_limits::count);
+    const auto used =
+        json_u64(*document, "memory_tokens_used", number_limits::memory_tokens);
+    const auto total = json_u64(*document, "memory_tokens_total",
+                                number_limits::memory_tokens);
     if (!running || !waiting || !used || !total)
         return malformed("a member of the load is missing or invalid");
     return engine_load{static_cast<std::uint32_t>(*running),
--- a/src/libcyclamenrun/outside/http_json.cpp
+++ b/src/libcyclamenrun/outside/http_json.cpp
@@ -1,5 +1,7 @@
 #include "http_json.hpp"
 
+#include "rejected_messages.hpp"
+
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
@@ -39,13 +41,19 @@
 }
 
 std::optional<std::uint64_t> json_u64(const Poco::JSON::Object& object,
-                                      const std::string& name)
+                                      const std::string& name,
+                                      std::uint64_t most)
 {
     const auto value = object.get(name);
     if (!value.isInteger())
         return {};
     try {
-        return value.convert<std::uint64_t>();
+        const auto number = value.convert<std::uint64_t>();
+        if (number <= most)
+            return number;
+        process_rejected_messages().record(
+            {message_problem::out_of_range, "json", name});
+        return {};
     } catch (const Poco::Exception&) {
         return {}; // negative
     }
--- a/src/libcyclamenrun/outside/http_json.hpp
+++ b/src/libcyclamenrun/outside/http_json.hpp
@@ -1,6 +1,8 @@
 #ifndef CYCLAMENRUN_HTTP_JSON_HPP
 #define CYCLAMENRUN_HTTP_JSON_HPP
 
+#include "number_limits.hpp"
+
 #include <Poco/JSON/Object.h>
 #include <cstdint>
 #include <optional>
@@ -17,8 +19,10 @@
 
 std::optional<std::string> json_string(const Poco::JSON::Object& object,
                                        const std::string& name);
-std::optional<std::uint64_t> json_u64(const Poco::JSON::Object& object,
-                                      const std::string& name);
+/** A whole number from 0 to `most`; empty for any other value. */
+std::optional<std::uint64_t>
+json_u64(const Poco::JSON::Object& object, const std::string& name,
+         std::uint64_t most = number_limits::position);
 Poco::JSON::Object::Ptr json_object(const Poco::JSON::Object& object,
                                     const std::string& name);
 Poco::JSON::Array::Ptr json_array(const Poco::JSON::Object& object,
--- a/tests/gateway/test_paused_programs.cpp
+++ b/tests/gateway/test_paused_programs.cpp
@@ -13,11 +13,13 @@
 {
 protected:
     paused_programs()
-        : engine([](const arrived_request& request, upstream_reply& reply) {
-              reply.answer(request, 200,
-                           R"({"active":0,"queued":0,)"
-                           R"("kv_used":0,"kv_total":10000})");
-          })
+        : engine(
+              [](const arrived_request& request, upstream_reply& reply) {
+                  reply.answer(request, 200,
+                               R"({"active":0,"queued":0,)"
+                               R"("kv_used":0,"kv_total":10000})");
+              },
+              host())
     {
         store.put("keyed.op", "config",
                   R"({"version":1,"routes":[{"name":"s","host":"h",)"
@@ -29,7 +31,7 @@
                       to_string(engine.address()) +
                       R"(","zone":"d","slots":8,"state":"ready"})");
         const auto port = std::to_string(scripted_monitor::free_port());
-        settings.write("name = \"m\"\nlisten = \"127.0.0.1:" + port +
+        settings.write("name = \"m\"\nlisten = \"" + host() + ":" + port +
                        "\"\nengine = \"" + to_string(engine.address()) +
                        "\"\n[directory]\naddress = \"" + store.address() +
                        "\"\n");
@@ -43,6 +45,15 @@
         wait_for_relayed_reads();
     }
 
+    /** A loopback address that tests beside this one do not use. */
+    static std::string host()
+    {
+        constexpr int numbers = 250;
+        const int id = ::getpid();
+        return "127." + std::to_string(1 + id % numbers) + "." +
+               std::to_string(id / numbers % numbers) + ".1";
+    }
+
     std::unique_ptr<child_process> start(const std::string& program) const
     {
         return std::make_unique<child_process>(
@@ -62,7 +73,8 @@
             state = caller.read().body;
             std::this_thread::sleep_for(milliseconds(10));
         }
-        ASSERT_NE(state.find("\"relayed\":true"), std::string::npos) << state;
+        ASSERT_NE(state.find("\"relayed\":true"), std::string::npos)
+            << state << monitor->output();
     }
 
     /** Pauses the gateway, and the monitor at the same time if `both`. */
