See a crash right after a check that found the upstream alive

What callers saw: the work that had crashed an upstream was not marked and could crash one more, if the upstream had reset another connection within the half second before.

Cause: crash_detector kept the result "alive" for 500 ms and dropped all losses in that time; a loss during a check was cleared by its result as well, although the upstream may have crashed after it had accepted the connection.

Change: a check answers only for losses before it began. Later ones wait for the next, at most one in 20 ms for each upstream, so that one that breaks many connections and lives is not flooded. A check without an answer ends after 500 ms of awake time.

--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -9,11 +9,14 @@
 {
 
 /**
- * A host that is reachable refuses a connection within a few milliseconds. The
- * result is kept as long, since an upstream's connections do not all break at
- * the same time.
+ * A crash that was found counts for further losses for so long, since an
+ * upstream's connections do not all break at the same time. A host that is
+ * reachable refuses a connection within a few milliseconds; a check without an
+ * answer after this time has no result.
  */
 constexpr milliseconds check_lifetime{500};
+/** Least time from a check that found an upstream alive to the next. */
+constexpr milliseconds check_interval{20};
 constexpr std::size_t max_checks = 256;
 constexpr std::size_t max_lost_requests = 1024;
 
@@ -34,44 +37,76 @@
         on_crash_(upstream, request);
         return;
     }
-    if (known != checks_.end()) {
-        if (known->second.lost.size() < max_lost_requests)
-            known->second.lost.push_back(std::move(request));
+    if (known == checks_.end() && checks_.size() >= max_checks)
         return;
-    }
-    if (checks_.size() >= max_checks)
+    auto& found = checks_[upstream.id];
+    found.upstream = upstream;
+    if (found.waiting.size() < max_lost_requests)
+        found.waiting.push_back(std::move(request));
+    if (!found.connection && found.waiting.size() == 1)
+        schedule_check(upstream.id);
+}
+
+void crash_detector::schedule_check(const std::string& upstream_id)
+{
+    const auto due = checks_.at(upstream_id).next_check;
+    if (due <= reactor_->now()) {
+        start_check(upstream_id);
         return;
-    auto& started = checks_[upstream.id];
-    started.upstream = upstream;
-    started.lost.push_back(std::move(request));
-    started.expires_at = reactor_->now() + check_lifetime;
-    start_check(started);
+    }
+    reactor_->post_at(due, [weak = weak_from_this(), upstream_id] {
+        if (const auto self = weak.lock())
+            self->start_check(upstream_id);
+    });
 }
 
-void crash_detector::start_check(check& started)
+void crash_detector::start_check(const std::string& upstream_id)
 {
+    const auto found = checks_.find(upstream_id);
+    if (found == checks_.end() || found->second.connection ||
+        found->second.waiting.empty())
+        return;
+    auto& started = found->second;
+    started.checked = std::exchange(started.waiting, {});
     tcp_connection::hooks on;
-    on.connected = [weak = weak_from_this(), id = started.upstream.id] {
-        const auto self = weak.lock();
-        if (!self)
-            return;
-        const auto found = self->checks_.find(id);
-        if (found == self->checks_.end())
-            return;
-        found->second.lost.clear();
-        if (const auto connection =
-                std::exchange(found->second.connection, nullptr))
-            connection->close();
+    on.connected = [weak = weak_from_this(), upstream_id] {
+        if (const auto self = weak.lock())
+            self->handle_alive(upstream_id);
     };
-    on.ended = [weak = weak_from_this(),
-                id = started.upstream.id](connection_end how) {
+    on.ended = [weak = weak_from_this(), upstream_id](connection_end how) {
         const auto self = weak.lock();
         if (self && how == connection_end::refused)
-            self->handle_refused(id);
+            self->handle_refused(upstream_id);
     };
     started.connection =
         tcp_connection::connect(reactor_, started.upstream.address,
                                 connection_timeouts(), std::move(on));
+    reactor_->post_timeout(reactor_->awake_now() + check_lifetime,
+                           [weak = weak_from_this(), upstream_id,
+                            connection = std::weak_ptr(started.connection)] {
+                               if (const auto self = weak.lock())
+                                   self->handle_no_answer(upstream_id,
+                                                          connection);
+                           });
+}
+
+void crash_detector::end_connection(check& ended)
+{
+    if (const auto connection = std::exchange(ended.connection, nullptr))
+        connection->close();
+}
+
+void crash_detector::handle_alive(const std::string& upstream_id)
+{
+    const auto found = checks_.find(upstream_id);
+    if (found == checks_.end())
+        return;
+    auto& checked = found->second;
+    end_connection(checked);
+    checked.checked.clear();
+    checked.next_check = reactor_->now() + check_interval;
+    if (!checked.waiting.empty())
+        schedule_check(upstream_id);
 }
 
 void crash_detector::handle_refused(const std::string& upstream_id)
@@ -84,20 +119,35 @@
     known.expires_at = reactor_->now() + check_lifetime;
     known.connection.reset();
     const auto upstream = known.upstream;
-    for (const auto& request : std::exchange(known.lost, {}))
+    auto lost = std::exchange(known.checked, {});
+    for (auto& request : std::exchange(known.waiting, {}))
+        lost.push_back(std::move(request));
+    for (const auto& request : lost)
         on_crash_(upstream, request);
 }
 
+void crash_detector::handle_no_answer(
+    const std::string& upstream_id,
+    const std::weak_ptr<tcp_connection>& connection)
+{
+    const auto found = checks_.find(upstream_id);
+    const auto unanswered = connection.lock();
+    if (!unanswered || found == checks_.end() ||
+        found->second.connection != unanswered)
+        return;
+    end_connection(found->second);
+    checks_.erase(found);
+}
+
 void crash_detector::remove_expired()
 {
     const auto now = reactor_->now();
-    std::erase_if(checks_, [now](auto& entry) {
-        auto& each = entry.second;
-        if (now < each.expires_at)
-            return false;
-        if (each.connection)
-            each.connection->close();
-        return true;
+    std::erase_if(checks_, [now](const auto& entry) {
+        const auto& each = entry.second;
+        if (each.crashed)
+            return now >= each.expires_at;
+        return !each.connection && each.waiting.empty() &&
+               now >= each.next_check;
     });
 }
 
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -29,8 +29,10 @@
  * has crashed if its host refuses a new connection; one that accepts it lives,
  * and one that does not respond may be cut off.
  *
- * One connection is made per upstream, however many of its requests are lost at
- * once. Used on the reactor's thread only.
+ * A check answers for the losses before it began: the upstream may crash while
+ * it accepts the connection, or right after. Losses after that wait for the
+ * next check. One upstream is checked at most once in a short while, however
+ * many of its requests are lost. Used on the reactor's thread only.
  */
 class crash_detector : public std::enable_shared_from_this<crash_detector>
 {
@@ -47,16 +49,24 @@
     void stop();
 
 private:
+    /** The losses of one upstream and the connection that checks it. */
     struct check {
         upstream_record upstream;
-        std::vector<lost_request> lost;
-        std::shared_ptr<tcp_connection> connection;
+        std::vector<lost_request> checked; ///< lost before the check began
+        std::vector<lost_request> waiting; ///< lost since
+        std::shared_ptr<tcp_connection> connection; ///< null between checks
         bool crashed = false;
-        time_point expires_at;
+        time_point expires_at; ///< of a crash that was found
+        time_point next_check{};
     };
 
-    void start_check(check& started);
+    void start_check(const std::string& upstream_id);
+    void schedule_check(const std::string& upstream_id);
+    void handle_alive(const std::string& upstream_id);
     void handle_refused(const std::string& upstream_id);
+    void handle_no_answer(const std::string& upstream_id,
+                          const std::weak_ptr<tcp_connection>& connection);
+    void end_connection(check& ended);
     void remove_expired();
 
     std::shared_ptr<link_reactor> reactor_;
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -79,6 +79,12 @@
      */
     void crash();
     bool crashed() const { return crashed_; }
+    /** Number of connections accepted so far. */
+    std::size_t connections() const
+    {
+        const std::scoped_lock lock(mutex_);
+        return sockets_.size();
+    }
 
     ip_endpoint address() const;
     std::vector<arrived_request> arrived() const;
--- /dev/null
+++ b/tests/gateway/test_crash_detector.cpp
@@ -0,0 +1,128 @@
+#include "crash_detector.hpp"
+
+#include "fake_upstream.hpp"
+#include "link_loop.hpp"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+class crash_detectors : public testing::Test
+{
+protected:
+    crash_detectors()
+        : upstream([](const arrived_request&, upstream_reply& reply) {
+              reply.wait_for_close();
+          })
+    {
+        record.id = "u1";
+        record.service = "app";
+        record.address = upstream.address();
+        run([this] {
+            detector = std::make_shared<crash_detector>(
+                loop->reactor(),
+                [this](const upstream_record&, const lost_request& request) {
+                    const std::scoped_lock lock(mutex);
+                    crashed.push_back(request.id);
+                });
+        });
+    }
+
+    ~crash_detectors() override
+    {
+        run([this] { detector->stop(); });
+        loop.reset();
+    }
+
+    /** Runs a task on the loop's thread and waits for its end. */
+    void run(const std::function<void()>& task) const
+    {
+        std::promise<void> done;
+        loop->post([&] {
+            task();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    void lose(const std::string& request) const
+    {
+        run([&] { detector->record_loss(record, {request, 1, {}}); });
+    }
+
+    std::vector<std::string> reported()
+    {
+        const std::scoped_lock lock(mutex);
+        return crashed;
+    }
+
+    /** Waits until that many requests were reported; at most two seconds. */
+    bool wait_for_reports(std::size_t count)
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(2);
+        while (reported().size() < count && steady_now() < deadline)
+            std::this_thread::sleep_for(milliseconds(1));
+        return reported().size() == count;
+    }
+
+    static void wait(milliseconds time) { std::this_thread::sleep_for(time); }
+
+    fake_upstream upstream;
+    upstream_record record;
+    std::unique_ptr<link_loop> loop = std::make_unique<link_loop>();
+    std::shared_ptr<crash_detector> detector;
+    std::mutex mutex;
+    std::vector<std::string> crashed; ///< ids of the reported requests
+};
+
+// Guards against a crash that is not seen, since an earlier loss at the same
+// upstream has just been found to be no crash.
+TEST_F(crash_detectors, see_a_crash_after_a_check_that_found_the_upstream_alive)
+{
+    for (const int pause_ms : {0, 5, 30, 100, 300}) {
+        lose("reset");
+        wait(milliseconds(pause_ms));
+    }
+    EXPECT_TRUE(reported().empty());
+    upstream.crash();
+    lose("crashed");
+    ASSERT_TRUE(wait_for_reports(1));
+    EXPECT_EQ(reported().back(), "crashed");
+}
+
+// Guards against one connection for each request of an upstream that breaks
+// many connections, and lives.
+TEST_F(crash_detectors, check_an_upstream_rarely_however_many_requests_it_loses)
+{
+    run([this] {
+        for (int i = 0; i < 500; ++i)
+            detector->record_loss(record, {std::to_string(i), 1, {}});
+    });
+    wait(milliseconds(300));
+    EXPECT_TRUE(reported().empty());
+    EXPECT_LE(upstream.connections(), 3U);
+}
+
+// Guards against a crash that counts for the first of its requests only.
+TEST_F(crash_detectors, report_all_requests_of_an_upstream_that_has_crashed)
+{
+    upstream.crash();
+    run([this] {
+        for (int i = 0; i < 20; ++i)
+            detector->record_loss(record, {std::to_string(i), 1, {}});
+    });
+    EXPECT_TRUE(wait_for_reports(20));
+    lose("late");
+    EXPECT_TRUE(wait_for_reports(21));
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
