Split exchange: conclusion, continuation and search of an upstream

- request_conclusion: attempts, what follows from their results, and the one final answer, with attempt_history inside
- generation_continuation: a run that goes on at another engine
- served_request: what is known of the request, which all of them read

--- /dev/null
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -0,0 +1,176 @@
+#include "generation_continuation.hpp"
+
+#include <utility>
+
+namespace cyclamenrun
+{
+
+generation_continuation::generation_continuation(gateway_context& context,
+                                                 served_request& served,
+                                                 request_conclusion& conclusion,
+                                                 hooks on)
+    : context_(context), served_(served), conclusion_(conclusion),
+      on_(std::move(on))
+{
+}
+
+void generation_continuation::choose_backup(const upstream_record& upstream)
+{
+    backup_.reset();
+    if (!served_.profile.allows_backup() ||
+        !context_.backups.should_back_up(context_.reactor->now()))
+        return;
+    backup_ = context_.choice.for_backup(served_.service,
+                                         make_placement_request(upstream),
+                                         upstream.id, context_.reactor->now());
+    if (backup_)
+        conclusion_.recorder().backed_up(served_.service, backup_->id);
+}
+
+placement_request generation_continuation::make_placement_request(
+    const upstream_record& source) const
+{
+    auto request =
+        served_.profile.make_placement_request(source.failure_domain);
+    request.gateways = context_.budget.gateway_count();
+    return request;
+}
+
+void generation_continuation::engine_leaving(
+    const upstream_record& engine, std::optional<time_point> leaves_at)
+{
+    const auto* traits = served_.profile.engine();
+    // A generation that has not begun cannot be moved; the exchange reports the
+    // engine again at its first event.
+    if (!conclusion_.answer().begun() || traits == nullptr || !traits->moves ||
+        !served_.profile.outlives(leaves_at, context_.reactor->now()))
+        return;
+    if (!mover_)
+        mover_ = make_mover();
+    mover_->source_leaving(engine);
+}
+
+std::shared_ptr<generation_mover> generation_continuation::make_mover()
+{
+    return std::make_shared<generation_mover>(context_, served_.facts.id,
+                                              mover_hooks());
+}
+
+generation_mover::hooks generation_continuation::mover_hooks()
+{
+    generation_mover::hooks on;
+    on.memory_tokens = [this] {
+        const auto first = conclusion_.answer().time_to_first_part();
+        const auto age =
+            time_since(served_.request.arrived, context_.reactor->now());
+        return served_.profile.memory_tokens(first ? age - *first
+                                                   : milliseconds(0));
+    };
+    on.runs_at = [this](const upstream_record& source) {
+        const auto* current = on_.current();
+        return current != nullptr && current->id == source.id;
+    };
+    on.destination =
+        [this](
+            const upstream_record& source,
+            const std::string& refused_by) -> std::optional<upstream_record> {
+        const auto to = context_.choice.for_move(
+            served_.service, make_placement_request(source),
+            {source.id, refused_by}, context_.reactor->now());
+        if (!to)
+            return std::nullopt;
+        // Counted at once, so that the next move of a generation of this
+        // engine accounts for the memory.
+        context_.upstreams.expect_dispatch(to->record.id,
+                                           served_.facts.prompt_tokens,
+                                           context_.reactor->now());
+        return to->record;
+    };
+    on.candidates = [this](const upstream_record& source,
+                           const std::vector<std::string>& exclude,
+                           std::size_t count) {
+        return context_.choice.copy_candidates(
+            served_.service, make_placement_request(source), exclude, count,
+            context_.reactor->now());
+    };
+    on.cost = [this](const upstream_record& source,
+                     const upstream_record& engine) {
+        return context_.choice.copy_cost(engine, make_placement_request(source),
+                                         context_.reactor->now());
+    };
+    on.drop_source = [this] { on_.drop_attempt(); };
+    on.resume = [this](const upstream_record& to, const continuation& from) {
+        resume_at(to, from);
+    };
+    on.lost = [this] {
+        if (resume_at_backup())
+            return;
+        // Copied, since the call may destroy the exchange and this object.
+        const auto lost = on_.lost;
+        lost();
+    };
+    on.step = [this](move_step step, const upstream_record& engine) {
+        conclusion_.recorder().move_step_taken(step, engine.id);
+    };
+    on.move_ended = [this](const upstream_record& source,
+                           const upstream_record& to,
+                           std::optional<move_failure> failure) {
+        conclusion_.recorder().move_ended(served_.service, source.id, to.id,
+                                          failure);
+    };
+    return on;
+}
+
+void generation_continuation::resume_at(const upstream_record& upstream,
+                                        const continuation& from)
+{
+    context_.budget.record_forced_retry(served_.service,
+                                        context_.reactor->now());
+    on_.send(upstream, from);
+    const auto* state = context_.upstreams.find(upstream.id);
+    if (state != nullptr && state->leaving)
+        engine_leaving(upstream, state->leaves_at);
+}
+
+bool generation_continuation::resume_at_source()
+{
+    if (!from_)
+        return false;
+    // The engine that stopped the generation may still hold its memory.
+    const auto from = *from_;
+    for (const auto& id : served_.tried) {
+        const auto* state = context_.upstreams.find(id);
+        if (id == served_.tried.back() || state == nullptr ||
+            state->record.address != from.source)
+            continue;
+        const auto record = state->record;
+        conclusion_.record_attempt("turned_away", "back_to_source");
+        resume_at(record, from);
+        return true;
+    }
+    return false;
+}
+
+bool generation_continuation::resume_at_backup()
+{
+    const auto backup = std::exchange(backup_, std::nullopt);
+    const auto now = context_.reactor->now();
+    if (!backup || now >= served_.admitted.deadline ||
+        context_.poison.is_poison(served_.fingerprint, now))
+        return false;
+    const auto* state = context_.upstreams.find(backup->id);
+    if (state == nullptr || state->record != *backup)
+        return false;
+    conclusion_.record_attempt("lost", "from_backup");
+    conclusion_.recorder().resumed_from_backup(served_.service, backup->id);
+    resume_at(*backup, {backup->address, served_.facts.id});
+    return true;
+}
+
+void generation_continuation::cancel()
+{
+    if (mover_)
+        mover_->cancel();
+}
+
+} // namespace cyclamenrun
--- /dev/null
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -0,0 +1,77 @@
+#ifndef CYCLAMENRUN_GENERATION_CONTINUATION_HPP
+#define CYCLAMENRUN_GENERATION_CONTINUATION_HPP
+
+#include "generation_mover.hpp"
+#include "request_conclusion.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cyclamenrun
+{
+
+/**
+ * Continues the run of a generation at another engine: moved when its engine
+ * leaves, from a backup when its engine is lost, or back at the source when the
+ * destination turns it away.
+ */
+class generation_continuation
+{
+public:
+    struct hooks {
+        /** Upstream of the current attempt; null: none. */
+        std::function<const upstream_record*()> current;
+        /** Ends the current attempt, whose run continues elsewhere. */
+        std::function<void()> drop_attempt;
+        /** Sends the request to continue from this memory. */
+        std::function<void(const upstream_record&, const continuation&)> send;
+        /** The run was lost, and nothing continues it. */
+        std::function<void()> lost;
+    };
+
+    generation_continuation(gateway_context& context, served_request& served,
+                            request_conclusion& conclusion, hooks on);
+
+    /** Chooses whether and where the run that begins is backed up. */
+    void choose_backup(const upstream_record& upstream);
+    const std::optional<upstream_record>& backup() const { return backup_; }
+    /** Sets the memory from which the current attempt continues, if any. */
+    void set_origin(std::optional<continuation> from)
+    {
+        from_ = std::move(from);
+    }
+    bool has_origin() const { return from_.has_value(); }
+
+    /** Handles an engine that leaves; `leaves_at` is empty if unknown. */
+    void engine_leaving(const upstream_record& engine,
+                        std::optional<time_point> leaves_at);
+    /** True if the source's stream ended because the generation is moved. */
+    bool source_ended() { return mover_ && mover_->source_ended(); }
+    /** Continue the run; false if that is not possible. */
+    bool resume_at_source();
+    bool resume_at_backup();
+    void cancel();
+
+private:
+    std::shared_ptr<generation_mover> make_mover();
+    generation_mover::hooks mover_hooks();
+    placement_request
+    make_placement_request(const upstream_record& source) const;
+    void resume_at(const upstream_record& upstream, const continuation& from);
+
+    gateway_context& context_;
+    served_request& served_;
+    request_conclusion& conclusion_;
+    hooks on_;
+    std::shared_ptr<generation_mover> mover_;
+    /** Engine that holds a backup of the current run. */
+    std::optional<upstream_record> backup_;
+    /** Memory from which the current attempt continues. */
+    std::optional<continuation> from_;
+};
+
+} // namespace cyclamenrun
+
+#endif // CYCLAMENRUN_GENERATION_CONTINUATION_HPP
