Build the texts of number tests without temporary strings

The linter rejected concatenations in tests/platform/test_number_limits.cpp (performance-inefficient-string-concatenation).

--- a/tests/platform/test_number_limits.cpp
+++ b/tests/platform/test_number_limits.cpp
@@ -20,6 +20,19 @@
                                         "4e15",
                                         "99999999999999999999999"};
 
+/** Puts a number in each place of a text that is marked by '#'. */
+std::string with_number(const std::string& text, const std::string& number)
+{
+    std::string result;
+    for (const char each : text) {
+        if (each == '#')
+            result += number;
+        else
+            result += each;
+    }
+    return result;
+}
+
 http_reply reply_of(const std::string& body)
 {
     http_reply reply;
@@ -50,10 +63,10 @@
 {
     const http_dialect dialect;
     for (const std::string number : wild_numbers) {
-        const auto load = dialect.read_load(reply_of(
-            R"({"active":1,"queued":0,"kv_used":5,"kv_total":9,"next":)" +
-            number + R"(,"leaves_ms":)" + number + R"(,"runs":[["r",)" +
-            number + "]]}"));
+        const auto load = dialect.read_load(reply_of(with_number(
+            R"({"active":1,"queued":0,"kv_used":5,"kv_total":9,"next":#,)"
+            R"("leaves_ms":#,"runs":[["r",#]]})",
+            number)));
         // The last number does not parse, nor does the text with it then.
         ASSERT_EQ(load.has_value(), number.size() <= 20) << number;
         if (!load)
@@ -69,8 +82,9 @@
         for (const std::string field :
              {"timeout_ms", "objective_ms", "gap_target_ms", "max_attempts",
               "priority"}) {
-            const auto text = R"({"version":1,"routes":[{"name":"a",")" +
-                              field + "\":" + number + "}]}";
+            auto text = std::string(R"({"version":1,"routes":[{"name":"a",")");
+            text += field;
+            text += "\":" + number + "}]}";
             EXPECT_FALSE(read_configuration(text)) << text;
         }
         EXPECT_FALSE(
@@ -86,9 +100,10 @@
     const std::string record =
         R"({"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready",)";
     for (const std::string number : wild_numbers) {
-        EXPECT_FALSE(read_upstream("u", record + "\"slots\":" + number + "}"));
+        EXPECT_FALSE(
+            read_upstream("u", with_number(record + R"("slots":#})", number)));
         EXPECT_FALSE(read_upstream(
-            "u", record + "\"slots\":1,\"born\":" + number + "}"));
+            "u", with_number(record + R"("slots":1,"born":#})", number)));
     }
     EXPECT_TRUE(read_upstream("u", record + R"("slots":1,"born":7})"));
 }
