--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -30,8 +30,8 @@
 
 exchange::exchange(gateway_context& context, caller_request request,
                    std::shared_ptr<answer_writer> writer)
-    : context_(context),
-      served_{std::move(request), context.routes, {}, {}, 0, {}, {}, {}, {}},
+    : context_(context), served_{.request = std::move(request),
+                                 .routes = context.routes},
       conclusion_(context, served_, std::move(writer), [this] { end(); })
 {
 }
--- a/src/libcyclamenrun/gateway/served_request.hpp
+++ b/src/libcyclamenrun/gateway/served_request.hpp
@@ -18,15 +18,15 @@
 /** What is known of one request of a caller while it is served. */
 struct served_request {
     caller_request request;
-    std::shared_ptr<const gateway_routes> routes;
+    std::shared_ptr<const gateway_routes> routes = {};
     milliseconds configuration_age{0}; ///< at the admission
-    request_facts facts;
+    request_facts facts = {};
     std::uint64_t fingerprint = 0;
-    admitted_request admitted;
-    request_profile profile;
-    std::string service; ///< empty until one is picked
+    admitted_request admitted = {};
+    request_profile profile = {};
+    std::string service = {}; ///< empty until one is picked
     /** Ids of the upstreams that it was sent to; the last is the latest. */
-    std::vector<std::string> tried;
+    std::vector<std::string> tried = {};
 };
 
 } // namespace cyclamenrun
