Give the tests of pauses and crashes a loopback address of their own

Cause: all listeners set SO_REUSEPORT, and a port that the system chooses may be one that another process has, so that one test's monitor got what gateways of another had sent.

Change: the sockets of these tests have addresses that no other process uses (127.x.y.n by the process id), and gateways others than the monitor.

--- a/tests/gateway/test_crash_detector.cpp
+++ b/tests/gateway/test_crash_detector.cpp
@@ -1,5 +1,6 @@
 #include "crash_detector.hpp"
 
+#include "../support/own_host.hpp"
 #include "fake_upstream.hpp"
 #include "link_loop.hpp"
 
@@ -19,9 +20,9 @@
 {
 protected:
     crash_detectors()
-        : upstream([](const arrived_request&, upstream_reply& reply) {
-              reply.wait_for_close();
-          })
+        : upstream([](const arrived_request&,
+                      upstream_reply& reply) { reply.wait_for_close(); },
+                   own_host(1))
     {
         record.id = "u1";
         record.service = "app";
--- a/tests/gateway/test_paused_programs.cpp
+++ b/tests/gateway/test_paused_programs.cpp
@@ -1,3 +1,4 @@
+#include "../support/own_host.hpp"
 #include "gateway_program.hpp"
 #include "scripted_monitor.hpp"
 
@@ -19,7 +20,7 @@
                                R"({"active":0,"queued":0,)"
                                R"("kv_used":0,"kv_total":10000})");
               },
-              host())
+              own_host(1))
     {
         store.put("keyed.op", "config",
                   R"({"version":1,"routes":[{"name":"s","host":"h",)"
@@ -31,7 +32,7 @@
                       to_string(engine.address()) +
                       R"(","zone":"d","slots":8,"state":"ready"})");
         const auto port = std::to_string(scripted_monitor::free_port());
-        settings.write("name = \"m\"\nlisten = \"" + host() + ":" + port +
+        settings.write("name = \"m\"\nlisten = \"" + own_host(1) + ":" + port +
                        "\"\nengine = \"" + to_string(engine.address()) +
                        "\"\n[directory]\naddress = \"" + store.address() +
                        "\"\n");
@@ -45,15 +46,6 @@
         wait_for_relayed_reads();
     }
 
-    /** A loopback address that tests beside this one do not use. */
-    static std::string host()
-    {
-        constexpr int numbers = 250;
-        const int id = ::getpid();
-        return "127." + std::to_string(1 + id % numbers) + "." +
-               std::to_string(id / numbers % numbers) + ".1";
-    }
-
     std::unique_ptr<child_process> start(const std::string& program) const
     {
         return std::make_unique<child_process>(
--- a/tests/gateway/test_pauses.cpp
+++ b/tests/gateway/test_pauses.cpp
@@ -1,9 +1,9 @@
+#include "../support/own_host.hpp"
 #include "engine_monitor.hpp"
 #include "http_dialect.hpp"
 #include "http_server.hpp"
 #include "monitor_link.hpp"
 #include "paused_loops.hpp"
-#include "scripted_monitor.hpp"
 
 #include <gtest/gtest.h>
 #include <memory>
@@ -25,22 +25,18 @@
     simulated_fleet()
     {
         engine = std::make_shared<http_server>(
-            engine_loop, ip_endpoint{"127.0.0.1", 0}, engine_hooks());
+            engine_loop, ip_endpoint{host, 0}, engine_hooks());
         engine->start();
         engine_monitor_settings settings;
-        settings.listen = {"127.0.0.1", scripted_monitor::free_port()};
+        settings.listen = {host, monitor_port};
         settings.engine = engine->address();
         settings.interval = milliseconds(100);
         monitor = std::make_shared<engine_monitor>(
             monitor_loop, std::make_shared<platform::http_dialect>(), settings,
             metrics_);
         monitor->start();
-        for (auto* link : {&first, &second}) {
-            *link = std::make_shared<monitor_link>(
-                gateway_loop, ip_endpoint{"127.0.0.1", 0}, settings.listen.port,
-                "g", hooks());
-            (*link)->start();
-        }
+        first = add_gateway(2);
+        second = add_gateway(3);
     }
 
     ~simulated_fleet() { loops.stop(); }
@@ -59,9 +55,10 @@
     {
         monitor_link::turn_hooks on;
         on.granted = [this, &granted] { granted = loops.now(); };
-        link->request_turn({"127.0.0.1", id, 100, false}, std::move(on));
+        link->request_turn({host, id, 100, false}, std::move(on));
     }
 
+    const std::string host = own_host(1); ///< of the monitor and its engine
     paused_loops loops;
     paused_loops::loop engine_loop = loops.add();
     paused_loops::loop monitor_loop = loops.add();
@@ -73,6 +70,17 @@
     unsigned fewest_gateways = 2; ///< that the monitor has reported
 
 private:
+    static constexpr std::uint16_t monitor_port = 7000;
+
+    std::shared_ptr<monitor_link> add_gateway(int number)
+    {
+        const auto link = std::make_shared<monitor_link>(
+            gateway_loop, ip_endpoint{own_host(number), 0}, monitor_port, "g",
+            hooks());
+        link->start();
+        return link;
+    }
+
     static session_hooks engine_hooks()
     {
         session_hooks hooks;
@@ -97,7 +105,7 @@
         on.gateways = [this](unsigned count) {
             fewest_gateways = std::min(fewest_gateways, count);
         };
-        on.hosts = [] { return std::set<std::string>{"127.0.0.1"}; };
+        on.hosts = [this] { return std::set<std::string>{host}; };
         on.health_target = [] { return std::string(); };
         return on;
     }
@@ -172,7 +180,7 @@
     // Only gateways that are silent while the monitor is awake are forgotten.
     EXPECT_TRUE(fleet.fewest_gateways == 2 ||
                 tested.side == paused_side::gateways);
-    EXPECT_TRUE(fleet.first->is_responding("127.0.0.1"));
+    EXPECT_TRUE(fleet.first->is_responding(fleet.host));
 }
 
 // Guards against a process that was paused and then judges others by time that
