--- a/tests/gateway/test_pauses.cpp
+++ b/tests/gateway/test_pauses.cpp
@@ -74,7 +74,7 @@
 
     std::shared_ptr<monitor_link> add_gateway(int number)
     {
-        const auto link = std::make_shared<monitor_link>(
+        auto link = std::make_shared<monitor_link>(
             gateway_loop, ip_endpoint{own_host(number), 0}, monitor_port, "g",
             hooks());
         link->start();
