--- a/src/libcyclamenrun/decisions/copy_turns.hpp
+++ b/src/libcyclamenrun/decisions/copy_turns.hpp
@@ -21,7 +21,8 @@
  * smallest first saves the most streams when the notice is too short for all.
  *
  * Bounded, no I/O, not thread-safe. A waiting generation loses its place if its
- * gateway stops requesting the turn.
+ * gateway stops requesting the turn. All times are awake times of the caller,
+ * see awake_clock.
  */
 class copy_turns
 {
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -103,6 +103,9 @@
 
     explicit upstream_registry(hooks on) : on_(std::move(on)) {}
 
+    // In the next four, `now` is awake time, see awake_clock: no upstream is
+    // judged by records that this process could not read.
+
     /**
      * Applies one change of the directory. `after_outage`: the directory was
      * unavailable until recently, and records of live upstreams may have
