Log how a response marked its end, and what it left of an event

The hypotheses on streams that are broken off and look complete differ in how the response was framed and in whether an event was unfinished at its end. Neither was in the logs. The last line of a request now has both: framing (length, chunked, or connection for neither) and bytes.

--- a/src/libcyclamenrun/gateway/answer_relay.cpp
+++ b/src/libcyclamenrun/gateway/answer_relay.cpp
@@ -43,6 +43,7 @@
 void answer_relay::handle_head(http_head&& head, const response_facts& facts)
 {
     facts_ = facts;
+    framing_ = head.body_framing();
     relaying_ = is_stream_ && is_success(head.status) && facts.sealed;
     // The caller already has the head of the first run.
     if (!begun_)
@@ -121,7 +122,7 @@
 
 void answer_relay::finish(time_point now)
 {
-    const auto rest = events_.take_remainder();
+    const auto& rest = events_.remainder();
     if (!rest.empty() || !begun_)
         write_part(rest, now);
     writer_->finish();
--- a/src/libcyclamenrun/gateway/answer_relay.hpp
+++ b/src/libcyclamenrun/gateway/answer_relay.hpp
@@ -84,6 +84,13 @@
     {
         return events_.last_id();
     }
+    /** Framing of the current response. */
+    http_framing framing() const { return framing_; }
+    /** Bytes of the current response after its last complete event. */
+    std::size_t partial_event_bytes() const
+    {
+        return events_.remainder().size();
+    }
     /** Number of events with an id that were relayed. */
     std::uint64_t events() const { return events_.events(); }
     /** From the request's arrival to the first part of its answer. */
@@ -108,6 +115,7 @@
     milliseconds pause_target_{0};
 
     http_head head_;
+    http_framing framing_ = http_framing::none;
     response_facts facts_;
     std::string body_;
     event_splitter events_;
--- a/src/libcyclamenrun/gateway/event_splitter.hpp
+++ b/src/libcyclamenrun/gateway/event_splitter.hpp
@@ -40,8 +40,8 @@
     /** Drops an incomplete event of the previous run before a new run. */
     void restart() { pending_.clear(); }
 
-    /** Returns and clears the bytes after the last complete event. */
-    std::string take_remainder() { return std::exchange(pending_, {}); }
+    /** Returns the bytes after the last complete event. */
+    const std::string& remainder() const { return pending_; }
 
     std::optional<std::uint64_t> last_id() const { return last_id_; }
     /** Number of events with an id that were passed on. */
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -227,6 +227,8 @@
     summary.longest_pause = answer_.longest_pause();
     summary.took = time_since(served_.request.arrived, context_.reactor->now());
     summary.events = answer_.events();
+    summary.framing = answer_.framing();
+    summary.partial_event_bytes = answer_.partial_event_bytes();
     return summary;
 }
 
--- a/src/libcyclamenrun/gateway/request_summary.cpp
+++ b/src/libcyclamenrun/gateway/request_summary.cpp
@@ -25,7 +25,9 @@
             {log_key::first_ms, summary.time_to_first_part.value_or(none)},
             {log_key::longest_pause_ms, summary.longest_pause},
             {log_key::duration_ms, summary.took},
-            {log_key::count, summary.events}};
+            {log_key::count, summary.events},
+            {log_key::framing, name_of(summary.framing)},
+            {log_key::bytes, summary.partial_event_bytes}};
 }
 
 void record_metrics(exported_metrics& metrics, const request_summary& summary)
--- a/src/libcyclamenrun/gateway/request_summary.hpp
+++ b/src/libcyclamenrun/gateway/request_summary.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 #include "exported_metrics.hpp"
+#include "http_framing.hpp"
 #include "log_field.hpp"
 #include "request_outcome.hpp"
 #include "upstream_choice.hpp"
@@ -31,6 +32,9 @@
     milliseconds longest_pause{0};
     milliseconds took{0};
     std::uint64_t events = 0;
+    http_framing framing = http_framing::none; ///< of the last response
+    /** Bytes that the last response sent after its last complete event. */
+    std::size_t partial_event_bytes = 0;
 };
 
 std::vector<log_field> fields_of(const request_summary& summary);
--- a/src/libcyclamenrun/http/http_head.cpp
+++ b/src/libcyclamenrun/http/http_head.cpp
@@ -46,6 +46,14 @@
     return std::nullopt;
 }
 
+http_framing http_head::body_framing() const
+{
+    if (chunked)
+        return http_framing::chunked;
+    return ends_with_connection ? http_framing::connection
+                                : http_framing::length;
+}
+
 std::size_t http_head::count(std::string_view name) const
 {
     return static_cast<std::size_t>(
--- a/src/libcyclamenrun/http/http_head.hpp
+++ b/src/libcyclamenrun/http/http_head.hpp
@@ -1,6 +1,8 @@
 #ifndef CYCLAMENRUN_HTTP_HEAD_HPP
 #define CYCLAMENRUN_HTTP_HEAD_HPP
 
+#include "http_framing.hpp"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -35,6 +37,8 @@
     /** Returns the value of the first field of that name. */
     std::optional<std::string_view> find(std::string_view name) const;
     std::size_t count(std::string_view name) const;
+    /** Framing of a response's body. */
+    http_framing body_framing() const;
 };
 
 /** Whether the comma-separated `list` contains `word`, ignoring ASCII case. */
--- a/src/libcyclamenrun/http/http_text.hpp
+++ b/src/libcyclamenrun/http/http_text.hpp
@@ -1,22 +1,15 @@
 #ifndef CYCLAMENRUN_HTTP_TEXT_HPP
 #define CYCLAMENRUN_HTTP_TEXT_HPP
 
+#include "http_framing.hpp"
 #include "http_head.hpp"
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace cyclamenrun
 {
 
-/** How a written message marks the end of its body. */
-enum class http_framing : std::uint8_t {
-    length,  ///< `Content-Length`
-    chunked, ///< chunked transfer coding, with a last chunk
-    none,    ///< no body and no framing field
-};
-
 /**
  * Returns the serialized head, with the framing fields added. `head` must not
  * contain framing fields itself.
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -30,6 +30,7 @@
     key_row{log_key::fence, "fence"},
     key_row{log_key::fingerprint, "fingerprint"},
     key_row{log_key::first_ms, "first_ms"},
+    key_row{log_key::framing, "framing"},
     key_row{log_key::generation, "generation"},
     key_row{log_key::incarnation, "incarnation"},
     key_row{log_key::infos, "infos"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -32,6 +32,7 @@
     fence,
     fingerprint,
     first_ms,
+    framing,
     generation,
     incarnation,
     infos,
--- a/tests/gateway/test_event_splitter.cpp
+++ b/tests/gateway/test_event_splitter.cpp
@@ -82,7 +82,7 @@
         at += size;
     }
     RC_ASSERT(passed == stream);
-    RC_ASSERT(splitter.take_remainder().empty());
+    RC_ASSERT(splitter.remainder().empty());
 }
 
 } // namespace
