--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -46,9 +46,26 @@
          "Transfer-Encoding: chunked\r\n\r\n");
 }
 
+void upstream_reply::begin_unframed(const arrived_request& request,
+                                    const std::string& content_type)
+{
+    chunked_ = false;
+    send("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
+         "\r\nResponse-Seal: seal\r\nContent-Type: " + content_type +
+         "\r\nConnection: close\r\n\r\n");
+}
+
 void upstream_reply::event(int id)
 {
-    send(chunk_text(event_text(id)));
+    send(chunked_ ? chunk_text(event_text(id)) : event_text(id));
+}
+
+void upstream_reply::end_stream()
+{
+    if (chunked_)
+        send("0\r\n\r\n");
+    else
+        close();
 }
 
 void upstream_reply::close()
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -40,10 +40,17 @@
     /** Sends a whole answer with the header fields that upstreams set. */
     void answer(const arrived_request& request, int status,
                 const std::string& body, const std::string& more_fields = "");
-    /** Sends the head of an event stream. */
+    /** Sends the head of an event stream in chunks. */
     void begin_stream(const arrived_request& request);
+    /**
+     * Sends a head without framing fields: the answer ends with the
+     * connection.
+     */
+    void begin_unframed(const arrived_request& request,
+                        const std::string& content_type = "text/event-stream");
     void event(int id);
-    void end_stream() { send("0\r\n\r\n"); }
+    /** Ends the stream as its framing does. */
+    void end_stream();
     void close();
     /** Closes the connection with a TCP reset. */
     void reset();
@@ -52,6 +59,7 @@
 
 private:
     Poco::Net::StreamSocket& socket_;
+    bool chunked_ = true;
 };
 
 /** An upstream that answers by a script, with one thread per connection. */
