Set in one place whether an answer is whole, and never claim more

Cause: an answer may have neither a length nor chunks and end with its connection. The gateway took an orderly end of that connection for the end of the answer, and wrote what was left of an event before the last chunk. The host of a process that crashes ends its connections in the same orderly way. Whether an answer is whole was concluded by the reader, the attempt and the relay, each from a part of what is known.

answer_integrity now has the fact (whole, unconfirmed, broken off), from the framing, the end of the receipt, an unfinished event, and a sender that has crashed or was told to stop. What the caller gets follows from it and from what the caller has. An unconfirmed answer is passed on without framing, after crash_detector found that its sender lives; a broken-off one is lost, so that backups and retries take over. Agents and entries read the same fact: a call's answer without framing is served, without framing, where it was reported as lost.

--- a/src/libcyclamenrun/agent/upstream_driver.cpp
+++ b/src/libcyclamenrun/agent/upstream_driver.cpp
@@ -250,7 +250,8 @@
     if (result)
         gate_->record_answer(admitted.work,
                              {result->status, std::move(result->content_type),
-                              std::move(result->body)},
+                              std::move(result->body),
+                              result->integrity == answer_integrity::whole},
                              clock_());
     else
         gate_->run_failed(admitted.work, refusal_of(result.error()), clock_());
--- a/src/libcyclamenrun/entry/http_caller_writer.cpp
+++ b/src/libcyclamenrun/entry/http_caller_writer.cpp
@@ -70,8 +70,9 @@
 
 bool http_caller_writer::answer(const write_answer& answer)
 {
-    return send_body(answer.answer.status, answer.answer.content_type,
-                     answer.answer.body);
+    const auto& [status, type, body, confirmed_whole] = answer.answer;
+    return confirmed_whole ? send_body(status, type, body)
+                           : send_unframed(status, type, body);
 }
 
 bool http_caller_writer::refuse(const refusal& why)
@@ -112,6 +113,24 @@
     }
 }
 
+bool http_caller_writer::send_unframed(int status,
+                                       const std::string& content_type,
+                                       const std::string& body)
+{
+    try {
+        response_.setStatusAndReason(
+            static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+        response_.setContentType(content_type);
+        response_.setKeepAlive(false);
+        auto& stream = response_.send();
+        stream.write(body.data(), static_cast<std::streamsize>(body.size()));
+        stream.flush();
+        return stream.good();
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
 bool http_caller_writer::start_events()
 {
     if (stream_ != nullptr)
--- a/src/libcyclamenrun/entry/http_caller_writer.hpp
+++ b/src/libcyclamenrun/entry/http_caller_writer.hpp
@@ -46,6 +46,9 @@
 private:
     bool send_body(int status, const std::string& content_type,
                    const std::string& body);
+    /** Sends a body that ends with the connection. */
+    bool send_unframed(int status, const std::string& content_type,
+                       const std::string& body);
     bool start_events();
     bool write_event(const std::string& event);
     std::string token_chunk(const std::string& text) const;
--- a/src/libcyclamenrun/gateway/answer_relay.cpp
+++ b/src/libcyclamenrun/gateway/answer_relay.cpp
@@ -36,6 +36,7 @@
 void answer_relay::prepare_next_response()
 {
     events_.restart();
+    receipt_ = {.framing = http_framing::none};
     relaying_ = false;
     body_.clear();
 }
@@ -43,10 +44,10 @@
 void answer_relay::handle_head(http_head&& head, const response_facts& facts)
 {
     facts_ = facts;
-    framing_ = head.body_framing();
+    receipt_.framing = head.body_framing();
     relaying_ = is_stream_ && is_success(head.status) && facts.sealed;
     // The caller already has the head of the first run.
-    if (!begun_)
+    if (!begun())
         head_ = std::move(head);
     else
         head_.status = head.status;
@@ -76,20 +77,28 @@
 {
     progress result;
     result.relayed = true;
-    result.was_first = !begun_;
+    result.was_first = !begun();
     result.late_pause = record_part(now);
-    if (!std::exchange(begun_, true))
-        writer_->begin(without_connection_fields(head_));
+    if (!begun())
+        begin();
     writer_->write_piece(bytes);
     return result;
 }
 
+void answer_relay::begin()
+{
+    begun_framing_ = receipt_.framing == http_framing::connection
+                         ? http_framing::connection
+                         : http_framing::chunked;
+    writer_->begin(without_connection_fields(head_), *begun_framing_);
+}
+
 std::optional<milliseconds> answer_relay::record_part(time_point now)
 {
     const auto pause =
         std::chrono::duration_cast<milliseconds>(now - last_part_at_);
     last_part_at_ = now;
-    const auto target = begun_ ? pause_target_ : first_target_;
+    const auto target = begun() ? pause_target_ : first_target_;
     if (!time_to_first_part_)
         time_to_first_part_ = pause;
     else
@@ -109,29 +118,38 @@
     writer_->on_drained(std::move(drained));
 }
 
+void answer_relay::end_response(receipt_end how)
+{
+    receipt_.end = how;
+    receipt_.inside_event =
+        relaying_ && is_stream_ && !events_.remainder().empty();
+}
+
 answer_relay::progress answer_relay::deliver(time_point now)
 {
     progress result;
     result.relayed = true;
     result.was_first = true;
     result.late_pause = record_part(now);
-    writer_->write_whole(without_connection_fields(std::move(head_)), body_);
+    writer_->write_whole(without_connection_fields(std::move(head_)), body_,
+                         ending() == caller_ending::with_length
+                             ? http_framing::length
+                             : http_framing::connection);
     writer_.reset();
     return result;
 }
 
 void answer_relay::finish(time_point now)
 {
-    const auto& rest = events_.remainder();
-    if (!rest.empty() || !begun_)
-        write_part(rest, now);
+    if (!begun())
+        write_part({}, now);
     writer_->finish();
     writer_.reset();
 }
 
 void answer_relay::refuse(http_head head, std::string_view body)
 {
-    writer_->write_whole(std::move(head), body);
+    writer_->write_whole(std::move(head), body, http_framing::length);
     writer_.reset();
 }
 
--- a/src/libcyclamenrun/gateway/answer_relay.hpp
+++ b/src/libcyclamenrun/gateway/answer_relay.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_ANSWER_RELAY_HPP
 #define CYCLAMENRUN_ANSWER_RELAY_HPP
 
+#include "answer_integrity.hpp"
 #include "answer_writer.hpp"
 #include "clock.hpp"
 #include "event_splitter.hpp"
@@ -60,11 +61,24 @@
     tl::expected<progress, event_problem> handle_body(std::string_view bytes,
                                                       time_point now);
 
-    // Exactly one of these ends the answer.
+    /** Records how the receipt of the current response ended. */
+    void end_response(receipt_end how);
+    /** Records that the current response's sender crashed or was stopped. */
+    void record_sender_stop() { receipt_.sender_stopped = true; }
+    /** What is known of the current response, which has ended. */
+    answer_integrity integrity() const { return integrity_of(receipt_); }
+    /** How the answer may end with the current response. */
+    caller_ending ending() const
+    {
+        return ending_for(integrity(), begun_framing_);
+    }
+
+    // Exactly one of these ends the answer. The first two require that ending()
+    // delivers it.
 
     /** Writes the current response, which was buffered. */
     progress deliver(time_point now);
-    /** Ends the answer after a relayed response is complete. */
+    /** Ends the answer after a relayed response. */
     void finish(time_point now);
     /** Writes an answer of the gateway itself. */
     void refuse(http_head head, std::string_view body);
@@ -74,7 +88,7 @@
     void drop_writer() { writer_.reset(); }
 
     /** True once part of the answer was written to the caller. */
-    bool begun() const { return begun_; }
+    bool begun() const { return begun_framing_.has_value(); }
     /** True if the current response is relayed as it arrives. */
     bool relaying() const { return relaying_; }
     /** Status of the current response. */
@@ -85,7 +99,7 @@
         return events_.last_id();
     }
     /** Framing of the current response. */
-    http_framing framing() const { return framing_; }
+    http_framing framing() const { return receipt_.framing; }
     /** Bytes of the current response after its last complete event. */
     std::size_t partial_event_bytes() const
     {
@@ -106,6 +120,7 @@
     void on_drained(std::function<void()> drained);
 
 private:
+    void begin();
     progress write_part(std::string_view bytes, time_point now);
     std::optional<milliseconds> record_part(time_point now);
 
@@ -115,12 +130,13 @@
     milliseconds pause_target_{0};
 
     http_head head_;
-    http_framing framing_ = http_framing::none;
+    answer_receipt receipt_{.framing = http_framing::none};
     response_facts facts_;
     std::string body_;
     event_splitter events_;
     bool relaying_ = false;
-    bool begun_ = false;
+    /** Framing of the part that the caller has; empty: it has none. */
+    std::optional<http_framing> begun_framing_;
     time_point last_part_at_; ///< arrival of the request before the first part
     std::optional<milliseconds> time_to_first_part_;
     milliseconds longest_pause_{0};
--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -18,7 +18,7 @@
 /** Least time from a check that found an upstream alive to the next. */
 constexpr milliseconds check_interval{20};
 constexpr std::size_t max_checks = 256;
-constexpr std::size_t max_lost_requests = 1024;
+constexpr std::size_t max_waiting_handlers = 1024;
 
 } // namespace
 
@@ -30,23 +30,45 @@
 
 void crash_detector::record_loss(const upstream_record& upstream,
                                  lost_request request)
+{
+    check(upstream, [this, upstream,
+                     request = std::move(request)](upstream_liveness found) {
+        if (found == upstream_liveness::crashed)
+            on_crash_(upstream, request);
+    });
+}
+
+void crash_detector::check(const upstream_record& upstream,
+                           result_handler on_result)
 {
     remove_expired();
     const auto known = checks_.find(upstream.id);
-    if (known != checks_.end() && known->second.crashed) {
-        on_crash_(upstream, request);
+    const bool is_new = known == checks_.end();
+    if (!is_new && known->second.crashed) {
+        on_result(upstream_liveness::crashed);
         return;
     }
-    if (known == checks_.end() && checks_.size() >= max_checks)
+    const bool is_full =
+        is_new ? checks_.size() >= max_checks
+               : known->second.waiting.size() >= max_waiting_handlers;
+    if (is_full) {
+        on_result(upstream_liveness::unknown);
         return;
+    }
     auto& found = checks_[upstream.id];
     found.upstream = upstream;
-    if (found.waiting.size() < max_lost_requests)
-        found.waiting.push_back(std::move(request));
+    found.waiting.push_back(std::move(on_result));
     if (!found.connection && found.waiting.size() == 1)
         schedule_check(upstream.id);
 }
 
+void crash_detector::answer(const std::vector<result_handler>& handlers,
+                            upstream_liveness result)
+{
+    for (const auto& each : handlers)
+        each(result);
+}
+
 void crash_detector::schedule_check(const std::string& upstream_id)
 {
     const auto due = checks_.at(upstream_id).next_check;
@@ -81,6 +103,12 @@
     started.connection =
         tcp_connection::connect(reactor_, started.upstream.address,
                                 connection_timeouts(), std::move(on));
+    if (!started.connection) {
+        const auto asked = std::exchange(started.checked, {});
+        checks_.erase(found);
+        answer(asked, upstream_liveness::unknown);
+        return;
+    }
     reactor_->post_timeout(reactor_->awake_now() + check_lifetime,
                            [weak = weak_from_this(), upstream_id,
                             connection = std::weak_ptr(started.connection)] {
@@ -90,7 +118,7 @@
                            });
 }
 
-void crash_detector::end_connection(check& ended)
+void crash_detector::end_connection(upstream_check& ended)
 {
     if (const auto connection = std::exchange(ended.connection, nullptr))
         connection->close();
@@ -103,10 +131,12 @@
         return;
     auto& checked = found->second;
     end_connection(checked);
-    checked.checked.clear();
+    const auto asked = std::exchange(checked.checked, {});
     checked.next_check = reactor_->now() + check_interval;
     if (!checked.waiting.empty())
         schedule_check(upstream_id);
+    // Last, since the handlers may ask again.
+    answer(asked, upstream_liveness::alive);
 }
 
 void crash_detector::handle_refused(const std::string& upstream_id)
@@ -118,12 +148,10 @@
     known.crashed = true;
     known.expires_at = reactor_->now() + check_lifetime;
     known.connection.reset();
-    const auto upstream = known.upstream;
-    auto lost = std::exchange(known.checked, {});
-    for (auto& request : std::exchange(known.waiting, {}))
-        lost.push_back(std::move(request));
-    for (const auto& request : lost)
-        on_crash_(upstream, request);
+    auto asked = std::exchange(known.checked, {});
+    for (auto& handler : std::exchange(known.waiting, {}))
+        asked.push_back(std::move(handler));
+    answer(asked, upstream_liveness::crashed);
 }
 
 void crash_detector::handle_no_answer(
@@ -136,7 +164,11 @@
         found->second.connection != unanswered)
         return;
     end_connection(found->second);
+    auto asked = std::exchange(found->second.checked, {});
+    for (auto& handler : std::exchange(found->second.waiting, {}))
+        asked.push_back(std::move(handler));
     checks_.erase(found);
+    answer(asked, upstream_liveness::unknown);
 }
 
 void crash_detector::remove_expired()
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -16,6 +16,13 @@
 namespace cyclamenrun
 {
 
+/** What a check of an upstream has found. */
+enum class upstream_liveness : std::uint8_t {
+    alive,
+    crashed,
+    unknown, ///< it did not respond
+};
+
 /** A request whose connection to an upstream broke. */
 struct lost_request {
     std::string id;
@@ -29,10 +36,10 @@
  * has crashed if its host refuses a new connection; one that accepts it lives,
  * and one that does not respond may be cut off.
  *
- * A check answers for the losses before it began: the upstream may crash while
- * it accepts the connection, or right after. Losses after that wait for the
- * next check. One upstream is checked at most once in a short while, however
- * many of its requests are lost. Used on the reactor's thread only.
+ * A check answers for the questions before it began: the upstream may crash
+ * while it accepts the connection, or right after. Questions after that wait
+ * for the next check. One upstream is checked at most once in a short while,
+ * however many of its requests are lost. Used on the reactor's thread only.
  */
 class crash_detector : public std::enable_shared_from_this<crash_detector>
 {
@@ -45,15 +52,21 @@
                    crash_handler on_crash);
 
     void record_loss(const upstream_record& upstream, lost_request request);
+    /**
+     * Finds out whether an upstream that ended a connection has crashed.
+     * `on_result` is called once, possibly at once, unless stop() is called.
+     */
+    using result_handler = std::function<void(upstream_liveness)>;
+    void check(const upstream_record& upstream, result_handler on_result);
     /** Ends all checks without a result. */
     void stop();
 
 private:
-    /** The losses of one upstream and the connection that checks it. */
-    struct check {
+    /** The connection that checks one upstream, and who waits for it. */
+    struct upstream_check {
         upstream_record upstream;
-        std::vector<lost_request> checked; ///< lost before the check began
-        std::vector<lost_request> waiting; ///< lost since
+        std::vector<result_handler> checked; ///< asked before the check began
+        std::vector<result_handler> waiting; ///< asked since
         std::shared_ptr<tcp_connection> connection; ///< null between checks
         bool crashed = false;
         time_point expires_at; ///< of a crash that was found
@@ -66,12 +79,14 @@
     void handle_refused(const std::string& upstream_id);
     void handle_no_answer(const std::string& upstream_id,
                           const std::weak_ptr<tcp_connection>& connection);
-    void end_connection(check& ended);
+    void end_connection(upstream_check& ended);
+    static void answer(const std::vector<result_handler>& handlers,
+                       upstream_liveness result);
     void remove_expired();
 
     std::shared_ptr<link_reactor> reactor_;
     crash_handler on_crash_;
-    std::unordered_map<std::string, check> checks_; ///< by upstream id
+    std::unordered_map<std::string, upstream_check> checks_; ///< by upstream id
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -240,7 +240,7 @@
         self->handle_head(std::move(head), facts);
     };
     on.body = [self](std::string_view bytes) { self->handle_body(bytes); };
-    on.complete = [self] { self->handle_complete(); };
+    on.ended = [self](receipt_end how) { self->handle_response_end(how); };
     on.lost = [self](attempt_loss loss) { self->handle_loss(loss); };
     attempt_ = std::make_shared<upstream_attempt>(
         context_.reactor, context_.connections, *context_.dialect,
@@ -324,10 +324,52 @@
     });
 }
 
-void exchange::handle_complete()
+void exchange::handle_response_end(receipt_end how)
 {
     if (conclusion_.over())
         return;
+    const auto& answer = conclusion_.answer();
+    conclusion_.answer().end_response(how);
+    if (answer.integrity() == answer_integrity::unconfirmed &&
+        !conclusion_.classify_complete() && !continuation_->stop_ordered())
+        check_sender();
+    else
+        settle_response();
+}
+
+void exchange::check_sender()
+{
+    context_.crashes->check(
+        attempt_->upstream(),
+        [weak = weak_from_this(),
+         watched = std::weak_ptr(attempt_)](upstream_liveness found) {
+            const auto self = weak.lock();
+            const auto attempt = watched.lock();
+            if (!self || !attempt || attempt != self->attempt_)
+                return;
+            if (found == upstream_liveness::crashed)
+                self->conclusion_.answer().record_sender_stop();
+            self->settle_response();
+        });
+}
+
+void exchange::settle_response()
+{
+    auto& answer = conclusion_.answer();
+    if (continuation_->stop_ordered())
+        answer.record_sender_stop();
+    // A response that is not passed on needs no ending for the caller.
+    const bool usable = answer.integrity() != answer_integrity::broken_off &&
+                        (conclusion_.classify_complete().has_value() ||
+                         delivers(answer.ending()));
+    if (usable)
+        handle_complete();
+    else
+        handle_loss(attempt_loss::broken);
+}
+
+void exchange::handle_complete()
+{
     const auto id = attempt_->upstream().id;
     release_attempt();
     const auto result = conclusion_.classify_complete();
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -71,6 +71,11 @@
     // Events of an attempt.
     void handle_head(http_head&& head, const response_facts& facts);
     void handle_body(std::string_view bytes);
+    void handle_response_end(receipt_end how);
+    /** Finds out whether the sender of a response has crashed. */
+    void check_sender();
+    /** Ends the attempt after its response, as far as that is whole. */
+    void settle_response();
     void handle_complete();
     void record_upstream_success(const std::string& upstream_id);
     /** How likely the request is the cause if its upstream has crashed. */
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -47,6 +47,8 @@
     /** Handles an engine that leaves; `leaves_at` is empty if unknown. */
     void engine_leaving(const upstream_record& engine,
                         std::optional<time_point> leaves_at);
+    /** True if the engine may have been ordered to stop its stream. */
+    bool stop_ordered() const { return mover_ && mover_->stop_ordered(); }
     /** True if the source's stream ended because the generation is moved. */
     bool source_ended() { return mover_ && mover_->source_ended(); }
     /** Continue the run; false if that is not possible. */
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -84,6 +84,11 @@
      * generation.
      */
     bool source_ended();
+    /** Whether the source may have been ordered to stop its stream. */
+    bool stop_ordered() const
+    {
+        return pending_ || unconfirmed_ || (move_ && move_->stop_ordered());
+    }
     /** Abandons the move. */
     void cancel();
 
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -106,7 +106,7 @@
     auto read = reader_.feed(bytes);
     while (read && !over_ && reader_.complete()) {
         if (!skipping_) {
-            complete();
+            end_response(receipt_end::framed);
             return;
         }
         if (!peer_keeps_open_) {
@@ -151,25 +151,23 @@
 {
     if (over_)
         return;
-    // The end of the connection ends a body without a length, but only if the
-    // connection was closed cleanly: after a reset the body may be truncated.
     if (how == connection_end::finished && reader_.head_complete() &&
-        !skipping_ && reader_.end_of_connection() && reader_.complete()) {
-        complete();
+        !skipping_) {
+        end_response(receipt_end::closed);
         return;
     }
     lose(never_established(how) ? attempt_loss::not_sent
                                 : attempt_loss::broken);
 }
 
-void upstream_attempt::complete()
+void upstream_attempt::end_response(receipt_end how)
 {
     if (std::exchange(over_, true))
         return;
     keep_or_close();
     const auto on = std::exchange(on_, nullptr);
-    if (on->complete)
-        on->complete();
+    if (on->ended)
+        on->ended(how);
 }
 
 void upstream_attempt::lose(attempt_loss loss)
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_UPSTREAM_ATTEMPT_HPP
 #define CYCLAMENRUN_UPSTREAM_ATTEMPT_HPP
 
+#include "answer_integrity.hpp"
 #include "gateway_dialect.hpp"
 #include "http_reader.hpp"
 #include "upstream_connections.hpp"
@@ -26,7 +27,7 @@
  * response to another request on the connection is recognized by its request
  * id and skipped.
  *
- * Keeps itself alive until the response is complete, the attempt is lost or
+ * Keeps itself alive until the response has ended, the attempt is lost or
  * cancelled; no hook is called after that.
  */
 class upstream_attempt : public std::enable_shared_from_this<upstream_attempt>
@@ -35,7 +36,8 @@
     struct hooks {
         std::function<void(http_head&&, const response_facts&)> head;
         std::function<void(std::string_view)> body;
-        std::function<void()> complete;
+        /** The response has ended; it may be incomplete. */
+        std::function<void(receipt_end)> ended;
         std::function<void(attempt_loss)> lost;
     };
 
@@ -71,7 +73,7 @@
     void handle_head(http_head&& head);
     void handle_body(std::string_view bytes);
     void connection_ended(connection_end how);
-    void complete();
+    void end_response(receipt_end how);
     void lose(attempt_loss loss);
     void keep_or_close();
 
--- a/src/libcyclamenrun/http/answer_writer.hpp
+++ b/src/libcyclamenrun/http/answer_writer.hpp
@@ -19,12 +19,19 @@
     answer_writer& operator=(const answer_writer&) = delete;
     virtual ~answer_writer() = default;
 
-    /** Writes a complete answer. */
-    virtual void write_whole(http_head head, std::string_view body) = 0;
-    /** Writes the head of an answer whose body follows in pieces. */
-    virtual void begin(http_head head) = 0;
+    /**
+     * Writes a complete answer with its length, or without it, so that it ends
+     * with the connection.
+     */
+    virtual void write_whole(http_head head, std::string_view body,
+                             http_framing framing = http_framing::length) = 0;
+    /**
+     * Writes the head of an answer whose body follows in pieces: in chunks, or
+     * until the connection ends.
+     */
+    virtual void begin(http_head head, http_framing framing) = 0;
     virtual void write_piece(std::string_view bytes) = 0;
-    /** Ends the body of an answer that begin() started. */
+    /** Ends the body of an answer that begin() started, as its framing does. */
     virtual void finish() = 0;
     /** Resets the connection, so that the caller sees a truncated answer. */
     virtual void abort() = 0;
--- a/src/libcyclamenrun/http/http_client.cpp
+++ b/src/libcyclamenrun/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.hpp"
 
+#include "answer_integrity.hpp"
 #include "http_text.hpp"
 
 #include <utility>
@@ -81,6 +82,7 @@
     http_reader::hooks on_read;
     on_read.head = [this](http_head&& head) {
         reply_.status = head.status;
+        framing_ = head.body_framing();
         reply_.fields = std::move(head.fields);
         peer_keep_alive_ = head.keep_alive;
     };
@@ -126,7 +128,8 @@
     if (!busy())
         return;
     if (reason == connection_end::finished && reader_->head_complete() &&
-        reader_->end_of_connection() && reader_->complete()) {
+        integrity_of({framing_, receipt_end::closed}) !=
+            answer_integrity::broken_off) {
         finish(std::move(reply_));
         return;
     }
--- a/src/libcyclamenrun/http/http_client.hpp
+++ b/src/libcyclamenrun/http/http_client.hpp
@@ -71,6 +71,7 @@
     std::shared_ptr<http_client> self_;
     std::string request_;
     http_reply reply_;
+    http_framing framing_ = http_framing::none; ///< of the reply
     answer_handler on_answer_;
     std::uint64_t call_number_ = 0;
     bool peer_keep_alive_ = true;
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -50,15 +50,16 @@
     {
     }
 
-    void write_whole(http_head head, std::string_view body) override
+    void write_whole(http_head head, std::string_view body,
+                     http_framing framing) override
     {
         if (current())
-            session_->write_whole(std::move(head), body);
+            session_->write_whole(std::move(head), body, framing);
     }
-    void begin(http_head head) override
+    void begin(http_head head, http_framing framing) override
     {
         if (current())
-            session_->begin(std::move(head));
+            session_->begin(std::move(head), framing);
     }
     void write_piece(std::string_view bytes) override
     {
@@ -189,7 +190,7 @@
     serving_ = true;
     http_head head;
     head.status = status_of(problem);
-    write_whole(std::move(head), {});
+    write_whole(std::move(head), {}, http_framing::length);
 }
 
 void http_session::handle_disconnect()
@@ -207,34 +208,46 @@
     return !request_keep_alive_ || (hooks_->stopping && hooks_->stopping());
 }
 
-void http_session::write_whole(http_head head, std::string_view body)
+void http_session::write_whole(http_head head, std::string_view body,
+                               http_framing framing)
 {
-    if (closes_after_answer())
-        head.fields.push_back({"Connection", "close"});
     const bool no_body = head_only_ || has_no_body(head.status);
-    const auto framing =
-        has_no_body(head.status) ? http_framing::none : http_framing::length;
-    connection_->send(response_text(head, framing, body.size()));
+    write_head(std::move(head),
+               has_no_body(head.status) ? http_framing::none : framing,
+               body.size());
     if (!no_body)
         connection_->send(body);
     complete_answer();
 }
 
-void http_session::begin(http_head head)
+void http_session::write_head(http_head head, http_framing framing,
+                              std::size_t body_bytes)
 {
+    framing_ = framing;
+    if (framing == http_framing::connection)
+        request_keep_alive_ = false;
     if (closes_after_answer())
         head.fields.push_back({"Connection", "close"});
-    connection_->send(response_text(head, http_framing::chunked, 0));
+    connection_->send(response_text(head, framing, body_bytes));
+}
+
+void http_session::begin(http_head head, http_framing framing)
+{
+    write_head(std::move(head), framing, 0);
 }
 
 void http_session::write_piece(std::string_view bytes)
 {
-    connection_->send(chunk_text(bytes));
+    if (framing_ == http_framing::chunked)
+        connection_->send(chunk_text(bytes));
+    else
+        connection_->send(bytes);
 }
 
 void http_session::finish()
 {
-    connection_->send(last_chunk_text);
+    if (framing_ == http_framing::chunked)
+        connection_->send(last_chunk_text);
     complete_answer();
 }
 
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -77,13 +77,16 @@
     void handle_disconnect();
 
     // Called by session_writer and, for drained(), by the connection.
-    void write_whole(http_head head, std::string_view body);
-    void begin(http_head head);
+    void write_whole(http_head head, std::string_view body,
+                     http_framing framing);
+    void begin(http_head head, http_framing framing);
     void write_piece(std::string_view bytes);
     void finish();
     void abort();
     void drained();
 
+    void write_head(http_head head, http_framing framing,
+                    std::size_t body_bytes);
     void complete_answer();
     void next_request();
     void close_gracefully();
@@ -102,6 +105,7 @@
     bool serving_ = false;
     bool closing_ = false;
     bool head_only_ = false; ///< the current request is a HEAD
+    http_framing framing_ = http_framing::none; ///< of the current answer
     /** Of the current answer; writers of other answers have no effect. */
     std::uint64_t answer_number_ = 0;
     session_hooks::disconnect_handler on_disconnect_;
--- a/src/libcyclamenrun/outcomes/relay.cpp
+++ b/src/libcyclamenrun/outcomes/relay.cpp
@@ -202,9 +202,10 @@
 {
     done_ = true;
     stream_open_ = false;
-    return {write_answer{{static_cast<int>(answer.status()),
-                          answer.content_type(), answer.body()}},
-            acknowledge_message()};
+    return {
+        write_answer{{static_cast<int>(answer.status()), answer.content_type(),
+                      answer.body(), !answer.unconfirmed()}},
+        acknowledge_message()};
 }
 
 relay_actions relay::on_refused(const refusal& why, time_point now)
--- a/src/libcyclamenrun/outcomes/session_table.cpp
+++ b/src/libcyclamenrun/outcomes/session_table.cpp
@@ -30,6 +30,7 @@
         answer.set_status(static_cast<std::uint32_t>(session.answer->status));
         answer.set_content_type(session.answer->content_type);
         answer.set_body(session.answer->body);
+        answer.set_unconfirmed(!session.answer->confirmed_whole);
     } else {
         frame.mutable_finished()->set_token_count(session.replay.next_index());
         frame.mutable_finished()->set_finish_reason(session.finish_reason);
--- a/src/libcyclamenrun/outcomes/work_session.hpp
+++ b/src/libcyclamenrun/outcomes/work_session.hpp
@@ -29,6 +29,8 @@
     int status = 0;
     std::string content_type;
     std::string body;
+    /** False if nothing shows that the body is whole. */
+    bool confirmed_whole = true;
 };
 
 /** A work item at an agent, from its dispatch until its answer is removed. */
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -115,7 +115,7 @@
     if (received_ > limits_.max_answer_bytes)
         return tl::unexpected(
             error(http_failure::too_large, "the body is too large"));
-    if (buffer_.empty() && !complete())
+    if (buffer_.empty() && !accepts_end())
         return tl::unexpected(current_error(http_failure::lost_mid_answer));
     return std::string_view(buffer_);
 }
@@ -131,8 +131,10 @@
         const auto bytes = read();
         if (!bytes)
             return tl::unexpected(bytes.error());
-        if (bytes->empty())
+        if (bytes->empty()) {
+            answer.integrity = integrity();
             return answer;
+        }
         answer.body.append(*bytes);
     }
 }
@@ -176,6 +178,7 @@
     if (!request.content_type.empty())
         message.setContentType(request.content_type);
     message.setContentLength(static_cast<std::streamsize>(request.body.size()));
+    accepts_unframed_ = request.accepts_unframed;
     sent_ = true;
     auto& out = session_->sendRequest(message);
     out.exceptions(std::ios::badbit);
@@ -202,12 +205,10 @@
 }
 
 /**
- * Whether the whole body has arrived. The session reports the end of a body
- * and a lost connection in the same way, so a truncated answer would look
- * complete. So the body counts as complete only if the announced length or the
- * end of the last chunk has arrived.
+ * The session reports the end of a body and a closed connection in the same
+ * way, so the announced length or the last chunk is looked for here.
  */
-bool http_exchange::complete() const
+bool http_exchange::framed_end_received() const
 {
     if (content_length_)
         return received_ == *content_length_;
@@ -215,6 +216,26 @@
            socket_->tail() == last_chunk;
 }
 
+answer_integrity http_exchange::integrity() const
+{
+    answer_receipt receipt;
+    receipt.framing = http_framing::connection;
+    if (chunked_)
+        receipt.framing = http_framing::chunked;
+    if (content_length_)
+        receipt.framing = http_framing::length;
+    receipt.end =
+        framed_end_received() ? receipt_end::framed : receipt_end::closed;
+    return integrity_of(receipt);
+}
+
+bool http_exchange::accepts_end() const
+{
+    const auto known = integrity();
+    return known == answer_integrity::whole ||
+           (known == answer_integrity::unconfirmed && accepts_unframed_);
+}
+
 http_error http_exchange::error(http_failure failure, std::string detail) const
 {
     return {failure, sent_, std::move(detail)};
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_HTTP_EXCHANGE_HPP
 #define CYCLAMENRUN_HTTP_EXCHANGE_HPP
 
+#include "answer_integrity.hpp"
 #include "clock.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
@@ -53,6 +54,11 @@
     std::string body;
     std::map<std::string, std::string> headers;
     time_point deadline;
+    /**
+     * Accepts an answer without framing, whose integrity is unconfirmed; else
+     * it counts as lost.
+     */
+    bool accepts_unframed = false;
 };
 
 struct http_head {
@@ -64,6 +70,7 @@
 struct http_answer {
     http_head head;
     std::string body;
+    answer_integrity integrity = answer_integrity::whole;
 };
 
 /**
@@ -90,6 +97,8 @@
      * body. The view is valid until the next call.
      */
     tl::expected<std::string_view, http_error> read();
+    /** What is known of the answer once read() has returned its end. */
+    answer_integrity integrity() const;
 
     /** Calls start() and reads the whole body. */
     tl::expected<http_answer, http_error> run(const http_request& request,
@@ -100,7 +109,8 @@
     void attach(cancellation* cancel);
     void send(const http_request& request);
     http_head receive_head();
-    bool complete() const;
+    bool framed_end_received() const;
+    bool accepts_end() const;
     http_error error(http_failure failure, std::string detail) const;
     http_error current_error(http_failure lost) const;
 
@@ -116,6 +126,7 @@
     std::size_t received_ = 0;
     std::optional<std::size_t> content_length_;
     bool chunked_ = false;
+    bool accepts_unframed_ = false;
     bool sent_ = false;
 };
 
--- a/src/libcyclamenrun/outside/runner_client.hpp
+++ b/src/libcyclamenrun/outside/runner_client.hpp
@@ -26,6 +26,7 @@
     int status = 0;
     std::string content_type;
     std::string body;
+    answer_integrity integrity = answer_integrity::whole; ///< or unconfirmed
 };
 
 /** HTTP client of one application runner; each call has its own connection. */
@@ -39,6 +40,9 @@
                                                  cancellation& cancel);
 
 private:
+    /** Whether the runner's host refuses a connection. */
+    bool has_crashed() const;
+
     std::string address_;
     http_limits limits_;
     clock_function clock_;
--- /dev/null
+++ b/tests/gateway/generating_engine.hpp
@@ -0,0 +1,134 @@
+#ifndef CYCLAMENRUN_TESTS_GENERATING_ENGINE_HPP
+#define CYCLAMENRUN_TESTS_GENERATING_ENGINE_HPP
+
+#include "clock.hpp"
+#include "fake_upstream.hpp"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+
+/** Returns the events from `first` to `last` as upstreams send them. */
+inline std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event_text(id);
+    return text;
+}
+
+/**
+ * An engine that streams until it receives a stop order, which is a copy order
+ * marked as the last one. For a request that resumes from memory it sends the
+ * events after the caller's last one.
+ */
+class generating_engine
+{
+public:
+    static constexpr int last_event = 12;
+
+    void respond(const arrived_request& request, upstream_reply& reply)
+    {
+        if (request.head.target == "/kv-move") {
+            handle_order(request, reply);
+            return;
+        }
+        if (request.head.method == "DELETE") {
+            reply.answer(request, 200, "{}");
+            return;
+        }
+        stream(request, reply);
+    }
+
+    /** Pauses the stream before this event until the value changes. */
+    std::atomic<int> hold_before = 1000;
+    /** Closes the connection of a new run in the middle of this event. */
+    std::atomic<int> break_before = 1000;
+    /** Streams end with their connection. */
+    std::atomic<bool> unframed = false;
+    /** If false, copy orders are rejected. */
+    std::atomic<bool> has_room = true;
+    /** Number of stop orders that are executed without a reply. */
+    std::atomic<int> lost_stop_answers = 0;
+    /** Number of stop orders that are lost before execution. */
+    std::atomic<int> lost_stop_orders = 0;
+    /** Number of copy orders received, including stop orders. */
+    std::atomic<int> orders = 0;
+    /** Called when a stop order arrives, before the reply. */
+    std::function<void()> on_stop;
+
+private:
+    void handle_order(const arrived_request& request, upstream_reply& reply)
+    {
+        ++orders;
+        const bool stop =
+            request.body.find("\"last\":true") != std::string::npos;
+        if (!has_room) {
+            reply.answer(request, 503, "{}");
+            return;
+        }
+        if (stop && lost_stop_orders-- > 0) {
+            reply.reset();
+            return;
+        }
+        if (stop) {
+            stopped_ = true;
+            if (on_stop)
+                on_stop();
+            wait_until([&] { return ended_.load(); });
+        }
+        if (stop && lost_stop_answers-- > 0) {
+            stopped_ = false;
+            hold_before = 1000;
+            reply.reset();
+            return;
+        }
+        reply.answer(request, 200, R"({"handle":"h1","created":3})");
+    }
+
+    void stream(const arrived_request& request, upstream_reply& reply)
+    {
+        const auto from = request.field("Last-Event-Id");
+        const int first = from.empty() ? 1 : std::stoi(from) + 1;
+        ended_ = false;
+        if (unframed)
+            reply.begin_unframed(request);
+        else
+            reply.begin_stream(request);
+        for (int id = first; id <= last_event; ++id) {
+            wait_until([&] { return id < hold_before || stopped_; });
+            if (stopped_ || (from.empty() && id >= break_before)) {
+                // An incomplete event, which no caller may receive. A stream
+                // without framing ends after an event, as if it were complete.
+                if (!unframed)
+                    reply.send("8\r\nid: 99\nd\r\n");
+                reply.close();
+                ended_ = true;
+                return;
+            }
+            reply.event(id);
+        }
+        reply.end_stream();
+        ended_ = true;
+    }
+
+    /** Waits up to ten seconds, so that a failing test ends as well. */
+    template <typename Condition>
+    static void wait_until(Condition condition)
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(10);
+        while (!condition() && steady_now() < deadline)
+            std::this_thread::sleep_for(milliseconds(1));
+    }
+
+    std::atomic<bool> stopped_ = false;
+    std::atomic<bool> ended_ = true;
+};
+
+} // namespace cyclamenrun::testing_support
+
+#endif // CYCLAMENRUN_TESTS_GENERATING_ENGINE_HPP
--- a/tests/gateway/test_answer_relay.cpp
+++ b/tests/gateway/test_answer_relay.cpp
@@ -17,8 +17,9 @@
 class mock_answer : public answer_writer
 {
 public:
-    MOCK_METHOD(void, write_whole, (http_head, std::string_view), (override));
-    MOCK_METHOD(void, begin, (http_head), (override));
+    MOCK_METHOD(void, write_whole, (http_head, std::string_view, http_framing),
+                (override));
+    MOCK_METHOD(void, begin, (http_head, http_framing), (override));
     MOCK_METHOD(void, write_piece, (std::string_view), (override));
     MOCK_METHOD(void, finish, (), (override));
     MOCK_METHOD(void, abort, (), (override));
@@ -65,7 +66,9 @@
     relay.handle_head(head_of(200), sealed_facts());
     EXPECT_FALSE(relay.handle_body("hello", arrived)->relayed);
     EXPECT_FALSE(relay.begun());
-    EXPECT_CALL(*writer, write_whole(_, std::string_view("hello")));
+    relay.end_response(receipt_end::framed);
+    EXPECT_CALL(*writer, write_whole(_, std::string_view("hello"),
+                                     http_framing::length));
     const auto late = relay.deliver(arrived + milliseconds(130));
     EXPECT_EQ(late.late_pause, milliseconds(130));
     EXPECT_EQ(relay.time_to_first_part(), milliseconds(130));
@@ -81,7 +84,9 @@
     relay.prepare_next_response();
     relay.handle_head(head_of(200), sealed_facts());
     EXPECT_TRUE(relay.handle_body("whole", arrived));
-    EXPECT_CALL(*writer, write_whole(_, std::string_view("whole")));
+    relay.end_response(receipt_end::framed);
+    EXPECT_CALL(*writer, write_whole(_, std::string_view("whole"),
+                                     http_framing::length));
     relay.deliver(arrived);
 }
 
@@ -92,7 +97,7 @@
     const std::string large(max_buffered_answer_bytes, 'x');
     EXPECT_FALSE(relay.handle_body(large, arrived)->relayed);
     const InSequence in_order;
-    EXPECT_CALL(*writer, begin(_));
+    EXPECT_CALL(*writer, begin(_, http_framing::chunked));
     EXPECT_CALL(*writer, write_piece(std::string_view(large + "y")));
     EXPECT_TRUE(relay.handle_body("y", arrived)->relayed);
     EXPECT_TRUE(relay.relaying());
@@ -102,7 +107,7 @@
 {
     auto relay = relay_of(answer_shape::event_stream);
     relay.handle_head(head_of(200), sealed_facts());
-    EXPECT_CALL(*writer, begin(_));
+    EXPECT_CALL(*writer, begin(_, http_framing::chunked));
     EXPECT_CALL(*writer, write_piece(_)).Times(2);
     const auto first =
         relay.handle_body("id: 1\ndata: a\n\n", arrived + milliseconds(101));
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -81,6 +81,39 @@
     }
 }
 
+// Guards against a lost answer, and against one that claims to be whole: an
+// answer without framing is accepted on request, as unconfirmed.
+TEST(http_exchange, an_answer_without_framing_is_unconfirmed)
+{
+    const scripted_server server(
+        scripted_server::reply("HTTP/1.1 200 OK\r\n\r\nabc"));
+    http_exchange exchange(server.address(), {}, steady_now);
+    const auto answer = exchange.run(
+        {"POST", "/x", "", "", {}, steady_now() + long_limit, true});
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "abc");
+    EXPECT_EQ(answer->integrity, answer_integrity::unconfirmed);
+}
+
+// Guards against a truncated answer that is accepted: a reset is no end, and a
+// framing that is cut short is no answer without framing.
+TEST(http_exchange, a_broken_answer_is_lost_also_where_no_framing_is_accepted)
+{
+    const scripted_server resets([](Poco::Net::StreamSocket& connection) {
+        scripted_server::receive_request(connection);
+        scripted_server::send(connection, "HTTP/1.1 200 OK\r\n\r\nabc");
+        connection.setLinger(true, 0);
+        connection.close();
+    });
+    const scripted_server truncates(scripted_server::reply(
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"));
+    for (const auto* server : {&resets, &truncates}) {
+        http_exchange exchange(server->address(), {}, steady_now);
+        EXPECT_FALSE(exchange.run(
+            {"POST", "/x", "", "", {}, steady_now() + long_limit, true}));
+    }
+}
+
 TEST(http_exchange, a_request_on_a_refused_connection_has_not_run)
 {
     std::string address;
--- a/tests/outside/test_platform_clients.cpp
+++ b/tests/outside/test_platform_clients.cpp
@@ -182,6 +182,39 @@
     EXPECT_EQ(call("c2")->status, 500);
 }
 
+TEST_F(runner_client_test, an_answer_without_framing_is_unconfirmed)
+{
+    runner.set_fault(R"({"unframed":1})");
+    const auto answer = call("c1");
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->integrity, answer_integrity::unconfirmed);
+    EXPECT_TRUE(parse_json_object(answer->body));
+}
+
+// Guards against a truncated answer that is accepted: the runner's process ends
+// in the middle of an answer without framing.
+TEST(runner_client, an_answer_that_a_crash_ends_is_lost)
+{
+    Poco::Net::ServerSocket listener(Poco::Net::SocketAddress("127.0.0.1:0"));
+    std::thread crashing([&] {
+        auto connection = listener.acceptConnection();
+        testing_support::scripted_server::receive_request(connection);
+        listener.close();
+        testing_support::scripted_server::send(connection,
+                                               "HTTP/1.1 200 OK\r\n\r\nhal");
+        connection.shutdownSend();
+        testing_support::scripted_server::wait_for_close(connection);
+    });
+    runner_client client(listener.address().toString(), {}, steady_now);
+    cancellation cancel;
+    const auto answer = client.call(
+        {"c1", "/calls", "", "", steady_now() + test_limit}, cancel);
+    crashing.join();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::lost_mid_answer);
+    EXPECT_TRUE(answer.error().may_have_run);
+}
+
 // Guards against running a call twice: the runner's answer is lost after the
 // call has taken effect, and a component on the path sends the call again.
 TEST_F(runner_client_test, a_call_whose_answer_is_lost_runs_once)
--- a/tests/processes/deployment.cpp
+++ b/tests/processes/deployment.cpp
@@ -268,6 +268,7 @@
     if (!ticket.empty())
         request.headers["X-Ticket"] = ticket;
     request.headers["X-Deadline-Ms"] = std::to_string(time_limit.count());
+    request.accepts_unframed = true;
     http_exchange exchange(entry.address, {}, steady_now);
     const auto answer = exchange.run(request);
     if (!answer)
--- a/tests/processes/test_calls.cpp
+++ b/tests/processes/test_calls.cpp
@@ -232,6 +232,22 @@
     EXPECT_LE(late_runs, 1);
 }
 
+// Guards against an answer that claims more than is known of it: the runner's
+// answer has no framing, and neither has the entry's, also when it is repeated.
+TEST_F(call_races, an_answer_of_unknown_end_is_not_framed_as_complete)
+{
+    system.upstream(0).back_end->set_fault(R"({"unframed":1})");
+    const auto ticket = system.request_ticket(system.entry(0));
+    for (const std::size_t at : {0, 1}) {
+        const auto answer = system.call(system.entry(at), ticket);
+        ASSERT_TRUE(answer);
+        EXPECT_EQ(answer->head.status, 200) << answer->body;
+        EXPECT_EQ(answer->integrity, answer_integrity::unconfirmed);
+        EXPECT_NE(answer->body.find("\"ok\""), std::string::npos);
+    }
+    EXPECT_EQ(system.count_events("run"), 1U);
+}
+
 // Guards against running a call twice across an agent's restart. The new agent
 // cannot tell whether a call with a ticket of the earlier incarnation has run.
 TEST_F(call_races, a_ticket_of_an_earlier_incarnation_has_an_unknown_outcome)
--- a/tests/standins/runner/runner_api.cpp
+++ b/tests/standins/runner/runner_api.cpp
@@ -54,10 +54,12 @@
     body.set("request_id", id);
     body.set("run", run);
     body.set("result", faults.error_status == 0 ? "ok" : "error");
-    answer(response,
-           faults.error_status == 0 ? 200
-                                    : static_cast<int>(faults.error_status),
-           to_string(body));
+    const auto status =
+        faults.error_status == 0 ? 200 : static_cast<int>(faults.error_status);
+    if (faults.unframed)
+        answer_unframed(response, status, to_string(body));
+    else
+        answer(response, status, to_string(body));
 }
 
 void runner_api::set_fault(server_request& request, server_response& response)
@@ -71,6 +73,7 @@
     faults_.late_ms = json_u64(*body, "late_ms").value_or(faults_.late_ms);
     faults_.error_status =
         json_u64(*body, "error_status").value_or(faults_.error_status);
+    faults_.unframed = json_u64(*body, "unframed").value_or(0) != 0;
     answer(response, 200, "{}");
 }
 
--- a/tests/standins/runner/runner_api.hpp
+++ b/tests/standins/runner/runner_api.hpp
@@ -18,6 +18,7 @@
     std::uint64_t lose_answers = 0; ///< number of calls to leave unanswered
     std::uint64_t late_ms = 0;      ///< added to the usual delay
     std::uint64_t error_status = 0; ///< 0: off
+    bool unframed = false; ///< answers have neither a length nor chunks
 };
 
 /**
--- a/tests/standins/stand_in_server.hpp
+++ b/tests/standins/stand_in_server.hpp
@@ -136,6 +136,17 @@
     response.sendBuffer(body.data(), body.size());
 }
 
+/** Sends an answer that ends with the connection. */
+inline void answer_unframed(server_response& response, int status,
+                            const std::string& body)
+{
+    response.setStatus(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
+    response.setContentType("application/json");
+    response.setKeepAlive(false);
+    response.send() << body << std::flush;
+}
+
 inline std::string body_of(server_request& request)
 {
     std::string body;
