Read and log what upstreams say of themselves

An upstream may ask a VM for rest (Retry-After in a 503) and say in any answer that it leaves (Server-Leaving). Both were unknown fields, so that the logs could not tell whether an upstream's wish was read, forgotten or passed over. Nothing reads them for a decision yet.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -277,8 +277,10 @@
 {
     context_.upstreams.record_connection_success(attempt_->upstream().id);
     // Another process answers for a misdirected request.
-    if (!is_misdirected(head.status))
+    if (!is_misdirected(head.status)) {
         context_.record_limit(attempt_->upstream(), facts.request_limit);
+        context_.record_notice(attempt_->upstream().id, facts.notice);
+    }
     // A resumed generation does not prefill its prompt, so its response time
     // is not typical.
     if (!continuation_->has_origin())
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -64,6 +64,19 @@
                {log_key::kind, source}});
 }
 
+void gateway_context::record_notice(const std::string& upstream_id,
+                                    const upstream_notice& notice)
+{
+    const auto changed = notices.record(upstream_id, notice, reactor->now());
+    if (changed.rest_extended)
+        log_event(log_severity::warning, log_event_name::upstream_resting,
+                  {{log_key::upstream, upstream_id},
+                   {log_key::duration_ms, *notice.rest}});
+    if (changed.leaving_began)
+        log_event(log_severity::info, log_event_name::upstream_said_leaving,
+                  {{log_key::upstream, upstream_id}});
+}
+
 void gateway_context::update_gateway_count()
 {
     // Monitors may know gateways that have not found each other.
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -18,6 +18,7 @@
 #include "upstream_choice.hpp"
 #include "upstream_connections.hpp"
 #include "upstream_limits.hpp"
+#include "upstream_notices.hpp"
 #include "upstream_registry.hpp"
 
 #include <memory>
@@ -54,6 +55,9 @@
                       std::optional<double> limit);
     void log_limit(const std::string& upstream_id, std::optional<double> limit,
                    std::string_view source) const;
+    /** Records what an upstream says of itself, and logs a change. */
+    void record_notice(const std::string& upstream_id,
+                       const upstream_notice& notice);
     /** Shares of limits are by the number of gateways, as far as known. */
     void update_gateway_count();
     /** Tables that this gateway shares with the others. */
@@ -80,6 +84,7 @@
     std::shared_ptr<const gateway_routes> routes;
     std::mt19937_64 random;
     upstream_limits limits;
+    upstream_notices notices;
     upstream_choice choice;
     poison_guard poison;
     std::shared_ptr<crash_detector> crashes;
--- a/src/libcyclamenrun/gateway/gateway_dialect.hpp
+++ b/src/libcyclamenrun/gateway/gateway_dialect.hpp
@@ -40,6 +40,8 @@
                                     const dispatch_facts& facts) const = 0;
 
     virtual response_facts read_response(const http_head& head) const = 0;
+    /** What an upstream says of itself in the reply to any call. */
+    virtual upstream_notice read_notice(const http_reply& reply) const = 0;
 
     /** Head of the order to copy a running generation to another engine. */
     virtual http_head move_call() const = 0;
--- a/src/libcyclamenrun/gateway/request_facts.hpp
+++ b/src/libcyclamenrun/gateway/request_facts.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 #include "ip_endpoint.hpp"
+#include "upstream_notices.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -63,6 +64,7 @@
      * empty: it names no limit.
      */
     std::optional<double> request_limit;
+    upstream_notice notice; ///< what the upstream says of itself
     /** Time for which the upstream keeps an idle connection, if stated. */
     std::optional<milliseconds> keep_alive_timeout;
 };
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -150,6 +150,13 @@
     log_event_row{log_event_name::upstream_crashed, "upstream_crashed",
                   "An upstream crashed while it had the request: it broke the "
                   "connection, and its host refuses a new one."},
+    log_event_row{
+        log_event_name::upstream_resting, "upstream_resting",
+        "An upstream turned a request away and wants no more requests of this "
+        "process for duration_ms."},
+    log_event_row{log_event_name::upstream_said_leaving,
+                  "upstream_said_leaving",
+                  "An upstream says in an answer that it leaves."},
     log_event_row{log_event_name::upstream_limited, "upstream_limited",
                   "An upstream names a limit in its answers: the requests a "
                   "second that it takes from all gateways together."},
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -66,6 +66,8 @@
     generation_backed_up,
     crash_seen,
     upstream_crashed,
+    upstream_resting,
+    upstream_said_leaving,
     upstream_limited,
     upstream_limit_lifted,
     limit_reached,
--- a/tests/platform/test_http_dialect.cpp
+++ b/tests/platform/test_http_dialect.cpp
@@ -126,6 +126,27 @@
     EXPECT_EQ(facts.keep_alive_timeout, milliseconds(7000));
 }
 
+TEST(http_dialect, reads_what_an_upstream_says_of_itself)
+{
+    http_head head;
+    head.status = 503;
+    head.fields = {{"Retry-After", "2.5"}, {"Server-Leaving", "1"}};
+    const auto rejected = http_dialect().read_response(head).notice;
+    EXPECT_EQ(rejected.rest, milliseconds(2500));
+    EXPECT_TRUE(rejected.leaving);
+    // Only a 503 asks for rest; any answer may say that its upstream leaves.
+    head.status = 200;
+    const auto served = http_dialect().read_response(head).notice;
+    EXPECT_FALSE(served.rest);
+    EXPECT_TRUE(served.leaving);
+    const auto replied =
+        http_dialect().read_notice({503, "", {{"retry-after", "1e300"}}});
+    EXPECT_EQ(replied.rest, max_upstream_rest);
+    EXPECT_FALSE(replied.leaving);
+    EXPECT_FALSE(
+        http_dialect().read_notice({503, "", {{"Retry-After", "-4"}}}).rest);
+}
+
 TEST(http_dialect, reads_a_load)
 {
     const auto load = http_dialect().read_load(
