--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -39,11 +39,12 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-void upstream_reply::begin_stream(const arrived_request& request)
+void upstream_reply::begin_stream(const arrived_request& request,
+                                  const std::string& more_fields)
 {
     send("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.field("Attempt-Id") +
-         "\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n");
+         "\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n" +
+         more_fields + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
 void upstream_reply::begin_unframed(const arrived_request& request,
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -40,8 +40,15 @@
     /** Sends a whole answer with the header fields that upstreams set. */
     void answer(const arrived_request& request, int status,
                 const std::string& body, const std::string& more_fields = "");
+    /** Rejects the request with a 503 that asks for rest. */
+    void ask_for_rest(const arrived_request& request, const std::string& rest)
+    {
+        answer(request, 503, "resting",
+               "Not-Executed: 1\r\nRetry-After: " + rest + "\r\n");
+    }
     /** Sends the head of an event stream in chunks. */
-    void begin_stream(const arrived_request& request);
+    void begin_stream(const arrived_request& request,
+                      const std::string& more_fields = "");
     /**
      * Sends a head without framing fields: the answer ends with the
      * connection.
@@ -116,6 +123,9 @@
     std::thread acceptor_;
 };
 
+/** Field by which an upstream says that it leaves. */
+inline const std::string leaving_field = "Server-Leaving: 1\r\n";
+
 /** Returns an event as upstreams send it. */
 std::string event_text(int id);
 
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -50,6 +50,8 @@
     std::atomic<int> break_before = 1000;
     /** Streams end with their connection. */
     std::atomic<bool> unframed = false;
+    /** Streams say that the engine leaves. */
+    std::atomic<bool> says_leaving = false;
     /** If false, copy orders are rejected. */
     std::atomic<bool> has_room = true;
     /** Number of stop orders that are executed without a reply. */
@@ -98,7 +100,7 @@
         if (unframed)
             reply.begin_unframed(request);
         else
-            reply.begin_stream(request);
+            reply.begin_stream(request, says_leaving ? leaving_field : "");
         for (int id = first; id <= last_event; ++id) {
             wait_until([&] { return id < hold_before || stopped_; });
             if (stopped_ || (from.empty() && id >= break_before)) {
