--- a/src/libcyclamenrun/agent/upstream_driver.cpp
+++ b/src/libcyclamenrun/agent/upstream_driver.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Runnable.h>
+#include <algorithm>
 
 namespace cyclamenrun
 {
@@ -19,6 +20,8 @@
 /** How long the driver waits for an engine to end cancelled runs. */
 constexpr milliseconds cancel_timeout{5'000};
 constexpr milliseconds cancel_poll_interval{50};
+/** How long a runner that leaves may go on at its address. */
+constexpr milliseconds longest_leave{60'000};
 
 std::string engine_request_id(const admitted_work& admitted)
 {
@@ -27,6 +30,9 @@
 
 refusal refusal_of(const engine_error& error)
 {
+    if (error.rest)
+        return not_run(refusal_reason::upstream_resting,
+                       "the engine asks for rest", *error.rest);
     if (!error.may_have_run)
         return not_run(refusal_reason::no_upstream,
                        std::string(name_of(error.failure)), milliseconds(1000));
@@ -107,6 +113,11 @@
 void upstream_driver::attach(gate& gate)
 {
     gate_ = &gate;
+    const auto on_notice = [this](const upstream_notice& notice) {
+        gate_->record_notice(notice, clock_());
+    };
+    engine_.on_notice(on_notice);
+    runner_.on_notice(on_notice);
     poll_thread_ = std::thread([this] { poll_until_stopped(); });
 }
 
@@ -172,6 +183,8 @@
 
 order_result upstream_driver::send_order(const engine_order& order)
 {
+    if (resting())
+        return order_result::store_limited;
     const auto sent = engine_.order(order);
     if (sent)
         return order_result::done;
@@ -267,11 +280,13 @@
 {
     if (settings_.kind == upstream_kind::application) {
         gate_->engine_ready(0, clock_());
+        watch_leaving_runner();
         return;
     }
     while (!stopping()) {
-        if (!initialize_engine()) {
-            pause(settings_.busy_poll_interval);
+        if (resting() || !initialize_engine()) {
+            pause(std::max(settings_.busy_poll_interval,
+                           gate_->rest_left(clock_())));
             continue;
         }
         while (!stopping() && (poll_engine() || received_token_recently()))
@@ -281,11 +296,44 @@
     }
 }
 
+bool upstream_driver::resting() const
+{
+    return gate_->rest_left(clock_()) > milliseconds::zero();
+}
+
+/**
+ * A runner has no epoch that would show another process at its address: one
+ * that has left counts as replaced when the address was without a listener, or
+ * after a while.
+ */
+void upstream_driver::watch_leaving_runner()
+{
+    std::optional<time_point> leaving_until;
+    bool ended = false;
+    while (!stopping()) {
+        pause(settings_.busy_poll_interval);
+        if (!gate_->upstream_leaving()) {
+            leaving_until.reset();
+            continue;
+        }
+        const auto now = clock_();
+        if (!leaving_until)
+            leaving_until = now + longest_leave;
+        const bool ends = runner_.has_ended();
+        if (!ends && (ended || now >= *leaving_until))
+            gate_->engine_ready(0, now);
+        ended = ends;
+    }
+}
+
 bool upstream_driver::poll_engine()
 {
+    // An engine that rests is not queried, and it has just responded.
+    if (resting())
+        return true;
     const auto load = engine_.load(clock_() + settings_.poll_timeout);
     if (!load)
-        return false;
+        return resting();
     {
         const std::scoped_lock lock(mutex_);
         if (epoch_ == 0 || engine_.epoch() != epoch_)
@@ -306,6 +354,10 @@
 
 void upstream_driver::wait_for_next_poll()
 {
+    if (const auto rest = gate_->rest_left(clock_()); rest.count() > 0) {
+        pause(rest);
+        return;
+    }
     const bool busy = gate_->load(clock_()).running() > 0;
     const bool woken = pause(busy ? settings_.busy_poll_interval
                                   : settings_.idle_poll_interval);
--- a/src/libcyclamenrun/agent/upstream_driver.hpp
+++ b/src/libcyclamenrun/agent/upstream_driver.hpp
@@ -74,6 +74,9 @@
 
     void poll_until_stopped();
     bool initialize_engine();
+    /** True if the upstream has asked for rest. */
+    bool resting() const;
+    void watch_leaving_runner();
     /** False if the engine does not answer, or has restarted. */
     bool poll_engine();
     bool received_token_recently() const;
--- a/src/libcyclamenrun/base/refusal.cpp
+++ b/src/libcyclamenrun/base/refusal.cpp
@@ -54,6 +54,7 @@
     reason_row{refusal_reason::retry_budget_spent, "retry_budget_spent", 503},
     reason_row{refusal_reason::reclaimed, "reclaimed", 502},
     reason_row{refusal_reason::answer_too_large, "answer_too_large", 502},
+    reason_row{refusal_reason::upstream_resting, "upstream_resting", 503},
     reason_row{refusal_reason::internal, "internal", 500},
 };
 
--- a/src/libcyclamenrun/base/refusal.hpp
+++ b/src/libcyclamenrun/base/refusal.hpp
@@ -53,6 +53,7 @@
     reclaimed = 27, ///< the platform reclaimed the VM before the work ended
     answer_too_large = 28,
     internal = 29,
+    upstream_resting = 30, ///< the upstream wants no work for a while
 };
 
 /** A typed refusal, as sent to callers and on links and written to logs. */
--- a/src/libcyclamenrun/decisions/attempt_policy.cpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.cpp
@@ -13,6 +13,16 @@
 constexpr double min_timeout_objectives = 0.6;
 constexpr double max_timeout_objectives = 2;
 
+constexpr double retry_delay_spread = 0.2;
+
+milliseconds scale_randomly(milliseconds delay, double least, double most,
+                            std::mt19937_64& random)
+{
+    std::uniform_real_distribution<double> factor(least, most);
+    return milliseconds(
+        std::llround(factor(random) * static_cast<double>(delay.count())));
+}
+
 /** True if a request that may have run may run once more. */
 bool may_run_again(const attempt_state& state)
 {
@@ -106,10 +116,13 @@
 
 milliseconds jitter_retry_delay(milliseconds after, std::mt19937_64& random)
 {
-    constexpr double spread = 0.2;
-    std::uniform_real_distribution<double> factor(1 - spread, 1 + spread);
-    return milliseconds(
-        std::llround(factor(random) * static_cast<double>(after.count())));
+    return scale_randomly(after, 1 - retry_delay_spread, 1 + retry_delay_spread,
+                          random);
+}
+
+milliseconds spread_retry_delay(milliseconds least, std::mt19937_64& random)
+{
+    return scale_randomly(least, 1, 1 + retry_delay_spread, random);
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/decisions/attempt_policy.hpp
+++ b/src/libcyclamenrun/decisions/attempt_policy.hpp
@@ -78,6 +78,12 @@
  */
 milliseconds jitter_retry_delay(milliseconds after, std::mt19937_64& random);
 
+/**
+ * Adds up to a fifth to a time before which no caller should return, so that
+ * callers that are refused at the same time do not retry at the same time.
+ */
+milliseconds spread_retry_delay(milliseconds least, std::mt19937_64& random);
+
 /**
  * Maximum number of times that one request is sent, over all upstreams. When
  * that many upstreams have rejected it, the service is most likely full, and
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -276,6 +276,7 @@
 {
     if (!outcome)
         return;
+    obey_rest(*outcome);
     const auto id = dialect_->read_identity(*outcome);
     if (!id)
         return;
@@ -302,6 +303,11 @@
 
 void engine_monitor::poll_engine()
 {
+    // The engine has asked for rest since the timer was set.
+    if (reactor_->now() < next_poll_) {
+        schedule_poll();
+        return;
+    }
     next_poll_ = reactor_->now() + settings_.interval;
     remove_expired_gateways();
     if (gateways_.empty()) {
@@ -325,8 +331,20 @@
     });
 }
 
+void engine_monitor::obey_rest(const http_reply& reply)
+{
+    const auto rest = dialect_->read_notice(reply).rest;
+    if (!rest)
+        return;
+    const auto end = reactor_->now() + *rest;
+    next_poll_ = std::max(next_poll_, end);
+    next_identity_query_ = std::max(next_identity_query_, end);
+}
+
 void engine_monitor::handle_load_reply(const call_outcome& outcome)
 {
+    if (outcome)
+        obey_rest(*outcome);
     const auto load = outcome.and_then(
         [&](const http_reply& reply) { return dialect_->read_load(reply); });
     metrics_.observe(exported_metric::load_time, {},
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -91,6 +91,8 @@
 
     void poll_engine();
     void schedule_poll();
+    /** Delays the next calls if the engine asks for rest. */
+    void obey_rest(const http_reply& reply);
     void handle_load_reply(const call_outcome& outcome);
     void record_load_metrics(const engine_load& load);
     void publish_load(const engine_load& load);
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -92,42 +92,6 @@
     dispatch();
 }
 
-upstream_search::hooks exchange::search_hooks()
-{
-    upstream_search::hooks on;
-    on.may_send = [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        return self && self->may_send();
-    };
-    on.refuse_over_limit = [weak = weak_from_this()] {
-        const auto self = weak.lock();
-        return !self || self->refuse_over_limit();
-    };
-    on.found = [weak = weak_from_this()](const upstream_record& upstream) {
-        if (const auto self = weak.lock())
-            self->send(upstream, std::nullopt);
-    };
-    on.restart = [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->dispatch();
-    };
-    return on;
-}
-
-generation_continuation::hooks exchange::continuation_hooks()
-{
-    generation_continuation::hooks on;
-    on.current = [this] { return attempt_ ? &attempt_->upstream() : nullptr; };
-    on.drop_attempt = [this] { drop_attempt(); };
-    on.send = [this](const upstream_record& upstream,
-                     const continuation& from) { send(upstream, from); };
-    on.lost = [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->continue_after(attempt_result::lost);
-    };
-    return on;
-}
-
 // Choice of an upstream.
 
 void exchange::dispatch()
@@ -141,7 +105,7 @@
         context_.budget.record_request(served_.service,
                                        context_.reactor->now());
     }
-    if (refuse_over_limit())
+    if (conclusion_.refuse_without_room())
         return;
     search_->start();
 }
@@ -165,25 +129,6 @@
     return false;
 }
 
-bool exchange::refuse_over_limit()
-{
-    const auto now = context_.reactor->now();
-    const auto first =
-        context_.choice.first_with_room(served_.service, served_.tried, now);
-    if (!first)
-        return false;
-    conclusion_.recorder().over_limit(*first,
-                                      context_.limits.limit_of(*first, now),
-                                      context_.limits.gateway_count());
-    // Only a request that may return takes a share of the limit.
-    if (conclusion_.history().may_have_run())
-        conclusion_.refuse(gateway_refusal::upstream_lost);
-    else
-        conclusion_.refuse(gateway_refusal::over_limit,
-                           context_.limits.reserve_return(*first, now));
-    return true;
-}
-
 std::string
 exchange::request_for(const upstream_record& upstream,
                       const std::optional<continuation>& resume_from)
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -55,11 +55,6 @@
      * crashed under the request.
      */
     bool may_send();
-    /**
-     * Refuses the request if all usable upstreams are at their limit. Returns
-     * whether it did.
-     */
-    bool refuse_over_limit();
     void send(const upstream_record& upstream,
               const std::optional<continuation>& resume_from);
     std::string request_for(const upstream_record& upstream,
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -18,7 +18,7 @@
     : reactor(std::move(shared_reactor)), dialect(std::move(wire_dialect)),
       connections(reactor), engine_client_pool(reactor),
       upstreams(std::move(upstream_hooks)), budget(retries), lease(lease_term),
-      random(seed), limits(random), choice(upstreams, limits, random),
+      random(seed), limits(random), choice(upstreams, limits, notices, random),
       poison(random)
 {
     poison_guard::hooks on;
@@ -72,9 +72,11 @@
         log_event(log_severity::warning, log_event_name::upstream_resting,
                   {{log_key::upstream, upstream_id},
                    {log_key::duration_ms, *notice.rest}});
-    if (changed.leaving_began)
-        log_event(log_severity::info, log_event_name::upstream_said_leaving,
-                  {{log_key::upstream, upstream_id}});
+    if (!changed.leaving_began)
+        return;
+    log_event(log_severity::info, log_event_name::upstream_said_leaving,
+              {{log_key::upstream, upstream_id}});
+    upstreams.record_leaving(upstream_id);
 }
 
 void gateway_context::update_gateway_count()
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -122,6 +122,12 @@
         context_->connections.remove(id);
         context_->engine_client_pool.remove(id);
     };
+    upstream_hooks.replaced = [this](const std::string& id) {
+        context_->notices.forget(id);
+    };
+    upstream_hooks.has_said_leaving = [this](const std::string& id) {
+        return context_->notices.is_leaving(id);
+    };
     context_ = std::make_unique<gateway_context>(
         reactor, platform.dialect, std::move(upstream_hooks),
         budget_settings(settings_), lease_term(settings_),
@@ -300,6 +306,9 @@
            ",\"peers\":" +
            std::to_string(context_->peers ? context_->peers->gateway_count() - 1
                                           : 0) +
+           ",\"resting_upstreams\":" +
+           std::to_string(
+               context_->notices.count_resting(context_->reactor->now())) +
            ",\"limited_upstreams\":" +
            std::to_string(
                context_->limits.count_limited(context_->reactor->now())) +
@@ -327,6 +336,8 @@
                 caller_server_->connections());
     metrics.set(exported_metric::limited_upstreams, {},
                 static_cast<double>(context_->limits.count_limited(now)));
+    metrics.set(exported_metric::resting_upstreams, {},
+                static_cast<double>(context_->notices.count_resting(now)));
     metrics.set(exported_metric::poison_requests, {},
                 static_cast<double>(context_->poison.count_poison(now)));
     if (context_->peers)
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -39,6 +39,8 @@
         over_limit, "over_limit", 503, true,
         "All upstreams have named limits, and this gateway has used its "
         "share."},
+    gateway_refusal_row{upstreams_resting, "upstreams_resting", 503, true,
+                        "All upstreams have asked this gateway for rest."},
     gateway_refusal_row{
         gateway_refusal::poison, "poison", 503, true,
         "Upstreams have crashed while they ran a request with this work."},
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -20,11 +20,12 @@
     overloaded,     ///< its deadline would pass in an upstream's queue
     share_spent,    ///< engines are full; its team has used its fair share
     over_limit,     ///< its share of the upstreams' limits is used
-    poison,         ///< upstreams have crashed while they ran it
-    expired_unsent, ///< its deadline passed, and it has not run
-    expired,        ///< its deadline passed at an upstream
-    stopping,       ///< this process exits before the answer would end
-    upstream_lost,  ///< may have run, and its response is lost
+    upstreams_resting, ///< all upstreams have asked for rest
+    poison,            ///< upstreams have crashed while they ran it
+    expired_unsent,    ///< its deadline passed, and it has not run
+    expired,           ///< its deadline passed at an upstream
+    stopping,          ///< this process exits before the answer would end
+    upstream_lost,     ///< may have run, and its response is lost
 };
 
 struct gateway_refusal_row {
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -123,6 +123,18 @@
 
 void generation_continuation::resume_at(const upstream_record& upstream,
                                         const continuation& from)
+{
+    const auto now = context_.reactor->now();
+    const auto rest = context_.notices.rest_left(upstream.id, now);
+    if (rest == milliseconds::zero())
+        send_continuation(upstream, from);
+    else
+        on_.post_at(now + rest,
+                    [this, upstream, from] { resume_at(upstream, from); });
+}
+
+void generation_continuation::send_continuation(const upstream_record& upstream,
+                                                const continuation& from)
 {
     context_.budget.record_forced_retry(served_.service,
                                         context_.reactor->now());
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -27,6 +27,8 @@
         std::function<void()> drop_attempt;
         /** Sends the request to continue from this memory. */
         std::function<void(const upstream_record&, const continuation&)> send;
+        /** Calls a function later, unless the request has ended by then. */
+        std::function<void(time_point, std::function<void()>)> post_at;
         /** The run was lost, and nothing continues it. */
         std::function<void()> lost;
     };
@@ -61,7 +63,10 @@
     generation_mover::hooks mover_hooks();
     placement_request
     make_placement_request(const upstream_record& source) const;
+    /** Waits for the end of the upstream's rest, if it has asked for one. */
     void resume_at(const upstream_record& upstream, const continuation& from);
+    void send_continuation(const upstream_record& upstream,
+                           const continuation& from);
 
     gateway_context& context_;
     served_request& served_;
--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -45,8 +45,26 @@
         });
 }
 
+void generation_move::send_stop_order()
+{
+    const auto now = context_.reactor->now();
+    const auto rest = context_.notices.rest_left(source_.id, now);
+    if (rest == milliseconds::zero()) {
+        send_order(true);
+        return;
+    }
+    context_.reactor->post_at(now + rest, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && !self->over_)
+            self->send_stop_order();
+    });
+}
+
 void generation_move::handle_reply(call_outcome outcome)
 {
+    if (outcome)
+        context_.record_notice(source_.id,
+                               context_.dialect->read_notice(*outcome));
     if (over_)
         return;
     if (!outcome) {
@@ -79,7 +97,7 @@
 {
     handle_ = reply.handle;
     if (!stop_ordered_) {
-        send_order(true);
+        send_stop_order();
         return;
     }
     over_ = true;
@@ -102,7 +120,9 @@
     if (std::exchange(over_, true))
         return;
     on_ = {};
-    if (handle_.empty())
+    const bool rests =
+        context_.notices.is_resting(source_.id, context_.reactor->now());
+    if (handle_.empty() || rests)
         return;
     context_.engine_client_pool.idle_client(source_)->call(
         context_.dialect->free_copy_call(handle_), {}, deadline_,
--- a/src/libcyclamenrun/gateway/generation_move.hpp
+++ b/src/libcyclamenrun/gateway/generation_move.hpp
@@ -58,6 +58,8 @@
 
 private:
     void send_order(bool stop_first);
+    /** Sends the stop order once the source does not rest. */
+    void send_stop_order();
     void handle_reply(call_outcome outcome);
     void handle_copied(const move_reply& reply);
     void fail(move_failure failure, const std::string& handle);
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -50,6 +50,13 @@
     const bool under_way = move_ || pending_ || unconfirmed_ || turn_requested_;
     if (over_ || under_way || moves_ >= max_moves)
         return;
+    // The order to copy would be a request as well.
+    const auto rest =
+        context_.notices.rest_left(source.id, context_.reactor->now());
+    if (rest > milliseconds::zero()) {
+        retry_after(source, rest);
+        return;
+    }
     if (!context_.monitors) {
         choose_destination(source);
         return;
@@ -266,16 +273,21 @@
 }
 
 void generation_mover::retry_later(const upstream_record& source)
+{
+    retry_after(source, retry_delay);
+}
+
+void generation_mover::retry_after(const upstream_record& source,
+                                   milliseconds delay)
 {
     if (over_)
         return;
-    context_.reactor->post_at(context_.reactor->now() + retry_delay,
-                              [weak = weak_from_this(), source] {
-                                  const auto self = weak.lock();
-                                  if (self && !self->over_ &&
-                                      self->on_.runs_at(source))
-                                      self->source_leaving(source);
-                              });
+    context_.reactor->post_at(
+        context_.reactor->now() + delay, [weak = weak_from_this(), source] {
+            const auto self = weak.lock();
+            if (self && !self->over_ && self->on_.runs_at(source))
+                self->source_leaving(source);
+        });
 }
 
 void generation_mover::cancel()
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -108,6 +108,7 @@
     void resume_after_last_events();
     void resume();
     void retry_later(const upstream_record& source);
+    void retry_after(const upstream_record& source, milliseconds delay);
 
     gateway_context& context_;
     std::string request_id_;
--- a/src/libcyclamenrun/gateway/load_probe.cpp
+++ b/src/libcyclamenrun/gateway/load_probe.cpp
@@ -54,6 +54,9 @@
 void load_probe::handle_reply(const upstream_record& engine,
                               const call_outcome& outcome)
 {
+    if (outcome)
+        context_.record_notice(engine.id,
+                               context_.dialect->read_notice(*outcome));
     const auto load = outcome.and_then([&](const http_reply& reply) {
         return context_.dialect->read_load(reply);
     });
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -161,10 +161,7 @@
     head.status = row.status;
     head.fields.push_back({"Content-Type", "application/json"});
     if (row.status == 503) {
-        const auto delay =
-            truthful == gateway_refusal::poison && time_to_room
-                ? jitter_retry_delay(*time_to_room, context_.random)
-                : served_.profile.retry_after(time_to_room, context_.random);
+        const auto delay = retry_delay(truthful, time_to_room);
         const double seconds = std::chrono::duration<double>(delay).count();
         head.fields.push_back({"Retry-After", std::to_string(seconds)});
     }
@@ -173,6 +170,49 @@
     end(request_outcome::refused, row.status, row.name);
 }
 
+milliseconds
+request_conclusion::retry_delay(gateway_refusal refusal,
+                                std::optional<milliseconds> time_to_room)
+{
+    if (refusal == gateway_refusal::poison && time_to_room)
+        return jitter_retry_delay(*time_to_room, context_.random);
+    // Whatever the reason, a caller that returns earlier is refused again.
+    const auto next = context_.choice.first_with_room(served_.service, {},
+                                                      context_.reactor->now());
+    if (next && next->rests)
+        return spread_retry_delay(next->wait, context_.random);
+    return served_.profile.retry_after(time_to_room, context_.random);
+}
+
+bool request_conclusion::refuse_without_room()
+{
+    const auto now = context_.reactor->now();
+    const auto first =
+        context_.choice.first_with_room(served_.service, served_.tried, now);
+    if (!first)
+        return false;
+    // Only a request that may return takes a share of a limit.
+    if (history_.may_have_run()) {
+        refuse(gateway_refusal::upstream_lost);
+        return true;
+    }
+    if (first->rests) {
+        // Those that were tried may have no room either, and not rest.
+        const bool all_rest =
+            context_.choice.first_with_room(served_.service, {}, now)
+                .has_value();
+        refuse(all_rest ? gateway_refusal::upstreams_resting
+                        : gateway_refusal::upstreams_busy);
+        return true;
+    }
+    const auto& id = first->upstream;
+    recorder_.over_limit(id, context_.limits.limit_of(id, now),
+                         context_.limits.gateway_count());
+    refuse(gateway_refusal::over_limit,
+           context_.limits.reserve_return(id, now));
+    return true;
+}
+
 void request_conclusion::cut(std::string_view reason)
 {
     answer_.abort();
--- a/src/libcyclamenrun/gateway/request_conclusion.hpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.hpp
@@ -70,6 +70,11 @@
      */
     void refuse(gateway_refusal refusal,
                 std::optional<milliseconds> time_to_room = std::nullopt);
+    /**
+     * Refuses the request if all upstreams rest or are at their limit. Returns
+     * whether it did.
+     */
+    bool refuse_without_room();
     void cut(std::string_view reason);
     /** Ends a request whose deadline has passed. */
     void expire();
@@ -79,6 +84,9 @@
 
 private:
     attempt_history::circumstances circumstances() const;
+    /** Time after which the caller of a refused request should return. */
+    milliseconds retry_delay(gateway_refusal refusal,
+                             std::optional<milliseconds> time_to_room);
     void end(request_outcome outcome, unsigned status,
              std::string_view reason = {});
     request_summary summarize(request_outcome outcome, unsigned status,
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -94,14 +94,26 @@
         context_.monitors->request_start(each.engine.address.host, request_,
                                          each.engine.slots);
     request_more(std::min(further_engines, max_engines - requested_.size()));
+    if (requested_.empty()) {
+        cancel();
+        // Copied, since the call may destroy the exchange and this search.
+        const auto none_usable = on_.none_usable;
+        none_usable();
+        return;
+    }
     schedule_repeat();
 }
 
 void start_search::drop_unusable()
 {
+    const auto now = context_.reactor->now();
     std::erase_if(requested_, [&](const requested_engine& each) {
         const auto* state = context_.upstreams.find(each.engine.id);
-        return state == nullptr || state->leaving;
+        const bool usable = state != nullptr && !state->leaving &&
+                            !context_.notices.is_resting(each.engine.id, now);
+        if (!usable)
+            context_.monitors->end_start(each.engine.address.host, request_.id);
+        return !usable;
     });
 }
 
@@ -174,7 +186,9 @@
     // The directory may report that the engine leaves before its monitor does.
     const auto* state = context_.upstreams.find(requested.engine.id);
     return requested.occupancy && state != nullptr && !state->leaving &&
-           state->record == requested.engine;
+           state->record == requested.engine &&
+           !context_.notices.is_resting(requested.engine.id,
+                                        context_.reactor->now());
 }
 
 void start_search::handle_grant(const std::string& host,
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -42,6 +42,8 @@
         std::function<void()> passed_over;
         /** No monitor responded within the timeout. */
         std::function<void()> no_response;
+        /** All requested engines rest or leave, and there are no others. */
+        std::function<void()> none_usable;
     };
 
     start_search(gateway_context& context, start_request request, hooks on);
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -58,28 +58,35 @@
     auto all = upstreams_.available(service);
     std::erase_if(all, [&](const upstream_state* upstream) {
         return contains(excluded, upstream->record.id) ||
-               !limits_.has_room(upstream->record.id, now);
+               !is_usable(upstream->record.id, now);
     });
     return all;
 }
 
-std::optional<std::string>
+bool upstream_choice::is_usable(const std::string& id, time_point now) const
+{
+    const auto* state = upstreams_.find(id);
+    return state != nullptr && !state->leaving && !state->superseded &&
+           limits_.has_room(id, now) && !notices_.is_resting(id, now);
+}
+
+std::optional<next_room>
 upstream_choice::first_with_room(const std::string& service,
                                  const std::vector<std::string>& excluded,
                                  time_point now) const
 {
-    std::optional<std::string> first;
-    auto least = milliseconds::max();
+    std::optional<next_room> first;
     for (const auto* upstream : upstreams_.available(service)) {
         const auto& id = upstream->record.id;
         if (contains(excluded, id))
             continue;
-        const auto wait = limits_.time_to_room(id, now);
+        const auto to_room = limits_.time_to_room(id, now);
+        const auto to_rest_end = notices_.rest_left(id, now);
+        const auto wait = std::max(to_room, to_rest_end);
         if (wait == milliseconds::zero())
             return std::nullopt;
-        if (wait < least)
-            first = id;
-        least = std::min(least, wait);
+        if (!first || wait < first->wait)
+            first = next_room{id, wait, to_rest_end > to_room};
     }
     return first;
 }
@@ -126,8 +133,7 @@
     std::vector<const upstream_state*> known;
     for (const auto& engine : engines) {
         const auto* state = upstreams_.find(engine.id);
-        if (state != nullptr && !state->leaving && !state->superseded &&
-            limits_.has_room(engine.id, now) && has_fresh_load(*state, now))
+        if (is_usable(engine.id, now) && has_fresh_load(*state, now))
             known.push_back(state);
     }
     return choose(known, request, {}, now);
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway_configuration.hpp"
 #include "upstream_limits.hpp"
+#include "upstream_notices.hpp"
 #include "upstream_registry.hpp"
 
 #include <optional>
@@ -27,22 +28,36 @@
     milliseconds estimated_time_to_first_part{0};
 };
 
+/** When an upstream that takes no request now takes one again. */
+struct next_room {
+    std::string upstream;
+    milliseconds wait{0};
+    bool rests = false; ///< it has asked for rest; else it is at its limit
+};
+
 /** Chooses upstreams for requests from the registry of upstreams. */
 class upstream_choice
 {
 public:
-    /** Upstreams at whose limit this gateway is are not chosen. */
+    /**
+     * Upstreams that rest, or at whose limit this gateway is, are not chosen.
+     */
     upstream_choice(const upstream_registry& upstreams,
-                    const upstream_limits& limits, std::mt19937_64& random)
-        : upstreams_(upstreams), limits_(limits), random_(random)
+                    const upstream_limits& limits,
+                    const upstream_notices& notices, std::mt19937_64& random)
+        : upstreams_(upstreams), limits_(limits), notices_(notices),
+          random_(random)
     {
     }
 
+    /** Whether the upstream may get work now. */
+    bool is_usable(const std::string& id, time_point now) const;
+
     /**
-     * Returns the upstream that has room first if all that are usable are at
-     * their limit; empty if one is not, or none is usable.
+     * Returns the upstream that takes a request first if all rest or are at
+     * their limit; empty if one takes it now, or there is none.
      */
-    std::optional<std::string>
+    std::optional<next_room>
     first_with_room(const std::string& service,
                     const std::vector<std::string>& excluded,
                     time_point now) const;
@@ -120,6 +135,7 @@
 
     const upstream_registry& upstreams_;
     const upstream_limits& limits_;
+    const upstream_notices& notices_;
     std::mt19937_64& random_;
 };
 
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -161,8 +161,11 @@
     // A process that restarts under its id has lost the state of the old one.
     if (found != upstreams_.end() && !found->second.monitor_only_until &&
         (found->second.record.started_ms != record.started_ms ||
-         found->second.record.address != record.address))
+         found->second.record.address != record.address)) {
+        if (on_.replaced)
+            on_.replaced(record.id);
         erase(record.id);
+    }
     removed_ids_.erase(record.id);
     auto& upstream = upstreams_[record.id];
     upstream.record = record;
@@ -170,7 +173,8 @@
     upstream.unconfirmed_until.reset();
     upstream.removed = false;
     index_address(upstream);
-    if (record.draining)
+    // The directory may list an upstream as usable after it has said so.
+    if (record.draining || has_said_leaving(record.id))
         mark_leaving(upstream, std::nullopt);
     else if (!upstream.load || !upstream.load->leaving)
         upstream.leaving = false;
@@ -258,6 +262,7 @@
     if (is_new) {
         found->second.record = record;
         found->second.monitor_only_until = now + listing_timeout;
+        found->second.leaving = has_said_leaving(id);
     }
     if (found->second.record.address != address)
         return;
@@ -369,6 +374,12 @@
         found->second.unreachable_until = {};
 }
 
+void upstream_registry::record_leaving(const std::string& id)
+{
+    if (const auto found = upstreams_.find(id); found != upstreams_.end())
+        mark_leaving(found->second, std::nullopt);
+}
+
 void upstream_registry::mark_superseded(const std::string& id)
 {
     if (const auto found = upstreams_.find(id); found != upstreams_.end())
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -99,6 +99,10 @@
          * removed, or another process uses its id.
          */
         std::function<void(const std::string& id)> erased;
+        /** Called before that if another process uses its id. */
+        std::function<void(const std::string& id)> replaced;
+        /** Whether the upstream has said that it leaves; may be empty. */
+        std::function<bool(const std::string& id)> has_said_leaving;
     };
 
     explicit upstream_registry(hooks on) : on_(std::move(on)) {}
@@ -161,6 +165,8 @@
     /** Records that no connection could be made within the timeout. */
     void record_connection_failure(const std::string& id, time_point now);
     void record_connection_success(const std::string& id);
+    /** The upstream has said in an answer that it leaves. */
+    void record_leaving(const std::string& id);
     /**
      * Another process responds at the upstream's address: the upstream gets no
      * new work until the directory updates its record.
@@ -188,6 +194,10 @@
     void mark_leaving(upstream_state& upstream,
                       std::optional<time_point> leaves_at);
     void erase(const std::string& id);
+    bool has_said_leaving(const std::string& id) const
+    {
+        return on_.has_said_leaving && on_.has_said_leaving(id);
+    }
     void record_removal(const std::string& id, time_point now);
     /**
      * Updates `by_address_`. Of two upstreams at one address, marks the one
--- a/src/libcyclamenrun/gateway/upstream_search.cpp
+++ b/src/libcyclamenrun/gateway/upstream_search.cpp
@@ -100,6 +100,11 @@
                            served_.admitted.route->objective);
     };
     on.no_response = [this] { handle_no_response(); };
+    on.none_usable = [this] {
+        const auto self = shared_from_this();
+        search_.reset();
+        on_.restart();
+    };
     search_ = std::make_shared<start_search>(
         context_,
         served_.profile.make_start_request(served_.facts.id,
@@ -113,15 +118,16 @@
     const auto self = shared_from_this();
     search_.reset();
     const auto request_id = served_.facts.id;
-    // Other requests may have used the room at the engine's limit meanwhile.
-    const bool has_room =
-        context_.limits.has_room(upstream.id, context_.reactor->now());
-    if (has_room && on_.may_send()) {
+    // Other requests may have used the room at the engine's limit meanwhile, or
+    // have learnt that it rests.
+    const bool usable =
+        context_.choice.is_usable(upstream.id, context_.reactor->now());
+    if (usable && on_.may_send()) {
         on_.found(upstream);
         return;
     }
     context_.monitors->end_start(upstream.address.host, request_id);
-    if (!has_room)
+    if (!usable)
         on_.restart();
 }
 
@@ -183,7 +189,7 @@
             on_.found(placed->record);
         return;
     }
-    if (on_.refuse_over_limit())
+    if (on_.refuse_without_room())
         return;
     conclusion_.refuse(served_.tried.empty() ? gateway_refusal::no_upstream
                                              : gateway_refusal::upstreams_busy);
--- a/src/libcyclamenrun/gateway/upstream_search.hpp
+++ b/src/libcyclamenrun/gateway/upstream_search.hpp
@@ -25,7 +25,7 @@
         /** Whether the request may be sent now; refuses it otherwise. */
         std::function<bool()> may_send;
         /** Refuses the request if all upstreams are at their limit. */
-        std::function<bool()> refuse_over_limit;
+        std::function<bool()> refuse_without_room;
         /** Sends the request. */
         std::function<void(const upstream_record&)> found;
         /** Begins the dispatch again. */
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -108,6 +108,9 @@
     exported_metric_row{exported_metric::limited_upstreams,
                         "cyclamenrun_limited_upstreams", exported_kind::gauge,
                         "", "Upstreams that name a limit in their answers."},
+    exported_metric_row{exported_metric::resting_upstreams,
+                        "cyclamenrun_resting_upstreams", exported_kind::gauge,
+                        "", "Upstreams that have asked this gateway for rest."},
     exported_metric_row{
         exported_metric::poison_requests, "cyclamenrun_poison_requests",
         exported_kind::gauge, "",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -36,6 +36,7 @@
     retries_left,
     peers,
     limited_upstreams,
+    resting_upstreams,
     poison_requests,
     crashes_seen,
     dropped_log_lines,
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -142,6 +142,8 @@
                     "the dispatch names another incarnation"));
     if (draining_)
         return tl::unexpected(drain_refusal());
+    if (const auto checked = check_notices(now); !checked)
+        return checked;
     if (!engine_ready_)
         return tl::unexpected(no_upstream_refusal());
     if (dispatch.time_left_ms() == 0)
@@ -408,6 +410,7 @@
     {
         const std::scoped_lock lock(mutex_);
         engine_ready_ = true;
+        notices_.forget(settings_.upstream);
         ++load_change_;
         deferred.state_changed = true;
         admission_.set_external_memory(external_tokens);
@@ -657,7 +660,7 @@
     report.set_uptime_ms(static_cast<std::uint64_t>(
         std::chrono::duration_cast<milliseconds>(now - settings_.started_at)
             .count()));
-    report.set_leaving(draining_);
+    report.set_leaving(draining_ || notices_.is_leaving(settings_.upstream));
     report.set_ready(engine_ready_);
     report.set_running(admission_.running());
     report.set_queued(admission_.queued());
--- a/src/libcyclamenrun/outcomes/gate.hpp
+++ b/src/libcyclamenrun/outcomes/gate.hpp
@@ -9,6 +9,7 @@
 #include "session_table.hpp"
 #include "ticket_use_registry.hpp"
 #include "tombstones.hpp"
+#include "upstream_notices.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -93,6 +94,11 @@
      * earlier incarnation still occupies.
      */
     void engine_ready(std::uint64_t external_tokens, time_point now);
+    /**
+     * Handles what the upstream says of itself. While it rests or leaves,
+     * waiting and new work is refused; running work continues.
+     */
+    void record_notice(const upstream_notice& notice, time_point now);
     /** Handles a load report of the engine, which lags the actual load. */
     void update_engine_load(const engine_load_hint& hint, time_point now);
 
@@ -121,6 +127,10 @@
     /** Whether the upstream should run this work item. */
     bool should_run(work_id work) const;
     bool draining() const;
+    /** Whether the upstream has said that it leaves. */
+    bool upstream_leaving() const;
+    /** Time until the end of the upstream's rest; zero: it does not rest. */
+    milliseconds rest_left(time_point now) const;
     /**
      * Whether the drain is complete: no work is left, every answer was
      * acknowledged or has expired, and no dispatch can still be in transit.
@@ -147,6 +157,7 @@
     outcome<reader_id> submit_locked(const link::Dispatch& dispatch,
                                      time_point now, deferred_calls& deferred);
     outcome<void> check(const link::Dispatch& dispatch, time_point now) const;
+    outcome<void> check_notices(time_point now) const;
     outcome<work_id> create_session(const link::Dispatch& dispatch,
                                     time_point now);
     outcome<work_id> find_for_resume(const link::Resume& resume,
@@ -176,6 +187,7 @@
     ticket_use_registry tickets_;
     poison_register poison_;
     session_table sessions_;
+    upstream_notices notices_; ///< of the one upstream
     std::uint64_t engine_losses_ = 0;
     std::uint64_t load_change_ = 0;
     bool engine_ready_ = false;
--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -56,12 +56,16 @@
 }
 
 /** An engine that answers 4xx or 503 has not started the work. */
-tl::unexpected<engine_error> status_error(int status)
+tl::unexpected<engine_error> status_error(const http_head& head)
 {
+    const int status = head.status;
     const bool may_have_run =
         status >= server_error_status && status != unavailable_status;
-    return tl::unexpected(
-        engine_error{engine_failure::bad_status, status, may_have_run, {}});
+    return tl::unexpected(engine_error{engine_failure::bad_status,
+                                       status,
+                                       may_have_run,
+                                       {},
+                                       notice_of(head).rest});
 }
 
 tl::unexpected<engine_error> malformed(std::string detail)
@@ -151,12 +155,12 @@
                                      &cancel);
     if (!head)
         return to_engine_error(head.error());
-    const auto epoch = record_epoch(*head);
+    const auto epoch = record_head(*head);
     if (request.expected_epoch != 0 && epoch != request.expected_epoch)
         return tl::unexpected(
             engine_error{engine_failure::epoch_changed, 0, true, {}});
     if (head->status != ok_status)
-        return status_error(head->status);
+        return status_error(*head);
     engine_stream stream(request.request_id, events);
     if (const auto read_result = read_stream(exchange, stream); !read_result)
         return tl::unexpected(read_result.error());
@@ -243,17 +247,19 @@
     auto answer = exchange.run(request);
     if (!answer)
         return to_engine_error(answer.error());
-    record_epoch(answer->head);
+    record_head(answer->head);
     if (answer->head.status != ok_status)
-        return status_error(answer->head.status);
+        return status_error(answer->head);
     return std::move(*answer);
 }
 
-std::uint64_t engine_client::record_epoch(const http_head& head)
+std::uint64_t engine_client::record_head(const http_head& head)
 {
     const auto epoch = epoch_of(head);
     if (epoch != 0)
         epoch_ = epoch;
+    if (on_notice_)
+        on_notice_(notice_of(head));
     return epoch;
 }
 
--- a/src/libcyclamenrun/outside/engine_client.hpp
+++ b/src/libcyclamenrun/outside/engine_client.hpp
@@ -62,6 +62,7 @@
     /** False only if the engine can't have started the work. */
     bool may_have_run = false;
     std::string detail;
+    std::optional<milliseconds> rest = {}; ///< that the engine asks for
 };
 
 /** Load as the engine reports it, which lags its actual load. */
@@ -104,6 +105,12 @@
     engine_client(std::string address, http_limits limits,
                   clock_function clock);
 
+    /**
+     * Sets a handler of what the engine says of itself in any answer. Call it
+     * before the first request; it is called on the threads of the requests.
+     */
+    void on_notice(notice_handler handler) { on_notice_ = std::move(handler); }
+
     /** Runs a generation. The engine ends the run if the connection closes. */
     tl::expected<engine_result, engine_error> run(const engine_request& request,
                                                   const engine_events& events,
@@ -125,11 +132,13 @@
 
 private:
     tl::expected<http_answer, engine_error> call(const http_request& request);
-    std::uint64_t record_epoch(const http_head& head);
+    /** Records the epoch and the notice of an answer; returns the epoch. */
+    std::uint64_t record_head(const http_head& head);
 
     std::string address_;
     http_limits limits_;
     clock_function clock_;
+    notice_handler on_notice_;
     std::atomic<std::uint64_t> epoch_ = 0;
 };
 
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -60,6 +60,17 @@
     return failure_names.at(static_cast<std::size_t>(failure));
 }
 
+upstream_notice notice_of(const http_head& head)
+{
+    constexpr int unavailable = 503;
+    upstream_notice notice;
+    notice.leaving = head.headers.contains("x-upstream-leaving");
+    const auto rest = head.headers.find("retry-after");
+    if (head.status == unavailable && rest != head.headers.end())
+        notice.rest = parse_rest(rest->second);
+    return notice;
+}
+
 http_exchange::http_exchange(std::string address, http_limits limits,
                              clock_function clock)
     : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -3,9 +3,11 @@
 
 #include "answer_integrity.hpp"
 #include "clock.hpp"
+#include "upstream_notices.hpp"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <cstdint>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <memory>
@@ -67,6 +69,10 @@
     std::map<std::string, std::string> headers; ///< names in lower case
 };
 
+/** What an upstream says of itself in the head of an answer. */
+upstream_notice notice_of(const http_head& head);
+using notice_handler = std::function<void(const upstream_notice&)>;
+
 struct http_answer {
     http_head head;
     std::string body;
--- a/src/libcyclamenrun/outside/runner_client.cpp
+++ b/src/libcyclamenrun/outside/runner_client.cpp
@@ -38,7 +38,9 @@
                                &cancel);
     if (!answer)
         return tl::unexpected(std::move(answer.error()));
-    if (answer->integrity == answer_integrity::unconfirmed && has_crashed())
+    if (on_notice_)
+        on_notice_(notice_of(answer->head));
+    if (answer->integrity == answer_integrity::unconfirmed && has_ended())
         return tl::unexpected(http_error{http_failure::lost_mid_answer, true,
                                          "the runner has crashed"});
     return runner_answer{answer->head.status,
@@ -46,7 +48,7 @@
                          std::move(answer->body), answer->integrity};
 }
 
-bool runner_client::has_crashed() const
+bool runner_client::has_ended() const
 {
     try {
         Poco::Net::StreamSocket socket;
--- a/src/libcyclamenrun/outside/runner_client.hpp
+++ b/src/libcyclamenrun/outside/runner_client.hpp
@@ -36,16 +36,20 @@
     runner_client(std::string address, http_limits limits,
                   clock_function clock);
 
+    /** As engine_client::on_notice(). */
+    void on_notice(notice_handler handler) { on_notice_ = std::move(handler); }
+
     tl::expected<runner_answer, http_error> call(const runner_request& request,
                                                  cancellation& cancel);
 
-private:
-    /** Whether the runner's host refuses a connection. */
-    bool has_crashed() const;
+    /** Whether the runner's host refuses a connection: no process listens. */
+    bool has_ended() const;
 
+private:
     std::string address_;
     http_limits limits_;
     clock_function clock_;
+    notice_handler on_notice_;
 };
 
 } // namespace cyclamenrun
--- a/tests/faults/test_guards.cpp
+++ b/tests/faults/test_guards.cpp
@@ -20,6 +20,12 @@
         settings.incarnation = 5;
         settings.started_at = start;
         settings.link_key = link_key;
+        rebuild_gate();
+    }
+
+    /** Makes a new gate with the present settings. */
+    void rebuild_gate()
+    {
         gate_hooks hooks;
         hooks.start = [this](const admitted_work& admitted) {
             started.push_back(admitted.work);
@@ -78,6 +84,51 @@
     EXPECT_EQ(started.size(), 1U);
 }
 
+/**
+ * Guards against an upstream that is overrun although it has asked for rest:
+ * work that waits would start there, and new work would be sent.
+ */
+TEST_F(gate_fixture, an_upstream_that_rests_gets_no_work)
+{
+    settings.admission.max_running = 1;
+    rebuild_gate();
+    ASSERT_TRUE(tested_gate->submit(generation("r.1"), start));
+    const auto waiting = tested_gate->submit(generation("r.2"), start);
+    ASSERT_TRUE(waiting);
+    upstream_notice notice;
+    notice.rest = milliseconds(2500);
+    tested_gate->record_notice(notice, start);
+    const auto frames = tested_gate->pull(*waiting, 1000, start).frames;
+    ASSERT_FALSE(frames.empty());
+    EXPECT_TRUE(frames.back().has_refused());
+    tested_gate->record_finish(started.at(0), "stop", start);
+    const auto refused =
+        tested_gate->submit(generation("r.3"), start + milliseconds(500));
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error(),
+              not_run(refusal_reason::upstream_resting,
+                      "the upstream has asked for rest", milliseconds(2000)));
+    EXPECT_EQ(started.size(), 1U);
+    EXPECT_TRUE(
+        tested_gate->submit(generation("r.4"), start + milliseconds(2500)));
+    EXPECT_EQ(started.size(), 2U);
+}
+
+/** Guards against a restarted upstream that is not used. */
+TEST_F(gate_fixture, an_upstream_that_leaves_gets_no_work_until_it_restarts)
+{
+    upstream_notice notice;
+    notice.leaving = true;
+    tested_gate->record_notice(notice, start);
+    EXPECT_TRUE(tested_gate->load(start).leaving());
+    const auto refused = tested_gate->submit(generation("r.1"), start);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().reason, refusal_reason::draining);
+    tested_gate->engine_ready(0, start);
+    EXPECT_FALSE(tested_gate->load(start).leaving());
+    EXPECT_TRUE(tested_gate->submit(generation("r.2"), start));
+}
+
 /**
  * Guards against engine memory held by an abandoned generation. The caller
  * disconnects in mid-stream and does not resume. The generation runs for the
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -123,6 +123,10 @@
                   reply.reset();
                   return;
               }
+              if (resting) {
+                  reply.ask_for_rest(request, "0.5");
+                  return;
+              }
               if (request.head.target == "/health") {
                   reply.answer(request, 200, "",
                                "Instance-Id: " + identity() + "\r\n");
@@ -132,7 +136,8 @@
               reply.answer(request, 200,
                            R"({"queued":2,"active":1,"kv_used":10,)"
                            R"("kv_total":99,"state":")" +
-                               state + "\"}");
+                               state + "\"}",
+                           says_leaving ? leaving_field : "");
           })
     {
         monitor_settings settings;
@@ -163,11 +168,39 @@
     std::string engine_id = "e1";
     std::atomic<bool> is_down = false;
     std::atomic<bool> leaving = false;
+    std::atomic<bool> says_leaving = false; ///< in a header field only
+    std::atomic<bool> resting = false;
     fake_upstream engine;
     std::unique_ptr<monitor_process> process;
     std::uint16_t port = 0;
 };
 
+// Guards against load queries and health checks at an engine that rests.
+TEST_F(monitor, sends_nothing_to_an_engine_that_rests)
+{
+    listening_gateway gateway(port);
+    const auto line = "load " + to_string(engine.address()) + " 2";
+    EXPECT_TRUE(gateway.reports.wait_for(line));
+    resting = true;
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto before = engine.arrived().size();
+    std::this_thread::sleep_for(milliseconds(200));
+    EXPECT_EQ(engine.arrived().size(), before);
+    resting = false;
+    const auto deadline = steady_now() + limit;
+    while (engine.arrived().size() == before && steady_now() < deadline)
+        std::this_thread::sleep_for(milliseconds(5));
+    EXPECT_GT(engine.arrived().size(), before);
+}
+
+TEST_F(monitor, reports_an_engine_that_says_that_it_leaves)
+{
+    listening_gateway gateway(port);
+    says_leaving = true;
+    EXPECT_TRUE(gateway.reports.wait_for("load " + to_string(engine.address()) +
+                                         " 2 leaving"));
+}
+
 TEST_F(monitor, sends_load_to_subscribed_gateways)
 {
     listening_gateway gateway(port);
--- a/tests/gateway/test_upstream_registry.cpp
+++ b/tests/gateway/test_upstream_registry.cpp
@@ -1,6 +1,7 @@
 #include "upstream_registry.hpp"
 
 #include <gtest/gtest.h>
+#include <set>
 
 namespace cyclamenrun
 {
@@ -27,11 +28,15 @@
 struct upstream_registry_test : testing::Test {
     std::vector<std::string> leaving_ids;
     std::vector<std::string> erased_ids;
+    std::vector<std::string> replaced_ids;
+    std::set<std::string> said_leaving;
     upstream_registry registry{
         {[this](const std::string& id, std::optional<time_point>) {
              leaving_ids.push_back(id);
          },
-         [this](const std::string& id) { erased_ids.push_back(id); }}};
+         [this](const std::string& id) { erased_ids.push_back(id); },
+         [this](const std::string& id) { replaced_ids.push_back(id); },
+         [this](const std::string& id) { return said_leaving.contains(id); }}};
 
     void put(const upstream_record& entry, int ms = 0,
              bool after_outage = false)
@@ -229,6 +234,28 @@
     EXPECT_EQ(registry.find("a")->failure_rate, 0);
 }
 
+// Guards against new work for an upstream that has said that it leaves: the
+// directory lists it as usable, again after its removal, or a monitor names it.
+TEST_F(upstream_registry_test, what_an_upstream_says_of_leaving_stands)
+{
+    put(record("a"));
+    said_leaving.insert("a");
+    registry.record_leaving("a");
+    EXPECT_EQ(leaving_ids, std::vector<std::string>{"a"});
+    put(record("a"));
+    EXPECT_EQ(usable(), 0U);
+    remove("a");
+    put(record("a"));
+    EXPECT_EQ(usable(), 0U);
+    EXPECT_TRUE(replaced_ids.empty());
+    auto restarted = record("a");
+    restarted.started_ms = 2;
+    said_leaving.clear();
+    put(restarted);
+    EXPECT_EQ(replaced_ids, std::vector<std::string>{"a"});
+    EXPECT_EQ(usable(), 1U);
+}
+
 TEST_F(upstream_registry_test, load_report_marks_a_leaving_engine)
 {
     put(record("a"));
--- a/tests/processes/test_calls.cpp
+++ b/tests/processes/test_calls.cpp
@@ -248,6 +248,32 @@
     EXPECT_EQ(system.count_events("run"), 1U);
 }
 
+// Guards against a runner that is overrun although it has asked for rest, and
+// against one that is not used again after it.
+TEST_F(call_races, a_resting_runner_gets_no_calls_until_its_rest_ends)
+{
+    auto& runner = *system.upstream(0).back_end;
+    runner.set_fault(R"({"rest":"1.2"})");
+    const auto first = system.call(system.entry(0), "");
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->head.status, 503);
+    runner.set_fault("{}");
+    for (const std::size_t at : {0, 1}) {
+        const auto refused = system.call(system.entry(at), "");
+        ASSERT_TRUE(refused);
+        const auto reported = read_refusal(refused->body);
+        ASSERT_TRUE(reported) << refused->body;
+        EXPECT_EQ(reported->kind, "not_run");
+        EXPECT_FALSE(refused->head.headers.at("retry-after").empty());
+    }
+    EXPECT_EQ(system.count_events("run"), 0U);
+    EXPECT_EQ(system.count_events("rejected"), 1U);
+    EXPECT_TRUE(wait_until([&] {
+        const auto next = system.call(system.entry(0), "");
+        return next && next->head.status == 200;
+    }));
+}
+
 // Guards against running a call twice across an agent's restart. The new agent
 // cannot tell whether a call with a ticket of the earlier incarnation has run.
 TEST_F(call_races, a_ticket_of_an_earlier_incarnation_has_an_unknown_outcome)
--- a/tests/standins/engine/engine_api.cpp
+++ b/tests/standins/engine/engine_api.cpp
@@ -115,8 +115,11 @@
 
 void engine_api::complete(server_request& request, server_response& response)
 {
-    if (const int status = refuse_status_)
+    if (const int status = refuse_status_) {
+        if (rest_s_ != 0)
+            response.set("Retry-After", std::to_string(rest_s_));
         return answer(response, status, "{}");
+    }
     const auto body = parse_json_object(body_of(request));
     auto prompt = body ? prompt_of(*body) : std::nullopt;
     if (!prompt)
@@ -281,6 +284,8 @@
         end_at_token_ = *count;
     if (const auto status = json_u64(*body, "refuse_status"))
         refuse_status_ = static_cast<int>(*status);
+    if (const auto rest = json_u64(*body, "rest_s"))
+        rest_s_ = *rest;
     foreign_id_ = body->optValue("foreign_id", foreign_id_.load());
     answer(response, 200, "{}");
 }
--- a/tests/standins/engine/engine_api.hpp
+++ b/tests/standins/engine/engine_api.hpp
@@ -39,7 +39,9 @@
     std::mutex fence_lock_;
     std::uint64_t highest_fence_ = 0; ///< highest fencing number of an order
     std::atomic<std::uint64_t> end_at_token_ = 0; ///< cuts streams; 0: off
-    std::atomic<int> refuse_status_ = 0;   ///< refuses generations; 0: off
+    std::atomic<int> refuse_status_ = 0; ///< refuses generations; 0: off
+    /** Rest that refusals ask for, in seconds; 0: off. */
+    std::atomic<std::uint64_t> rest_s_ = 0;
     std::atomic<bool> foreign_id_ = false; ///< streams carry a wrong request id
 };
 
--- a/tests/standins/runner/runner_api.cpp
+++ b/tests/standins/runner/runner_api.cpp
@@ -41,8 +41,15 @@
 void runner_api::call(server_request& request, server_response& response)
 {
     const auto id = request_id_of(request, body_of(request));
-    const auto run = count_run();
     const auto faults = consume_faults();
+    if (faults.leaving)
+        response.set("X-Upstream-Leaving", "1");
+    if (!faults.rest.empty()) {
+        record("rejected", id, 0);
+        response.set("Retry-After", faults.rest);
+        return answer(response, 503, "{}");
+    }
+    const auto run = count_run();
     record("run", id, run);
     wait(delay_ + std::chrono::milliseconds(faults.late_ms));
     if (faults.lose_answers != 0) {
@@ -73,6 +80,8 @@
     faults_.late_ms = json_u64(*body, "late_ms").value_or(faults_.late_ms);
     faults_.error_status =
         json_u64(*body, "error_status").value_or(faults_.error_status);
+    faults_.rest = json_string(*body, "rest").value_or("");
+    faults_.leaving = json_u64(*body, "leaving").value_or(0) != 0;
     faults_.unframed = json_u64(*body, "unframed").value_or(0) != 0;
     answer(response, 200, "{}");
 }
--- a/tests/standins/runner/runner_api.hpp
+++ b/tests/standins/runner/runner_api.hpp
@@ -18,6 +18,8 @@
     std::uint64_t lose_answers = 0; ///< number of calls to leave unanswered
     std::uint64_t late_ms = 0;      ///< added to the usual delay
     std::uint64_t error_status = 0; ///< 0: off
+    std::string rest;      ///< seconds for which calls are rejected; empty: off
+    bool leaving = false;  ///< answers say that the runner leaves
     bool unframed = false; ///< answers have neither a length nor chunks
 };
 
