End a generation at once whose engine rests past its deadline

Callers would wait until their deadline: a continuation waits for the end of its engine's rest, also of one that ends later than the caller's deadline. The run counts as lost now, and its answer is cut at once.

The test of a continuation that waits is now one of two with a common set-up (resting_destinations.delay_a_continuation, formerly resting_upstreams.delay_the_continuation_of_a_moved_generation, with the same checks).

--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -126,11 +126,18 @@
 {
     const auto now = context_.reactor->now();
     const auto rest = context_.notices.rest_left(upstream.id, now);
-    if (rest == milliseconds::zero())
+    if (rest == milliseconds::zero()) {
         send_continuation(upstream, from);
-    else
+        return;
+    }
+    if (now + rest < served_.admitted.deadline) {
         on_.post_at(now + rest,
                     [this, upstream, from] { resume_at(upstream, from); });
+        return;
+    }
+    // Copied, since the call may destroy the exchange and this object.
+    const auto lost = on_.lost;
+    lost();
 }
 
 void generation_continuation::send_continuation(const upstream_record& upstream,
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -131,6 +132,15 @@
     std::atomic<bool> ended_ = true;
 };
 
+/** The script of an upstream that is this engine. */
+inline fake_upstream::script
+script_of(const std::shared_ptr<generating_engine>& engine)
+{
+    return [engine](const arrived_request& request, upstream_reply& reply) {
+        engine->respond(request, reply);
+    };
+}
+
 } // namespace cyclamenrun::testing_support
 
 #endif // CYCLAMENRUN_TESTS_GENERATING_ENGINE_HPP
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -15,12 +15,7 @@
     fake_upstream& add_engine(const std::string& id,
                               const std::shared_ptr<generating_engine>& engine)
     {
-        return add(
-            id,
-            [engine](const arrived_request& request, upstream_reply& reply) {
-                engine->respond(request, reply);
-            },
-            "model");
+        return add(id, script_of(engine), "model");
     }
 
     static std::vector<arrived_request> streams(const fake_upstream& upstream)
--- a/tests/gateway/test_unframed_answers.cpp
+++ b/tests/gateway/test_unframed_answers.cpp
@@ -128,12 +128,7 @@
     {
         const auto engine = std::make_shared<generating_engine>();
         engine->unframed = unframed;
-        add(
-            id,
-            [engine](const arrived_request& request, upstream_reply& reply) {
-                engine->respond(request, reply);
-            },
-            "model");
+        add(id, script_of(engine), "model");
         return engine;
     }
 
--- a/tests/gateway/test_upstream_notices.cpp
+++ b/tests/gateway/test_upstream_notices.cpp
@@ -113,12 +113,7 @@
     const auto before = resting.arrived().size();
     const auto source = std::make_shared<generating_engine>();
     source->hold_before = 5;
-    add(
-        "e2",
-        [source](const arrived_request& request, upstream_reply& reply) {
-            source->respond(request, reply);
-        },
-        "model");
+    add("e2", script_of(source), "model");
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
@@ -130,43 +125,63 @@
     EXPECT_EQ(resting.arrived().size(), before);
 }
 
-// Guards against a lost generation, and against a request to an engine that
-// wants none: the destination of a move asks for rest after the copy.
-TEST_F(resting_upstreams, delay_the_continuation_of_a_moved_generation)
+/** The destination of a move asks for rest after the copy. */
+class resting_destinations : public gateway_fixture
 {
-    start();
-    const auto first = std::make_shared<generating_engine>();
-    const auto second = std::make_shared<generating_engine>();
-    first->hold_before = 5;
-    add(
-        "e1",
-        [first](const arrived_request& request, upstream_reply& reply) {
-            first->respond(request, reply);
-        },
-        "model");
-    test_caller caller(gateway->address());
-    caller.send(request("/gen/x"));
-    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+protected:
+    caller_answer move_to_resting(const std::string& rest)
+    {
+        start();
+        first->hold_before = 5;
+        add("e1", script_of(first), "model");
+        test_caller caller(gateway->address());
+        caller.send(request("/gen/x"));
+        EXPECT_TRUE(caller.wait_for_body(events(1, 4)));
+        add(
+            "e2",
+            [this, rest](const arrived_request& request,
+                         upstream_reply& reply) {
+                if (overloaded.exchange(false))
+                    reply.ask_for_rest(request, rest);
+                else
+                    second->respond(request, reply);
+            },
+            "model");
+        first->on_stop = [this] {
+            EXPECT_EQ(send_request("/gen/x").status(), 503U);
+        };
+        began = steady_now();
+        drain("e1");
+        return caller.read();
+    }
+
+    std::shared_ptr<generating_engine> first =
+        std::make_shared<generating_engine>();
+    std::shared_ptr<generating_engine> second =
+        std::make_shared<generating_engine>();
     std::atomic<bool> overloaded = true;
-    const auto& destination = add(
-        "e2",
-        [&](const arrived_request& request, upstream_reply& reply) {
-            if (overloaded.exchange(false))
-                reply.ask_for_rest(request, "0.6");
-            else
-                second->respond(request, reply);
-        },
-        "model");
-    first->on_stop = [this] {
-        EXPECT_EQ(send_request("/gen/x").status(), 503U);
-    };
-    const auto began = steady_now();
-    drain("e1");
-    const auto answer = caller.read();
+    time_point began;
+};
+
+// Guards against a lost generation, and against a request to an engine that
+// wants none.
+TEST_F(resting_destinations, delay_a_continuation)
+{
+    const auto answer = move_to_resting("0.6");
     EXPECT_TRUE(answer.whole);
     EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
     EXPECT_GE(steady_now() - began, milliseconds(600));
-    EXPECT_EQ(destination.arrived().size(), 2U);
+    EXPECT_EQ(upstreams[1]->arrived().size(), 2U);
+}
+
+// Guards against a caller that waits until its deadline for nothing.
+TEST_F(resting_destinations, end_a_generation_whose_deadline_comes_first)
+{
+    const auto answer = move_to_resting("60");
+    EXPECT_FALSE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, 4));
+    EXPECT_LT(steady_now() - began, milliseconds(3000));
+    EXPECT_EQ(upstreams[1]->arrived().size(), 1U);
 }
 
 class leaving_upstreams : public gateway_fixture
@@ -208,21 +223,11 @@
     const auto second = std::make_shared<generating_engine>();
     first->says_leaving = true;
     first->hold_before = 5;
-    add(
-        "e1",
-        [first](const arrived_request& request, upstream_reply& reply) {
-            first->respond(request, reply);
-        },
-        "model");
+    add("e1", script_of(first), "model");
     test_caller caller(gateway->address());
     caller.send(request("/gen/x"));
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
-    const auto& destination = add(
-        "e2",
-        [second](const arrived_request& request, upstream_reply& reply) {
-            second->respond(request, reply);
-        },
-        "model");
+    const auto& destination = add("e2", script_of(second), "model");
     // Ends the test if the generation is not moved.
     std::this_thread::sleep_for(milliseconds(500));
     first->hold_before = 1000;
