Clear the linter's findings in the changed sources

A head that is used after its move is read before it (http_session, where the status alone was read), a parameter is taken by reference, and three values can be moved out of their functions. The linter is clean on these four files.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -211,11 +211,10 @@
 void http_session::write_whole(http_head head, std::string_view body,
                                http_framing framing)
 {
-    const bool no_body = head_only_ || has_no_body(head.status);
-    write_head(std::move(head),
-               has_no_body(head.status) ? http_framing::none : framing,
+    const bool without_body = has_no_body(head.status);
+    write_head(std::move(head), without_body ? http_framing::none : framing,
                body.size());
-    if (!no_body)
+    if (!without_body && !head_only_)
         connection_->send(body);
     complete_answer();
 }
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -142,7 +142,7 @@
                     "the dispatch names another incarnation"));
     if (draining_)
         return tl::unexpected(drain_refusal());
-    if (const auto checked = check_notices(now); !checked)
+    if (auto checked = check_notices(now); !checked)
         return checked;
     if (!engine_ready_)
         return tl::unexpected(no_upstream_refusal());
--- a/tests/gateway/test_unframed_answers.cpp
+++ b/tests/gateway/test_unframed_answers.cpp
@@ -13,7 +13,7 @@
 {
 protected:
     /** Adds an engine whose streams end as `end` says after `last_event`. */
-    fake_upstream& add_engine(std::function<void(upstream_reply&)> end)
+    fake_upstream& add_engine(const std::function<void(upstream_reply&)>& end)
     {
         return add(
             "e1",
@@ -126,7 +126,7 @@
     std::shared_ptr<generating_engine> add_engine(const std::string& id,
                                                   bool unframed)
     {
-        const auto engine = std::make_shared<generating_engine>();
+        auto engine = std::make_shared<generating_engine>();
         engine->unframed = unframed;
         add(id, script_of(engine), "model");
         return engine;
--- a/tests/standins/runner/runner_api.cpp
+++ b/tests/standins/runner/runner_api.cpp
@@ -96,7 +96,7 @@
 runner_faults runner_api::consume_faults()
 {
     const std::lock_guard guard(lock_);
-    const auto consumed = faults_;
+    auto consumed = faults_;
     if (faults_.lose_answers != 0)
         --faults_.lose_answers;
     return consumed;
