Wait once for the rest of an engine that a generation leaves

An engine that leaves is reported with each event of a stream. While it rested, each report set a timer of its own until the end of the rest, without a bound but the events of the stream. It was found by reading; one wait at a time is kept now. The new test of a move that waits for its source's rest passes on this code (28 tests of generations, notices and answers without framing pass); it does not count timers.

--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -54,7 +54,7 @@
     const auto rest =
         context_.notices.rest_left(source.id, context_.reactor->now());
     if (rest > milliseconds::zero()) {
-        retry_after(source, rest);
+        wait_for_rest(source, rest);
         return;
     }
     if (!context_.monitors) {
@@ -274,20 +274,32 @@
 
 void generation_mover::retry_later(const upstream_record& source)
 {
-    retry_after(source, retry_delay);
+    if (over_)
+        return;
+    context_.reactor->post_at(context_.reactor->now() + retry_delay,
+                              [weak = weak_from_this(), source] {
+                                  const auto self = weak.lock();
+                                  if (self && !self->over_ &&
+                                      self->on_.runs_at(source))
+                                      self->source_leaving(source);
+                              });
 }
 
-void generation_mover::retry_after(const upstream_record& source,
-                                   milliseconds delay)
+void generation_mover::wait_for_rest(const upstream_record& source,
+                                     milliseconds rest)
 {
-    if (over_)
+    // The source is reported as leaving again with each event of its stream.
+    if (std::exchange(waits_for_rest_, true))
         return;
-    context_.reactor->post_at(
-        context_.reactor->now() + delay, [weak = weak_from_this(), source] {
-            const auto self = weak.lock();
-            if (self && !self->over_ && self->on_.runs_at(source))
-                self->source_leaving(source);
-        });
+    context_.reactor->post_at(context_.reactor->now() + rest,
+                              [weak = weak_from_this(), source] {
+                                  const auto self = weak.lock();
+                                  if (!self || self->over_)
+                                      return;
+                                  self->waits_for_rest_ = false;
+                                  if (self->on_.runs_at(source))
+                                      self->source_leaving(source);
+                              });
 }
 
 void generation_mover::cancel()
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -108,7 +108,8 @@
     void resume_after_last_events();
     void resume();
     void retry_later(const upstream_record& source);
-    void retry_after(const upstream_record& source, milliseconds delay);
+    /** Calls source_leaving() again once the source does not rest. */
+    void wait_for_rest(const upstream_record& source, milliseconds rest);
 
     gateway_context& context_;
     std::string request_id_;
@@ -118,6 +119,7 @@
         search_;                  ///< holds the destination's copy turn
     bool turn_requested_ = false; ///< the source's turn is requested or held
     bool source_ended_ = false;
+    bool waits_for_rest_ = false;
     bool over_ = false;
     std::string refused_by_; ///< last destination that had no room
     unsigned moves_ = 0;
--- a/tests/gateway/test_upstream_notices.cpp
+++ b/tests/gateway/test_upstream_notices.cpp
@@ -125,6 +125,40 @@
     EXPECT_EQ(resting.arrived().size(), before);
 }
 
+// Guards against orders to copy at an engine that wants nothing, and against a
+// generation that is not moved after the rest.
+TEST_F(resting_upstreams, delay_the_move_of_a_generation_off_them)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    const auto second = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    std::atomic<bool> overloaded = false;
+    const auto& source = add(
+        "e1",
+        [&](const arrived_request& request, upstream_reply& reply) {
+            if (overloaded.exchange(false))
+                reply.ask_for_rest(request, "0.6");
+            else
+                first->respond(request, reply);
+        },
+        "model");
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    overloaded = true;
+    const auto asked = steady_now();
+    EXPECT_EQ(send_request("/gen/x").status(), 503U);
+    add("e2", script_of(second), "model");
+    drain("e1");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_GE(steady_now() - asked, milliseconds(600));
+    EXPECT_EQ(first->orders, 2);
+    EXPECT_EQ(source.arrived().size(), 4U);
+}
+
 /** The destination of a move asks for rest after the copy. */
 class resting_destinations : public gateway_fixture
 {
