End the scripts' threads of new tests before what they use

The variables are members now, and the fixtures end the gateway and the upstreams first. The checks are the same.

--- a/tests/gateway/test_unframed_answers.cpp
+++ b/tests/gateway/test_unframed_answers.cpp
@@ -12,6 +12,13 @@
 class unframed_answers : public gateway_fixture
 {
 protected:
+    /** Ends the scripts' threads before the members that they use. */
+    ~unframed_answers() override
+    {
+        gateway.reset();
+        upstreams.clear();
+    }
+
     /** Adds an engine whose streams end as `end` says after `last_event`. */
     fake_upstream& add_engine(const std::function<void(upstream_reply&)>& end)
     {
@@ -25,6 +32,8 @@
             },
             "model");
     }
+
+    std::atomic<int> begun = 0; ///< requests, by a script that counts them
 };
 
 // Guards against a truncated stream that looks complete: the engine closes the
@@ -46,8 +55,7 @@
 TEST_F(unframed_answers, a_stream_that_a_crash_ends_is_not_completed)
 {
     start();
-    fake_upstream* engine = nullptr;
-    engine = &add_engine([&](upstream_reply&) { engine->crash(); });
+    add_engine([this](upstream_reply&) { upstreams.front()->crash(); });
     const auto answer = send_request("/gen/x");
     EXPECT_FALSE(answer.whole);
     EXPECT_EQ(answer.body, events(1, last_event));
@@ -85,13 +93,11 @@
 TEST_F(unframed_answers, a_plain_answer_that_a_crash_ends_is_not_delivered)
 {
     start();
-    fake_upstream* upstream = nullptr;
-    upstream =
-        &add("u1", [&](const arrived_request& request, upstream_reply& reply) {
-            reply.begin_unframed(request, "text/plain");
-            reply.send("hal");
-            upstream->crash();
-        });
+    add("u1", [this](const arrived_request& request, upstream_reply& reply) {
+        reply.begin_unframed(request, "text/plain");
+        reply.send("hal");
+        upstreams.front()->crash();
+    });
     EXPECT_EQ(send_request("/plain/x").status(), 502U);
 }
 
@@ -99,9 +105,8 @@
 TEST_F(unframed_answers, an_idempotent_request_is_retried_after_a_crash)
 {
     start();
-    std::atomic<int> begun = 0;
-    const auto script = [&](const arrived_request& request,
-                            upstream_reply& reply) {
+    const auto script = [this](const arrived_request& request,
+                               upstream_reply& reply) {
         if (begun++ > 0) {
             reply.answer(request, 200, "whole");
             return;
--- a/tests/gateway/test_upstream_notices.cpp
+++ b/tests/gateway/test_upstream_notices.cpp
@@ -16,6 +16,13 @@
 class resting_upstreams : public gateway_fixture
 {
 protected:
+    /** Ends the scripts' threads before the members that they use. */
+    ~resting_upstreams() override
+    {
+        gateway.reset();
+        upstreams.clear();
+    }
+
     /** Adds an upstream that rejects all requests and asks for rest. */
     fake_upstream& add_resting(const std::string& id, const std::string& rest,
                                const std::string& service = "app")
@@ -36,6 +43,9 @@
             send_request(path);
         ASSERT_EQ(upstream.arrived().size(), 1U);
     }
+
+    std::atomic<bool> restarted = false;
+    std::atomic<bool> overloaded = false; ///< asks for rest once
 };
 
 // Guards against an upstream that is overrun although it has asked for rest:
@@ -83,8 +93,7 @@
 TEST_F(resting_upstreams, that_restart_get_requests_at_once)
 {
     start();
-    std::atomic<bool> restarted = false;
-    add("u1", [&](const arrived_request& request, upstream_reply& reply) {
+    add("u1", [this](const arrived_request& request, upstream_reply& reply) {
         if (restarted)
             serve(request, reply);
         else
@@ -133,10 +142,9 @@
     const auto first = std::make_shared<generating_engine>();
     const auto second = std::make_shared<generating_engine>();
     first->hold_before = 5;
-    std::atomic<bool> overloaded = false;
     const auto& source = add(
         "e1",
-        [&](const arrived_request& request, upstream_reply& reply) {
+        [this, first](const arrived_request& request, upstream_reply& reply) {
             if (overloaded.exchange(false))
                 reply.ask_for_rest(request, "0.6");
             else
@@ -163,6 +171,12 @@
 class resting_destinations : public gateway_fixture
 {
 protected:
+    ~resting_destinations() override
+    {
+        gateway.reset();
+        upstreams.clear();
+    }
+
     caller_answer move_to_resting(const std::string& rest)
     {
         start();
