Join the handlers of a check in one place

Found by reading the whole change: two functions of crash_detector joined the handlers of a check in the same way, the comment of check() stood above an alias, and exchange named its answer twice in one function. No behaviour changes.

--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -1,5 +1,7 @@
 #include "crash_detector.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cyclamenrun
@@ -20,6 +22,14 @@
 constexpr std::size_t max_checks = 256;
 constexpr std::size_t max_waiting_handlers = 1024;
 
+using result_handlers = std::vector<crash_detector::result_handler>;
+
+result_handlers joined(result_handlers first, result_handlers second)
+{
+    std::move(second.begin(), second.end(), std::back_inserter(first));
+    return first;
+}
+
 } // namespace
 
 crash_detector::crash_detector(std::shared_ptr<link_reactor> reactor,
@@ -148,9 +158,8 @@
     known.crashed = true;
     known.expires_at = reactor_->now() + check_lifetime;
     known.connection.reset();
-    auto asked = std::exchange(known.checked, {});
-    for (auto& handler : std::exchange(known.waiting, {}))
-        asked.push_back(std::move(handler));
+    const auto asked = joined(std::exchange(known.checked, {}),
+                              std::exchange(known.waiting, {}));
     answer(asked, upstream_liveness::crashed);
 }
 
@@ -164,9 +173,8 @@
         found->second.connection != unanswered)
         return;
     end_connection(found->second);
-    auto asked = std::exchange(found->second.checked, {});
-    for (auto& handler : std::exchange(found->second.waiting, {}))
-        asked.push_back(std::move(handler));
+    const auto asked = joined(std::exchange(found->second.checked, {}),
+                              std::exchange(found->second.waiting, {}));
     checks_.erase(found);
     answer(asked, upstream_liveness::unknown);
 }
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -48,6 +48,8 @@
     using crash_handler =
         std::function<void(const upstream_record&, const lost_request&)>;
 
+    using result_handler = std::function<void(upstream_liveness)>;
+
     crash_detector(std::shared_ptr<link_reactor> reactor,
                    crash_handler on_crash);
 
@@ -56,7 +58,6 @@
      * Finds out whether an upstream that ended a connection has crashed.
      * `on_result` is called once, possibly at once, unless stop() is called.
      */
-    using result_handler = std::function<void(upstream_liveness)>;
     void check(const upstream_record& upstream, result_handler on_result);
     /** Ends all checks without a result. */
     void stop();
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -275,8 +275,8 @@
 {
     if (conclusion_.over())
         return;
-    const auto& answer = conclusion_.answer();
-    conclusion_.answer().end_response(how);
+    auto& answer = conclusion_.answer();
+    answer.end_response(how);
     if (answer.integrity() == answer_integrity::unconfirmed &&
         !conclusion_.classify_complete() && !continuation_->stop_ordered())
         check_sender();
