Run the searches for copy turns in tests on virtual time

copy_turn_searches.use_the_better_of_two_turns failed once under the thread sanitizer, beside a second run of all checks: the worse of two engines was chosen.

Cause: the search waits 6 ms after the first grant. The test's monitors were threads of their own, and a reply of the second one that is later than that loses, as it should. The product is unchanged.

The fixture now runs gateway and monitors as event loops on one virtual clock, so that no scheduling decides. The test is as strict: both engines grant, the cheaper one 3 ms later, and it must be chosen. A second test pauses the gateway between the two grants; it passes on the code before as well and is a guard only.

--- a/tests/gateway/test_copy_turn_search.cpp
+++ b/tests/gateway/test_copy_turn_search.cpp
@@ -1,13 +1,12 @@
 #include "copy_turn_search.hpp"
 
 #include "http_dialect.hpp"
-#include "link_loop.hpp"
+#include "paused_loops.hpp"
 #include "scripted_monitor.hpp"
 
-#include <condition_variable>
-#include <future>
+#include <algorithm>
 #include <gtest/gtest.h>
-#include <mutex>
+#include <set>
 
 namespace cyclamenrun::testing_support
 {
@@ -40,52 +39,87 @@
     return !request.turn_ended().empty();
 }
 
+/** A monitor on a simulated loop, that replies after a delay. */
+class simulated_monitor
+{
+public:
+    simulated_monitor(const paused_loops::loop& loop, const std::string& host,
+                      std::uint16_t port, scripted_monitor::script respond,
+                      milliseconds delay)
+        : loop_(loop), respond_(std::move(respond)), delay_(delay),
+          socket_(std::make_shared<datagram_socket>(
+              loop, ip_endpoint{host, port},
+              [this](const ip_endpoint& from, std::string_view bytes) {
+                  receive(from, bytes);
+              }))
+    {
+        socket_->start();
+    }
+
+    bool received(bool (*matches)(const v1::MonitorRequest&)) const
+    {
+        return std::any_of(received_.begin(), received_.end(), matches);
+    }
+
+private:
+    void receive(const ip_endpoint& from, std::string_view bytes)
+    {
+        v1::MonitorRequest request;
+        if (!request.ParseFromArray(bytes.data(),
+                                    static_cast<int>(bytes.size())))
+            return;
+        received_.push_back(request);
+        const auto reply = respond_(request);
+        if (!reply)
+            return;
+        loop_->post_at(
+            loop_->now() + delay_,
+            [socket = socket_, from, text = reply->SerializeAsString()] {
+                socket->send(from, text);
+            });
+    }
+
+    paused_loops::loop loop_;
+    scripted_monitor::script respond_;
+    milliseconds delay_;
+    std::shared_ptr<datagram_socket> socket_;
+    std::vector<v1::MonitorRequest> received_;
+};
+
 /**
  * Engines on separate hosts with monitors, and the search of a destination
- * among them.
+ * among them, on virtual time.
  */
 class copy_turn_searches : public testing::Test
 {
 protected:
     copy_turn_searches() : port(scripted_monitor::free_port())
     {
-        on_loop([this] {
-            context = std::make_unique<gateway_context>(
-                loop->reactor(), std::make_shared<platform::http_dialect>(),
-                upstream_registry::hooks(), retry_budget_settings(),
-                std::nullopt, 1);
-            monitor_link::hooks on;
-            on.load = [](const ip_endpoint&, const engine_load&) {};
-            on.identity = [](const ip_endpoint&, const std::string&) {};
-            on.gateways = [](unsigned) {};
-            on.hosts = [] { return std::set<std::string>(); };
-            on.health_target = [] { return std::string(); };
-            context->monitors = std::make_shared<monitor_link>(
-                loop->reactor(), ip_endpoint{"127.0.0.1", 0}, port, "g",
-                std::move(on));
-            context->monitors->start();
-        });
+        context = std::make_unique<gateway_context>(
+            gateway_loop, std::make_shared<platform::http_dialect>(),
+            upstream_registry::hooks(), retry_budget_settings(), std::nullopt,
+            1);
+        monitor_link::hooks on;
+        on.load = [](const ip_endpoint&, const engine_load&) {};
+        on.identity = [](const ip_endpoint&, const std::string&) {};
+        on.gateways = [](unsigned) {};
+        on.hosts = [] { return std::set<std::string>(); };
+        on.health_target = [] { return std::string(); };
+        context->monitors = std::make_shared<monitor_link>(
+            gateway_loop, ip_endpoint{"127.0.0.1", 0}, port, "g",
+            std::move(on));
+        context->monitors->start();
     }
 
     ~copy_turn_searches() override
     {
-        on_loop([this] { search.reset(); });
-        loop.reset();
+        search.reset();
+        loops.stop();
     }
 
-    template <typename Call>
-    void on_loop(Call call)
-    {
-        std::promise<void> done;
-        loop->post([&] {
-            call();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-    scripted_monitor& add(const std::string& host,
-                          scripted_monitor::script respond)
+    simulated_monitor& add(const std::string& host,
+                           scripted_monitor::script respond,
+                           milliseconds delay = milliseconds(0))
     {
         upstream_record record;
         record.id = "on-" + host;
@@ -93,11 +127,9 @@
         record.address = {host, 80};
         record.slots = 8;
         engines.push_back(record);
-        on_loop([&] {
-            context->upstreams.apply({record.id, record}, {}, false);
-        });
-        monitors.push_back(
-            std::make_unique<scripted_monitor>(host, port, std::move(respond)));
+        context->upstreams.apply({record.id, record}, {}, false);
+        monitors.push_back(std::make_unique<simulated_monitor>(
+            monitor_loop, host, port, std::move(respond), delay));
         return *monitors.back();
     }
 
@@ -118,39 +150,33 @@
         on.cost = [this](const upstream_record& engine) {
             return engine.id == cheapest ? 0.0 : 1.0;
         };
-        on.found = [this](const upstream_record& to) { end_with(to.id); };
-        on.none = [this] { end_with("none"); };
-        on_loop([&] {
-            search = std::make_shared<copy_turn_search>(*context, "r1", 100,
-                                                        std::move(on));
-            search->start();
-        });
-    }
-
-    void end_with(const std::string& outcome)
-    {
-        const std::scoped_lock lock(mutex);
-        result = outcome;
-        changed.notify_all();
+        on.found = [this](const upstream_record& to) { result = to.id; };
+        on.none = [this] { result = "none"; };
+        search = std::make_shared<copy_turn_search>(*context, "r1", 100,
+                                                    std::move(on));
+        search->start();
     }
 
     std::string wait_for_result()
     {
-        std::unique_lock lock(mutex);
-        changed.wait_for(lock, std::chrono::seconds(10),
-                         [this] { return !result.empty(); });
+        const auto deadline = loops.now() + std::chrono::seconds(10);
+        while (result.empty() && loops.now() < deadline)
+            run_for(milliseconds(1));
+        run_for(milliseconds(5));
         return result;
     }
 
+    void run_for(milliseconds time) { loops.run_until(loops.now() + time); }
+
     std::uint16_t port;
-    std::unique_ptr<link_loop> loop = std::make_unique<link_loop>();
+    paused_loops loops;
+    paused_loops::loop gateway_loop = loops.add();
+    paused_loops::loop monitor_loop = loops.add();
     std::unique_ptr<gateway_context> context;
     std::shared_ptr<copy_turn_search> search;
     std::vector<upstream_record> engines;
-    std::vector<std::unique_ptr<scripted_monitor>> monitors;
+    std::vector<std::unique_ptr<simulated_monitor>> monitors;
     std::string cheapest;
-    std::mutex mutex;
-    std::condition_variable changed;
     std::string result;
 };
 
@@ -163,21 +189,36 @@
     const auto& idle = add("127.0.0.3", always(answer::given));
     begin();
     EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
-    EXPECT_TRUE(busy.wait_for(ends_turn))
+    EXPECT_TRUE(busy.received(ends_turn))
         << "the turn at the busy link was not released";
-    EXPECT_EQ(idle.count_of(ends_turn), 0U);
-    on_loop([this] { search->end(); });
-    EXPECT_TRUE(idle.wait_for(ends_turn));
+    EXPECT_FALSE(idle.received(ends_turn));
+    search->end();
+    run_for(milliseconds(5));
+    EXPECT_TRUE(idle.received(ends_turn));
 }
 
 TEST_F(copy_turn_searches, use_the_better_of_two_turns)
 {
     const auto& other = add("127.0.0.2", always(answer::given));
-    add("127.0.0.3", always(answer::given));
+    add("127.0.0.3", always(answer::given), milliseconds(3));
+    cheapest = "on-127.0.0.3";
+    begin();
+    EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
+    EXPECT_TRUE(other.received(ends_turn));
+}
+
+// Guards against the worse of two engines when the gateway pauses after the
+// first grant: the second one has arrived, and was not read.
+TEST_F(copy_turn_searches, use_the_better_of_two_turns_after_a_pause)
+{
+    add("127.0.0.2", always(answer::given));
+    add("127.0.0.3", always(answer::given), milliseconds(3));
     cheapest = "on-127.0.0.3";
     begin();
+    run_for(milliseconds(2));
+    ASSERT_TRUE(result.empty());
+    loops.pause(gateway_loop, loops.now(), milliseconds(50));
     EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
-    EXPECT_TRUE(other.wait_for(ends_turn));
 }
 
 // Guards against a search that ends at the first refusals, which come from
@@ -218,11 +259,9 @@
     add("127.0.0.2", always(answer::given));
     add("127.0.0.3", always(answer::given));
     cheapest = "on-127.0.0.2";
-    on_loop([this] {
-        auto leaving = engines.front();
-        leaving.draining = true;
-        context->upstreams.apply({leaving.id, leaving}, {}, false);
-    });
+    auto leaving = engines.front();
+    leaving.draining = true;
+    context->upstreams.apply({leaving.id, leaving}, {}, false);
     begin();
     EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
 }
