Count a gateway's subscriptions once it knows all engines

start_searches.subscribe_to_the_loads_of_a_few_engines failed once under the thread sanitizer, beside a second run of all checks: 3 subscriptions for 2.

Cause: the test adds engines one by one and starts each one's monitor at once.

The test now adds all engines, then their monitors, and counts subscriptions that are sent afterwards, over one and a half periods. It is as strict: exactly two, and a third one only while a generation runs.

--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -366,16 +366,15 @@
 // its requests, and to two that may read the directory for it.
 TEST_F(start_searches, subscribe_to_the_loads_of_a_few_engines)
 {
+    for (int host = 3; host <= 6; ++host)
+        add("e" + std::to_string(host), answer_with_short_stream, "model",
+            "127.0.0." + std::to_string(host));
     std::vector<std::unique_ptr<scripted_monitor>> monitors;
     std::atomic<int> granting_host = 0;
     for (int host = 1; host <= 6; ++host) {
-        const auto name = "127.0.0." + std::to_string(host);
-        if (host > 2)
-            add("e" + std::to_string(host), answer_with_short_stream, "model",
-                name);
         const auto engine = to_string(upstreams.at(host - 1)->address());
         monitors.push_back(monitor(
-            name,
+            "127.0.0." + std::to_string(host),
             [&, host, engine](const v1::MonitorRequest& request) -> notice {
                 if (!wants_start(request)) {
                     v1::MonitorNotice load;
@@ -387,10 +386,11 @@
                 return start_given(request.start_wanted().id());
             }));
     }
+    std::vector<std::size_t> earlier(monitors.size(), 0);
     const auto subscribed = [&] {
         std::set<int> hosts;
         for (std::size_t i = 0; i < monitors.size(); ++i) {
-            if (monitors[i]->count_of(wants_loads) > 0)
+            if (monitors[i]->count_of(wants_loads) > earlier[i])
                 hosts.insert(static_cast<int>(i) + 1);
         }
         return hosts;
@@ -398,8 +398,12 @@
     const auto deadline = steady_now() + std::chrono::seconds(10);
     while (subscribed().size() < 2 && steady_now() < deadline)
         std::this_thread::sleep_for(milliseconds(10));
-    // Subscriptions are sent once a second; any surplus ones arrive meanwhile.
-    std::this_thread::sleep_for(milliseconds(1200));
+    // The gateway may have subscribed to others while it knew fewer engines.
+    std::this_thread::sleep_for(milliseconds(300));
+    for (std::size_t i = 0; i < monitors.size(); ++i)
+        earlier[i] = monitors[i]->count_of(wants_loads);
+    // Subscriptions are sent once a second, surplus ones as well.
+    std::this_thread::sleep_for(milliseconds(1500));
     const auto relays = subscribed();
     EXPECT_EQ(relays.size(), 2U);
     granting_host = relays.contains(6) ? 5 : 6;
