Count repeats by what made them necessary, and show the budget's divisor

Callers' requests that reach a second upstream are limited over all gateways. What a gateway sent once more could be told neither from logs nor metrics: attempts are counted by result, and a continuation looks like a retry. Nor could one see by how many gateways it divides the budget.

cyclamenrun_repeats_total counts sends after a request's first by retry or continuation, cyclamenrun_retry_budget_gateways shows the divisor. No logic changes.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -174,6 +174,9 @@
     outgoing.connect_deadline = now + served_.profile.connect_timeout();
     first_part_at_.reset();
     continuation_->set_origin(resume_from);
+    if (conclusion_.history().sends() > 0)
+        conclusion_.recorder().repeated(served_.service,
+                                        resume_from.has_value());
     conclusion_.begin_attempt(upstream);
     // A resumed generation does not prefill its prompt again.
     context_.limits.record_send(upstream.id, now);
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -340,6 +340,8 @@
                 static_cast<double>(context_->notices.count_resting(now)));
     metrics.set(exported_metric::poison_requests, {},
                 static_cast<double>(context_->poison.count_poison(now)));
+    metrics.set(exported_metric::budget_gateways, {},
+                context_->budget.gateway_count());
     if (context_->peers)
         metrics.set(exported_metric::peers, {},
                     static_cast<double>(context_->peers->gateway_count() - 1));
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -62,6 +62,12 @@
                    {log_key::count, gateways}});
 }
 
+void request_recorder::repeated(const std::string& service, bool continues)
+{
+    metrics_.count(exported_metric::repeats,
+                   {service, continues ? "continuation" : "retry"});
+}
+
 void request_recorder::attempt_ended(const attempt& ended,
                                      std::string_view result,
                                      std::string_view next)
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -54,6 +54,8 @@
         milliseconds took{0};
         double retries_left = 0;
     };
+    /** The request is sent once more, to continue its run or to run again. */
+    void repeated(const std::string& service, bool continues);
     /** `result`: of the attempt; `next`: step that follows. */
     void attempt_ended(const attempt& ended, std::string_view result,
                        std::string_view next);
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -102,6 +102,14 @@
                         "cyclamenrun_retries_left", exported_kind::gauge,
                         "service",
                         "Retries that the retry budget currently allows."},
+    exported_metric_row{exported_metric::repeats, "cyclamenrun_repeats_total",
+                        exported_kind::counter, "service,kind",
+                        "Sends of requests that may have arrived before, by "
+                        "what made them necessary."},
+    exported_metric_row{
+        exported_metric::budget_gateways, "cyclamenrun_retry_budget_gateways",
+        exported_kind::gauge, "",
+        "Gateways by which the fixed part of the retry budget is divided."},
     exported_metric_row{exported_metric::peers, "cyclamenrun_peers",
                         exported_kind::gauge, "",
                         "Other gateways that this gateway exchanges with."},
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -34,6 +34,8 @@
     free_memory,
     queued,
     retries_left,
+    repeats,
+    budget_gateways,
     peers,
     limited_upstreams,
     resting_upstreams,
