Draw each repeat from one budget before it is sent

Cause: continuations of generations (moves, backups, back at the source) were counted and never refused, so that engines that leave and crash at once sent as many as they had generations, on top of retries that had used the budget. Of the same class: a process that restarts had a second budget, halves that were cut off from each other had one each, a retry was drawn when it was decided and sent up to seconds later, and a tenth of a window was forgotten early.

Change: exchange::send, the one place where a request leaves, draws from the budget whatever may have arrived before. A retry or continuation is reserved when it is decided; what can't be reserved is not sent and ends at once; a move spends before the stop order, so that a generation that can't go on elsewhere stays where it runs. The budget is a bucket: a request adds the share, one part of the fixed allowance flows in, another is kept. It is empty when a process starts and is divided by the largest number of gateways of the last minutes. Gateways lend to each other over the peers' port; a loan keeps the lender's place until it expires. Generations that nobody can resume go first, those with most memory before others.

Why it works: in any interval a bucket gives at most what it kept at its start and what came in meanwhile, and both add up over gateways without an agreement between them.

--- a/src/libcyclamenrun/gateway/attempt_history.cpp
+++ b/src/libcyclamenrun/gateway/attempt_history.cpp
@@ -12,6 +12,7 @@
 void attempt_history::end_attempt(std::optional<attempt_result> result)
 {
     in_flight_ = false;
+    arrived_ = arrived_ || result != attempt_result::not_sent;
     if (result != attempt_result::not_sent &&
         result != attempt_result::turned_away)
         ++runs_;
--- a/src/libcyclamenrun/gateway/attempt_history.hpp
+++ b/src/libcyclamenrun/gateway/attempt_history.hpp
@@ -48,6 +48,12 @@
      */
     bool may_have_run() const { return in_flight_ || runs_ > 0; }
 
+    /**
+     * False only as long as each attempt was proved not to have reached its
+     * upstream. The next one is a repeat otherwise.
+     */
+    bool may_have_arrived() const { return in_flight_ || arrived_; }
+
     /** Data for the decisions on the current or the last attempt. */
     attempt_state state(const circumstances& now) const;
     /** Next step after the last attempt; see next_step(). */
@@ -64,6 +70,7 @@
     unsigned runs_ = 0; ///< ended attempts that may have run
     unsigned sends_ = 0;
     bool in_flight_ = false;
+    bool arrived_ = false; ///< an ended attempt may have reached its upstream
 };
 
 /**
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -102,8 +102,7 @@
         served_.service =
             choose_service(*served_.admitted.route, context_.random);
         served_.profile.set_service(served_.service);
-        context_.budget.record_request(served_.service,
-                                       context_.reactor->now());
+        context_.budget.record_request(served_.service, boot_now());
     }
     if (conclusion_.refuse_without_room())
         return;
@@ -156,9 +155,17 @@
            served_.request.body;
 }
 
-void exchange::send(const upstream_record& upstream,
+bool exchange::send(const upstream_record& upstream,
                     const std::optional<continuation>& resume_from)
 {
+    const bool repeats = conclusion_.history().may_have_arrived();
+    if (!conclusion_.draw_send()) {
+        if (search_->uses_monitors())
+            context_.monitors->end_start(upstream.address.host,
+                                         served_.facts.id);
+        conclusion_.refuse(gateway_refusal::upstreams_busy);
+        return false;
+    }
     upstream_attempt::request outgoing;
     outgoing.upstream = upstream;
     outgoing.id = served_.facts.id;
@@ -174,7 +181,7 @@
     outgoing.connect_deadline = now + served_.profile.connect_timeout();
     first_part_at_.reset();
     continuation_->set_origin(resume_from);
-    if (conclusion_.history().sends() > 0)
+    if (repeats)
         conclusion_.recorder().repeated(served_.service,
                                         resume_from.has_value());
     conclusion_.begin_attempt(upstream);
@@ -195,6 +202,12 @@
         std::move(outgoing), std::move(on));
     attempt_->start();
     arm_response_timeout();
+    return true;
+}
+
+std::uint64_t exchange::memory_tokens() const
+{
+    return conclusion_.answer().begun() ? continuation_->memory_tokens() : 0;
 }
 
 void exchange::release_attempt()
@@ -421,7 +434,7 @@
     const bool has_time =
         now + served_.admitted.route->objective < served_.admitted.deadline;
     if (conclusion_.over() || !awaits_response() || queues || !has_time ||
-        context_.budget.remaining(served_.service, now) < 1 ||
+        context_.budget.remaining(served_.service, boot_now()) < 1 ||
         !search_->has_alternative())
         return;
     context_.upstreams.record_failure(id, now);
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -42,6 +42,8 @@
                           std::optional<time_point> leaves_at);
 
     const std::string& id() const { return served_.facts.id; }
+    /** Memory of its generation at its engine; 0 before its first event. */
+    std::uint64_t memory_tokens() const;
 
 private:
     upstream_search::hooks search_hooks();
@@ -55,7 +57,11 @@
      * crashed under the request.
      */
     bool may_send();
-    void send(const upstream_record& upstream,
+    /**
+     * Sends the request, or ends it if the budget does not allow the repeat.
+     * Returns false if it ended, which may destroy this object.
+     */
+    bool send(const upstream_record& upstream,
               const std::optional<continuation>& resume_from);
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& resume_from);
--- a/src/libcyclamenrun/gateway/exchange_hooks.cpp
+++ b/src/libcyclamenrun/gateway/exchange_hooks.cpp
@@ -36,7 +36,7 @@
     on.current = [this] { return attempt_ ? &attempt_->upstream() : nullptr; };
     on.drop_attempt = [this] { drop_attempt(); };
     on.send = [this](const upstream_record& upstream,
-                     const continuation& from) { send(upstream, from); };
+                     const continuation& from) { return send(upstream, from); };
     on.post_at = [weak = weak_from_this()](time_point at,
                                            std::function<void()> call) {
         const auto self = weak.lock();
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -17,9 +17,9 @@
     std::optional<milliseconds> lease_term, std::uint64_t seed)
     : reactor(std::move(shared_reactor)), dialect(std::move(wire_dialect)),
       connections(reactor), engine_client_pool(reactor),
-      upstreams(std::move(upstream_hooks)), budget(retries), lease(lease_term),
-      random(seed), limits(random), choice(upstreams, limits, notices, random),
-      poison(random)
+      upstreams(std::move(upstream_hooks)), budget(retries, boot_now()),
+      lease(lease_term), random(seed), limits(random), loans(budget, random),
+      choice(upstreams, limits, notices, random), poison(random)
 {
     poison_guard::hooks on;
     on.changed = [this] {
@@ -84,8 +84,9 @@
     // Monitors may know gateways that have not found each other.
     std::size_t count = peers ? peers->gateway_count() : 0;
     if (monitors || !peers)
-        count = std::max<std::size_t>(count, budget.gateway_count());
+        count = std::max<std::size_t>(count, monitored_gateways);
     limits.set_gateway_count(count);
+    budget.set_gateway_count(static_cast<unsigned>(count), boot_now());
 }
 
 std::vector<peer_table> gateway_context::shared_tables()
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -12,6 +12,7 @@
 #include "monitor_link.hpp"
 #include "peer_link.hpp"
 #include "poison_guard.hpp"
+#include "repeat_loans.hpp"
 #include "response_time.hpp"
 #include "shared_limits.hpp"
 #include "shared_retry_budget.hpp"
@@ -58,7 +59,10 @@
     /** Records what an upstream says of itself, and logs a change. */
     void record_notice(const std::string& upstream_id,
                        const upstream_notice& notice);
-    /** Shares of limits are by the number of gateways, as far as known. */
+    /**
+     * Shares of limits and of the retry budget are by the number of gateways,
+     * as far as known.
+     */
     void update_gateway_count();
     /** Tables that this gateway shares with the others. */
     std::vector<peer_table> shared_tables();
@@ -85,11 +89,14 @@
     std::mt19937_64 random;
     upstream_limits limits;
     upstream_notices notices;
+    repeat_loans loans;
     upstream_choice choice;
     poison_guard poison;
     std::shared_ptr<crash_detector> crashes;
     /** Null in a deployment without monitors. */
     std::shared_ptr<monitor_link> monitors;
+    /** Gateways that the monitors know; until one reports, a safe guess. */
+    unsigned monitored_gateways = 8;
     /** Null in a deployment whose gateways do not know each other. */
     std::shared_ptr<peer_link> peers;
     /** Requests in progress. */
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -160,7 +160,7 @@
                                 : std::string();
     };
     on.gateways = [this](unsigned count) {
-        context_->budget.set_gateway_count(count);
+        context_->monitored_gateways = std::max(1U, count);
     };
     on.hosts = [this] { return monitored_hosts(); };
     const auto monitor_port =
@@ -180,6 +180,7 @@
         loop_->reactor(), settings_.peers_listen,
         seed_hosts(settings_.peer_seeds), context_->shared_tables(),
         std::random_device{}());
+    context_->peers->set_loans(&context_->loans);
     context_->peers->start();
 }
 
@@ -190,7 +191,7 @@
     on.responds = [this](const std::string& host) {
         return context_->monitors->is_responding(host);
     };
-    on.gateways = [this] { return context_->budget.gateway_count(); };
+    on.gateways = [this] { return context_->monitored_gateways; };
     relays_ = std::make_shared<relay_clients>(loop_->reactor(), settings_.name,
                                               port, std::move(on));
     directory_->use_relays(relays_);
@@ -341,7 +342,7 @@
     metrics.set(exported_metric::poison_requests, {},
                 static_cast<double>(context_->poison.count_poison(now)));
     metrics.set(exported_metric::budget_gateways, {},
-                context_->budget.gateway_count());
+                context_->budget.divisor());
     if (context_->peers)
         metrics.set(exported_metric::peers, {},
                     static_cast<double>(context_->peers->gateway_count() - 1));
@@ -354,7 +355,7 @@
                     estimated.free_memory_tokens);
         metrics.set(exported_metric::queued, {service}, estimated.queued);
         metrics.set(exported_metric::retries_left, {service},
-                    context_->budget.remaining(service, now));
+                    context_->budget.remaining(service, boot_now()));
     }
     export_dropped_lines(metrics);
     export_rejected_messages(metrics);
@@ -369,6 +370,11 @@
     running.reserve(context_->running.size());
     for (auto* each : context_->running)
         running.push_back(each->shared_from_this());
+    // If the budget does not suffice for all, the most work is saved first.
+    std::stable_sort(running.begin(), running.end(),
+                     [](const auto& left, const auto& right) {
+                         return left->memory_tokens() > right->memory_tokens();
+                     });
     for (const auto& each : running)
         each->upstream_leaving(id, leaves_at);
 }
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -32,7 +32,7 @@
 {
     auto request =
         served_.profile.make_placement_request(source.failure_domain);
-    request.gateways = context_.budget.gateway_count();
+    request.gateways = context_.monitored_gateways;
     return request;
 }
 
@@ -56,16 +56,22 @@
                                               mover_hooks());
 }
 
+std::uint64_t generation_continuation::memory_tokens() const
+{
+    const auto first = conclusion_.answer().time_to_first_part();
+    const auto age =
+        time_since(served_.request.arrived, context_.reactor->now());
+    return served_.profile.memory_tokens(first ? age - *first
+                                               : milliseconds(0));
+}
+
 generation_mover::hooks generation_continuation::mover_hooks()
 {
     generation_mover::hooks on;
-    on.memory_tokens = [this] {
-        const auto first = conclusion_.answer().time_to_first_part();
-        const auto age =
-            time_since(served_.request.arrived, context_.reactor->now());
-        return served_.profile.memory_tokens(first ? age - *first
-                                                   : milliseconds(0));
-    };
+    on.memory_tokens = [this] { return memory_tokens(); };
+    on.reserve = [this] { return conclusion_.reserve_repeat(); };
+    on.spend = [this] { return conclusion_.spend_repeat(); };
+    on.release = [this] { conclusion_.release_repeat(); };
     on.runs_at = [this](const upstream_record& source) {
         const auto* current = on_.current();
         return current != nullptr && current->id == source.id;
@@ -143,9 +149,10 @@
 void generation_continuation::send_continuation(const upstream_record& upstream,
                                                 const continuation& from)
 {
-    context_.budget.record_forced_retry(served_.service,
-                                        context_.reactor->now());
-    on_.send(upstream, from);
+    // Copied, since the call may destroy the exchange and this object.
+    const auto send = on_.send;
+    if (!send(upstream, from))
+        return;
     const auto* state = context_.upstreams.find(upstream.id);
     if (state != nullptr && state->leaving)
         engine_leaving(upstream, state->leaves_at);
@@ -162,6 +169,8 @@
         if (id == served_.tried.back() || state == nullptr ||
             state->record.address != from.source)
             continue;
+        if (!conclusion_.reserve_repeat())
+            return false;
         const auto record = state->record;
         conclusion_.record_attempt("turned_away", "back_to_source");
         resume_at(record, from);
@@ -178,7 +187,8 @@
         context_.poison.is_poison(served_.fingerprint, now))
         return false;
     const auto* state = context_.upstreams.find(backup->id);
-    if (state == nullptr || state->record != *backup)
+    if (state == nullptr || state->record != *backup ||
+        !conclusion_.reserve_repeat())
         return false;
     conclusion_.record_attempt("lost", "from_backup");
     conclusion_.recorder().resumed_from_backup(served_.service, backup->id);
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -25,8 +25,11 @@
         std::function<const upstream_record*()> current;
         /** Ends the current attempt, whose run continues elsewhere. */
         std::function<void()> drop_attempt;
-        /** Sends the request to continue from this memory. */
-        std::function<void(const upstream_record&, const continuation&)> send;
+        /**
+         * Sends the request to continue from this memory. False: the request
+         * has ended instead, and the continuation may be destroyed.
+         */
+        std::function<bool(const upstream_record&, const continuation&)> send;
         /** Calls a function later, unless the request has ended by then. */
         std::function<void(time_point, std::function<void()>)> post_at;
         /** The run was lost, and nothing continues it. */
@@ -45,6 +48,8 @@
         from_ = std::move(from);
     }
     bool has_origin() const { return from_.has_value(); }
+    /** Estimated current memory of the generation. */
+    std::uint64_t memory_tokens() const;
 
     /** Handles an engine that leaves; `leaves_at` is empty if unknown. */
     void engine_leaving(const upstream_record& engine,
--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -12,6 +12,8 @@
         return "not_running";
     case move_failure::no_room:
         return "no_room";
+    case move_failure::no_budget:
+        return "no_budget";
     case move_failure::uncertain:
         return "uncertain";
     }
@@ -50,7 +52,12 @@
     const auto now = context_.reactor->now();
     const auto rest = context_.notices.rest_left(source_.id, now);
     if (rest == milliseconds::zero()) {
-        send_order(true);
+        if (on_.may_stop()) {
+            send_order(true);
+            return;
+        }
+        free_copy();
+        fail(move_failure::no_budget, {});
         return;
     }
     context_.reactor->post_at(now + rest, [weak = weak_from_this()] {
@@ -120,6 +127,11 @@
     if (std::exchange(over_, true))
         return;
     on_ = {};
+    free_copy();
+}
+
+void generation_move::free_copy()
+{
     const bool rests =
         context_.notices.is_resting(source_.id, context_.reactor->now());
     if (handle_.empty() || rests)
--- a/src/libcyclamenrun/gateway/generation_move.hpp
+++ b/src/libcyclamenrun/gateway/generation_move.hpp
@@ -18,6 +18,8 @@
      * unless it has received the stop order.
      */
     no_room,
+    /** The budget for the continuation has expired; the source continues. */
+    no_budget,
     /**
      * No reply to the stop order, or an invalid reply to either order: the
      * generation may or may not still run.
@@ -37,6 +39,8 @@
 {
 public:
     struct hooks {
+        /** Whether the continuation can be sent once the source has stopped. */
+        std::function<bool()> may_stop;
         /** The source stopped; the generation may resume from here. */
         std::function<void(continuation)> stopped;
         /** `kept`: memory at the source; set only after the stop order. */
@@ -63,6 +67,7 @@
     void handle_reply(call_outcome outcome);
     void handle_copied(const move_reply& reply);
     void fail(move_failure failure, const std::string& handle);
+    void free_copy();
 
     gateway_context& context_;
     std::string request_id_;
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -29,6 +29,8 @@
         return "source_turn_wanted";
     case move_step::source_turn_given:
         return "source_turn_given";
+    case move_step::no_budget:
+        return "no_budget";
     case move_step::no_destination:
         return "no_destination";
     case move_step::destination_turn_wanted:
@@ -54,7 +56,14 @@
     const auto rest =
         context_.notices.rest_left(source.id, context_.reactor->now());
     if (rest > milliseconds::zero()) {
-        wait_for_rest(source, rest);
+        wait(source, rest);
+        return;
+    }
+    if (waits_)
+        return;
+    if (!on_.reserve()) {
+        on_.step(move_step::no_budget, source);
+        wait(source, retry_delay);
         return;
     }
     if (!context_.monitors) {
@@ -158,6 +167,10 @@
         if (const auto self = weak.lock())
             self->handle_failure(failure, kept, source);
     };
+    on.may_stop = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return self && !self->over_ && self->on_.spend();
+    };
     move_ = std::make_shared<generation_move>(
         context_, request_id_, source, to,
         context_.reactor->now() + order_timeout, std::move(on));
@@ -276,6 +289,7 @@
 {
     if (over_)
         return;
+    on_.release();
     context_.reactor->post_at(context_.reactor->now() + retry_delay,
                               [weak = weak_from_this(), source] {
                                   const auto self = weak.lock();
@@ -285,18 +299,17 @@
                               });
 }
 
-void generation_mover::wait_for_rest(const upstream_record& source,
-                                     milliseconds rest)
+void generation_mover::wait(const upstream_record& source, milliseconds delay)
 {
     // The source is reported as leaving again with each event of its stream.
-    if (std::exchange(waits_for_rest_, true))
+    if (std::exchange(waits_, true))
         return;
-    context_.reactor->post_at(context_.reactor->now() + rest,
+    context_.reactor->post_at(context_.reactor->now() + delay,
                               [weak = weak_from_this(), source] {
                                   const auto self = weak.lock();
                                   if (!self || self->over_)
                                       return;
-                                  self->waits_for_rest_ = false;
+                                  self->waits_ = false;
                                   if (self->on_.runs_at(source))
                                       self->source_leaving(source);
                               });
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -18,6 +18,7 @@
 enum class move_step : std::uint8_t {
     source_turn_wanted,
     source_turn_given,
+    no_budget,      ///< no repeat is left; tried again after a delay
     no_destination, ///< the search is repeated after a delay
     destination_turn_wanted,
     ordered, ///< the copy order was sent to the source
@@ -38,6 +39,12 @@
 {
 public:
     struct hooks {
+        /** Reserves the budget for the continuation; false: none is left. */
+        std::function<bool()> reserve;
+        /** Spends what was reserved; false if it has expired. */
+        std::function<bool()> spend;
+        /** Returns what was reserved or spent: nothing continues yet. */
+        std::function<void()> release;
         /** Estimated current memory of the generation. */
         std::function<std::uint64_t()> memory_tokens;
         /** True if the generation currently runs at that upstream. */
@@ -108,8 +115,8 @@
     void resume_after_last_events();
     void resume();
     void retry_later(const upstream_record& source);
-    /** Calls source_leaving() again once the source does not rest. */
-    void wait_for_rest(const upstream_record& source, milliseconds rest);
+    /** Calls source_leaving() again after a delay. */
+    void wait(const upstream_record& source, milliseconds delay);
 
     gateway_context& context_;
     std::string request_id_;
@@ -119,7 +126,7 @@
         search_;                  ///< holds the destination's copy turn
     bool turn_requested_ = false; ///< the source's turn is requested or held
     bool source_ended_ = false;
-    bool waits_for_rest_ = false;
+    bool waits_ = false;
     bool over_ = false;
     std::string refused_by_; ///< last destination that had no room
     unsigned moves_ = 0;
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -111,15 +111,11 @@
 
 void peer_exchange::probe(std::vector<datagram>& out, time_point now)
 {
-    std::vector<std::string> known;
-    known.reserve(peers_.size());
-    for (const auto& [host, state] : peers_)
-        known.push_back(host);
     std::vector<std::string> unknown_seeds;
     for (const auto& seed : seeds_)
         if (seed != own_host_ && !peers_.contains(seed))
             unknown_seeds.push_back(seed);
-    auto chosen = sample(std::move(known), fanout);
+    auto chosen = sample(known_hosts(), fanout);
     // Seeds that are down are asked rarely, and all at once while no other way
     // leads to the fleet. That joins parts of the fleet that were cut off from
     // each other.
@@ -132,6 +128,35 @@
         out.push_back(message_to(host, true, now));
 }
 
+std::vector<std::string> peer_exchange::known_hosts() const
+{
+    std::vector<std::string> known;
+    known.reserve(peers_.size());
+    for (const auto& [host, state] : peers_)
+        known.push_back(host);
+    return known;
+}
+
+std::vector<peer_exchange::datagram>
+peer_exchange::loan_requests(const std::vector<v1::RepeatLoan>& wanted)
+{
+    std::vector<datagram> out;
+    for (const auto& host : sample(known_hosts(), fanout))
+        out.push_back(loan_message(host, wanted));
+    return out;
+}
+
+peer_exchange::datagram
+peer_exchange::loan_message(const std::string& host,
+                            const std::vector<v1::RepeatLoan>& loans) const
+{
+    v1::PeerMessage message;
+    message.set_incarnation(incarnation_);
+    for (const auto& each : loans)
+        *message.add_loans() = each;
+    return {host, message.SerializeAsString()};
+}
+
 milliseconds peer_exchange::silence_timeout() const
 {
     return base_silence_timeout +
@@ -233,6 +258,13 @@
     if (std::exchange(from->incarnation, message.incarnation()) !=
         message.incarnation())
         from->tables.assign(tables_.size(), table_state());
+    if (message.loans_size() > 0) {
+        const auto grants = loan_handler_ ? loan_handler_(host, message)
+                                          : std::vector<v1::RepeatLoan>();
+        if (grants.empty())
+            return std::nullopt;
+        return loan_message(host, grants);
+    }
     const bool progress = read_positions(*from, message);
     bool has_changes = false;
     for (const auto& position : message.tables())
--- a/src/libcyclamenrun/gateway/peer_link.cpp
+++ b/src/libcyclamenrun/gateway/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "peer_link.hpp"
 
 #include "digest.hpp"
+#include "peers.pb.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,6 +30,26 @@
     send_due();
 }
 
+void peer_link::set_loans(repeat_loans* loans)
+{
+    loans_ = loans;
+    exchange_.set_loan_handler(
+        [loans](const std::string& host, const v1::PeerMessage& message) {
+            return loans->handle(host, message, boot_now());
+        });
+}
+
+void peer_link::request_loans()
+{
+    if (loans_ == nullptr)
+        return;
+    const auto wanted = loans_->requests(boot_now());
+    if (wanted.empty())
+        return;
+    for (const auto& each : exchange_.loan_requests(wanted))
+        socket_->send({each.host, port_}, each.bytes);
+}
+
 void peer_link::push_changes()
 {
     send_due();
--- a/src/libcyclamenrun/gateway/peer_link.hpp
+++ b/src/libcyclamenrun/gateway/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include "datagram_socket.hpp"
 #include "peer_exchange.hpp"
+#include "repeat_loans.hpp"
 
 #include <memory>
 #include <random>
@@ -25,7 +26,11 @@
               std::vector<std::string> seeds, std::vector<peer_table> tables,
               std::uint64_t seed);
 
+    /** To be called before start(). `loans` must outlive this link. */
+    void set_loans(repeat_loans* loans);
     void start();
+    /** Asks other gateways for what the retry budget lacks. */
+    void request_loans();
     /** Sends what changed in the tables; to be called after each change. */
     void push_changes();
     std::size_t gateway_count() const { return exchange_.gateway_count(); }
@@ -40,6 +45,7 @@
     std::mt19937_64 random_;
     peer_exchange exchange_;
     std::shared_ptr<datagram_socket> socket_;
+    repeat_loans* loans_ = nullptr;
     /** Latest timer; an earlier one that is still pending does nothing. */
     time_point timer_at_{};
 };
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -14,7 +14,7 @@
                                        std::function<void()> ended)
     : context_(context), served_(served), ended_(std::move(ended)),
       answer_(std::move(writer), served.request.arrived),
-      recorder_(context.metrics)
+      recorder_(context.metrics), permit_(context.budget)
 {
 }
 
@@ -83,15 +83,45 @@
                                             bool on_trial)
 {
     const auto step = history_.step_after(result, circumstances());
-    const auto now = context_.reactor->now();
-    if (step != attempt_step::again)
+    if (step != attempt_step::again && step != attempt_step::again_free)
         return step;
     // A trial shows after one loss that the request is poison.
-    if (on_trial ||
-        context_.choice.first_with_room(served_.service, served_.tried, now) ||
-        !context_.budget.try_retry(served_.service, now))
-        return step_without_retry(result);
-    return step;
+    const bool can_retry = step == attempt_step::again_free ||
+                           (!on_trial && !context_.choice.first_with_room(
+                                             served_.service, served_.tried,
+                                             context_.reactor->now()));
+    return can_retry && reserve_repeat() ? step : step_without_retry(result);
+}
+
+// Repeats.
+
+bool request_conclusion::reserve_repeat()
+{
+    if (!history_.may_have_arrived())
+        return true;
+    // A caller can return after a refusal, and resume a stream that allows it.
+    const bool urgent = answer_.begun() && !served_.admitted.route->resumable;
+    const bool reserved = permit_.reserve(served_.service,
+                                          urgent ? repeat_urgency::urgent
+                                                 : repeat_urgency::deferrable,
+                                          boot_now());
+    if (!reserved && context_.peers)
+        context_.peers->request_loans();
+    return reserved;
+}
+
+bool request_conclusion::spend_repeat()
+{
+    return !history_.may_have_arrived() ||
+           (reserve_repeat() && permit_.spend(boot_now()));
+}
+
+bool request_conclusion::draw_send()
+{
+    if (!spend_repeat())
+        return false;
+    permit_.use();
+    return true;
 }
 
 request_recorder::attempt request_conclusion::attempt_record() const
@@ -103,7 +133,7 @@
     ended.number = history_.sends();
     ended.status = answer_.status();
     ended.took = time_since(attempt_began_, now);
-    ended.retries_left = context_.budget.remaining(served_.service, now);
+    ended.retries_left = context_.budget.remaining(served_.service, boot_now());
     return ended;
 }
 
@@ -277,6 +307,7 @@
 {
     recorder_.ended(served_.facts.id, summarize(outcome, status, reason));
     over_ = true;
+    permit_.release();
     // Copied, since the call may destroy this object.
     const auto ended = ended_;
     ended();
--- a/src/libcyclamenrun/gateway/request_conclusion.hpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.hpp
@@ -4,6 +4,7 @@
 #include "answer_relay.hpp"
 #include "attempt_history.hpp"
 #include "gateway_context.hpp"
+#include "repeat_permit.hpp"
 #include "request_recorder.hpp"
 #include "served_request.hpp"
 
@@ -32,6 +33,7 @@
                        std::function<void()> ended);
 
     answer_relay& answer() { return answer_; }
+    const answer_relay& answer() const { return answer_; }
     request_recorder& recorder() { return recorder_; }
     const attempt_history& history() const { return history_; }
     /** True once the final answer was given or the caller has left. */
@@ -57,6 +59,20 @@
     request_recorder::attempt attempt_record() const;
     void record_attempt(std::string_view result, std::string_view next);
 
+    // Repeats: sends of a request that may have arrived before.
+
+    /**
+     * Reserves the budget for the next send if that is a repeat. False: it must
+     * not be sent.
+     */
+    bool reserve_repeat();
+    /** Spends the budget for the next send, as reserve_repeat() reserves it. */
+    bool spend_repeat();
+    /** Gives up the next send. */
+    void release_repeat() { permit_.release(); }
+    /** Spends the budget for a send that follows at once, if not yet spent. */
+    bool draw_send();
+
     // End of the request.
 
     /** Ends a request whose attempt has ended and that is not retried. */
@@ -98,6 +114,7 @@
     answer_relay answer_;
     request_recorder recorder_;
     attempt_history history_;
+    repeat_permit permit_;
     time_point attempt_began_{};
     duration missed_before_attempt_{0}; ///< by the loop, see awake_clock
     bool over_ = false;
--- a/src/libcyclamenrun/gateway/upstream_search.cpp
+++ b/src/libcyclamenrun/gateway/upstream_search.cpp
@@ -64,7 +64,7 @@
 {
     auto request =
         served_.profile.make_placement_request(context_.failure_domain);
-    request.gateways = context_.budget.gateway_count();
+    request.gateways = context_.monitored_gateways;
     return request;
 }
 
--- a/src/libcyclamenrun/links/message_reader.cpp
+++ b/src/libcyclamenrun/links/message_reader.cpp
@@ -123,6 +123,8 @@
     number_row{"cyclamenrun.v1.PeerMessage.receiver_incarnation", opaque},
     number_row{"cyclamenrun.v1.UpstreamLimit.limit", rate},
     number_row{"cyclamenrun.v1.UpstreamLimit.age_ms", time_span},
+    number_row{"cyclamenrun.v1.RepeatLoan.amount", rate},
+    number_row{"cyclamenrun.v1.RepeatLoan.number", opaque},
     number_row{"cyclamenrun.v1.KnownPeer.age_ms", time_span},
     number_row{"cyclamenrun.v1.TablePosition.after", position},
     number_row{"cyclamenrun.v1.TablePosition.up_to", position},
