Read the software version of upstreams, and log it with each attempt

Callers' streams held events of two versions of an engine, and neither logs nor state of a gateway named a version, so that what it knew and what it ignored looked the same.

The directory's entries have a version; it is now part of an upstream's record, passes through monitors that relay the directory, and stands in each attempt_ended of a request's timeline. A process that only a monitor has named has no version until the directory lists it, and another version under an id is another process. Nothing chooses by it yet.

--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -24,6 +24,7 @@
     record.slots = message.slots();
     record.draining = message.draining();
     record.started_ms = message.started_ms();
+    record.version = message.version();
     return record;
 }
 
@@ -40,6 +41,7 @@
     record.set_slots(change.record->slots);
     record.set_draining(change.record->draining);
     record.set_started_ms(change.record->started_ms);
+    record.set_version(change.record->version);
 }
 
 void add_item(const configuration_text& configuration,
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -42,6 +42,7 @@
     attempt_began_ = context_.reactor->now();
     missed_before_attempt_ = context_.reactor->missed();
     served_.tried.push_back(upstream.id);
+    attempt_version_ = upstream.version;
     answer_.prepare_next_response();
     history_.begin_attempt();
 }
@@ -130,6 +131,7 @@
     request_recorder::attempt ended;
     ended.service = served_.service;
     ended.upstream = served_.tried.back();
+    ended.version = attempt_version_;
     ended.number = history_.sends();
     ended.status = answer_.status();
     ended.took = time_since(attempt_began_, now);
--- a/src/libcyclamenrun/gateway/request_conclusion.hpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.hpp
@@ -116,6 +116,7 @@
     attempt_history history_;
     repeat_permit permit_;
     time_point attempt_began_{};
+    std::string attempt_version_;       ///< of the upstream's software
     duration missed_before_attempt_{0}; ///< by the loop, see awake_clock
     bool over_ = false;
 };
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -78,6 +78,7 @@
                      ended.took);
     trace_.record(log_event_name::attempt_ended,
                   {{log_key::upstream, ended.upstream},
+                   {log_key::version, ended.version},
                    {log_key::attempt, ended.number},
                    {log_key::reason, result},
                    {log_key::status, ended.status},
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -49,6 +49,7 @@
     struct attempt {
         std::string service;
         std::string upstream;
+        std::string version; ///< of the upstream's software
         unsigned number = 0; ///< from 1
         unsigned status = 0;
         milliseconds took{0};
--- a/src/libcyclamenrun/gateway/upstream_record.hpp
+++ b/src/libcyclamenrun/gateway/upstream_record.hpp
@@ -19,6 +19,11 @@
     std::string failure_domain;
     unsigned slots = 0; ///< requests that it can run at a time
     bool draining = false;
+    /**
+     * Version of its software; empty: unknown. What different versions write
+     * does not fit together.
+     */
+    std::string version;
     /**
      * Start of the process in Unix milliseconds; another value means another
      * process.
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -66,6 +66,16 @@
     return upstream.failure_rate * std::exp2(-std::max(0.0, half_lives));
 }
 
+/** Whether two records with one id are of different processes. */
+bool is_other_process(const upstream_record& left, const upstream_record& right)
+{
+    const bool versions_differ = !left.version.empty() &&
+                                 !right.version.empty() &&
+                                 left.version != right.version;
+    return versions_differ || left.started_ms != right.started_ms ||
+           left.address != right.address;
+}
+
 struct load_estimate {
     double requests = 0;
     double prefill_backlog_ms = 0; ///< of the prompts ahead of a new one
@@ -160,8 +170,7 @@
     const auto found = upstreams_.find(record.id);
     // A process that restarts under its id has lost the state of the old one.
     if (found != upstreams_.end() && !found->second.monitor_only_until &&
-        (found->second.record.started_ms != record.started_ms ||
-         found->second.record.address != record.address)) {
+        is_other_process(found->second.record, record)) {
         if (on_.replaced)
             on_.replaced(record.id);
         erase(record.id);
@@ -255,6 +264,7 @@
     auto record = predecessor.record;
     record.id = id;
     record.draining = false;
+    record.version.clear();
     // The start time is unknown, but later than the predecessor's. The
     // directory reports it when it lists the engine.
     ++record.started_ms;
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -19,6 +19,7 @@
     result.slots = 24;
     result.draining = draining;
     result.started_ms = 1700000000000;
+    result.version = "v1.2";
     return result;
 }
 
--- a/tests/gateway/test_upstream_registry.cpp
+++ b/tests/gateway/test_upstream_registry.cpp
@@ -110,6 +110,35 @@
 
 // Guards against dropping a new engine: a snapshot of the directory that was
 // made before the engine started lists only its predecessor.
+// Guards against a version that belongs to the process before.
+TEST_F(upstream_registry_test, knows_no_version_of_a_process_that_is_not_listed)
+{
+    auto before = record("before");
+    before.version = "v1";
+    put(before);
+    registry.update_identity(before.address, "after", at(0));
+    EXPECT_EQ(registry.find("after")->record.version, "");
+    auto listed = record("after");
+    listed.version = "v2";
+    listed.started_ms = 2;
+    put(listed);
+    EXPECT_EQ(registry.find("after")->record.version, "v2");
+    EXPECT_TRUE(replaced_ids.empty());
+}
+
+// Guards against an id that a process of another version uses again.
+TEST_F(upstream_registry_test, takes_another_version_for_another_process)
+{
+    auto entry = record("a");
+    put(entry);
+    entry.version = "v1";
+    put(entry);
+    EXPECT_TRUE(replaced_ids.empty());
+    entry.version = "v2";
+    put(entry);
+    EXPECT_EQ(replaced_ids, std::vector<std::string>{"a"});
+}
+
 TEST_F(upstream_registry_test, keeps_an_engine_newer_than_the_snapshot)
 {
     put(record("before"));
--- a/tests/platform/test_record_parser.cpp
+++ b/tests/platform/test_record_parser.cpp
@@ -34,6 +34,25 @@
     EXPECT_EQ(record->started_ms, 1790000000000);
 }
 
+// Guards against an upstream that is unusable because its version is.
+TEST(upstream_record_parser, reads_what_is_no_version_as_unknown)
+{
+    EXPECT_EQ(read_upstream("i", upstream_text)->version, "v1");
+    const auto version_in = [](const std::string& value) {
+        const auto record = read_upstream("i", text_with("\"v1\"", value));
+        return record ? record->version : "unreadable record";
+    };
+    const auto longest = std::string(64, 'v');
+    EXPECT_EQ(version_in('"' + longest + '"'), longest);
+    for (const std::string absurd :
+         {"\"\"", "null", "2", "[\"v1\"]", "{}", "\"a b\"", "\"v\\n\"",
+          "\"v\\u0000\"", "\"\u00e9\""})
+        EXPECT_EQ(version_in(absurd), "") << absurd;
+    EXPECT_EQ(version_in('"' + longest + "v\""), "");
+    EXPECT_EQ(read_upstream("i", text_with(R"("version":"v1",)", ""))->version,
+              "");
+}
+
 TEST(upstream_record_parser, reads_draining_state)
 {
     EXPECT_TRUE(read_upstream("i", text_with("ready", "draining"))->draining);
