--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -191,6 +191,7 @@
     record.address = upstreams.back()->address();
     record.failure_domain = "d1";
     record.slots = 8;
+    record.version = version;
     records.push_back(record);
     publish_record(record);
     wait_for_upstreams(records.size());
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -148,6 +148,8 @@
     std::vector<upstream_record> records;
     std::shared_ptr<pushed_feed<gateway_configuration>> configurations;
     std::shared_ptr<pushed_feed<upstream_change>> changes;
+    /** Software version of the upstreams that are added from now on. */
+    std::string version;
     int last_id = 0; ///< of the requests so far
 };
 
--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -88,6 +88,7 @@
     record.address = added.address();
     record.failure_domain = "d1";
     record.slots = 8;
+    record.version = version;
     records.push_back(record);
     const auto wanted = "\"upstreams\":" + std::to_string(records.size()) + ",";
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -116,13 +117,32 @@
 }
 
 caller_answer gateway_fleet::send_to(std::size_t index, const std::string& path,
-                                     const std::string& body)
+                                     const std::string& body,
+                                     const std::string& extra_fields)
 {
     test_caller caller(nodes_[index]->process->address());
-    caller.send(request(path, "k1", "", body));
+    caller.send(request(path, "k1", extra_fields, body));
     return caller.read();
 }
 
+void gateway_fleet::stop(std::size_t index)
+{
+    nodes_[index]->process.reset();
+}
+
+void gateway_fleet::remove_from_all(const std::string& id)
+{
+    std::erase_if(records,
+                  [&](const upstream_record& each) { return each.id == id; });
+    const auto wanted = "\"upstreams\":" + std::to_string(records.size()) + ",";
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!nodes_[i]->process)
+            continue;
+        nodes_[i]->changes->push({id, std::nullopt});
+        EXPECT_TRUE(wait_for_state(i, wanted));
+    }
+}
+
 std::string gateway_fleet::state_of(std::size_t index)
 {
     test_caller caller(nodes_[index]->process->ready_address());
--- a/tests/gateway/gateway_fleet.hpp
+++ b/tests/gateway/gateway_fleet.hpp
@@ -29,7 +29,11 @@
     void remove_crashed();
     /** Sends a request to a gateway and returns its answer. */
     caller_answer send_to(std::size_t index, const std::string& path,
-                          const std::string& body);
+                          const std::string& body,
+                          const std::string& extra_fields = "");
+    /** Ends a gateway for good. */
+    void stop(std::size_t index);
+    void remove_from_all(const std::string& id);
     std::string state_of(std::size_t index);
     /**
      * Waits until the state of all gateways contains the text; false after the
