Let peers exchange messages that belong to no table

Loans were known to peer_exchange and peer_link by name. Both now pass on any message without tables, and gateway_context says who handles it, so that the next kind of message needs no change there.

--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -1,6 +1,7 @@
 #include "gateway_context.hpp"
 
 #include "log_event.hpp"
+#include "peers.pb.h"
 #include "request_fingerprint.hpp"
 
 #include <algorithm>
@@ -89,6 +90,21 @@
     budget.set_gateway_count(static_cast<unsigned>(count), boot_now());
 }
 
+void gateway_context::request_loans()
+{
+    if (!peers)
+        return;
+    if (const auto wanted = loans.request(boot_now()))
+        peers->send_to_some(*wanted);
+}
+
+std::optional<v1::PeerMessage>
+gateway_context::handle_direct(const std::string& host,
+                               const v1::PeerMessage& message)
+{
+    return loans.handle(host, message, boot_now());
+}
+
 std::vector<peer_table> gateway_context::shared_tables()
 {
     return {poison.table(),
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -64,6 +64,11 @@
      * as far as known.
      */
     void update_gateway_count();
+    /** Asks other gateways for repeats that the budget lacks. */
+    void request_loans();
+    /** Answers a message of another gateway that has no tables. */
+    std::optional<v1::PeerMessage>
+    handle_direct(const std::string& host, const v1::PeerMessage& message);
     /** Tables that this gateway shares with the others. */
     std::vector<peer_table> shared_tables();
     /** Marks a request that an upstream had when it crashed. */
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "gateway_process.hpp"
 
 #include "log_event.hpp"
+#include "peers.pb.h"
 
 #include <algorithm>
 #include <future>
@@ -180,7 +181,10 @@
         loop_->reactor(), settings_.peers_listen,
         seed_hosts(settings_.peer_seeds), context_->shared_tables(),
         std::random_device{}());
-    context_->peers->set_loans(&context_->loans);
+    context_->peers->set_direct_handler(
+        [this](const std::string& host, const v1::PeerMessage& message) {
+            return context_->handle_direct(host, message);
+        });
     context_->peers->start();
 }
 
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -38,6 +38,11 @@
 /** In one of so many probes a seed is asked that is not known as a peer. */
 constexpr unsigned seed_probe_period = 4;
 
+bool is_direct(const v1::PeerMessage& message)
+{
+    return message.loans_size() > 0;
+}
+
 } // namespace
 
 peer_exchange::peer_exchange(std::string own_host,
@@ -115,7 +120,7 @@
     for (const auto& seed : seeds_)
         if (seed != own_host_ && !peers_.contains(seed))
             unknown_seeds.push_back(seed);
-    auto chosen = sample(known_hosts(), fanout);
+    auto chosen = random_hosts();
     // Seeds that are down are asked rarely, and all at once while no other way
     // leads to the fleet. That joins parts of the fleet that were cut off from
     // each other.
@@ -137,23 +142,16 @@
     return known;
 }
 
-std::vector<peer_exchange::datagram>
-peer_exchange::loan_requests(const std::vector<v1::RepeatLoan>& wanted)
+std::vector<std::string> peer_exchange::random_hosts()
 {
-    std::vector<datagram> out;
-    for (const auto& host : sample(known_hosts(), fanout))
-        out.push_back(loan_message(host, wanted));
-    return out;
+    return sample(known_hosts(), fanout);
 }
 
 peer_exchange::datagram
-peer_exchange::loan_message(const std::string& host,
-                            const std::vector<v1::RepeatLoan>& loans) const
+peer_exchange::direct_message(const std::string& host,
+                              v1::PeerMessage message) const
 {
-    v1::PeerMessage message;
     message.set_incarnation(incarnation_);
-    for (const auto& each : loans)
-        *message.add_loans() = each;
     return {host, message.SerializeAsString()};
 }
 
@@ -258,12 +256,12 @@
     if (std::exchange(from->incarnation, message.incarnation()) !=
         message.incarnation())
         from->tables.assign(tables_.size(), table_state());
-    if (message.loans_size() > 0) {
-        const auto grants = loan_handler_ ? loan_handler_(host, message)
-                                          : std::vector<v1::RepeatLoan>();
-        if (grants.empty())
+    if (is_direct(message)) {
+        auto answer =
+            direct_handler_ ? direct_handler_(host, message) : std::nullopt;
+        if (!answer)
             return std::nullopt;
-        return loan_message(host, grants);
+        return direct_message(host, std::move(*answer));
     }
     const bool progress = read_positions(*from, message);
     bool has_changes = false;
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -17,7 +17,6 @@
 namespace cyclamenrun::v1
 {
 class PeerMessage;
-class RepeatLoan;
 } // namespace cyclamenrun::v1
 
 namespace cyclamenrun
@@ -75,17 +74,24 @@
     std::optional<datagram> receive(const std::string& host,
                                     std::string_view bytes, time_point now);
 
-    /** Handles what a gateway asks or grants; returns the grants to it. */
-    using loan_handler = std::function<std::vector<v1::RepeatLoan>(
+    /**
+     * Handles a message without tables, which is for this gateway alone, and
+     * returns the answer to it, if any.
+     */
+    using direct_handler = std::function<std::optional<v1::PeerMessage>(
         const std::string& host, const v1::PeerMessage&)>;
-    void set_loan_handler(loan_handler handler)
+    void set_direct_handler(direct_handler handler)
     {
-        loan_handler_ = std::move(handler);
+        direct_handler_ = std::move(handler);
     }
-    /** Returns the datagrams that ask a few random gateways for loans. */
-    std::vector<datagram>
-    loan_requests(const std::vector<v1::RepeatLoan>& wanted);
+    /** The datagram with a message without tables to one gateway. */
+    datagram direct_message(const std::string& host,
+                            v1::PeerMessage message) const;
 
+    const std::string& own_host() const { return own_host_; }
+    std::vector<std::string> known_hosts() const;
+    /** A few random gateways of those that are known. */
+    std::vector<std::string> random_hosts();
     /** Number of gateways, this one included. */
     std::size_t gateway_count() const { return peers_.size() + 1; }
 
@@ -118,9 +124,6 @@
     void learn_peers(const v1::PeerMessage& message, time_point now);
     /** Returns true if the peer has acknowledged further changes. */
     bool read_positions(peer& from, const v1::PeerMessage& message);
-    std::vector<std::string> known_hosts() const;
-    datagram loan_message(const std::string& host,
-                          const std::vector<v1::RepeatLoan>& loans) const;
     datagram message_to(const std::string& host, bool reply_wanted,
                         time_point now);
 
@@ -130,7 +133,7 @@
     std::uint64_t incarnation_;
     std::mt19937_64& random_;
     clock_function awake_clock_;
-    loan_handler loan_handler_;
+    direct_handler direct_handler_;
     std::map<std::string, peer> peers_; ///< by host
     time_point next_probe_{};
     std::uint64_t probes_ = 0;
--- a/src/libcyclamenrun/gateway/peer_link.cpp
+++ b/src/libcyclamenrun/gateway/peer_link.cpp
@@ -30,24 +30,16 @@
     send_due();
 }
 
-void peer_link::set_loans(repeat_loans* loans)
+void peer_link::send(const std::string& host, v1::PeerMessage message)
 {
-    loans_ = loans;
-    exchange_.set_loan_handler(
-        [loans](const std::string& host, const v1::PeerMessage& message) {
-            return loans->handle(host, message, boot_now());
-        });
+    const auto sent = exchange_.direct_message(host, std::move(message));
+    socket_->send({sent.host, port_}, sent.bytes);
 }
 
-void peer_link::request_loans()
+void peer_link::send_to_some(const v1::PeerMessage& message)
 {
-    if (loans_ == nullptr)
-        return;
-    const auto wanted = loans_->requests(boot_now());
-    if (wanted.empty())
-        return;
-    for (const auto& each : exchange_.loan_requests(wanted))
-        socket_->send({each.host, port_}, each.bytes);
+    for (const auto& host : exchange_.random_hosts())
+        send(host, message);
 }
 
 void peer_link::push_changes()
--- a/src/libcyclamenrun/gateway/peer_link.hpp
+++ b/src/libcyclamenrun/gateway/peer_link.hpp
@@ -3,7 +3,6 @@
 
 #include "datagram_socket.hpp"
 #include "peer_exchange.hpp"
-#include "repeat_loans.hpp"
 
 #include <memory>
 #include <random>
@@ -26,11 +25,21 @@
               std::vector<std::string> seeds, std::vector<peer_table> tables,
               std::uint64_t seed);
 
-    /** To be called before start(). `loans` must outlive this link. */
-    void set_loans(repeat_loans* loans);
+    /** See peer_exchange; to be called before start(). */
+    void set_direct_handler(peer_exchange::direct_handler handler)
+    {
+        exchange_.set_direct_handler(std::move(handler));
+    }
     void start();
-    /** Asks other gateways for what the retry budget lacks. */
-    void request_loans();
+    /** Sends a message without tables to one gateway. */
+    void send(const std::string& host, v1::PeerMessage message);
+    /** Sends it to a few random gateways. */
+    void send_to_some(const v1::PeerMessage& message);
+    const std::string& own_host() const { return exchange_.own_host(); }
+    std::vector<std::string> known_hosts() const
+    {
+        return exchange_.known_hosts();
+    }
     /** Sends what changed in the tables; to be called after each change. */
     void push_changes();
     std::size_t gateway_count() const { return exchange_.gateway_count(); }
@@ -45,7 +54,6 @@
     std::mt19937_64 random_;
     peer_exchange exchange_;
     std::shared_ptr<datagram_socket> socket_;
-    repeat_loans* loans_ = nullptr;
     /** Latest timer; an earlier one that is still pending does nothing. */
     time_point timer_at_{};
 };
--- a/src/libcyclamenrun/gateway/repeat_loans.cpp
+++ b/src/libcyclamenrun/gateway/repeat_loans.cpp
@@ -18,36 +18,37 @@
 
 } // namespace
 
-std::vector<v1::RepeatLoan> repeat_loans::requests(boot_time now)
+std::optional<v1::PeerMessage> repeat_loans::request(boot_time now)
 {
-    std::vector<v1::RepeatLoan> wanted;
+    v1::PeerMessage wanted;
     if (now < next_round_)
-        return wanted;
+        return std::nullopt;
     std::erase_if(rounds_, [now](const auto& entry) {
         return now - entry.second.requested_at >= loan_time;
     });
     for (const auto& service : budget_.short_services(now)) {
-        if (wanted.size() == max_loans)
+        if (wanted.loans_size() == max_loans)
             break;
         // Several gateways are asked, and some have nothing to lend.
         const double asked = std::max(1U, budget_.shortage(service, now)) / 2.0;
         const auto number = random_();
         rounds_[number] = {service, asked, now, {}};
-        auto& loan = wanted.emplace_back();
+        auto& loan = *wanted.add_loans();
         loan.set_service(service);
         loan.set_amount(asked);
         loan.set_number(number);
     }
-    if (!wanted.empty())
-        next_round_ = now + round_interval;
+    if (wanted.loans_size() == 0)
+        return std::nullopt;
+    next_round_ = now + round_interval;
     return wanted;
 }
 
-std::vector<v1::RepeatLoan> repeat_loans::handle(const std::string& host,
-                                                 const v1::PeerMessage& message,
-                                                 boot_time now)
+std::optional<v1::PeerMessage>
+repeat_loans::handle(const std::string& host, const v1::PeerMessage& message,
+                     boot_time now)
 {
-    std::vector<v1::RepeatLoan> grants;
+    v1::PeerMessage grants;
     const int count = std::min(message.loans_size(), max_loans);
     for (int i = 0; i < count; ++i) {
         const auto& loan = message.loans(i);
@@ -60,10 +61,13 @@
         const double lent = budget_.lend(loan.service(), loan.amount(), now);
         if (lent <= 0)
             continue;
-        auto& grant = grants.emplace_back(loan);
+        auto& grant = *grants.add_loans();
+        grant = loan;
         grant.set_granted(true);
         grant.set_amount(lent);
     }
+    if (grants.loans_size() == 0)
+        return std::nullopt;
     return grants;
 }
 
--- a/src/libcyclamenrun/gateway/repeat_loans.hpp
+++ b/src/libcyclamenrun/gateway/repeat_loans.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -32,11 +33,11 @@
     }
 
     /** What to ask of each of a few gateways now; empty: nothing. */
-    std::vector<v1::RepeatLoan> requests(boot_time now);
+    std::optional<v1::PeerMessage> request(boot_time now);
     /** Handles a gateway's requests and grants; returns the grants to it. */
-    std::vector<v1::RepeatLoan> handle(const std::string& host,
-                                       const v1::PeerMessage& message,
-                                       boot_time now);
+    std::optional<v1::PeerMessage> handle(const std::string& host,
+                                          const v1::PeerMessage& message,
+                                          boot_time now);
 
 private:
     struct round {
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -106,8 +106,8 @@
                                           urgent ? repeat_urgency::urgent
                                                  : repeat_urgency::deferrable,
                                           boot_now());
-    if (!reserved && context_.peers)
-        context_.peers->request_loans();
+    if (!reserved)
+        context_.request_loans();
     return reserved;
 }
 
--- a/tests/gateway/test_repeat_loans.cpp
+++ b/tests/gateway/test_repeat_loans.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <gtest/gtest.h>
 #include <memory>
+#include <optional>
 
 namespace cyclamenrun::testing_support
 {
@@ -36,26 +37,20 @@
         auto& budget = gateways[i]->budget;
         if (budget.try_reserve("s", repeat_urgency::urgent, at(ms)))
             return budget.spend("s", at(ms));
-        const auto wanted = gateways[i]->loans.requests(at(ms));
-        for (int asked = 0; asked < 3 && !wanted.empty(); ++asked) {
+        const auto wanted = gateways[i]->loans.request(at(ms));
+        for (int asked = 0; asked < 3 && wanted; ++asked) {
             const auto other = random() % gateways.size();
             if (other == i)
                 continue;
             const auto grants =
-                gateways[other]->loans.handle(name(i), message(wanted), at(ms));
-            gateways[i]->loans.handle(name(other), message(grants), at(ms + 2));
+                gateways[other]->loans.handle(name(i), *wanted, at(ms));
+            if (grants)
+                (void)gateways[i]->loans.handle(name(other), *grants,
+                                                at(ms + 2));
         }
         return false;
     }
 
-    static v1::PeerMessage message(const std::vector<v1::RepeatLoan>& loans)
-    {
-        v1::PeerMessage result;
-        for (const auto& each : loans)
-            *result.add_loans() = each;
-        return result;
-    }
-
     static std::string name(std::size_t i) { return "g" + std::to_string(i); }
 
     struct gateway {
@@ -109,50 +104,54 @@
     {
         EXPECT_FALSE(fleet.gateways[0]->budget.try_reserve(
             "s", repeat_urgency::urgent, at(0)));
-        wanted = fleet.gateways[0]->loans.requests(at(0));
+        wanted = fleet.gateways[0]->loans.request(at(0));
+    }
+
+    /** A grant of what was asked for. */
+    v1::RepeatLoan grant() const
+    {
+        auto result = wanted.value().loans(0);
+        result.set_granted(true);
+        return result;
     }
 
     double left() { return fleet.gateways[0]->budget.remaining("s", at(20)); }
-    void receive(const std::vector<v1::RepeatLoan>& loans,
-                 const std::string& from)
+    void receive(const v1::RepeatLoan& loan, const std::string& from)
     {
-        fleet.gateways[0]->loans.handle(from, lending_fleet::message(loans),
-                                        at(10));
+        v1::PeerMessage message;
+        *message.add_loans() = loan;
+        EXPECT_FALSE(fleet.gateways[0]->loans.handle(from, message, at(10)));
     }
 
     lending_fleet fleet{2, 0};
-    std::vector<v1::RepeatLoan> wanted;
+    std::optional<v1::PeerMessage> wanted;
 };
 
 // Guards against a repeated datagram that lends twice.
 TEST_F(a_loan, counts_once_for_each_lender)
 {
-    ASSERT_EQ(wanted.size(), 1U);
-    auto grant = wanted.front();
-    grant.set_granted(true);
-    receive({grant}, "g1");
+    receive(grant(), "g1");
     EXPECT_DOUBLE_EQ(left(), 0.5);
-    receive({grant}, "g1");
+    receive(grant(), "g1");
     EXPECT_DOUBLE_EQ(left(), 0.5);
-    receive({grant}, "g2");
+    receive(grant(), "g2");
     EXPECT_DOUBLE_EQ(left(), 1);
 }
 
 // Guards against grants that nobody asked for, or that are larger.
 TEST_F(a_loan, is_at_most_what_was_asked_for)
 {
-    ASSERT_EQ(wanted.size(), 1U);
-    auto grant = wanted.front();
-    grant.set_granted(true);
-    grant.set_amount(1000);
-    receive({grant}, "g1");
+    auto larger = grant();
+    larger.set_amount(1000);
+    receive(larger, "g1");
     EXPECT_DOUBLE_EQ(left(), 0.5);
-    grant.set_number(grant.number() + 1);
-    receive({grant}, "g2");
+    auto unasked = grant();
+    unasked.set_number(unasked.number() + 1);
+    receive(unasked, "g2");
     EXPECT_DOUBLE_EQ(left(), 0.5);
-    grant.set_number(grant.number() - 1);
-    grant.set_service("t");
-    receive({grant}, "g3");
+    auto of_another = grant();
+    of_another.set_service("t");
+    receive(of_another, "g3");
     EXPECT_DOUBLE_EQ(left(), 0.5);
 }
 
@@ -162,9 +161,8 @@
     fleet.gateways[1]->budget.borrow("s", 0.9, at(0), at(0));
     EXPECT_FALSE(fleet.gateways[1]->budget.try_reserve(
         "s", repeat_urgency::urgent, at(0)));
-    EXPECT_TRUE(fleet.gateways[1]
-                    ->loans.handle("g0", lending_fleet::message(wanted), at(1))
-                    .empty());
+    ASSERT_TRUE(wanted);
+    EXPECT_FALSE(fleet.gateways[1]->loans.handle("g0", *wanted, at(1)));
 }
 
 } // namespace
