Give the programs of tests a retry budget from the start

request_explanation.shows_which_upstreams_a_poison_request_crashed failed with the budget of: its gateway has just started, so its budget is empty, the request is not sent to a second upstream and no poison is seen, which is what callers get then. The settings of these programs now have a budget that fills at once, as the fixture of gateways has. The check is unchanged.

--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -57,6 +57,8 @@
            store.address() +
            "\"\nconfiguration_lease_ms = 1600\n"
            "configuration_wait_ms = 200\nupstream_pause_ms = 20\n"
+           // A process starts with an empty budget, which fills at once.
+           "[retries]\nextra = 1000000\n"
            "[stop]\ngrace_s = 5\nbalancer_wait_ms = 50\n";
 }
 
