Continue a stream at the software version of its first event only

Callers got streams whose events come from two versions of an engine's software, in one answer or over their tries, while a release was under way.

Cause: nothing read versions. Destinations of moves, engines of backups and upstreams of resumed streams were chosen by load and place, and a caller's Resumes was not read.

Change: the version is one fact of a request, fixed when its first event is relayed. All that chooses an upstream is limited by it, copies by the version of their source, and exchange::send checks it once more. A gateway tells three others, by a hash of the request's id, where a resumable stream began; one at which a caller resumes it asks them. Unknown while several may serve, or gone: refused or cut at once, with 503 and a Retry-After before the first event.

go_on_at_a_gateway_that_has_restarted now waits until that gateway has found the others, at most 3 s as for all that gateways learn: before, it has nobody to ask and refuses, which is what it should do.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -89,22 +89,28 @@
                                                 search_hooks());
     continuation_ = std::make_unique<generation_continuation>(
         context_, served_, conclusion_, continuation_hooks());
-    dispatch();
+    if (resumes_stream())
+        find_origin();
+    else
+        dispatch();
 }
 
 // Choice of an upstream.
 
+void exchange::set_service(const std::string& service)
+{
+    served_.service = service;
+    served_.profile.set_service(service);
+    context_.budget.record_request(service, boot_now());
+}
+
 void exchange::dispatch()
 {
     if (!may_send())
         return;
-    if (served_.service.empty()) {
-        served_.service =
-            choose_service(*served_.admitted.route, context_.random);
-        served_.profile.set_service(served_.service);
-        context_.budget.record_request(served_.service, boot_now());
-    }
-    if (conclusion_.refuse_without_room())
+    if (served_.service.empty())
+        set_service(choose_service(*served_.admitted.route, context_.random));
+    if (refuse_without_version() || conclusion_.refuse_without_room())
         return;
     search_->start();
 }
@@ -159,11 +165,14 @@
                     const std::optional<continuation>& resume_from)
 {
     const bool repeats = conclusion_.history().may_have_arrived();
-    if (!conclusion_.draw_send()) {
+    const bool fits = context_.choice.fits(upstream, served_.version,
+                                           context_.reactor->now());
+    if (!fits || !conclusion_.draw_send()) {
         if (search_->uses_monitors())
             context_.monitors->end_start(upstream.address.host,
                                          served_.facts.id);
-        conclusion_.refuse(gateway_refusal::upstreams_busy);
+        conclusion_.refuse(fits ? gateway_refusal::upstreams_busy
+                                : gateway_refusal::version_gone);
         return false;
     }
     upstream_attempt::request outgoing;
@@ -265,6 +274,7 @@
         first_part_at_ = context_.reactor->now();
     if (!progress->relayed)
         return;
+    fix_version();
     conclusion_.recorder().record_late_part(*progress, served_.tried.back(),
                                             conclusion_.answer().events());
     pause_if_caller_is_slow();
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -49,7 +49,21 @@
     upstream_search::hooks search_hooks();
     generation_continuation::hooks continuation_hooks();
 
+    // The software version of the request's stream.
+    /** True if the caller has events of the stream already. */
+    bool resumes_stream() const;
+    /** Finds out where the stream began, then dispatches the request. */
+    void find_origin();
+    void handle_origin(const std::optional<stream_origin>& known);
+    /** The only place where the stream can have begun, if there is one. */
+    std::optional<stream_origin> only_origin() const;
+    /** Fixes the stream's version at its first event. */
+    void fix_version();
+    /** Refuses the request if no other upstream may continue its stream. */
+    bool refuse_without_version();
+
     // Choice of an upstream.
+    void set_service(const std::string& service);
     void dispatch();
     /**
      * Returns whether the request may be sent to an upstream now. Otherwise
--- /dev/null
+++ b/src/libcyclamenrun/gateway/exchange_versions.cpp
@@ -0,0 +1,88 @@
+#include "exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// The software version of a request's stream: what continues a stream must have
+// the version of its first event, in this request or in those that resume it.
+
+namespace cyclamenrun
+{
+
+bool exchange::resumes_stream() const
+{
+    return served_.admitted.route->shape == answer_shape::event_stream &&
+           (served_.facts.last_event_id || !served_.facts.resumes.empty());
+}
+
+void exchange::find_origin()
+{
+    context_.origins.find(
+        served_.facts.resumes, context_.reactor->now(),
+        [weak = weak_from_this()](const std::optional<stream_origin>& known) {
+            const auto self = weak.lock();
+            if (self && !self->conclusion_.over())
+                self->handle_origin(known);
+        });
+}
+
+void exchange::handle_origin(const std::optional<stream_origin>& known)
+{
+    const auto origin = known ? known : only_origin();
+    if (!origin) {
+        conclusion_.refuse(gateway_refusal::version_unknown);
+        return;
+    }
+    const auto& services = served_.admitted.route->services;
+    const bool is_routed =
+        std::any_of(services.begin(), services.end(), [&](const auto& each) {
+            return each.service == origin->service;
+        });
+    if (!is_routed) {
+        conclusion_.refuse(gateway_refusal::version_gone);
+        return;
+    }
+    served_.version = origin->version;
+    set_service(origin->service);
+    dispatch();
+}
+
+std::optional<stream_origin> exchange::only_origin() const
+{
+    const auto& route = *served_.admitted.route;
+    if (route.services.size() != 1)
+        return std::nullopt;
+    // No stream of this route that its caller still resumes is older.
+    const auto& service = route.services.front().service;
+    const auto version = context_.versions.only_version(
+        service, route.timeout, context_.reactor->now());
+    if (!version)
+        return std::nullopt;
+    return stream_origin{service, *version};
+}
+
+void exchange::fix_version()
+{
+    const auto& route = *served_.admitted.route;
+    // A version that was unknown may have been listed since.
+    if (served_.version.value_or("") != "" || !attempt_ ||
+        route.shape != answer_shape::event_stream)
+        return;
+    const auto version = context_.version_of(attempt_->upstream());
+    if (std::exchange(served_.version, version) != version && route.resumable)
+        context_.origins.record(served_.facts.id,
+                                {served_.service, *served_.version},
+                                context_.reactor->now());
+}
+
+bool exchange::refuse_without_version()
+{
+    if (!served_.version ||
+        context_.choice.any_fits(served_.service, served_.tried,
+                                 served_.version, context_.reactor->now()))
+        return false;
+    conclusion_.refuse(gateway_refusal::version_gone);
+    return true;
+}
+
+} // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -20,7 +20,7 @@
       connections(reactor), engine_client_pool(reactor),
       upstreams(std::move(upstream_hooks)), budget(retries, boot_now()),
       lease(lease_term), random(seed), limits(random), loans(budget, random),
-      choice(upstreams, limits, notices, random), poison(random)
+      choice(upstreams, limits, notices, versions, random), poison(random)
 {
     poison_guard::hooks on;
     on.changed = [this] {
@@ -102,9 +102,22 @@
 gateway_context::handle_direct(const std::string& host,
                                const v1::PeerMessage& message)
 {
+    if (message.origins_size() > 0)
+        return origins.handle(host, message, reactor->now());
     return loans.handle(host, message, boot_now());
 }
 
+std::string gateway_context::version_of(const upstream_record& upstream) const
+{
+    if (!upstream.version.empty())
+        return upstream.version;
+    // The directory may have listed it since.
+    const auto* state = upstreams.find(upstream.id);
+    return state != nullptr && state->record.address == upstream.address
+               ? state->record.version
+               : std::string();
+}
+
 std::vector<peer_table> gateway_context::shared_tables()
 {
     return {poison.table(),
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -16,6 +16,7 @@
 #include "response_time.hpp"
 #include "shared_limits.hpp"
 #include "shared_retry_budget.hpp"
+#include "stream_origins.hpp"
 #include "upstream_choice.hpp"
 #include "upstream_connections.hpp"
 #include "upstream_limits.hpp"
@@ -69,6 +70,8 @@
     /** Answers a message of another gateway that has no tables. */
     std::optional<v1::PeerMessage>
     handle_direct(const std::string& host, const v1::PeerMessage& message);
+    /** Software version of an upstream's process; empty: unknown. */
+    std::string version_of(const upstream_record& upstream) const;
     /** Tables that this gateway shares with the others. */
     std::vector<peer_table> shared_tables();
     /** Marks a request that an upstream had when it crashed. */
@@ -95,6 +98,8 @@
     upstream_limits limits;
     upstream_notices notices;
     repeat_loans loans;
+    service_versions versions;
+    stream_origins origins;
     upstream_choice choice;
     poison_guard poison;
     std::shared_ptr<crash_detector> crashes;
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -41,6 +41,12 @@
         "share."},
     gateway_refusal_row{upstreams_resting, "upstreams_resting", 503, true,
                         "All upstreams have asked this gateway for rest."},
+    gateway_refusal_row{version_unknown, "version_unknown", 503, true,
+                        "Several software versions may serve, and which one "
+                        "began the stream is unknown."},
+    gateway_refusal_row{version_gone, "version_gone", 503, true,
+                        "No other upstream of the software version that began "
+                        "the stream takes work."},
     gateway_refusal_row{
         gateway_refusal::poison, "poison", 503, true,
         "Upstreams have crashed while they ran a request with this work."},
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -21,11 +21,13 @@
     share_spent,    ///< engines are full; its team has used its fair share
     over_limit,     ///< its share of the upstreams' limits is used
     upstreams_resting, ///< all upstreams have asked for rest
-    poison,            ///< upstreams have crashed while they ran it
-    expired_unsent,    ///< its deadline passed, and it has not run
-    expired,           ///< its deadline passed at an upstream
-    stopping,          ///< this process exits before the answer would end
-    upstream_lost,     ///< may have run, and its response is lost
+    version_unknown, ///< several versions may serve; which began it is unknown
+    version_gone,    ///< no other upstream of its version takes work
+    poison,          ///< upstreams have crashed while they ran it
+    expired_unsent,  ///< its deadline passed, and it has not run
+    expired,         ///< its deadline passed at an upstream
+    stopping,        ///< this process exits before the answer would end
+    upstream_lost,   ///< may have run, and its response is lost
 };
 
 struct gateway_refusal_row {
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -33,6 +33,7 @@
     auto request =
         served_.profile.make_placement_request(source.failure_domain);
     request.gateways = context_.monitored_gateways;
+    request.version = context_.version_of(source);
     return request;
 }
 
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -40,7 +40,7 @@
 
 bool is_direct(const v1::PeerMessage& message)
 {
-    return message.loans_size() > 0;
+    return message.loans_size() > 0 || message.origins_size() > 0;
 }
 
 } // namespace
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -87,10 +87,11 @@
     if (step != attempt_step::again && step != attempt_step::again_free)
         return step;
     // A trial shows after one loss that the request is poison.
-    const bool can_retry = step == attempt_step::again_free ||
-                           (!on_trial && !context_.choice.first_with_room(
-                                             served_.service, served_.tried,
-                                             context_.reactor->now()));
+    const bool can_retry =
+        step == attempt_step::again_free ||
+        (!on_trial && !context_.choice.first_with_room(
+                          served_.service, served_.tried, served_.version,
+                          context_.reactor->now()));
     return can_retry && reserve_repeat() ? step : step_without_retry(result);
 }
 
@@ -209,8 +210,8 @@
     if (refusal == gateway_refusal::poison && time_to_room)
         return jitter_retry_delay(*time_to_room, context_.random);
     // Whatever the reason, a caller that returns earlier is refused again.
-    const auto next = context_.choice.first_with_room(served_.service, {},
-                                                      context_.reactor->now());
+    const auto next = context_.choice.first_with_room(
+        served_.service, {}, served_.version, context_.reactor->now());
     if (next && next->rests)
         return spread_retry_delay(next->wait, context_.random);
     return served_.profile.retry_after(time_to_room, context_.random);
@@ -219,8 +220,8 @@
 bool request_conclusion::refuse_without_room()
 {
     const auto now = context_.reactor->now();
-    const auto first =
-        context_.choice.first_with_room(served_.service, served_.tried, now);
+    const auto first = context_.choice.first_with_room(
+        served_.service, served_.tried, served_.version, now);
     if (!first)
         return false;
     // Only a request that may return takes a share of a limit.
@@ -231,7 +232,8 @@
     if (first->rests) {
         // Those that were tried may have no room either, and not rest.
         const bool all_rest =
-            context_.choice.first_with_room(served_.service, {}, now)
+            context_.choice
+                .first_with_room(served_.service, {}, served_.version, now)
                 .has_value();
         refuse(all_rest ? gateway_refusal::upstreams_resting
                         : gateway_refusal::upstreams_busy);
--- a/src/libcyclamenrun/gateway/request_facts.hpp
+++ b/src/libcyclamenrun/gateway/request_facts.hpp
@@ -30,6 +30,8 @@
     /** The caller's estimate, often inaccurate. */
     std::optional<std::uint32_t> expected_output_tokens;
     std::vector<prompt_part> prompt_parts;
+    /** Request that brought the first event of the stream that it resumes. */
+    std::string resumes;
     /** Last event that the caller has, if it resumes a stream. */
     std::optional<std::uint64_t> last_event_id;
 };
--- a/src/libcyclamenrun/gateway/served_request.hpp
+++ b/src/libcyclamenrun/gateway/served_request.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,11 @@
     admitted_request admitted = {};
     request_profile profile = {};
     std::string service = {}; ///< empty until one is picked
+    /**
+     * Software version of the stream, fixed by its first event, which an
+     * earlier request of the caller may have brought; empty until then.
+     */
+    std::optional<std::string> version = {};
     /** Ids of the upstreams that it was sent to; the last is the latest. */
     std::vector<std::string> tried = {};
 };
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -50,19 +50,43 @@
 
 } // namespace
 
-std::vector<const upstream_state*>
-upstream_choice::candidates(const std::string& service,
-                            const std::vector<std::string>& excluded,
-                            time_point now) const
+std::vector<const upstream_state*> upstream_choice::candidates(
+    const std::string& service, const std::vector<std::string>& excluded,
+    const std::optional<std::string>& version, time_point now) const
 {
     auto all = upstreams_.available(service);
     std::erase_if(all, [&](const upstream_state* upstream) {
         return contains(excluded, upstream->record.id) ||
-               !is_usable(upstream->record.id, now);
+               !is_usable(upstream->record.id, now) ||
+               !fits(upstream->record, version, now);
     });
     return all;
 }
 
+bool upstream_choice::fits(const upstream_record& upstream,
+                           const std::optional<std::string>& version,
+                           time_point now) const
+{
+    if (!version)
+        return true;
+    // Two upstreams that name no version may have different ones, unless the
+    // service has no versions at all.
+    return upstream.version == *version &&
+           (!version->empty() || versions_.names_none(upstream.service, now));
+}
+
+bool upstream_choice::any_fits(const std::string& service,
+                               const std::vector<std::string>& excluded,
+                               const std::optional<std::string>& version,
+                               time_point now) const
+{
+    const auto all = upstreams_.available(service);
+    return std::any_of(all.begin(), all.end(), [&](const auto* upstream) {
+        return !contains(excluded, upstream->record.id) &&
+               fits(upstream->record, version, now);
+    });
+}
+
 bool upstream_choice::is_usable(const std::string& id, time_point now) const
 {
     const auto* state = upstreams_.find(id);
@@ -70,15 +94,14 @@
            limits_.has_room(id, now) && !notices_.is_resting(id, now);
 }
 
-std::optional<next_room>
-upstream_choice::first_with_room(const std::string& service,
-                                 const std::vector<std::string>& excluded,
-                                 time_point now) const
+std::optional<next_room> upstream_choice::first_with_room(
+    const std::string& service, const std::vector<std::string>& excluded,
+    const std::optional<std::string>& version, time_point now) const
 {
     std::optional<next_room> first;
     for (const auto* upstream : upstreams_.available(service)) {
         const auto& id = upstream->record.id;
-        if (contains(excluded, id))
+        if (contains(excluded, id) || !fits(upstream->record, version, now))
             continue;
         const auto to_room = limits_.time_to_room(id, now);
         const auto to_rest_end = notices_.rest_left(id, now);
@@ -122,7 +145,8 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
-    return choose(candidates(service, excluded, now), request, {}, now);
+    return choose(candidates(service, excluded, request.version, now), request,
+                  {}, now);
 }
 
 std::optional<placed_upstream>
@@ -133,7 +157,8 @@
     std::vector<const upstream_state*> known;
     for (const auto& engine : engines) {
         const auto* state = upstreams_.find(engine.id);
-        if (is_usable(engine.id, now) && has_fresh_load(*state, now))
+        if (is_usable(engine.id, now) && has_fresh_load(*state, now) &&
+            fits(state->record, request.version, now))
             known.push_back(state);
     }
     return choose(known, request, {}, now);
@@ -143,16 +168,16 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
 {
-    return draw(candidates(service, excluded, now), request, {},
-                start_request_width, count, now);
+    return draw(candidates(service, excluded, request.version, now), request,
+                {}, start_request_width, count, now);
 }
 
 std::vector<upstream_record> upstream_choice::copy_candidates(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
 {
-    return draw(candidates(service, excluded, now), request, copy_weights,
-                copy_request_width, count, now);
+    return draw(candidates(service, excluded, request.version, now), request,
+                copy_weights, copy_request_width, count, now);
 }
 
 std::vector<upstream_record>
@@ -215,8 +240,8 @@
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, time_point now)
 {
-    return choose(candidates(service, excluded, now), request, copy_weights,
-                  now);
+    return choose(candidates(service, excluded, request.version, now), request,
+                  copy_weights, now);
 }
 
 std::optional<upstream_record>
@@ -226,7 +251,7 @@
 {
     double least = backup_below_memory;
     std::optional<upstream_record> backup;
-    auto others = candidates(service, {running_at}, now);
+    auto others = candidates(service, {running_at}, request.version, now);
     const auto known = std::stable_partition(
         others.begin(), others.end(), [&](const upstream_state* other) {
             return has_fresh_load(*other, now);
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_UPSTREAM_CHOICE_HPP
 
 #include "gateway_configuration.hpp"
+#include "service_versions.hpp"
 #include "upstream_limits.hpp"
 #include "upstream_notices.hpp"
 #include "upstream_registry.hpp"
@@ -44,9 +45,10 @@
      */
     upstream_choice(const upstream_registry& upstreams,
                     const upstream_limits& limits,
-                    const upstream_notices& notices, std::mt19937_64& random)
+                    const upstream_notices& notices,
+                    const service_versions& versions, std::mt19937_64& random)
         : upstreams_(upstreams), limits_(limits), notices_(notices),
-          random_(random)
+          versions_(versions), random_(random)
     {
     }
 
@@ -54,13 +56,24 @@
     bool is_usable(const std::string& id, time_point now) const;
 
     /**
-     * Returns the upstream that takes a request first if all rest or are at
-     * their limit; empty if one takes it now, or there is none.
+     * Whether the upstream may run what needs this software version; see
+     * placement_request.
      */
-    std::optional<next_room>
-    first_with_room(const std::string& service,
-                    const std::vector<std::string>& excluded,
-                    time_point now) const;
+    bool fits(const upstream_record& upstream,
+              const std::optional<std::string>& version, time_point now) const;
+    /** Whether any other upstream may, now or when it has room. */
+    bool any_fits(const std::string& service,
+                  const std::vector<std::string>& excluded,
+                  const std::optional<std::string>& version,
+                  time_point now) const;
+
+    /**
+     * Returns the upstream that takes a request first if all that fit rest or
+     * are at their limit; empty if one takes it now, or there is none.
+     */
+    std::optional<next_room> first_with_room(
+        const std::string& service, const std::vector<std::string>& excluded,
+        const std::optional<std::string>& version, time_point now) const;
 
     /** Upstream for a new request; empty if none is usable and reachable. */
     std::optional<placed_upstream>
@@ -119,7 +132,8 @@
 private:
     std::vector<const upstream_state*>
     candidates(const std::string& service,
-               const std::vector<std::string>& excluded, time_point now) const;
+               const std::vector<std::string>& excluded,
+               const std::optional<std::string>& version, time_point now) const;
     /**
      * Draws up to `count` engines at random, favouring a low cost. `width`: of
      * the random spread, in units of cost.
@@ -136,6 +150,7 @@
     const upstream_registry& upstreams_;
     const upstream_limits& limits_;
     const upstream_notices& notices_;
+    const service_versions& versions_;
     std::mt19937_64& random_;
 };
 
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -176,6 +176,8 @@
         erase(record.id);
     }
     removed_ids_.erase(record.id);
+    if (on_.listed)
+        on_.listed(record);
     auto& upstream = upstreams_[record.id];
     upstream.record = record;
     upstream.monitor_only_until.reset();
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -103,6 +103,8 @@
         std::function<void(const std::string& id)> replaced;
         /** Whether the upstream has said that it leaves; may be empty. */
         std::function<bool(const std::string& id)> has_said_leaving;
+        /** Called for each record that the directory lists; may be empty. */
+        std::function<void(const upstream_record&)> listed = {};
     };
 
     explicit upstream_registry(hooks on) : on_(std::move(on)) {}
@@ -185,6 +187,13 @@
      */
     std::set<std::string> hosts_in_use(const std::string& service) const;
     std::size_t size() const { return upstreams_.size(); }
+    /** Calls a function with the record of each upstream that may still run. */
+    template <typename Call>
+    void for_each(Call call) const
+    {
+        for (const auto& [id, state] : upstreams_)
+            call(state.record);
+    }
     std::set<std::string> services() const;
     service_totals totals(const std::string& service, time_point now) const;
 
@@ -229,6 +238,11 @@
     std::uint64_t engine_memory_tokens = 0;
     std::string from_domain; ///< failure domain of the prompt or memory
     unsigned gateways = 1;   ///< number that send to the same upstreams
+    /**
+     * Software version that may run it; empty: any. An empty text stands for
+     * upstreams that name none.
+     */
+    std::optional<std::string> version;
 };
 
 /**
--- a/src/libcyclamenrun/gateway/upstream_search.cpp
+++ b/src/libcyclamenrun/gateway/upstream_search.cpp
@@ -65,6 +65,7 @@
     auto request =
         served_.profile.make_placement_request(context_.failure_domain);
     request.gateways = context_.monitored_gateways;
+    request.version = served_.version;
     return request;
 }
 
@@ -121,7 +122,9 @@
     // Other requests may have used the room at the engine's limit meanwhile, or
     // have learnt that it rests.
     const bool usable =
-        context_.choice.is_usable(upstream.id, context_.reactor->now());
+        context_.choice.is_usable(upstream.id, context_.reactor->now()) &&
+        context_.choice.fits(upstream, served_.version,
+                             context_.reactor->now());
     if (usable && on_.may_send()) {
         on_.found(upstream);
         return;
--- a/tests/gateway/test_resumed_streams.cpp
+++ b/tests/gateway/test_resumed_streams.cpp
@@ -73,6 +73,8 @@
     begin(5);
     for (std::size_t i = 0; i < size(); ++i) {
         restart(i);
+        // Until it has found others it can ask nobody.
+        ASSERT_TRUE(all_learn("\"peers\":" + std::to_string(size() - 1) + ","));
         expect_whole(resume_at(i));
     }
 }
