Reserve before an attempt is given up, and forget old refusals

Found by reading the change; callers have not been seen to meet it.

- An attempt without a response was dropped once the budget had something left, and the retry could then be refused for generations that go first: the caller lost a request that might still have been answered.
The repeat is reserved before.
- After 256 refusals of urgent repeats no further one was noted, so that retries took precedence over generations for good.
Old refusals are removed; a test has a thousand.
- A generation that no engine of its version can take asks for no copy turn, which others wait for.
- A count of gateways that nobody read is gone, and a table that is cleared says plainly that its buckets begin anew.

--- a/src/libcyclamenrun/decisions/shared_retry_budget.cpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.cpp
@@ -80,14 +80,13 @@
 {
     auto found = buckets_.find(service);
     if (found == buckets_.end()) {
-        // A bucket that is forgotten starts empty, as after a restart.
-        const bool forgets = buckets_.size() >= max_services;
-        if (forgets)
+        // Forgotten buckets are empty, as those of a new process are.
+        if (buckets_.size() >= max_services) {
             buckets_.clear();
-        found = buckets_.try_emplace(service).first;
-        found->second.refilled_at = forgets ? now : started_;
-        if (forgets)
             started_ = now;
+        }
+        found = buckets_.try_emplace(service).first;
+        found->second.refilled_at = started_;
     }
     refill(found->second, now);
     return found->second;
@@ -131,6 +130,8 @@
         ++from.reserved;
         return true;
     }
+    std::erase_if(from.refusals,
+                  [now](boot_time at) { return now - at >= shortage_time; });
     if (urgent && from.refusals.size() < max_entries)
         from.refusals.push_back(now);
     return false;
--- a/src/libcyclamenrun/decisions/shared_retry_budget.hpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.hpp
@@ -53,8 +53,6 @@
     {
     }
 
-    /** Number of gateways as last set; 8 until then. */
-    unsigned gateway_count() const { return gateway_count_; }
     /**
      * Sets the number of gateways that share the budget. The largest number of
      * the last minutes divides it, since a gateway that is cut off forgets
@@ -107,8 +105,8 @@
     static double available(const bucket& counted);
 
     retry_budget_settings settings_;
-    boot_time started_;
-    unsigned gateway_count_ = 8;
+    boot_time started_; ///< when all buckets were empty
+    unsigned gateway_count_ = 1;
     unsigned largest_count_ = 0;
     boot_time largest_until_;
     std::unordered_map<std::string, bucket> buckets_;
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -444,8 +444,7 @@
     const bool has_time =
         now + served_.admitted.route->objective < served_.admitted.deadline;
     if (conclusion_.over() || !awaits_response() || queues || !has_time ||
-        context_.budget.remaining(served_.service, boot_now()) < 1 ||
-        !search_->has_alternative())
+        !search_->has_alternative() || !conclusion_.reserve_repeat())
         return;
     context_.upstreams.record_failure(id, now);
     drop_attempt();
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -72,8 +72,9 @@
      */
     bool may_send();
     /**
-     * Sends the request, or ends it if the budget does not allow the repeat.
-     * Returns false if it ended, which may destroy this object.
+     * Sends the request, or ends it if the budget does not allow the repeat or
+     * the upstream's version does not fit. Returns false if it ended, which may
+     * destroy this object.
      */
     bool send(const upstream_record& upstream,
               const std::optional<continuation>& resume_from);
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -46,6 +46,11 @@
     if (!conclusion_.answer().begun() || traits == nullptr || !traits->moves ||
         !served_.profile.outlives(leaves_at, context_.reactor->now()))
         return;
+    // Looked at again at the next event.
+    if (!context_.choice.any_fits(served_.service, {engine.id},
+                                  context_.version_of(engine),
+                                  context_.reactor->now()))
+        return;
     if (!mover_)
         mover_ = make_mover();
     mover_->source_leaving(engine);
--- a/tests/decisions/test_gateway_decisions.cpp
+++ b/tests/decisions/test_gateway_decisions.cpp
@@ -185,6 +185,20 @@
     EXPECT_TRUE(try_repeat(budget, 100, repeat_urgency::urgent));
 }
 
+// Guards against a shortage that is not seen after many others.
+TEST(shared_retry_budget, forgets_refusals)
+{
+    retry_budget_settings settings;
+    settings.extra = 0;
+    shared_retry_budget budget(settings, boot_at(0));
+    for (int i = 0; i < 1000; ++i)
+        EXPECT_FALSE(try_repeat(budget, 0, repeat_urgency::urgent));
+    EXPECT_GT(budget.shortage("s", boot_at(0)), 0U);
+    EXPECT_EQ(budget.shortage("s", boot_at(1000)), 0U);
+    EXPECT_FALSE(try_repeat(budget, 1000, repeat_urgency::urgent));
+    EXPECT_EQ(budget.shortage("s", boot_at(1000)), 1U);
+}
+
 // Guards against a loan that is spent after the lender has earned again.
 TEST(shared_retry_budget, loans_expire)
 {
