--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -97,13 +97,6 @@
 
 // Choice of an upstream.
 
-void exchange::set_service(const std::string& service)
-{
-    served_.service = service;
-    served_.profile.set_service(service);
-    context_.budget.record_request(service, boot_now());
-}
-
 void exchange::dispatch()
 {
     if (!may_send())
@@ -214,11 +207,6 @@
     return true;
 }
 
-std::uint64_t exchange::memory_tokens() const
-{
-    return conclusion_.answer().begun() ? continuation_->memory_tokens() : 0;
-}
-
 void exchange::release_attempt()
 {
     if (attempt_) {
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -43,7 +43,11 @@
 
     const std::string& id() const { return served_.facts.id; }
     /** Memory of its generation at its engine; 0 before its first event. */
-    std::uint64_t memory_tokens() const;
+    std::uint64_t memory_tokens() const
+    {
+        return conclusion_.answer().begun() ? continuation_->memory_tokens()
+                                            : 0;
+    }
 
 private:
     upstream_search::hooks search_hooks();
--- a/src/libcyclamenrun/gateway/exchange_versions.cpp
+++ b/src/libcyclamenrun/gateway/exchange_versions.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-// The software version of a request's stream: what continues a stream must have
-// the version of its first event, in this request or in those that resume it.
+// The service and the software version of a request: what continues a stream
+// must have those of its first event, in this request or in those that resume
+// it.
 
 namespace cyclamenrun
 {
@@ -15,6 +16,13 @@
            (served_.facts.last_event_id || !served_.facts.resumes.empty());
 }
 
+void exchange::set_service(const std::string& service)
+{
+    served_.service = service;
+    served_.profile.set_service(service);
+    context_.budget.record_request(service, boot_now());
+}
+
 void exchange::find_origin()
 {
     context_.origins.find(
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -10,6 +10,14 @@
 namespace cyclamenrun
 {
 
+namespace
+{
+
+/** Versions of upstreams are remembered by the second. */
+constexpr milliseconds version_record_interval{1000};
+
+} // namespace
+
 gateway_context::gateway_context(
     std::shared_ptr<link_reactor> shared_reactor,
     std::shared_ptr<const gateway_dialect> wire_dialect,
@@ -107,6 +115,38 @@
     return loans.handle(host, message, boot_now());
 }
 
+void gateway_context::share_origins(std::vector<std::string> seeds)
+{
+    stream_origins::hooks on;
+    on.own_host = [this] { return peers->own_host(); };
+    on.hosts = [this, seeds = std::move(seeds)] {
+        auto hosts = peers->known_hosts();
+        for (const auto& seed : seeds)
+            if (seed != peers->own_host() &&
+                std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
+                hosts.push_back(seed);
+        return hosts;
+    };
+    on.send = [this](const std::string& host, v1::PeerMessage message) {
+        peers->send(host, std::move(message));
+    };
+    on.post_after = [this](milliseconds time, std::function<void()> call) {
+        reactor->post_timeout(reactor->awake_now() + time, std::move(call));
+    };
+    origins.set_hooks(std::move(on));
+}
+
+void gateway_context::record_versions()
+{
+    const auto now = reactor->now();
+    if (now < next_version_record)
+        return;
+    next_version_record = now + version_record_interval;
+    upstreams.for_each([&](const upstream_record& record) {
+        versions.record(record.service, record.version, now);
+    });
+}
+
 std::string gateway_context::version_of(const upstream_record& upstream) const
 {
     if (!upstream.version.empty())
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -28,6 +28,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 namespace cyclamenrun
 {
@@ -70,6 +71,13 @@
     /** Answers a message of another gateway that has no tables. */
     std::optional<v1::PeerMessage>
     handle_direct(const std::string& host, const v1::PeerMessage& message);
+    /**
+     * Tells other gateways where streams began, and asks them. `seeds`: hosts
+     * of gateways that may run, for one that knows no others yet.
+     */
+    void share_origins(std::vector<std::string> seeds);
+    /** Remembers the versions of the upstreams that are there now. */
+    void record_versions();
     /** Software version of an upstream's process; empty: unknown. */
     std::string version_of(const upstream_record& upstream) const;
     /** Tables that this gateway shares with the others. */
@@ -112,6 +120,7 @@
     /** Requests in progress. */
     std::unordered_set<exchange*> running;
     bool stopping = false; ///< a planned stop has begun
+    time_point next_version_record{};
     /** When a planned stop ends this process, even with requests running. */
     std::optional<time_point> stop_at;
 };
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -23,8 +23,6 @@
 constexpr milliseconds lease_margin{400};
 /** Interval at which the settings file is checked for changes. */
 constexpr milliseconds settings_check_interval{1000};
-/** Versions of upstreams are remembered by the second. */
-constexpr milliseconds version_record_interval{1000};
 /** Interval at which expired leases and records are handled. */
 constexpr milliseconds tick_interval{100};
 /** The drain ends this long before the end of the stop grace. */
@@ -192,30 +190,7 @@
             return context_->handle_direct(host, message);
         });
     context_->peers->start();
-    share_stream_origins();
-}
-
-void gateway_process::share_stream_origins()
-{
-    stream_origins::hooks on;
-    on.own_host = [this] { return context_->peers->own_host(); };
-    on.hosts = [this, seeds = seed_hosts(settings_.peer_seeds)] {
-        auto hosts = context_->peers->known_hosts();
-        // A gateway that has just started knows no others.
-        for (const auto& seed : seeds)
-            if (seed != context_->peers->own_host() &&
-                std::find(hosts.begin(), hosts.end(), seed) == hosts.end())
-                hosts.push_back(seed);
-        return hosts;
-    };
-    on.send = [this](const std::string& host, v1::PeerMessage message) {
-        context_->peers->send(host, std::move(message));
-    };
-    on.post_after = [this](milliseconds time, std::function<void()> call) {
-        const auto& reactor = context_->reactor;
-        reactor->post_timeout(reactor->awake_now() + time, std::move(call));
-    };
-    context_->origins.set_hooks(std::move(on));
+    context_->share_origins(seed_hosts(settings_.peer_seeds));
 }
 
 void gateway_process::start_relays(std::uint16_t port)
@@ -419,23 +394,12 @@
         return;
     directory_->tick();
     context_->update_gateway_count();
-    record_versions();
+    context_->record_versions();
     check_settings();
     context_->reactor->post_at(context_->reactor->now() + tick_interval,
                                [this] { tick(); });
 }
 
-void gateway_process::record_versions()
-{
-    const auto now = context_->reactor->now();
-    if (now < next_version_record_)
-        return;
-    next_version_record_ = now + version_record_interval;
-    context_->upstreams.for_each([&](const upstream_record& record) {
-        context_->versions.record(record.service, record.version, now);
-    });
-}
-
 void gateway_process::check_settings()
 {
     const auto now = context_->reactor->now();
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -64,8 +64,6 @@
     void refresh_gauges();
     void tick();
     void check_settings();
-    void record_versions();
-    void share_stream_origins();
     void apply_settings(const gateway_settings& settings);
     void on_loop(const std::function<void()>& work);
 
@@ -78,7 +76,6 @@
     std::unique_ptr<directory_watch> directory_;
     std::shared_ptr<relay_clients> relays_;
     std::unique_ptr<metrics_listener> metrics_;
-    time_point next_version_record_{};
     time_point next_settings_check_{};
     bool ended_ = false;
 };
--- a/src/libcyclamenrun/gateway/upstream_record.hpp
+++ b/src/libcyclamenrun/gateway/upstream_record.hpp
@@ -33,6 +33,17 @@
     bool operator==(const upstream_record&) const = default;
 };
 
+/** Whether two records with one id are of different processes. */
+inline bool is_other_process(const upstream_record& left,
+                             const upstream_record& right)
+{
+    const bool versions_differ = !left.version.empty() &&
+                                 !right.version.empty() &&
+                                 left.version != right.version;
+    return versions_differ || left.started_ms != right.started_ms ||
+           left.address != right.address;
+}
+
 /** One change of the directory; without a record the upstream was removed. */
 struct upstream_change {
     std::string id;
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -66,16 +66,6 @@
     return upstream.failure_rate * std::exp2(-std::max(0.0, half_lives));
 }
 
-/** Whether two records with one id are of different processes. */
-bool is_other_process(const upstream_record& left, const upstream_record& right)
-{
-    const bool versions_differ = !left.version.empty() &&
-                                 !right.version.empty() &&
-                                 left.version != right.version;
-    return versions_differ || left.started_ms != right.started_ms ||
-           left.address != right.address;
-}
-
 struct load_estimate {
     double requests = 0;
     double prefill_backlog_ms = 0; ///< of the prompts ahead of a new one
