Look for a destination again while a generation's engine leaves

leaving_upstreams.lose_no_generation failed once: a generation whose engine leaves was lost although an engine had come since.

Cause: looks for an engine of the generation's version before it asks for a copy turn, and looked again at the next event only; a generation that makes none for a while was not moved. That the suite passed on is not explained.

--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -46,11 +46,6 @@
     if (!conclusion_.answer().begun() || traits == nullptr || !traits->moves ||
         !served_.profile.outlives(leaves_at, context_.reactor->now()))
         return;
-    // Looked at again at the next event.
-    if (!context_.choice.any_fits(served_.service, {engine.id},
-                                  context_.version_of(engine),
-                                  context_.reactor->now()))
-        return;
     if (!mover_)
         mover_ = make_mover();
     mover_->source_leaving(engine);
@@ -75,6 +70,11 @@
 {
     generation_mover::hooks on;
     on.memory_tokens = [this] { return memory_tokens(); };
+    on.has_destination = [this](const upstream_record& source) {
+        return context_.choice.any_fits(served_.service, {source.id},
+                                        context_.version_of(source),
+                                        context_.reactor->now());
+    };
     on.reserve = [this] { return conclusion_.reserve_repeat(); };
     on.spend = [this] { return conclusion_.spend_repeat(); };
     on.release = [this] { conclusion_.release_repeat(); };
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -61,8 +61,11 @@
     }
     if (waits_)
         return;
-    if (!on_.reserve()) {
-        on_.step(move_step::no_budget, source);
+    const bool has_destination = on_.has_destination(source);
+    if (!has_destination || !on_.reserve()) {
+        on_.step(has_destination ? move_step::no_budget
+                                 : move_step::no_destination,
+                 source);
         wait(source, retry_delay);
         return;
     }
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -39,6 +39,8 @@
 {
 public:
     struct hooks {
+        /** Whether another engine may continue a generation of this one. */
+        std::function<bool(const upstream_record& source)> has_destination;
         /** Reserves the budget for the continuation; false: none is left. */
         std::function<bool()> reserve;
         /** Spends what was reserved; false if it has expired. */
