Clear the linter's findings on versions of streams

Two findings of a run of the linter over the tree: a comparison with an empty text and a parameter that was copied. Callers see no change.

--- a/src/libcyclamenrun/gateway/exchange_versions.cpp
+++ b/src/libcyclamenrun/gateway/exchange_versions.cpp
@@ -73,8 +73,8 @@
 {
     const auto& route = *served_.admitted.route;
     // A version that was unknown may have been listed since.
-    if (served_.version.value_or("") != "" || !attempt_ ||
-        route.shape != answer_shape::event_stream)
+    const bool is_known = served_.version && !served_.version->empty();
+    if (is_known || !attempt_ || route.shape != answer_shape::event_stream)
         return;
     const auto version = context_.version_of(attempt_->upstream());
     if (std::exchange(served_.version, version) != version && route.resumable)
--- a/tests/gateway/test_stream_origins.cpp
+++ b/tests/gateway/test_stream_origins.cpp
@@ -47,7 +47,8 @@
             std::erase(others, host);
             return others;
         };
-        on.send = [this, host](const std::string& to, v1::PeerMessage message) {
+        on.send = [this, host](const std::string& to,
+                               const v1::PeerMessage& message) {
             ++sent;
             sent_bytes += message.ByteSizeLong();
             deliver(host, to, message);
