Keep a generation whose stop order was not sent

Cause: an engine that is about to end refuses new connections while its streams go on. If the stop order, the second order of a move, met that, the gateway took the generation for stopped, since the memory's handle was known from the first order, dropped its stream and sent the request to the same engine, which refused that as well: "not_sent", then cut. The logs of the plays show just these steps.

Change: an order whose connection was never established has stopped nothing; the generation goes on and the move is tried again. The test, in which an engine stops listening after the first order, failed 3 of 3 before and passes.

--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -75,10 +75,10 @@
     if (over_)
         return;
     if (!outcome) {
-        const bool may_have_arrived =
-            outcome.error() != call_failure::unreachable;
-        fail(stop_ordered_ && may_have_arrived ? move_failure::uncertain
-                                               : move_failure::no_room,
+        // An order that was not sent has stopped nothing.
+        if (outcome.error() == call_failure::unreachable)
+            stop_ordered_ = false;
+        fail(stop_ordered_ ? move_failure::uncertain : move_failure::no_room,
              handle_);
         return;
     }
--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -134,12 +134,17 @@
 {
     if (crashed_.exchange(true))
         return;
-    ::shutdown(listener_.impl()->sockfd(), SHUT_RDWR);
+    stop_listening();
     const std::scoped_lock lock(mutex_);
     for (auto& socket : sockets_)
         ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
 }
 
+void fake_upstream::stop_listening()
+{
+    ::shutdown(listener_.impl()->sockfd(), SHUT_RDWR);
+}
+
 ip_endpoint fake_upstream::address() const
 {
     const auto address = listener_.address();
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -94,6 +94,8 @@
      */
     void crash();
     bool crashed() const { return crashed_; }
+    /** Refuses new connections, as a process does that is about to end. */
+    void stop_listening();
     /** Number of connections accepted so far. */
     std::size_t connections() const
     {
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -61,6 +61,8 @@
     std::atomic<int> lost_stop_orders = 0;
     /** Number of copy orders received, including stop orders. */
     std::atomic<int> orders = 0;
+    /** Called before the reply to a copy order, which closes its connection. */
+    std::function<void()> on_copied;
     /** Called when a stop order arrives, before the reply. */
     std::function<void()> on_stop;
 
@@ -90,7 +92,13 @@
             reply.reset();
             return;
         }
-        reply.answer(request, 200, R"({"handle":"h1","created":3})");
+        const bool closes = !stop && on_copied;
+        if (closes)
+            on_copied();
+        reply.answer(request, 200, R"({"handle":"h1","created":3})",
+                     closes ? "Connection: close\r\n" : "");
+        if (closes)
+            reply.close();
     }
 
     void stream(const arrived_request& request, upstream_reply& reply)
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -144,6 +144,28 @@
     EXPECT_EQ(streams(destination).size(), 1U);
 }
 
+// Guards against a generation that is cut although it runs: the stop order
+// can't reach its engine, which takes no new connections any more.
+TEST_F(generations, a_stop_order_that_was_not_sent_stops_nothing)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    auto& source = add_engine("e1", first);
+    first->on_copied = [&source] { source.stop_listening(); };
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    add_engine("e2", std::make_shared<generating_engine>());
+    drain("e1");
+    std::this_thread::sleep_for(milliseconds(400));
+    first->hold_before = 1000;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(first->orders, 1);
+}
+
 TEST_F(generations, a_move_is_retried_when_the_destination_has_no_room)
 {
     start();
