--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -45,7 +45,7 @@
         std::function<bool()> reserve;
         /** Spends what was reserved; false if it has expired. */
         std::function<bool()> spend;
-        /** Returns what was reserved or spent: nothing continues yet. */
+        /** Gives up what was reserved or spent: nothing continues yet. */
         std::function<void()> release;
         /** Estimated current memory of the generation. */
         std::function<std::uint64_t()> memory_tokens;
