Give a datagram socket a port that no other socket has

monitor.sends_load_to_subscribed_gateways failed once in the project's checks of: a second gateway waited ten seconds for "gateways 2" from a monitor. Callers of a deployment see no change: its ports are set.

Cause: datagram sockets were bound with SO_REUSEADDR (POCO sets SO_REUSEPORT as well), with which Linux assigns a port to a socket that another socket of the machine already has; one of the two then receives what is for both. Tests that run at once have some hundred such sockets.

That the failed run had a shared port can't be shown: it kept no ports.

Change: only a socket with a set port is bound so. Tests that need a port before they use it took one that the kernel assigns and gave it back, so that another test could get it in between; they now choose one below those that the kernel assigns, by one function in place of three.

--- a/src/libcyclamenrun/http/datagram_socket.cpp
+++ b/src/libcyclamenrun/http/datagram_socket.cpp
@@ -20,7 +20,9 @@
                                  const ip_endpoint& address,
                                  receive_handler on_received)
     : reactor_(std::move(reactor)),
-      socket_(Poco::Net::SocketAddress(address.host, address.port), true),
+      // With SO_REUSEADDR the kernel may assign a port that is in use.
+      socket_(Poco::Net::SocketAddress(address.host, address.port),
+              address.port != 0),
       on_received_(std::move(on_received))
 {
     socket_.setBlocking(false);
--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -1,7 +1,7 @@
 #include "gateway_fleet.hpp"
 
+#include "../support/free_port.hpp"
 #include "http_dialect.hpp"
-#include "scripted_monitor.hpp"
 
 #include <algorithm>
 #include <thread>
@@ -48,7 +48,7 @@
 
 void gateway_fleet::start_fleet(std::size_t count)
 {
-    const auto peers_port = scripted_monitor::free_port();
+    const auto peers_port = free_port();
     for (std::size_t i = 0; i < count; ++i) {
         auto added = std::make_unique<node>();
         added->settings = settings;
--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -2,10 +2,10 @@
 #define CYCLAMENRUN_TESTS_GATEWAY_PROGRAM_HPP
 
 #include "../support/child_process.hpp"
+#include "../support/free_port.hpp"
 #include "fake_store.hpp"
 #include "gateway_fixture.hpp"
 
-#include <Poco/Net/ServerSocket.h>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -38,14 +38,6 @@
     std::filesystem::path path_;
 };
 
-/** A TCP port that has no listener at the moment. */
-inline std::uint16_t free_port()
-{
-    const Poco::Net::ServerSocket socket(
-        Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().port();
-}
-
 inline std::string gateway_settings_text(const fake_store& store)
 {
     return "name = \"g\"\nregion = \"r\"\nfailure_domain = \"d\"\n"
--- a/tests/gateway/scripted_monitor.cpp
+++ b/tests/gateway/scripted_monitor.cpp
@@ -73,13 +73,6 @@
         std::count_if(received_.begin(), received_.end(), matches));
 }
 
-std::uint16_t scripted_monitor::free_port()
-{
-    const Poco::Net::DatagramSocket socket(
-        Poco::Net::SocketAddress("0.0.0.0", 0));
-    return socket.address().port();
-}
-
 v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken)
 {
     v1::MonitorNotice notice;
--- a/tests/gateway/scripted_monitor.hpp
+++ b/tests/gateway/scripted_monitor.hpp
@@ -37,9 +37,6 @@
     std::size_t count_of(
         const std::function<bool(const v1::MonitorRequest&)>& matches) const;
 
-    /** Returns a UDP port that is currently free on all addresses. */
-    static std::uint16_t free_port();
-
 private:
     void serve();
 
--- a/tests/gateway/test_copy_turn_search.cpp
+++ b/tests/gateway/test_copy_turn_search.cpp
@@ -1,3 +1,4 @@
+#include "../support/free_port.hpp"
 #include "copy_turn_search.hpp"
 
 #include "http_dialect.hpp"
@@ -93,7 +94,7 @@
 class copy_turn_searches : public testing::Test
 {
 protected:
-    copy_turn_searches() : port(scripted_monitor::free_port())
+    copy_turn_searches() : port(free_port())
     {
         context = std::make_unique<gateway_context>(
             gateway_loop, std::make_shared<platform::http_dialect>(),
--- a/tests/gateway/test_directory_relay.cpp
+++ b/tests/gateway/test_directory_relay.cpp
@@ -1,3 +1,4 @@
+#include "../support/free_port.hpp"
 #include "../support/tcp_relay.hpp"
 #include "fake_store.hpp"
 #include "gateway_fixture.hpp"
@@ -6,7 +7,6 @@
 #include "monitor_process.hpp"
 #include "record_parser.hpp"
 #include "relay_choice.hpp"
-#include "scripted_monitor.hpp"
 #include "store_feed.hpp"
 
 #include <algorithm>
@@ -84,7 +84,7 @@
 {
 protected:
     relayed_directory()
-        : port(scripted_monitor::free_port()),
+        : port(free_port()),
           app([](const arrived_request& request, upstream_reply& reply) {
               reply.answer(request, 200, "hello");
           })
@@ -120,7 +120,7 @@
         settings.directory = *parse_ip_endpoint(gateways_path.address());
         settings.configuration_lease = lease;
         settings.configuration_wait = milliseconds(300);
-        settings.loads_listen = {"127.0.0.1", scripted_monitor::free_port()};
+        settings.loads_listen = {"127.0.0.1", free_port()};
         settings.monitor_port = port;
         gateway_platform platform;
         platform.dialect = std::make_shared<platform::http_dialect>();
--- a/tests/gateway/test_overload.cpp
+++ b/tests/gateway/test_overload.cpp
@@ -1,3 +1,4 @@
+#include "../support/free_port.hpp"
 #include "gateway_fixture.hpp"
 #include "load.pb.h"
 
@@ -9,21 +10,14 @@
 namespace
 {
 
-std::uint16_t free_udp_port()
-{
-    const Poco::Net::DatagramSocket socket(
-        Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().port();
-}
-
 /** A gateway that receives load reports of one engine. */
 class overload : public gateway_fixture
 {
 protected:
     overload()
     {
-        settings.loads_listen = {"127.0.0.1", free_udp_port()};
-        settings.monitor_port = free_udp_port();
+        settings.loads_listen = {"127.0.0.1", free_port()};
+        settings.monitor_port = free_port();
         start();
         auto& engine = add(
             "e1",
--- a/tests/gateway/test_paused_programs.cpp
+++ b/tests/gateway/test_paused_programs.cpp
@@ -1,6 +1,6 @@
+#include "../support/free_port.hpp"
 #include "../support/own_host.hpp"
 #include "gateway_program.hpp"
-#include "scripted_monitor.hpp"
 
 #include <random>
 
@@ -31,7 +31,7 @@
                   R"({"service":"model","address":")" +
                       to_string(engine.address()) +
                       R"(","zone":"d","slots":8,"state":"ready"})");
-        const auto port = std::to_string(scripted_monitor::free_port());
+        const auto port = std::to_string(free_port());
         settings.write("name = \"m\"\nlisten = \"" + own_host(1) + ":" + port +
                        "\"\nengine = \"" + to_string(engine.address()) +
                        "\"\n[directory]\naddress = \"" + store.address() +
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -1,3 +1,4 @@
+#include "../support/free_port.hpp"
 #include "gateway_fixture.hpp"
 #include "scripted_monitor.hpp"
 
@@ -42,8 +43,8 @@
 protected:
     start_searches()
     {
-        port = scripted_monitor::free_port();
-        settings.loads_listen = {"127.0.0.1", scripted_monitor::free_port()};
+        port = free_port();
+        settings.loads_listen = {"127.0.0.1", free_port()};
         settings.monitor_port = port;
         start();
         first_engine =
