--- a/tests/decisions/test_retry_budget_sum.cpp
+++ b/tests/decisions/test_retry_budget_sum.cpp
@@ -74,6 +74,39 @@
     EXPECT_LE(fleet.worst_excess(), 0);
 }
 
+/**
+ * Cuts a fleet into halves until they have forgotten each other, restarts its
+ * gateways but `spared`, and lets them fill their buckets and spend them.
+ */
+double excess_after_restarts_in_halves(std::size_t spared)
+{
+    budget_fleet fleet(30, share, extra, 1);
+    run(fleet, 300);
+    fleet.cut();
+    run(fleet, 200);
+    for (auto i = spared; i < fleet.size(); ++i)
+        fleet.restart(i);
+    run(fleet, 150);
+    for (int i = 0; i < 120; ++i) {
+        repeat_everywhere(fleet, 20, false);
+        fleet.advance(1);
+    }
+    return fleet.worst_excess();
+}
+
+// Guards against a part that a restarted gateway takes for the whole: gateways
+// that have gone on know better.
+TEST(retry_budget_sum, holds_when_most_gateways_restart_in_halves)
+{
+    EXPECT_LE(excess_after_restarts_in_halves(2), 0);
+}
+
+// Guards against the same when no gateway is left that knows better.
+TEST(retry_budget_sum, holds_when_all_gateways_restart_in_halves)
+{
+    EXPECT_LE(excess_after_restarts_in_halves(0), 0);
+}
+
 // Guards against retries at the end of a window, of which a counter forgets
 // those at its beginning too early.
 TEST(retry_budget_sum, holds_between_the_slots_of_a_window)
@@ -106,6 +139,16 @@
     EXPECT_GE(fleet.repeats(), 100U);
 }
 
+/** Gateways fill their buckets, then send all that they may for a while. */
+void save_and_spend(budget_fleet& fleet)
+{
+    run(fleet, 120);
+    for (int i = 0; i < 60; ++i) {
+        repeat_everywhere(fleet, 20, fleet.pick(2) == 0);
+        fleet.advance(1);
+    }
+}
+
 /** Something happens to some gateway, or to all of them. */
 void disturb(budget_fleet& fleet)
 {
@@ -152,6 +195,8 @@
             fleet.borrow(fleet.pick(fleet.size()));
         if (fleet.pick(10) == 0)
             repeat_everywhere(fleet, 1 + fleet.pick(20), fleet.pick(2) == 0);
+        if (fleet.pick(150) == 0)
+            save_and_spend(fleet);
     }
     RC_ASSERT(fleet.worst_excess() <= 0);
 }
