Tell gateways that start how many there were

Callers would have seen more repeats than their upstreams are allowed (BUDGET), with parts of a fleet cut off for over 15 s in which gateways restart; not seen by callers so far.

Cause: the fixed part of the retry budget is divided by the largest number of gateways that a process remembers. A process that restarts in a part that has forgotten the rest remembers nothing, and nobody told it. The class: what bounds a sum over processes was kept in a process.

Change: gateways name the largest numbers of past minutes, with their ages, in each exchange with peers and each subscription to a monitor; monitors keep them and name them to a gateway that knows of fewer, so that they outlive a restart of all gateways of a part. Ages only grow and what is no news is not taken over, so that no number is kept alive by being told. The budget itself only divides now; the memory is a class of its own.

--- a/src/libcyclamenrun/decisions/shared_retry_budget.cpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.cpp
@@ -17,8 +17,6 @@
 constexpr double inflow_share = 0.45;
 /** A gateway that has found no other may be one of many that are cut off. */
 constexpr unsigned least_divisor = 8;
-/** Longer than gateways are cut off from each other, as a rule. */
-constexpr std::chrono::minutes count_memory{2};
 /** A refused repeat is tried again within this time if its work goes on. */
 constexpr milliseconds shortage_time{300};
 /** There are few services; bounds the table if their names keep changing. */
@@ -48,16 +46,12 @@
     // What has flowed in so far was divided by the number until now.
     for (auto& [service, each] : buckets_)
         refill(each, now);
-    gateway_count_ = std::max(1U, count);
-    if (gateway_count_ < largest_count_ && now < largest_until_)
-        return;
-    largest_count_ = gateway_count_;
-    largest_until_ = now + count_memory;
+    gateway_count_ = count;
 }
 
 unsigned shared_retry_budget::divisor() const
 {
-    return std::max({gateway_count_, largest_count_, least_divisor});
+    return std::max(gateway_count_, least_divisor);
 }
 
 double shared_retry_budget::capacity() const
--- a/src/libcyclamenrun/decisions/shared_retry_budget.hpp
+++ b/src/libcyclamenrun/decisions/shared_retry_budget.hpp
@@ -53,11 +53,7 @@
     {
     }
 
-    /**
-     * Sets the number of gateways that share the budget. The largest number of
-     * the last minutes divides it, since a gateway that is cut off forgets
-     * others that go on.
-     */
+    /** Sets the number of gateways that share the budget. */
     void set_gateway_count(unsigned count, boot_time now);
     /** Number of gateways that divides the fixed part. */
     unsigned divisor() const;
@@ -107,8 +103,6 @@
     retry_budget_settings settings_;
     boot_time started_; ///< when all buckets were empty
     unsigned gateway_count_ = 1;
-    unsigned largest_count_ = 0;
-    boot_time largest_until_;
     std::unordered_map<std::string, bucket> buckets_;
 };
 
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -1,5 +1,6 @@
 #include "engine_monitor.hpp"
 
+#include "gateway_count_message.hpp"
 #include "load.pb.h"
 #include "log_event.hpp"
 #include "message_reader.hpp"
@@ -88,8 +89,9 @@
         health_target_ = request.health_target();
         query_identity();
     }
+    const bool knows_less = learn_gateway_counts(request);
     if (request.loads_wanted() && gateway != nullptr)
-        handle_subscription(*gateway);
+        handle_subscription(*gateway, knows_less);
     if (!request.turn_ended().empty()) {
         turns_.end(request.turn_ended());
         grant_next_turn();
@@ -116,20 +118,38 @@
     return &gateway;
 }
 
-void engine_monitor::handle_subscription(known_gateway& gateway)
+bool engine_monitor::learn_gateway_counts(const v1::MonitorRequest& request)
+{
+    const auto now = boot_now();
+    gateway_count_history senders;
+    read_gateway_counts(request, [&](const past_gateway_count& told) {
+        gateway_counts_.learn(told, now);
+        senders.learn(told, now);
+    });
+    const auto known = gateway_counts_.counts(now);
+    return std::any_of(known.begin(), known.end(), [&](const auto& each) {
+        return senders.learn(each, now);
+    });
+}
+
+void engine_monitor::handle_subscription(known_gateway& gateway,
+                                         bool knows_less)
 {
     const auto now = reactor_->awake_now();
     const bool is_new = gateway.subscribed_until <= now;
     gateway.subscribed_until = now + gateway_lifetime;
-    if (!is_new)
+    if (!is_new && !knows_less)
         return;
     // Sent even without a load: the notice shows that this monitor responds, so
     // the gateway can read the directory through it, whatever the state of the
     // engine.
     v1::MonitorNotice notice;
+    if (last_load_)
+        notice = load_notice(*last_load_);
     notice.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
-    socket_->send(gateway.address, last_load_ ? load_notice(*last_load_)
-                                              : notice.SerializeAsString());
+    if (knows_less)
+        write_gateway_counts(gateway_counts_.counts(boot_now()), notice);
+    socket_->send(gateway.address, notice.SerializeAsString());
 }
 
 std::size_t engine_monitor::count_subscribers() const
@@ -405,18 +425,18 @@
         write_load(*last_load_, *notice.mutable_load_now());
 }
 
-std::string engine_monitor::load_notice(const engine_load& load) const
+v1::MonitorNotice engine_monitor::load_notice(const engine_load& load) const
 {
     v1::MonitorNotice message;
     message.set_gateways(static_cast<std::uint32_t>(gateways_.size()));
     write_identity(message);
     write_load(load, *message.mutable_load());
-    return message.SerializeAsString();
+    return message;
 }
 
 void engine_monitor::publish_load(const engine_load& load)
 {
-    auto bytes = load_notice(load);
+    auto bytes = load_notice(load).SerializeAsString();
     const auto now = reactor_->now();
     const bool unchanged = bytes == last_published_ && now < republish_at_;
     const bool too_soon =
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -4,6 +4,7 @@
 #include "copy_turns.hpp"
 #include "datagram_socket.hpp"
 #include "exported_metrics.hpp"
+#include "gateway_count_history.hpp"
 #include "gateway_dialect.hpp"
 #include "http_client.hpp"
 #include "start_queue.hpp"
@@ -66,7 +67,13 @@
     void handle_request(const ip_endpoint& from, std::string_view bytes);
     known_gateway* find_or_add_gateway(const ip_endpoint& from,
                                        const std::string& key);
-    void handle_subscription(known_gateway& gateway);
+    /** `knows_less`: it knows of fewer gateways than there were. */
+    void handle_subscription(known_gateway& gateway, bool knows_less);
+    /**
+     * Remembers how many gateways there were, for those that start. Returns
+     * whether the sender of the request knows of fewer.
+     */
+    bool learn_gateway_counts(const v1::MonitorRequest& request);
     std::size_t count_subscribers() const;
     void handle_turn_request(const ip_endpoint& from,
                              const std::string& gateway,
@@ -96,7 +103,7 @@
     void handle_load_reply(const call_outcome& outcome);
     void record_load_metrics(const engine_load& load);
     void publish_load(const engine_load& load);
-    std::string load_notice(const engine_load& load) const;
+    v1::MonitorNotice load_notice(const engine_load& load) const;
     void write_load(const engine_load& load, v1::EngineLoad& message) const;
     /** Adds the load to a notice of another kind, if the load is known. */
     void write_current_load(v1::MonitorNotice& notice) const;
@@ -112,6 +119,7 @@
     std::string engine_id_; ///< empty: unknown
     time_point next_identity_query_{};
     std::map<std::string, known_gateway> gateways_; ///< by address
+    gateway_count_history gateway_counts_;
     copy_turns turns_;
     start_queue starts_;
     time_point next_grant_check_{};        ///< next scheduled grant_starts()
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -95,7 +95,19 @@
     if (monitors || !peers)
         count = std::max<std::size_t>(count, monitored_gateways);
     limits.set_gateway_count(count);
-    budget.set_gateway_count(static_cast<unsigned>(count), boot_now());
+    const auto now = boot_now();
+    gateway_counts.record(static_cast<unsigned>(count), now);
+    budget.set_gateway_count(gateway_counts.largest(now), now);
+}
+
+gateway_count_hooks gateway_context::count_hooks()
+{
+    gateway_count_hooks on;
+    on.counts = [this] { return gateway_counts.counts(boot_now()); };
+    on.learn = [this](const past_gateway_count& told) {
+        gateway_counts.learn(told, boot_now());
+    };
+    return on;
 }
 
 void gateway_context::request_loans()
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -6,6 +6,7 @@
 #include "crash_detector.hpp"
 #include "engine_clients.hpp"
 #include "exported_metrics.hpp"
+#include "gateway_count_hooks.hpp"
 #include "gateway_dialect.hpp"
 #include "gateway_routes.hpp"
 #include "link_reactor.hpp"
@@ -66,6 +67,8 @@
      * as far as known.
      */
     void update_gateway_count();
+    /** Access to the numbers of gateways that this one remembers. */
+    gateway_count_hooks count_hooks();
     /** Asks other gateways for repeats that the budget lacks. */
     void request_loans();
     /** Answers a message of another gateway that has no tables. */
@@ -97,6 +100,7 @@
     engine_clients engine_client_pool;
     upstream_registry upstreams;
     shared_retry_budget budget;
+    gateway_count_history gateway_counts;
     response_times route_response_times;
     configuration_lease lease;
     backup_policy backups;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -167,6 +167,7 @@
     on.gateways = [this](unsigned count) {
         context_->monitored_gateways = std::max(1U, count);
     };
+    on.gateway_counts = context_->count_hooks();
     on.hosts = [this] { return monitored_hosts(); };
     const auto monitor_port =
         static_cast<std::uint16_t>(settings_.monitor_port);
@@ -189,6 +190,7 @@
         [this](const std::string& host, const v1::PeerMessage& message) {
             return context_->handle_direct(host, message);
         });
+    context_->peers->set_count_hooks(context_->count_hooks());
     context_->peers->start();
     context_->share_origins(seed_hosts(settings_.peer_seeds));
 }
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -1,6 +1,7 @@
 #include "monitor_link.hpp"
 
 #include "engine_monitor.hpp"
+#include "gateway_count_message.hpp"
 #include "load.pb.h"
 #include "log_event.hpp"
 #include "message_reader.hpp"
@@ -100,6 +101,8 @@
     request.set_gateway(name_);
     request.set_health_target(on_.health_target());
     request.set_loads_wanted(true);
+    if (on_.gateway_counts.counts)
+        write_gateway_counts(on_.gateway_counts.counts(), request);
     std::erase_if(monitors_, [&](const auto& entry) {
         return !hosts.contains(entry.first);
     });
@@ -306,6 +309,8 @@
     const auto& notice = *read;
     record_response(from.host);
     update_gateway_count(from.host, notice.gateways());
+    if (on_.gateway_counts.learn)
+        read_gateway_counts(notice, on_.gateway_counts.learn);
     if (notice.has_engine())
         handle_identity(from.host, notice.engine());
     if (notice.has_load_now())
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -3,6 +3,7 @@
 
 #include "datagram_socket.hpp"
 #include "engine_load_estimate.hpp"
+#include "gateway_count_hooks.hpp"
 #include "upstream_record.hpp"
 
 #include <cstdint>
@@ -54,6 +55,8 @@
             identity;
         /** Number of gateways that the monitors know. */
         std::function<void(unsigned)> gateways;
+        /** Told to monitors, which tell it to gateways that start. */
+        gateway_count_hooks gateway_counts;
         /** IP addresses of the VMs whose engines' loads are subscribed to. */
         std::function<std::set<std::string>()> hosts;
         /** HTTP target at which engines report their id; empty: unknown. */
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "peer_exchange.hpp"
 
+#include "gateway_count_message.hpp"
 #include "message_reader.hpp"
 #include "peers.pb.h"
 
@@ -263,6 +264,8 @@
             return std::nullopt;
         return direct_message(host, std::move(*answer));
     }
+    if (count_hooks_.learn)
+        read_gateway_counts(message, count_hooks_.learn);
     const bool progress = read_positions(*from, message);
     bool has_changes = false;
     for (const auto& position : message.tables())
@@ -317,6 +320,8 @@
         }
         position.set_up_to(tables_[i].write(position.after(), message, now));
     }
+    if (count_hooks_.counts)
+        write_gateway_counts(count_hooks_.counts(), message);
     name_peers(message, host, now);
     return {host, message.SerializeAsString()};
 }
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_PEER_EXCHANGE_HPP
 
 #include "clock.hpp"
+#include "gateway_count_hooks.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -84,6 +85,11 @@
     {
         direct_handler_ = std::move(handler);
     }
+    /** Tells peers how many gateways there were, and learns it from them. */
+    void set_count_hooks(gateway_count_hooks hooks)
+    {
+        count_hooks_ = std::move(hooks);
+    }
     /** The datagram with a message without tables to one gateway. */
     datagram direct_message(const std::string& host,
                             v1::PeerMessage message) const;
@@ -134,6 +140,7 @@
     std::mt19937_64& random_;
     clock_function awake_clock_;
     direct_handler direct_handler_;
+    gateway_count_hooks count_hooks_;
     std::map<std::string, peer> peers_; ///< by host
     time_point next_probe_{};
     std::uint64_t probes_ = 0;
--- a/src/libcyclamenrun/gateway/peer_link.hpp
+++ b/src/libcyclamenrun/gateway/peer_link.hpp
@@ -30,6 +30,11 @@
     {
         exchange_.set_direct_handler(std::move(handler));
     }
+    /** The same. */
+    void set_count_hooks(gateway_count_hooks hooks)
+    {
+        exchange_.set_count_hooks(std::move(hooks));
+    }
     void start();
     /** Sends a message without tables to one gateway. */
     void send(const std::string& host, v1::PeerMessage message);
--- a/src/libcyclamenrun/links/message_reader.cpp
+++ b/src/libcyclamenrun/links/message_reader.cpp
@@ -103,6 +103,8 @@
     number_row{"cyclamenrun.v1.StartWanted.first_due_ms", signed_time_span},
     number_row{"cyclamenrun.v1.StartWanted.slots", count},
     number_row{"cyclamenrun.v1.MonitorNotice.gateways", count},
+    number_row{"cyclamenrun.v1.GatewayCount.gateways", count},
+    number_row{"cyclamenrun.v1.GatewayCount.age_ms", time_span},
     number_row{"cyclamenrun.v1.StartGiven.slots_taken", count},
     number_row{"cyclamenrun.v1.StartGiven.memory_taken", memory_tokens},
     number_row{"cyclamenrun.v1.EngineLoad.running", count},
