--- a/src/libcyclamenrun/decisions/gateway_count_history.cpp
+++ b/src/libcyclamenrun/decisions/gateway_count_history.cpp
@@ -19,22 +19,17 @@
 
 } // namespace
 
-void gateway_count_history::record(unsigned count, boot_time now)
-{
-    keep(count, now);
-}
-
 bool gateway_count_history::learn(const past_gateway_count& told, boot_time now)
 {
     const auto number = minute_of(now - told.age);
     if (told.count > max_gateway_count || number <= minute_of(now) - size ||
         told.count <= largest_since(number))
         return false;
-    keep(told.count, now - told.age);
+    record(told.count, now - told.age);
     return true;
 }
 
-void gateway_count_history::keep(unsigned count, boot_time counted_at)
+void gateway_count_history::record(unsigned count, boot_time counted_at)
 {
     const auto number = minute_of(counted_at);
     const auto place = (number % size + size) % size;
--- a/src/libcyclamenrun/decisions/gateway_count_history.hpp
+++ b/src/libcyclamenrun/decisions/gateway_count_history.hpp
@@ -28,8 +28,8 @@
 class gateway_count_history
 {
 public:
-    /** Records what this process counts now. */
-    void record(unsigned count, boot_time now);
+    /** Records what was counted at that time. */
+    void record(unsigned count, boot_time counted_at);
     /**
      * Records what another process remembers; false if that is no news. Its age
      * goes on, so that processes do not remind each other for ever.
@@ -50,7 +50,6 @@
         boot_time counted_at;
     };
 
-    void keep(unsigned count, boot_time counted_at);
     /** Largest number counted in that minute or later. */
     unsigned largest_since(std::int64_t number) const;
 
