--- a/tests/gateway/test_gateway_counts.cpp
+++ b/tests/gateway/test_gateway_counts.cpp
@@ -18,7 +18,7 @@
 {
 public:
     explicit counting_fleet(std::size_t size)
-        : peer_network(size, 1), histories(size)
+        : peer_network(size, 1), histories_(size)
     {
         for (std::size_t i = 0; i < size; ++i)
             watch(i);
@@ -27,7 +27,7 @@
     void restart(std::size_t i)
     {
         start(i);
-        histories[i] = {};
+        histories_[i] = {};
         watch(i);
     }
     void count_for(milliseconds time)
@@ -35,14 +35,14 @@
         for (const auto end = now + time; now < end;) {
             run_for(milliseconds(100));
             for (std::size_t i = 0; i < nodes.size(); ++i)
-                histories[i].record(
+                histories_[i].record(
                     static_cast<unsigned>(nodes[i].exchange->gateway_count()),
                     boot());
         }
     }
     unsigned largest(std::size_t i) const
     {
-        return histories[i].largest(boot());
+        return histories_[i].largest(boot());
     }
 
 private:
@@ -50,14 +50,14 @@
     void watch(std::size_t i)
     {
         gateway_count_hooks on;
-        on.counts = [this, i] { return histories[i].counts(boot()); };
+        on.counts = [this, i] { return histories_[i].counts(boot()); };
         on.learn = [this, i](const past_gateway_count& told) {
-            histories[i].learn(told, boot());
+            histories_[i].learn(told, boot());
         };
         nodes[i].exchange->set_count_hooks(on);
     }
 
-    std::vector<gateway_count_history> histories;
+    std::vector<gateway_count_history> histories_;
 };
 
 // Guards against a part of the retry budget that is too large, since a gateway
