Log the parts of prompts with admissions and crashes

Callers see no change. Ids are hexadecimal on the wire, so one part could have several spellings; they are read as one.

--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -28,6 +28,7 @@
     std::string id;
     std::uint64_t fingerprint = 0;
     mark_strength strength = mark_strength::strong;
+    std::string prompt_parts = {}; ///< their ids, for logs
 };
 
 /**
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.hpp"
 
 #include "http_text.hpp"
+#include "prompt_parts.hpp"
 #include "request_fingerprint.hpp"
 #include "response_classification.hpp"
 
@@ -385,7 +386,8 @@
     const bool leaves = state != nullptr && state->leaving;
     if (loss == attempt_loss::broken && !leaves)
         context_.crashes->record_loss(
-            upstream, {served_.facts.id, served_.fingerprint, suspicion()});
+            upstream, {served_.facts.id, served_.fingerprint, suspicion(),
+                       prompt_parts_text(served_.facts.prompt_parts)});
     if (conclusion_.answer().begun() && state != nullptr && !state->leaving)
         context_.record_crash(id);
     if (loss == attempt_loss::broken && continuation_->resume_at_backup())
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -187,7 +187,8 @@
                {log_key::address, to_string(upstream.address)},
                {log_key::fingerprint, fingerprint_text(lost.fingerprint)},
                {log_key::kind,
-                lost.strength == mark_strength::strong ? "begun" : "running"}});
+                lost.strength == mark_strength::strong ? "begun" : "running"},
+               {log_key::prompt_parts, lost.prompt_parts}});
     metrics.count(exported_metric::crashes_seen, {upstream.service});
     poison.record_crash(upstream.id, lost.fingerprint, lost.strength,
                         reactor->now());
--- a/src/libcyclamenrun/gateway/request_facts.hpp
+++ b/src/libcyclamenrun/gateway/request_facts.hpp
@@ -15,7 +15,7 @@
 
 /** A part of a prompt that several requests may share. */
 struct prompt_part {
-    std::string id;
+    std::string id; ///< chosen by callers; equal parts have equal ids
     std::uint32_t tokens = 0;
 };
 
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -1,5 +1,6 @@
 #include "request_recorder.hpp"
 
+#include "prompt_parts.hpp"
 #include "request_fingerprint.hpp"
 
 namespace cyclamenrun
@@ -22,7 +23,8 @@
          {log_key::tokens, facts.prompt_tokens},
          {log_key::output_tokens, facts.output_token_limit},
          {log_key::expected_tokens, facts.expected_output_tokens.value_or(0)},
-         {log_key::fingerprint, fingerprint_text(fingerprint)}});
+         {log_key::fingerprint, fingerprint_text(fingerprint)},
+         {log_key::prompt_parts, prompt_parts_text(facts.prompt_parts)}});
 }
 
 void request_recorder::placed(const placed_upstream& upstream)
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -46,6 +46,7 @@
     key_row{log_key::output_tokens, "output_tokens"},
     key_row{log_key::path, "path"},
     key_row{log_key::process, "process"},
+    key_row{log_key::prompt_parts, "prompt_parts"},
     key_row{log_key::queued, "queued"},
     key_row{log_key::reason, "reason"},
     key_row{log_key::request_id, "request_id"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -48,6 +48,7 @@
     output_tokens,
     path,
     process,
+    prompt_parts,
     queued,
     reason,
     request_id,
--- a/tests/platform/test_http_dialect.cpp
+++ b/tests/platform/test_http_dialect.cpp
@@ -44,6 +44,40 @@
     EXPECT_EQ(facts->prompt_parts[1].tokens, 410U);
 }
 
+std::vector<std::string> ids_of(const std::string& list)
+{
+    auto head = caller_head();
+    for (auto& field : head.fields)
+        if (field.name == header::prompt_parts)
+            field.value = list;
+    const auto facts = http_dialect().read_request(head);
+    std::vector<std::string> ids;
+    for (const auto& part :
+         facts ? facts->prompt_parts : std::vector<prompt_part>())
+        ids.push_back(part.id);
+    return ids;
+}
+
+// Guards against one part that is taken for several: its id may be written in
+// either case and with zeros before it.
+TEST(http_dialect, reads_all_spellings_of_a_part_as_one)
+{
+    EXPECT_EQ(ids_of("5C1E07A2:8, 005c1e07a2:9,5c1e07A2"),
+              std::vector<std::string>(3, "5c1e07a2"));
+    EXPECT_EQ(ids_of("00:1,0:1"), std::vector<std::string>(2, "0"));
+}
+
+TEST(http_dialect, reads_lists_of_any_number_of_parts)
+{
+    EXPECT_TRUE(ids_of("").empty());
+    EXPECT_TRUE(ids_of(",:8,").empty());
+    EXPECT_EQ(ids_of("a").size(), 1U);
+    std::string many;
+    for (int i = 0; i < 3000; ++i)
+        many += (i == 0 ? "a" : ",a") + std::to_string(i) + ":1";
+    EXPECT_EQ(ids_of(many).size(), 3000U);
+}
+
 TEST(http_dialect, rejects_ambiguous_requests)
 {
     for (const auto* name :
