--- a/bench/capacity_probes.cpp
+++ b/bench/capacity_probes.cpp
@@ -234,7 +234,8 @@
     auto result =
         std::make_shared<poison_register>(count, std::chrono::hours(1));
     for (std::size_t i = 0; i < count; ++i)
-        result->mark(i, 1, start);
+        result->record_loss(
+            {suspected_work(i), 1, run_stage::beginning, start, start}, start);
     return result;
 }
 
--- a/bench/peer_probes.cpp
+++ b/bench/peer_probes.cpp
@@ -61,8 +61,11 @@
     void convict(std::uint64_t fingerprint)
     {
         for (const auto* upstream : {"u1", "u2"})
-            gateways_[0]->poison.record_crash(upstream, fingerprint,
-                                              mark_strength::strong, now_);
+            gateways_[0]->poison.record_crash(upstream,
+                                              {suspected_work(fingerprint), 0,
+                                               run_stage::beginning, now_,
+                                               now_},
+                                              now_);
     }
 
     std::size_t datagrams = 0;
--- a/src/libcyclamenrun/agent/agent_server.cpp
+++ b/src/libcyclamenrun/agent/agent_server.cpp
@@ -248,7 +248,7 @@
     // of this agent, so the entry gets all marks.
     const auto seen =
         request.marks_seen() > reply.marks_version() ? 0 : request.marks_seen();
-    for (auto& mark : gate_.marks_since(seen))
+    for (auto& mark : gate_.marks_since(seen, clock_()))
         *reply.add_marks() = std::move(mark);
     return reply;
 }
--- a/src/libcyclamenrun/decisions/placement.cpp
+++ b/src/libcyclamenrun/decisions/placement.cpp
@@ -40,6 +40,7 @@
 {
     double cost =
         weights.wait * candidate.wait + slot_cost * candidate.slots_taken;
+    cost += weights.neighbours * candidate.slots_taken;
     // If all slots are in use, a request waits for others to end.
     cost += std::max(0.0, candidate.slots_taken - 1);
     cost += short_memory_cost *
--- a/src/libcyclamenrun/decisions/placement.hpp
+++ b/src/libcyclamenrun/decisions/placement.hpp
@@ -36,6 +36,8 @@
      * 1.5 s.
      */
     double other_domain = 0.02;
+    /** Weight of the slots in use beyond their own cost. */
+    double neighbours = 0;
 };
 
 /**
@@ -44,6 +46,11 @@
  */
 inline constexpr placement_weights copy_weights{0, 0.6};
 
+/**
+ * Weights for a request that may crash its upstream, with all that runs there.
+ */
+inline constexpr placement_weights solo_weights{1, 0.02, 10};
+
 /** Cost of a placement, as a fraction of the objective; lower is better. */
 double placement_cost(const placement_candidate& candidate,
                       const placement_weights& weights = {});
--- a/src/libcyclamenrun/entry/caller_request.cpp
+++ b/src/libcyclamenrun/entry/caller_request.cpp
@@ -95,13 +95,17 @@
     return {};
 }
 
-/** The roles and texts of a chat's messages, or nothing if they are invalid. */
-std::optional<std::string> prompt_of_messages(const Poco::JSON::Object& body)
+/**
+ * The roles and texts of a chat's messages, or nothing if they are invalid. A
+ * message is one part of the prompt.
+ */
+std::optional<std::vector<std::string>>
+parts_of_messages(const Poco::JSON::Object& body)
 {
     const auto messages = json_array(body, "messages");
     if (!messages || messages->size() == 0)
         return std::nullopt;
-    std::string prompt;
+    std::vector<std::string> parts;
     for (std::size_t i = 0; i < messages->size(); ++i) {
         const auto message = messages->getObject(static_cast<unsigned int>(i));
         if (!message)
@@ -110,9 +114,28 @@
         const auto content = json_string(*message, "content");
         if (!role || !content)
             return std::nullopt;
-        prompt += *role + '\n' + *content + '\n';
+        parts.push_back(*role + '\n' + *content + '\n');
     }
-    return prompt;
+    return parts;
+}
+
+/** The paragraphs of a prompt, which end with empty lines. */
+std::optional<std::vector<std::string>>
+parts_of_prompt(const Poco::JSON::Object& body)
+{
+    const auto prompt = json_string(body, "prompt");
+    if (!prompt)
+        return std::nullopt;
+    constexpr std::string_view end = "\n\n";
+    std::vector<std::string> parts;
+    std::size_t begin = 0;
+    for (auto at = prompt->find(end); at != std::string::npos;
+         at = prompt->find(end, begin)) {
+        parts.push_back(prompt->substr(begin, at + end.size() - begin));
+        begin = at + end.size();
+    }
+    parts.push_back(prompt->substr(begin));
+    return parts;
 }
 
 outcome<std::uint32_t> max_tokens_of(const Poco::JSON::Object& body)
@@ -200,18 +223,21 @@
             invalid_request("model must be the name of a service"));
     parsed.service = *service;
 
-    const auto prompt = format == completion_format::chat
-                            ? prompt_of_messages(*object)
-                            : json_string(*object, "prompt");
-    if (!prompt)
+    const auto parts = format == completion_format::chat
+                           ? parts_of_messages(*object)
+                           : parts_of_prompt(*object);
+    if (!parts)
         return tl::unexpected(invalid_request(
             format == completion_format::chat
                 ? "messages must be a list of objects with role and content"
                 : "prompt must be a string"));
-    if (prompt->size() > limits.max_prompt_bytes)
+    for (const auto& part : *parts)
+        parsed.prompt += part;
+    if (parsed.prompt.size() > limits.max_prompt_bytes)
         return tl::unexpected(
             not_run(refusal_reason::too_large, "the prompt is too large"));
-    parsed.prompt = *prompt;
+    for (std::size_t i = 0; i + 1 < parts->size(); ++i)
+        parsed.shared_parts.push_back(prompt_part_fingerprint((*parts)[i]));
 
     const auto max_tokens = max_tokens_of(*object);
     if (!max_tokens)
@@ -264,7 +290,8 @@
     request.path = format == completion_format::chat ? "/v1/chat/completions"
                                                      : "/v1/completions";
     request.body = body_for_engine(body, request.max_output_tokens);
-    request.fingerprint = hash64(parsed.prompt, hash64(service.name()));
+    request.work = suspected_work(hash64(parsed.prompt, hash64(service.name())),
+                                  parsed.shared_parts);
     request.prefix_blocks = prefix_blocks_of(parsed.prompt);
     return request;
 }
@@ -297,7 +324,7 @@
     request.service = service.name();
     request.path = "/calls";
     request.body = body;
-    request.fingerprint = hash64(body, hash64(service.name()));
+    request.work = suspected_work(hash64(body, hash64(service.name())));
     return request;
 }
 
--- a/src/libcyclamenrun/entry/caller_request.hpp
+++ b/src/libcyclamenrun/entry/caller_request.hpp
@@ -36,8 +36,13 @@
 
 /** The fields of a generation request's body. */
 struct completion_body {
-    std::string service;          ///< the `model` member
-    std::string prompt;           ///< all text that the engine reads
+    std::string service; ///< the `model` member
+    std::string prompt;  ///< all text that the engine reads
+    /**
+     * Fingerprints of the parts of the prompt that other requests may share:
+     * all messages or paragraphs but the last.
+     */
+    std::vector<std::uint64_t> shared_parts;
     std::uint32_t max_tokens = 0; ///< 0: not set
     bool stream = false;
 };
--- a/src/libcyclamenrun/entry/entry_core.cpp
+++ b/src/libcyclamenrun/entry/entry_core.cpp
@@ -196,16 +196,27 @@
     hooks.spend_retry = [this](const std::string& team, time_point) {
         return teams_.spend_retry(team);
     };
-    hooks.verdict = [this](std::uint64_t fingerprint, time_point now) {
-        return poison_.verdict(fingerprint, now);
+    hooks.admit = [this](const suspected_work& work, solo_run& claim,
+                         time_point now) {
+        const auto version = poison_.version();
+        const auto admission = poison_.admit(work, claim, now);
+        if (poison_.version() != version)
+            send_heartbeats();
+        return admission;
     };
-    hooks.agent_lost = [this](std::uint64_t fingerprint,
-                              const route_target& agent, time_point now) {
-        on_agent_lost(fingerprint, agent, now);
+    hooks.end_solo = [this](solo_run& claim) {
+        poison_.end_solo(claim);
+        send_heartbeats();
+    };
+    hooks.grounds = [this](const suspected_work& work, time_point now) {
+        return poison_.grounds(work, now);
+    };
+    hooks.agent_lost = [this](const lost_run& run, const route_target& agent,
+                              time_point now) {
+        on_agent_lost(run, agent, now);
     };
-    hooks.engine_lost = [this](std::uint64_t fingerprint, std::uint64_t loss,
-                               time_point now) {
-        poison_.engine_lost(fingerprint, loss, now);
+    hooks.engine_lost = [this](const lost_run& run, time_point now) {
+        poison_.engine_lost(run, now);
         send_heartbeats();
     };
     return hooks;
@@ -331,7 +342,7 @@
     if (configuration_.ready() && should_send_configuration(upstream, known))
         heartbeat.set_config_delta(
             configuration_.delta_after(known.revision).SerializeAsString());
-    poison_.write_marks(upstream, heartbeat);
+    poison_.write_marks(upstream, heartbeat, clock_());
     return heartbeat;
 }
 
@@ -400,8 +411,8 @@
         routes_.members().on_missed_heartbeat(upstream, now);
 }
 
-void entry_core::on_agent_lost(std::uint64_t fingerprint,
-                               const route_target& agent, time_point now)
+void entry_core::on_agent_lost(const lost_run& run, const route_target& agent,
+                               time_point now)
 {
     routes_.members().on_failure(agent.upstream, now);
     const auto known = routes_.members().find(agent.upstream);
@@ -412,7 +423,7 @@
                            routes_.members().is_cut_off(known->failure_domain);
     if (explained)
         return;
-    poison_.agent_lost(fingerprint, agent, now);
+    poison_.agent_lost(run, agent, now);
     log_event(log_severity::warning, log_event_name::poison_marked,
               {{log_key::upstream, agent.upstream},
                {log_key::incarnation, agent.incarnation}});
--- a/src/libcyclamenrun/entry/entry_core.hpp
+++ b/src/libcyclamenrun/entry/entry_core.hpp
@@ -132,7 +132,7 @@
     void on_heartbeat(const std::string& upstream,
                       const link::HeartbeatReply& reply);
     void on_link_failure(const std::string& upstream, link_failure failure);
-    void on_agent_lost(std::uint64_t fingerprint, const route_target& agent,
+    void on_agent_lost(const lost_run& run, const route_target& agent,
                        time_point now);
     /** Sends each agent of the subset a heartbeat with all unsent changes. */
     void send_heartbeats();
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -2,7 +2,7 @@
 #define CYCLAMENRUN_CRASH_DETECTOR_HPP
 
 #include "link_reactor.hpp"
-#include "poison_register.hpp"
+#include "lost_run.hpp"
 #include "tcp_connection.hpp"
 #include "upstream_record.hpp"
 
@@ -26,8 +26,7 @@
 /** A request whose connection to an upstream broke. */
 struct lost_request {
     std::string id;
-    std::uint64_t fingerprint = 0;
-    mark_strength strength = mark_strength::strong;
+    lost_run run = {};
     std::string prompt_parts = {}; ///< their ids, for logs
 };
 
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -21,19 +21,14 @@
  */
 constexpr connection_timeouts stream_timeouts{milliseconds(10000),
                                               milliseconds(5000)};
-/**
- * A request that crashes its upstream does so when it begins to run. One that
- * has run for this long is less likely the cause.
- */
-constexpr milliseconds settling_time{500};
-
 } // namespace
 
 exchange::exchange(gateway_context& context, caller_request request,
                    std::shared_ptr<answer_writer> writer)
     : context_(context), served_{.request = std::move(request),
                                  .routes = context.routes},
-      conclusion_(context, served_, std::move(writer), [this] { end(); })
+      conclusion_(context, served_, std::move(writer), [this] { end(); }),
+      permit_(context, served_)
 {
 }
 
@@ -65,9 +60,11 @@
         return;
     }
     served_.admitted = *admitted;
-    served_.fingerprint = request_fingerprint(
-        served_.admitted.team != nullptr ? served_.admitted.team->name : "",
-        served_.request.head, served_.request.body);
+    served_.work = suspected_work(
+        request_fingerprint(
+            served_.admitted.team != nullptr ? served_.admitted.team->name : "",
+            served_.request.head, served_.request.body),
+        shared_part_fingerprints(served_.facts.prompt_parts));
     served_.profile =
         request_profile(served_.routes, served_.admitted, served_.facts);
     conclusion_.admit();
@@ -116,18 +113,35 @@
         conclusion_.refuse(gateway_refusal::no_configuration);
         return false;
     }
-    const auto now = context_.reactor->now();
-    if (on_trial_ && conclusion_.history().sends() == 0)
+    const auto admission = permit_.admit();
+    if (may_run(admission))
         return true;
-    const auto admission = context_.poison.admit(served_.fingerprint, now);
-    on_trial_ = admission == poison_admission::trial;
-    if (admission != poison_admission::refused)
-        return true;
-    conclusion_.refuse(gateway_refusal::poison,
-                       context_.poison.time_to_trial(served_.fingerprint, now));
+    if (admission == poison_admission::refused)
+        conclusion_.refuse_poison();
+    else
+        dispatch_later();
     return false;
 }
 
+void exchange::dispatch_later()
+{
+    context_.reactor->post_at(context_.reactor->now() + poison_wait,
+                              [weak = weak_from_this()] {
+                                  const auto self = weak.lock();
+                                  if (self && !self->conclusion_.over())
+                                      self->dispatch();
+                              });
+}
+
+void exchange::end_if_poison()
+{
+    if (conclusion_.over() || conclusion_.answer().begun() ||
+        (attempt_ && attempt_->responding()) || !permit_.is_convicted())
+        return;
+    drop_attempt();
+    conclusion_.refuse_poison();
+}
+
 std::string
 exchange::request_for(const upstream_record& upstream,
                       const std::optional<continuation>& resume_from)
@@ -161,10 +175,13 @@
     const bool repeats = conclusion_.history().may_have_arrived();
     const bool fits = context_.choice.fits(upstream, served_.version,
                                            context_.reactor->now());
+    if (!may_run(permit_.admit())) {
+        end_start(upstream);
+        conclusion_.refuse_poison();
+        return false;
+    }
     if (!fits || !conclusion_.draw_send()) {
-        if (search_->uses_monitors())
-            context_.monitors->end_start(upstream.address.host,
-                                         served_.facts.id);
+        end_start(upstream);
         conclusion_.refuse(fits ? gateway_refusal::upstreams_busy
                                 : gateway_refusal::version_gone);
         return false;
@@ -182,8 +199,10 @@
     outgoing.has_no_response_body = served_.request.head.method == "HEAD";
     const auto now = context_.reactor->now();
     outgoing.connect_deadline = now + served_.profile.connect_timeout();
-    first_part_at_.reset();
+    permit_.begin_run();
     continuation_->set_origin(resume_from);
+    if (served_.solo)
+        conclusion_.recorder().sent_solo(served_.service, permit_.on_trial());
     if (repeats)
         conclusion_.recorder().repeated(served_.service,
                                         resume_from.has_value());
@@ -214,13 +233,18 @@
         context_.upstreams.record_completion(attempt_->upstream().id);
         // A generation that has begun is part of its engine's load, which the
         // monitor polls.
-        if (search_->uses_monitors() && !conclusion_.answer().begun())
-            context_.monitors->end_start(attempt_->upstream().address.host,
-                                         served_.facts.id);
+        if (!conclusion_.answer().begun())
+            end_start(attempt_->upstream());
     }
     attempt_.reset();
 }
 
+void exchange::end_start(const upstream_record& upstream)
+{
+    if (search_->uses_monitors())
+        context_.monitors->end_start(upstream.address.host, served_.facts.id);
+}
+
 void exchange::drop_attempt()
 {
     if (!attempt_)
@@ -228,6 +252,7 @@
     attempt_->cancel();
     conclusion_.end_attempt(attempt_result::lost);
     release_attempt();
+    permit_.release();
 }
 
 // Events of an attempt.
@@ -259,8 +284,7 @@
         conclusion_.cut(name_of(progress.error()));
         return;
     }
-    if (!first_part_at_)
-        first_part_at_ = context_.reactor->now();
+    permit_.record_part();
     if (!progress->relayed)
         return;
     fix_version();
@@ -334,10 +358,12 @@
 {
     const auto id = attempt_->upstream().id;
     release_attempt();
+    permit_.release();
     const auto result = conclusion_.classify_complete();
     conclusion_.end_attempt(result);
     if (!result) {
-        record_upstream_success(id);
+        context_.upstreams.record_success(id, context_.reactor->now());
+        permit_.record_success(id);
         conclusion_.record_attempt("complete", "deliver");
         if (conclusion_.answer().relaying())
             conclusion_.finish();
@@ -352,101 +378,12 @@
     continue_after(*result);
 }
 
-void exchange::record_upstream_success(const std::string& upstream_id)
-{
-    const auto now = context_.reactor->now();
-    context_.upstreams.record_success(upstream_id, now);
-    context_.poison.record_success(served_.fingerprint, now);
-}
-
-void exchange::handle_loss(attempt_loss loss)
-{
-    if (conclusion_.over())
-        return;
-    const auto upstream = attempt_->upstream();
-    const auto& id = upstream.id;
-    // Recorded first, since the mover may start the next attempt at once.
-    const auto ended = conclusion_.attempt_record();
-    const auto result = loss == attempt_loss::not_sent
-                            ? attempt_result::not_sent
-                            : attempt_result::lost;
-    conclusion_.end_attempt(result);
-    release_attempt();
-    if (continuation_->source_ended()) {
-        conclusion_.recorder().attempt_ended(ended, "moving", "go_on");
-        return;
-    }
-    if (loss == attempt_loss::not_sent)
-        context_.upstreams.record_connection_failure(id,
-                                                     context_.reactor->now());
-    else
-        context_.upstreams.record_failure(id, context_.reactor->now());
-    const auto* state = context_.upstreams.find(id);
-    // An upstream that leaves ends with its requests, whatever they are.
-    const bool leaves = state != nullptr && state->leaving;
-    if (loss == attempt_loss::broken && !leaves)
-        context_.crashes->record_loss(
-            upstream, {served_.facts.id, served_.fingerprint, suspicion(),
-                       prompt_parts_text(served_.facts.prompt_parts)});
-    if (conclusion_.answer().begun() && state != nullptr && !state->leaving)
-        context_.record_crash(id);
-    if (loss == attempt_loss::broken && continuation_->resume_at_backup())
-        return;
-    continue_after(result);
-}
-
-mark_strength exchange::suspicion() const
-{
-    const bool settled =
-        first_part_at_ &&
-        context_.reactor->now() - *first_part_at_ > settling_time;
-    return settled ? mark_strength::weak : mark_strength::strong;
-}
-
-void exchange::arm_response_timeout()
-{
-    const auto limit = conclusion_.response_timeout();
-    if (!limit)
-        return;
-    context_.reactor->post_timeout(
-        context_.reactor->awake_deadline(conclusion_.attempt_began() + *limit),
-        [weak = weak_from_this(), watched = std::weak_ptr(attempt_)] {
-            const auto self = weak.lock();
-            const auto attempt = watched.lock();
-            if (self && attempt && attempt == self->attempt_)
-                self->handle_response_timeout();
-        });
-}
-
-bool exchange::awaits_response() const
-{
-    return attempt_ && !attempt_->responding();
-}
-
-void exchange::handle_response_timeout()
-{
-    const auto now = context_.reactor->now();
-    const auto id = attempt_->upstream().id;
-    const auto* state = context_.upstreams.find(id);
-    // A request in an engine's queue would lose its position.
-    const bool queues =
-        state != nullptr && state->load && state->load->queued > 0;
-    const bool has_time =
-        now + served_.admitted.route->objective < served_.admitted.deadline;
-    if (conclusion_.over() || !awaits_response() || queues || !has_time ||
-        !search_->has_alternative() || !conclusion_.reserve_repeat())
-        return;
-    context_.upstreams.record_failure(id, now);
-    drop_attempt();
-    continue_after(attempt_result::lost);
-}
-
 void exchange::continue_after(attempt_result result)
 {
     if (result == attempt_result::turned_away &&
         continuation_->resume_at_source())
         return;
-    const auto step = conclusion_.step_after(result, on_trial_);
+    const auto step = conclusion_.step_after(result, permit_.on_trial());
     conclusion_.record_attempt(name_of(result), name_of(step));
     if (step == attempt_step::again || step == attempt_step::again_free)
         dispatch();
@@ -488,6 +425,7 @@
     if (attempt_)
         attempt_->cancel();
     release_attempt();
+    permit_.release();
     if (continuation_)
         continuation_->cancel();
     if (search_)
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 #include "generation_continuation.hpp"
 #include "http_session.hpp"
+#include "poison_permit.hpp"
 #include "request_conclusion.hpp"
 #include "served_request.hpp"
 #include "upstream_attempt.hpp"
@@ -42,6 +43,11 @@
                           std::optional<time_point> leaves_at);
 
     const std::string& id() const { return served_.facts.id; }
+    /**
+     * Ends a request that was convicted and has no answer yet: it would crash
+     * its upstream.
+     */
+    void end_if_poison();
     /** Memory of its generation at its engine; 0 before its first event. */
     std::uint64_t memory_tokens() const
     {
@@ -75,6 +81,8 @@
      * crashed under the request.
      */
     bool may_send();
+    /** Begins the dispatch again after `poison_wait`. */
+    void dispatch_later();
     /**
      * Sends the request, or ends it if the budget does not allow the repeat or
      * the upstream's version does not fit. Returns false if it ended, which may
@@ -85,6 +93,8 @@
     std::string request_for(const upstream_record& upstream,
                             const std::optional<continuation>& resume_from);
     void release_attempt();
+    /** Tells the engine's monitor that the start it granted is not used. */
+    void end_start(const upstream_record& upstream);
     /** Ends the attempt as one that may have run. */
     void drop_attempt();
 
@@ -97,10 +107,10 @@
     /** Ends the attempt after its response, as far as that is whole. */
     void settle_response();
     void handle_complete();
-    void record_upstream_success(const std::string& upstream_id);
-    /** How likely the request is the cause if its upstream has crashed. */
-    mark_strength suspicion() const;
     void handle_loss(attempt_loss loss);
+    /** Goes on once it is known whether the upstream has crashed. */
+    void await_crash_check(const upstream_record& upstream);
+    void continue_after_loss(attempt_result result);
     /** Sets the timeout for the start of the response. */
     void arm_response_timeout();
     void handle_response_timeout();
@@ -119,11 +129,10 @@
     std::shared_ptr<exchange> self_;
     served_request served_;
     request_conclusion conclusion_;
+    poison_permit permit_;
     std::shared_ptr<upstream_search> search_; ///< null until the admission
     std::unique_ptr<generation_continuation> continuation_; ///< as search_
     std::shared_ptr<upstream_attempt> attempt_;
-    std::optional<time_point> first_part_at_; ///< of the attempt's response
-    bool on_trial_ = false; ///< run once more although it is poison
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange_hooks.cpp
+++ b/src/libcyclamenrun/gateway/exchange_hooks.cpp
@@ -35,6 +35,7 @@
     generation_continuation::hooks on;
     on.current = [this] { return attempt_ ? &attempt_->upstream() : nullptr; };
     on.drop_attempt = [this] { drop_attempt(); };
+    on.admit = [this] { return permit_.admit(); };
     on.send = [this](const upstream_record& upstream,
                      const continuation& from) { return send(upstream, from); };
     on.post_at = [weak = weak_from_this()](time_point at,
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -1,5 +1,6 @@
 #include "gateway_context.hpp"
 
+#include "exchange.hpp"
 #include "log_event.hpp"
 #include "peers.pb.h"
 #include "request_fingerprint.hpp"
@@ -31,13 +32,12 @@
       choice(upstreams, limits, notices, versions, random), poison(random)
 {
     poison_guard::hooks on;
-    on.changed = [this] {
-        if (peers)
-            peers->push_changes();
-    };
-    on.convicted = [](std::uint64_t fingerprint) {
+    on.changed = [this] { push_changes_later(); };
+    on.convicted = [this](suspect_kind kind, std::uint64_t fingerprint) {
         log_event(log_severity::warning, log_event_name::poison_convicted,
-                  {{log_key::fingerprint, fingerprint_text(fingerprint)}});
+                  {{log_key::kind, rule_of(kind).name},
+                   {log_key::fingerprint, fingerprint_text(fingerprint)}});
+        end_poison_requests();
     };
     poison.set_hooks(std::move(on));
     crashes = std::make_shared<crash_detector>(
@@ -178,6 +178,29 @@
             })};
 }
 
+void gateway_context::push_changes_later()
+{
+    if (!peers || std::exchange(push_pending, true))
+        return;
+    reactor->post([this] {
+        push_pending = false;
+        peers->push_changes();
+    });
+}
+
+void gateway_context::end_poison_requests()
+{
+    // Later, since a request may be in the middle of its dispatch.
+    reactor->post([this] {
+        std::vector<std::shared_ptr<exchange>> requests;
+        requests.reserve(running.size());
+        for (auto* each : running)
+            requests.push_back(each->shared_from_this());
+        for (const auto& each : requests)
+            each->end_if_poison();
+    });
+}
+
 void gateway_context::handle_crash(const upstream_record& upstream,
                                    const lost_request& lost)
 {
@@ -185,13 +208,11 @@
               {{log_key::request_id, lost.id},
                {log_key::upstream, upstream.id},
                {log_key::address, to_string(upstream.address)},
-               {log_key::fingerprint, fingerprint_text(lost.fingerprint)},
-               {log_key::kind,
-                lost.strength == mark_strength::strong ? "begun" : "running"},
+               {log_key::fingerprint, fingerprint_text(lost.run.work.request)},
+               {log_key::kind, name_of(lost.run.stage)},
                {log_key::prompt_parts, lost.prompt_parts}});
     metrics.count(exported_metric::crashes_seen, {upstream.service});
-    poison.record_crash(upstream.id, lost.fingerprint, lost.strength,
-                        reactor->now());
+    poison.record_crash(upstream.id, lost.run, reactor->now());
 }
 
 void gateway_context::record_crash(const std::string& upstream_id)
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -85,6 +85,13 @@
     std::string version_of(const upstream_record& upstream) const;
     /** Tables that this gateway shares with the others. */
     std::vector<peer_table> shared_tables();
+    /**
+     * Tells other gateways what has changed, together with what changes in the
+     * rest of this iteration of the loop.
+     */
+    void push_changes_later();
+    /** Ends the requests that are refused since a conviction. */
+    void end_poison_requests();
     /** Marks a request that an upstream had when it crashed. */
     void handle_crash(const upstream_record& upstream,
                       const lost_request& lost);
@@ -124,6 +131,7 @@
     /** Requests in progress. */
     std::unordered_set<exchange*> running;
     bool stopping = false; ///< a planned stop has begun
+    bool push_pending = false;
     time_point next_version_record{};
     /** When a planned stop ends this process, even with requests running. */
     std::optional<time_point> stop_at;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -28,6 +28,8 @@
 /** The drain ends this long before the end of the stop grace. */
 constexpr milliseconds stop_margin{700};
 constexpr milliseconds stop_check_interval{20};
+/** Time in which other gateways hear of what this one has learnt. */
+constexpr milliseconds peer_news_time{300};
 
 std::optional<milliseconds> lease_term(const gateway_settings& settings)
 {
@@ -191,6 +193,7 @@
             return context_->handle_direct(host, message);
         });
     context_->peers->set_count_hooks(context_->count_hooks());
+    context_->poison.set_news_time(peer_news_time);
     context_->peers->start();
     context_->share_origins(seed_hosts(settings_.peer_seeds));
 }
@@ -325,14 +328,20 @@
            std::to_string(
                context_->limits.count_limited(context_->reactor->now())) +
            ",\"poison_requests\":" +
-           std::to_string(
-               context_->poison.count_poison(context_->reactor->now())) +
+           std::to_string(count_poison(suspect_kind::request)) +
+           ",\"poison_parts\":" +
+           std::to_string(count_poison(suspect_kind::prompt_part)) +
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(caller_server_->connections()) +
            ",\"idle_upstream_connections\":" +
            std::to_string(context_->connections.size()) + "}";
 }
 
+std::size_t gateway_process::count_poison(suspect_kind kind) const
+{
+    return context_->poison.count_poison(kind, context_->reactor->now());
+}
+
 void gateway_process::refresh_gauges()
 {
     constexpr double ms_per_s = 1000;
@@ -351,7 +360,9 @@
     metrics.set(exported_metric::resting_upstreams, {},
                 static_cast<double>(context_->notices.count_resting(now)));
     metrics.set(exported_metric::poison_requests, {},
-                static_cast<double>(context_->poison.count_poison(now)));
+                static_cast<double>(count_poison(suspect_kind::request)));
+    metrics.set(exported_metric::poison_parts, {},
+                static_cast<double>(count_poison(suspect_kind::prompt_part)));
     metrics.set(exported_metric::budget_gateways, {},
                 context_->budget.divisor());
     if (context_->peers)
@@ -397,6 +408,7 @@
     directory_->tick();
     context_->update_gateway_count();
     context_->record_versions();
+    context_->poison.tick(context_->reactor->now());
     check_settings();
     context_->reactor->post_at(context_->reactor->now() + tick_interval,
                                [this] { tick(); });
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -60,6 +60,7 @@
     void upstream_leaving(const std::string& id,
                           std::optional<time_point> leaves_at);
     bool ready() const;
+    std::size_t count_poison(suspect_kind kind) const;
     std::string state_text();
     void refresh_gauges();
     void tick();
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -50,6 +50,10 @@
     gateway_refusal_row{
         gateway_refusal::poison, "poison", 503, true,
         "Upstreams have crashed while they ran a request with this work."},
+    gateway_refusal_row{
+        poison_part, "poison_part", 503, true,
+        "Upstreams have crashed while they ran requests with a part of this "
+        "prompt."},
     gateway_refusal_row{expired_unsent, "expired_unsent", 503, true,
                         "The deadline passed, and the request has not run."},
     gateway_refusal_row{expired, "expired", 504, false,
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -24,6 +24,7 @@
     version_unknown, ///< several versions may serve; which began it is unknown
     version_gone,    ///< no other upstream of its version takes work
     poison,          ///< upstreams have crashed while they ran it
+    poison_part,     ///< or requests with a part of its prompt
     expired_unsent,  ///< its deadline passed, and it has not run
     expired,         ///< its deadline passed at an upstream
     stopping,        ///< this process exits before the answer would end
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -1,5 +1,6 @@
 #include "generation_continuation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -75,8 +76,10 @@
                                         context_.version_of(source),
                                         context_.reactor->now());
     };
-    on.reserve = [this] { return conclusion_.reserve_repeat(); };
-    on.spend = [this] { return conclusion_.spend_repeat(); };
+    on.reserve = [this] {
+        return !is_convicted() && conclusion_.reserve_repeat();
+    };
+    on.spend = [this] { return !is_convicted() && conclusion_.spend_repeat(); };
     on.release = [this] { conclusion_.release_repeat(); };
     on.runs_at = [this](const upstream_record& source) {
         const auto* current = on_.current();
@@ -137,13 +140,17 @@
                                         const continuation& from)
 {
     const auto now = context_.reactor->now();
-    const auto rest = context_.notices.rest_left(upstream.id, now);
-    if (rest == milliseconds::zero()) {
+    auto wait = context_.notices.rest_left(upstream.id, now);
+    const auto admission = on_.admit();
+    if (admission == poison_admission::wait)
+        wait = std::max(wait, poison_wait);
+    const bool may_go_on = admission != poison_admission::refused;
+    if (may_go_on && wait == milliseconds::zero()) {
         send_continuation(upstream, from);
         return;
     }
-    if (now + rest < served_.admitted.deadline) {
-        on_.post_at(now + rest,
+    if (may_go_on && now + wait < served_.admitted.deadline) {
+        on_.post_at(now + wait,
                     [this, upstream, from] { resume_at(upstream, from); });
         return;
     }
@@ -189,8 +196,7 @@
 {
     const auto backup = std::exchange(backup_, std::nullopt);
     const auto now = context_.reactor->now();
-    if (!backup || now >= served_.admitted.deadline ||
-        context_.poison.is_poison(served_.fingerprint, now))
+    if (!backup || now >= served_.admitted.deadline || is_convicted())
         return false;
     const auto* state = context_.upstreams.find(backup->id);
     if (state == nullptr || state->record != *backup ||
@@ -202,6 +208,11 @@
     return true;
 }
 
+bool generation_continuation::is_convicted() const
+{
+    return context_.poison.is_poison(served_.work, context_.reactor->now());
+}
+
 void generation_continuation::cancel()
 {
     if (mover_)
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -25,6 +25,8 @@
         std::function<const upstream_record*()> current;
         /** Ends the current attempt, whose run continues elsewhere. */
         std::function<void()> drop_attempt;
+        /** Whether the request may be sent, see poison_guard::admit(). */
+        std::function<poison_admission()> admit;
         /**
          * Sends the request to continue from this memory. False: the request
          * has ended instead, and the continuation may be destroyed.
@@ -64,11 +66,16 @@
     void cancel();
 
 private:
+    /** True if the generation would crash the engine where it goes on. */
+    bool is_convicted() const;
     std::shared_ptr<generation_mover> make_mover();
     generation_mover::hooks mover_hooks();
     placement_request
     make_placement_request(const upstream_record& source) const;
-    /** Waits for the end of the upstream's rest, if it has asked for one. */
+    /**
+     * Waits for the end of the upstream's rest, if it has asked for one, and
+     * for another run of what is suspected of this request.
+     */
     void resume_at(const upstream_record& upstream, const continuation& from);
     void send_continuation(const upstream_record& upstream,
                            const continuation& from);
--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr unsigned first_probes = 40;
 /** A change is pushed again, to other peers, while some may lack it. */
 constexpr milliseconds push_interval{100};
+/** Least time from a push to one with later changes. */
+constexpr milliseconds change_interval{30};
 constexpr unsigned pushes_per_change = 4;
 /**
  * A gateway that was not heard of for this long has ended or is cut off. News
@@ -73,24 +75,30 @@
     return false;
 }
 
+time_point peer_exchange::next_push() const
+{
+    if (changed_since_push())
+        return std::min(next_push_, next_change_push_);
+    return pushes_left_ > 0 ? next_push_ : time_point::max();
+}
+
 time_point peer_exchange::next_send() const
 {
-    if (pushes_left_ > 0 || changed_since_push())
-        return std::min(next_push_, next_probe_);
-    return next_probe_;
+    return std::min(next_push(), next_probe_);
 }
 
 std::vector<peer_exchange::datagram> peer_exchange::send_due(time_point now)
 {
     std::vector<datagram> out;
-    if (changed_since_push()) {
-        for (std::size_t i = 0; i < tables_.size(); ++i)
-            pushed_[i] = tables_[i].version();
-        pushes_left_ = pushes_per_change;
-    }
-    if (pushes_left_ > 0 && now >= next_push_) {
+    if (now >= next_push()) {
+        if (changed_since_push()) {
+            for (std::size_t i = 0; i < tables_.size(); ++i)
+                pushed_[i] = tables_[i].version();
+            pushes_left_ = pushes_per_change;
+        }
         --pushes_left_;
         next_push_ = now + push_interval;
+        next_change_push_ = now + change_interval;
         push(out, now);
     }
     if (now >= next_probe_) {
@@ -112,7 +120,7 @@
     if (behind.empty())
         pushes_left_ = 0;
     for (const auto& host : sample(std::move(behind), fanout))
-        out.push_back(message_to(host, false, now));
+        out.push_back(message_to(host, message_kind::push, now));
 }
 
 void peer_exchange::probe(std::vector<datagram>& out, time_point now)
@@ -131,7 +139,7 @@
              sample(std::move(unknown_seeds), alone ? seeds_.size() : 1))
             chosen.push_back(std::move(seed));
     for (const auto& host : chosen)
-        out.push_back(message_to(host, true, now));
+        out.push_back(message_to(host, message_kind::probe, now));
 }
 
 std::vector<std::string> peer_exchange::known_hosts() const
@@ -278,7 +286,10 @@
     const bool has_more = progress && is_behind(*from);
     if (!message.reply_wanted() && !has_changes && !has_more)
         return std::nullopt;
-    return message_to(host, false, now);
+    return message_to(host,
+                      message.reply_wanted() ? message_kind::probe_answer
+                                             : message_kind::push,
+                      now);
 }
 
 bool peer_exchange::read_positions(peer& from, const v1::PeerMessage& message)
@@ -303,12 +314,12 @@
 }
 
 peer_exchange::datagram peer_exchange::message_to(const std::string& host,
-                                                  bool reply_wanted,
+                                                  message_kind kind,
                                                   time_point now)
 {
     v1::PeerMessage message;
     message.set_incarnation(incarnation_);
-    message.set_reply_wanted(reply_wanted);
+    message.set_reply_wanted(kind == message_kind::probe);
     const auto found = peers_.find(host);
     if (found != peers_.end())
         message.set_receiver_incarnation(found->second.incarnation);
@@ -320,9 +331,12 @@
         }
         position.set_up_to(tables_[i].write(position.after(), message, now));
     }
-    if (count_hooks_.counts)
-        write_gateway_counts(count_hooks_.counts(), message);
-    name_peers(message, host, now);
+    // Changes come in series, and peers are known for long.
+    if (kind != message_kind::push) {
+        if (count_hooks_.counts)
+            write_gateway_counts(count_hooks_.counts(), message);
+        name_peers(message, host, now);
+    }
     return {host, message.SerializeAsString()};
 }
 
--- a/src/libcyclamenrun/gateway/peer_exchange.hpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.hpp
@@ -113,6 +113,8 @@
     };
 
     bool changed_since_push() const;
+    /** When the next push is due; time_point::max(): none is. */
+    time_point next_push() const;
     bool is_behind(const peer& known) const;
     void push(std::vector<datagram>& out, time_point now);
     void probe(std::vector<datagram>& out, time_point now);
@@ -130,7 +132,8 @@
     void learn_peers(const v1::PeerMessage& message, time_point now);
     /** Returns true if the peer has acknowledged further changes. */
     bool read_positions(peer& from, const v1::PeerMessage& message);
-    datagram message_to(const std::string& host, bool reply_wanted,
+    enum class message_kind : std::uint8_t { push, probe, probe_answer };
+    datagram message_to(const std::string& host, message_kind kind,
                         time_point now);
 
     std::string own_host_;
@@ -144,7 +147,8 @@
     std::map<std::string, peer> peers_; ///< by host
     time_point next_probe_{};
     std::uint64_t probes_ = 0;
-    time_point next_push_{};
+    time_point next_push_{};        ///< of changes that were pushed before
+    time_point next_change_push_{}; ///< of later ones
     unsigned pushes_left_ = 0;
     std::vector<std::uint64_t> pushed_; ///< versions at the last push
 };
--- a/src/libcyclamenrun/gateway/poison_guard.cpp
+++ b/src/libcyclamenrun/gateway/poison_guard.cpp
@@ -3,6 +3,7 @@
 #include "digest.hpp"
 #include "peers.pb.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cyclamenrun
@@ -14,8 +15,18 @@
 constexpr std::size_t max_records = 4096;
 /** As for the marks of entries and agents. */
 constexpr milliseconds mark_lifetime{3'600'000};
-/** Marks of 30 bytes in one datagram. */
-constexpr std::size_t max_marks_sent = 24;
+/** Bytes of marks in one datagram. */
+constexpr std::size_t max_mark_bytes = 700;
+constexpr std::size_t max_settling = 1024;
+
+/**
+ * An upstream that starts again has a new id, so all gateways report one crash
+ * as the same loss.
+ */
+std::uint64_t loss_of(const std::string& upstream)
+{
+    return hash64(upstream);
+}
 
 } // namespace
 
@@ -24,55 +35,123 @@
 {
 }
 
-poison_admission poison_guard::admit(std::uint64_t fingerprint, time_point now)
+poison_admission poison_guard::admit(const suspected_work& work,
+                                     solo_run& claim, time_point now)
 {
-    if (!is_poison(fingerprint, now))
-        return poison_admission::allowed;
-    if (!marks_.begin_trial(fingerprint, random_() | 1, now))
-        return poison_admission::refused;
-    if (on_.changed)
-        on_.changed();
-    return poison_admission::trial;
+    auto admission = poison_admission::allowed;
+    change({}, now, [&] {
+        admission =
+            admit_send(marks_, work, claim, {random_() | 1, news_time_}, now);
+    });
+    return admission;
 }
 
-bool poison_guard::is_poison(std::uint64_t fingerprint, time_point now) const
+void poison_guard::end_solo(solo_run& claim)
 {
-    return marks_.verdict(fingerprint, now) == poison_verdict::poison;
+    const auto version = marks_.version();
+    cyclamenrun::end_solo(marks_, claim);
+    if (marks_.version() != version && on_.changed)
+        on_.changed();
 }
 
-milliseconds poison_guard::time_to_trial(std::uint64_t fingerprint,
-                                         time_point now) const
+bool poison_guard::is_poison(const suspected_work& work, time_point now) const
 {
-    return time_left(marks_.next_trial(fingerprint), now);
+    return marks_.verdict(work, now) == poison_verdict::poison;
 }
 
 template <typename Change>
-void poison_guard::apply(std::uint64_t fingerprint, time_point now,
-                         Change change)
+void poison_guard::apply(const std::vector<std::uint64_t>& requests,
+                         time_point now, Change change)
 {
-    const bool was_poison = is_poison(fingerprint, now);
     const auto version = marks_.version();
+    std::vector<std::uint64_t> not_convicted;
+    for (const auto request : requests)
+        if (!is_poison(suspected_work(request), now))
+            not_convicted.push_back(request);
     change();
-    if (!was_poison && is_poison(fingerprint, now) && on_.convicted)
-        on_.convicted(fingerprint);
+    if (marks_.version() != version)
+        report_convictions(not_convicted, now);
+}
+
+template <typename Change>
+void poison_guard::change(const std::vector<std::uint64_t>& requests,
+                          time_point now, Change change_marks)
+{
+    const auto version = marks_.version();
+    apply(requests, now, change_marks);
     if (marks_.version() != version && on_.changed)
         on_.changed();
 }
 
-void poison_guard::record_crash(const std::string& upstream,
-                                std::uint64_t fingerprint,
-                                mark_strength strength, time_point now)
+void poison_guard::report_convictions(
+    const std::vector<std::uint64_t>& requests, time_point now)
+{
+    const auto before =
+        std::exchange(convicted_parts_, marks_.convicted_parts(now));
+    if (!on_.convicted)
+        return;
+    for (const auto part : convicted_parts_)
+        if (!std::binary_search(before.begin(), before.end(), part))
+            on_.convicted(suspect_kind::prompt_part, part);
+    for (const auto request : requests)
+        if (is_poison(suspected_work(request), now))
+            on_.convicted(suspect_kind::request, request);
+}
+
+void poison_guard::record_crash(const std::string& upstream, lost_run run,
+                                time_point now)
+{
+    run.loss = loss_of(upstream);
+    change({run.work.request}, now, [&] {
+        marks_.record_loss(run, now);
+        accuse_settling(run.loss, now);
+    });
+}
+
+void poison_guard::accuse_settling(std::uint64_t loss, time_point now)
+{
+    std::erase_if(settling_, [&](const settling_run& each) {
+        if (each.run.loss != loss)
+            return false;
+        marks_.record_loss(each.run, now);
+        return true;
+    });
+}
+
+void poison_guard::record_settled(const suspected_work& work, time_point now)
+{
+    change({}, now,
+           [&] { marks_.record_run(work, run_progress::settled, now); });
+}
+
+void poison_guard::record_success(const std::string& upstream,
+                                  const suspected_work& work,
+                                  time_point first_part_at, time_point now)
 {
-    // An upstream that starts again has a new id, so all gateways report one
-    // crash as the same loss.
-    apply(fingerprint, now,
-          [&] { marks_.mark(fingerprint, hash64(upstream), now, strength); });
+    const auto settles_at = first_part_at + settling_time;
+    const bool settled = work.parts.empty() || now >= settles_at ||
+                         settling_.size() >= max_settling;
+    change({}, now, [&] {
+        marks_.record_run(settled ? work : suspected_work(work.request),
+                          run_progress::whole, now);
+    });
+    if (!settled)
+        settling_.push_back({{work, loss_of(upstream), run_stage::beginning,
+                              first_part_at, now},
+                             settles_at});
 }
 
-void poison_guard::record_success(std::uint64_t fingerprint, time_point now)
+void poison_guard::tick(time_point now)
 {
-    if (marks_.size() > 0)
-        apply(fingerprint, now, [&] { marks_.clear(fingerprint, now); });
+    std::vector<settling_run> settled;
+    std::erase_if(settling_, [&](const settling_run& each) {
+        const bool is_due = now >= each.settles_at;
+        if (is_due)
+            settled.push_back(each);
+        return is_due;
+    });
+    for (const auto& each : settled)
+        record_settled(each.run.work, now);
 }
 
 peer_table poison_guard::table()
@@ -81,7 +160,7 @@
     shared.version = [this] { return marks_.version(); };
     shared.write = [this](std::uint64_t after, v1::PeerMessage& message,
                           time_point now) {
-        auto batch = marks_.oldest_marks_since(after, max_marks_sent, now);
+        auto batch = marks_.oldest_marks_since(after, max_mark_bytes, now);
         for (auto& mark : batch.marks)
             *message.add_marks() = std::move(mark);
         return batch.version;
@@ -94,12 +173,16 @@
 
 void poison_guard::merge(const v1::PeerMessage& message, time_point now)
 {
-    for (const auto& mark : message.marks()) {
-        const bool was_poison = is_poison(mark.fingerprint(), now);
-        marks_.merge(mark, now);
-        if (!was_poison && is_poison(mark.fingerprint(), now) && on_.convicted)
-            on_.convicted(mark.fingerprint());
-    }
+    std::vector<std::uint64_t> requests;
+    for (const auto& mark : message.marks())
+        requests.push_back(mark.fingerprint());
+    apply(requests, now, [&] {
+        for (const auto& mark : message.marks()) {
+            marks_.merge(mark, now);
+            if (!mark.trial() && !mark.part_cleared())
+                accuse_settling(mark.loss(), now);
+        }
+    });
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -1,6 +1,7 @@
 #include "request_conclusion.hpp"
 
 #include "http_text.hpp"
+#include "prompt_parts.hpp"
 #include "response_classification.hpp"
 
 #include <utility>
@@ -32,7 +33,7 @@
     recorder_.admitted(
         served_.admitted, served_.routes->version(), served_.configuration_age,
         time_since(served_.request.arrived, served_.admitted.deadline),
-        served_.facts, served_.fingerprint);
+        served_.facts, served_.work.request);
 }
 
 // Attempts.
@@ -207,7 +208,9 @@
 request_conclusion::retry_delay(gateway_refusal refusal,
                                 std::optional<milliseconds> time_to_room)
 {
-    if (refusal == gateway_refusal::poison && time_to_room)
+    const bool is_poison = refusal == gateway_refusal::poison ||
+                           refusal == gateway_refusal::poison_part;
+    if (is_poison && time_to_room)
         return jitter_retry_delay(*time_to_room, context_.random);
     // Whatever the reason, a caller that returns earlier is refused again.
     const auto next = context_.choice.first_with_room(
@@ -247,6 +250,25 @@
     return true;
 }
 
+void request_conclusion::refuse_poison()
+{
+    const auto now = context_.reactor->now();
+    const auto why = context_.poison.grounds(served_.work, now);
+    if (!why) {
+        refuse(gateway_refusal::poison);
+        return;
+    }
+    const bool is_part = why->kind == suspect_kind::prompt_part;
+    const auto to_trial = time_left(why->next_trial, now);
+    recorder_.poison_refused(
+        *why,
+        is_part ? part_id_of(served_.facts.prompt_parts, why->fingerprint)
+                : std::string(),
+        to_trial);
+    refuse(is_part ? gateway_refusal::poison_part : gateway_refusal::poison,
+           to_trial);
+}
+
 void request_conclusion::cut(std::string_view reason)
 {
     answer_.abort();
--- a/src/libcyclamenrun/gateway/request_conclusion.hpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.hpp
@@ -91,6 +91,8 @@
      * whether it did.
      */
     bool refuse_without_room();
+    /** Refuses a request that would crash its upstream. */
+    void refuse_poison();
     void cut(std::string_view reason);
     /** Ends a request whose deadline has passed. */
     void expire();
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -64,6 +64,24 @@
                    {log_key::count, gateways}});
 }
 
+void request_recorder::poison_refused(const poison_grounds& why,
+                                      const std::string& part_id,
+                                      milliseconds to_trial)
+{
+    trace_.record(log_event_name::poison_refused,
+                  {{log_key::kind, rule_of(why.kind).name},
+                   {log_key::fingerprint, fingerprint_text(why.fingerprint)},
+                   {log_key::prompt_parts, part_id},
+                   {log_key::count, why.losses},
+                   {log_key::retry_after_ms, to_trial}});
+}
+
+void request_recorder::sent_solo(const std::string& service, bool on_trial)
+{
+    metrics_.count(exported_metric::solo_runs,
+                   {service, on_trial ? "trial" : "solo"});
+}
+
 void request_recorder::repeated(const std::string& service, bool continues)
 {
     metrics_.count(exported_metric::repeats,
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -3,6 +3,7 @@
 
 #include "answer_relay.hpp"
 #include "generation_mover.hpp"
+#include "poison_register.hpp"
 #include "request_admission.hpp"
 #include "request_summary.hpp"
 #include "request_trace.hpp"
@@ -45,6 +46,13 @@
     void over_limit(const std::string& upstream, std::optional<double> limit,
                     std::size_t gateways);
 
+    /**
+     * The request, or a part of its prompt with this id, has crashed upstreams
+     * and may run again after that time.
+     */
+    void poison_refused(const poison_grounds& why, const std::string& part_id,
+                        milliseconds to_trial);
+
     /** An attempt at an upstream that has ended. */
     struct attempt {
         std::string service;
@@ -55,6 +63,8 @@
         milliseconds took{0};
         double retries_left = 0;
     };
+    /** The request is sent alone, since upstreams were lost under it. */
+    void sent_solo(const std::string& service, bool on_trial);
     /** The request is sent once more, to continue its run or to run again. */
     void repeated(const std::string& service, bool continues);
     /** `result`: of the attempt; `next`: step that follows. */
--- a/src/libcyclamenrun/gateway/served_request.hpp
+++ b/src/libcyclamenrun/gateway/served_request.hpp
@@ -6,8 +6,8 @@
 #include "request_admission.hpp"
 #include "request_facts.hpp"
 #include "request_profile.hpp"
+#include "suspected_work.hpp"
 
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,7 +22,9 @@
     std::shared_ptr<const gateway_routes> routes = {};
     milliseconds configuration_age{0}; ///< at the admission
     request_facts facts = {};
-    std::uint64_t fingerprint = 0;
+    suspected_work work = {};
+    /** Upstreams were lost under it: it runs where it has few neighbours. */
+    bool solo = false;
     admitted_request admitted = {};
     request_profile profile = {};
     std::string service = {}; ///< empty until one is picked
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -29,6 +29,14 @@
 /** The same for copies; low, to favour engines of the same failure domain. */
 constexpr double copy_request_width = 0.2;
 
+/** The same for a request that runs alone: where it has few neighbours. */
+constexpr double solo_request_width = 0.01;
+
+placement_weights weights_for(const placement_request& request)
+{
+    return request.solo ? solo_weights : placement_weights();
+}
+
 bool contains(const std::vector<std::string>& ids, const std::string& id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -146,7 +154,7 @@
     const std::vector<std::string>& excluded, time_point now)
 {
     return choose(candidates(service, excluded, request.version, now), request,
-                  {}, now);
+                  weights_for(request), now);
 }
 
 std::optional<placed_upstream>
@@ -161,15 +169,17 @@
             fits(state->record, request.version, now))
             known.push_back(state);
     }
-    return choose(known, request, {}, now);
+    return choose(known, request, weights_for(request), now);
 }
 
 std::vector<upstream_record> upstream_choice::start_candidates(
     const std::string& service, const placement_request& request,
     const std::vector<std::string>& excluded, std::size_t count, time_point now)
 {
+    const double width =
+        request.solo ? solo_request_width : start_request_width;
     return draw(candidates(service, excluded, request.version, now), request,
-                {}, start_request_width, count, now);
+                weights_for(request), width, count, now);
 }
 
 std::vector<upstream_record> upstream_choice::copy_candidates(
@@ -223,7 +233,7 @@
         static_cast<double>(occupancy.memory_taken + request.output_tokens) /
         static_cast<double>(
             std::max<std::uint64_t>(1, request.engine_memory_tokens));
-    return placement_cost(reported);
+    return placement_cost(reported, weights_for(request));
 }
 
 double upstream_choice::copy_cost(const upstream_record& engine,
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -243,6 +243,7 @@
      * upstreams that name none.
      */
     std::optional<std::string> version;
+    bool solo = false; ///< it may crash the upstream
 };
 
 /**
--- a/src/libcyclamenrun/gateway/upstream_search.cpp
+++ b/src/libcyclamenrun/gateway/upstream_search.cpp
@@ -66,6 +66,7 @@
         served_.profile.make_placement_request(context_.failure_domain);
     request.gateways = context_.monitored_gateways;
     request.version = served_.version;
+    request.solo = served_.solo;
     return request;
 }
 
--- a/src/libcyclamenrun/membership/route_table.cpp
+++ b/src/libcyclamenrun/membership/route_table.cpp
@@ -89,7 +89,7 @@
     route.team = request.team;
     route.prompt_tokens = request.prompt_tokens;
     route.prefix_blocks = request.prefix_blocks;
-    route.fingerprint = request.fingerprint;
+    route.fingerprint = request.work.request;
     route.own_failure_domain = settings_.own_failure_domain;
     route.own_region = settings_.own_region;
     return route;
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -123,6 +123,16 @@
         exported_metric::poison_requests, "cyclamenrun_poison_requests",
         exported_kind::gauge, "",
         "Requests that are refused because upstreams crashed under them."},
+    exported_metric_row{
+        exported_metric::poison_parts, "cyclamenrun_poison_parts",
+        exported_kind::gauge, "",
+        "Parts of prompts whose requests are refused because upstreams crashed "
+        "under them."},
+    exported_metric_row{
+        exported_metric::solo_runs, "cyclamenrun_solo_runs_total",
+        exported_kind::counter, "service,kind",
+        "Sends of requests under which, or under a part of whose prompt, "
+        "upstreams have crashed: `solo` or `trial`."},
     exported_metric_row{exported_metric::crashes_seen,
                         "cyclamenrun_requests_crashed_total",
                         exported_kind::counter, "service",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -40,6 +40,8 @@
     limited_upstreams,
     resting_upstreams,
     poison_requests,
+    poison_parts,
+    solo_runs,
     crashes_seen,
     dropped_log_lines,
     engine_running,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -121,7 +121,13 @@
                   "lost while serving it."},
     log_event_row{log_event_name::poison_convicted, "poison_convicted",
                   "Several upstreams crashed while they ran requests with this "
-                  "fingerprint; the gateway refuses them."},
+                  "fingerprint, or prompts with a part of it; the gateway "
+                  "refuses them."},
+    log_event_row{
+        log_event_name::poison_refused, "poison_refused",
+        "A request is refused since `count` upstreams crashed under it "
+        "or a part of its prompt; it may run again after "
+        "`retry_after_ms`."},
     log_event_row{log_event_name::order_given, "order_given",
                   "The engine accepted an order; fence is its fencing number."},
     log_event_row{log_event_name::order_refused, "order_refused",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -55,6 +55,7 @@
     drain_timed_out,
     poison_marked,
     poison_convicted,
+    poison_refused,
     order_given,
     order_refused,
     answer_cut,
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -51,6 +51,7 @@
     key_row{log_key::reason, "reason"},
     key_row{log_key::request_id, "request_id"},
     key_row{log_key::retries_left, "retries_left"},
+    key_row{log_key::retry_after_ms, "retry_after_ms"},
     key_row{log_key::revision, "revision"},
     key_row{log_key::route, "route"},
     key_row{log_key::running, "running"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -53,6 +53,7 @@
     reason,
     request_id,
     retries_left,
+    retry_after_ms,
     revision,
     route,
     running,
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -148,10 +148,8 @@
         return tl::unexpected(no_upstream_refusal());
     if (dispatch.time_left_ms() == 0)
         return tl::unexpected(not_run(refusal_reason::deadline_passed));
-    if (poison_.verdict(dispatch.fingerprint(), now) == poison_verdict::poison)
-        return tl::unexpected(
-            not_run(refusal_reason::poison,
-                    "two upstreams were lost while they ran this request"));
+    if (const auto why = poison_.grounds(suspected_work_of(dispatch), now))
+        return tl::unexpected(not_run(refusal_reason::poison, describe(*why)));
     if (sessions_.full() || sessions_.kept_bytes() >= settings_.max_kept_bytes)
         return tl::unexpected(not_run(
             refusal_reason::queue_full,
@@ -167,9 +165,8 @@
     const auto [work, session] = sessions_.add(dispatch, now + time_left);
     session.generation = {settings_.upstream, settings_.incarnation, work,
                           random_u64()};
-    session.suspect =
-        dispatch.suspect() ||
-        poison_.verdict(dispatch.fingerprint(), now) == poison_verdict::suspect;
+    session.suspect = dispatch.suspect() ||
+                      poison_.is_request_suspected(dispatch.fingerprint(), now);
     const auto queued = admission_.enqueue(waiting_work_of(work, session), now);
     if (!queued) {
         sessions_.remove(work);
@@ -305,6 +302,7 @@
                        deferred);
         } else {
             sessions_.append_token(*session, text);
+            record_progress(*session, now);
             admission_.record_output_tokens(work, 1, now);
             wake_readers(*session, deferred);
             // The first token ends the prompt's processing, which may allow the
@@ -326,7 +324,8 @@
         if (session == nullptr)
             return;
         session->finish_reason = finish_reason;
-        poison_.clear(session->request.fingerprint(), now);
+        poison_.record_run(suspected_work_of(session->request),
+                           run_progress::whole, now);
         admission_.record_end(work, true, now);
         end(*session, now, deferred);
         admit(now, deferred);
@@ -342,7 +341,8 @@
         auto* session = running_session(work);
         if (session == nullptr)
             return;
-        poison_.clear(session->request.fingerprint(), now);
+        poison_.record_run(suspected_work_of(session->request),
+                           run_progress::whole, now);
         admission_.record_end(work, true, now);
         if (answer.body.size() > settings_.max_answer_bytes) {
             refuse(*session, outcome_unknown(refusal_reason::answer_too_large),
@@ -385,10 +385,8 @@
         for (auto& [work, session] : sessions_.all()) {
             if (session.state != work_state::running)
                 continue;
-            if (!being_reclaimed) {
-                session.loss = loss;
-                poison_.mark(session.request.fingerprint(), loss, now);
-            }
+            if (!being_reclaimed)
+                mark_lost(session, loss, now);
             admission_.record_end(work, false, now);
             const refusal why =
                 session.is_call()
@@ -450,20 +448,6 @@
     admission_.apply_objective(goal);
 }
 
-void gate::merge_marks(const std::vector<link::PoisonMark>& marks,
-                       time_point now)
-{
-    deferred_calls deferred;
-    {
-        const std::scoped_lock lock(mutex_);
-        const auto before = poison_.version();
-        for (const auto& mark : marks)
-            poison_.merge(mark, now);
-        deferred.state_changed = poison_.version() != before;
-    }
-    run(deferred);
-}
-
 void gate::update_engine_load(const engine_load_hint& hint, time_point now)
 {
     deferred_calls deferred;
@@ -590,6 +574,7 @@
         if (session == nullptr)
             continue;
         session->state = work_state::running;
+        session->started_at = now;
         auto& request = session->request;
         deferred.starts.push_back(
             {work, request.request_id(), request.kind(), request.path(),
@@ -612,12 +597,6 @@
     return session;
 }
 
-std::uint64_t gate::next_loss_id()
-{
-    ++engine_losses_;
-    return hash64(settings_.upstream, settings_.incarnation + engine_losses_);
-}
-
 bool gate::should_run(work_id work) const
 {
     const std::scoped_lock lock(mutex_);
@@ -678,18 +657,6 @@
     return load_change_;
 }
 
-std::uint64_t gate::marks_version() const
-{
-    const std::scoped_lock lock(mutex_);
-    return poison_.version();
-}
-
-std::vector<link::PoisonMark> gate::marks_since(std::uint64_t version) const
-{
-    const std::scoped_lock lock(mutex_);
-    return poison_.marks_since(version);
-}
-
 void gate::visit(
     const std::function<void(work_id, const work_session&)>& visitor) const
 {
--- a/src/libcyclamenrun/outcomes/gate.hpp
+++ b/src/libcyclamenrun/outcomes/gate.hpp
@@ -4,6 +4,7 @@
 #include "admission.hpp"
 #include "gate_settings.hpp"
 #include "link.pb.h"
+#include "poison_admission.hpp"
 #include "poison_register.hpp"
 #include "refusal.hpp"
 #include "session_table.hpp"
@@ -20,6 +21,9 @@
 namespace cyclamenrun
 {
 
+/** What may be to blame if the engine crashes while it runs this work. */
+suspected_work suspected_work_of(const link::Dispatch& dispatch);
+
 /** A work item that the gate has admitted and the upstream is to run. */
 struct admitted_work {
     work_id work = 0;
@@ -140,7 +144,8 @@
     /** Counts the load changes that entries must learn of immediately. */
     std::uint64_t load_change() const;
     std::uint64_t marks_version() const;
-    std::vector<link::PoisonMark> marks_since(std::uint64_t version) const;
+    std::vector<link::PoisonMark> marks_since(std::uint64_t version,
+                                              time_point now) const;
     /** Calls `visitor` for each session under the lock, for the state dump. */
     void visit(
         const std::function<void(work_id, const work_session&)>& visitor) const;
@@ -172,6 +177,12 @@
     void expire(time_point now, deferred_calls& deferred);
     void refuse_all_waiting(const refusal& why, time_point now,
                             deferred_calls& deferred);
+    /** Refuses waiting work that would crash the engine. */
+    void refuse_waiting_poison(time_point now, deferred_calls& deferred);
+    /** Marks work that was running when the engine was lost. */
+    void mark_lost(work_session& session, std::uint64_t loss, time_point now);
+    /** Records that the engine has made a token for running work. */
+    void record_progress(work_session& session, time_point now);
     bool add_tombstone(const std::string& request_id, time_point now);
     work_session* running_session(work_id work);
     std::uint64_t next_loss_id();
--- a/src/libcyclamenrun/outcomes/poison_mark_sync.cpp
+++ b/src/libcyclamenrun/outcomes/poison_mark_sync.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr std::size_t max_reported_losses = 4096;
+/** Time in which other entries hear of a claim through agents. */
+constexpr milliseconds news_time{200};
 
 } // namespace
 
@@ -17,40 +19,58 @@
 {
 }
 
-poison_verdict poison_mark_sync::verdict(std::uint64_t fingerprint,
-                                         time_point now) const
+poison_admission poison_mark_sync::admit(const suspected_work& work,
+                                         solo_run& claim, time_point now)
 {
     const std::scoped_lock lock(mutex_);
-    return marks_.verdict(fingerprint, now);
+    return admit_send(marks_, work, claim, {random_u64() | 1, news_time}, now);
 }
 
-void poison_mark_sync::agent_lost(std::uint64_t fingerprint,
-                                  const route_target& agent, time_point now)
+void poison_mark_sync::end_solo(solo_run& claim)
+{
+    const std::scoped_lock lock(mutex_);
+    cyclamenrun::end_solo(marks_, claim);
+}
+
+std::optional<poison_grounds>
+poison_mark_sync::grounds(const suspected_work& work, time_point now) const
+{
+    const std::scoped_lock lock(mutex_);
+    return marks_.grounds(work, now);
+}
+
+void poison_mark_sync::agent_lost(lost_run run, const route_target& agent,
+                                  time_point now)
 {
     const std::scoped_lock lock(mutex_);
     // Derived from the agent's incarnation, so that all entries that lose the
     // agent report the same loss.
-    const auto loss = hash64(agent.upstream, agent.incarnation);
-    marks_.mark(fingerprint, loss, now);
+    run.loss = hash64(agent.upstream, agent.incarnation);
+    marks_.record_loss(run, now);
     if (reported_losses_.size() < max_reported_losses)
-        reported_losses_.insert(loss);
+        reported_losses_.insert(run.loss);
+}
+
+void poison_mark_sync::engine_lost(const lost_run& run, time_point now)
+{
+    const std::scoped_lock lock(mutex_);
+    marks_.record_loss(run, now);
 }
 
-void poison_mark_sync::engine_lost(std::uint64_t fingerprint,
-                                   std::uint64_t loss, time_point now)
+std::uint64_t poison_mark_sync::version() const
 {
     const std::scoped_lock lock(mutex_);
-    marks_.mark(fingerprint, loss, now);
+    return marks_.version();
 }
 
 void poison_mark_sync::write_marks(const std::string& upstream,
-                                   link::Heartbeat& heartbeat)
+                                   link::Heartbeat& heartbeat, time_point now)
 {
     const std::scoped_lock lock(mutex_);
     auto& known = peers_[upstream];
     known.sent_version = marks_.version();
     heartbeat.set_marks_seen(known.received_version);
-    for (auto& mark : marks_.marks_since(known.merged_version))
+    for (auto& mark : marks_.marks_since(known.merged_version, now))
         *heartbeat.add_marks() = std::move(mark);
 }
 
--- a/src/libcyclamenrun/outcomes/poison_register.cpp
+++ b/src/libcyclamenrun/outcomes/poison_register.cpp
@@ -1,8 +1,9 @@
 #include "poison_register.hpp"
 
-#include "link.pb.h"
+#include "poison_marks.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -18,14 +19,17 @@
  */
 constexpr std::size_t max_recorded_losses = 4;
 
-/** Sum of the weights of its losses at which a request is poison. */
-constexpr unsigned poison_weight = 4;
-/** Sum from which there are no more trials. */
-constexpr unsigned last_trial_weight = 7;
-constexpr milliseconds first_trial_delay{60000};
-constexpr milliseconds second_trial_delay{600000};
-/** A trial that has not ended by then was never run. */
-constexpr milliseconds trial_timeout{60000};
+/**
+ * Parts of which nothing is known may run with a convicted one after this time,
+ * once: requests without such parts show more of the convicted one.
+ */
+constexpr milliseconds untried_delay{1500};
+
+/** A solo run that has not ended by then has been given up. */
+constexpr milliseconds solo_lifetime{5000};
+constexpr milliseconds trial_lifetime{60'000};
+/** Losses of a part after which two solo runs at once are too many. */
+constexpr unsigned confirmed_claim_losses = 3;
 
 bool contains(const std::vector<std::uint64_t>& losses, std::uint64_t loss)
 {
@@ -40,21 +44,13 @@
     losses.push_back(loss);
 }
 
-std::uint32_t age_ms(time_point at, time_point now)
-{
-    const auto age = std::chrono::duration_cast<milliseconds>(now - at).count();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(age, 0, std::numeric_limits<int>::max()));
-}
-
-link::PoisonMark make_mark(std::uint64_t fingerprint, std::uint64_t loss,
-                           bool cleared)
+/** Adds parts to a set that is bounded and in ascending order. */
+void add_parts(std::vector<std::uint64_t>& to,
+               const std::vector<std::uint64_t>& added)
 {
-    link::PoisonMark mark;
-    mark.set_fingerprint(fingerprint);
-    mark.set_loss(loss);
-    mark.set_cleared(cleared);
-    return mark;
+    auto all = to;
+    all.insert(all.end(), added.begin(), added.end());
+    to = suspected_work(0, std::move(all)).parts;
 }
 
 } // namespace
@@ -64,240 +60,394 @@
 {
 }
 
-void poison_register::mark(std::uint64_t fingerprint, std::uint64_t loss,
-                           time_point now, mark_strength strength)
+// Evidence.
+
+void poison_register::record_loss(const lost_run& run, time_point now)
 {
-    add_loss(fingerprint, {loss, strength}, now, now);
+    auto accused = run;
+    std::erase_if(accused.work.parts, [&](auto part) {
+        return run.stage == run_stage::settled ||
+               recent_runs_.last(part, now).has_value();
+    });
+    add_loss(accused, now);
 }
 
-void poison_register::add_loss(std::uint64_t fingerprint,
-                               const loss_mark& added, time_point now,
-                               time_point lost_at)
+void poison_register::add_loss(const lost_run& run, time_point now)
 {
-    const auto known = records_.find(fingerprint);
-    if (known != records_.end()) {
-        const auto& active = known->second.active_losses;
-        const bool is_marked = std::any_of(
-            active.begin(), active.end(),
-            [&](const loss_mark& mark) { return mark.loss == added.loss; });
-        if (is_marked || contains(known->second.cleared_losses, added.loss))
+    const auto fingerprint = run.work.request;
+    const auto known = requests_.find(fingerprint);
+    bool is_marked = false;
+    if (known != requests_.end()) {
+        const auto& record = known->second;
+        is_marked = std::any_of(
+            record.losses.begin(), record.losses.end(),
+            [&](const lost_run& each) { return each.loss == run.loss; });
+        const bool names_known_parts =
+            std::includes(record.parts.begin(), record.parts.end(),
+                          run.work.parts.begin(), run.work.parts.end());
+        if (contains(record.cleared_losses, run.loss) ||
+            (is_marked && names_known_parts))
             return;
     }
-    auto& marked = touch(fingerprint, now, lost_at);
-    add_bounded(marked.active_losses, added);
-    marked.lost_at = std::max(marked.lost_at, lost_at);
+    auto& marked = touch(fingerprint, now, run.lost_at);
+    add_parts(marked.parts, run.work.parts);
+    if (is_marked)
+        return;
+    auto added = run;
+    added.work.parts.clear();
+    add_bounded(marked.losses, added);
+}
+
+void poison_register::record_run(const suspected_work& work,
+                                 run_progress progress, time_point now)
+{
+    if (progress >= rule_of(suspect_kind::request).cleared_by)
+        clear_request(work.request, now);
+    if (progress < rule_of(suspect_kind::prompt_part).cleared_by)
+        return;
+    for (const auto part : work.parts) {
+        recent_runs_.record(part, now);
+        if (findings(now).find(part) != nullptr)
+            clear_part_run_here(part, now, now);
+    }
 }
 
-void poison_register::clear(std::uint64_t fingerprint, time_point now)
+void poison_register::clear_request(std::uint64_t fingerprint, time_point now)
 {
-    const auto known = records_.find(fingerprint);
-    if (known == records_.end() || known->second.active_losses.empty())
+    const auto known = requests_.find(fingerprint);
+    if (known == requests_.end() || known->second.losses.empty())
         return;
     auto& changed = touch(fingerprint, now, now);
-    for (const auto& mark : changed.active_losses)
-        add_bounded(changed.cleared_losses, mark.loss);
-    changed.active_losses.clear();
+    for (const auto& run : changed.losses)
+        add_bounded(changed.cleared_losses, run.loss);
+    changed.losses.clear();
+}
+
+void poison_register::clear_part_run_here(std::uint64_t part, time_point ran_at,
+                                          time_point now)
+{
+    const auto known = cleared_parts_.find(part);
+    const auto number =
+        known == cleared_parts_.end() ? 1 : known->second.told.number + 1;
+    const auto run =
+        static_cast<std::uint64_t>(ran_at.time_since_epoch().count());
+    clear_part({part, number, run, ran_at}, now);
+}
+
+void poison_register::clear_part(const part_clearance& clearance,
+                                 time_point now)
+{
+    auto& cleared = cleared_parts_[clearance.part];
+    if (!(cleared.told < clearance))
+        return;
+    cleared = {clearance, change_evidence(), now + mark_lifetime_};
+    if (cleared_parts_.size() <= capacity_)
+        return;
+    cleared_parts_.erase(
+        std::min_element(cleared_parts_.begin(), cleared_parts_.end(),
+                         [](const auto& a, const auto& b) {
+                             return a.second.deadline < b.second.deadline;
+                         }));
 }
 
 void poison_register::clear_loss(std::uint64_t loss, time_point now)
 {
-    for (auto& [fingerprint, known] : records_) {
-        if (std::erase_if(known.active_losses, [loss](const loss_mark& mark) {
-                return mark.loss == loss;
+    for (auto& [fingerprint, known] : requests_) {
+        if (std::erase_if(known.losses, [loss](const lost_run& run) {
+                return run.loss == loss;
             }) == 0)
             continue;
         add_bounded(known.cleared_losses, loss);
-        known.changed = ++version_;
+        known.changed = change_evidence();
         known.deadline = now + mark_lifetime_;
     }
 }
 
+std::uint64_t poison_register::change_evidence()
+{
+    ++evidence_version_;
+    return ++version_;
+}
+
+bool poison_register::is_cleared(std::uint64_t part, time_point lost_at) const
+{
+    const auto cleared = cleared_parts_.find(part);
+    return cleared != cleared_parts_.end() &&
+           lost_at < cleared->second.told.ran_at + clearance_time;
+}
+
+std::vector<std::uint64_t>
+poison_register::accused_parts(const request_record& known,
+                               time_point lost_at) const
+{
+    auto parts = known.parts;
+    std::erase_if(parts, [&](auto part) { return is_cleared(part, lost_at); });
+    return parts;
+}
+
+bool poison_register::is_untried(std::uint64_t part, time_point now) const
+{
+    return !recent_runs_.contains(part) && !cleared_parts_.contains(part) &&
+           findings(now).find(part) == nullptr;
+}
+
+std::vector<std::uint64_t>
+poison_register::parts_to_test(const suspected_work& work, time_point now) const
+{
+    if (!findings(now).has_convicted(work.parts))
+        return {};
+    auto parts = suspects_of(work, now).parts;
+    for (const auto part : work.parts)
+        if (is_untried(part, now))
+            parts.push_back(part);
+    return parts;
+}
+
+bool poison_register::has_untried_part(const suspected_work& work,
+                                       time_point now) const
+{
+    return std::any_of(work.parts.begin(), work.parts.end(),
+                       [&](auto part) { return is_untried(part, now); });
+}
+
+bool poison_register::can_test_parts(const suspected_work& work,
+                                     time_point now) const
+{
+    if (!has_untried_part(work, now))
+        return true;
+    // Parts that are new with each request would be tried for ever.
+    const auto& found = findings(now);
+    return std::none_of(work.parts.begin(), work.parts.end(), [&](auto part) {
+        const auto* against = found.find(part);
+        return against != nullptr && against->convicted &&
+               against->rounds > rule_of(suspect_kind::prompt_part).rounds;
+    });
+}
+
+time_point poison_register::test_time(const suspected_work& work,
+                                      time_point now) const
+{
+    time_point last_loss{};
+    if (!has_untried_part(work, now))
+        return last_loss;
+    const auto& found = findings(now);
+    for (const auto part : work.parts) {
+        const auto* against = found.find(part);
+        if (against != nullptr && against->convicted)
+            last_loss = std::max(last_loss, against->last_loss + untried_delay);
+    }
+    return last_loss;
+}
+
+// Solo runs.
+
+void poison_register::claim_solo(const suspected_work& work, std::uint64_t id,
+                                 time_point now)
+{
+    const bool is_trial = verdict(work, now) == poison_verdict::poison;
+    const auto lifetime = is_trial ? trial_lifetime : solo_lifetime;
+    claims_.add(
+        {id, suspects_of(work, now), now, now + lifetime, false, ++version_},
+        now);
+}
+
+void poison_register::release_solo(std::uint64_t id)
+{
+    if (claims_.release(id, version_ + 1))
+        ++version_;
+}
+
+bool poison_register::is_solo_beaten(std::uint64_t id, time_point now) const
+{
+    return claims_.is_beaten(id, now);
+}
+
+bool poison_register::is_solo_claimed(const suspected_work& work,
+                                      time_point now) const
+{
+    return claims_.is_claimed(suspects_of(work, now), now);
+}
+
+bool poison_register::needs_confirmed_claim(const suspected_work& work,
+                                            time_point now) const
+{
+    if (verdict(work, now) == poison_verdict::poison)
+        return true;
+    const auto& found = findings(now);
+    return std::any_of(work.parts.begin(), work.parts.end(), [&](auto part) {
+        const auto* against = found.find(part);
+        return against != nullptr &&
+               (against->convicted ||
+                (against->suspected &&
+                 against->losses >= confirmed_claim_losses));
+    });
+}
+
+// Exchange with other processes.
+
 void poison_register::merge(const link::PoisonMark& mark, time_point now)
 {
-    const auto at = now - milliseconds(mark.age_ms());
+    if (mark.part_cleared()) {
+        merge_clearance(mark, now);
+        return;
+    }
     if (mark.trial()) {
-        merge_trial(mark, now, at);
+        merge_claim(mark, now);
         return;
     }
+    const auto at = time_of(mark, now);
     if (at + mark_lifetime_ <= now)
         return;
     if (!mark.cleared()) {
-        add_loss(mark.fingerprint(),
-                 {mark.loss(),
-                  mark.weak() ? mark_strength::weak : mark_strength::strong},
-                 now, at);
+        const auto run = read_loss_mark(mark, now);
+        add_loss(run, now);
+        clear_parts_run_here(run.work, now);
         return;
     }
-    const auto known = records_.find(mark.fingerprint());
-    if (known != records_.end() &&
+    const auto known = requests_.find(mark.fingerprint());
+    if (known != requests_.end() &&
         contains(known->second.cleared_losses, mark.loss()))
         return;
     auto& changed = touch(mark.fingerprint(), now, at);
-    std::erase_if(changed.active_losses, [&](const loss_mark& active) {
+    std::erase_if(changed.losses, [&](const lost_run& active) {
         return active.loss == mark.loss();
     });
     add_bounded(changed.cleared_losses, mark.loss());
 }
 
-void poison_register::merge_trial(const link::PoisonMark& mark, time_point now,
-                                  time_point trial_at)
+void poison_register::clear_parts_run_here(const suspected_work& work,
+                                           time_point now)
 {
-    const auto known = records_.find(mark.fingerprint());
-    if (known == records_.end() || known->second.trial == mark.loss() ||
-        known->second.trial_at >= trial_at || now >= known->second.deadline)
-        return;
-    known->second.trial = mark.loss();
-    known->second.trial_at = trial_at;
-    known->second.changed = ++version_;
+    for (const auto part : work.parts)
+        if (const auto ran_at = recent_runs_.last(part, now))
+            clear_part_run_here(part, *ran_at, now);
 }
 
-unsigned poison_register::weight(const record& marked)
+void poison_register::merge_claim(const link::PoisonMark& mark, time_point now)
 {
-    unsigned sum = 0;
-    for (const auto& mark : marked.active_losses)
-        sum += mark.strength == mark_strength::strong ? 2 : 1;
-    return sum;
+    auto claim = read_claim_mark(mark, now);
+    claim.changed = version_ + 1;
+    if (claims_.add(claim, now))
+        ++version_;
 }
 
-poison_verdict poison_register::verdict(std::uint64_t fingerprint,
-                                        time_point now) const
+void poison_register::merge_clearance(const link::PoisonMark& mark,
+                                      time_point now)
 {
-    const auto known = records_.find(fingerprint);
-    if (known == records_.end() || now >= known->second.deadline ||
-        known->second.active_losses.empty())
-        return poison_verdict::clean;
-    return weight(known->second) < poison_weight ? poison_verdict::suspect
-                                                 : poison_verdict::poison;
+    const auto clearance = read_clearance_mark(mark, now);
+    if (clearance.ran_at + mark_lifetime_ > now)
+        clear_part(clearance, now);
 }
 
-time_point poison_register::next_trial(std::uint64_t fingerprint) const
+std::vector<link::PoisonMark>
+poison_register::marks_of(std::uint64_t fingerprint,
+                          const request_record& known, time_point now) const
 {
-    const auto known = records_.find(fingerprint);
-    if (known == records_.end())
-        return {};
-    const auto& marked = known->second;
-    const auto sum = weight(marked);
-    if (sum >= last_trial_weight)
-        return marked.deadline;
-    const auto after_loss =
-        marked.lost_at +
-        (sum > poison_weight ? second_trial_delay : first_trial_delay);
-    const auto after_trial =
-        marked.trial == 0 ? after_loss : marked.trial_at + trial_timeout;
-    return std::min(marked.deadline, std::max(after_loss, after_trial));
-}
-
-bool poison_register::begin_trial(std::uint64_t fingerprint,
-                                  std::uint64_t trial, time_point now)
-{
-    if (verdict(fingerprint, now) != poison_verdict::poison ||
-        now < next_trial(fingerprint))
-        return false;
-    auto& tried = records_.at(fingerprint);
-    tried.trial = trial;
-    tried.trial_at = now;
-    tried.changed = ++version_;
-    return true;
-}
-
-std::size_t poison_register::count_poison(time_point now) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(records_.begin(), records_.end(), [&](const auto& known) {
-            return verdict(known.first, now) == poison_verdict::poison;
-        }));
+    std::vector<link::PoisonMark> marks;
+    // All losses of a request have the same parts.
+    auto parts = known.losses.empty()
+                     ? std::vector<std::uint64_t>()
+                     : accused_parts(known, last_loss_of(known.losses));
+    for (auto run : known.losses) {
+        run.work.parts = std::exchange(parts, {});
+        marks.push_back(make_loss_mark(run, now));
+    }
+    for (const auto loss : known.cleared_losses)
+        marks.push_back(make_cleared_mark(
+            fingerprint, loss, known.deadline - mark_lifetime_, now));
+    return marks;
 }
 
-void poison_register::append_marks(std::uint64_t fingerprint,
-                                   const record& known, time_point now,
-                                   std::vector<link::PoisonMark>& marks) const
+std::vector<poison_register::change>
+poison_register::changes_since(std::uint64_t version, time_point now) const
 {
-    for (const auto& active : known.active_losses) {
-        auto mark = make_mark(fingerprint, active.loss, false);
-        mark.set_weak(active.strength == mark_strength::weak);
-        mark.set_age_ms(age_ms(known.lost_at, now));
-        marks.push_back(std::move(mark));
-    }
-    for (const auto loss : known.cleared_losses) {
-        auto mark = make_mark(fingerprint, loss, true);
-        mark.set_age_ms(age_ms(known.deadline - mark_lifetime_, now));
-        marks.push_back(std::move(mark));
+    std::vector<change> changes;
+    for (const auto& [fingerprint, known] : requests_)
+        if (known.changed > version && now < known.deadline)
+            changes.push_back(
+                {known.changed, change_kind::request, fingerprint});
+    for (const auto& [part, cleared] : cleared_parts_)
+        if (cleared.changed > version && now < cleared.deadline)
+            changes.push_back({cleared.changed, change_kind::clearance, part});
+    for (const auto& [id, claim] : claims_.all())
+        if (claim.changed > version && now < claim.expires_at)
+            changes.push_back({claim.changed, change_kind::claim, id});
+    std::sort(
+        changes.begin(), changes.end(),
+        [](const change& a, const change& b) { return a.version < b.version; });
+    return changes;
+}
+
+std::vector<link::PoisonMark> poison_register::marks_of(const change& told,
+                                                        time_point now) const
+{
+    switch (told.kind) {
+    case change_kind::request:
+        return marks_of(told.key, requests_.at(told.key), now);
+    case change_kind::clearance:
+        return {make_clearance_mark(cleared_parts_.at(told.key).told, now)};
+    case change_kind::claim:
+        return {make_claim_mark(claims_.all().at(told.key), now)};
     }
-    if (known.trial == 0)
-        return;
-    auto mark = make_mark(fingerprint, known.trial, false);
-    mark.set_trial(true);
-    mark.set_age_ms(age_ms(known.trial_at, now));
-    marks.push_back(std::move(mark));
+    return {};
 }
 
 std::vector<link::PoisonMark>
-poison_register::marks_since(std::uint64_t version) const
+poison_register::marks_since(std::uint64_t version, time_point now) const
 {
-    std::vector<link::PoisonMark> marks;
-    for (const auto& [fingerprint, known] : records_) {
-        if (known.changed <= version)
-            continue;
-        for (const auto& active : known.active_losses)
-            marks.push_back(make_mark(fingerprint, active.loss, false));
-        for (const auto loss : known.cleared_losses)
-            marks.push_back(make_mark(fingerprint, loss, true));
-    }
-    return marks;
+    constexpr auto all = std::numeric_limits<std::size_t>::max();
+    return oldest_marks_since(version, all, now).marks;
 }
 
 poison_register::mark_batch
 poison_register::oldest_marks_since(std::uint64_t version,
-                                    std::size_t max_marks, time_point now) const
+                                    std::size_t max_bytes, time_point now) const
 {
-    std::vector<std::pair<std::uint64_t, std::uint64_t>> changed;
-    for (const auto& [fingerprint, known] : records_)
-        if (known.changed > version)
-            changed.emplace_back(known.changed, fingerprint);
-    std::sort(changed.begin(), changed.end());
     mark_batch batch;
     batch.version = version_;
-    for (const auto& [change, fingerprint] : changed) {
-        if (!batch.marks.empty() && batch.marks.size() >= max_marks) {
-            batch.version = change - 1;
+    std::size_t bytes = 0;
+    for (const auto& each : changes_since(version, now)) {
+        auto marks = marks_of(each, now);
+        for (const auto& mark : marks)
+            bytes += size_in_message(mark);
+        if (!batch.marks.empty() && bytes > max_bytes) {
+            batch.version = each.version - 1;
             break;
         }
-        const auto& known = records_.at(fingerprint);
-        if (now < known.deadline)
-            append_marks(fingerprint, known, now, batch.marks);
+        std::move(marks.begin(), marks.end(), std::back_inserter(batch.marks));
     }
     return batch;
 }
 
-poison_register::record& poison_register::touch(std::uint64_t fingerprint,
-                                                time_point now,
-                                                time_point changed_at)
+poison_register::request_record&
+poison_register::touch(std::uint64_t fingerprint, time_point now,
+                       time_point changed_at)
 {
-    if (!records_.contains(fingerprint))
+    if (!requests_.contains(fingerprint))
         make_room(now);
-    auto& touched = records_[fingerprint];
+    auto& touched = requests_[fingerprint];
     if (now >= touched.deadline) {
-        touched.active_losses.clear();
+        touched.losses.clear();
         touched.cleared_losses.clear();
-        touched.trial = 0;
+        touched.parts.clear();
     }
-    touched.changed = ++version_;
+    touched.changed = change_evidence();
     touched.deadline = std::max(touched.deadline, changed_at + mark_lifetime_);
     return touched;
 }
 
 void poison_register::make_room(time_point now)
 {
-    if (records_.size() < capacity_)
+    if (requests_.size() < capacity_)
         return;
-    std::erase_if(records_, [now](const auto& known) {
+    std::erase_if(requests_, [now](const auto& known) {
         return now >= known.second.deadline;
     });
-    if (records_.size() < capacity_)
+    if (requests_.size() < capacity_)
         return;
     // The record that expires first is the least recently changed one.
-    records_.erase(std::min_element(
-        records_.begin(), records_.end(), [](const auto& a, const auto& b) {
+    requests_.erase(std::min_element(
+        requests_.begin(), requests_.end(), [](const auto& a, const auto& b) {
             return a.second.deadline < b.second.deadline;
         }));
 }
--- a/src/libcyclamenrun/outcomes/relay.cpp
+++ b/src/libcyclamenrun/outcomes/relay.cpp
@@ -75,14 +75,28 @@
 
 relay_actions relay::dispatch(time_point now)
 {
-    const auto verdict = hooks_.verdict(request_.fingerprint, now);
-    if (verdict == poison_verdict::poison)
-        return refuse(
-            not_run(refusal_reason::poison,
-                    "two upstreams were lost while they ran this request"),
-            now);
-    suspect_ = verdict == poison_verdict::suspect;
+    dispatch_at_.reset();
+    const auto admission = hooks_.admit(request_.work, claim_, now);
+    if (admission == poison_admission::refused)
+        return refuse_poison(now);
+    if (admission == poison_admission::wait) {
+        dispatch_at_ = now + poison_wait;
+        return {};
+    }
+    suspect_ = claim_.whole_request;
+    return send(now);
+}
 
+relay_actions relay::refuse_poison(time_point now)
+{
+    const auto why = hooks_.grounds(request_.work, now);
+    return refuse(
+        not_run(refusal_reason::poison, why ? describe(*why) : std::string()),
+        now);
+}
+
+relay_actions relay::send(time_point now)
+{
     if (request_.ticket) {
         target_ = {request_.ticket->upstream(), request_.ticket->incarnation()};
     } else {
@@ -92,6 +106,8 @@
         target_ = *chosen;
     }
     ++attempts_;
+    sent_at_ = now;
+    first_token_at_.reset();
     generation_.reset();
     buffered_tokens_.clear();
     buffered_bytes_ = 0;
@@ -102,6 +118,28 @@
     return {open("/dispatch", dispatch_frame(now))};
 }
 
+lost_run relay::lost_now(std::uint64_t loss, time_point now) const
+{
+    lost_run run{accused_work(request_.work, claim_), loss, run_stage::waiting,
+                 sent_at_, now};
+    if (first_token_at_)
+        run.stage = now - *first_token_at_ > settling_time
+                        ? run_stage::settled
+                        : run_stage::beginning;
+    return run;
+}
+
+void relay::end_solo()
+{
+    if (claim_.id != 0)
+        hooks_.end_solo(claim_);
+}
+
+relay::~relay()
+{
+    end_solo();
+}
+
 relay_actions relay::reattach(time_point)
 {
     reattaching_ = true;
@@ -127,7 +165,8 @@
         // The request is marked before it is retried: the agent's own report of
         // the loss may arrive after the next engine is lost as well.
         if (frame.loss() != 0)
-            hooks_.engine_lost(request_.fingerprint, frame.loss(), now);
+            hooks_.engine_lost(lost_now(frame.loss(), now), now);
+        end_solo();
         if (frame.kept())
             actions.emplace_back(acknowledge_message());
         append(actions, reattaching_ ? on_reattach_refused(why, now)
@@ -170,6 +209,10 @@
     if (tokens.first_index() != next_index_)
         return handle_protocol_error("the tokens' indexes are not consecutive",
                                      now);
+    if (!first_token_at_)
+        first_token_at_ = now;
+    else if (now - *first_token_at_ > settling_time)
+        end_solo();
     const stream_position first{*generation_, next_index_};
     std::vector<std::string> texts(tokens.text().begin(), tokens.text().end());
     next_index_ += texts.size();
@@ -193,6 +236,7 @@
                                      now);
     done_ = true;
     stream_open_ = false;
+    end_solo();
     return {write_end{*generation_, next_index_, finished.finish_reason(),
                       std::move(buffered_tokens_)},
             acknowledge_message()};
@@ -202,6 +246,7 @@
 {
     done_ = true;
     stream_open_ = false;
+    end_solo();
     return {
         write_answer{{static_cast<int>(answer.status()), answer.content_type(),
                       answer.body(), !answer.unconfirmed()}},
@@ -256,7 +301,8 @@
 
 relay_actions relay::handle_lost_agent(time_point now)
 {
-    hooks_.agent_lost(request_.fingerprint, target_, now);
+    hooks_.agent_lost(lost_now(0, now), target_, now);
+    end_solo();
     may_have_run_ = true;
     const auto detail = "the agent was lost while it had this request";
     if (may_run_again())
@@ -280,7 +326,9 @@
                       now);
     auto actions = dispatch(now);
     // If no upstream is left, the original cause is the more useful refusal.
-    auto* refused = std::get_if<write_refusal>(&actions.front());
+    auto* refused = actions.empty()
+                        ? nullptr
+                        : std::get_if<write_refusal>(&actions.front());
     if (refused != nullptr &&
         refused->why.reason == refusal_reason::no_upstream) {
         const auto retry_after = refused->why.retry_after;
@@ -372,6 +420,8 @@
     }
     if (reattach_at_ && now >= *reattach_at_)
         return reattach(now);
+    if (dispatch_at_ && now >= *dispatch_at_)
+        return dispatch(now);
     return {};
 }
 
@@ -382,8 +432,11 @@
 
 time_point relay::next_event() const
 {
-    return reattach_at_ ? std::min(*reattach_at_, request_.deadline)
-                        : request_.deadline;
+    auto next = request_.deadline;
+    for (const auto& due : {reattach_at_, dispatch_at_})
+        if (due)
+            next = std::min(next, *due);
+    return next;
 }
 
 bool relay::may_run_again() const
@@ -416,12 +469,14 @@
         dispatch_time_left(request_.deadline, now).count()));
     dispatch.set_prompt_tokens(request_.prompt_tokens);
     dispatch.set_max_output_tokens(request_.max_output_tokens);
-    dispatch.set_fingerprint(request_.fingerprint);
+    dispatch.set_fingerprint(request_.work.request);
     dispatch.set_suspect(suspect_);
     dispatch.set_idempotent(request_.idempotent);
     dispatch.set_attempt(static_cast<std::uint32_t>(attempts_));
     for (const auto block : request_.prefix_blocks)
         dispatch.add_prefix_blocks(block);
+    for (const auto part : request_.work.parts)
+        dispatch.add_prompt_parts(part);
     if (request_.ticket)
         *dispatch.mutable_ticket() = *request_.ticket;
     else
--- a/src/libcyclamenrun/outcomes/relay.hpp
+++ b/src/libcyclamenrun/outcomes/relay.hpp
@@ -1,7 +1,7 @@
 #ifndef CYCLAMENRUN_RELAY_HPP
 #define CYCLAMENRUN_RELAY_HPP
 
-#include "poison_register.hpp"
+#include "poison_admission.hpp"
 #include "refusal.hpp"
 #include "relay_action.hpp"
 #include "relay_request.hpp"
@@ -27,16 +27,21 @@
     /** Takes one retry from the team's budget, or refuses. */
     std::function<outcome<void>(const std::string& team, time_point now)>
         spend_retry;
-    std::function<poison_verdict(std::uint64_t fingerprint, time_point now)>
-        verdict;
+    /** Asks before each dispatch, see admit_send(). */
+    std::function<poison_admission(const suspected_work& work, solo_run& claim,
+                                   time_point now)>
+        admit;
+    std::function<void(solo_run& claim)> end_solo;
+    /** Why the work is refused; empty: it is not. */
+    std::function<std::optional<poison_grounds>(const suspected_work& work,
+                                                time_point now)>
+        grounds;
     /** Reports that an agent was lost while it had this work. */
-    std::function<void(std::uint64_t fingerprint, const route_target& target,
+    std::function<void(const lost_run& run, const route_target& target,
                        time_point now)>
         agent_lost;
     /** Reports that an agent lost its engine while the engine ran this work. */
-    std::function<void(std::uint64_t fingerprint, std::uint64_t loss,
-                       time_point now)>
-        engine_lost;
+    std::function<void(const lost_run& run, time_point now)> engine_lost;
 };
 
 /** Limits of one relay. */
@@ -69,6 +74,9 @@
 {
 public:
     relay(relay_request request, relay_settings settings, relay_hooks hooks);
+    relay(const relay&) = delete;
+    relay& operator=(const relay&) = delete;
+    ~relay();
 
     relay_actions start(time_point now);
     relay_actions on_frame(stream_number stream, const link::AgentFrame& frame,
@@ -103,6 +111,12 @@
     std::string attempt_id() const;
 
     relay_actions dispatch(time_point now);
+    /** Sends the work, which may be sent now. */
+    relay_actions send(time_point now);
+    relay_actions refuse_poison(time_point now);
+    /** The current attempt, as it is held against the work. */
+    lost_run lost_now(std::uint64_t loss, time_point now) const;
+    void end_solo();
     relay_actions reattach(time_point now);
     relay_actions handle_lost_agent(time_point now);
     relay_actions try_elsewhere(const refusal& why, time_point now);
@@ -141,8 +155,12 @@
     bool reattaching_ = false;
     bool token_delivered_ = false; ///< the caller has received a token
     bool may_have_run_ = false;    ///< in any attempt of this request
-    bool suspect_ = false;
+    bool suspect_ = false; ///< the whole request; it runs alone on its engine
     bool done_ = false;
+    solo_run claim_;
+    time_point sent_at_{};                     ///< the current attempt
+    std::optional<time_point> first_token_at_; ///< of the current attempt
+    std::optional<time_point> dispatch_at_;    ///< when a wait before it ends
     std::optional<time_point> reattach_at_;
     time_point reattach_deadline_; ///< extended by record_missed()
 };
--- a/src/libcyclamenrun/outcomes/relay_request.hpp
+++ b/src/libcyclamenrun/outcomes/relay_request.hpp
@@ -4,6 +4,7 @@
 #include "clock.hpp"
 #include "generation_id.hpp"
 #include "link.pb.h"
+#include "suspected_work.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -32,8 +33,8 @@
     time_point deadline;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t max_output_tokens = 0;
-    /** Hash of the service and the prompt or body; names it in poison marks. */
-    std::uint64_t fingerprint = 0;
+    /** Hashes of the service and the prompt or body, and of prompt parts. */
+    suspected_work work;
     std::vector<std::uint64_t> prefix_blocks; ///< see prefix_blocks_of()
     bool idempotent = true;
     std::optional<link::Ticket> ticket;
--- a/src/libcyclamenrun/outcomes/work_session.hpp
+++ b/src/libcyclamenrun/outcomes/work_session.hpp
@@ -41,6 +41,10 @@
     time_point deadline;
     bool suspect = false; ///< runs alone, see poison_verdict
 
+    time_point started_at{}; ///< valid in state `running`
+    std::optional<time_point> first_token_at;
+    bool settled = false; ///< has made tokens for `settling_time`
+
     replay_buffer replay;
     std::string finish_reason;
     std::optional<call_answer> answer; ///< of a call
--- a/tests/faults/fault_world.hpp
+++ b/tests/faults/fault_world.hpp
@@ -155,6 +155,7 @@
     bool caller_disconnected_ = false; ///< for good: it sends nothing more
     bool caller_slow_ = false;
     poison_register marks_;
+    std::uint64_t last_claim_ = 0;
     std::optional<step> fault_step_;
     std::vector<timed_fault> scheduled_faults_;
 };
--- a/tests/gateway/test_poison_parts.cpp
+++ b/tests/gateway/test_poison_parts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <thread>
 
 namespace cyclamenrun::testing_support
 {
@@ -11,6 +12,10 @@
 constexpr unsigned refused = 503;
 /** A conviction must need fewer lost upstreams than the users' rule allows. */
 constexpr long max_crashes = 4;
+/** Pause between two requests of callers. */
+constexpr milliseconds request_pause{50};
+/** Time after which an engine begins to write. */
+constexpr milliseconds prefill_time{20};
 
 class poison_parts : public gateway_fleet
 {
@@ -23,6 +28,7 @@
                 "e" + std::to_string(i),
                 [this, i](const arrived_request& request,
                           upstream_reply& reply) {
+                    std::this_thread::sleep_for(prefill_time);
                     reply.begin_stream(request);
                     if (has_dead_part(request)) {
                         upstreams[i]->crash();
@@ -44,6 +50,7 @@
     caller_answer send_prompt(std::size_t index, const std::string& parts,
                               const std::string& path = "/gen/x")
     {
+        std::this_thread::sleep_for(request_pause);
         const auto number = std::to_string(++prompts);
         return send_to(index, path, "prompt " + number,
                        "Prompt-Prefix: " + parts + ",f" + number + ":20\r\n");
