--- a/bench/peer_probes.cpp
+++ b/bench/peer_probes.cpp
@@ -1,5 +1,6 @@
 #include "peer_probes.hpp"
 
+#include "digest.hpp"
 #include "peer_exchange.hpp"
 #include "poison_guard.hpp"
 #include "shared_limits.hpp"
@@ -20,6 +21,7 @@
 {
 
 constexpr std::size_t fleet_size = 370;
+constexpr std::uint64_t prompt_parts = 50;
 
 double thread_seconds()
 {
@@ -68,6 +70,21 @@
                                               now_);
     }
 
+    /** One gateway sees a part of long prompts crash three upstreams. */
+    void convict_part()
+    {
+        for (std::uint64_t i = 0; i < 3; ++i) {
+            std::vector<std::uint64_t> parts{1};
+            for (std::uint64_t other = 1; other < prompt_parts; ++other)
+                parts.push_back(hash64(std::to_string(other), i));
+            const suspected_work work(hash64("request", i), parts);
+            gateways_[0]->poison.record_crash(
+                "part-" + std::to_string(i),
+                {work, 0, run_stage::beginning, now_, now_}, now_);
+            run_for(milliseconds(1000));
+        }
+    }
+
     std::size_t datagrams = 0;
     std::size_t bytes = 0;
 
@@ -144,6 +161,16 @@
     result.push_back(
         {"gateway", "peers at 370: datagrams for one conviction", "",
          (static_cast<double>(fleet.datagrams) - idle) / fleet_size});
+    const double idle_bytes = result[1].value;
+    fleet.bytes = 0;
+    fleet.convict_part();
+    result.push_back(
+        {"gateway", "peers at 370: sent a second, losses under 50 parts",
+         "bytes", static_cast<double>(fleet.bytes) / 3 / fleet_size});
+    result.push_back(
+        {"gateway", "peers at 370: the same without what is sent at rest",
+         "bytes",
+         static_cast<double>(fleet.bytes) / 3 / fleet_size - idle_bytes});
     return result;
 }
 
