Let starts wait where they would make running streams late

Callers of long streams saw pauses above the gap target of their route, several streams of one engine at once: a prompt that is prefilled beside them lengthens each step, and on a slow engine in a slow moment an event then takes 200 ms. The start queue weighed only backlog and memory.

Monitors now learn how long their engine's steps take, with and without a prefill beside, how often the engine becomes slow for a moment and how slow it is then (step_times), from the polls that they make anyway. A start waits where it is expected to make running streams late: the more of them, the longer, and no longer than its own first part can be on time. Of the eight engines that it asks, others usually take it meanwhile.

How many tokens an event holds is in no configuration. Gateways tell monitors, with the renewals of their subscriptions, how many events they have relayed and the time between them; divided by the mean step of the same time this is the number of tokens. Rounded, since the mean errs by a few per cent and events hold whole tokens.

--- a/src/libcyclamenrun/decisions/engine_load_estimate.cpp
+++ b/src/libcyclamenrun/decisions/engine_load_estimate.cpp
@@ -211,6 +211,21 @@
     return std::max(expected - generated, expected / 2);
 }
 
+std::vector<running_stream>
+engine_load_estimate::running_streams(const start_request& request) const
+{
+    std::vector<running_stream> streams;
+    for (const auto& resident : status_.generations) {
+        const auto* known = find_started(resident.id);
+        const auto target =
+            known != nullptr ? known->gap_target : request.gap_target;
+        if (target > milliseconds::zero())
+            streams.push_back(
+                {target, expected_further_tokens(resident, request)});
+    }
+    return streams;
+}
+
 double engine_load_estimate::room_to_grow(const start_request& request) const
 {
     // Expected number of generations that end while each makes one token.
--- a/src/libcyclamenrun/decisions/engine_load_estimate.hpp
+++ b/src/libcyclamenrun/decisions/engine_load_estimate.hpp
@@ -22,6 +22,14 @@
     std::uint64_t output_tokens = 0; ///< expected
     /** When the first part of the response is due by the objective. */
     time_point first_due{};
+    /** Target for the pauses of its stream; zero: none. */
+    milliseconds gap_target{0};
+};
+
+/** A stream that runs at an engine. */
+struct running_stream {
+    milliseconds gap_target{0};
+    double tokens_left = 0; ///< expected
 };
 
 /** Slots and memory in use at an engine, start grants included. */
@@ -81,6 +89,12 @@
      * need only fit.
      */
     bool has_memory_for(const start_request& request) const;
+    /**
+     * The running streams that have a gap target. Those of unknown origin are
+     * assumed to be like `request`.
+     */
+    std::vector<running_stream>
+    running_streams(const start_request& request) const;
 
 private:
     struct granted_start {
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -15,6 +15,14 @@
  * the network, the rest for variations of the prefill speed.
  */
 constexpr milliseconds grant_lead_time{30};
+/**
+ * A start waits no longer than its prefill and half of it can still end in
+ * time: the prefill may be slower than estimated, and the queue is checked each
+ * 100 ms.
+ */
+constexpr int prefill_reserve = 2;
+/** A start waits at eight engines at first, and one of them prefills it. */
+constexpr int engines_per_start = 8;
 
 std::uint64_t
 memory_of(const std::map<std::string, std::uint64_t>& memory_by_team,
@@ -30,6 +38,7 @@
                                 time_point now)
 {
     leaving_ = leaving;
+    steps_.record_poll(status, now);
     load_estimate_.update_status(status, now);
 }
 
@@ -41,9 +50,9 @@
                                     });
     const auto requested_at = awake_time(now);
     if (found != waiting_.end())
-        *found = {request, requested_at};
+        *found = {request, requested_at, found->first_requested_at};
     else if (!is_granted(request.id) && waiting_.size() < max_waiting_starts)
-        waiting_.push_back({request, requested_at});
+        waiting_.push_back({request, requested_at, now});
 }
 
 void start_queue::end(const std::string& id)
@@ -94,20 +103,83 @@
            load_estimate_.taken_slots() < slots_;
 }
 
+std::deque<start_queue::waiting_start>::iterator
+start_queue::find_next(time_point now)
+{
+    sort(now);
+    deferring_ = false;
+    for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
+        // A late start must not take the place of one that is still on time.
+        if (each->late && deferring_)
+            break;
+        if (!load_estimate_.has_memory_for(each->request))
+            continue;
+        if (!is_deferred(*each, now))
+            return each;
+        deferring_ = true;
+    }
+    return waiting_.end();
+}
+
+double start_queue::streams_made_late(const start_request& start) const
+{
+    const auto prefill = load_estimate_.prefill_time(start.prompt_tokens);
+    std::map<milliseconds, double> probabilities; // by gap target
+    double late = 0;
+    for (const auto& each : load_estimate_.running_streams(start)) {
+        const auto [found, is_new] =
+            probabilities.try_emplace(each.gap_target, 0.0);
+        if (is_new)
+            found->second = steps_.late_probability(each.gap_target, prefill);
+        late += found->second * steps_.exposure(each.tokens_left, prefill);
+    }
+    return late;
+}
+
+milliseconds start_queue::slack(const start_request& request,
+                                time_point at) const
+{
+    const auto prefill = load_estimate_.prefill_time(request.prompt_tokens);
+    return std::chrono::duration_cast<milliseconds>(request.first_due - at) -
+           prefill - prefill / prefill_reserve;
+}
+
+milliseconds start_queue::expected_prefills(const waiting_start& start) const
+{
+    milliseconds sum{0};
+    for (const auto& each : waiting_) {
+        if (!each.late && each.request.id != start.request.id)
+            sum += load_estimate_.prefill_time(each.request.prompt_tokens);
+    }
+    return sum / engines_per_start;
+}
+
+bool start_queue::is_deferred(const waiting_start& start, time_point now) const
+{
+    if (start.late || !steps_.has_slow_moments())
+        return false;
+    const auto longest = slack(start.request, start.first_requested_at);
+    const auto left = slack(start.request, now) - expected_prefills(start);
+    if (longest <= milliseconds::zero() || left <= milliseconds::zero())
+        return false;
+    // The gain of a start is one first part on time. It is certain to be lost
+    // by waiting only when no slack is left, and counts in proportion before.
+    const double used = 1 - static_cast<double>(left.count()) /
+                                static_cast<double>(longest.count());
+    return streams_made_late(start.request) > used;
+}
+
 std::vector<start_request> start_queue::grant_starts(time_point now)
 {
     std::erase_if(waiting_, [&](const waiting_start& each) {
         return each.requested_at + start_request_timeout <= awake_time(now);
     });
     std::vector<start_request> granted;
+    deferring_ = false;
     if (leaving_ || !load_estimate_.known())
         return granted;
     while (!waiting_.empty() && can_start_prefill(now)) {
-        sort(now);
-        const auto next = std::find_if(
-            waiting_.begin(), waiting_.end(), [&](const waiting_start& each) {
-                return load_estimate_.has_memory_for(each.request);
-            });
+        const auto next = find_next(now);
         if (next == waiting_.end())
             break;
         load_estimate_.grant(next->request, now);
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 #include "engine_load_estimate.hpp"
+#include "step_times.hpp"
 
 #include <deque>
 #include <optional>
@@ -29,6 +30,11 @@
  * request does not fit into the memory, the next one that fits goes before it.
  * Late requests wait until no others are waiting.
  *
+ * A start that would make running streams late by its prefill waits, the longer
+ * the more streams it would make late, while its own first part stays on time:
+ * another engine may take it, or a slow moment of this one ends. See
+ * docs/design/step-times.md.
+ *
  * Bounded, no I/O, not thread-safe. A request that is not repeated within
  * start_request_timeout is dropped.
  */
@@ -63,6 +69,20 @@
     /** Grants the starts that are possible now; returns them in order. */
     std::vector<start_request> grant_starts(time_point now);
 
+    /** Records events of streams that a gateway relayed; see step_times. */
+    void record_events(std::uint64_t events, milliseconds time)
+    {
+        steps_.record_events(events, time);
+    }
+    const step_times& steps() const { return steps_; }
+    /**
+     * Expected number of running streams that a start would make late by its
+     * prefill if it were granted now.
+     */
+    double streams_made_late(const start_request& start) const;
+    /** True if a start waits only so that running streams stay on time. */
+    bool is_deferring() const { return deferring_; }
+
     bool is_granted(const std::string& id) const
     {
         return load_estimate_.is_granted(id);
@@ -91,6 +111,7 @@
     struct waiting_start {
         start_request request;
         time_point requested_at;       ///< awake time
+        time_point first_requested_at; ///< by the time that is passed in
         bool late = false;             ///< as of the last sort()
         std::uint64_t team_memory = 0; ///< tokens, as of the last sort()
     };
@@ -106,12 +127,25 @@
         return awake_clock_ ? awake_clock_() : now;
     }
     bool is_late(const start_request& request, time_point now) const;
+    /** The next start to be granted now; end() if there is none. */
+    std::deque<waiting_start>::iterator find_next(time_point now);
+    /** Whether running streams matter more than an immediate start. */
+    bool is_deferred(const waiting_start& start, time_point now) const;
+    /**
+     * Time for which a request could still wait if it had been made at `at`,
+     * and its first part would be on time.
+     */
+    milliseconds slack(const start_request& request, time_point at) const;
+    /** Prefill time of the other waiting starts that fall to this engine. */
+    milliseconds expected_prefills(const waiting_start& start) const;
 
     clock_function awake_clock_;
     engine_load_estimate load_estimate_;
+    step_times steps_;
     std::deque<waiting_start> waiting_;
     unsigned slots_ = 0;
     bool leaving_ = false;
+    bool deferring_ = false;
 };
 
 /** Gateways repeat a request every 150 ms; see start_search. */
--- a/src/libcyclamenrun/gateway/answer_relay.cpp
+++ b/src/libcyclamenrun/gateway/answer_relay.cpp
@@ -57,10 +57,15 @@
 answer_relay::handle_body(std::string_view bytes, time_point now)
 {
     if (relaying_ && is_stream_) {
+        const auto events_before = events_.events();
         const auto passed = events_.feed(bytes);
         if (!passed)
             return tl::unexpected(passed.error());
-        return passed->empty() ? progress() : write_part(*passed, now);
+        if (passed->empty())
+            return progress();
+        auto result = write_part(*passed, now);
+        result.events = events_.events() - events_before;
+        return result;
     }
     if (relaying_)
         return write_part(bytes, now);
@@ -78,7 +83,8 @@
     progress result;
     result.relayed = true;
     result.was_first = !begun();
-    result.late_pause = record_part(now);
+    result.pause = pause_until(now);
+    result.late_pause = record_part(result.pause, now);
     if (!begun())
         begin();
     writer_->write_piece(bytes);
@@ -93,10 +99,9 @@
     writer_->begin(without_connection_fields(head_), *begun_framing_);
 }
 
-std::optional<milliseconds> answer_relay::record_part(time_point now)
+std::optional<milliseconds> answer_relay::record_part(milliseconds pause,
+                                                      time_point now)
 {
-    const auto pause =
-        std::chrono::duration_cast<milliseconds>(now - last_part_at_);
     last_part_at_ = now;
     const auto target = begun() ? pause_target_ : first_target_;
     if (!time_to_first_part_)
@@ -130,7 +135,8 @@
     progress result;
     result.relayed = true;
     result.was_first = true;
-    result.late_pause = record_part(now);
+    result.pause = pause_until(now);
+    result.late_pause = record_part(result.pause, now);
     writer_->write_whole(without_connection_fields(std::move(head_)), body_,
                          ending() == caller_ending::with_length
                              ? http_framing::length
--- a/src/libcyclamenrun/gateway/answer_relay.hpp
+++ b/src/libcyclamenrun/gateway/answer_relay.hpp
@@ -32,6 +32,9 @@
         /** Pause before this part, if it exceeded the target. */
         std::optional<milliseconds> late_pause;
         bool was_first = false; ///< it was the first part of the answer
+        /** Time since the previous part, or since the request's arrival. */
+        milliseconds pause{0};
+        std::uint64_t events = 0; ///< events with an id in this part
     };
 
     answer_relay(std::shared_ptr<answer_writer> writer, time_point arrived)
@@ -122,7 +125,12 @@
 private:
     void begin();
     progress write_part(std::string_view bytes, time_point now);
-    std::optional<milliseconds> record_part(time_point now);
+    /** Records the pause before a part; returns it if it is late. */
+    std::optional<milliseconds> record_part(milliseconds pause, time_point now);
+    milliseconds pause_until(time_point now) const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - last_part_at_);
+    }
 
     std::shared_ptr<answer_writer> writer_;
     bool is_stream_ = false;
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -89,6 +89,10 @@
         health_target_ = request.health_target();
         query_identity();
     }
+    if (request.has_relayed_events())
+        starts_.record_events(
+            request.relayed_events().events(),
+            milliseconds(request.relayed_events().total_ms()));
     const bool knows_less = learn_gateway_counts(request);
     if (request.loads_wanted() && gateway != nullptr)
         handle_subscription(*gateway, knows_less);
@@ -214,6 +218,7 @@
     request.prompt_tokens = wanted.prompt_tokens();
     request.output_tokens = wanted.output_tokens();
     request.first_due = now + milliseconds(wanted.first_due_ms());
+    request.gap_target = milliseconds(wanted.gap_target_ms());
     starts_.set_slots(wanted.slots());
     if (!starts_.leaving()) {
         starts_.request_start(request, now);
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -290,6 +290,7 @@
     fix_version();
     conclusion_.recorder().record_late_part(*progress, served_.tried.back(),
                                             conclusion_.answer().events());
+    record_events(*progress);
     pause_if_caller_is_slow();
     // A generation that had not begun when its engine was reported to leave
     // can be moved once its first event has arrived.
@@ -310,6 +311,17 @@
     });
 }
 
+void exchange::record_events(const answer_relay::progress& progress) const
+{
+    // Before the first part the time is that of the prompt.
+    if (progress.was_first || progress.events == 0 || !attempt_ ||
+        !search_->uses_monitors() ||
+        served_.admitted.route->gap_target <= milliseconds::zero())
+        return;
+    context_.monitors->record_events(attempt_->upstream().address.host,
+                                     progress.events, progress.pause);
+}
+
 void exchange::handle_response_end(receipt_end how)
 {
     if (conclusion_.over())
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -101,6 +101,8 @@
     // Events of an attempt.
     void handle_head(http_head&& head, const response_facts& facts);
     void handle_body(std::string_view bytes);
+    /** Counts the events of a part for the monitor of their engine. */
+    void record_events(const answer_relay::progress& progress) const;
     void handle_response_end(receipt_end how);
     /** Finds out whether the sender of a response has crashed. */
     void check_sender();
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -5,6 +5,7 @@
 #include "load.pb.h"
 #include "log_event.hpp"
 #include "message_reader.hpp"
+#include "number_limits.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -110,7 +111,7 @@
         const auto [monitor, is_new] =
             monitors_.try_emplace(host, monitor_state{reactor_->awake_now()});
         if (renew_all || is_new)
-            send(host, request);
+            renew_subscription(host, monitor->second, request);
         check_monitor_timeout(host, monitor->second);
     }
     reactor_->post_at(now + host_check_interval, [weak = weak_from_this()] {
@@ -119,6 +120,33 @@
     });
 }
 
+void monitor_link::renew_subscription(const std::string& host,
+                                      monitor_state& monitor,
+                                      v1::MonitorRequest& request)
+{
+    request.clear_relayed_events();
+    if (monitor.relayed_events > 0) {
+        auto& relayed = *request.mutable_relayed_events();
+        relayed.set_events(static_cast<std::uint32_t>(
+            std::min(monitor.relayed_events, number_limits::count)));
+        relayed.set_total_ms(static_cast<std::uint32_t>(std::min<std::int64_t>(
+            monitor.relayed_time.count(), number_limits::count)));
+    }
+    monitor.relayed_events = 0;
+    monitor.relayed_time = milliseconds(0);
+    send(host, request);
+}
+
+void monitor_link::record_events(const std::string& host, std::uint64_t events,
+                                 milliseconds time)
+{
+    const auto found = monitors_.find(host);
+    if (found == monitors_.end())
+        return;
+    found->second.relayed_events += events;
+    found->second.relayed_time += time;
+}
+
 void monitor_link::check_monitor_timeout(const std::string& host,
                                          monitor_state& monitor)
 {
@@ -231,6 +259,8 @@
     start.set_output_tokens(wanted.output_tokens);
     start.set_first_due_ms(time_left.count());
     start.set_slots(slots);
+    start.set_gap_target_ms(static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        wanted.gap_target.count(), 0, number_limits::count)));
     send(host, request);
 }
 
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -119,6 +119,13 @@
     /** Withdraws a start request, or returns a grant that is not used. */
     void end_start(const std::string& host, const std::string& id);
 
+    /**
+     * Records events of an engine's streams that were relayed, and the time
+     * before them. Its monitor is told by the next renewal of the subscription.
+     */
+    void record_events(const std::string& host, std::uint64_t events,
+                       milliseconds time);
+
     /** True if the monitor on that host has responded and has not timed out. */
     bool is_responding(const std::string& host) const;
     /** True if the monitor on that host has timed out. */
@@ -141,9 +148,13 @@
         bool has_responded = false;
         bool timed_out = false;
         unsigned gateways = 0; ///< number of gateways known to the monitor
+        std::uint64_t relayed_events = 0; ///< not yet told to the monitor
+        milliseconds relayed_time{0};     ///< between them
     };
 
     void subscribe_to_loads();
+    void renew_subscription(const std::string& host, monitor_state& monitor,
+                            v1::MonitorRequest& request);
     void check_monitor_timeout(const std::string& host, monitor_state& monitor);
     void record_response(const std::string& host);
     void send_turn_request(const std::string& id);
--- a/src/libcyclamenrun/gateway/request_profile.cpp
+++ b/src/libcyclamenrun/gateway/request_profile.cpp
@@ -73,6 +73,8 @@
     request.prompt_tokens = prompt_tokens_;
     request.output_tokens = max_output_tokens_ / 2;
     request.first_due = arrived + route_->objective;
+    if (route_->shape == answer_shape::event_stream)
+        request.gap_target = route_->gap_target;
     return request;
 }
 
