--- a/fuzz/fuzz_directory_answers.cpp
+++ b/fuzz/fuzz_directory_answers.cpp
@@ -70,6 +70,7 @@
     if (configurations)
         check(configurations->items.size() +
                   configurations->unreadable.size() ==
-              static_cast<std::size_t>(answer.configurations_size()));
+              static_cast<std::size_t>(answer.configurations_size() +
+                                       answer.evacuations_size()));
     return 0;
 }
--- a/src/libcyclamenrun/base/json_text.cpp
+++ b/src/libcyclamenrun/base/json_text.cpp
@@ -29,4 +29,12 @@
     return Poco::toJSON(valid_utf8(text), Poco::JSON_WRAP_STRINGS);
 }
 
+std::string json_list(const std::set<std::string>& texts)
+{
+    std::string list;
+    for (const auto& text : texts)
+        list += (list.empty() ? "" : ",") + json_quoted(text);
+    return '[' + list + ']';
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/base/json_text.hpp
+++ b/src/libcyclamenrun/base/json_text.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_JSON_TEXT_HPP
 #define CYCLAMENRUN_JSON_TEXT_HPP
 
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,9 @@
  */
 std::string json_quoted(std::string_view text);
 
+/** Returns the texts as a JSON list of such strings. */
+std::string json_list(const std::set<std::string>& texts);
+
 } // namespace cyclamenrun
 
 #endif // CYCLAMENRUN_JSON_TEXT_HPP
--- a/src/libcyclamenrun/gateway/copy_turn_search.cpp
+++ b/src/libcyclamenrun/gateway/copy_turn_search.cpp
@@ -85,6 +85,7 @@
             const auto self = weak.lock();
             if (!self || self->over_)
                 return;
+            self->drop_evacuated();
             const auto requested = self->requested_.size();
             self->request_more(
                 std::min(further_engines,
@@ -93,6 +94,16 @@
         });
 }
 
+void copy_turn_search::drop_evacuated()
+{
+    std::erase_if(requested_, [&](const requested_engine& each) {
+        if (!context_.choice.is_evacuated(each.engine))
+            return false;
+        context_.monitors->end_turn(turn_id(each.engine));
+        return true;
+    });
+}
+
 void copy_turn_search::handle_grant(const std::string& id)
 {
     for (auto& each : requested_)
@@ -131,7 +142,8 @@
         // The directory may report that the engine leaves before its monitor
         // does.
         const auto* state = context_.upstreams.find(each.engine.id);
-        if (!each.granted || state == nullptr || state->leaving)
+        if (!each.granted || state == nullptr || state->leaving ||
+            context_.choice.is_evacuated(each.engine))
             continue;
         const double cost = on_.cost(each.engine);
         if (best && cost >= least)
--- a/src/libcyclamenrun/gateway/copy_turn_search.hpp
+++ b/src/libcyclamenrun/gateway/copy_turn_search.hpp
@@ -56,6 +56,8 @@
     void request_more(std::size_t count);
     void schedule_request_more();
     void report_if_refused();
+    /** Gives up engines whose failure domain was evacuated since. */
+    void drop_evacuated();
     void handle_grant(const std::string& id);
     void handle_refusal(const std::string& id);
     void choose();
--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -3,6 +3,7 @@
 
 #include "boot_clock.hpp"
 #include "clock.hpp"
+#include "evacuated_domains.hpp"
 #include "gateway_configuration.hpp"
 #include "upstream_record.hpp"
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <tl/expected.hpp>
+#include <variant>
 #include <vector>
 
 namespace cyclamenrun
@@ -57,6 +59,16 @@
     std::string text;
 };
 
+/**
+ * One record of the configuration feed. Evacuations are in the same feed, so
+ * that gateways learn of them by the reads that renew their lease.
+ */
+using configuration_record =
+    std::variant<gateway_configuration, evacuation_change>;
+/** The same as a monitor relays it, which reads no configuration. */
+using configuration_text_record =
+    std::variant<configuration_text, evacuation_change>;
+
 /** Reads one feed of the platform's directory; one call at a time. */
 template <typename Item>
 class directory_feed
@@ -91,8 +103,8 @@
                            time_point deadline, answer_handler on_answer) = 0;
 };
 
-using configuration_feed = directory_feed<gateway_configuration>;
-using configuration_text_feed = directory_feed<configuration_text>;
+using configuration_feed = directory_feed<configuration_record>;
+using configuration_text_feed = directory_feed<configuration_text_record>;
 using upstream_feed = directory_feed<upstream_change>;
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -44,10 +44,17 @@
     record.set_version(change.record->version);
 }
 
-void add_item(const configuration_text& configuration,
+void add_item(const configuration_text_record& record,
               v1::DirectoryAnswer& answer)
 {
-    answer.add_configurations(configuration.text);
+    if (const auto* text = std::get_if<configuration_text>(&record)) {
+        answer.add_configurations(text->text);
+        return;
+    }
+    const auto& evacuation = std::get<evacuation_change>(record);
+    auto& message = *answer.add_evacuations();
+    message.set_failure_domain(evacuation.failure_domain);
+    message.set_ended(!evacuation.evacuated);
 }
 
 v1::DirectoryProblem message_of(directory_problem problem)
@@ -111,7 +118,8 @@
     return make_answer(page);
 }
 
-v1::DirectoryAnswer answer_of(const directory_page<configuration_text>& page)
+v1::DirectoryAnswer
+answer_of(const directory_page<configuration_text_record>& page)
 {
     return make_answer(page);
 }
@@ -128,7 +136,7 @@
     return answer_of(page).SerializeAsString();
 }
 
-std::string page_bytes(const directory_page<configuration_text>& page)
+std::string page_bytes(const directory_page<configuration_text_record>& page)
 {
     return answer_of(page).SerializeAsString();
 }
@@ -156,14 +164,17 @@
     return page;
 }
 
-tl::expected<directory_page<gateway_configuration>, answer_problem>
+tl::expected<directory_page<configuration_record>, answer_problem>
 read_configurations(const v1::DirectoryAnswer& answer,
                     const configuration_reader& read)
 {
     if (const auto problem = problem_of(answer))
         return tl::unexpected(*problem);
-    directory_page<gateway_configuration> page;
+    directory_page<configuration_record> page;
     page.next_offset = answer.next();
+    for (const auto& evacuation : answer.evacuations())
+        page.items.push_back(evacuation_change{evacuation.failure_domain(),
+                                               !evacuation.ended()});
     for (const auto& text : answer.configurations()) {
         if (auto configuration = read(text))
             page.items.push_back(std::move(*configuration));
--- a/src/libcyclamenrun/gateway/directory_messages.hpp
+++ b/src/libcyclamenrun/gateway/directory_messages.hpp
@@ -29,11 +29,12 @@
 
 /** Encodes a page or the failure of a read as a monitor's answer. */
 v1::DirectoryAnswer answer_of(const directory_page<upstream_change>& page);
-v1::DirectoryAnswer answer_of(const directory_page<configuration_text>& page);
+v1::DirectoryAnswer
+answer_of(const directory_page<configuration_text_record>& page);
 v1::DirectoryAnswer answer_of(directory_problem problem);
 /** The same answers in serialized form. */
 std::string page_bytes(const directory_page<upstream_change>& page);
-std::string page_bytes(const directory_page<configuration_text>& page);
+std::string page_bytes(const directory_page<configuration_text_record>& page);
 std::string refusal_bytes(directory_problem problem);
 
 /** Validates the answer of a peer; an invalid one is `malformed`. */
@@ -48,7 +49,7 @@
  * Validates the answer as read_upstreams() does. For each configuration that
  * can't be parsed, `unreadable` gets an item.
  */
-tl::expected<directory_page<gateway_configuration>, answer_problem>
+tl::expected<directory_page<configuration_record>, answer_problem>
 read_configurations(const v1::DirectoryAnswer& answer,
                     const configuration_reader& read);
 
--- a/src/libcyclamenrun/gateway/directory_relay.hpp
+++ b/src/libcyclamenrun/gateway/directory_relay.hpp
@@ -65,7 +65,7 @@
 
     std::shared_ptr<relayed_calls<configuration_text_traits>> configurations_;
     std::shared_ptr<relayed_calls<upstream_record_traits>> upstreams_;
-    encoded_answer<configuration_text> encoded_configurations_;
+    encoded_answer<configuration_text_record> encoded_configurations_;
     encoded_answer<upstream_change> encoded_upstreams_;
     std::unique_ptr<link_server> server_;
 };
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -43,6 +43,7 @@
 
 void directory_watch::follow(const gateway_settings& settings)
 {
+    context_.evacuated.follow_other_log();
     follow_configurations(settings);
     follow_upstreams(settings);
 }
@@ -110,10 +111,14 @@
 {
     feed_timing timing;
     timing.wait = settings.configuration_wait;
-    feed_follower<gateway_configuration>::hooks on;
+    feed_follower<configuration_record>::hooks on;
     add_common_hooks(on, configuration_feed_name);
-    on.items = [this](std::vector<gateway_configuration>&& versions, bool) {
-        apply_configurations(std::move(versions));
+    on.received = [this](const directory_page<configuration_record>& page,
+                         bool whole, boot_time sent_at) {
+        apply_evacuations(page, whole, sent_at);
+    };
+    on.items = [this](std::vector<configuration_record>&& records, bool) {
+        apply_configurations(std::move(records));
     };
     on.wait = [this, wait = settings.configuration_wait] {
         return context_.upstreams.size() == 0 ? std::max(wait, idle_wait)
@@ -123,15 +128,15 @@
         context_.lease.renew(sent_at);
         log_lease_change();
     };
-    auto relayed = relay_hooks<gateway_configuration>(configuration_feed_name);
+    auto relayed = relay_hooks<configuration_record>(configuration_feed_name);
     relayed.read = [this](const v1::DirectoryAnswer& answer) {
         return read_configurations(answer, platform_.read_configuration);
     };
-    const auto feed = std::make_shared<relayed_feed<gateway_configuration>>(
+    const auto feed = std::make_shared<relayed_feed<configuration_record>>(
         context_.reactor, v1::DIRECTORY_FEED_CONFIGURATIONS,
         platform_.configurations(context_.reactor, settings.directory),
         context_.random, std::move(relayed));
-    configurations_ = std::make_shared<feed_follower<gateway_configuration>>(
+    configurations_ = std::make_shared<feed_follower<configuration_record>>(
         context_.reactor, feed, timing, std::move(on));
     configurations_->start();
 }
@@ -190,19 +195,51 @@
 }
 
 void directory_watch::apply_configurations(
-    std::vector<gateway_configuration>&& versions)
-{
-    for (auto& version : versions) {
-        const auto current = context_.routes ? context_.routes->version() : 0;
-        // Skips an older version that arrives after a newer one.
-        if (context_.routes && version.version <= current)
-            continue;
-        log_event(log_severity::info, log_event_name::configuration_applied,
-                  {{log_key::revision, version.version},
-                   {log_key::count, version.routes.size()}});
-        context_.routes =
-            std::make_shared<const gateway_routes>(std::move(version));
+    std::vector<configuration_record>&& records)
+{
+    for (auto& record : records) {
+        if (auto* version = std::get_if<gateway_configuration>(&record))
+            apply_configuration(std::move(*version));
+    }
+}
+
+void directory_watch::apply_configuration(gateway_configuration&& version)
+{
+    const auto current = context_.routes ? context_.routes->version() : 0;
+    // Skips an older version that arrives after a newer one.
+    if (context_.routes && version.version <= current)
+        return;
+    log_event(log_severity::info, log_event_name::configuration_applied,
+              {{log_key::revision, version.version},
+               {log_key::count, version.routes.size()}});
+    context_.routes =
+        std::make_shared<const gateway_routes>(std::move(version));
+}
+
+void directory_watch::apply_evacuations(
+    const directory_page<configuration_record>& page, bool whole,
+    boot_time sent_at)
+{
+    std::vector<evacuation_change> records;
+    for (const auto& record : page.items) {
+        if (const auto* evacuation = std::get_if<evacuation_change>(&record))
+            records.push_back(*evacuation);
     }
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(boot_now() - sent_at);
+    const auto result =
+        context_.evacuated.update(records, whole, page.next_offset);
+    for (const auto& each : result.changes)
+        log_event(log_severity::warning,
+                  each.evacuated ? log_event_name::domain_evacuated
+                                 : log_event_name::evacuation_ended,
+                  {{log_key::failure_domain, each.failure_domain},
+                   {log_key::age_ms, age},
+                   {log_key::count, context_.evacuated.size()}});
+    if (!result.changes.empty())
+        context_.domain_evacuated();
+    if (!result.ignored.empty())
+        unreadable(configuration_feed_name, result.ignored);
 }
 
 void directory_watch::apply_upstreams(std::vector<upstream_change>&& changes,
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -31,9 +31,9 @@
 };
 
 /**
- * Updates a gateway's configuration, lease and upstreams from the platform's
- * directory. Logs changes, and when the directory or the lease is lost and
- * regained. Used on the reactor's thread only.
+ * Updates a gateway's configuration, lease, evacuated domains and upstreams
+ * from the platform's directory. Logs changes, and when the directory or the
+ * lease is lost and regained. Used on the reactor's thread only.
  */
 class directory_watch
 {
@@ -63,7 +63,10 @@
     void follow_upstreams(const gateway_settings& settings);
     template <typename Hooks>
     void add_common_hooks(Hooks& hooks, std::string_view feed);
-    void apply_configurations(std::vector<gateway_configuration>&& versions);
+    void apply_configurations(std::vector<configuration_record>&& records);
+    void apply_configuration(gateway_configuration&& version);
+    void apply_evacuations(const directory_page<configuration_record>& page,
+                           bool whole, boot_time sent_at);
     template <typename Item>
     typename relayed_feed<Item>::hooks relay_hooks(std::string_view feed);
     /**
@@ -82,7 +85,7 @@
     gateway_context& context_;
     gateway_platform platform_;
     std::shared_ptr<relay_clients> relays_;
-    std::shared_ptr<feed_follower<gateway_configuration>> configurations_;
+    std::shared_ptr<feed_follower<configuration_record>> configurations_;
     std::shared_ptr<feed_follower<upstream_change>> upstreams_;
     /**
      * Until this time, a record may be missing only because it expired during
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -101,7 +101,8 @@
         return;
     if (served_.service.empty())
         set_service(choose_service(*served_.admitted.route, context_.random));
-    if (refuse_without_version() || conclusion_.refuse_without_room())
+    if (conclusion_.refuse_if_evacuated() || refuse_without_version() ||
+        conclusion_.refuse_without_room())
         return;
     search_->start();
 }
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -43,6 +43,8 @@
                           std::optional<time_point> leaves_at);
 
     const std::string& id() const { return served_.facts.id; }
+    /** The evacuation of a failure domain has begun. */
+    void domain_evacuated();
     /**
      * Ends a request that was convicted and has no answer yet: it would crash
      * its upstream.
--- a/src/libcyclamenrun/gateway/exchange_hooks.cpp
+++ b/src/libcyclamenrun/gateway/exchange_hooks.cpp
@@ -17,7 +17,8 @@
     };
     on.refuse_without_room = [weak = weak_from_this()] {
         const auto self = weak.lock();
-        return !self || self->conclusion_.refuse_without_room();
+        return !self || self->conclusion_.refuse_if_evacuated() ||
+               self->conclusion_.refuse_without_room();
     };
     on.found = [weak = weak_from_this()](const upstream_record& upstream) {
         if (const auto self = weak.lock())
--- a/src/libcyclamenrun/gateway/exchange_losses.cpp
+++ b/src/libcyclamenrun/gateway/exchange_losses.cpp
@@ -19,8 +19,29 @@
  */
 constexpr milliseconds max_crash_check{60};
 
+/**
+ * Time in which an upstream that was evacuated acknowledges a request sent
+ * before. A link that loses packets needs some retransmissions; a link that was
+ * cut may deliver the request when it heals, up to 10 s later, when nothing may
+ * arrive there any more.
+ */
+constexpr milliseconds evacuated_receipt{1500};
+
 } // namespace
 
+void exchange::domain_evacuated()
+{
+    if (conclusion_.over() || !awaits_response() ||
+        !context_.choice.is_evacuated(attempt_->upstream()))
+        return;
+    context_.reactor->post_timeout(context_.reactor->awake_now() +
+                                       evacuated_receipt,
+                                   [watched = std::weak_ptr(attempt_)] {
+                                       if (const auto attempt = watched.lock())
+                                           attempt->abort_if_unreceived();
+                                   });
+}
+
 void exchange::handle_loss(attempt_loss loss)
 {
     if (conclusion_.over())
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -39,6 +39,13 @@
     struct hooks {
         /** `whole`: the complete set of records; missing keys are removed. */
         std::function<void(std::vector<Item>&& items, bool whole)> items;
+        /**
+         * Called before `items` with each page, also one without items.
+         * `sent_at`: when the call that returned it was sent.
+         */
+        std::function<void(const directory_page<Item>&, bool whole,
+                           boot_time sent_at)>
+            received;
         /** Least time between two calls to the directory; 0 if unset. */
         std::function<milliseconds()> pause;
         /**
@@ -132,6 +139,8 @@
             on_.unreadable(result->unreadable);
         const auto sent_at = result->sent_at.value_or(sent_at_);
         relayed_ = result->relayed;
+        if (on_.received)
+            on_.received(*result, !offset_.has_value(), sent_at);
         deliver_items(std::move(*result));
         if (on_.confirmed)
             on_.confirmed(sent_at);
--- a/src/libcyclamenrun/gateway/feed_history.hpp
+++ b/src/libcyclamenrun/gateway/feed_history.hpp
@@ -3,6 +3,7 @@
 
 #include "directory_feed.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -17,6 +18,8 @@
     using item = upstream_change;
     static std::string key(const item& record) { return record.id; }
     static bool removes_key(const item& record) { return !record.record; }
+    /** The removal of an unknown key changes nothing. */
+    static constexpr bool keeps_unknown_removals = false;
     /** True if the later record is only a heartbeat. */
     static bool same(const item& left, const item& right)
     {
@@ -26,13 +29,34 @@
 
 /** Key and equality of the records of the configuration feed. */
 struct configuration_text_traits {
-    using item = configuration_text;
-    /** One key: a newer version replaces the older ones. */
-    static std::string key(const item&) { return {}; }
-    static bool removes_key(const item&) { return false; }
+    using item = configuration_text_record;
+    /**
+     * One key for all configurations, since a newer version replaces the older
+     * ones, and one for each evacuated failure domain.
+     */
+    static std::string key(const item& record)
+    {
+        const auto* evacuation = std::get_if<evacuation_change>(&record);
+        return evacuation == nullptr ? std::string()
+                                     : "domain " + evacuation->failure_domain;
+    }
+    static bool removes_key(const item& record)
+    {
+        const auto* evacuation = std::get_if<evacuation_change>(&record);
+        return evacuation != nullptr && !evacuation->evacuated;
+    }
+    /**
+     * The pages of the newest records may hold later evacuations than the
+     * offset after them names. A record of these that is read again is still
+     * news to a gateway that has read up to that offset.
+     */
+    static constexpr bool keeps_unknown_removals = true;
     static bool same(const item& left, const item& right)
     {
-        return left.text == right.text;
+        const auto* first = std::get_if<configuration_text>(&left);
+        const auto* second = std::get_if<configuration_text>(&right);
+        return first != nullptr && second != nullptr &&
+               first->text == second->text;
     }
 };
 
@@ -113,7 +137,7 @@
         const auto key = Traits::key(record);
         const auto known = newest_.find(key);
         if (Traits::removes_key(record))
-            return newest_.erase(key) > 0;
+            return newest_.erase(key) > 0 || Traits::keeps_unknown_removals;
         if (known != newest_.end() && Traits::same(known->second, record))
             return false;
         newest_.insert_or_assign(key, record);
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -29,7 +29,8 @@
       connections(reactor), engine_client_pool(reactor),
       upstreams(std::move(upstream_hooks)), budget(retries, boot_now()),
       lease(lease_term), random(seed), limits(random), loans(budget, random),
-      choice(upstreams, limits, notices, versions, random), poison(random)
+      choice(upstreams, limits, notices, evacuated, versions, random),
+      poison(random)
 {
     poison_guard::hooks on;
     on.changed = [this] { push_changes_later(); };
@@ -201,6 +202,12 @@
     });
 }
 
+void gateway_context::domain_evacuated()
+{
+    for (auto* each : running)
+        each->domain_evacuated();
+}
+
 void gateway_context::handle_crash(const upstream_record& upstream,
                                    const lost_request& lost)
 {
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "configuration_lease.hpp"
 #include "crash_detector.hpp"
 #include "engine_clients.hpp"
+#include "evacuated_domains.hpp"
 #include "exported_metrics.hpp"
 #include "gateway_count_hooks.hpp"
 #include "gateway_dialect.hpp"
@@ -92,6 +93,8 @@
     void push_changes_later();
     /** Ends the requests that are refused since a conviction. */
     void end_poison_requests();
+    /** Tells the running requests that an evacuation has begun. */
+    void domain_evacuated();
     /** Marks a request that an upstream had when it crashed. */
     void handle_crash(const upstream_record& upstream,
                       const lost_request& lost);
@@ -116,6 +119,7 @@
     std::mt19937_64 random;
     upstream_limits limits;
     upstream_notices notices;
+    evacuated_domains evacuated;
     repeat_loans loans;
     service_versions versions;
     stream_origins origins;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway_process.hpp"
 
+#include "json_text.hpp"
 #include "log_event.hpp"
 #include "peers.pb.h"
 
@@ -324,6 +325,8 @@
            ",\"resting_upstreams\":" +
            std::to_string(
                context_->notices.count_resting(context_->reactor->now())) +
+           ",\"evacuated_domains\":" +
+           json_list(context_->evacuated.domains()) +
            ",\"limited_upstreams\":" +
            std::to_string(
                context_->limits.count_limited(context_->reactor->now())) +
@@ -359,6 +362,8 @@
                 static_cast<double>(context_->limits.count_limited(now)));
     metrics.set(exported_metric::resting_upstreams, {},
                 static_cast<double>(context_->notices.count_resting(now)));
+    metrics.set(exported_metric::evacuated_domains, {},
+                static_cast<double>(context_->evacuated.size()));
     metrics.set(exported_metric::poison_requests, {},
                 static_cast<double>(count_poison(suspect_kind::request)));
     metrics.set(exported_metric::poison_parts, {},
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -41,6 +41,9 @@
         "share."},
     gateway_refusal_row{upstreams_resting, "upstreams_resting", 503, true,
                         "All upstreams have asked this gateway for rest."},
+    gateway_refusal_row{
+        evacuated, "evacuated", 503, true,
+        "The failure domains of all upstreams are evacuated by an operator."},
     gateway_refusal_row{version_unknown, "version_unknown", 503, true,
                         "Several software versions may serve, and which one "
                         "began the stream is unknown."},
--- a/src/libcyclamenrun/gateway/gateway_refusal.hpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.hpp
@@ -21,6 +21,7 @@
     share_spent,    ///< engines are full; its team has used its fair share
     over_limit,     ///< its share of the upstreams' limits is used
     upstreams_resting, ///< all upstreams have asked for rest
+    evacuated,         ///< the failure domains of all upstreams are evacuated
     version_unknown, ///< several versions may serve; which began it is unknown
     version_gone,    ///< no other upstream of its version takes work
     poison,          ///< upstreams have crashed while they ran it
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -139,6 +139,10 @@
 void generation_continuation::resume_at(const upstream_record& upstream,
                                         const continuation& from)
 {
+    if (context_.choice.is_evacuated(upstream)) {
+        resume_outside(upstream, from);
+        return;
+    }
     const auto now = context_.reactor->now();
     auto wait = context_.notices.rest_left(upstream.id, now);
     const auto admission = on_.admit();
@@ -159,6 +163,34 @@
     lost();
 }
 
+const upstream_record*
+generation_continuation::usable_source(const continuation& from) const
+{
+    for (const auto& id : served_.tried) {
+        const auto* state = context_.upstreams.find(id);
+        if (state != nullptr && state->record.address == from.source &&
+            !context_.choice.is_evacuated(state->record))
+            return &state->record;
+    }
+    return nullptr;
+}
+
+void generation_continuation::resume_outside(const upstream_record& evacuated,
+                                             const continuation& from)
+{
+    // The source of a move still holds the memory of the stopped run.
+    const auto* source = usable_source(from);
+    if (source != nullptr && source->id != evacuated.id) {
+        resume_at(upstream_record(*source), from);
+        return;
+    }
+    if (resume_at_backup())
+        return;
+    // Copied, since the call may destroy the exchange and this object.
+    const auto lost = on_.lost;
+    lost();
+}
+
 void generation_continuation::send_continuation(const upstream_record& upstream,
                                                 const continuation& from)
 {
@@ -180,7 +212,8 @@
     for (const auto& id : served_.tried) {
         const auto* state = context_.upstreams.find(id);
         if (id == served_.tried.back() || state == nullptr ||
-            state->record.address != from.source)
+            state->record.address != from.source ||
+            context_.choice.is_evacuated(state->record))
             continue;
         if (!conclusion_.reserve_repeat())
             return false;
@@ -200,7 +233,7 @@
         return false;
     const auto* state = context_.upstreams.find(backup->id);
     if (state == nullptr || state->record != *backup ||
-        !conclusion_.reserve_repeat())
+        context_.choice.is_evacuated(*backup) || !conclusion_.reserve_repeat())
         return false;
     conclusion_.record_attempt("lost", "from_backup");
     conclusion_.recorder().resumed_from_backup(served_.service, backup->id);
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -74,9 +74,18 @@
     make_placement_request(const upstream_record& source) const;
     /**
      * Waits for the end of the upstream's rest, if it has asked for one, and
-     * for another run of what is suspected of this request.
+     * for another run of what is suspected of this request. If the upstream's
+     * failure domain is evacuated, the run continues elsewhere or is lost.
      */
     void resume_at(const upstream_record& upstream, const continuation& from);
+    /** Continues a run that its destination may no longer get. */
+    void resume_outside(const upstream_record& evacuated,
+                        const continuation& from);
+    /**
+     * The upstream at which this request ran and that holds the memory, if it
+     * may be sent to; null: none.
+     */
+    const upstream_record* usable_source(const continuation& from) const;
     void send_continuation(const upstream_record& upstream,
                            const continuation& from);
 
--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -14,6 +14,8 @@
         return "no_room";
     case move_failure::no_budget:
         return "no_budget";
+    case move_failure::evacuated:
+        return "evacuated";
     case move_failure::uncertain:
         return "uncertain";
     }
@@ -52,12 +54,13 @@
     const auto now = context_.reactor->now();
     const auto rest = context_.notices.rest_left(source_.id, now);
     if (rest == milliseconds::zero()) {
-        if (on_.may_stop()) {
+        const bool evacuated = context_.choice.is_evacuated(destination_);
+        if (!evacuated && on_.may_stop()) {
             send_order(true);
             return;
         }
         free_copy();
-        fail(move_failure::no_budget, {});
+        fail(evacuated ? move_failure::evacuated : move_failure::no_budget, {});
         return;
     }
     context_.reactor->post_at(now + rest, [weak = weak_from_this()] {
@@ -132,9 +135,11 @@
 
 void generation_move::free_copy()
 {
-    const bool rests =
+    // The call takes no generation away from a source that is to get nothing.
+    const bool wants_nothing =
+        context_.choice.is_evacuated(source_) ||
         context_.notices.is_resting(source_.id, context_.reactor->now());
-    if (handle_.empty() || rests)
+    if (handle_.empty() || wants_nothing)
         return;
     context_.engine_client_pool.idle_client(source_)->call(
         context_.dialect->free_copy_call(handle_), {}, deadline_,
--- a/src/libcyclamenrun/gateway/generation_move.hpp
+++ b/src/libcyclamenrun/gateway/generation_move.hpp
@@ -20,6 +20,8 @@
     no_room,
     /** The budget for the continuation has expired; the source continues. */
     no_budget,
+    /** The destination's failure domain is evacuated; the source continues. */
+    evacuated,
     /**
      * No reply to the stop order, or an invalid reply to either order: the
      * generation may or may not still run.
--- a/src/libcyclamenrun/gateway/request_conclusion.cpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.cpp
@@ -9,6 +9,18 @@
 namespace cyclamenrun
 {
 
+namespace
+{
+
+/**
+ * Time after which the caller of a service without an upstream outside of
+ * evacuated domains returns. An evacuation has no announced end, and gateways
+ * learn of its end within 2 s.
+ */
+constexpr milliseconds evacuated_return{2000};
+
+} // namespace
+
 request_conclusion::request_conclusion(gateway_context& context,
                                        served_request& served,
                                        std::shared_ptr<answer_writer> writer,
@@ -250,6 +262,14 @@
     return true;
 }
 
+bool request_conclusion::refuse_if_evacuated()
+{
+    if (!context_.choice.all_evacuated(served_.service))
+        return false;
+    refuse(gateway_refusal::evacuated, evacuated_return);
+    return true;
+}
+
 void request_conclusion::refuse_poison()
 {
     const auto now = context_.reactor->now();
--- a/src/libcyclamenrun/gateway/request_conclusion.hpp
+++ b/src/libcyclamenrun/gateway/request_conclusion.hpp
@@ -91,6 +91,11 @@
      * whether it did.
      */
     bool refuse_without_room();
+    /**
+     * Refuses the request if evacuations leave its service without an upstream.
+     * Returns whether it did.
+     */
+    bool refuse_if_evacuated();
     /** Refuses a request that would crash its upstream. */
     void refuse_poison();
     void cut(std::string_view reason);
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -110,6 +110,7 @@
     std::erase_if(requested_, [&](const requested_engine& each) {
         const auto* state = context_.upstreams.find(each.engine.id);
         const bool usable = state != nullptr && !state->leaving &&
+                            !context_.choice.is_evacuated(state->record) &&
                             !context_.notices.is_resting(each.engine.id, now);
         if (!usable)
             context_.monitors->end_start(each.engine.address.host, request_.id);
@@ -187,6 +188,7 @@
     const auto* state = context_.upstreams.find(requested.engine.id);
     return requested.occupancy && state != nullptr && !state->leaving &&
            state->record == requested.engine &&
+           !context_.choice.is_evacuated(requested.engine) &&
            !context_.notices.is_resting(requested.engine.id,
                                         context_.reactor->now());
 }
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -91,9 +91,28 @@
         return;
     on_.reset();
     if (connection_)
+        close_connection();
+}
+
+void upstream_attempt::close_connection()
+{
+    // After an orderly close the system would send the rest again until the
+    // link heals, and a request that was given up would arrive then.
+    if (connection_->has_unacknowledged_bytes())
+        connection_->abort();
+    else
         connection_->close();
 }
 
+void upstream_attempt::abort_if_unreceived()
+{
+    const bool received = over_ || reader_.head_complete() || !connection_ ||
+                          !connection_->has_unacknowledged_bytes();
+    if (received)
+        return;
+    lose(attempt_loss::broken);
+}
+
 void upstream_attempt::pause_reading(bool paused)
 {
     if (!over_ && connection_)
@@ -175,7 +194,7 @@
     if (std::exchange(over_, true))
         return;
     if (connection_)
-        connection_->close();
+        close_connection();
     const auto on = std::exchange(on_, nullptr);
     if (on->lost)
         on->lost(loss);
--- a/src/libcyclamenrun/gateway/upstream_attempt.hpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.hpp
@@ -58,6 +58,11 @@
     upstream_attempt& operator=(const upstream_attempt&) = delete;
 
     void start();
+    /**
+     * Loses the attempt if the upstream's host has not acknowledged the whole
+     * request, which then does not arrive later.
+     */
+    void abort_if_unreceived();
     /** Closes the connection, so that the upstream stops its work. */
     void cancel();
     void pause_reading(bool paused);
@@ -68,6 +73,7 @@
     bool responding() const { return responding_; }
 
 private:
+    void close_connection();
     void arm_connect_deadline();
     void read(std::string_view bytes);
     void handle_head(http_head&& head);
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -91,6 +91,7 @@
     const auto all = upstreams_.available(service);
     return std::any_of(all.begin(), all.end(), [&](const auto* upstream) {
         return !contains(excluded, upstream->record.id) &&
+               !is_evacuated(upstream->record) &&
                fits(upstream->record, version, now);
     });
 }
@@ -99,7 +100,26 @@
 {
     const auto* state = upstreams_.find(id);
     return state != nullptr && !state->leaving && !state->superseded &&
-           limits_.has_room(id, now) && !notices_.is_resting(id, now);
+           !is_evacuated(state->record) && limits_.has_room(id, now) &&
+           !notices_.is_resting(id, now);
+}
+
+bool upstream_choice::all_evacuated(const std::string& service) const
+{
+    if (evacuated_.size() == 0)
+        return false;
+    const auto all = upstreams_.available(service);
+    if (!all.empty())
+        return std::all_of(all.begin(), all.end(), [&](const auto* upstream) {
+            return is_evacuated(upstream->record);
+        });
+    // The upstreams of an evacuated domain may all leave or crash.
+    bool known = false;
+    upstreams_.for_each([&](const upstream_record& upstream) {
+        known =
+            known || (upstream.service == service && is_evacuated(upstream));
+    });
+    return known;
 }
 
 std::optional<next_room> upstream_choice::first_with_room(
@@ -109,7 +129,8 @@
     std::optional<next_room> first;
     for (const auto* upstream : upstreams_.available(service)) {
         const auto& id = upstream->record.id;
-        if (contains(excluded, id) || !fits(upstream->record, version, now))
+        if (contains(excluded, id) || is_evacuated(upstream->record) ||
+            !fits(upstream->record, version, now))
             continue;
         const auto to_room = limits_.time_to_room(id, now);
         const auto to_rest_end = notices_.rest_left(id, now);
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_UPSTREAM_CHOICE_HPP
 #define CYCLAMENRUN_UPSTREAM_CHOICE_HPP
 
+#include "evacuated_domains.hpp"
 #include "gateway_configuration.hpp"
 #include "service_versions.hpp"
 #include "upstream_limits.hpp"
@@ -41,27 +42,43 @@
 {
 public:
     /**
-     * Upstreams that rest, or at whose limit this gateway is, are not chosen.
+     * Upstreams that rest, whose failure domain is evacuated, or at whose limit
+     * this gateway is, are not chosen.
      */
     upstream_choice(const upstream_registry& upstreams,
                     const upstream_limits& limits,
                     const upstream_notices& notices,
+                    const evacuated_domains& evacuated,
                     const service_versions& versions, std::mt19937_64& random)
         : upstreams_(upstreams), limits_(limits), notices_(notices),
-          versions_(versions), random_(random)
+          evacuated_(evacuated), versions_(versions), random_(random)
     {
     }
 
     /** Whether the upstream may get work now. */
     bool is_usable(const std::string& id, time_point now) const;
 
+    /**
+     * Whether the upstream's failure domain is evacuated, so that no request is
+     * sent there, not even one that continues a generation.
+     */
+    bool is_evacuated(const upstream_record& upstream) const
+    {
+        return evacuated_.contains(upstream.failure_domain);
+    }
+    /** Whether evacuations leave the service without any upstream. */
+    bool all_evacuated(const std::string& service) const;
+
     /**
      * Whether the upstream may run what needs this software version; see
      * placement_request.
      */
     bool fits(const upstream_record& upstream,
               const std::optional<std::string>& version, time_point now) const;
-    /** Whether any other upstream may, now or when it has room. */
+    /**
+     * Whether any other upstream may, now or when it has room. One in an
+     * evacuated domain may not.
+     */
     bool any_fits(const std::string& service,
                   const std::vector<std::string>& excluded,
                   const std::optional<std::string>& version,
@@ -150,6 +167,7 @@
     const upstream_registry& upstreams_;
     const upstream_limits& limits_;
     const upstream_notices& notices_;
+    const evacuated_domains& evacuated_;
     const service_versions& versions_;
     std::mt19937_64& random_;
 };
--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -4,8 +4,10 @@
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -150,6 +152,14 @@
     close();
 }
 
+bool tcp_connection::has_unacknowledged_bytes() const
+{
+    int queued = 0;
+    const bool known =
+        open_ && ::ioctl(socket_.impl()->sockfd(), SIOCOUTQ, &queued) == 0;
+    return unsent_bytes() > 0 || (known && queued > 0);
+}
+
 void tcp_connection::end_sending()
 {
     end_sending_ = true;
--- a/src/libcyclamenrun/http/tcp_connection.hpp
+++ b/src/libcyclamenrun/http/tcp_connection.hpp
@@ -82,6 +82,8 @@
     bool open() const { return open_; }
     bool established() const { return !connecting_; }
     std::size_t unsent_bytes() const { return output_.size() - sent_; }
+    /** True if the peer's host has not acknowledged all bytes. */
+    bool has_unacknowledged_bytes() const;
 
     void ready(bool readable, bool writable) override;
     void flush() override;
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -119,6 +119,11 @@
     exported_metric_row{exported_metric::resting_upstreams,
                         "cyclamenrun_resting_upstreams", exported_kind::gauge,
                         "", "Upstreams that have asked this gateway for rest."},
+    exported_metric_row{exported_metric::evacuated_domains,
+                        "cyclamenrun_evacuated_domains", exported_kind::gauge,
+                        "",
+                        "Failure domains that are evacuated, as far as this "
+                        "gateway knows."},
     exported_metric_row{
         exported_metric::poison_requests, "cyclamenrun_poison_requests",
         exported_kind::gauge, "",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -39,6 +39,7 @@
     peers,
     limited_upstreams,
     resting_upstreams,
+    evacuated_domains,
     poison_requests,
     poison_parts,
     solo_runs,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -173,6 +173,13 @@
         log_event_name::limit_reached, "limit_reached",
         "All usable upstreams are at their limit; limit is that of the "
         "upstream that has room first, count the gateways that share it."},
+    log_event_row{log_event_name::domain_evacuated, "domain_evacuated",
+                  "A failure domain is evacuated: nothing more is sent to its "
+                  "upstreams; age_ms is the time since the read that told it, "
+                  "count the number of evacuated domains."},
+    log_event_row{log_event_name::evacuation_ended, "evacuation_ended",
+                  "The evacuation of a failure domain was cancelled; age_ms "
+                  "and count are as for `domain_evacuated`."},
     log_event_row{log_event_name::directory_lost, "directory_lost",
                   "The platform's directory does not respond."},
     log_event_row{log_event_name::directory_regained, "directory_regained",
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -72,6 +72,8 @@
     upstream_limited,
     upstream_limit_lifted,
     limit_reached,
+    domain_evacuated,
+    evacuation_ended,
     directory_lost,
     directory_regained,
     lease_ended,
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -132,6 +132,12 @@
                          });
 }
 
+void fake_store::set_newest_as_of(std::optional<std::size_t> offset)
+{
+    const std::scoped_lock lock(mutex_);
+    newest_as_of_ = offset;
+}
+
 void fake_store::set_page_size(std::size_t records)
 {
     const std::scoped_lock lock(mutex_);
@@ -146,8 +152,10 @@
     const auto& topic = topics_[query.at("topic")];
     const auto after = query.find("after");
     std::map<std::string, std::string> values;
-    for (const auto& each : topic.records)
-        values[each.key] = each.value;
+    const auto end = std::min(newest_as_of_.value_or(topic.records.size()),
+                              topic.records.size());
+    for (std::size_t at = 0; at < end; ++at)
+        values[topic.records[at].key] = topic.records[at].value;
     std::string items;
     std::size_t count = 0;
     bool truncated = false;
@@ -160,7 +168,6 @@
         items += std::string(items.empty() ? "" : ",") + R"({"key":")" + key +
                  R"(","value":")" + base64(value) + R"("})";
     }
-    const auto end = topic.records.size();
     lock.unlock();
     reply.answer(request, 200,
                  "{\"items\":[" + items +
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,11 @@
     std::size_t calls() const { return server_.arrived().size(); }
     /** Number of calls whose target starts with `target`. */
     std::size_t count_of(const std::string& target) const;
+    /**
+     * Serves the newest records as of an earlier offset, as a replica that lags
+     * does; empty: the current ones.
+     */
+    void set_newest_as_of(std::optional<std::size_t> offset);
     /** Deletes the history; reads that start before its end get a 410. */
     void drop_history();
 
@@ -68,6 +74,7 @@
     std::map<std::string, topic_log> topics_;
     fault_mode fault_mode_ = fault_mode::healthy;
     std::size_t page_size_ = 500;
+    std::optional<std::size_t> newest_as_of_;
     bool stopping_ = false;
     fake_upstream server_;
 };
--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -151,7 +151,7 @@
     platform.configurations = [this](const std::shared_ptr<link_reactor>& on,
                                      const ip_endpoint&) {
         configurations =
-            std::make_shared<pushed_feed<gateway_configuration>>(on);
+            std::make_shared<pushed_feed<configuration_record>>(on);
         return configurations;
     };
     platform.upstreams = [this](const std::shared_ptr<link_reactor>& on,
@@ -177,6 +177,22 @@
         std::this_thread::sleep_for(milliseconds(5));
 }
 
+void gateway_fixture::evacuate(const std::string& failure_domain,
+                               bool evacuated)
+{
+    configurations->push(evacuation_change{failure_domain, evacuated});
+    const auto is_known = [&] {
+        const auto text = state();
+        const auto list = text.substr(text.find("\"evacuated_domains\":["));
+        const auto named =
+            list.substr(0, list.find(']')).find('"' + failure_domain + '"');
+        return (named != std::string::npos) == evacuated;
+    };
+    const auto deadline = steady_now() + wait_timeout;
+    while (!is_known() && steady_now() < deadline)
+        std::this_thread::sleep_for(milliseconds(5));
+}
+
 fake_upstream& gateway_fixture::add(const std::string& id,
                                     fake_upstream::script respond,
                                     const std::string& service,
@@ -189,7 +205,7 @@
     record.id = id;
     record.service = service;
     record.address = upstreams.back()->address();
-    record.failure_domain = "d1";
+    record.failure_domain = domain;
     record.slots = 8;
     record.version = version;
     records.push_back(record);
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -127,6 +127,11 @@
     void remove_upstream(const std::string& id);
     void drain(const std::string& id);
     void apply(gateway_configuration configuration);
+    /**
+     * Begins or ends the evacuation of a failure domain, and waits until the
+     * gateway knows it.
+     */
+    void evacuate(const std::string& failure_domain, bool evacuated = true);
     gateway_configuration configuration() const;
     /** Waits until the gateway knows `count` upstreams. */
     void wait_for_upstreams(std::size_t count);
@@ -146,8 +151,10 @@
     std::unique_ptr<gateway_process> gateway;
     std::vector<std::unique_ptr<fake_upstream>> upstreams;
     std::vector<upstream_record> records;
-    std::shared_ptr<pushed_feed<gateway_configuration>> configurations;
+    std::shared_ptr<pushed_feed<configuration_record>> configurations;
     std::shared_ptr<pushed_feed<upstream_change>> changes;
+    /** Failure domain of the upstreams that are added from now on. */
+    std::string domain = "d1";
     /** Software version of the upstreams that are added from now on. */
     std::string version;
     int last_id = 0; ///< of the requests so far
--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -29,7 +29,7 @@
     platform.configurations = [&](const std::shared_ptr<link_reactor>& on,
                                   const ip_endpoint&) {
         started.configurations =
-            std::make_shared<pushed_feed<gateway_configuration>>(on);
+            std::make_shared<pushed_feed<configuration_record>>(on);
         return started.configurations;
     };
     platform.upstreams = [&](const std::shared_ptr<link_reactor>& on,
--- a/tests/gateway/gateway_fleet.hpp
+++ b/tests/gateway/gateway_fleet.hpp
@@ -47,7 +47,7 @@
     struct node {
         gateway_settings settings;
         std::unique_ptr<gateway_process> process;
-        std::shared_ptr<pushed_feed<gateway_configuration>> configurations;
+        std::shared_ptr<pushed_feed<configuration_record>> configurations;
         std::shared_ptr<pushed_feed<upstream_change>> changes;
     };
 
--- a/tests/gateway/test_copy_turn_search.cpp
+++ b/tests/gateway/test_copy_turn_search.cpp
@@ -125,6 +125,7 @@
         upstream_record record;
         record.id = "on-" + host;
         record.service = "model";
+        record.failure_domain = "of-" + host;
         record.address = {host, 80};
         record.slots = 8;
         engines.push_back(record);
@@ -142,6 +143,7 @@
             std::vector<upstream_record> left;
             for (const auto& each : engines) {
                 if (left.size() < count &&
+                    !context->choice.is_evacuated(each) &&
                     std::find(exclude.begin(), exclude.end(), each.id) ==
                         exclude.end())
                     left.push_back(each);
@@ -267,6 +269,22 @@
     EXPECT_EQ(wait_for_result(), "on-127.0.0.3");
 }
 
+// Guards against a copy to an engine whose failure domain is evacuated after
+// its turn was granted, and against a search that holds such turns for ever.
+TEST_F(copy_turn_searches, use_no_engine_of_an_evacuated_domain)
+{
+    const auto& granted = add("127.0.0.2", always(answer::given));
+    const auto& waiting = add("127.0.0.3", always(answer::waits));
+    begin();
+    run_for(milliseconds(3));
+    ASSERT_TRUE(result.empty());
+    (void)context->evacuated.update(
+        {{"of-127.0.0.2", true}, {"of-127.0.0.3", true}}, true, 1);
+    EXPECT_EQ(wait_for_result(), "none");
+    EXPECT_TRUE(granted.received(ends_turn));
+    EXPECT_TRUE(waiting.received(ends_turn));
+}
+
 // Guards against a failed move when the monitor of the only engine has crashed:
 // a copy that competes with others is better than none.
 TEST_F(copy_turn_searches, use_an_engine_without_a_monitor_as_a_last_resort)
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -90,8 +90,8 @@
 // reported as unreadable, and the valid configurations are still read.
 TEST(directory_messages, report_unreadable_configurations)
 {
-    directory_page<configuration_text> page;
-    page.items = {{"garbage"}, {"7"}};
+    directory_page<configuration_text_record> page;
+    page.items = {configuration_text{"garbage"}, configuration_text{"7"}};
     page.next_offset = 3;
     const auto read =
         read_configurations(answer_of(page), [](std::string_view text) {
@@ -106,7 +106,27 @@
     EXPECT_EQ(read->next_offset, 3U);
     EXPECT_EQ(read->unreadable.size(), 1U);
     ASSERT_EQ(read->items.size(), 1U);
-    EXPECT_EQ(read->items[0].version, 7U);
+    EXPECT_EQ(std::get<gateway_configuration>(read->items[0]).version, 7U);
+}
+
+// Guards against an evacuation that a relay drops, or counts as a configuration
+// that can't be parsed.
+TEST(directory_messages, tell_evacuations_beside_configurations)
+{
+    const evacuation_change begun{"d1", true};
+    const evacuation_change ended{"d2", false};
+    directory_page<configuration_text_record> page;
+    page.items = {begun, configuration_text{"garbage"}, ended};
+    page.next_offset = 3;
+    const auto read =
+        read_configurations(answer_of(page), [](std::string_view) {
+            return std::optional<gateway_configuration>();
+        });
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->items.size(), 2U);
+    EXPECT_EQ(std::get<evacuation_change>(read->items[0]), begun);
+    EXPECT_EQ(std::get<evacuation_change>(read->items[1]), ended);
+    EXPECT_EQ(read->unreadable.size(), 1U);
 }
 
 } // namespace
--- a/tests/gateway/test_directory_relay.cpp
+++ b/tests/gateway/test_directory_relay.cpp
@@ -376,6 +376,57 @@
     }));
 }
 
+// Guards against gateways that learn of an evacuation only with the next
+// configuration, or not at all: the relays drop what is no configuration.
+TEST_F(relayed_directory, relays_evacuations_to_all_gateways)
+{
+    auto& first = start_gateway();
+    auto& second = start_gateway();
+    store.put("keyed.op", "evacuate/d1", "1");
+    for (auto* gateway : {&first, &second})
+        EXPECT_TRUE(eventually_answers(*gateway, "k1", 503));
+    store.put("keyed.op", "evacuate/d1", "");
+    for (auto* gateway : {&first, &second})
+        EXPECT_TRUE(eventually_answers(*gateway, "k1", 200));
+}
+
+// Guards against a gateway that misses an evacuation while its VM is cut off
+// from the store: its relays are not.
+TEST_F(relayed_directory, relays_evacuations_to_a_gateway_that_is_cut_off)
+{
+    auto& gateway = start_gateway();
+    gateways_path.stall(relay_direction::to_target);
+    store.put("keyed.op", "evacuate/d1", "1");
+    EXPECT_TRUE(eventually_answers(gateway, "k1", 503));
+    store.put("keyed.op", "evacuate/d1", "");
+    EXPECT_TRUE(eventually_answers(gateway, "k1", 200));
+}
+
+// Guards against a restarted gateway that does not know what was evacuated
+// before, and against relays that forget it with the history.
+TEST_F(relayed_directory, tells_evacuations_to_a_gateway_that_starts)
+{
+    const auto knows = [this](gateway_process& gateway,
+                              const std::string& list) {
+        return eventually([&] {
+            return state_of(gateway).find("\"evacuated_domains\":" + list) !=
+                   std::string::npos;
+        });
+    };
+    auto& first = start_gateway();
+    store.put("keyed.op", "evacuate/domain-127.0.0.2", "1");
+    store.put("keyed.op", "evacuate/elsewhere", "1");
+    EXPECT_TRUE(knows(first, R"(["domain-127.0.0.2","elsewhere"])"));
+    EXPECT_TRUE(knows(start_gateway(), R"(["domain-127.0.0.2","elsewhere"])"));
+    store.set_fault_mode(fake_store::fault_mode::busy);
+    store.put("keyed.op", "evacuate/elsewhere", "");
+    store.drop_history();
+    store.set_fault_mode(fake_store::fault_mode::healthy);
+    for (const auto& gateway : gateways)
+        EXPECT_TRUE(knows(*gateway, R"(["domain-127.0.0.2"])"));
+    EXPECT_TRUE(knows(start_gateway(), R"(["domain-127.0.0.2"])"));
+}
+
 // Guards against a lost change when the store deletes its history while relays
 // and gateways are at different offsets.
 TEST_F(relayed_directory, rereads_all_when_the_history_is_gone)
--- a/tests/gateway/test_feed_follower.cpp
+++ b/tests/gateway/test_feed_follower.cpp
@@ -82,6 +82,9 @@
 struct follower_record {
     std::vector<int> items;
     int complete_sets = 0;
+    int received_pages = 0;
+    int received_items = 0;
+    int received_whole = 0;
     int confirmed_count = 0;
     int lost = 0;
     int regained = 0;
@@ -106,6 +109,12 @@
             record.items.insert(record.items.end(), items.begin(), items.end());
             record.complete_sets += whole ? 1 : 0;
         };
+        on.received = [&](const directory_page<int>& received, bool whole,
+                          boot_time) {
+            ++record.received_pages;
+            record.received_whole += whole ? 1 : 0;
+            record.received_items += static_cast<int>(received.items.size());
+        };
         on.confirmed = [&](boot_time) { ++record.confirmed_count; };
         on.lost = [&](directory_problem) { ++record.lost; };
         on.regained = [&](duration) { ++record.regained; };
@@ -127,6 +136,9 @@
         follow(page({1, 2}, 5), {page({3}, 6), page({}, 6)}, calls);
     EXPECT_EQ(record.items, (std::vector{1, 2, 3}));
     EXPECT_EQ(record.complete_sets, 1);
+    EXPECT_EQ(record.received_pages, 3) << "one has no items";
+    EXPECT_EQ(record.received_items, 3);
+    EXPECT_EQ(record.received_whole, 1);
     EXPECT_EQ(record.confirmed_count, 3);
     ASSERT_EQ(calls.size(), 4U);
     EXPECT_TRUE(calls[0].newest);
--- a/tests/gateway/test_monitor_process.cpp
+++ b/tests/gateway/test_monitor_process.cpp
@@ -72,10 +72,11 @@
     platform.dialect = std::make_shared<platform::http_dialect>();
     platform.feeds = [&](const std::shared_ptr<link_reactor>& reactor,
                          const ip_endpoint&) {
-        return relay_feeds{std::make_shared<watched_feed<configuration_text>>(
-                               reactor, ended_safely),
-                           std::make_shared<watched_feed<upstream_change>>(
-                               reactor, ended_safely)};
+        return relay_feeds{
+            std::make_shared<watched_feed<configuration_text_record>>(
+                reactor, ended_safely),
+            std::make_shared<watched_feed<upstream_change>>(reactor,
+                                                            ended_safely)};
     };
     auto process = std::make_unique<monitor_process>(settings, platform);
     ASSERT_NO_THROW(
--- a/tests/gateway/test_read_coalescer.cpp
+++ b/tests/gateway/test_read_coalescer.cpp
@@ -335,7 +335,7 @@
 
 private:
     using text_coalescer = read_coalescer<configuration_text_traits>;
-    using text_page = directory_page<configuration_text>;
+    using text_page = directory_page<configuration_text_record>;
 
     static constexpr long duration_ms = 20000;
     static constexpr long term_ms = 4600; ///< of each lease
@@ -519,7 +519,8 @@
         page.next_offset = end;
         for (auto offset = from ? *from : std::max<std::size_t>(end, 1) - 1;
              offset < end; ++offset) {
-            page.items.push_back({std::to_string(offset + 1)});
+            page.items.push_back(
+                configuration_text{std::to_string(offset + 1)});
             page.offsets.push_back(offset);
         }
         return page;
@@ -543,8 +544,10 @@
         const bool latest = receiver.call == call;
         if (answer.result && receiver.offset == from) {
             for (const auto& item : (*answer.result)->items)
-                receiver.version = std::max(
-                    receiver.version, std::uint64_t{std::stoull(item.text)});
+                receiver.version =
+                    std::max(receiver.version,
+                             std::uint64_t{std::stoull(
+                                 std::get<configuration_text>(item).text)});
             receiver.offset = (*answer.result)->next_offset;
             receiver.lease.renew(sent_at);
             ++renewals_;
