--- a/src/libcyclamenrun/base/json_text.cpp
+++ b/src/libcyclamenrun/base/json_text.cpp
@@ -31,10 +31,14 @@
 
 std::string json_list(const std::set<std::string>& texts)
 {
-    std::string list;
-    for (const auto& text : texts)
-        list += (list.empty() ? "" : ",") + json_quoted(text);
-    return '[' + list + ']';
+    std::string list = "[";
+    for (const auto& text : texts) {
+        if (list.size() > 1)
+            list += ',';
+        list += json_quoted(text);
+    }
+    list += ']';
+    return list;
 }
 
 } // namespace cyclamenrun
