Close connections unread when a gateway is short

During a connection surge a gateway accepted and read all that its listener found, and so read requests that it could not serve in time. Now a decision says by the descriptors, memory and processor time that the process has left whether a new connection is accepted and its first request read; else it is reset before any byte is read. Its limits come from the settings; without them nothing changes.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -21,8 +21,6 @@
  * lease and the send.
  */
 constexpr milliseconds lease_margin{400};
-/** Interval at which the settings file is checked for changes. */
-constexpr milliseconds settings_check_interval{1000};
 /** Interval at which expired leases and records are handled. */
 constexpr milliseconds tick_interval{100};
 /** The drain ends this long before the end of the stop grace. */
@@ -238,12 +236,23 @@
     return candidates;
 }
 
+void gateway_process::start_guard()
+{
+    guard_ = std::make_shared<connection_guard>(
+        loop_->reactor(), connection_limits_of(settings_), context_->metrics,
+        connection_guard::hooks{
+            [this] { return caller_server_->connections(); },
+            [this] { return context_->running.size(); }});
+}
+
 void gateway_process::start_servers()
 {
+    start_guard();
     caller_server_ = std::make_shared<http_server>(
-        loop_->reactor(), settings_.listen, caller_hooks());
+        loop_->reactor(), settings_.listen, caller_hooks(), guard_->gate());
     ready_server_ = std::make_shared<http_server>(
         loop_->reactor(), settings_.ready_listen, ready_hooks());
+    guard_->start();
     caller_server_->start();
     ready_server_->start();
     metrics_ = std::make_unique<metrics_listener>(
@@ -269,6 +278,7 @@
     session_hooks hooks;
     hooks.serve = [this](caller_request request,
                          std::shared_ptr<answer_writer> writer) {
+        guard_->record_request();
         const auto served = std::make_shared<exchange>(
             *context_, std::move(request), std::move(writer));
         served->start();
@@ -279,6 +289,7 @@
     };
     hooks.limits = [this] { return limits(); };
     hooks.stopping = [this] { return context_->stopping; };
+    hooks.closes_first_answers = [this] { return guard_->under_pressure(); };
     hooks.on_rejected = [](http_problem problem) {
         log_event(log_severity::warning, log_event_name::caller_refused,
                   {{log_key::reason, name_of(problem)}});
@@ -333,6 +344,8 @@
            std::to_string(count_poison(suspect_kind::prompt_part)) +
            ",\"running\":" + std::to_string(context_->running.size()) +
            ",\"connections\":" + std::to_string(caller_server_->connections()) +
+           ",\"unread_connections\":" +
+           std::to_string(caller_server_->unread_connections()) +
            ",\"idle_upstream_connections\":" +
            std::to_string(context_->connections.size()) + "}";
 }
@@ -368,6 +381,9 @@
     if (context_->peers)
         metrics.set(exported_metric::peers, {},
                     static_cast<double>(context_->peers->gateway_count() - 1));
+    metrics.set(exported_metric::unread_connections, {},
+                static_cast<double>(caller_server_->unread_connections()));
+    guard_->refresh_gauges();
     for (const auto& service : context_->upstreams.services()) {
         const auto estimated = context_->upstreams.totals(service, now);
         metrics.set(exported_metric::upstreams, {service}, estimated.upstreams);
@@ -414,42 +430,6 @@
                                [this] { tick(); });
 }
 
-void gateway_process::check_settings()
-{
-    const auto now = context_->reactor->now();
-    if (now < next_settings_check_)
-        return;
-    next_settings_check_ = now + settings_check_interval;
-    // A file that can't be parsed may be half written: it is read again later.
-    const auto read = read_settings_();
-    if (!read || read->directory == settings_.directory)
-        return;
-    apply_settings(*read);
-    log_event(log_severity::info, log_event_name::settings_reloaded);
-}
-
-void gateway_process::reload()
-{
-    const auto read = read_settings_();
-    if (!read) {
-        for (const auto& error : read.error())
-            log_event(log_severity::error, log_event_name::settings_unusable,
-                      {{log_key::detail, to_string(error)}});
-        return;
-    }
-    on_loop([&] { apply_settings(*read); });
-    log_event(log_severity::info, log_event_name::settings_reloaded);
-}
-
-void gateway_process::apply_settings(const gateway_settings& settings)
-{
-    const bool directory_changed = settings.directory != settings_.directory;
-    settings_ = settings;
-    context_->log_every_step = settings_.log_every_step;
-    if (directory_changed)
-        directory_->follow(settings_);
-}
-
 std::string gateway_process::address() const
 {
     return to_string(caller_server_->address());
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_GATEWAY_PROCESS_HPP
 #define CYCLAMENRUN_GATEWAY_PROCESS_HPP
 
+#include "connection_guard.hpp"
 #include "directory_watch.hpp"
 #include "exchange.hpp"
 #include "gateway_context.hpp"
@@ -48,6 +49,7 @@
 private:
     void start(gateway_platform platform);
     void start_servers();
+    void start_guard();
     void start_monitor_link();
     void start_peer_link();
     void start_relays(std::uint16_t port);
@@ -72,6 +74,7 @@
     settings_reader read_settings_;
     std::unique_ptr<link_loop> loop_;
     std::unique_ptr<gateway_context> context_;
+    std::shared_ptr<connection_guard> guard_;
     std::shared_ptr<http_server> caller_server_;
     std::shared_ptr<http_server> ready_server_;
     std::unique_ptr<directory_watch> directory_;
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -6,14 +6,26 @@
 namespace cyclamenrun
 {
 
+namespace
+{
+
+/** Interval at which silent unread connections are looked for. */
+constexpr milliseconds silent_check_interval{250};
+
+} // namespace
+
 http_server::http_server(const std::shared_ptr<link_reactor>& reactor,
-                         const ip_endpoint& address, session_hooks hooks)
+                         const ip_endpoint& address, session_hooks hooks,
+                         connection_gate gate)
     : reactor_(reactor),
       hooks_(std::make_shared<const session_hooks>(std::move(hooks))),
+      gate_(std::move(gate)),
       acceptor_(std::make_shared<tcp_acceptor>(
           reactor, address,
-          [this](const Poco::Net::StreamSocket& socket) { add(socket); }))
+          [this](const Poco::Net::StreamSocket& socket) { accept(socket); }))
 {
+    if (gate_.present())
+        acceptor_->reject_when_exhausted(gate_.on_exhausted);
 }
 
 void http_server::start()
@@ -21,6 +33,75 @@
     acceptor_->start();
 }
 
+void http_server::accept(const Poco::Net::StreamSocket& socket)
+{
+    if (!gate_.present())
+        add(socket);
+    else if (gate_.may_accept())
+        add_unread(socket);
+    else
+        close_with_reset(socket);
+}
+
+void http_server::add_unread(const Poco::Net::StreamSocket& socket)
+{
+    const auto limits = hooks_->limits();
+    const auto now = reactor_->awake_now();
+    const auto id = next_unread_++;
+    auto connection = std::make_shared<unread_connection>(
+        reactor_, socket,
+        unread_connection::deadlines{now + limits.idle_timeout,
+                                     now + limits.header_timeout},
+        [weak = weak_from_this(), id](unread_connection& readable) {
+            if (const auto server = weak.lock())
+                server->read_first(id);
+            else
+                readable.reset();
+        });
+    connection->start();
+    unread_.emplace(id, std::move(connection));
+    check_silent_later();
+}
+
+void http_server::read_first(std::uint64_t id)
+{
+    const auto found = unread_.find(id);
+    if (found == unread_.end())
+        return;
+    const auto connection = found->second;
+    unread_.erase(found);
+    if (gate_.may_read())
+        add(connection->release());
+    else
+        connection->reset();
+}
+
+void http_server::check_silent_later()
+{
+    if (unread_.empty() || std::exchange(silent_check_pending_, true))
+        return;
+    reactor_->post_timeout(reactor_->awake_now() + silent_check_interval,
+                           [weak = weak_from_this()] {
+                               if (const auto server = weak.lock())
+                                   server->close_silent();
+                           });
+}
+
+void http_server::close_silent()
+{
+    silent_check_pending_ = false;
+    const bool pressure = gate_.under_pressure();
+    const auto now = reactor_->awake_now();
+    std::erase_if(unread_, [&](const auto& entry) {
+        const auto& until = entry.second->silent_until();
+        if (now < (pressure ? until.under_pressure : until.usual))
+            return false;
+        entry.second->reset();
+        return true;
+    });
+    check_silent_later();
+}
+
 void http_server::stop_accepting()
 {
     acceptor_->stop();
@@ -49,6 +130,8 @@
 void http_server::close_idle()
 {
     remove_closed();
+    for (const auto& [id, connection] : std::exchange(unread_, {}))
+        connection->reset();
     for (const auto& weak : std::vector(sessions_)) {
         if (const auto session = weak.lock())
             session->close_if_idle();
@@ -58,7 +141,7 @@
 std::size_t http_server::connections()
 {
     remove_closed();
-    return sessions_.size();
+    return sessions_.size() + unread_.size();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -1,9 +1,13 @@
 #ifndef CYCLAMENRUN_HTTP_SERVER_HPP
 #define CYCLAMENRUN_HTTP_SERVER_HPP
 
+#include "connection_gate.hpp"
 #include "http_session.hpp"
 #include "tcp_acceptor.hpp"
+#include "unread_connection.hpp"
 
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -16,7 +20,8 @@
 public:
     /** Binds and listens. Throws Poco::Exception on failure. */
     http_server(const std::shared_ptr<link_reactor>& reactor,
-                const ip_endpoint& address, session_hooks hooks);
+                const ip_endpoint& address, session_hooks hooks,
+                connection_gate gate = {});
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
 
@@ -25,15 +30,27 @@
     void stop_accepting();
     /** Closes connections on which no request is in progress. */
     void close_idle();
+    /** Open connections, those of which nothing was read included. */
     std::size_t connections();
+    std::size_t unread_connections() const { return unread_.size(); }
 
 private:
+    void accept(const Poco::Net::StreamSocket& socket);
     void add(const Poco::Net::StreamSocket& socket);
+    void add_unread(const Poco::Net::StreamSocket& socket);
+    void read_first(std::uint64_t id);
+    void close_silent();
+    void check_silent_later();
     void remove_closed();
 
     std::shared_ptr<link_reactor> reactor_;
     std::shared_ptr<const session_hooks> hooks_;
+    connection_gate gate_;
     std::shared_ptr<tcp_acceptor> acceptor_;
+    /** By a number that grows with each connection. */
+    std::map<std::uint64_t, std::shared_ptr<unread_connection>> unread_;
+    std::uint64_t next_unread_ = 1;
+    bool silent_check_pending_ = false;
     std::vector<std::weak_ptr<http_session>> sessions_;
     /** Number of sessions at which add() removes the closed ones. */
     std::size_t cleanup_threshold_ = 64;
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -208,6 +208,13 @@
     return !request_keep_alive_ || (hooks_->stopping && hooks_->stopping());
 }
 
+bool http_session::closes_first_answer() const
+{
+    // A request that has been read already is answered.
+    return answer_number_ <= 1 && reader_->pending_bytes() == 0 &&
+           hooks_->closes_first_answers && hooks_->closes_first_answers();
+}
+
 void http_session::write_whole(http_head head, std::string_view body,
                                http_framing framing)
 {
@@ -223,7 +230,7 @@
                               std::size_t body_bytes)
 {
     framing_ = framing;
-    if (framing == http_framing::connection)
+    if (framing == http_framing::connection || closes_first_answer())
         request_keep_alive_ = false;
     if (closes_after_answer())
         head.fields.push_back({"Connection", "close"});
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -43,6 +43,8 @@
     std::function<session_limits()> limits;
     /** While it returns true, connections close after the current answer. */
     std::function<bool()> stopping;
+    /** While it returns true, connections close after their first answer. */
+    std::function<bool()> closes_first_answers;
     /** Called for each request that is rejected. */
     std::function<void(http_problem)> on_rejected;
 };
@@ -91,6 +93,7 @@
     void next_request();
     void close_gracefully();
     bool closes_after_answer() const;
+    bool closes_first_answer() const;
     /** Sets when the caller has timed out, in awake time. */
     void set_deadline(time_point deadline);
     void check_deadline();
--- a/src/libcyclamenrun/http/tcp_acceptor.cpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.cpp
@@ -1,6 +1,7 @@
 #include "tcp_acceptor.hpp"
 
 #include "log_event.hpp"
+#include "unread_connection.hpp"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
@@ -21,10 +22,19 @@
 /** Pause before accepting again after descriptors or memory have run out. */
 constexpr milliseconds accept_retry_delay{50};
 
+bool out_of_descriptors(int error)
+{
+    return error == EMFILE || error == ENFILE;
+}
+
 bool out_of_resources(int error)
 {
-    return error == EMFILE || error == ENFILE || error == ENOBUFS ||
-           error == ENOMEM;
+    return out_of_descriptors(error) || error == ENOBUFS || error == ENOMEM;
+}
+
+int accept_from(int listener)
+{
+    return ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
 }
 
 } // namespace
@@ -70,19 +80,43 @@
 
 bool tcp_acceptor::accept_one()
 {
-    const int fd = ::accept4(socket_.impl()->sockfd(), nullptr, nullptr,
-                             SOCK_NONBLOCK | SOCK_CLOEXEC);
+    const int fd = accept_from(socket_.impl()->sockfd());
     if (fd < 0) {
-        if (out_of_resources(errno))
+        const int error = errno;
+        if (out_of_descriptors(error) && reject_one())
+            return true;
+        if (out_of_resources(error))
             pause();
         return false;
     }
+    if (on_rejected_)
+        spare_.open();
     Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
     socket.setNoDelay(true);
     on_accept_(socket);
     return true;
 }
 
+void tcp_acceptor::reject_when_exhausted(std::function<void()> on_rejected)
+{
+    on_rejected_ = std::move(on_rejected);
+    spare_.open();
+}
+
+bool tcp_acceptor::reject_one()
+{
+    if (!spare_.close())
+        return false;
+    const int fd = accept_from(socket_.impl()->sockfd());
+    if (fd >= 0)
+        close_with_reset(
+            Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd)));
+    spare_.open();
+    if (fd >= 0)
+        on_rejected_();
+    return fd >= 0;
+}
+
 void tcp_acceptor::pause()
 {
     log_event(log_severity::error, log_event_name::internal_error,
--- a/src/libcyclamenrun/http/tcp_acceptor.hpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.hpp
@@ -4,6 +4,7 @@
 #include "ip_endpoint.hpp"
 #include "link_reactor.hpp"
 #include "socket_event_handler.hpp"
+#include "spare_descriptor.hpp"
 
 #include <Poco/Net/ServerSocket.h>
 #include <functional>
@@ -31,6 +32,12 @@
 
     void start();
     void stop();
+    /**
+     * From now on, a connection for which no descriptor is free is accepted by
+     * a spare one and reset, so that its caller learns of it at once, and
+     * `on_rejected` is called. Without this it waits until one is free.
+     */
+    void reject_when_exhausted(std::function<void()> on_rejected);
 
     void ready(bool readable, bool writable) override;
     void flush() override {}
@@ -38,6 +45,8 @@
 
 private:
     bool accept_one();
+    /** Returns false if no connection was taken. */
+    bool reject_one();
     void pause();
 
     std::shared_ptr<link_reactor> reactor_;
@@ -45,6 +54,8 @@
     accept_handler on_accept_;
     link_reactor::watch_id watch_ = 0;
     bool accepting_ = false;
+    std::function<void()> on_rejected_;
+    spare_descriptor spare_; ///< for reject_one()
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/links/link_reactor.hpp
+++ b/src/libcyclamenrun/links/link_reactor.hpp
@@ -73,6 +73,8 @@
     void unwatch(watch_id id);
     /** Calls flush() of `handler` at the end of this loop iteration. */
     void flush_later(std::shared_ptr<socket_event_handler> handler);
+    /** Number of watched sockets. */
+    std::size_t watched() const { return watches_.size(); }
     bool stopping() const { return stopping_; }
     /** Time at the start of this loop iteration. */
     time_point now() const { return now_; }
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -83,6 +83,22 @@
     exported_metric_row{exported_metric::connections,
                         "cyclamenrun_caller_connections", exported_kind::gauge,
                         "", "Open connections of callers."},
+    exported_metric_row{
+        exported_metric::unread_connections, "cyclamenrun_unread_connections",
+        exported_kind::gauge, "",
+        "Open connections of callers of which nothing has been read yet."},
+    exported_metric_row{
+        exported_metric::refused_connections,
+        "cyclamenrun_connections_refused_total", exported_kind::counter,
+        "reason",
+        "Connections of callers that were closed unread, by what was short."},
+    exported_metric_row{exported_metric::open_sockets,
+                        "cyclamenrun_open_sockets", exported_kind::gauge, "",
+                        "Open sockets of the process."},
+    exported_metric_row{
+        exported_metric::loop_delay, "cyclamenrun_loop_delay_seconds",
+        exported_kind::gauge, "",
+        "Longest delay of a timer since the metrics were last read."},
     exported_metric_row{exported_metric::upstreams, "cyclamenrun_upstreams",
                         exported_kind::gauge, "service",
                         "Upstreams that accept new work."},
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -58,6 +58,14 @@
                   "The data that a caller sent was not a valid request."},
     log_event_row{log_event_name::caller_timed_out, "caller_timed_out",
                   "A caller was too slow to send or to read."},
+    log_event_row{log_event_name::connections_refused, "connections_refused",
+                  "New connections of callers are closed unread, since the "
+                  "process lacks what reason names; callers try another "
+                  "gateway."},
+    log_event_row{
+        log_event_name::connections_accepted, "connections_accepted",
+        "No connection has been closed unread for five seconds; count were "
+        "closed in duration_ms."},
     log_event_row{log_event_name::operator_refused, "operator_refused",
                   "An operator's call was refused, for example for an invalid "
                   "key or body."},
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -30,6 +30,8 @@
     ticket_minted,
     caller_refused,
     caller_timed_out,
+    connections_refused,
+    connections_accepted,
     operator_refused,
     change_accepted,
     change_conflicted,
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -116,6 +116,18 @@
     };
 }
 
+settings_table limit_rows(gateway_settings& settings)
+{
+    return {
+        {"limits.max_fds", &settings.max_fds, optional, 0, 1e6, "descriptors",
+         "Descriptors that the process may open, reserved ones included; above "
+         "it new connections are closed unread. 0: no bound."},
+        {"limits.cpu_share", &settings.cpu_share, optional, 0, 1024, "cores",
+         "Processor time that the process may use; above it new connections "
+         "are closed unread. 0: no bound."},
+    };
+}
+
 settings_errors check_consistency(const gateway_settings& settings,
                                   const std::string& file)
 {
@@ -136,6 +148,7 @@
     append(table, load_rows(settings));
     append(table, peer_rows(settings));
     append(table, time_rows(settings));
+    append(table, limit_rows(settings));
     return table;
 }
 
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -46,6 +46,10 @@
     double retry_extra = 50;  ///< further attempts beyond the share
     double retry_window_s = 10;
 
+    // What the process may use of its VM; 0: not known, no bound.
+    std::uint64_t max_fds = 0; ///< open descriptors
+    double cpu_share = 0;      ///< of a core
+
     double stop_grace_s = 8; ///< time for a planned stop
     /** Time between reporting not ready and closing the listener. */
     milliseconds balancer_wait{2500};
