--- a/src/libcyclamenrun/decisions/connection_admission.cpp
+++ b/src/libcyclamenrun/decisions/connection_admission.cpp
@@ -29,6 +29,16 @@
 /** Requests that the minimum admits at once, at least. */
 constexpr double min_minimum_burst = 4;
 
+/**
+ * Part of the share for closing connections unread, and the processor time of
+ * each; 29 to 41 us were measured (docs/CAPACITY.md).
+ */
+constexpr double refusal_part = 0.4;
+constexpr double refusal_cost_s = 0.00003;
+/** Time whose refusals may come at once. */
+constexpr double refusal_burst_s = 0.1;
+constexpr double min_refusal_burst = 16;
+
 /**
  * Processor time of a request until it is learnt; a gateway was measured to use
  * 0.39 ms (docs/design/platform.md).
@@ -93,7 +103,8 @@
                                            time_point now)
     : limits_(limits), updated_at_(now), measured_(burst(), now),
       expected_(burst(), now), minimum_(min_minimum_burst, now),
-      cost_s_(initial_cost_s), cost_window_end_(now + cost_window)
+      refusals_(min_refusal_burst, now), cost_s_(initial_cost_s),
+      cost_window_end_(now + cost_window)
 {
 }
 
@@ -186,6 +197,23 @@
                         limits_.descriptors, 1, descriptors_resume_part);
 }
 
+void connection_admission::fill_refusals(time_point now)
+{
+    const auto refusal_rate =
+        limits_.processor_share * refusal_part / refusal_cost_s;
+    refusals_.fill(refusal_rate,
+                   std::max(min_refusal_burst, refusal_rate * refusal_burst_s),
+                   now);
+}
+
+bool connection_admission::must_wait(time_point now)
+{
+    if (limits_.processor_share <= 0)
+        return false;
+    fill_refusals(now);
+    return refusals_.tokens() < 1;
+}
+
 connection_shortage connection_admission::may_accept(const descriptor_use& use,
                                                      time_point now)
 {
@@ -240,6 +268,7 @@
                                                  time_point now)
 {
     pressure_until_ = now + pressure_time;
+    refusals_.take(1);
     return shortage;
 }
 
--- a/src/libcyclamenrun/decisions/connection_admission.hpp
+++ b/src/libcyclamenrun/decisions/connection_admission.hpp
@@ -65,6 +65,11 @@
 
     /** Takes a measurement; to be called each `load_interval`. */
     void update(const process_load& load, time_point now);
+    /**
+     * Whether new connections have to wait in the listener's queue, since
+     * closing more of them would take the time of those that can be served.
+     */
+    bool must_wait(time_point now);
     /** Whether a new connection is accepted; `none`: it is. */
     connection_shortage may_accept(const descriptor_use& use, time_point now);
     /**
@@ -95,6 +100,7 @@
     bool minimum_left() const;
     bool take_minimum();
     connection_shortage report(connection_shortage shortage, time_point now);
+    void fill_refusals(time_point now);
     double rate(double part) const;
     double burst() const;
 
@@ -106,6 +112,7 @@
     token_bucket measured_; ///< seconds of a core
     token_bucket expected_; ///< seconds of a core
     token_bucket minimum_;  ///< requests
+    token_bucket refusals_; ///< refused connections
     /** Part of the share that can be used without running late. */
     double allowance_ = 1;
     bool overdue_ = false; ///< the loop ran very late by its own work
--- a/src/libcyclamenrun/gateway/connection_guard.cpp
+++ b/src/libcyclamenrun/gateway/connection_guard.cpp
@@ -85,6 +85,9 @@
     connection_gate gate;
     if (!limits_.bounded())
         return gate;
+    gate.must_wait = [self = shared_from_this()] {
+        return self->admission_.must_wait(steady_now());
+    };
     gate.may_accept = [self = shared_from_this()] {
         return self->may_accept();
     };
@@ -159,8 +162,7 @@
 {
     const auto now = steady_now();
     episode_end_ = now + episode_time;
-    metrics_.count(exported_metric::refused_connections,
-                   {std::string(name_of(shortage))});
+    ++refused_by_.at(static_cast<std::size_t>(shortage));
     if (refused_++ > 0)
         return;
     refused_since_ = now;
@@ -182,6 +184,13 @@
 
 void connection_guard::refresh_gauges()
 {
+    for (const auto shortage :
+         {connection_shortage::descriptors, connection_shortage::memory,
+          connection_shortage::processor})
+        metrics_.set_counter(exported_metric::refused_connections,
+                             {std::string(name_of(shortage))},
+                             static_cast<double>(refused_by_.at(
+                                 static_cast<std::size_t>(shortage))));
     metrics_.set(exported_metric::open_sockets, {},
                  static_cast<double>(reactor_->watched()));
     metrics_.set(
--- a/src/libcyclamenrun/gateway/connection_guard.hpp
+++ b/src/libcyclamenrun/gateway/connection_guard.hpp
@@ -7,6 +7,8 @@
 #include "gateway_settings.hpp"
 #include "link_reactor.hpp"
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -59,6 +61,8 @@
     std::size_t waiting_ = 0;
     duration longest_delay_{0}; ///< since the gauges were refreshed
 
+    /** Since the start, by shortage. */
+    std::array<std::uint64_t, 4> refused_by_{};
     // The refusals since the last time without any.
     std::size_t refused_ = 0;
     time_point refused_since_{};
--- a/src/libcyclamenrun/http/connection_gate.hpp
+++ b/src/libcyclamenrun/http/connection_gate.hpp
@@ -11,7 +11,9 @@
  * server without them takes all.
  */
 struct connection_gate {
-    /** Whether a new connection may be accepted; otherwise it is reset. */
+    /** While it returns true, new connections wait in the listener's queue. */
+    std::function<bool()> must_wait;
+    /** Whether a connection may be taken; otherwise it is reset at once. */
     std::function<bool()> may_accept;
     /** Whether the first bytes of a connection may be read; the same. */
     std::function<bool()> may_read;
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -25,7 +25,7 @@
           [this](const Poco::Net::StreamSocket& socket) { accept(socket); }))
 {
     if (gate_.present())
-        acceptor_->reject_when_exhausted(gate_.on_exhausted);
+        acceptor_->set_gate(gate_);
 }
 
 void http_server::start()
@@ -35,12 +35,10 @@
 
 void http_server::accept(const Poco::Net::StreamSocket& socket)
 {
-    if (!gate_.present())
-        add(socket);
-    else if (gate_.may_accept())
+    if (gate_.present())
         add_unread(socket);
     else
-        close_with_reset(socket);
+        add(socket);
 }
 
 void http_server::add_unread(const Poco::Net::StreamSocket& socket)
--- a/src/libcyclamenrun/http/tcp_acceptor.cpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.cpp
@@ -17,8 +17,16 @@
 {
 
 constexpr int backlog = 256;
+/**
+ * The same where connections beyond the limits are rejected: those of a second
+ * of a surge, for a process that is paused. A connection that does not fit is
+ * tried again by its caller's host only after a second.
+ */
+constexpr int gated_backlog = 1024;
 /** Bounds the accepts per wake-up, so that open connections don't starve. */
 constexpr int max_accepts_per_wakeup = 32;
+/** Pause before accepting again where the gate lets connections wait. */
+constexpr milliseconds gate_pause{20};
 /** Pause before accepting again after descriptors or memory have run out. */
 constexpr milliseconds accept_retry_delay{50};
 
@@ -80,6 +88,10 @@
 
 bool tcp_acceptor::accept_one()
 {
+    if (gate_.present() && gate_.must_wait()) {
+        resume_after(gate_pause);
+        return false;
+    }
     const int fd = accept_from(socket_.impl()->sockfd());
     if (fd < 0) {
         const int error = errno;
@@ -89,17 +101,23 @@
             pause();
         return false;
     }
-    if (on_rejected_)
+    if (gate_.present()) {
         spare_.open();
+        if (!gate_.may_accept()) {
+            close_with_reset(fd);
+            return true;
+        }
+    }
     Poco::Net::StreamSocket socket(new Poco::Net::StreamSocketImpl(fd));
     socket.setNoDelay(true);
     on_accept_(socket);
     return true;
 }
 
-void tcp_acceptor::reject_when_exhausted(std::function<void()> on_rejected)
+void tcp_acceptor::set_gate(connection_gate gate)
 {
-    on_rejected_ = std::move(on_rejected);
+    gate_ = std::move(gate);
+    socket_.listen(gated_backlog);
     spare_.open();
 }
 
@@ -109,11 +127,10 @@
         return false;
     const int fd = accept_from(socket_.impl()->sockfd());
     if (fd >= 0)
-        close_with_reset(
-            Poco::Net::StreamSocket(new Poco::Net::StreamSocketImpl(fd)));
+        close_with_reset(fd);
     spare_.open();
     if (fd >= 0)
-        on_rejected_();
+        gate_.on_exhausted();
     return fd >= 0;
 }
 
@@ -123,13 +140,17 @@
               {{log_key::detail,
                 "out of file descriptors or memory; accepting connections "
                 "is paused"}});
+    resume_after(accept_retry_delay);
+}
+
+void tcp_acceptor::resume_after(milliseconds delay)
+{
     reactor_->set_interest(watch_, false, false);
-    reactor_->post_at(
-        reactor_->now() + accept_retry_delay, [weak = weak_from_this()] {
-            const auto self = weak.lock();
-            if (self && self->accepting_)
-                self->reactor_->set_interest(self->watch_, true, false);
-        });
+    reactor_->post_at(reactor_->now() + delay, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->accepting_)
+            self->reactor_->set_interest(self->watch_, true, false);
+    });
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/tcp_acceptor.hpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.hpp
@@ -1,6 +1,7 @@
 #ifndef CYCLAMENRUN_TCP_ACCEPTOR_HPP
 #define CYCLAMENRUN_TCP_ACCEPTOR_HPP
 
+#include "connection_gate.hpp"
 #include "ip_endpoint.hpp"
 #include "link_reactor.hpp"
 #include "socket_event_handler.hpp"
@@ -33,11 +34,11 @@
     void start();
     void stop();
     /**
-     * From now on, a connection for which no descriptor is free is accepted by
-     * a spare one and reset, so that its caller learns of it at once, and
-     * `on_rejected` is called. Without this it waits until one is free.
+     * From now on the gate decides about new connections. One for which no
+     * descriptor is free is accepted by a spare one and reset, so that its
+     * caller learns of it at once; without a gate it waits until one is free.
      */
-    void reject_when_exhausted(std::function<void()> on_rejected);
+    void set_gate(connection_gate gate);
 
     void ready(bool readable, bool writable) override;
     void flush() override {}
@@ -48,13 +49,14 @@
     /** Returns false if no connection was taken. */
     bool reject_one();
     void pause();
+    void resume_after(milliseconds delay);
 
     std::shared_ptr<link_reactor> reactor_;
     Poco::Net::ServerSocket socket_;
     accept_handler on_accept_;
     link_reactor::watch_id watch_ = 0;
     bool accepting_ = false;
-    std::function<void()> on_rejected_;
+    connection_gate gate_;
     spare_descriptor spare_; ///< for reject_one()
 };
 
--- a/src/libcyclamenrun/http/unread_connection.cpp
+++ b/src/libcyclamenrun/http/unread_connection.cpp
@@ -2,17 +2,27 @@
 
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 namespace cyclamenrun
 {
 
-void close_with_reset(Poco::Net::StreamSocket socket)
+namespace
 {
-    const linger reset_on_close{1, 0};
-    ::setsockopt(socket.impl()->sockfd(), SOL_SOCKET, SO_LINGER,
-                 &reset_on_close, sizeof reset_on_close);
-    socket.close();
+
+void reset_on_close(int socket)
+{
+    const linger no_time{1, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &no_time, sizeof no_time);
+}
+
+} // namespace
+
+void close_with_reset(int socket)
+{
+    reset_on_close(socket);
+    ::close(socket);
 }
 
 unread_connection::unread_connection(std::shared_ptr<link_reactor> reactor,
@@ -38,7 +48,9 @@
 
 void unread_connection::reset()
 {
-    close_with_reset(release());
+    auto socket = release();
+    reset_on_close(socket.impl()->sockfd());
+    socket.close();
 }
 
 Poco::Net::StreamSocket unread_connection::release()
--- a/src/libcyclamenrun/http/unread_connection.hpp
+++ b/src/libcyclamenrun/http/unread_connection.hpp
@@ -12,7 +12,7 @@
 {
 
 /** Closes a socket with a reset, whether or not it has unread bytes. */
-void close_with_reset(Poco::Net::StreamSocket socket);
+void close_with_reset(int socket);
 
 /** An accepted connection of which no byte has been read yet. */
 class unread_connection final
