--- a/src/libcyclamenrun/decisions/connection_admission.cpp
+++ b/src/libcyclamenrun/decisions/connection_admission.cpp
@@ -15,10 +15,10 @@
 constexpr double measured_part = 0.85;
 constexpr double expected_part = 0.8;
 /**
- * Time whose share may be used at once. A process that is stopped at the end of
- * its share in each 100 ms runs late by up to this.
+ * Time whose share may be used at once; a process that may not use more then
+ * runs late by up to this.
  */
-constexpr double burst_s = 0.25;
+constexpr double burst_s = 0.15;
 /** Level, as a part of a burst, at which connections are admitted again. */
 constexpr double resume_part = 0.1;
 /**
@@ -52,8 +52,7 @@
 constexpr std::size_t min_cost_requests = 50;
 
 /** A timer that runs later than this shows that the process is behind. */
-constexpr milliseconds late{50};
-constexpr milliseconds very_late{200};
+constexpr milliseconds late{150};
 /** Part of the share that shows that lateness is due to the process's work. */
 constexpr double busy_part = 0.5;
 constexpr double allowance_decrease = 0.8;
@@ -144,7 +143,6 @@
     // late without having used its share; turning callers away would not help.
     const bool busy = seconds_of(used) >=
                       busy_part * limits_.processor_share * seconds_of(passed);
-    overdue_ = busy && load.delay > very_late;
     allowance_ = busy && load.delay > late
                      ? std::max(min_allowance, allowance_ * allowance_decrease)
                      : std::min(1.0, allowance_ + allowance_increase);
@@ -253,7 +251,7 @@
 
 bool connection_admission::minimum_left() const
 {
-    return !overdue_ && minimum_.tokens() >= 1;
+    return minimum_.tokens() >= 1;
 }
 
 bool connection_admission::take_minimum()
--- a/src/libcyclamenrun/decisions/connection_admission.hpp
+++ b/src/libcyclamenrun/decisions/connection_admission.hpp
@@ -115,7 +115,6 @@
     token_bucket refusals_; ///< refused connections
     /** Part of the share that can be used without running late. */
     double allowance_ = 1;
-    bool overdue_ = false; ///< the loop ran very late by its own work
 
     double cost_s_; ///< of a request
     time_point cost_window_end_;
--- a/tests/decisions/test_connection_admission.cpp
+++ b/tests/decisions/test_connection_admission.cpp
@@ -13,6 +13,7 @@
 
 constexpr time_point start{std::chrono::hours(1)};
 constexpr double share = 0.19; // of a core
+constexpr double refusal_cost_s = 0.00003;
 
 duration core_time(double time_s)
 {
@@ -67,17 +68,23 @@
     double cost_s = 0.0004; ///< of a request
     std::size_t read = 0;
     std::size_t refused = 0;
+    std::size_t waited = 0; ///< connections left in the listener's queue
 
 private:
     void offer(double connections)
     {
         offered_ += connections;
         for (; offered_ >= 1; offered_ -= 1) {
+            if (admission.must_wait(now)) {
+                ++waited;
+                continue;
+            }
             const bool accepted =
                 admission.may_accept({}, now) == connection_shortage::none &&
                 admission.may_read(now) == connection_shortage::none;
             if (!accepted) {
                 ++refused;
+                backlog_s_ += refusal_cost_s;
                 continue;
             }
             ++read;
@@ -130,6 +137,19 @@
     EXPECT_GT(process.used_part(std::chrono::seconds(10)), 0.65);
 }
 
+// Guards against refusals that use up the share, so that nothing is served:
+// callers that are closed unread try again and again.
+TEST(connection_admission, serves_requests_while_callers_keep_trying)
+{
+    fake_process process(share_only());
+    process.run(std::chrono::seconds(5), 20000);
+    process.restart_counts();
+    process.run(std::chrono::seconds(10), 20000);
+    EXPECT_GT(process.read, 1500U);
+    EXPECT_GT(process.waited, 0U);
+    EXPECT_LT(process.longest_delay, milliseconds(400));
+}
+
 // The same process without a limit, as a contrast: it falls behind by seconds.
 TEST(connection_admission, takes_everything_without_limits)
 {
