--- a/tests/gateway/test_connection_surges.cpp
+++ b/tests/gateway/test_connection_surges.cpp
@@ -218,6 +218,16 @@
         }
     }
 
+    /** Opens connections on which nothing is sent. */
+    static std::vector<std::unique_ptr<test_caller>>
+    silent_callers(const running_gateway& asked, std::size_t count)
+    {
+        std::vector<std::unique_ptr<test_caller>> callers(count);
+        for (auto& caller : callers)
+            caller = std::make_unique<test_caller>(asked.address);
+        return callers;
+    }
+
     void expect_usual_load_is_served(const running_gateway& asked)
     {
         for (int i = 0; i < 30; ++i) {
@@ -421,9 +431,7 @@
     test_caller kept(gateway.address);
     kept.send(request_text());
     EXPECT_EQ(kept.read().field("Connection"), "");
-    std::vector<std::unique_ptr<test_caller>> silent;
-    for (int i = 0; i < 60; ++i)
-        silent.push_back(std::make_unique<test_caller>(gateway.address));
+    const auto silent = silent_callers(gateway, 60);
     test_caller later(gateway.address);
     later.send(request_text());
     EXPECT_EQ(later.read().field("Connection"), "close");
@@ -447,9 +455,7 @@
     const auto before = limit;
     limit.rlim_cur = open_descriptors(gateway) + 10;
     ::prlimit(gateway.process->pid(), RLIMIT_NOFILE, &limit, nullptr);
-    std::vector<std::unique_ptr<test_caller>> silent;
-    for (int i = 0; i < 20; ++i)
-        silent.push_back(std::make_unique<test_caller>(gateway.address));
+    auto silent = silent_callers(gateway, 20);
     const auto used = processor_time(gateway);
     const auto began = steady_now();
     for (int i = 0; i < 10; ++i) {
@@ -492,9 +498,7 @@
     EXPECT_LT(cost_at(reading, 2000, 1000), 20000);
     EXPECT_LT(cost_at(reading, 3000, 6000), 20000);
     const auto& closing = start("max_fds = 20\n");
-    std::vector<std::unique_ptr<test_caller>> silent;
-    for (int i = 0; i < 10; ++i)
-        silent.push_back(std::make_unique<test_caller>(closing.address));
+    const auto silent = silent_callers(closing, 10);
     EXPECT_LT(cost_at(closing, 2000, 1000), 20000);
 }
 
