--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -17,6 +17,7 @@
 constexpr double minute_ms = 60000;
 constexpr double max_port = 65535;
 constexpr double max_seeds = 64;
+constexpr double max_memory_mb = 1048576;
 
 void append(settings_table& table, const settings_table& rows)
 {
@@ -42,6 +43,9 @@
          "of requests that end badly; for investigations."},
         {"metrics_listen", &settings.metrics_listen, optional, 0, 0, "",
          "Address that serves `GET /metrics`; port 0 disables it."},
+        {"memory_mb", &settings.memory_mb, optional, 0, max_memory_mb, "MB",
+         "Memory of this VM. Messages that are received and not yet passed on "
+         "may take a quarter of it; 0: 32 MiB."},
         {"listen", &settings.listen, optional, 0, 0, "",
          "Address that callers connect to."},
         {"ready_listen", &settings.ready_listen, optional, 0, 0, "",
@@ -116,6 +120,18 @@
     };
 }
 
+settings_table limit_rows(gateway_settings& settings)
+{
+    return {
+        {"limits.max_fds", &settings.max_fds, optional, 0, 1e6, "descriptors",
+         "Descriptors that the process may open, reserved ones included; above "
+         "it new connections are closed unread. 0: no bound."},
+        {"limits.cpu_share", &settings.cpu_share, optional, 0, 1024, "cores",
+         "Processor time that the process may use; above it new connections "
+         "are closed unread. 0: no bound."},
+    };
+}
+
 settings_errors check_consistency(const gateway_settings& settings,
                                   const std::string& file)
 {
@@ -136,6 +152,7 @@
     append(table, load_rows(settings));
     append(table, peer_rows(settings));
     append(table, time_rows(settings));
+    append(table, limit_rows(settings));
     return table;
 }
 
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -21,7 +21,9 @@
     log_settings log;
     bool log_every_step = false;
     ip_endpoint metrics_listen{"127.0.0.1", 0}; ///< port 0: disabled
-    ip_endpoint listen{"0.0.0.0", 8080};        ///< for callers
+    /** Of the VM, in megabytes; bounds what is held of messages. */
+    std::uint64_t memory_mb = 0;         ///< 0: unknown
+    ip_endpoint listen{"0.0.0.0", 8080}; ///< for callers
     /** For the balancer's readiness checks and operators' queries. */
     ip_endpoint ready_listen{"127.0.0.1", 8081};
     /** The platform's store of configurations and upstreams. */
@@ -46,6 +48,10 @@
     double retry_extra = 50;  ///< further attempts beyond the share
     double retry_window_s = 10;
 
+    // What the process may use of its VM; 0: not known, no bound.
+    std::uint64_t max_fds = 0; ///< open descriptors
+    double cpu_share = 0;      ///< of a core
+
     double stop_grace_s = 8; ///< time for a planned stop
     /** Time between reporting not ready and closing the listener. */
     milliseconds balancer_wait{2500};
