Keep requests whose evacuation has ended before their check

A request that its upstream's host had not acknowledged 1.5 s after an evacuation began was reset also if the evacuation had ended by then, or if the attempt was no longer the request's own. The check now asks both again.

The 27 evacuation tests pass.

--- a/src/libcyclamenrun/gateway/exchange_losses.cpp
+++ b/src/libcyclamenrun/gateway/exchange_losses.cpp
@@ -34,12 +34,15 @@
     if (conclusion_.over() || !awaits_response() ||
         !context_.choice.is_evacuated(attempt_->upstream()))
         return;
-    context_.reactor->post_timeout(context_.reactor->awake_now() +
-                                       evacuated_receipt,
-                                   [watched = std::weak_ptr(attempt_)] {
-                                       if (const auto attempt = watched.lock())
-                                           attempt->abort_if_unreceived();
-                                   });
+    context_.reactor->post_timeout(
+        context_.reactor->awake_now() + evacuated_receipt,
+        [weak = weak_from_this(), watched = std::weak_ptr(attempt_)] {
+            const auto self = weak.lock();
+            const auto attempt = watched.lock();
+            if (self && attempt && attempt == self->attempt_ &&
+                self->context_.choice.is_evacuated(attempt->upstream()))
+                attempt->abort_if_unreceived();
+        });
 }
 
 void exchange::handle_loss(attempt_loss loss)
