Decide which gateways send to a cold upstream

A cold upstream takes a bounded number of requests in any second from all gateways together, and crashes well above it. The equal buckets by which gateways share the limits that upstreams name save up one request each, so 370 gateways could send 370 at once where 51.5 are allowed.

cold_share divides the bound: 0.56 of it flows in each second, 0.38 are saved up by all senders together. With more gateways than that, only some are senders, the first in the order of a hash of gateway and upstream (gateway_ranking), so that those who know each other agree without a message. cold_limits keeps until when each upstream is cold, and a bucket. It divides by the largest remembered number of gateways; a part that is cut off has its part of the senders. A gateway that becomes a sender, or goes on after a pause, starts with an empty bucket after the others have learnt of the change. Equal parts at random phases were ruled out, since their sum exceeds the bound at the rate that is needed to use half of it.

upstream_limits holds both kinds of limits, so that has_room() and time_to_room() remain the one place that is asked; the tighter one binds. forget() lets another process under an id start without the limit that its predecessor named.

Not covered: gateways that join a part that is cut off, as for the retry budget.

--- a/src/libcyclamenrun/decisions/upstream_limits.cpp
+++ b/src/libcyclamenrun/decisions/upstream_limits.cpp
@@ -112,7 +112,20 @@
                                                 time_point now) const
 {
     const auto* const known = find_limited(upstream, now);
-    return known != nullptr ? known->limit : std::nullopt;
+    const auto cold = cold_.limit_of(upstream, now);
+    if (known == nullptr)
+        return cold;
+    return cold ? std::min(*known->limit, *cold) : known->limit;
+}
+
+void upstream_limits::forget(const std::string& upstream, time_point now)
+{
+    cold_.forget(upstream);
+    auto* const known = find_or_add(upstream, now);
+    if (known == nullptr)
+        return;
+    *known = {};
+    known->observed_at = now;
 }
 
 std::size_t upstream_limits::count_limited(time_point now) const
@@ -146,21 +159,23 @@
 milliseconds upstream_limits::time_to_room(const std::string& upstream,
                                            time_point now) const
 {
+    const auto cold = cold_.time_to_room(upstream, now);
     const auto* const known = find_limited(upstream, now);
     if (known == nullptr)
-        return milliseconds(0);
+        return cold;
     const double missing =
         bucket_capacity -
         known->bucket.tokens_at(share_of(*known), bucket_capacity, now);
     if (missing <= 0)
-        return milliseconds(0);
+        return cold;
     const double wait =
         missing * static_cast<double>(time_between_requests(*known).count());
-    return milliseconds(std::llround(std::ceil(wait)));
+    return std::max(cold, milliseconds(std::llround(std::ceil(wait))));
 }
 
 void upstream_limits::record_send(const std::string& upstream, time_point now)
 {
+    cold_.record_send(upstream, now);
     if (find_limited(upstream, now) == nullptr)
         return;
     auto& known = records_.at(upstream);
@@ -171,14 +186,19 @@
 milliseconds upstream_limits::reserve_return(const std::string& upstream,
                                              time_point now)
 {
-    if (find_limited(upstream, now) == nullptr)
-        return milliseconds(0);
-    auto& known = records_.at(upstream);
+    const auto* const limited = find_limited(upstream, now);
+    const auto between = std::max(
+        cold_.time_between_returns(upstream, now),
+        limited != nullptr ? time_between_requests(*limited) : milliseconds(0));
+    auto* const known =
+        between > milliseconds(0) ? find_or_add(upstream, now) : nullptr;
+    if (known == nullptr)
+        return time_to_room(upstream, now);
     const auto return_at =
-        std::max(now + time_to_room(upstream, now), known.next_return);
-    known.next_return = return_at + time_between_requests(known);
+        std::max(now + time_to_room(upstream, now), known->next_return);
+    known->next_return = return_at + between;
     // Far returns are not worth a promise: callers give up before.
-    known.next_return = std::min(known.next_return, now + limit_lifetime);
+    known->next_return = std::min(known->next_return, now + limit_lifetime);
     return time_left(return_at, now);
 }
 
--- a/src/libcyclamenrun/decisions/upstream_limits.hpp
+++ b/src/libcyclamenrun/decisions/upstream_limits.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_UPSTREAM_LIMITS_HPP
 
 #include "clock.hpp"
+#include "cold_limits.hpp"
 #include "token_bucket.hpp"
 
 #include <cstddef>
@@ -30,6 +31,9 @@
  * communication. A gateway saves up one request at most. The first one is
  * allowed after a random part of the time between two, so that gateways which
  * learn of a limit at the same moment do not send at the same moment.
+ *
+ * An upstream that is cold has a limit of its own kind as well, see
+ * cold_limits; the tighter one binds.
  */
 class upstream_limits
 {
@@ -49,6 +53,16 @@
     /** Merges what another gateway has observed; returns true on a change. */
     bool merge(const limit_observation& observed, time_point now);
 
+    /** Limits of upstreams that are cold. */
+    cold_limits& cold() { return cold_; }
+    const cold_limits& cold() const { return cold_; }
+
+    /**
+     * Another process uses the id of the upstream: it has named no limit. What
+     * others observed of its predecessor before is not merged any more.
+     */
+    void forget(const std::string& upstream, time_point now);
+
     /** Requests a second; empty: no limit is known. */
     std::optional<double> limit_of(const std::string& upstream,
                                    time_point now) const;
@@ -100,6 +114,7 @@
     milliseconds time_between_requests(const record& known) const;
 
     std::mt19937_64& random_;
+    cold_limits cold_;
     std::size_t gateways_ = 8; ///< until set; a number too high is safe
     std::uint64_t version_ = 0;
     std::unordered_map<std::string, record> records_; ///< by upstream id
--- a/src/libcyclamenrun/decisions/upstream_notices.hpp
+++ b/src/libcyclamenrun/decisions/upstream_notices.hpp
@@ -17,6 +17,8 @@
     /** It wants no requests of this VM for so long; empty: not stated. */
     std::optional<milliseconds> rest;
     bool leaving = false; ///< it ends soon and takes no new work
+    /** Time for which it is still cold, see cold_limits; empty: not stated. */
+    std::optional<milliseconds> cold_left = std::nullopt;
 };
 
 /**
