Tell crashes of processes with one id apart

What is kept of an upstream must not bind another process that uses its id later. A crash that was found counts for half a second, also for a loss at the successor; and the crash of the successor under the same request was taken for the loss that was counted before, so that a request could end one process after the other without a conviction.

The crash detector starts anew with another process. The poison guard counts the replacements of an id, and names the loss by them; ids that are not used again have the same losses as before.

--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -52,6 +52,11 @@
                            result_handler on_result)
 {
     remove_expired();
+    // A crash of its predecessor under the same id tells nothing of it.
+    std::erase_if(checks_, [&](const auto& entry) {
+        return entry.first == upstream.id && entry.second.crashed &&
+               is_other_process(entry.second.upstream, upstream);
+    });
     const auto known = checks_.find(upstream.id);
     const bool is_new = known == checks_.end();
     if (!is_new && known->second.crashed) {
--- a/src/libcyclamenrun/gateway/poison_guard.cpp
+++ b/src/libcyclamenrun/gateway/poison_guard.cpp
@@ -19,14 +19,8 @@
 constexpr std::size_t max_mark_bytes = 700;
 constexpr std::size_t max_settling = 1024;
 
-/**
- * An upstream that starts again has a new id, so all gateways report one crash
- * as the same loss.
- */
-std::uint64_t loss_of(const std::string& upstream)
-{
-    return hash64(upstream);
-}
+/** Bounds the table if ids keep being used again. */
+constexpr std::size_t max_replacements = 4096;
 
 } // namespace
 
@@ -98,6 +92,24 @@
             on_.convicted(suspect_kind::request, request);
 }
 
+/**
+ * All gateways report one crash as the same loss: an upstream that starts again
+ * has a new id, or a replacement is recorded.
+ */
+std::uint64_t poison_guard::loss_of(const std::string& upstream) const
+{
+    const auto found = replacements_.find(upstream);
+    return hash64(upstream, found != replacements_.end() ? found->second : 0);
+}
+
+void poison_guard::record_replacement(const std::string& upstream)
+{
+    if (replacements_.size() >= max_replacements &&
+        !replacements_.contains(upstream))
+        replacements_.erase(replacements_.begin());
+    ++replacements_[upstream];
+}
+
 void poison_guard::record_crash(const std::string& upstream, lost_run run,
                                 time_point now)
 {
--- a/src/libcyclamenrun/gateway/poison_guard.hpp
+++ b/src/libcyclamenrun/gateway/poison_guard.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cyclamenrun
@@ -51,6 +52,11 @@
     }
 
     /** Records a run at an upstream that has crashed; sets its loss. */
+    /**
+     * Another process uses the id of the upstream: its crash is another loss.
+     * Gateways agree on that as far as they have seen the same replacements.
+     */
+    void record_replacement(const std::string& upstream);
     void record_crash(const std::string& upstream, lost_run run,
                       time_point now);
     /** Records a run that goes on since `settling_time`. */
@@ -73,6 +79,7 @@
     }
 
 private:
+    std::uint64_t loss_of(const std::string& upstream) const;
     /** A complete answer whose upstream may still crash under it. */
     struct settling_run {
         lost_run run; ///< as it is recorded if the upstream crashes
@@ -97,6 +104,8 @@
     std::mt19937_64& random_;
     milliseconds news_time_{0};
     std::vector<settling_run> settling_;
+    /** How often another process has taken an upstream's id. */
+    std::unordered_map<std::string, std::uint64_t> replacements_;
     std::vector<std::uint64_t> convicted_parts_; ///< as last reported
     hooks on_;
 };
--- a/tests/gateway/test_crash_detector.cpp
+++ b/tests/gateway/test_crash_detector.cpp
@@ -125,5 +125,24 @@
     EXPECT_TRUE(wait_for_reports(21));
 }
 
+// Guards against a healthy process that is taken for crashed since its
+// predecessor under the same id was.
+TEST_F(crash_detectors, start_anew_with_another_process_under_the_same_id)
+{
+    upstream.crash();
+    lose("crashed");
+    ASSERT_TRUE(wait_for_reports(1));
+    const fake_upstream successor(
+        [](const arrived_request&, upstream_reply& reply) {
+            reply.wait_for_close();
+        },
+        own_host(1));
+    record.address = successor.address();
+    record.started_ms = 7;
+    lose("reset");
+    wait(milliseconds(100));
+    EXPECT_EQ(reported().size(), 1U);
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
--- a/tests/gateway/test_poison_guard.cpp
+++ b/tests/gateway/test_poison_guard.cpp
@@ -65,6 +65,17 @@
     EXPECT_EQ(admit(work, at(9)), poison_admission::solo);
 }
 
+// Guards against a request that ends one process after the other, all with the
+// same id.
+TEST_F(poison_guards, count_the_crash_of_another_process_with_the_same_id)
+{
+    crash("u1", at(0));
+    EXPECT_EQ(admit(work, at(1)), poison_admission::solo);
+    guard.record_replacement("u1");
+    crash("u1", at(2));
+    EXPECT_EQ(admit(work, at(3)), poison_admission::refused);
+}
+
 // Guards against the conviction of a long generation that was resumed beside
 // the same poison request twice.
 TEST_F(poison_guards, count_requests_that_had_run_for_a_while_half)
