Bound the requests to cold upstreams over all gateways

An upstream that has just started, or is cold again, was sent requests like any other; its idleness attracts them, and it crashes well above its rate.

Gateways learn until when an upstream is cold from its record, its health answers (its monitor tells what it reads), the start that its service names, a start that only a monitor has seen, or the crash of its predecessor. Relays pass the time on as what is left of it, and only when it differs by more than a record's time on its way. upstream_limits then bounds the sends, read as before by upstream_choice::is_usable. If all upstreams of a service are at their bound, callers are refused at once (over_limit) with the time of the next room. A continuation waits up to a second for room, then it leaves a debt. Settings cold.overrun and cold.margin switch it on; without them nothing changes.

Limits, rests and what a process said of leaving bound a successor that took its id after its record was removed, since the registry knew the predecessor no longer. It keeps the records of erased upstreams now, and reports the replacement. The named limit was not forgotten at a replacement at all.

Log events upstream_cold and upstream_warm, metrics cyclamenrun_cold_upstreams and cyclamenrun_cold_sends_total.

--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -1,5 +1,6 @@
 #include "directory_messages.hpp"
 
+#include "cold_limits.hpp"
 #include "directory.pb.h"
 
 #include <utility>
@@ -25,6 +26,9 @@
     record.draining = message.draining();
     record.started_ms = message.started_ms();
     record.version = message.version();
+    if (message.has_cold_remaining_ms())
+        record.cold_until = cold_deadline(
+            milliseconds(message.cold_remaining_ms()), steady_now());
     return record;
 }
 
@@ -42,6 +46,9 @@
     record.set_draining(change.record->draining);
     record.set_started_ms(change.record->started_ms);
     record.set_version(change.record->version);
+    if (change.record->cold_until)
+        record.set_cold_remaining_ms(static_cast<std::uint64_t>(
+            time_left(*change.record->cold_until, steady_now()).count()));
 }
 
 void add_item(const configuration_text& configuration,
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -202,6 +202,7 @@
                    {log_key::count, version.routes.size()}});
         context_.routes =
             std::make_shared<const gateway_routes>(std::move(version));
+        context_.update_cold_rates();
     }
 }
 
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -1,5 +1,6 @@
 #include "engine_monitor.hpp"
 
+#include "cold_limits.hpp"
 #include "gateway_count_message.hpp"
 #include "load.pb.h"
 #include "log_event.hpp"
@@ -301,6 +302,9 @@
     if (!id)
         return;
     engine_id_ = *id;
+    engine_cold_until_.reset();
+    if (const auto left = dialect_->read_notice(*outcome).cold_left)
+        engine_cold_until_ = cold_deadline(*left, reactor_->now());
     // The next load is published with the id and without delay.
     next_publish_at_ = {};
     last_published_.clear();
@@ -319,6 +323,13 @@
         return;
     notice.mutable_engine()->set_address(to_string(settings_.engine));
     notice.mutable_engine()->set_id(engine_id_);
+    if (!engine_cold_until_)
+        return;
+    // Whole seconds, since a load that is unchanged is published less often.
+    const auto left = std::chrono::ceil<std::chrono::seconds>(
+        time_left(*engine_cold_until_, reactor_->now()));
+    notice.mutable_engine()->set_cold_remaining_ms(
+        static_cast<std::uint64_t>(milliseconds(left).count()));
 }
 
 void engine_monitor::poll_engine()
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -117,6 +117,8 @@
     std::shared_ptr<http_client> identity_client_;
     std::string health_target_;
     std::string engine_id_; ///< empty: unknown
+    /** Empty: the engine has not said that it is cold. */
+    std::optional<time_point> engine_cold_until_;
     time_point next_identity_query_{};
     std::map<std::string, known_gateway> gateways_; ///< by address
     gateway_count_history gateway_counts_;
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -208,6 +208,10 @@
                                         resume_from.has_value());
     conclusion_.begin_attempt(upstream);
     // A resumed generation does not prefill its prompt again.
+    if (context_.limits.cold().cold_left(upstream.id, now) >
+        milliseconds::zero())
+        conclusion_.recorder().sent_cold(
+            served_.service, context_.limits.has_room(upstream.id, now));
     context_.limits.record_send(upstream.id, now);
     context_.upstreams.record_dispatch(
         upstream.id, resume_from ? 0 : served_.facts.prompt_tokens, now);
--- a/src/libcyclamenrun/gateway/feed_history.hpp
+++ b/src/libcyclamenrun/gateway/feed_history.hpp
@@ -20,7 +20,24 @@
     /** True if the later record is only a heartbeat. */
     static bool same(const item& left, const item& right)
     {
-        return left.record == right.record;
+        return left.record == right.record &&
+               (!left.record ||
+                has_same_cold_time(*left.record, *right.record));
+    }
+
+private:
+    /**
+     * The same statement differs by the time that each record was on its way.
+     * Other changes are passed on: an upstream became cold again.
+     */
+    static bool has_same_cold_time(const upstream_record& left,
+                                   const upstream_record& right)
+    {
+        constexpr milliseconds time_on_way{2500};
+        if (!left.cold_until || !right.cold_until)
+            return left.cold_until.has_value() == right.cold_until.has_value();
+        return std::chrono::abs(*left.cold_until - *right.cold_until) <=
+               time_on_way;
     }
 };
 
--- a/src/libcyclamenrun/gateway/gateway_configuration.hpp
+++ b/src/libcyclamenrun/gateway/gateway_configuration.hpp
@@ -55,6 +55,10 @@
     std::string name;
     std::optional<engine_traits> engine; ///< empty: a plain service
     std::string health_target = {}; ///< health check target of each upstream
+    milliseconds cold_time{
+        0}; ///< for which an upstream is cold after its start
+    /** Requests a second that a cold upstream takes; empty: any number. */
+    std::optional<double> cold_rate = std::nullopt;
 };
 
 struct gateway_team {
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -76,6 +76,8 @@
 void gateway_context::record_notice(const std::string& upstream_id,
                                     const upstream_notice& notice)
 {
+    if (notice.cold_left)
+        record_cold_answer(upstream_id, *notice.cold_left);
     const auto changed = notices.record(upstream_id, notice, reactor->now());
     if (changed.rest_extended)
         log_event(log_severity::warning, log_event_name::upstream_resting,
@@ -98,6 +100,27 @@
     const auto now = boot_now();
     gateway_counts.record(static_cast<unsigned>(count), now);
     budget.set_gateway_count(gateway_counts.largest(now), now);
+    update_cold_senders();
+}
+
+void gateway_context::update_cold_senders()
+{
+    if (!limits.cold().enabled())
+        return;
+    constexpr milliseconds longest_pause{1000};
+    const auto boot = boot_now();
+    known_gateways known;
+    known.remembered = gateway_counts.largest(boot);
+    // The clock of the reactor stands still while the VM is suspended.
+    known.resumed = boot - cold_senders_updated_at > longest_pause;
+    cold_senders_updated_at = boot;
+    if (peers) {
+        // A listener on all addresses learns its own from the first peer.
+        if (peers->own_host() != "0.0.0.0")
+            known.own = peers->own_host();
+        known.others = peers->known_hosts();
+    }
+    limits.cold().set_gateways(known, reactor->now());
 }
 
 gateway_count_hooks gateway_context::count_hooks()
@@ -212,6 +235,10 @@
                {log_key::kind, name_of(lost.run.stage)},
                {log_key::prompt_parts, lost.prompt_parts}});
     metrics.count(exported_metric::crashes_seen, {upstream.service});
+    // Its successor may use the same id and is cold; the directory lists it
+    // seconds later.
+    if (upstreams.find(upstream.id) != nullptr)
+        presume_cold(upstream, cold_source::crashed);
     poison.record_crash(upstream.id, lost.run, reactor->now());
 }
 
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -62,11 +62,26 @@
     /** Records what an upstream says of itself, and logs a change. */
     void record_notice(const std::string& upstream_id,
                        const upstream_notice& notice);
+    /** Records until when a listed upstream is cold, and logs a change. */
+    void record_cold(const upstream_record& listed);
+    /** Records how long an upstream says that it is cold. */
+    void record_cold_answer(const std::string& upstream_id, milliseconds left);
+    /**
+     * An upstream has started, or will, that the directory does not list: it is
+     * taken for cold for the time that its service names.
+     */
+    void presume_cold(const upstream_record& started, cold_source why);
+    /** The rates of cold upstreams are those of the current configuration. */
+    void update_cold_rates();
+    /** Logs which upstreams are no longer cold. */
+    void remove_warm();
     /**
      * Shares of limits and of the retry budget are by the number of gateways,
      * as far as known.
      */
     void update_gateway_count();
+    /** Which gateways send to cold upstreams depends on all that are known. */
+    void update_cold_senders();
     /** Access to the numbers of gateways that this one remembers. */
     gateway_count_hooks count_hooks();
     /** Asks other gateways for repeats that the budget lacks. */
@@ -132,6 +147,7 @@
     std::unordered_set<exchange*> running;
     bool stopping = false; ///< a planned stop has begun
     bool push_pending = false;
+    boot_time cold_senders_updated_at{};
     time_point next_version_record{};
     /** When a planned stop ends this process, even with requests running. */
     std::optional<time_point> stop_at;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -122,15 +122,22 @@
         upstream_leaving(id, leaves_at);
     };
     upstream_hooks.erased = [this](const std::string& id) {
+        context_->limits.cold().forget(id);
         context_->connections.remove(id);
         context_->engine_client_pool.remove(id);
     };
     upstream_hooks.replaced = [this](const std::string& id) {
         context_->notices.forget(id);
+        context_->limits.forget(id, context_->reactor->now());
+        context_->poison.record_replacement(id);
     };
     upstream_hooks.listed = [this](const upstream_record& record) {
         context_->versions.record(record.service, record.version,
                                   context_->reactor->now());
+        context_->record_cold(record);
+    };
+    upstream_hooks.unlisted = [this](const upstream_record& record) {
+        context_->presume_cold(record, cold_source::presumed);
     };
     upstream_hooks.has_said_leaving = [this](const std::string& id) {
         return context_->notices.is_leaving(id);
@@ -139,6 +146,9 @@
         reactor, platform.dialect, std::move(upstream_hooks),
         budget_settings(settings_), lease_term(settings_),
         std::random_device{}());
+    context_->limits.cold().set_bounds(
+        {settings_.cold_overrun, settings_.cold_margin},
+        context_->reactor->now());
     context_->failure_domain = settings_.failure_domain;
     context_->log_every_step = settings_.log_every_step;
     directory_ =
@@ -162,6 +172,12 @@
         context_->upstreams.update_identity(engine, id,
                                             context_->reactor->awake_now());
     };
+    on.cold = [this](const ip_endpoint& engine, const std::string& id,
+                     milliseconds left) {
+        const auto* state = context_->upstreams.find(id);
+        if (state != nullptr && state->record.address == engine)
+            context_->record_cold_answer(id, left);
+    };
     on.health_target = [this] {
         return context_->routes ? context_->routes->engine_health_target()
                                 : std::string();
@@ -310,31 +326,27 @@
 
 std::string gateway_process::state_text()
 {
+    const auto now = context_->reactor->now();
     const auto age = context_->lease.age(boot_now());
-    return "{\"ready\":" + std::string(ready() ? "true" : "false") +
-           ",\"configuration_version\":" +
-           std::to_string(context_->routes ? context_->routes->version() : 0) +
-           ",\"configuration_age_ms\":" +
-           std::to_string(age ? age->count() : -1) +
-           ",\"relayed\":" + (directory_->relayed() ? "true" : "false") +
-           ",\"upstreams\":" + std::to_string(context_->upstreams.size()) +
-           ",\"peers\":" +
-           std::to_string(context_->peers ? context_->peers->gateway_count() - 1
-                                          : 0) +
-           ",\"resting_upstreams\":" +
-           std::to_string(
-               context_->notices.count_resting(context_->reactor->now())) +
-           ",\"limited_upstreams\":" +
-           std::to_string(
-               context_->limits.count_limited(context_->reactor->now())) +
-           ",\"poison_requests\":" +
-           std::to_string(count_poison(suspect_kind::request)) +
-           ",\"poison_parts\":" +
-           std::to_string(count_poison(suspect_kind::prompt_part)) +
-           ",\"running\":" + std::to_string(context_->running.size()) +
-           ",\"connections\":" + std::to_string(caller_server_->connections()) +
-           ",\"idle_upstream_connections\":" +
-           std::to_string(context_->connections.size()) + "}";
+    std::string text = ready() ? "{\"ready\":true" : "{\"ready\":false";
+    const auto add = [&text](const std::string& name, auto value) {
+        text += ",\"" + name + "\":" + std::to_string(value);
+    };
+    add("configuration_version",
+        context_->routes ? context_->routes->version() : 0);
+    add("configuration_age_ms", age ? age->count() : -1);
+    text += directory_->relayed() ? ",\"relayed\":true" : ",\"relayed\":false";
+    add("upstreams", context_->upstreams.size());
+    add("peers", context_->peers ? context_->peers->gateway_count() - 1 : 0);
+    add("resting_upstreams", context_->notices.count_resting(now));
+    add("limited_upstreams", context_->limits.count_limited(now));
+    add("cold_upstreams", context_->limits.cold().count(now));
+    add("poison_requests", count_poison(suspect_kind::request));
+    add("poison_parts", count_poison(suspect_kind::prompt_part));
+    add("running", context_->running.size());
+    add("connections", caller_server_->connections());
+    add("idle_upstream_connections", context_->connections.size());
+    return text + "}";
 }
 
 std::size_t gateway_process::count_poison(suspect_kind kind) const
@@ -352,22 +364,21 @@
                 context_->routes ? context_->routes->version() : 0);
     metrics.set(exported_metric::configuration_age, {},
                 age ? static_cast<double>(age->count()) / ms_per_s : -1);
-    metrics.set(exported_metric::running, {}, context_->running.size());
-    metrics.set(exported_metric::connections, {},
-                caller_server_->connections());
-    metrics.set(exported_metric::limited_upstreams, {},
-                static_cast<double>(context_->limits.count_limited(now)));
-    metrics.set(exported_metric::resting_upstreams, {},
-                static_cast<double>(context_->notices.count_resting(now)));
-    metrics.set(exported_metric::poison_requests, {},
-                static_cast<double>(count_poison(suspect_kind::request)));
-    metrics.set(exported_metric::poison_parts, {},
-                static_cast<double>(count_poison(suspect_kind::prompt_part)));
-    metrics.set(exported_metric::budget_gateways, {},
-                context_->budget.divisor());
+    const auto set = [&metrics](exported_metric metric, std::size_t value) {
+        metrics.set(metric, {}, static_cast<double>(value));
+    };
+    set(exported_metric::running, context_->running.size());
+    set(exported_metric::connections, caller_server_->connections());
+    set(exported_metric::limited_upstreams,
+        context_->limits.count_limited(now));
+    set(exported_metric::cold_upstreams, context_->limits.cold().count(now));
+    set(exported_metric::resting_upstreams,
+        context_->notices.count_resting(now));
+    set(exported_metric::poison_requests, count_poison(suspect_kind::request));
+    set(exported_metric::poison_parts, count_poison(suspect_kind::prompt_part));
+    set(exported_metric::budget_gateways, context_->budget.divisor());
     if (context_->peers)
-        metrics.set(exported_metric::peers, {},
-                    static_cast<double>(context_->peers->gateway_count() - 1));
+        set(exported_metric::peers, context_->peers->gateway_count() - 1);
     for (const auto& service : context_->upstreams.services()) {
         const auto estimated = context_->upstreams.totals(service, now);
         metrics.set(exported_metric::upstreams, {service}, estimated.upstreams);
@@ -407,6 +418,7 @@
         return;
     directory_->tick();
     context_->update_gateway_count();
+    context_->remove_warm();
     context_->record_versions();
     context_->poison.tick(context_->reactor->now());
     check_settings();
--- a/src/libcyclamenrun/gateway/gateway_refusal.cpp
+++ b/src/libcyclamenrun/gateway/gateway_refusal.cpp
@@ -37,8 +37,8 @@
         "The engines are full and the team has used its fair share."},
     gateway_refusal_row{
         over_limit, "over_limit", 503, true,
-        "All upstreams have named limits, and this gateway has used its "
-        "share."},
+        "All upstreams have named limits or are cold, and this gateway has "
+        "used its share."},
     gateway_refusal_row{upstreams_resting, "upstreams_resting", 503, true,
                         "All upstreams have asked this gateway for rest."},
     gateway_refusal_row{version_unknown, "version_unknown", 503, true,
--- a/src/libcyclamenrun/gateway/gateway_routes.cpp
+++ b/src/libcyclamenrun/gateway/gateway_routes.cpp
@@ -64,6 +64,15 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+std::unordered_map<std::string, double> gateway_routes::cold_rates() const
+{
+    std::unordered_map<std::string, double> rates;
+    for (const auto& service : configuration_.services)
+        if (service.cold_rate)
+            rates.emplace(service.name, *service.cold_rate);
+    return rates;
+}
+
 std::vector<std::string> gateway_routes::engine_services() const
 {
     std::vector<std::string> names;
--- a/src/libcyclamenrun/gateway/gateway_routes.hpp
+++ b/src/libcyclamenrun/gateway/gateway_routes.hpp
@@ -32,6 +32,8 @@
     /** The team that has the key, or null. */
     const gateway_team* team_of(std::string_view key) const;
     const gateway_service* service(const std::string& name) const;
+    /** Requests a second that cold upstreams take, of services that say so. */
+    std::unordered_map<std::string, double> cold_rates() const;
     /** Names of the services whose upstreams are model engines. */
     std::vector<std::string> engine_services() const;
     /** Target at which engines return their identity; empty: none. */
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -6,6 +6,17 @@
 namespace cyclamenrun
 {
 
+namespace
+{
+
+/**
+ * A continuation has no other place to go: it waits so long for room at a cold
+ * upstream, then it is sent without. Callers see the wait as a pause.
+ */
+constexpr milliseconds max_wait_for_cold_room{1000};
+
+} // namespace
+
 generation_continuation::generation_continuation(gateway_context& context,
                                                  served_request& served,
                                                  request_conclusion& conclusion,
@@ -140,7 +151,8 @@
                                         const continuation& from)
 {
     const auto now = context_.reactor->now();
-    auto wait = context_.notices.rest_left(upstream.id, now);
+    auto wait = std::max(context_.notices.rest_left(upstream.id, now),
+                         wait_for_cold_room(upstream.id));
     const auto admission = on_.admit();
     if (admission == poison_admission::wait)
         wait = std::max(wait, poison_wait);
@@ -159,9 +171,24 @@
     lost();
 }
 
+milliseconds
+generation_continuation::wait_for_cold_room(const std::string& upstream_id)
+{
+    const auto now = context_.reactor->now();
+    const auto wait = context_.limits.cold().time_to_room(upstream_id, now);
+    if (wait == milliseconds::zero()) {
+        cold_room_until_.reset();
+        return wait;
+    }
+    if (!cold_room_until_)
+        cold_room_until_ = now + max_wait_for_cold_room;
+    return now + wait <= *cold_room_until_ ? wait : milliseconds(0);
+}
+
 void generation_continuation::send_continuation(const upstream_record& upstream,
                                                 const continuation& from)
 {
+    cold_room_until_.reset();
     // Copied, since the call may destroy the exchange and this object.
     const auto send = on_.send;
     if (!send(upstream, from))
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -73,10 +73,13 @@
     placement_request
     make_placement_request(const upstream_record& source) const;
     /**
-     * Waits for the end of the upstream's rest, if it has asked for one, and
-     * for another run of what is suspected of this request.
+     * Waits for the end of the upstream's rest, if it has asked for one, for
+     * another run of what is suspected of this request, and for a while for
+     * room at a cold upstream.
      */
     void resume_at(const upstream_record& upstream, const continuation& from);
+    /** Time after which to try again; zero: send now, with room or without. */
+    milliseconds wait_for_cold_room(const std::string& upstream_id);
     void send_continuation(const upstream_record& upstream,
                            const continuation& from);
 
@@ -89,6 +92,8 @@
     std::optional<upstream_record> backup_;
     /** Memory from which the current attempt continues. */
     std::optional<continuation> from_;
+    /** Until when it waits for room at a cold upstream; empty: it does not. */
+    std::optional<time_point> cold_room_until_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -296,8 +296,12 @@
 {
     const auto address = parse_ip_endpoint(engine.address());
     // A monitor reports only the engine of its own VM.
-    if (address && address->host == host && !engine.id().empty())
-        on_.identity(*address, engine.id());
+    if (!address || address->host != host || engine.id().empty())
+        return;
+    on_.identity(*address, engine.id());
+    if (engine.has_cold_remaining_ms() && on_.cold)
+        on_.cold(*address, engine.id(),
+                 milliseconds(engine.cold_remaining_ms()));
 }
 
 void monitor_link::handle_datagram(const ip_endpoint& from,
--- a/src/libcyclamenrun/gateway/monitor_link.hpp
+++ b/src/libcyclamenrun/gateway/monitor_link.hpp
@@ -53,6 +53,10 @@
         /** Id of the engine that currently responds at an address. */
         std::function<void(const ip_endpoint& engine, const std::string& id)>
             identity;
+        /** The same engine is still cold for that time; may be empty. */
+        std::function<void(const ip_endpoint& engine, const std::string& id,
+                           milliseconds left)>
+            cold = {};
         /** Number of gateways that the monitors know. */
         std::function<void(unsigned)> gateways;
         /** Told to monitors, which tell it to gateways that start. */
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -82,6 +82,12 @@
                    {service, on_trial ? "trial" : "solo"});
 }
 
+void request_recorder::sent_cold(const std::string& service, bool has_room)
+{
+    metrics_.count(exported_metric::cold_sends,
+                   {service, has_room ? "in_share" : "in_debt"});
+}
+
 void request_recorder::repeated(const std::string& service, bool continues)
 {
     metrics_.count(exported_metric::repeats,
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -65,6 +65,8 @@
     };
     /** The request is sent alone, since upstreams were lost under it. */
     void sent_solo(const std::string& service, bool on_trial);
+    /** The request is sent to a cold upstream. */
+    void sent_cold(const std::string& service, bool has_room);
     /** The request is sent once more, to continue its run or to run again. */
     void repeated(const std::string& service, bool continues);
     /** `result`: of the attempt; `next`: step that follows. */
--- a/src/libcyclamenrun/gateway/upstream_record.hpp
+++ b/src/libcyclamenrun/gateway/upstream_record.hpp
@@ -1,12 +1,14 @@
 #ifndef CYCLAMENRUN_UPSTREAM_RECORD_HPP
 #define CYCLAMENRUN_UPSTREAM_RECORD_HPP
 
+#include "clock.hpp"
 #include "engine_load_estimate.hpp"
 #include "ip_endpoint.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 
 namespace cyclamenrun
 {
@@ -29,8 +31,25 @@
      * process.
      */
     std::int64_t started_ms = 0;
+    /**
+     * Until when it is cold; a time that has passed: it is not. Empty: not
+     * stated.
+     */
+    std::optional<time_point> cold_until = std::nullopt;
 
-    bool operator==(const upstream_record&) const = default;
+    /**
+     * `cold_until` is not compared: it differs at each read by the time that
+     * the record was on its way.
+     */
+    bool operator==(const upstream_record& other) const
+    {
+        const auto members = [](const upstream_record& each) {
+            return std::tie(each.id, each.service, each.address,
+                            each.failure_domain, each.slots, each.draining,
+                            each.version, each.started_ms);
+        };
+        return members(*this) == members(other);
+    }
 };
 
 /** Whether two records with one id are of different processes. */
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -157,14 +157,13 @@
 
 void upstream_registry::add(const upstream_record& record, time_point)
 {
-    const auto found = upstreams_.find(record.id);
     // A process that restarts under its id has lost the state of the old one.
-    if (found != upstreams_.end() && !found->second.monitor_only_until &&
-        is_other_process(found->second.record, record)) {
+    if (replaces_process(record)) {
         if (on_.replaced)
             on_.replaced(record.id);
         erase(record.id);
     }
+    erased_records_.erase(record.id);
     removed_ids_.erase(record.id);
     if (on_.listed)
         on_.listed(record);
@@ -181,6 +180,17 @@
         upstream.leaving = false;
 }
 
+bool upstream_registry::replaces_process(const upstream_record& record) const
+{
+    const auto found = upstreams_.find(record.id);
+    if (found != upstreams_.end())
+        return !found->second.monitor_only_until &&
+               is_other_process(found->second.record, record);
+    const auto erased = erased_records_.find(record.id);
+    return erased != erased_records_.end() &&
+           is_other_process(erased->second, record);
+}
+
 void upstream_registry::index_address(upstream_state& upstream)
 {
     auto& current = by_address_[to_string(upstream.record.address)];
@@ -257,6 +267,7 @@
     record.id = id;
     record.draining = false;
     record.version.clear();
+    record.cold_until.reset();
     // The start time is unknown, but later than the predecessor's. The
     // directory reports it when it lists the engine.
     ++record.started_ms;
@@ -265,6 +276,8 @@
         found->second.record = record;
         found->second.monitor_only_until = now + listing_timeout;
         found->second.leaving = has_said_leaving(id);
+        if (on_.unlisted)
+            on_.unlisted(record);
     }
     if (found->second.record.address != address)
         return;
@@ -293,6 +306,12 @@
     const auto current = by_address_.find(address);
     if (current != by_address_.end() && current->second == id)
         by_address_.erase(current);
+    // The start of one that only a monitor has reported is not known.
+    if (!found->second.monitor_only_until) {
+        if (erased_records_.size() >= max_removed_ids)
+            erased_records_.erase(erased_records_.begin());
+        erased_records_[id] = found->second.record;
+    }
     upstreams_.erase(found);
     if (on_.erased)
         on_.erased(id);
@@ -421,25 +440,6 @@
     return result;
 }
 
-std::set<std::string>
-upstream_registry::hosts_in_use(const std::string& service) const
-{
-    std::set<std::string> result;
-    for (const auto& [id, upstream] : upstreams_) {
-        if (upstream.record.service == service && upstream.own_running > 0)
-            result.insert(upstream.record.address.host);
-    }
-    return result;
-}
-
-std::set<std::string> upstream_registry::services() const
-{
-    std::set<std::string> result;
-    for (const auto& [id, upstream] : upstreams_)
-        result.insert(upstream.record.service);
-    return result;
-}
-
 service_totals upstream_registry::totals(const std::string& service,
                                          time_point now) const
 {
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -99,12 +99,20 @@
          * removed, or another process uses its id.
          */
         std::function<void(const std::string& id)> erased;
-        /** Called before that if another process uses its id. */
+        /**
+         * Called if another process uses its id, before the state of the
+         * predecessor is erased, or after it was removed and erased.
+         */
         std::function<void(const std::string& id)> replaced;
         /** Whether the upstream has said that it leaves; may be empty. */
         std::function<bool(const std::string& id)> has_said_leaving;
         /** Called for each record that the directory lists; may be empty. */
         std::function<void(const upstream_record&)> listed = {};
+        /**
+         * Called for an upstream that only a monitor has reported; may be
+         * empty. Of its record only the id, service and address are certain.
+         */
+        std::function<void(const upstream_record&)> unlisted = {};
     };
 
     explicit upstream_registry(hooks on) : on_(std::move(on)) {}
@@ -207,6 +215,8 @@
     {
         return on_.has_said_leaving && on_.has_said_leaving(id);
     }
+    /** Whether another process has used the id of the record before. */
+    bool replaces_process(const upstream_record& record) const;
     void record_removal(const std::string& id, time_point now);
     /**
      * Updates `by_address_`. Of two upstreams at one address, marks the one
@@ -222,6 +232,8 @@
      * Upstream id by address; of several upstreams, the one that started last.
      */
     std::unordered_map<std::string, std::string> by_address_;
+    /** Records of upstreams whose state was erased, by id. */
+    std::unordered_map<std::string, upstream_record> erased_records_;
     /** Ids of removed upstreams, and until when each is kept. */
     std::unordered_map<std::string, time_point> removed_ids_;
 };
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -119,6 +119,14 @@
     exported_metric_row{exported_metric::resting_upstreams,
                         "cyclamenrun_resting_upstreams", exported_kind::gauge,
                         "", "Upstreams that have asked this gateway for rest."},
+    exported_metric_row{exported_metric::cold_upstreams,
+                        "cyclamenrun_cold_upstreams", exported_kind::gauge, "",
+                        "Upstreams that are cold and limited."},
+    exported_metric_row{
+        exported_metric::cold_sends, "cyclamenrun_cold_sends_total",
+        exported_kind::counter, "service,kind",
+        "Requests sent to cold upstreams: `in_share`, or `in_debt` if they had "
+        "to be sent without room."},
     exported_metric_row{
         exported_metric::poison_requests, "cyclamenrun_poison_requests",
         exported_kind::gauge, "",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -39,6 +39,8 @@
     peers,
     limited_upstreams,
     resting_upstreams,
+    cold_upstreams,
+    cold_sends,
     poison_requests,
     poison_parts,
     solo_runs,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -169,6 +169,13 @@
     log_event_row{log_event_name::upstream_limit_lifted,
                   "upstream_limit_lifted",
                   "An upstream no longer names a limit."},
+    log_event_row{
+        log_event_name::upstream_cold, "upstream_cold",
+        "An upstream is cold for duration_ms: from all gateways together, of "
+        "which there may be count, it gets a bounded number of requests a "
+        "second; limit is the rate of its service."},
+    log_event_row{log_event_name::upstream_warm, "upstream_warm",
+                  "An upstream is no longer cold."},
     log_event_row{
         log_event_name::limit_reached, "limit_reached",
         "All usable upstreams are at their limit; limit is that of the "
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -71,6 +71,8 @@
     upstream_said_leaving,
     upstream_limited,
     upstream_limit_lifted,
+    upstream_cold,
+    upstream_warm,
     limit_reached,
     directory_lost,
     directory_regained,
--- a/src/libcyclamenrun/settings/gateway_settings.cpp
+++ b/src/libcyclamenrun/settings/gateway_settings.cpp
@@ -107,6 +107,12 @@
          "over all gateways."},
         {"retries.window_s", &settings.retry_window_s, optional, 0.1, hour_s,
          "s", "Window of the retry budget."},
+        {"cold.overrun", &settings.cold_overrun, optional, 0, 100, "",
+         "The requests that a cold upstream gets in any second, over all "
+         "gateways, are at most the rate of its service times this, and "
+         "`cold.margin`; 0: they are not limited."},
+        {"cold.margin", &settings.cold_margin, optional, 0, 1e6, "",
+         "Requests that a cold upstream may get in any second beyond that."},
         {"stop.grace_s", &settings.stop_grace_s, optional, 0, hour_s, "s",
          "Time for a planned stop, after which the process may be killed."},
         {"stop.balancer_wait_ms", &settings.balancer_wait, optional, 0,
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -46,6 +46,13 @@
     double retry_extra = 50;  ///< further attempts beyond the share
     double retry_window_s = 10;
 
+    /**
+     * Bound on the requests that a cold upstream gets in any second, over all
+     * gateways: the rate of its service x `cold_overrun` + `cold_margin`.
+     */
+    double cold_overrun = 0; ///< 0: cold upstreams are not limited
+    double cold_margin = 0;
+
     double stop_grace_s = 8; ///< time for a planned stop
     /** Time between reporting not ready and closing the listener. */
     milliseconds balancer_wait{2500};
--- a/tests/gateway/gateway_fleet.cpp
+++ b/tests/gateway/gateway_fleet.cpp
@@ -41,7 +41,9 @@
         started.settings, platform, [&started] {
             return settings_outcome<gateway_settings>(started.settings);
         });
-    started.configurations->push(configuration());
+    auto configured = configuration();
+    configured.services[0].cold_rate = cold_rate;
+    started.configurations->push(std::move(configured));
     for (const auto& record : records)
         started.changes->push({record.id, record});
 }
@@ -89,6 +91,7 @@
     record.failure_domain = "d1";
     record.slots = 8;
     record.version = version;
+    record.cold_until = cold_until;
     records.push_back(record);
     const auto wanted = "\"upstreams\":" + std::to_string(records.size()) + ",";
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
--- a/tests/gateway/gateway_fleet.hpp
+++ b/tests/gateway/gateway_fleet.hpp
@@ -43,6 +43,11 @@
 
     std::size_t size() const { return nodes_.size(); }
 
+    /** Rate of cold upstreams of the service `app`; empty: not limited. */
+    std::optional<double> cold_rate;
+    /** Of the upstreams that are added from now on. */
+    std::optional<time_point> cold_until;
+
 private:
     struct node {
         gateway_settings settings;
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -42,6 +42,24 @@
     EXPECT_FALSE(read->items[1].record);
 }
 
+// Guards against an upstream that gateways behind a relay take for warm, or for
+// one that says nothing.
+TEST(directory_messages, carry_how_long_an_upstream_is_cold)
+{
+    directory_page<upstream_change> page;
+    page.items = {{"a", record("a")}, {"b", record("b")}, {"c", record("c")}};
+    page.items[1].record->cold_until = time_point{};
+    const auto until = steady_now() + milliseconds(20'000);
+    page.items[2].record->cold_until = until;
+    const auto read = read_upstreams(answer_of(page));
+    ASSERT_TRUE(read);
+    EXPECT_FALSE(read->items[0].record->cold_until);
+    EXPECT_EQ(read->items[1].record->cold_until, time_point{});
+    ASSERT_TRUE(read->items[2].record->cold_until);
+    EXPECT_LE(std::chrono::abs(*read->items[2].record->cold_until - until),
+              milliseconds(100));
+}
+
 TEST(directory_messages, report_the_problem)
 {
     const auto problem = [](directory_problem what) {
--- a/tests/gateway/test_monitor.cpp
+++ b/tests/gateway/test_monitor.cpp
@@ -104,6 +104,12 @@
         on.identity = [this](const ip_endpoint& engine, const std::string& id) {
             reports.add(id + " at " + to_string(engine));
         };
+        on.cold = [this](const ip_endpoint&, const std::string& id,
+                         milliseconds left) {
+            const bool plausible =
+                left > milliseconds(15'000) && left <= milliseconds(20'000);
+            reports.add(id + (plausible ? " is cold" : " is wrong"));
+        };
         on.gateways = [this](unsigned count) {
             reports.add("gateways " + std::to_string(count));
         };
@@ -136,7 +142,8 @@
               }
               if (request.head.target == "/health") {
                   reply.answer(request, 200, "",
-                               "Instance-Id: " + identity() + "\r\n");
+                               "Instance-Id: " + identity() + "\r\n" +
+                                   (cold ? "Cold-Ms: 20000\r\n" : ""));
                   return;
               }
               const std::string state = leaving ? "draining" : "ready";
@@ -177,6 +184,7 @@
     std::atomic<bool> leaving = false;
     std::atomic<bool> says_leaving = false; ///< in a header field only
     std::atomic<bool> resting = false;
+    std::atomic<bool> cold = false;
     fake_upstream engine;
     std::unique_ptr<monitor_process> process;
     std::uint16_t port = 0;
@@ -232,6 +240,20 @@
     EXPECT_TRUE(started.reports.wait_for("there were 30"));
 }
 
+// Guards against a restarted engine that is overrun before the directory lists
+// it as cold.
+TEST_F(monitor, reports_an_engine_that_is_cold)
+{
+    cold = true;
+    listening_gateway gateway(port);
+    EXPECT_TRUE(gateway.reports.wait_for("e1 is cold"));
+    cold = false;
+    restart("e2");
+    EXPECT_TRUE(
+        gateway.reports.wait_for("e2 at " + to_string(engine.address())));
+    EXPECT_FALSE(gateway.reports.has("e2 is cold"));
+}
+
 // An engine crashes and restarts under another id. The directory lists the old
 // id for seconds; the monitor must report the new one at once.
 TEST_F(monitor, reports_engine_id_after_restart)
--- a/tests/gateway/test_upstream_registry.cpp
+++ b/tests/gateway/test_upstream_registry.cpp
@@ -285,6 +285,41 @@
     EXPECT_EQ(usable(), 1U);
 }
 
+// Guards against what is remembered of a process beyond its removal and binds
+// another one that takes its id later.
+TEST_F(upstream_registry_test, a_process_after_a_removed_one_replaces_it)
+{
+    put(record("a"));
+    remove("a");
+    ASSERT_EQ(erased_ids, std::vector<std::string>{"a"});
+    EXPECT_TRUE(replaced_ids.empty());
+    auto restarted = record("a");
+    restarted.started_ms = 2;
+    put(restarted);
+    EXPECT_EQ(replaced_ids, std::vector<std::string>{"a"});
+    put(restarted);
+    EXPECT_EQ(replaced_ids.size(), 1U);
+}
+
+// Guards against a start that is not known to be one: an upstream that only a
+// monitor has reported may be cold.
+TEST_F(upstream_registry_test, reports_an_upstream_that_is_not_listed)
+{
+    std::vector<std::string> unlisted;
+    upstream_registry::hooks on;
+    on.unlisted = [&](const upstream_record& reported) {
+        unlisted.push_back(reported.id);
+        EXPECT_FALSE(reported.cold_until);
+    };
+    upstream_registry watched(std::move(on));
+    auto listed = record("a");
+    listed.cold_until = at(1000);
+    watched.apply({"a", listed}, at(0), false);
+    watched.update_identity(listed.address, "b", at(0));
+    watched.update_identity(listed.address, "b", at(10));
+    EXPECT_EQ(unlisted, std::vector<std::string>{"b"});
+}
+
 TEST_F(upstream_registry_test, load_report_marks_a_leaving_engine)
 {
     put(record("a"));
--- a/tests/platform/test_http_dialect.cpp
+++ b/tests/platform/test_http_dialect.cpp
@@ -181,6 +181,21 @@
         http_dialect().read_notice({503, "", {{"Retry-After", "-4"}}}).rest);
 }
 
+TEST(http_dialect, reads_how_long_an_upstream_is_cold)
+{
+    const auto cold_left = [](const std::string& value) {
+        return http_dialect()
+            .read_notice({200, "", {{"Cold-Ms", value}}})
+            .cold_left;
+    };
+    EXPECT_EQ(cold_left("1500"), milliseconds(1500));
+    EXPECT_EQ(cold_left("0"), milliseconds(0));
+    EXPECT_EQ(cold_left("12.9"), milliseconds(12));
+    for (const std::string absurd : {"", "-1", "x", "1e300", "nan", "1 2"})
+        EXPECT_FALSE(cold_left(absurd)) << absurd;
+    EXPECT_FALSE(http_dialect().read_notice({200, "", {}}).cold_left);
+}
+
 TEST(http_dialect, reads_a_load)
 {
     const auto load = http_dialect().read_load(
@@ -226,13 +241,15 @@
 // If the platform renames a field, only its own folder should have to change.
 TEST(platform_boundary, platform_names_stay_in_their_folder)
 {
-    std::vector<std::string> names{"api_keys", "kv_used", "log-read",
-                                   "log-newest", "kv-move"};
+    std::vector<std::string> names{"api_keys",    "kv_used", "log-read",
+                                   "log-newest",  "kv-move", "cold_per_s",
+                                   "cold_left_ms"};
     for (const auto name :
          {header::request_id, header::time_left_ms, header::prompt_parts,
           header::seal, header::team, header::upstream_id, header::not_run,
           header::token_counts, header::expected_output, header::resume_from,
-          header::backup, topic::configuration, topic::upstreams})
+          header::backup, header::cold_left_ms, topic::configuration,
+          topic::upstreams})
         names.push_back('"' + std::string(name) + '"');
     const auto source = std::filesystem::path(CYCLAMENRUN_SOURCE_DIR) / "src";
     for (const auto& entry :
--- a/tests/platform/test_number_limits.cpp
+++ b/tests/platform/test_number_limits.cpp
@@ -87,6 +87,13 @@
             text += "\":" + number + "}]}";
             EXPECT_FALSE(read_configuration(text)) << text;
         }
+        for (const std::string field : {"cold_s", "cold_per_s"}) {
+            auto text = std::string(
+                R"({"version":1,"routes":[],"services":[{"name":"a",")");
+            text += field;
+            text += "\":" + number + "}]}";
+            EXPECT_FALSE(read_configuration(text)) << text;
+        }
         EXPECT_FALSE(
             read_configuration(R"({"version":)" + number + R"(,"routes":[]})"));
         EXPECT_FALSE(read_configuration(
--- a/tests/platform/test_record_parser.cpp
+++ b/tests/platform/test_record_parser.cpp
@@ -53,6 +53,46 @@
               "");
 }
 
+TEST(upstream_record_parser, reads_how_long_an_upstream_is_cold)
+{
+    const time_point now{std::chrono::hours(1)};
+    const auto cold_until = [&](const std::string& value) {
+        const auto record =
+            read_upstream("i", text_with("\"cold_left_ms\":0", value), now);
+        EXPECT_TRUE(record) << value;
+        return record ? record->cold_until : std::nullopt;
+    };
+    EXPECT_EQ(cold_until("\"cold_left_ms\":1500"), now + milliseconds(1500));
+    EXPECT_EQ(cold_until("\"cold_left_ms\":1500.7"), now + milliseconds(1500));
+    // One that is warm says the same in each record.
+    EXPECT_EQ(cold_until("\"cold_left_ms\":0"), time_point{});
+    EXPECT_EQ(cold_until("\"cold_left_ms\":-5"), time_point{});
+    EXPECT_EQ(cold_until("\"cold_left_ms\":300000000000"),
+              now + std::chrono::hours(1));
+    // An upstream is usable whatever it says of this.
+    for (const std::string absurd :
+         {"null", "\"x\"", "true", "[1]", "1e300", "{}"})
+        EXPECT_EQ(cold_until("\"cold_left_ms\":" + absurd), std::nullopt)
+            << absurd;
+    EXPECT_EQ(cold_until("\"other\":1"), std::nullopt);
+}
+
+TEST(configuration_parser, reads_the_limit_of_cold_upstreams)
+{
+    const auto read = read_configuration(
+        R"({"version":1,"routes":[],"services":[)"
+        R"({"name":"a","cold_s":12.5,"cold_per_s":31},{"name":"b"},)"
+        R"({"name":"c","cold_per_s":0},{"name":"d","cold_per_s":"x"}]})");
+    ASSERT_TRUE(read);
+    ASSERT_EQ(read->services.size(), 4U);
+    EXPECT_EQ(read->services[0].cold_time, milliseconds(12'500));
+    EXPECT_EQ(read->services[0].cold_rate, 31.0);
+    EXPECT_EQ(read->services[1].cold_time, milliseconds(0));
+    EXPECT_FALSE(read->services[1].cold_rate);
+    EXPECT_EQ(read->services[2].cold_rate, 0.0);
+    EXPECT_FALSE(read->services[3].cold_rate);
+}
+
 TEST(upstream_record_parser, reads_draining_state)
 {
     EXPECT_TRUE(read_upstream("i", text_with("ready", "draining"))->draining);
