--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -214,6 +214,7 @@
                {log_key::count, version.routes.size()}});
     context_.routes =
         std::make_shared<const gateway_routes>(std::move(version));
+    context_.update_cold_rates();
 }
 
 void directory_watch::apply_evacuations(
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -73,11 +73,14 @@
     placement_request
     make_placement_request(const upstream_record& source) const;
     /**
-     * Waits for the end of the upstream's rest, if it has asked for one, and
-     * for another run of what is suspected of this request. If the upstream's
-     * failure domain is evacuated, the run continues elsewhere or is lost.
+     * Waits for the end of the upstream's rest, if it has asked for one, for
+     * another run of what is suspected of this request, and for a while for
+     * room at a cold upstream. If the upstream's failure domain is evacuated,
+     * the run continues elsewhere or is lost.
      */
     void resume_at(const upstream_record& upstream, const continuation& from);
+    /** Time after which to try again; zero: send now, with room or without. */
+    milliseconds wait_for_cold_room(const std::string& upstream_id);
     /** Continues a run that its destination may no longer get. */
     void resume_outside(const upstream_record& evacuated,
                         const continuation& from);
@@ -98,6 +101,8 @@
     std::optional<upstream_record> backup_;
     /** Memory from which the current attempt continues. */
     std::optional<continuation> from_;
+    /** Until when it waits for room at a cold upstream; empty: it does not. */
+    std::optional<time_point> cold_room_until_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -44,6 +44,8 @@
     limited_upstreams,
     resting_upstreams,
     evacuated_domains,
+    cold_upstreams,
+    cold_sends,
     poison_requests,
     poison_parts,
     solo_runs,
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -51,6 +51,12 @@
     // What the process may use of its VM; 0: not known, no bound.
     std::uint64_t max_fds = 0; ///< open descriptors
     double cpu_share = 0;      ///< of a core
+    /**
+     * Bound on the requests that a cold upstream gets in any second, over all
+     * gateways: the rate of its service x `cold_overrun` + `cold_margin`.
+     */
+    double cold_overrun = 0; ///< 0: cold upstreams are not limited
+    double cold_margin = 0;
 
     double stop_grace_s = 8; ///< time for a planned stop
     /** Time between reporting not ready and closing the listener. */
--- a/tests/platform/test_number_limits.cpp
+++ b/tests/platform/test_number_limits.cpp
@@ -87,6 +87,10 @@
             text += "\":" + number + "}]}";
             EXPECT_FALSE(read_configuration(text)) << text;
         }
+        for (const std::string field : {"cold_s", "cold_per_s"})
+            EXPECT_FALSE(read_configuration(
+                R"({"version":1,"routes":[],"services":[{"name":"a",")" +
+                field + "\":" + number + "}]}"));
         EXPECT_FALSE(
             read_configuration(R"({"version":)" + number + R"(,"routes":[]})"));
         EXPECT_FALSE(read_configuration(
