Choose among engines by the streams that a start makes late

Holding starts back at slow moments is not enough: gateways took the grant of the least loaded engine, on which a prompt could make all running streams late as soon as it became slow, and on which a long stream itself would become late.

A grant now carries the number of streams that the start is expected to make late, its own included, and the gateway adds it to the cost of the placement. A late stream counts as much as a late first part.

Monitors no longer hold starts back by what may happen later, only in slow moments.

Operators see the usual duration of steps, slow moments and starts that are held back in metrics, and each slow moment in the log.

--- a/src/libcyclamenrun/decisions/engine_load_estimate.hpp
+++ b/src/libcyclamenrun/decisions/engine_load_estimate.hpp
@@ -36,6 +36,9 @@
 struct engine_occupancy {
     std::size_t slots_taken = 0;
     std::uint64_t memory_taken = 0; ///< tokens
+    /** Streams that a start there is expected to make late, its own included.
+     */
+    double late_streams = 0;
 };
 
 /** A generation that has started and is in an engine's memory. */
--- a/src/libcyclamenrun/decisions/placement.cpp
+++ b/src/libcyclamenrun/decisions/placement.cpp
@@ -24,6 +24,8 @@
 constexpr double memory_cost = 0.2;
 /** A failure rate of 0.5 costs as much as the shortage of a full memory. */
 constexpr double failure_cost = 2.0;
+/** A late stream counts as much as a late first part. */
+constexpr double late_stream_cost = 1.0;
 /**
  * High, so that an unreachable upstream is chosen only if all are unreachable;
  * upstream_choice then returns none.
@@ -47,6 +49,7 @@
             std::max(0.0, candidate.memory_taken - short_memory_share);
     cost += memory_cost * candidate.memory_taken;
     cost += failure_cost * candidate.failure_rate;
+    cost += late_stream_cost * candidate.late_streams;
     if (!candidate.same_failure_domain)
         cost += weights.other_domain;
     if (candidate.unreachable)
--- a/src/libcyclamenrun/decisions/placement.hpp
+++ b/src/libcyclamenrun/decisions/placement.hpp
@@ -19,6 +19,8 @@
     double memory_taken = 0;
     /** Fraction of the recent requests that failed. */
     double failure_rate = 0;
+    /** Streams that are expected to become late by the request. */
+    double late_streams = 0;
     bool same_failure_domain = true;
     /** The upstream could not be reached recently. */
     bool unreachable = false;
--- a/src/libcyclamenrun/decisions/start_queue.cpp
+++ b/src/libcyclamenrun/decisions/start_queue.cpp
@@ -108,13 +108,15 @@
 {
     sort(now);
     deferring_ = false;
+    const auto all_prefills =
+        steps_.is_slow() ? waiting_prefills() : milliseconds(0);
     for (auto each = waiting_.begin(); each != waiting_.end(); ++each) {
         // A late start must not take the place of one that is still on time.
         if (each->late && deferring_)
             break;
         if (!load_estimate_.has_memory_for(each->request))
             continue;
-        if (!is_deferred(*each, now))
+        if (!is_deferred(*each, all_prefills, now))
             return each;
         deferring_ = true;
     }
@@ -144,22 +146,27 @@
            prefill - prefill / prefill_reserve;
 }
 
-milliseconds start_queue::expected_prefills(const waiting_start& start) const
+milliseconds start_queue::waiting_prefills() const
 {
     milliseconds sum{0};
     for (const auto& each : waiting_) {
-        if (!each.late && each.request.id != start.request.id)
+        if (!each.late)
             sum += load_estimate_.prefill_time(each.request.prompt_tokens);
     }
-    return sum / engines_per_start;
+    return sum;
 }
 
-bool start_queue::is_deferred(const waiting_start& start, time_point now) const
+bool start_queue::is_deferred(const waiting_start& start,
+                              milliseconds all_prefills, time_point now) const
 {
-    if (start.late || !steps_.has_slow_moments())
+    // At any other time waiting would not make the streams here less likely to
+    // be late; the gateway chooses among engines by that.
+    if (start.late || !steps_.is_slow())
         return false;
     const auto longest = slack(start.request, start.first_requested_at);
-    const auto left = slack(start.request, now) - expected_prefills(start);
+    const auto others =
+        all_prefills - load_estimate_.prefill_time(start.request.prompt_tokens);
+    const auto left = slack(start.request, now) - others / engines_per_start;
     if (longest <= milliseconds::zero() || left <= milliseconds::zero())
         return false;
     // The gain of a start is one first part on time. It is certain to be lost
--- a/src/libcyclamenrun/decisions/start_queue.hpp
+++ b/src/libcyclamenrun/decisions/start_queue.hpp
@@ -30,9 +30,9 @@
  * request does not fit into the memory, the next one that fits goes before it.
  * Late requests wait until no others are waiting.
  *
- * A start that would make running streams late by its prefill waits, the longer
- * the more streams it would make late, while its own first part stays on time:
- * another engine may take it, or a slow moment of this one ends. See
+ * While the engine is slow, a start that would make running streams late by its
+ * prefill waits, the longer the more streams, and as long as its own first part
+ * stays on time: another engine may take it, or the slow moment ends. See
  * docs/design/step-times.md.
  *
  * Bounded, no I/O, not thread-safe. A request that is not repeated within
@@ -80,6 +80,12 @@
      * prefill if it were granted now.
      */
     double streams_made_late(const start_request& start) const;
+    /** Probability that the start's own stream becomes late here. */
+    double stream_lateness(const start_request& start) const
+    {
+        return steps_.stream_lateness(start.gap_target,
+                                      static_cast<double>(start.output_tokens));
+    }
     /** True if a start waits only so that running streams stay on time. */
     bool is_deferring() const { return deferring_; }
 
@@ -129,15 +135,19 @@
     bool is_late(const start_request& request, time_point now) const;
     /** The next start to be granted now; end() if there is none. */
     std::deque<waiting_start>::iterator find_next(time_point now);
-    /** Whether running streams matter more than an immediate start. */
-    bool is_deferred(const waiting_start& start, time_point now) const;
+    /**
+     * Whether running streams matter more than an immediate start.
+     * `all_prefills`: time that the engine needs for all that wait on time.
+     */
+    bool is_deferred(const waiting_start& start, milliseconds all_prefills,
+                     time_point now) const;
     /**
      * Time for which a request could still wait if it had been made at `at`,
      * and its first part would be on time.
      */
     milliseconds slack(const start_request& request, time_point at) const;
-    /** Prefill time of the other waiting starts that fall to this engine. */
-    milliseconds expected_prefills(const waiting_start& start) const;
+    /** Prefill time of all waiting starts that can be on time. */
+    milliseconds waiting_prefills() const;
 
     clock_function awake_clock_;
     engine_load_estimate load_estimate_;
--- a/src/libcyclamenrun/decisions/step_times.cpp
+++ b/src/libcyclamenrun/decisions/step_times.cpp
@@ -47,6 +47,19 @@
 
 } // namespace
 
+std::string_view name_of(step_kind kind)
+{
+    switch (kind) {
+    case step_kind::decode:
+        return "decode";
+    case step_kind::prefill:
+        return "prefill";
+    case step_kind::mixed:
+        return "mixed";
+    }
+    return "other";
+}
+
 step_times::step_times()
     : steps_{fading_histogram(shortest_step_ms, longest_step_ms, samples_kept),
              fading_histogram(shortest_step_ms, longest_step_ms, samples_kept)},
@@ -118,6 +131,10 @@
     const double kept_long = std::exp(-last.ms / memory_ms);
     not_slow_ms_ = not_slow_ms_ * kept_long + (slow_ ? 0 : last.ms);
     slow_moments_ *= kept_long;
+    slow_moments_beside_prefill_ *= kept_long;
+    if (slow_ && last.kind != step_kind::decode &&
+        !std::exchange(slow_beside_prefill_, true))
+        ++slow_moments_beside_prefill_;
 }
 
 bool step_times::update_slowness(const interval& last)
@@ -133,6 +150,7 @@
     // step more, or less.
     if (!slow_ && last.ms > slow_factor * usual * (steps + 1)) {
         slow_ = true;
+        slow_beside_prefill_ = false;
         ++slow_moments_;
     } else if (slow_ && last.ms < slow_factor * usual * steps &&
                last.kind != step_kind::mixed) {
@@ -167,6 +185,7 @@
     if (slow_ && usual > 0)
         slowness_.add(step_ms / usual);
     steps_[static_cast<std::size_t>(last.kind)].add(step_ms);
+    update_usual(last.kind);
 }
 
 void step_times::record_events(std::uint64_t events, milliseconds time)
@@ -177,13 +196,21 @@
 
 double step_times::usual_ms(step_kind kind) const
 {
-    const auto& steps = steps_[static_cast<std::size_t>(kind)];
+    return kind == step_kind::mixed ? 0
+                                    : usual_ms_[static_cast<std::size_t>(kind)];
+}
+
+void step_times::update_usual(step_kind kind)
+{
+    const auto index = static_cast<std::size_t>(kind);
+    const auto& steps = steps_[index];
     if (steps.weight() < min_samples)
-        return 0;
+        return;
     // The mean of what is near the median: the median alone errs by the
     // rounding of counted steps, and a mean of all is moved by slow moments.
     const double median = steps.median();
-    return steps.harmonic_mean(median / slow_factor, median * slow_factor);
+    usual_ms_[index] =
+        steps.harmonic_mean(median / slow_factor, median * slow_factor);
 }
 
 std::optional<double> step_times::tokens_per_event() const
@@ -212,6 +239,30 @@
     return prefill_ms <= left_ms ? 1.0 : left_ms / prefill_ms;
 }
 
+double step_times::late_share(milliseconds gap_target, double tokens_per_event,
+                              step_kind kind) const
+{
+    return slowness_.share_above(ms_of(gap_target) /
+                                 (tokens_per_event * usual_ms(kind)));
+}
+
+double step_times::stream_lateness(milliseconds gap_target, double tokens) const
+{
+    const auto event_tokens = tokens_per_event();
+    if (gap_target <= milliseconds::zero() || !event_tokens ||
+        !has_slow_moments() || usual_ms(step_kind::decode) <= 0 ||
+        usual_ms(step_kind::prefill) <= 0 || slow_moments_ <= 0)
+        return 0;
+    const double prefilled =
+        std::min(1.0, slow_moments_beside_prefill_ / slow_moments_);
+    const double late =
+        prefilled * late_share(gap_target, *event_tokens, step_kind::prefill) +
+        (1 - prefilled) *
+            late_share(gap_target, *event_tokens, step_kind::decode);
+    const double ms = tokens * stream_ms_ / stream_steps_;
+    return 1 - std::exp(-slow_moments_per_ms() * ms * late);
+}
+
 double step_times::late_probability(milliseconds gap_target,
                                     milliseconds prefill_time) const
 {
@@ -221,13 +272,10 @@
     if (gap_target <= milliseconds::zero() || decode <= 0 || prefill <= 0 ||
         !tokens)
         return 0;
-    // Slowness beyond which an event passes the target.
-    const double beside_prefill = ms_of(gap_target) / (*tokens * prefill);
-    const double without = ms_of(gap_target) / (*tokens * decode);
-    if (beside_prefill <= 1 || !has_slow_moments())
+    if (*tokens * prefill >= ms_of(gap_target) || !has_slow_moments())
         return 0;
-    const double caused =
-        slowness_.share_above(beside_prefill) - slowness_.share_above(without);
+    const double caused = late_share(gap_target, *tokens, step_kind::prefill) -
+                          late_share(gap_target, *tokens, step_kind::decode);
     if (slow_)
         return std::max(0.0, caused);
     const double becomes_slow =
--- a/src/libcyclamenrun/decisions/step_times.hpp
+++ b/src/libcyclamenrun/decisions/step_times.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cyclamenrun
 {
@@ -22,6 +23,8 @@
     mixed,   ///< began or ended a prefill between two polls
 };
 
+std::string_view name_of(step_kind kind);
+
 /**
  * Learns the duration of an engine's steps from polls of its status: with and
  * without a prompt that is prefilled beside, how often the engine becomes slow
@@ -75,6 +78,12 @@
     double late_probability(milliseconds gap_target,
                             milliseconds prefill_time) const;
 
+    /**
+     * Probability that a stream that makes this many tokens here gets a late
+     * event in a slow moment, with the prefills that there have been in those.
+     */
+    double stream_lateness(milliseconds gap_target, double tokens) const;
+
 private:
     /** Time between two polls. */
     struct interval {
@@ -96,14 +105,20 @@
     /** Returns whether the engine has become slow, or has ceased to be. */
     bool update_slowness(const interval& last);
     void record_window(const interval& last);
+    void update_usual(step_kind kind);
+    /** Share of the slow steps in which such an event passes the target. */
+    double late_share(milliseconds gap_target, double tokens_per_event,
+                      step_kind kind) const;
 
     std::optional<poll> last_poll_;
     /** Consecutive intervals of one kind, slow all or none. */
     std::deque<interval> window_;
     std::array<fading_histogram, 2> steps_; ///< in ms, by kind
+    std::array<double, 2> usual_ms_{};      ///< by kind; 0: not known
     /** Duration of steps in slow moments, in usual durations. */
     fading_histogram slowness_;
     bool slow_ = false;
+    bool slow_beside_prefill_ = false; ///< in the current slow moment
     // Sums in which older samples have less weight.
     double stream_ms_ = 0;    ///< time of generations
     double stream_steps_ = 0; ///< tokens that they have made
@@ -111,6 +126,7 @@
     double events_ = 0;
     double not_slow_ms_ = 0;
     double slow_moments_ = 0;
+    double slow_moments_beside_prefill_ = 0;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/engine_monitor.cpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.cpp
@@ -204,12 +204,6 @@
                                           const std::string& gateway,
                                           const v1::StartWanted& wanted)
 {
-    // The request was repeated after its grant: the datagram with the grant was
-    // lost.
-    if (starts_.is_granted(wanted.id())) {
-        send_start_grant(gateway, wanted.id());
-        return;
-    }
     const auto now = reactor_->now();
     start_request request;
     request.id = wanted.id();
@@ -219,6 +213,12 @@
     request.output_tokens = wanted.output_tokens();
     request.first_due = now + milliseconds(wanted.first_due_ms());
     request.gap_target = milliseconds(wanted.gap_target_ms());
+    // The request was repeated after its grant: the datagram with the grant was
+    // lost.
+    if (starts_.is_granted(request.id)) {
+        send_start_grant(request);
+        return;
+    }
     starts_.set_slots(wanted.slots());
     if (!starts_.leaving()) {
         starts_.request_start(request, now);
@@ -235,19 +235,20 @@
     socket_->send(from, notice.SerializeAsString());
 }
 
-void engine_monitor::send_start_grant(const std::string& gateway,
-                                      const std::string& id)
+void engine_monitor::send_start_grant(const start_request& start)
 {
-    const auto found = gateways_.find(gateway);
+    const auto found = gateways_.find(start.gateway);
     if (found == gateways_.end())
         return;
     v1::MonitorNotice notice;
     write_identity(notice);
     const auto occupancy = starts_.load_estimate().occupancy();
     auto& grant = *notice.mutable_start_given();
-    grant.set_id(id);
+    grant.set_id(start.id);
     grant.set_slots_taken(static_cast<std::uint32_t>(occupancy.slots_taken));
     grant.set_memory_taken(occupancy.memory_taken);
+    grant.set_late_streams(starts_.streams_made_late(start) +
+                           starts_.stream_lateness(start));
     write_current_load(notice);
     socket_->send(found->second.address, notice.SerializeAsString());
 }
@@ -260,10 +261,12 @@
         return;
     for (const auto& start : starts_.grant_starts(reactor_->now())) {
         metrics_.count(exported_metric::start_grants);
-        send_start_grant(start.gateway, start.id);
+        send_start_grant(start);
     }
     metrics_.set(exported_metric::starts_waiting, {},
                  static_cast<double>(starts_.waiting()));
+    metrics_.set(exported_metric::starts_deferred, {},
+                 starts_.is_deferring() ? 1 : 0);
     schedule_start_grants();
 }
 
@@ -378,6 +381,7 @@
         record_load_metrics(*load);
         last_load_ = *load;
         starts_.update_status(status_of(*load), load->leaving, reactor_->now());
+        record_step_metrics();
         grant_starts();
         publish_load(*load);
         if (load->leaving && on_leaving_)
@@ -407,6 +411,28 @@
                  static_cast<double>(load.memory_total));
 }
 
+void engine_monitor::record_step_metrics()
+{
+    const auto& steps = starts_.steps();
+    for (const auto kind : {step_kind::decode, step_kind::prefill})
+        metrics_.set(exported_metric::step_time, {std::string(name_of(kind))},
+                     steps.usual_ms(kind) / 1000);
+    metrics_.set(exported_metric::engine_slow, {}, steps.is_slow() ? 1 : 0);
+    if (steps.is_slow() == slow_since_.has_value())
+        return;
+    const auto now = reactor_->now();
+    if (!slow_since_) {
+        slow_since_ = now;
+        return;
+    }
+    const auto lasted =
+        std::chrono::duration_cast<milliseconds>(now - *slow_since_);
+    slow_since_.reset();
+    log_event(log_severity::info, log_event_name::engine_slow,
+              {{log_key::address, to_string(settings_.engine)},
+               {log_key::duration_ms, lasted}});
+}
+
 void engine_monitor::write_load(const engine_load& load,
                                 v1::EngineLoad& message) const
 {
--- a/src/libcyclamenrun/gateway/engine_monitor.hpp
+++ b/src/libcyclamenrun/gateway/engine_monitor.hpp
@@ -84,7 +84,9 @@
                               const v1::StartWanted& wanted);
     void grant_starts();
     void schedule_start_grants();
-    void send_start_grant(const std::string& gateway, const std::string& id);
+    void send_start_grant(const start_request& start);
+    /** Records what is known of the engine's steps; logs slow moments. */
+    void record_step_metrics();
 
     /**
      * Queries the id of the engine unless it is known or was queried just
@@ -133,6 +135,7 @@
     time_point next_poll_{};
     time_point polled_at_{};
     bool engine_reachable_ = true;
+    std::optional<time_point> slow_since_; ///< begin of a slow moment
 };
 
 /**
--- a/src/libcyclamenrun/gateway/monitor_link.cpp
+++ b/src/libcyclamenrun/gateway/monitor_link.cpp
@@ -302,7 +302,8 @@
     }
     // Copied because the hook may call unwatch_start().
     const auto granted = found->second.granted;
-    granted(host, {notice.slots_taken(), notice.memory_taken()});
+    granted(host, {notice.slots_taken(), notice.memory_taken(),
+                   notice.late_streams()});
 }
 
 void monitor_link::handle_start_wait(const std::string& host,
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -233,6 +233,7 @@
         static_cast<double>(occupancy.memory_taken + request.output_tokens) /
         static_cast<double>(
             std::max<std::uint64_t>(1, request.engine_memory_tokens));
+    reported.late_streams = occupancy.late_streams;
     return placement_cost(reported, weights_for(request));
 }
 
--- a/src/libcyclamenrun/links/message_reader.cpp
+++ b/src/libcyclamenrun/links/message_reader.cpp
@@ -114,6 +114,7 @@
     number_row{"cyclamenrun.v1.GatewayCount.age_ms", time_span},
     number_row{"cyclamenrun.v1.StartGiven.slots_taken", count},
     number_row{"cyclamenrun.v1.StartGiven.memory_taken", memory_tokens},
+    number_row{"cyclamenrun.v1.StartGiven.late_streams", rate},
     number_row{"cyclamenrun.v1.EngineLoad.running", count},
     number_row{"cyclamenrun.v1.EngineLoad.queued", count},
     number_row{"cyclamenrun.v1.EngineLoad.memory_used", memory_tokens},
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -157,6 +157,18 @@
                         "cyclamenrun_starts_waiting", exported_kind::gauge, "",
                         "Generations that wait for a start grant at this "
                         "engine or at another one."},
+    exported_metric_row{exported_metric::starts_deferred,
+                        "cyclamenrun_starts_deferred", exported_kind::gauge, "",
+                        "1 while a start waits so that the streams that run at "
+                        "the engine stay on time."},
+    exported_metric_row{exported_metric::step_time, "cyclamenrun_step_seconds",
+                        exported_kind::gauge, "kind",
+                        "Usual duration of a step of the engine: `decode` or, "
+                        "beside a prompt, `prefill`; 0: not known."},
+    exported_metric_row{exported_metric::engine_slow, "cyclamenrun_engine_slow",
+                        exported_kind::gauge, "",
+                        "1 while the engine's steps are far above their usual "
+                        "duration."},
     exported_metric_row{exported_metric::start_grants,
                         "cyclamenrun_starts_total", exported_kind::counter, "",
                         "Start grants, used or not."},
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -194,6 +194,9 @@
                   "The monitor of an engine does not respond."},
     log_event_row{log_event_name::monitor_regained, "monitor_regained",
                   "The monitor of an engine responds again."},
+    log_event_row{log_event_name::engine_slow, "engine_slow",
+                  "The steps of the engine were far above their usual duration "
+                  "for duration_ms, which has ended."},
     log_event_row{log_event_name::relay_lost, "relay_lost",
                   "A monitor that relays the directory to this gateway does "
                   "not respond; the gateway queries another one."},
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -80,6 +80,7 @@
     message_rejected,
     monitor_lost,
     monitor_regained,
+    engine_slow,
     relay_lost,
     settings_reloaded,
     settings_unusable,
--- a/tests/decisions/slow_engine_fleet.hpp
+++ b/tests/decisions/slow_engine_fleet.hpp
@@ -207,6 +207,8 @@
         candidate.memory_taken = static_cast<double>(occupancy.memory_taken +
                                                      request.output_tokens) /
                                  static_cast<double>(memory_tokens);
+        candidate.late_streams =
+            starts.streams_made_late(request) + starts.stream_lateness(request);
         return placement_cost(candidate);
     }
 
--- a/tests/gateway/scripted_monitor.cpp
+++ b/tests/gateway/scripted_monitor.cpp
@@ -73,12 +73,14 @@
         std::count_if(received_.begin(), received_.end(), matches));
 }
 
-v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken)
+v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken,
+                              double late_streams)
 {
     v1::MonitorNotice notice;
     auto& grant = *notice.mutable_start_given();
     grant.set_id(id);
     grant.set_slots_taken(slots_taken);
+    grant.set_late_streams(late_streams);
     return notice;
 }
 
--- a/tests/gateway/scripted_monitor.hpp
+++ b/tests/gateway/scripted_monitor.hpp
@@ -50,7 +50,8 @@
 };
 
 /** Notice that grants a start. */
-v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken = 1);
+v1::MonitorNotice start_given(const std::string& id, unsigned slots_taken = 1,
+                              double late_streams = 0);
 /**
  * Notice that a start is not granted yet. `refused`: the engine leaves and
  * grants no start.
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -141,6 +141,65 @@
     EXPECT_EQ(second_engine->arrived().size(), 5U);
 }
 
+// Guards against a start at an engine where its prompt makes running streams
+// late, though fewer generations run there.
+TEST_F(start_searches, use_the_grant_that_makes_no_stream_late)
+{
+    const auto makes_late = monitor("127.0.0.1", answer_starts([](auto& id) {
+                                        return start_given(id, 1, 0.5);
+                                    }));
+    const auto makes_none =
+        monitor("127.0.0.2",
+                answer_starts([](auto& id) { return start_given(id, 4); }));
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    EXPECT_TRUE(first_engine->arrived().empty());
+    EXPECT_EQ(second_engine->arrived().size(), 5U);
+}
+
+// A monitor weighs the running streams by the gap target that it was told with
+// their starts.
+TEST_F(start_searches, tell_the_gap_target_of_the_route)
+{
+    const auto grants = monitor("127.0.0.1", grant_all());
+    const auto waits = monitor("127.0.0.2", make_all_wait());
+    EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    EXPECT_TRUE(grants->wait_for([](const auto& request) {
+        return wants_start(request) &&
+               request.start_wanted().gap_target_ms() == 200;
+    }));
+}
+
+// Guards against a monitor that never learns how many tokens an event holds.
+TEST_F(start_searches, tell_the_events_that_were_relayed)
+{
+    std::atomic<bool> told = false;
+    remove_upstream("e1");
+    remove_upstream("e2");
+    add(
+        "e3",
+        [&](const arrived_request& request, upstream_reply& reply) {
+            reply.begin_stream(request);
+            for (int id = 1; id <= 500 && !told; ++id) {
+                reply.event(id);
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+            reply.end_stream();
+        },
+        "model", "127.0.0.3");
+    const auto grants =
+        monitor("127.0.0.3", [&](const v1::MonitorRequest& request) -> notice {
+            const auto& relayed = request.relayed_events();
+            if (relayed.events() > 0 && relayed.total_ms() > 0)
+                told = true;
+            if (!wants_start(request))
+                return std::nullopt;
+            return start_given(request.start_wanted().id());
+        });
+    EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    EXPECT_TRUE(told);
+}
+
 // Guards against a dependency on monitors: all monitors are down while their
 // engines work.
 TEST_F(start_searches, use_load_estimates_when_no_monitor_responds)
