Test starts on equal engines that become slow, and under load

Two cases of the simulated fleet guard against what trials showed with an earlier rule: engines that seemed steady by chance got all starts, which made more streams late than least load, and first parts became late while prompts piled up.

--- a/tests/decisions/slow_engine_fleet.hpp
+++ b/tests/decisions/slow_engine_fleet.hpp
@@ -154,7 +154,7 @@
         request.id = wanted.id;
         request.prompt_tokens = wanted.prompt;
         request.output_tokens =
-            static_cast<std::uint64_t>(wanted.events * tokens_per_event);
+            static_cast<std::uint64_t>(wanted.events) * tokens_per_event;
         request.first_due = at(wanted.arrived_ms + wanted.objective_ms);
         request.gap_target = settings_.gap_target;
         return request;
--- a/tests/decisions/test_slow_engines.cpp
+++ b/tests/decisions/test_slow_engines.cpp
@@ -38,6 +38,37 @@
     EXPECT_LT(late, late_by_load / 2);
 }
 
+// Guards against engines that are preferred because they seemed steady by
+// chance: where all become slow equally often, they would get all starts.
+TEST(slow_engines, make_fewer_streams_late_where_all_become_slow)
+{
+    slow_fleet_settings settings;
+    settings.slow_engines = 0;
+    settings.slow_moment_factor = 4;
+    int late_by_load = 0;
+    int late = 0;
+    for (std::uint64_t i = 0; i < 3; ++i) {
+        settings.gap_target = milliseconds(180);
+        late += run(settings, seed + i).long_with_late_pause;
+        settings.gap_target = milliseconds(0);
+        late_by_load += run(settings, seed + i).long_with_late_pause;
+    }
+    EXPECT_LT(late, late_by_load);
+}
+
+// Guards against starts that wait for streams while prompts pile up.
+TEST(slow_engines, keep_first_parts_in_time_under_load)
+{
+    slow_fleet_settings settings;
+    settings.long_per_s = 21;
+    settings.short_per_s = 52;
+    settings.duration_ms = 60000;
+    const auto after = run(settings);
+    settings.gap_target = milliseconds(0);
+    const auto before = run(settings);
+    EXPECT_GE(after.in_time_share(), before.in_time_share() - 0.01);
+}
+
 // Guards against other decisions where there is nothing to be gained: with
 // equal and steady engines the starts are those of least load.
 TEST(slow_engines, start_as_by_least_load_where_engines_are_equal_and_steady)
