--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -13,8 +13,8 @@
 
 /**
  * Buffers from this size are returned to the operating system when they are
- * released. By default the allocator raises its threshold with the first large
- * buffer and keeps those after it, up to twice of what is held.
+ * released. The allocator's own threshold grows with the buffers that it has
+ * seen: the peak of 24 incomplete requests was 23 MB, where 16 were held.
  */
 constexpr int returned_buffer_bytes = 128 << 10;
 
--- a/tests/gateway/flooded_gateway.hpp
+++ b/tests/gateway/flooded_gateway.hpp
@@ -23,6 +23,19 @@
 /** What all held messages may take, a quarter of it. */
 inline constexpr std::size_t held_mb = memory_mb / 4;
 
+/** Sanitizers' allocators keep freed memory, so that it can't be measured. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+inline constexpr bool sanitized = true;
+#elif defined(__has_feature)
+#if __has_feature(address_sanitizer) || __has_feature(thread_sanitizer)
+inline constexpr bool sanitized = true;
+#else
+inline constexpr bool sanitized = false;
+#endif
+#else
+inline constexpr bool sanitized = false;
+#endif
+
 /** Repeats a text to about 64 KiB, so that few sends suffice. */
 inline std::string repeated(const std::string& text)
 {
@@ -75,10 +88,13 @@
             const std::string type = name == "f"   ? "unary"
                                      : name == "i" ? "idempotent"
                                                    : "streaming";
-            routes += R"({"name":")" + name +
-                      R"(","host":"test.example","path_prefix":"/)" + name +
-                      R"(/","type":")" + type +
-                      R"(","service":"flood","max_attempts":1,)"
+            routes += R"({"name":")";
+            routes += name;
+            routes += R"(","host":"test.example","path_prefix":"/)";
+            routes += name;
+            routes += R"(/","type":")";
+            routes += type;
+            routes += R"(","service":"flood","max_attempts":1,)"
                       R"("timeout_ms":8000,"objective_ms":7000},)";
         }
         const std::string begin = R"("routes":[)";
@@ -105,8 +121,9 @@
     /** `begin` is sent first, then `piece` until the gateway closes. */
     void flood_with(const std::string& begin, const std::string& piece)
     {
-        begin_ = begin;
-        piece_ = piece;
+        const std::scoped_lock lock(script_mutex);
+        begin_text = begin;
+        piece_text = piece;
     }
 
     /** The head of a response to `request`, up to its framing fields. */
@@ -116,21 +133,28 @@
                "\r\n" + (sealed ? "Response-Seal: seal\r\n" : "");
     }
 
+    std::pair<std::string, std::string> script()
+    {
+        const std::scoped_lock lock(script_mutex);
+        return {begin_text, piece_text};
+    }
+
     void answer(const arrived_request& request, upstream_reply& reply)
     {
         if (request.head.target == "/f/warm") {
             reply.answer(request, 200, "warm");
             return;
         }
-        auto begin = begin_;
+        const auto [first, piece] = script();
+        auto begin = first;
         if (const auto at = begin.find("HEAD"); at != std::string::npos)
             begin.replace(at, 4, head_of(request));
         try {
             reply.send(begin);
             for (std::size_t sent = 0; sent < flood_bytes;
-                 sent += piece_.size()) {
-                reply.send(piece_);
-                flooded += piece_.size();
+                 sent += piece.size()) {
+                reply.send(piece);
+                flooded += piece.size();
             }
         } catch (const Poco::Exception&) {
             ++closed;
@@ -189,6 +213,7 @@
     {
         std::vector<unsigned> statuses(senders);
         std::vector<std::thread> threads;
+        threads.reserve(senders);
         for (auto& each : statuses)
             threads.emplace_back([this, &each, &begin, &piece] {
                 flooded += flood_gateway(begin, piece, each);
@@ -221,12 +246,9 @@
     /** Checks the growth of the process's memory since `before_mb`. */
     void check_memory(std::size_t before_mb) const
     {
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-        // Their allocators keep freed memory; the bounds are checked without.
-        static_cast<void>(before_mb);
-#else
-        EXPECT_LE(peak_mb(), before_mb + held_mb);
-#endif
+        if (!sanitized) {
+            EXPECT_LE(peak_mb(), before_mb + held_mb);
+        }
     }
 
     std::string metrics()
@@ -259,9 +281,10 @@
         return false;
     }
 
-    std::string begin_;
-    std::string piece_;
-    bool sealed = true;                   ///< the flooder's responses are
+    std::mutex script_mutex;
+    std::string begin_text;               // under script_mutex
+    std::string piece_text;               // under script_mutex
+    std::atomic<bool> sealed = true;      ///< the flooder's responses are
     std::atomic<std::size_t> flooded = 0; ///< bytes, of all senders
     std::atomic<int> closed = 0;          ///< senders that saw an end
     std::string metrics_address;
--- a/tests/gateway/test_bounded_input.cpp
+++ b/tests/gateway/test_bounded_input.cpp
@@ -16,6 +16,7 @@
 std::vector<unsigned> statuses_of(const std::vector<caller_answer>& answers)
 {
     std::vector<unsigned> statuses;
+    statuses.reserve(answers.size());
     for (const auto& each : answers)
         statuses.push_back(each.status());
     return statuses;
@@ -33,6 +34,11 @@
     unsigned status = 502;
 };
 
+std::ostream& operator<<(std::ostream& out, const endless_message& message)
+{
+    return out << message.name;
+}
+
 class upstream_input : public flooded_gateway,
                        public testing::WithParamInterface<endless_message>
 {
@@ -100,9 +106,8 @@
 {
 };
 
-// Guards against the upstream's failure going unnoticed: an answer that
-// exceeds its bound counts as one, and the request is retried elsewhere where
-// its route allows that.
+// Guards against a refusal that says that the request has not run, although an
+// upstream had it.
 TEST_F(bounded_input, a_response_over_its_bound_is_not_said_not_to_have_run)
 {
     flood_with("HEAD" + chunked, std::string(64 * kib, '0'));
@@ -189,6 +194,11 @@
     std::string piece;
 };
 
+std::ostream& operator<<(std::ostream& out, const endless_request& request)
+{
+    return out << request.name;
+}
+
 class caller_input : public flooded_gateway,
                      public testing::WithParamInterface<endless_request>
 {
@@ -239,6 +249,7 @@
     const auto before = peak_mb();
     const auto requests = repeated("GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n");
     std::vector<std::thread> threads;
+    threads.reserve(senders);
     for (int i = 0; i < senders; ++i)
         threads.emplace_back([&] {
             Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(address)};
@@ -300,5 +311,55 @@
     EXPECT_LE(sent, 6 * mib + socket_bytes);
 }
 
+class oversized_responses : public gateway_fixture
+{
+protected:
+    ~oversized_responses() override
+    {
+        gateway.reset();
+        upstreams.clear();
+    }
+
+    /** The first of two upstreams that is asked floods. */
+    void add_upstreams()
+    {
+        const auto script = [this](const arrived_request& request,
+                                   upstream_reply& reply) {
+            if (begun++ > 0) {
+                reply.answer(request, 200, "good");
+                return;
+            }
+            reply.send("HTTP/1.1 200 OK\r\nAttempt-Id: " +
+                       request.field("Attempt-Id") +
+                       "\r\nResponse-Seal: seal\r\n" + chunked);
+            for (int i = 0; i < 1000; ++i)
+                reply.send(std::string(64 * kib, '0'));
+        };
+        add("u1", script);
+        add("u2", script);
+    }
+
+    std::atomic<int> begun = 0;
+};
+
+// Guards against a retry that is missed: another upstream could have answered.
+TEST_F(oversized_responses, are_retried_where_the_route_allows_it)
+{
+    start();
+    add_upstreams();
+    const auto answer = send_request("/safe/x");
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_EQ(answer.body, "good");
+}
+
+// Guards against a request that runs twice.
+TEST_F(oversized_responses, are_not_retried_otherwise)
+{
+    start();
+    add_upstreams();
+    EXPECT_EQ(send_request("/plain/x").status(), 502U);
+    EXPECT_EQ(begun.load(), 1);
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
