--- a/src/libcyclamenrun/outcomes/relay.cpp
+++ b/src/libcyclamenrun/outcomes/relay.cpp
@@ -87,14 +87,6 @@
     return send(now);
 }
 
-relay_actions relay::refuse_poison(time_point now)
-{
-    const auto why = hooks_.grounds(request_.work, now);
-    return refuse(
-        not_run(refusal_reason::poison, why ? describe(*why) : std::string()),
-        now);
-}
-
 relay_actions relay::send(time_point now)
 {
     if (request_.ticket) {
@@ -118,28 +110,6 @@
     return {open("/dispatch", dispatch_frame(now))};
 }
 
-lost_run relay::lost_now(std::uint64_t loss, time_point now) const
-{
-    lost_run run{accused_work(request_.work, claim_), loss, run_stage::waiting,
-                 sent_at_, now};
-    if (first_token_at_)
-        run.stage = now - *first_token_at_ > settling_time
-                        ? run_stage::settled
-                        : run_stage::beginning;
-    return run;
-}
-
-void relay::end_solo()
-{
-    if (claim_.id != 0)
-        hooks_.end_solo(claim_);
-}
-
-relay::~relay()
-{
-    end_solo();
-}
-
 relay_actions relay::reattach(time_point)
 {
     reattaching_ = true;
