--- a/src/libcyclamenrun/gateway/connection_guard.cpp
+++ b/src/libcyclamenrun/gateway/connection_guard.cpp
@@ -23,6 +23,12 @@
  */
 constexpr std::size_t reserved_descriptors = 200;
 constexpr std::size_t bytes_per_mb = 1000000;
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+/** Most of the memory of a process under a sanitizer is the sanitizer's. */
+constexpr bool measures_own_memory = false;
+#else
+constexpr bool measures_own_memory = true;
+#endif
 /** Interval at which the allocator returns memory, when half is in use. */
 constexpr milliseconds trim_interval{1000};
 /** Time without a refusal after which the log says that they have ended. */
@@ -66,7 +72,8 @@
 {
     connection_limits limits;
     limits.descriptors = descriptor_limit(settings.max_fds);
-    limits.memory_bytes = settings.memory_mb * bytes_per_mb;
+    if (measures_own_memory)
+        limits.memory_bytes = settings.memory_mb * bytes_per_mb;
     limits.processor_share = settings.cpu_share;
     return limits;
 }
