Write the settings without a lease at one place of the tests

No change for callers. Two fixtures removed the lease from their settings by the same lines, one with a reason that no longer holds since the idle read is bounded by the lease.

--- a/tests/gateway/flooded_gateway.hpp
+++ b/tests/gateway/flooded_gateway.hpp
@@ -70,13 +70,8 @@
     /** Starts the process again with a limit on its memory. */
     void use_settings()
     {
-        // Without a lease, which ends while floods delay a process that runs
-        // under a sanitizer; leases have tests of their own.
-        auto text = gateway_settings_text(store);
-        const std::string lease = "configuration_lease_ms = 1600\n";
-        text.erase(text.find(lease), lease.size());
         settings.write("memory_mb = " + std::to_string(memory_mb) + "\n" +
-                       text);
+                       settings_text_without_lease(store));
         process = std::make_unique<child_process>(
             "cyclamenrun-gateway",
             std::vector<std::string>{"--settings", settings.path()});
--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -54,6 +54,18 @@
            "[stop]\ngrace_s = 5\nbalancer_wait_ms = 50\n";
 }
 
+/**
+ * The same without a lease on the configuration, for tests whose load may delay
+ * the process by more than the lease; leases have tests of their own.
+ */
+inline std::string settings_text_without_lease(const fake_store& store)
+{
+    auto text = gateway_settings_text(store);
+    const std::string lease = "configuration_lease_ms = 1600\n";
+    text.erase(text.find(lease), lease.size());
+    return text;
+}
+
 inline std::string configuration_text(int version, const std::string& key)
 {
     return "{\"version\":" + std::to_string(version) +
--- a/tests/gateway/test_connection_surges.cpp
+++ b/tests/gateway/test_connection_surges.cpp
@@ -67,12 +67,8 @@
     /** Starts a gateway with these rows of its table `limits`. */
     running_gateway& start(const std::string& limits)
     {
-        // Without a lease: a gateway that learns its upstreams after its
-        // configuration reads the latter again only after three seconds.
-        auto text = gateway_settings_text(store);
-        const std::string lease = "configuration_lease_ms = 1600\n";
-        text.erase(text.find(lease), lease.size());
-        settings.write(text + "[limits]\n" + limits);
+        settings.write(settings_text_without_lease(store) + "[limits]\n" +
+                       limits);
         running_gateway started;
         started.process = std::make_unique<child_process>(
             "cyclamenrun-gateway",
