Report output at its low water mark before sending the rest

A connection reported its low water mark after its send loop, which to a fast reader sends everything: the mark was reported late, with nothing left to send.

The loop now stops at the mark; the rest follows with the next event.

--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -238,10 +238,13 @@
 void tcp_connection::write_some()
 {
     const auto unsent_before = unsent_bytes();
-    while (unsent_bytes() > 0) {
+    // Stops at the low water mark, so that it is reported before the rest is
+    // sent: to a fast reader this loop sends everything.
+    const auto target = unsent_before > low_water_ ? low_water_ : 0;
+    while (unsent_bytes() > target) {
         const auto count =
             ::send(socket_.impl()->sockfd(), output_.data() + sent_,
-                   unsent_bytes(), MSG_NOSIGNAL);
+                   unsent_bytes() - target, MSG_NOSIGNAL);
         if (count < 0 && would_block(errno))
             break;
         if (count <= 0) {
