Use new upstreams at once, within the bound on cold ones

Each gateway's bucket for a cold upstream started empty, so that a new one got its first requests about half a second late; engines that come while others are reclaimed are needed at once. The bucket must be empty only where this gateway may have sent before: the upstream becomes cold again, its process restarted under its id, or the gateways changed lately.

An upstream whose id a gateway has never known now starts with what a sender may save up.

--- a/src/libcyclamenrun/decisions/cold_limits.cpp
+++ b/src/libcyclamenrun/decisions/cold_limits.cpp
@@ -119,9 +119,8 @@
     fill(known, now);
     known.share = divide_cold_bound(bounds_, rate_of(known.service), divisor());
     const bool sends = is_sender(upstream, known.share);
-    const bool still_discovers = now < known.sends_from && started_at_ &&
-                                 now - *started_at_ < discovery_time;
-    if (sends && (!known.sends || still_discovers))
+    const bool begins_again = now < known.sends_from && is_discovering(now);
+    if (sends && (!known.sends || begins_again))
         begin_to_send(known, now);
     known.sends = sends;
 }
@@ -134,6 +133,20 @@
         token_bucket(std::min(known.bucket.tokens(), 0.0), known.sends_from);
 }
 
+void cold_limits::fill_new(const std::string& upstream, time_point now)
+{
+    if (find_cold(upstream, now) == nullptr)
+        return;
+    auto& known = records_.at(upstream);
+    if (known.sends && known.sends_from <= now && !is_discovering(now))
+        known.bucket = token_bucket(known.share.capacity, now);
+}
+
+bool cold_limits::is_discovering(time_point now) const
+{
+    return !started_at_ || now - *started_at_ < discovery_time;
+}
+
 bool cold_limits::is_stale(time_point now) const
 {
     return now - gateways_set_at_ > longest_count_age;
--- a/src/libcyclamenrun/decisions/cold_limits.hpp
+++ b/src/libcyclamenrun/decisions/cold_limits.hpp
@@ -78,6 +78,12 @@
      */
     bool record(const std::string& upstream, const std::string& service,
                 cold_source source, time_point until, time_point now);
+    /**
+     * A cold upstream has just been found and has never got a request from
+     * here: if this gateway is a sender, it has saved up all that it may,
+     * unless the gateways have changed lately.
+     */
+    void fill_new(const std::string& upstream, time_point now);
     /** The upstream is gone, or another process uses its id. */
     void forget(const std::string& upstream) { records_.erase(upstream); }
     /** Removes upstreams that are no longer cold and returns them. */
@@ -133,6 +139,8 @@
     /** Whether this gateway is among the senders. */
     bool is_sender(const std::string& upstream, const cold_share& share) const;
     void divide_all(time_point now);
+    /** Whether this process has just started and may find further gateways. */
+    bool is_discovering(time_point now) const;
     /** Whether what is known of the gateways is of a time before a pause. */
     bool is_stale(time_point now) const;
     /** Time in which other gateways learn what this one has learnt. */
--- a/src/libcyclamenrun/gateway/cold_upstreams.cpp
+++ b/src/libcyclamenrun/gateway/cold_upstreams.cpp
@@ -47,13 +47,22 @@
 
 void gateway_context::record_cold(const upstream_record& listed)
 {
-    const auto now = reactor->now();
     const auto until = listed.cold_until.value_or(cold_deadline(
         cold_left_since_start(listed, cold_time_of(*this, listed.service)),
-        now));
-    if (limits.cold().record(listed.id, listed.service, cold_source::listed,
-                             until, now))
-        log_cold(*this, listed.id, listed.service, cold_source::listed);
+        reactor->now()));
+    record_cold_until(listed, cold_source::listed, until);
+}
+
+void gateway_context::record_cold_until(const upstream_record& upstream,
+                                        cold_source source, time_point until)
+{
+    const auto now = reactor->now();
+    if (!limits.cold().record(upstream.id, upstream.service, source, until,
+                              now))
+        return;
+    if (!upstreams.has_known(upstream.id))
+        limits.cold().fill_new(upstream.id, now);
+    log_cold(*this, upstream.id, upstream.service, source);
 }
 
 void gateway_context::record_cold_answer(const std::string& upstream_id,
@@ -72,10 +81,9 @@
 void gateway_context::presume_cold(const upstream_record& started,
                                    cold_source why)
 {
-    const auto now = reactor->now();
-    const auto until = cold_deadline(cold_time_of(*this, started.service), now);
-    if (limits.cold().record(started.id, started.service, why, until, now))
-        log_cold(*this, started.id, started.service, why);
+    record_cold_until(
+        started, why,
+        cold_deadline(cold_time_of(*this, started.service), reactor->now()));
 }
 
 void gateway_context::update_cold_rates()
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -65,6 +65,9 @@
                        const upstream_notice& notice);
     /** Records until when a listed upstream is cold, and logs a change. */
     void record_cold(const upstream_record& listed);
+    /** Records until when an upstream is cold, and logs a change. */
+    void record_cold_until(const upstream_record& upstream, cold_source source,
+                           time_point until);
     /** Records how long an upstream says that it is cold. */
     void record_cold_answer(const std::string& upstream_id, milliseconds left);
     /**
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -163,10 +163,10 @@
             on_.replaced(record.id);
         erase(record.id);
     }
-    erased_records_.erase(record.id);
-    removed_ids_.erase(record.id);
     if (on_.listed)
         on_.listed(record);
+    erased_records_.erase(record.id);
+    removed_ids_.erase(record.id);
     auto& upstream = upstreams_[record.id];
     upstream.record = record;
     upstream.monitor_only_until.reset();
@@ -268,16 +268,16 @@
     record.draining = false;
     record.version.clear();
     record.cold_until.reset();
-    // The start time is unknown, but later than the predecessor's. The
-    // directory reports it when it lists the engine.
+    // Later than the predecessor's; the directory will list the exact time.
     ++record.started_ms;
-    const auto [found, is_new] = upstreams_.try_emplace(id);
+    const bool is_new = !upstreams_.contains(id);
+    if (is_new && on_.unlisted)
+        on_.unlisted(record);
+    const auto found = upstreams_.try_emplace(id).first;
     if (is_new) {
         found->second.record = record;
         found->second.monitor_only_until = now + listing_timeout;
         found->second.leaving = has_said_leaving(id);
-        if (on_.unlisted)
-            on_.unlisted(record);
     }
     if (found->second.record.address != address)
         return;
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -106,17 +106,28 @@
         std::function<void(const std::string& id)> replaced;
         /** Whether the upstream has said that it leaves; may be empty. */
         std::function<bool(const std::string& id)> has_said_leaving;
-        /** Called for each record that the directory lists; may be empty. */
+        /**
+         * Called for each record that the directory lists, before it is
+         * applied; may be empty.
+         */
         std::function<void(const upstream_record&)> listed = {};
         /**
-         * Called for an upstream that only a monitor has reported; may be
-         * empty. Of its record only the id, service and address are certain.
+         * Called before an upstream is added that only a monitor has reported;
+         * may be empty. Of its record only the id, service and address are
+         * certain.
          */
         std::function<void(const upstream_record&)> unlisted = {};
     };
 
     explicit upstream_registry(hooks on) : on_(std::move(on)) {}
 
+    /** Whether an upstream with this id is or was known. */
+    bool has_known(const std::string& id) const
+    {
+        return upstreams_.contains(id) || erased_records_.contains(id) ||
+               removed_ids_.contains(id);
+    }
+
     // In the next four, `now` is awake time, see awake_clock: no upstream is
     // judged by records that this process could not read.
 
--- a/tests/decisions/cold_fleet.hpp
+++ b/tests/decisions/cold_fleet.hpp
@@ -91,6 +91,8 @@
 
     /** The upstream says until when it is cold. */
     void state_cold(milliseconds left) { cold_until_ = now_ + left; }
+    /** No process has known the upstream, as far as it remembers. */
+    void state_new() { is_new_ = true; }
 
     /**
      * Lets time pass. In each step each gateway has a request with this
@@ -182,9 +184,11 @@
         }
         own.limits->set_gateways(own.known, now_);
         // Records are written every 1.2 s and may be read late.
-        if (cold_until_ > now_)
+        if (cold_until_ > now_ &&
             own.limits->record("u", "s", cold_source::listed, cold_until_,
-                               now_);
+                               now_) &&
+            is_new_)
+            own.limits->fill_new("u", now_);
     }
 
     void learn_of_others(std::size_t i)
@@ -245,6 +249,7 @@
     double per_s_;
     time_point now_{std::chrono::hours(1)};
     time_point cold_until_{};
+    bool is_new_ = false;
     std::vector<gateway> gateways_;
     std::vector<gone> left_;
     std::array<gateway_count_history, 2> monitors_; ///< one on each side
--- a/tests/decisions/test_cold_limits.cpp
+++ b/tests/decisions/test_cold_limits.cpp
@@ -121,6 +121,33 @@
     EXPECT_TRUE(limits.has_room("u", at(40'001) + wait));
 }
 
+// Guards against a new upstream that is left idle for as long as buckets fill.
+TEST_F(cold_upstream, has_room_at_once_if_it_is_new)
+{
+    ASSERT_TRUE(become_cold(20'000));
+    cold().fill_new("u", at(20'000));
+    EXPECT_TRUE(limits.has_room("u", at(20'000)));
+    // It saves up no more than any other.
+    const auto share = divide_cold_bound(bounds, 16, cold().divisor());
+    EXPECT_EQ(send_between(20'000, 20'010), std::floor(share.capacity));
+}
+
+// Guards against a process that has just started and fills its share a second
+// time, after its predecessor.
+TEST_F(cold_upstream, has_no_room_at_once_while_gateways_are_unknown)
+{
+    ASSERT_TRUE(become_cold(9'000));
+    cold().fill_new("u", at(9'000));
+    EXPECT_FALSE(limits.has_room("u", at(9'000)));
+    cold().forget("u");
+    pass_to(20'000);
+    // Another gateway is found, which may not know of this one yet.
+    cold().set_gateways({"10.0.0.1", {"10.0.0.2"}, 2}, at(20'500));
+    cold().record("u", "s", cold_source::listed, at(40'000), at(20'500));
+    cold().fill_new("u", at(20'500));
+    EXPECT_FALSE(limits.has_room("u", at(20'500)));
+}
+
 // Guards against a process that goes on after a pause with what it had saved
 // up, while others have taken its place.
 TEST_F(cold_upstream, gets_nothing_from_a_process_that_was_paused)
@@ -329,6 +356,29 @@
     }
 }
 
+// Guards against full buckets that add up when a new upstream is found, by each
+// gateway at another time, while gateways come, go, restart and are cut off.
+RC_GTEST_PROP(cold_limits_sum, holds_for_new_upstreams_whatever_happens, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const double per_s = *rc::gen::element(2.0, 10.0, 31.0, 80.0);
+    const auto size = *rc::gen::weightedElement<std::size_t>(
+        {{10, 5}, {10, 9}, {10, 25}, {5, 60}, {1, 370}});
+    cold_fleet fleet(size, bounds, per_s, seed);
+    fleet.run(milliseconds(15'000), 0);
+    if (fleet.pick(2) == 0)
+        disturb(fleet);
+    fleet.run(milliseconds(1 + fleet.pick(5000)), 0);
+    fleet.state_new();
+    fleet.state_cold(long_time);
+    for (int i = 0; i < 15; ++i) {
+        fleet.run(milliseconds(1000), fleet.pick(2) == 0 ? demand : 1);
+        if (fleet.pick(3) == 0)
+            disturb(fleet);
+    }
+    RC_ASSERT(static_cast<double>(fleet.most_in_window()) <= fleet.bound());
+}
+
 RC_GTEST_PROP(cold_limits_sum, holds_in_every_second_whatever_happens, ())
 {
     const auto seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/tests/gateway/test_upstream_registry.cpp
+++ b/tests/gateway/test_upstream_registry.cpp
@@ -320,6 +320,35 @@
     EXPECT_EQ(unlisted, std::vector<std::string>{"b"});
 }
 
+// Guards against a process that restarts under its id, or is listed again, and
+// is taken for one to which nothing was sent.
+TEST_F(upstream_registry_test, tells_new_ids_from_known_ones)
+{
+    std::vector<std::string> new_ids;
+    upstream_registry::hooks on;
+    upstream_registry* watched = nullptr;
+    const auto note = [&](const upstream_record& found) {
+        if (!watched->has_known(found.id))
+            new_ids.push_back(found.id);
+    };
+    on.listed = note;
+    on.unlisted = note;
+    upstream_registry observed(std::move(on));
+    watched = &observed;
+    auto started = record("a");
+    observed.apply({"a", started}, at(0), false);
+    observed.apply({"a", started}, at(10), false);
+    started.started_ms = 2;
+    observed.apply({"a", started}, at(20), false);
+    observed.apply({"a", std::nullopt}, at(30), false);
+    observed.apply({"a", started}, at(40), false);
+    observed.update_identity(started.address, "b", at(50));
+    auto reported = record("b");
+    reported.address = started.address;
+    observed.apply({"b", reported}, at(60), false);
+    EXPECT_EQ(new_ids, (std::vector<std::string>{"a", "b"}));
+}
+
 TEST_F(upstream_registry_test, load_report_marks_a_leaving_engine)
 {
     put(record("a"));
