Keep the lease of a gateway that waits for its first upstream

While a gateway knew no upstream, a read of its configuration waited three fifths of the lease. The lease counts from when a read was sent, and the next answer comes a second wait later: 1.2 leases after the first read was sent, so the lease ended between reads and the gateway served nothing for a moment when its first upstream came.

The wait is a quarter of the lease, so that two waits end in it.

--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -32,13 +32,14 @@
 
 /**
  * A lease that ends while a read waits would leave a gateway without one when
- * the first upstream comes.
+ * the first upstream comes. Since it counts from when a read was sent, two
+ * waits must end in it; the rest is for slow answers.
  */
 milliseconds idle_wait_for(milliseconds lease)
 {
-    constexpr int lease_parts = 5;
+    constexpr int waits_in_lease = 4;
     return lease > milliseconds::zero()
-               ? std::min(idle_wait, lease * 3 / lease_parts)
+               ? std::min(idle_wait, lease / waits_in_lease)
                : idle_wait;
 }
 
--- a/tests/gateway/test_programs.cpp
+++ b/tests/gateway/test_programs.cpp
@@ -152,6 +152,28 @@
               std::string::npos);
 }
 
+// Guards against a lease that ends while a gateway waits for its first
+// upstream: it would serve nothing when that comes. The lease is shorter than
+// the longest wait between two reads of the configuration.
+TEST(idle_gateway, keeps_its_lease)
+{
+    fake_store store;
+    store.put("keyed.op", "config", configuration_text(1, "k1"));
+    auto text = gateway_settings_text(store);
+    const std::string lease = "configuration_lease_ms = 1600";
+    text.replace(text.find(lease), lease.size(),
+                 "configuration_lease_ms = 3000");
+    const temporary_settings_file settings(text);
+    child_process process(
+        "cyclamenrun-gateway",
+        std::vector<std::string>{"--settings", settings.path()});
+    process.wait_for_listener("ready");
+    std::this_thread::sleep_for(milliseconds(5000));
+    const auto log = process.output();
+    EXPECT_NE(log.find("lease_renewed"), std::string::npos);
+    EXPECT_EQ(log.find("lease_ended"), std::string::npos);
+}
+
 // Each log line must be JSON with the same four members, or the log collector
 // drops it.
 TEST_F(gateway_program, writes_only_json_lines)
