Go on with other grants when the best one can't be used

A start search chose the best grant without asking whether the engine still had room at its limit. If other requests had used it, or an answer had just named a limit, the search ended, released the other grants and began again behind other requests. With cold engines, where a gateway has room for one or two requests a second, that is common.

The search leaves out grants whose engine can't be used and takes the best of the others; if there is none, it releases them and goes on.

--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -184,13 +184,13 @@
 
 bool start_search::may_use(const requested_engine& requested) const
 {
-    // The directory may report that the engine leaves before its monitor does.
+    // The directory may report that the engine leaves before its monitor does,
+    // and other requests may have used the room at its limit meanwhile.
     const auto* state = context_.upstreams.find(requested.engine.id);
-    return requested.occupancy && state != nullptr && !state->leaving &&
+    return requested.occupancy && state != nullptr &&
            state->record == requested.engine &&
-           !context_.choice.is_evacuated(requested.engine) &&
-           !context_.notices.is_resting(requested.engine.id,
-                                        context_.reactor->now());
+           context_.choice.is_usable(requested.engine.id,
+                                     context_.reactor->now());
 }
 
 void start_search::handle_grant(const std::string& host,
@@ -236,8 +236,10 @@
         best = &each;
         least = cost;
     }
-    if (best == nullptr)
+    if (best == nullptr) {
+        release_unusable();
         return;
+    }
     over_ = true;
     context_.monitors->unwatch_start(request_.id);
     // Copied, since the call may destroy the exchange and this search.
@@ -247,6 +249,16 @@
     found(engine);
 }
 
+void start_search::release_unusable()
+{
+    for (auto& each : requested_) {
+        if (!each.occupancy)
+            continue;
+        context_.monitors->end_start(each.engine.address.host, request_.id);
+        each.occupancy.reset();
+    }
+}
+
 void start_search::release_others(const std::string& host)
 {
     for (const auto& each : requested_) {
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -77,6 +77,8 @@
     void handle_wait(const std::string& host, start_denial denial);
     bool is_passed_over() const;
     void report_if_passed_over();
+    /** Releases all grants; their engines are asked again. */
+    void release_unusable();
     void release_others(const std::string& host);
     std::vector<requested_engine>::iterator find(const std::string& host);
 
--- /dev/null
+++ b/tests/gateway/test_start_limits.cpp
@@ -0,0 +1,108 @@
+#include "../support/free_port.hpp"
+#include "gateway_fixture.hpp"
+#include "scripted_monitor.hpp"
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace cyclamenrun::testing_support
+{
+namespace
+{
+
+using notice = std::optional<v1::MonitorNotice>;
+
+/** A gateway and two engines; the second one names a limit in its answers. */
+class start_limits : public gateway_fixture
+{
+protected:
+    start_limits()
+    {
+        const auto port = free_port();
+        settings.loads_listen = {"127.0.0.1", free_port()};
+        settings.monitor_port = port;
+        start();
+        add("e1", answer_with_stream, "model", "127.0.0.1");
+        add(
+            "e2",
+            [this](const arrived_request& request, upstream_reply& reply) {
+                while (!is_second_requested)
+                    std::this_thread::sleep_for(milliseconds(2));
+                reply.answer(request, 503, "full", "Server-Limit: 0\r\n");
+                has_answered = true;
+            },
+            "model", "127.0.0.2");
+        unlimited = std::make_unique<scripted_monitor>(
+            "127.0.0.1", port, [this](const v1::MonitorRequest& request) {
+                return grant_if(request, has_granted_limited);
+            });
+        limited = std::make_unique<scripted_monitor>(
+            "127.0.0.2", port, [this](const v1::MonitorRequest& request) {
+                return respond_for_limited(request);
+            });
+    }
+
+    static void answer_with_stream(const arrived_request& request,
+                                   upstream_reply& reply)
+    {
+        reply.begin_stream(request);
+        reply.event(1);
+        reply.end_stream();
+    }
+
+    static notice grant_if(const v1::MonitorRequest& request, bool may_grant)
+    {
+        if (!request.has_start_wanted())
+            return std::nullopt;
+        const auto& id = request.start_wanted().id();
+        return may_grant ? start_given(id) : start_waits(id);
+    }
+
+    /** Grants the first start at once, others when the limit is known. */
+    notice respond_for_limited(const v1::MonitorRequest& request)
+    {
+        if (!request.has_start_wanted())
+            return std::nullopt;
+        const auto& id = request.start_wanted().id();
+        if (first_id.empty())
+            first_id = id;
+        if (id == first_id)
+            return start_given(id);
+        is_second_requested = true;
+        const auto granted = grant_if(request, has_answered);
+        has_granted_limited = has_granted_limited || has_answered;
+        return granted;
+    }
+
+    /** Set by the monitor's thread before its first answer. */
+    std::string first_id;
+    std::atomic<bool> is_second_requested = false;
+    std::atomic<bool> has_answered = false;
+    std::atomic<bool> has_granted_limited = false;
+    std::unique_ptr<scripted_monitor> unlimited;
+    std::unique_ptr<scripted_monitor> limited;
+};
+
+// Guards against a search that ends with a grant that can't be used, and starts
+// again behind others: an answer to another request has named a limit since the
+// engine was asked.
+TEST_F(start_limits, leave_other_grants_in_use)
+{
+    auto first = std::async(std::launch::async,
+                            [this] { return send_request("/gen/x").status(); });
+    while (!limited->count_of(
+        [](const auto& request) { return request.has_start_wanted(); }))
+        std::this_thread::sleep_for(milliseconds(2));
+    EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    first.wait();
+    const auto releases_second = [this](const v1::MonitorRequest& request) {
+        return !request.start_ended().empty() &&
+               request.start_ended() != first_id;
+    };
+    EXPECT_TRUE(limited->wait_for(releases_second));
+    EXPECT_EQ(unlimited->count_of(releases_second), 0U);
+}
+
+} // namespace
+} // namespace cyclamenrun::testing_support
