Name the limits of blocking exchanges apart from those of messages

Two structs of one namespace were called http_limits, in http_reader.hpp and in http_exchange.hpp, with other members. No file includes both, so nothing was reported, but inline functions of the one could be linked for the other. Those of blocking exchanges are exchange_limits now; no behaviour changes.

--- a/src/libcyclamenrun/agent/agent_process.cpp
+++ b/src/libcyclamenrun/agent/agent_process.cpp
@@ -127,7 +127,7 @@
 {
     log_ = std::make_unique<platform_log_client>(
         to_string(settings_.platform.address), settings_.platform.log,
-        http_limits{}, log_call_timeout, steady_now, &stop_log_);
+        exchange_limits{}, log_call_timeout, steady_now, &stop_log_);
     order_worker_settings worker;
     worker.upstream = settings_.name;
     worker.service = settings_.service;
--- a/src/libcyclamenrun/agent/upstream_driver.hpp
+++ b/src/libcyclamenrun/agent/upstream_driver.hpp
@@ -25,7 +25,7 @@
     std::string address; ///< IP:PORT of the upstream
     upstream_kind kind = upstream_kind::model;
     std::uint32_t max_running = 64;
-    http_limits http;
+    exchange_limits http;
     /** Interval between polls of an engine without runs. */
     milliseconds idle_poll_interval{5'000};
     /** Interval between polls of an engine that has runs or doesn't answer. */
--- a/src/libcyclamenrun/entry/entry_process.cpp
+++ b/src/libcyclamenrun/entry/entry_process.cpp
@@ -165,10 +165,10 @@
 {
     const auto platform = to_string(settings_.platform.address);
     log_ = std::make_unique<platform_log_client>(
-        platform, settings_.platform.log, http_limits{}, log_call_timeout,
+        platform, settings_.platform.log, exchange_limits{}, log_call_timeout,
         steady_now, &stop_log_);
     tail_log_ = std::make_unique<platform_log_client>(
-        platform, settings_.platform.log, http_limits{}, tail_call_timeout,
+        platform, settings_.platform.log, exchange_limits{}, tail_call_timeout,
         steady_now, &stop_log_);
     logging_log_ = std::make_unique<logging_platform_log>(
         *log_, core_->measurements(), steady_now);
--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -131,7 +131,7 @@
     return action_names.at(static_cast<std::size_t>(action));
 }
 
-engine_client::engine_client(std::string address, http_limits limits,
+engine_client::engine_client(std::string address, exchange_limits limits,
                              clock_function clock)
     : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
 {
--- a/src/libcyclamenrun/outside/engine_client.hpp
+++ b/src/libcyclamenrun/outside/engine_client.hpp
@@ -102,7 +102,7 @@
 class engine_client
 {
 public:
-    engine_client(std::string address, http_limits limits,
+    engine_client(std::string address, exchange_limits limits,
                   clock_function clock);
 
     /**
@@ -136,7 +136,7 @@
     std::uint64_t record_head(const http_head& head);
 
     std::string address_;
-    http_limits limits_;
+    exchange_limits limits_;
     clock_function clock_;
     notice_handler on_notice_;
     std::atomic<std::uint64_t> epoch_ = 0;
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -71,7 +71,7 @@
     return notice;
 }
 
-http_exchange::http_exchange(std::string address, http_limits limits,
+http_exchange::http_exchange(std::string address, exchange_limits limits,
                              clock_function clock)
     : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
 {
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -42,7 +42,7 @@
     std::string detail;
 };
 
-struct http_limits {
+struct exchange_limits {
     milliseconds connect_timeout = milliseconds(1000);
     /** The longest wait of one read or write. */
     milliseconds response_timeout = milliseconds(30000);
@@ -88,7 +88,7 @@
 {
 public:
     /** `address` is IP:PORT. */
-    http_exchange(std::string address, http_limits limits,
+    http_exchange(std::string address, exchange_limits limits,
                   clock_function clock);
     ~http_exchange();
     http_exchange(const http_exchange&) = delete;
@@ -121,7 +121,7 @@
     http_error current_error(http_failure lost) const;
 
     std::string address_;
-    http_limits limits_;
+    exchange_limits limits_;
     clock_function clock_;
     std::unique_ptr<Poco::Net::HTTPClientSession> session_;
     http_deadline_socket* socket_ = nullptr; ///< owned by the session
--- a/src/libcyclamenrun/outside/platform_log_client.cpp
+++ b/src/libcyclamenrun/outside/platform_log_client.cpp
@@ -121,7 +121,7 @@
 } // namespace
 
 platform_log_client::platform_log_client(
-    std::string address, const std::string& log, http_limits limits,
+    std::string address, const std::string& log, exchange_limits limits,
     milliseconds call_timeout, clock_function clock, cancellation* stop)
     : address_(std::move(address)), path_("/v1/logs/" + log + "/records"),
       limits_(limits), call_timeout_(call_timeout), clock_(std::move(clock)),
--- a/src/libcyclamenrun/outside/platform_log_client.hpp
+++ b/src/libcyclamenrun/outside/platform_log_client.hpp
@@ -20,7 +20,7 @@
      * `stop` ends calls that are in progress.
      */
     platform_log_client(std::string address, const std::string& log,
-                        http_limits limits, milliseconds call_timeout,
+                        exchange_limits limits, milliseconds call_timeout,
                         clock_function clock, cancellation* stop = nullptr);
 
     tl::expected<std::uint64_t, log_error>
@@ -34,7 +34,7 @@
 
     std::string address_;
     std::string path_;
-    http_limits limits_;
+    exchange_limits limits_;
     milliseconds call_timeout_;
     clock_function clock_;
     cancellation* stop_;
--- a/src/libcyclamenrun/outside/runner_client.cpp
+++ b/src/libcyclamenrun/outside/runner_client.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-runner_client::runner_client(std::string address, http_limits limits,
+runner_client::runner_client(std::string address, exchange_limits limits,
                              clock_function clock)
     : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
 {
--- a/src/libcyclamenrun/outside/runner_client.hpp
+++ b/src/libcyclamenrun/outside/runner_client.hpp
@@ -33,7 +33,7 @@
 class runner_client
 {
 public:
-    runner_client(std::string address, http_limits limits,
+    runner_client(std::string address, exchange_limits limits,
                   clock_function clock);
 
     /** As engine_client::on_notice(). */
@@ -47,7 +47,7 @@
 
 private:
     std::string address_;
-    http_limits limits_;
+    exchange_limits limits_;
     clock_function clock_;
     notice_handler on_notice_;
 };
--- a/src/libcyclamenrun/outside/vm_list_client.cpp
+++ b/src/libcyclamenrun/outside/vm_list_client.cpp
@@ -57,7 +57,7 @@
     return failure_names.at(static_cast<std::size_t>(failure));
 }
 
-vm_list_client::vm_list_client(std::string address, http_limits limits,
+vm_list_client::vm_list_client(std::string address, exchange_limits limits,
                                milliseconds call_timeout, clock_function clock,
                                cancellation* stop)
     : address_(std::move(address)), limits_(limits),
--- a/src/libcyclamenrun/outside/vm_list_client.hpp
+++ b/src/libcyclamenrun/outside/vm_list_client.hpp
@@ -27,7 +27,7 @@
      * `call_timeout` is the timeout of each call; read() adds its `wait`.
      * `stop` ends calls that are in progress.
      */
-    vm_list_client(std::string address, http_limits limits,
+    vm_list_client(std::string address, exchange_limits limits,
                    milliseconds call_timeout, clock_function clock,
                    cancellation* stop = nullptr);
 
@@ -40,7 +40,7 @@
 
 private:
     std::string address_;
-    http_limits limits_;
+    exchange_limits limits_;
     milliseconds call_timeout_;
     clock_function clock_;
     cancellation* stop_;
--- a/src/libcyclamenrun/outside/vm_list_watcher.cpp
+++ b/src/libcyclamenrun/outside/vm_list_watcher.cpp
@@ -17,7 +17,8 @@
 vm_list_watcher::vm_list_watcher(const std::string& address, list_hook on_list,
                                  clock_function clock)
     : on_list_(std::move(on_list)),
-      client_(address, http_limits{}, call_timeout, std::move(clock), &cancel_),
+      client_(address, exchange_limits{}, call_timeout, std::move(clock),
+              &cancel_),
       thread_([this] { run(); })
 {
 }
--- a/src/libcyclamenrun/outside/weight_store_client.cpp
+++ b/src/libcyclamenrun/outside/weight_store_client.cpp
@@ -39,7 +39,7 @@
 }
 
 weight_store_client::weight_store_client(std::string address,
-                                         http_limits limits,
+                                         exchange_limits limits,
                                          clock_function clock,
                                          random_function random,
                                          wait_function wait)
--- a/src/libcyclamenrun/outside/weight_store_client.hpp
+++ b/src/libcyclamenrun/outside/weight_store_client.hpp
@@ -38,7 +38,7 @@
     /** Waits for this time; returning false cancels the fetch. */
     using wait_function = std::function<bool(milliseconds)>;
 
-    weight_store_client(std::string address, http_limits limits,
+    weight_store_client(std::string address, exchange_limits limits,
                         clock_function clock, random_function random,
                         wait_function wait);
 
@@ -50,7 +50,7 @@
     milliseconds retry_delay(const http_head& head, int attempt) const;
 
     std::string address_;
-    http_limits limits_;
+    exchange_limits limits_;
     clock_function clock_;
     random_function random_;
     wait_function wait_;
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -19,7 +19,7 @@
 
 tl::expected<http_answer, http_error>
 send_request(const std::string& address, milliseconds limit = long_limit,
-             http_limits limits = {}, cancellation* cancel = nullptr)
+             exchange_limits limits = {}, cancellation* cancel = nullptr)
 {
     http_exchange exchange(address, limits, steady_now);
     return exchange.run(
@@ -28,7 +28,7 @@
 
 /** Runs an exchange with a server that sends `reply` and closes. */
 tl::expected<http_answer, http_error>
-exchange_with_reply(const std::string& reply, http_limits limits = {})
+exchange_with_reply(const std::string& reply, exchange_limits limits = {})
 {
     const scripted_server server(scripted_server::reply(reply));
     return send_request(server.address(), long_limit, limits);
@@ -136,7 +136,7 @@
         exchange_with_reply(many + "Content-Length: 0\r\n\r\n");
     ASSERT_FALSE(headers);
     EXPECT_EQ(headers.error().failure, http_failure::malformed);
-    http_limits limits;
+    exchange_limits limits;
     limits.max_answer_bytes = 1000;
     const auto body =
         exchange_with_reply("HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" +
@@ -167,7 +167,7 @@
 TEST(http_exchange, a_response_timeout_ends_a_call_before_its_deadline)
 {
     const scripted_server server(scripted_server::wait_for_close);
-    http_limits limits;
+    exchange_limits limits;
     limits.response_timeout = short_limit;
     const auto answer = send_request(server.address(), long_limit, limits);
     ASSERT_FALSE(answer);
--- a/tests/support/caller_stream.hpp
+++ b/tests/support/caller_stream.hpp
@@ -41,7 +41,7 @@
 {
 public:
     caller_stream(const std::string& address, const http_request& request)
-        : exchange_(std::make_unique<http_exchange>(address, http_limits{},
+        : exchange_(std::make_unique<http_exchange>(address, exchange_limits{},
                                                     steady_now))
     {
         const auto head = exchange_->start(request);
