--- a/tests/gateway/test_start_limits.cpp
+++ b/tests/gateway/test_start_limits.cpp
@@ -70,7 +70,7 @@
         if (id == first_id)
             return start_given(id);
         is_second_requested = true;
-        const auto granted = grant_if(request, has_answered);
+        auto granted = grant_if(request, has_answered);
         has_granted_limited = has_granted_limited || has_answered;
         return granted;
     }
