Refuse at once when no granted engine has room

Found by reading; the former code was not played with the new test.

Engines whose grants can't be used are no longer part of the search; they are candidates again when they have room. A search without engines ends, and the caller is refused with over_limit.

--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -95,15 +95,20 @@
                                          each.engine.slots);
     request_more(std::min(further_engines, max_engines - requested_.size()));
     if (requested_.empty()) {
-        cancel();
-        // Copied, since the call may destroy the exchange and this search.
-        const auto none_usable = on_.none_usable;
-        none_usable();
+        report_none_usable();
         return;
     }
     schedule_repeat();
 }
 
+void start_search::report_none_usable()
+{
+    cancel();
+    // Copied, since the call may destroy the exchange and this search.
+    const auto none_usable = on_.none_usable;
+    none_usable();
+}
+
 void start_search::drop_unusable()
 {
     const auto now = context_.reactor->now();
@@ -238,6 +243,8 @@
     }
     if (best == nullptr) {
         release_unusable();
+        if (requested_.empty())
+            report_none_usable();
         return;
     }
     over_ = true;
@@ -251,12 +258,11 @@
 
 void start_search::release_unusable()
 {
-    for (auto& each : requested_) {
-        if (!each.occupancy)
-            continue;
-        context_.monitors->end_start(each.engine.address.host, request_.id);
-        each.occupancy.reset();
-    }
+    std::erase_if(requested_, [&](const requested_engine& each) {
+        if (each.occupancy)
+            context_.monitors->end_start(each.engine.address.host, request_.id);
+        return each.occupancy.has_value();
+    });
 }
 
 void start_search::release_others(const std::string& host)
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -77,8 +77,9 @@
     void handle_wait(const std::string& host, start_denial denial);
     bool is_passed_over() const;
     void report_if_passed_over();
-    /** Releases all grants; their engines are asked again. */
+    /** Releases all grants; their engines are asked again if they have room. */
     void release_unusable();
+    void report_none_usable();
     void release_others(const std::string& host);
     std::vector<requested_engine>::iterator find(const std::string& host);
 
--- a/tests/gateway/test_start_limits.cpp
+++ b/tests/gateway/test_start_limits.cpp
@@ -75,6 +75,18 @@
         return granted;
     }
 
+    /** Sends a request that the limited engine takes. */
+    std::future<unsigned> send_first()
+    {
+        auto first = std::async(std::launch::async, [this] {
+            return send_request("/gen/x").status();
+        });
+        while (!limited->count_of(
+            [](const auto& request) { return request.has_start_wanted(); }))
+            std::this_thread::sleep_for(milliseconds(2));
+        return first;
+    }
+
     /** Set by the monitor's thread before its first answer. */
     std::string first_id;
     std::atomic<bool> is_second_requested = false;
@@ -89,11 +101,7 @@
 // engine was asked.
 TEST_F(start_limits, leave_other_grants_in_use)
 {
-    auto first = std::async(std::launch::async,
-                            [this] { return send_request("/gen/x").status(); });
-    while (!limited->count_of(
-        [](const auto& request) { return request.has_start_wanted(); }))
-        std::this_thread::sleep_for(milliseconds(2));
+    const auto first = send_first();
     EXPECT_EQ(send_request("/gen/x").status(), 200U);
     first.wait();
     const auto releases_second = [this](const v1::MonitorRequest& request) {
@@ -104,5 +112,19 @@
     EXPECT_EQ(unlimited->count_of(releases_second), 0U);
 }
 
+// Guards against a caller who waits for an engine that has no room at its limit
+// while there is no other.
+TEST_F(start_limits, refuse_at_once_if_no_engine_has_room)
+{
+    remove_upstream("e1");
+    const auto first = send_first();
+    const auto began = steady_now();
+    const auto answer = send_request("/gen/x");
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_NE(answer.body.find("over_limit"), std::string::npos);
+    EXPECT_LT(steady_now() - began, std::chrono::seconds(2));
+    first.wait();
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
