Send the requests of a test from one thread

start_limits sent its first request from a thread of its own, and both threads counted request ids: a data race under the thread sanitizer. The caller's socket needs no thread; the checks stay.

--- a/tests/gateway/test_start_limits.cpp
+++ b/tests/gateway/test_start_limits.cpp
@@ -3,7 +3,7 @@
 #include "scripted_monitor.hpp"
 
 #include <atomic>
-#include <future>
+#include <memory>
 #include <thread>
 
 namespace cyclamenrun::testing_support
@@ -76,13 +76,12 @@
     }
 
     /** Sends a request that the limited engine takes. */
-    std::future<unsigned> send_first()
+    std::unique_ptr<test_caller> send_first()
     {
-        auto first = std::async(std::launch::async, [this] {
-            return send_request("/gen/x").status();
-        });
+        auto first = std::make_unique<test_caller>(gateway->address());
+        first->send(request("/gen/x"));
         while (!limited->count_of(
-            [](const auto& request) { return request.has_start_wanted(); }))
+            [](const auto& asked) { return asked.has_start_wanted(); }))
             std::this_thread::sleep_for(milliseconds(2));
         return first;
     }
@@ -103,7 +102,7 @@
 {
     const auto first = send_first();
     EXPECT_EQ(send_request("/gen/x").status(), 200U);
-    first.wait();
+    first->read();
     const auto releases_second = [this](const v1::MonitorRequest& request) {
         return !request.start_ended().empty() &&
                request.start_ended() != first_id;
@@ -123,7 +122,7 @@
     EXPECT_EQ(answer.status(), 503U);
     EXPECT_NE(answer.body.find("over_limit"), std::string::npos);
     EXPECT_LT(steady_now() - began, std::chrono::seconds(2));
-    first.wait();
+    first->read();
 }
 
 } // namespace
