Let parts of prompts turn deadly in the tests, which fails

Callers would lose generations upstream by upstream if a part of prompts that had run well begins to crash engines. All tests so far had parts that are deadly from their first run.

poison_fleet gets the event: a part of sound requests crashes each upstream that begins with it from then on. poison_parts has the same with real gateways.

--- a/tests/gateway/poison_fleet.cpp
+++ b/tests/gateway/poison_fleet.cpp
@@ -52,8 +52,7 @@
     if (deadly)
         parts.push_back(deadly_[*deadly].fingerprint);
     started->work = suspected_work(++last_request_, std::move(parts));
-    started->deadly = deadly;
-    if (!deadly)
+    if (!find_deadly(started->work))
         ++counts_.sent;
     if (!dispatch(started))
         waiting_.push_back(started);
@@ -90,6 +89,41 @@
     });
 }
 
+std::optional<std::size_t>
+poison_fleet::find_deadly(const suspected_work& work) const
+{
+    for (std::size_t i = 0; i < deadly_.size(); ++i)
+        if (std::binary_search(work.parts.begin(), work.parts.end(),
+                               deadly_[i].fingerprint))
+            return i;
+    return std::nullopt;
+}
+
+void poison_fleet::make_deadly(run_state& run)
+{
+    run.crashes_at = run.begins_at + time_up_to(max_crash_time);
+    run.ends_at = time_point::max();
+}
+
+void poison_fleet::turn_deadly(std::size_t i)
+{
+    const auto part = sound_.at(i);
+    sound_.erase(sound_.begin() + static_cast<std::ptrdiff_t>(i));
+    std::erase_if(refused_since_, [part](const auto& each) {
+        return each.first.second == part;
+    });
+    deadly_.push_back({part, 0, std::nullopt, 0});
+    for (auto& each : upstreams_) {
+        for (auto& run : each.runs) {
+            if (run.begins_at <= now || run.deadly)
+                continue;
+            run.deadly = find_deadly(run.of->work);
+            if (run.deadly)
+                make_deadly(run);
+        }
+    }
+}
+
 void poison_fleet::send(const std::shared_ptr<request>& sent, bool solo)
 {
     auto* to = choose(solo);
@@ -104,14 +138,13 @@
     run.begins_at = now + time_up_to(shape_.max_prefill);
     run.ends_at = run.begins_at + time_up_to(shape_.max_writing);
     run.crashes_at = time_point::max();
-    if (sent->deadly) {
-        run.crashes_at = run.begins_at + time_up_to(max_crash_time);
-        run.ends_at = time_point::max();
-    }
+    run.deadly = find_deadly(sent->work);
+    if (run.deadly)
+        make_deadly(run);
     to->runs.push_back(run);
-    if (!sent->deadly)
+    if (!run.deadly)
         return;
-    auto& part = deadly_[*sent->deadly];
+    auto& part = deadly_[*run.deadly];
     if (part.fifth_crash && now > *part.fifth_crash + contact_time &&
         in_touch(sent->gateway))
         ++part.late_sends;
@@ -166,7 +199,7 @@
         std::set<std::size_t> culprits;
         for (const auto& run : each.runs)
             if (now >= run.crashes_at)
-                culprits.insert(*run.of->deadly);
+                culprits.insert(*run.deadly);
         for (const auto culprit : culprits) {
             auto& part = deadly_[culprit];
             if (++part.crashes == 5)
--- a/tests/gateway/poison_fleet.hpp
+++ b/tests/gateway/poison_fleet.hpp
@@ -51,6 +51,8 @@
     void run(milliseconds time, double sound_rate, double deadly_rate);
 
     // What may happen to the fleet.
+    /** All that begins with sound part `i` from now on crashes its upstream. */
+    void turn_deadly(std::size_t i);
     void restart_gateway(std::size_t i);
     void add_gateway();
     void freeze(std::size_t i, milliseconds time);
@@ -84,6 +86,7 @@
 
     std::size_t pick(std::size_t below) { return random() % below; }
     std::uint64_t sound_part(std::size_t i) const { return sound_.at(i); }
+    std::size_t sound_parts() const { return sound_.size(); }
     bool in_touch(std::size_t gateway) const;
 
 private:
@@ -91,12 +94,12 @@
         std::size_t gateway = 0;
         std::uint64_t incarnation = 0; ///< of the gateway's process
         suspected_work work;
-        std::optional<std::size_t> deadly; ///< index of its deadly part
         unsigned attempts = 0;
         solo_run claim;
     };
     struct run_state {
         std::shared_ptr<request> of;
+        std::optional<std::size_t> deadly; ///< index of its deadly part
         time_point sent_at;
         time_point begins_at;
         time_point crashes_at; ///< max: it is sound
@@ -134,6 +137,9 @@
     bool dispatch(const std::shared_ptr<request>& sent);
     void send(const std::shared_ptr<request>& sent, bool solo);
     upstream* choose(bool solo);
+    /** Index of a deadly part of the work; empty: it has none. */
+    std::optional<std::size_t> find_deadly(const suspected_work& work) const;
+    void make_deadly(run_state& run);
     void advance_upstreams();
     void lose(upstream& lost, bool marks);
     void report_losses();
--- a/tests/gateway/test_poison_fleet.cpp
+++ b/tests/gateway/test_poison_fleet.cpp
@@ -119,6 +119,45 @@
     }
 }
 
+void expect_a_part_that_turns_deadly_to_be_convicted(
+    const poison_fleet::shape& of, double sound_rate, double deadly_rate)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        poison_fleet fleet(of, seed);
+        fleet.run(milliseconds(12'000), sound_rate, 0);
+        const auto before = fleet.take_counts();
+        fleet.turn_deadly(0);
+        fleet.run(2 * poison_fleet::contact_time, sound_rate, deadly_rate);
+        (void)fleet.take_counts();
+        fleet.run(milliseconds(15'000), sound_rate, deadly_rate);
+        EXPECT_GE(share_begun(fleet.take_counts()), share_begun(before) / 2)
+            << "seed " << seed;
+        expect_bounds(fleet);
+    }
+}
+
+// Guards against a part that crashes upstream after upstream because it ran
+// well until then.
+TEST(poison_fleet, convicts_a_part_that_turns_deadly)
+{
+    poison_fleet::shape of;
+    of.upstreams = 12;
+    of.deadly_parts = 0;
+    of.shared_parts = 20;
+    expect_a_part_that_turns_deadly_to_be_convicted(of, 40, 4);
+}
+
+// Guards against the same where each of many gateways excuses the part.
+TEST(poison_fleet, convicts_a_part_that_turns_deadly_before_many_gateways)
+{
+    poison_fleet::shape of;
+    of.gateways = 28;
+    of.upstreams = 40;
+    of.deadly_parts = 0;
+    of.shared_parts = 20;
+    expect_a_part_that_turns_deadly_to_be_convicted(of, 100, 8);
+}
+
 // Guards against news of convictions that is too slow for a large fleet.
 TEST(poison_fleet, keeps_its_bounds_with_370_gateways)
 {
@@ -132,10 +171,12 @@
     EXPECT_EQ(fleet.deadly().front().late_sends, 0U);
 }
 
+constexpr std::size_t max_deadly_parts = 3;
+
 void disturb(poison_fleet& fleet)
 {
     const auto one = fleet.pick(fleet.nodes.size());
-    switch (fleet.pick(9)) {
+    switch (fleet.pick(10)) {
     case 0:
         fleet.restart_gateway(one);
         return;
@@ -157,6 +198,10 @@
     case 6:
         fleet.loss = 0.05 * static_cast<double>(fleet.pick(3));
         return;
+    case 7:
+        if (fleet.sound_parts() > 1 && fleet.deadly().size() < max_deadly_parts)
+            fleet.turn_deadly(fleet.pick(fleet.sound_parts()));
+        return;
     default:
         fleet.freeze(one, milliseconds(50 + fleet.pick(2950)));
         return;
--- a/tests/gateway/test_poison_parts.cpp
+++ b/tests/gateway/test_poison_parts.cpp
@@ -1,6 +1,7 @@
 #include "gateway_fleet.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <string>
 #include <thread>
 
@@ -30,7 +31,7 @@
                           upstream_reply& reply) {
                     std::this_thread::sleep_for(prefill_time);
                     reply.begin_stream(request);
-                    if (has_dead_part(request)) {
+                    if (is_deadly && has_dead_part(request)) {
                         upstreams[i]->crash();
                         return;
                     }
@@ -63,6 +64,7 @@
     }
 
     int prompts = 0;
+    std::atomic<bool> is_deadly = true;
 };
 
 // Guards against the loss of a whole service: requests of which no two are
@@ -94,5 +96,22 @@
     EXPECT_EQ(send_prompt(1, "a:10,b:30", "/res/x").status(), 200U);
 }
 
+// Guards against the same where the part ran well until then at all gateways.
+TEST_F(poison_parts, end_few_engines_of_a_part_that_turns_deadly)
+{
+    start_fleet(3);
+    add_engines(12);
+    is_deadly = false;
+    for (std::size_t i = 0; i < 2 * size(); ++i)
+        EXPECT_EQ(send_prompt(i % size(), "a:10,dead:30").status(), 200U);
+    // A run shows that its parts are sound once its engine has lived on.
+    std::this_thread::sleep_for(settling_time + milliseconds(200));
+    is_deadly = true;
+    for (std::size_t i = 0; i < 10; ++i)
+        (void)send_prompt(i % size(), "b" + std::to_string(i) + ":10,dead:30");
+    EXPECT_LE(crashes(), max_crashes);
+    EXPECT_EQ(send_prompt(1, "a:10,b:30").status(), 200U);
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
