Say how many parts of a prompt ran well lately when an upstream crashes

Operators couldn't tell from logs whether a crash accused the parts of a prompt: a part that had run well within ten seconds is left out, which no line said. So a part that is new and one that turned deadly looked alike.

upstream_crashed now has recent_parts beside prompt_parts. No change for callers. Checked by poison_guards.count_the_parts_that_ran_well_lately.

--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -240,7 +240,9 @@
                {log_key::address, to_string(upstream.address)},
                {log_key::fingerprint, fingerprint_text(lost.run.work.request)},
                {log_key::kind, name_of(lost.run.stage)},
-               {log_key::prompt_parts, lost.prompt_parts}});
+               {log_key::prompt_parts, lost.prompt_parts},
+               {log_key::recent_parts,
+                poison.count_recent_parts(lost.run.work, reactor->now())}});
     metrics.count(exported_metric::crashes_seen, {upstream.service});
     // Its successor may use the same id and is cold; the directory lists it
     // seconds later.
--- a/src/libcyclamenrun/gateway/poison_guard.hpp
+++ b/src/libcyclamenrun/gateway/poison_guard.hpp
@@ -73,6 +73,12 @@
     /** The marks as a table that gateways share. */
     peer_table table();
     std::size_t size() const { return marks_.size(); }
+    /** How many parts of this work have run well here lately. */
+    std::size_t count_recent_parts(const suspected_work& work,
+                                   time_point now) const
+    {
+        return marks_.count_recent_parts(work, now);
+    }
     std::size_t count_poison(suspect_kind kind, time_point now) const
     {
         return marks_.count_poison(kind, now);
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -163,7 +163,8 @@
                   "starts to keep backup copies."},
     log_event_row{log_event_name::upstream_crashed, "upstream_crashed",
                   "An upstream crashed while it had the request: it broke the "
-                  "connection, and its host refuses a new one."},
+                  "connection, and its host refuses a new one. Of the parts of "
+                  "the prompt, recent_parts have run well here lately."},
     log_event_row{log_event_name::upstream_input_rejected,
                   "upstream_input_rejected",
                   "A response was dropped and its connection closed: it "
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -49,6 +49,7 @@
     key_row{log_key::prompt_parts, "prompt_parts"},
     key_row{log_key::queued, "queued"},
     key_row{log_key::reason, "reason"},
+    key_row{log_key::recent_parts, "recent_parts"},
     key_row{log_key::request_id, "request_id"},
     key_row{log_key::retries_left, "retries_left"},
     key_row{log_key::retry_after_ms, "retry_after_ms"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -51,6 +51,7 @@
     prompt_parts,
     queued,
     reason,
+    recent_parts,
     request_id,
     retries_left,
     retry_after_ms,
--- a/src/libcyclamenrun/outcomes/poison_register.cpp
+++ b/src/libcyclamenrun/outcomes/poison_register.cpp
@@ -323,6 +323,15 @@
             clear_part_run_here(part, *ran_at, now);
 }
 
+std::size_t poison_register::count_recent_parts(const suspected_work& work,
+                                                time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(work.parts.begin(), work.parts.end(), [&](auto part) {
+            return recent_runs_.last(part, now).has_value();
+        }));
+}
+
 void poison_register::merge_claim(const link::PoisonMark& mark, time_point now)
 {
     auto claim = read_claim_mark(mark, now);
--- a/src/libcyclamenrun/outcomes/poison_register.hpp
+++ b/src/libcyclamenrun/outcomes/poison_register.hpp
@@ -139,6 +139,9 @@
     {
         return findings(now).convicted();
     }
+    /** How many parts of this work have run well here lately. */
+    std::size_t count_recent_parts(const suspected_work& work,
+                                   time_point now) const;
     /** Numbers of requests and of parts of prompts that are refused. */
     std::size_t count_poison(suspect_kind kind, time_point now) const;
 
--- a/tests/gateway/test_poison_guard.cpp
+++ b/tests/gateway/test_poison_guard.cpp
@@ -112,6 +112,16 @@
     EXPECT_EQ(admit(work, at(61'001)), poison_admission::allowed);
 }
 
+// Guards against logs that don't tell a part that ran well until a crash from
+// one that is new.
+TEST_F(poison_guards, count_the_parts_that_ran_well_lately)
+{
+    guard.record_success("u1", suspected_work(1, {7, 8}), at(0), at(1000));
+    const suspected_work next(2, {7, 9});
+    EXPECT_EQ(guard.count_recent_parts(next, at(5000)), 1U);
+    EXPECT_EQ(guard.count_recent_parts(next, at(20'000)), 0U);
+}
+
 // Guards against trials that crash an upstream each minute.
 TEST_F(poison_guards, try_a_request_at_most_twice)
 {
