Suspect parts of prompts that crash upstreams again after they ran well

A clearance now holds when its run began to write. Losses before that are cleared; the first round after it is excused for ten seconds; with the second round the part is suspected and runs alone. Marks carry all parts of a lost run, and gateways answer them with their later runs, so that rounds are counted over the fleet. Runs that begin after a loss are what only a sound part has. A loss that a part explains which has run nowhere isn't held against parts that ran well. A part that has run well and is convicted all the same gets its first trial after 1.5 s, the second after a minute.

--- a/src/libcyclamenrun/gateway/poison_guard.cpp
+++ b/src/libcyclamenrun/gateway/poison_guard.cpp
@@ -130,10 +130,12 @@
     });
 }
 
-void poison_guard::record_settled(const suspected_work& work, time_point now)
+void poison_guard::record_settled(const suspected_work& work,
+                                  time_point first_part_at, time_point now)
 {
-    change({}, now,
-           [&] { marks_.record_run(work, run_progress::settled, now); });
+    change({}, now, [&] {
+        marks_.record_run(work, run_progress::settled, first_part_at, now);
+    });
 }
 
 void poison_guard::record_success(const std::string& upstream,
@@ -145,7 +147,7 @@
                          settling_.size() >= max_settling;
     change({}, now, [&] {
         marks_.record_run(settled ? work : suspected_work(work.request),
-                          run_progress::whole, now);
+                          run_progress::whole, first_part_at, now);
     });
     if (!settled)
         settling_.push_back({{work, loss_of(upstream), run_stage::beginning,
@@ -163,7 +165,7 @@
         return is_due;
     });
     for (const auto& each : settled)
-        record_settled(each.run.work, now);
+        record_settled(each.run.work, each.run.sent_at, now);
 }
 
 peer_table poison_guard::table()
--- a/src/libcyclamenrun/gateway/poison_guard.hpp
+++ b/src/libcyclamenrun/gateway/poison_guard.hpp
@@ -59,8 +59,9 @@
     void record_replacement(const std::string& upstream);
     void record_crash(const std::string& upstream, lost_run run,
                       time_point now);
-    /** Records a run that goes on since `settling_time`. */
-    void record_settled(const suspected_work& work, time_point now);
+    /** Records a run that has gone on for `settling_time` since then. */
+    void record_settled(const suspected_work& work, time_point first_part_at,
+                        time_point now);
     /**
      * Records a complete answer whose first part arrived at `first_part_at`. An
      * upstream that crashes right after it clears no part.
--- a/src/libcyclamenrun/gateway/poison_permit.cpp
+++ b/src/libcyclamenrun/gateway/poison_permit.cpp
@@ -33,7 +33,7 @@
     if (settled_ || now - *first_part_at_ < settling_time)
         return;
     settled_ = true;
-    context_.poison.record_settled(served_.work, now);
+    context_.poison.record_settled(served_.work, *first_part_at_, now);
     release();
 }
 
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -325,7 +325,8 @@
             return;
         session->finish_reason = finish_reason;
         poison_.record_run(suspected_work_of(session->request),
-                           run_progress::whole, now);
+                           run_progress::whole,
+                           session->first_token_at.value_or(now), now);
         admission_.record_end(work, true, now);
         end(*session, now, deferred);
         admit(now, deferred);
@@ -342,7 +343,8 @@
         if (session == nullptr)
             return;
         poison_.record_run(suspected_work_of(session->request),
-                           run_progress::whole, now);
+                           run_progress::whole,
+                           session->first_token_at.value_or(now), now);
         admission_.record_end(work, true, now);
         if (answer.body.size() > settings_.max_answer_bytes) {
             refuse(*session, outcome_unknown(refusal_reason::answer_too_large),
--- a/src/libcyclamenrun/outcomes/gate_poison.cpp
+++ b/src/libcyclamenrun/outcomes/gate_poison.cpp
@@ -40,7 +40,7 @@
         return;
     session.settled = true;
     poison_.record_run(suspected_work_of(session.request),
-                       run_progress::settled, now);
+                       run_progress::settled, *session.first_token_at, now);
 }
 
 void gate::mark_lost(work_session& session, std::uint64_t loss, time_point now)
--- a/src/libcyclamenrun/outcomes/part_clearance.hpp
+++ b/src/libcyclamenrun/outcomes/part_clearance.hpp
@@ -9,13 +9,16 @@
 namespace cyclamenrun
 {
 
-/** A part of prompts has run well after it had been marked. */
+/**
+ * A part of prompts has run well. Losses before that run are not held against
+ * it, and those soon after it only if they show that the part has changed.
+ */
 struct part_clearance {
     std::uint64_t part = 0; ///< fingerprint
     /** Of the part's clearances; one who knows some adds the next. */
     std::uint32_t number = 0;
     std::uint64_t run = 0; ///< tells runs apart that others have cleared it by
-    time_point ran_at;
+    time_point ran_at;     ///< when the run began to write
 
     /**
      * Orders the clearances of a part. Their times do not: each message tells a
--- a/src/libcyclamenrun/outcomes/part_findings.cpp
+++ b/src/libcyclamenrun/outcomes/part_findings.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace cyclamenrun
 {
@@ -77,22 +78,6 @@
                         [&](auto part) { return accused.at(part).had_begun; });
 }
 
-/** The parts that the telling runs of each loss accuse. */
-std::unordered_map<std::uint64_t, std::vector<std::uint64_t>>
-accused_by_loss(const std::vector<const lost_run*>& runs,
-                const accusations_by_part& accused)
-{
-    std::unordered_map<std::uint64_t, std::set<std::uint64_t>> sets;
-    for (const auto* run : runs)
-        if (is_telling(*run, accused))
-            sets[run->loss].insert(run->work.parts.begin(),
-                                   run->work.parts.end());
-    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> by_loss;
-    for (const auto& [loss, parts] : sets)
-        by_loss[loss].assign(parts.begin(), parts.end());
-    return by_loss;
-}
-
 unsigned count_rounds(const accusations& against)
 {
     std::vector<accusation> runs;
@@ -113,47 +98,123 @@
     return rounds;
 }
 
+time_point last_loss_under(const accusations& against)
+{
+    time_point last{};
+    for (const auto& [loss, run] : against.by_loss)
+        last = std::max(last, run.lost_at);
+    return last;
+}
+
 part_findings::evidence weigh(const accusations& against)
 {
     part_findings::evidence found;
     found.losses = static_cast<unsigned>(against.by_loss.size());
     found.rounds = count_rounds(against);
     found.requests = static_cast<unsigned>(against.requests.size());
-    for (const auto& [loss, run] : against.by_loss)
-        found.last_loss = std::max(found.last_loss, run.lost_at);
+    found.last_loss = last_loss_under(against);
     found.convicted = found.losses >= rule.poison_weight &&
                       found.rounds >= rule.rounds &&
                       found.requests >= rule.requests;
     return found;
 }
 
+struct weighed_parts {
+    std::unordered_map<std::uint64_t, part_findings::evidence> evidence;
+    std::unordered_set<std::uint64_t> proven;    ///< parts that ran well before
+    std::unordered_set<std::uint64_t> explained; ///< losses, by other parts
+
+    bool answers_for(std::uint64_t part, std::uint64_t loss) const
+    {
+        return !proven.contains(part) || !explained.contains(loss);
+    }
+};
+
+/**
+ * Weighs what is held against each part. One that ran well before answers only
+ * for losses that no other part explains, and only if they are more rounds than
+ * are excused.
+ */
+weighed_parts weigh_parts(const accusations_by_part& accused,
+                          const part_findings::run_before& has_run_before)
+{
+    weighed_parts weighed;
+    for (const auto& [part, against] : accused) {
+        const auto found = weigh(against);
+        if (has_run_before(part, found.last_loss)) {
+            weighed.proven.insert(part);
+            continue;
+        }
+        weighed.evidence[part] = found;
+        // Parts of one request that is sent again are all lost as often.
+        if (found.rounds > rule.excused_rounds &&
+            found.requests >= rule.requests)
+            for (const auto& [loss, run] : against.by_loss)
+                weighed.explained.insert(loss);
+    }
+    for (const auto part : weighed.proven) {
+        auto against = accused.at(part);
+        std::erase_if(against.by_loss, [&](const auto& each) {
+            return weighed.explained.contains(each.first);
+        });
+        const auto found = weigh(against);
+        if (found.rounds > rule.excused_rounds)
+            weighed.evidence[part] = found;
+    }
+    return weighed;
+}
+
+/** The parts that the telling runs of each loss accuse. */
+std::unordered_map<std::uint64_t, std::vector<std::uint64_t>>
+accused_by_loss(const std::vector<const lost_run*>& runs,
+                const accusations_by_part& accused,
+                const weighed_parts& weighed)
+{
+    std::unordered_map<std::uint64_t, std::set<std::uint64_t>> sets;
+    for (const auto* run : runs) {
+        if (!is_telling(*run, accused))
+            continue;
+        for (const auto part : run->work.parts)
+            if (weighed.answers_for(part, run->loss))
+                sets[run->loss].insert(part);
+    }
+    std::unordered_map<std::uint64_t, std::vector<std::uint64_t>> by_loss;
+    for (const auto& [loss, parts] : sets)
+        by_loss[loss].assign(parts.begin(), parts.end());
+    return by_loss;
+}
+
 } // namespace
 
-part_findings::part_findings(const std::vector<lost_run>& runs)
+part_findings::part_findings(const std::vector<lost_run>& runs,
+                             const run_before& has_run_before)
 {
     const auto accusing = accusing_runs(runs);
     const auto accused = accuse(accusing);
-    for (const auto& [part, against] : accused) {
-        parts_[part] = weigh(against);
-        if (parts_[part].convicted)
+    auto weighed = weigh_parts(accused, has_run_before);
+    parts_ = std::move(weighed.evidence);
+    for (const auto& [part, found] : parts_)
+        if (found.convicted)
             convicted_.push_back(part);
-    }
     std::sort(convicted_.begin(), convicted_.end());
-    for (auto& [loss, parts] : accused_by_loss(accusing, accused)) {
+    for (auto& [loss, parts] : accused_by_loss(accusing, accused, weighed)) {
         if (!has_convicted(parts))
             continue;
         if (parts.size() == 1)
             parts_[parts.front()].certain = true;
         accused_together_.insert(std::move(parts));
     }
-    for (const auto& [part, against] : accused)
-        for (const auto& [loss, run] : against.by_loss)
-            if (parts_[part].certain)
+    for (const auto& [part, found] : parts_)
+        for (const auto& [loss, run] : accused.at(part).by_loss)
+            if (found.certain)
                 explained_.insert(loss);
-    for (const auto& [part, against] : accused)
-        parts_[part].suspected = std::any_of(
-            against.by_loss.begin(), against.by_loss.end(),
-            [this](const auto& each) { return !explain(each.first); });
+    for (auto& [part, found] : parts_) {
+        const auto& losses = accused.at(part).by_loss;
+        found.suspected =
+            std::any_of(losses.begin(), losses.end(), [this](const auto& each) {
+                return !explain(each.first);
+            });
+    }
 }
 
 const part_findings::evidence* part_findings::find(std::uint64_t part) const
--- a/src/libcyclamenrun/outcomes/part_findings.hpp
+++ b/src/libcyclamenrun/outcomes/part_findings.hpp
@@ -4,6 +4,7 @@
 #include "lost_run.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <unordered_map>
 #include <unordered_set>
@@ -17,7 +18,9 @@
  * upstreams, and which are convicted.
  *
  * A lost run accuses each of its parts. Where an upstream had begun to answer
- * some of its runs, those that waited accuse nothing. A convicted part is
+ * some of its runs, those that waited accuse nothing. A part that ran well
+ * shortly before is excused from a few losses, as `poison_rules` says: it was
+ * lost beside a deadly one, or it has turned deadly. A convicted part is
  * certain to be deadly if some loss accuses no other part; the losses under it
  * are explained and not held against others.
  */
@@ -36,9 +39,14 @@
         bool suspected = false; ///< a loss is not explained
     };
 
+    /** Whether a part ran well shortly before a loss. */
+    using run_before =
+        std::function<bool(std::uint64_t part, time_point lost_at)>;
+
     part_findings() = default;
     /** The parts of `runs` are those that no run has cleared since. */
-    explicit part_findings(const std::vector<lost_run>& runs);
+    part_findings(const std::vector<lost_run>& runs,
+                  const run_before& has_run_before);
 
     /** Null: nothing is held against the part. */
     const evidence* find(std::uint64_t part) const;
--- a/src/libcyclamenrun/outcomes/poison_register.cpp
+++ b/src/libcyclamenrun/outcomes/poison_register.cpp
@@ -30,6 +30,11 @@
 constexpr milliseconds trial_lifetime{60'000};
 /** Losses of a part after which two solo runs at once are too many. */
 constexpr unsigned confirmed_claim_losses = 3;
+/**
+ * A loss lets each process tell when its parts last ran well, if that is so
+ * much later than what others have told.
+ */
+constexpr milliseconds clearance_step{250};
 
 bool contains(const std::vector<std::uint64_t>& losses, std::uint64_t loss)
 {
@@ -65,11 +70,10 @@
 void poison_register::record_loss(const lost_run& run, time_point now)
 {
     auto accused = run;
-    std::erase_if(accused.work.parts, [&](auto part) {
-        return run.stage == run_stage::settled ||
-               recent_runs_.last(part, now).has_value();
-    });
+    if (run.stage == run_stage::settled)
+        accused.work.parts.clear();
     add_loss(accused, now);
+    clear_parts_run_here(accused.work, now);
 }
 
 void poison_register::add_loss(const lost_run& run, time_point now)
@@ -99,16 +103,17 @@
 }
 
 void poison_register::record_run(const suspected_work& work,
-                                 run_progress progress, time_point now)
+                                 run_progress progress, time_point began_at,
+                                 time_point now)
 {
     if (progress >= rule_of(suspect_kind::request).cleared_by)
         clear_request(work.request, now);
     if (progress < rule_of(suspect_kind::prompt_part).cleared_by)
         return;
     for (const auto part : work.parts) {
-        recent_runs_.record(part, now);
+        recent_runs_.record(part, began_at, now);
         if (findings(now).find(part) != nullptr)
-            clear_part_run_here(part, now, now);
+            clear_part_run_here(part, began_at, now);
     }
 }
 
@@ -127,8 +132,10 @@
                                           time_point now)
 {
     const auto known = cleared_parts_.find(part);
-    const auto number =
-        known == cleared_parts_.end() ? 1 : known->second.told.number + 1;
+    const bool is_known = known != cleared_parts_.end();
+    if (is_known && ran_at <= known->second.told.ran_at)
+        return;
+    const auto number = is_known ? known->second.told.number + 1 : 1;
     const auto run =
         static_cast<std::uint64_t>(ran_at.time_since_epoch().count());
     clear_part({part, number, run, ran_at}, now);
@@ -170,6 +177,19 @@
 }
 
 bool poison_register::is_cleared(std::uint64_t part, time_point lost_at) const
+{
+    const auto cleared = cleared_parts_.find(part);
+    return cleared != cleared_parts_.end() &&
+           lost_at < cleared->second.told.ran_at;
+}
+
+bool poison_register::has_run_well(std::uint64_t part) const
+{
+    return recent_runs_.contains(part) || cleared_parts_.contains(part);
+}
+
+bool poison_register::has_run_before(std::uint64_t part,
+                                     time_point lost_at) const
 {
     const auto cleared = cleared_parts_.find(part);
     return cleared != cleared_parts_.end() &&
@@ -187,8 +207,7 @@
 
 bool poison_register::is_untried(std::uint64_t part, time_point now) const
 {
-    return !recent_runs_.contains(part) && !cleared_parts_.contains(part) &&
-           findings(now).find(part) == nullptr;
+    return !has_run_well(part) && findings(now).find(part) == nullptr;
 }
 
 std::vector<std::uint64_t>
@@ -318,9 +337,15 @@
 void poison_register::clear_parts_run_here(const suspected_work& work,
                                            time_point now)
 {
-    for (const auto part : work.parts)
-        if (const auto ran_at = recent_runs_.last(part, now))
+    for (const auto part : work.parts) {
+        const auto ran_at = recent_runs_.last(part, now);
+        const auto known = cleared_parts_.find(part);
+        const bool is_news =
+            ran_at && (known == cleared_parts_.end() ||
+                       *ran_at >= known->second.told.ran_at + clearance_step);
+        if (is_news)
             clear_part_run_here(part, *ran_at, now);
+    }
 }
 
 std::size_t poison_register::count_recent_parts(const suspected_work& work,
--- a/src/libcyclamenrun/outcomes/poison_register.hpp
+++ b/src/libcyclamenrun/outcomes/poison_register.hpp
@@ -58,9 +58,12 @@
     // Evidence.
 
     void record_loss(const lost_run& run, time_point now);
-    /** Clears what a run shows to be harmless that has got so far. */
+    /**
+     * Clears what a run shows to be harmless that began to write then and has
+     * got so far.
+     */
     void record_run(const suspected_work& work, run_progress progress,
-                    time_point now);
+                    time_point began_at, time_point now);
     /**
      * Clears the marks of a loss after the process that was reported lost has
      * responded again.
@@ -185,12 +188,16 @@
     void add_loss(const lost_run& run, time_point now);
     void clear_request(std::uint64_t fingerprint, time_point now);
     void clear_part(const part_clearance& clearance, time_point now);
-    /** Clears a part that has run well here. */
+    /** Clears a part that has run well here, unless it ran later elsewhere. */
     void clear_part_run_here(std::uint64_t part, time_point ran_at,
                              time_point now);
-    /** Clears parts of a loss that another process tells of. */
+    /** Clears parts of a loss by the runs here. */
     void clear_parts_run_here(const suspected_work& work, time_point now);
     bool is_cleared(std::uint64_t part, time_point lost_at) const;
+    /** Whether the part is known to have run well, lately or before. */
+    bool has_run_well(std::uint64_t part) const;
+    /** Whether the part ran well shortly before this loss. */
+    bool has_run_before(std::uint64_t part, time_point lost_at) const;
     /** Whether nothing is known of a part, neither good nor bad. */
     bool is_untried(std::uint64_t part, time_point now) const;
     bool has_untried_part(const suspected_work& work, time_point now) const;
--- a/src/libcyclamenrun/outcomes/poison_rule.hpp
+++ b/src/libcyclamenrun/outcomes/poison_rule.hpp
@@ -32,6 +32,8 @@
     unsigned poison_weight;
     /** Lost runs of which each was sent after the one before was lost. */
     unsigned rounds;
+    /** Rounds that are not held against what ran well shortly before. */
+    unsigned excused_rounds;
     /** Different requests among the lost runs. */
     unsigned requests;
     run_progress cleared_by;
@@ -49,6 +51,7 @@
                 {2, 2, 1},
                 4,
                 1,
+                0,
                 1,
                 run_progress::whole},
     // Requests that crash together with a deadly one are lost at the same time,
@@ -59,6 +62,7 @@
                 {1, 1, 0},
                 3,
                 3,
+                1,
                 2,
                 run_progress::settled},
 };
--- a/src/libcyclamenrun/outcomes/poison_verdicts.cpp
+++ b/src/libcyclamenrun/outcomes/poison_verdicts.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+/** For a part that has run well: it may be lost beside a deadly one. */
+constexpr milliseconds proven_trial_delay{1'500};
 constexpr milliseconds first_trial_delay{60'000};
 constexpr milliseconds second_trial_delay{600'000};
 /** Sum of weights of a request from which there are no more trials. */
@@ -54,7 +56,10 @@
             runs.back().work.parts = accused_parts(known, loss.lost_at);
         }
     }
-    current.found = part_findings(runs);
+    current.found =
+        part_findings(runs, [this](std::uint64_t part, time_point lost_at) {
+            return has_run_before(part, lost_at);
+        });
     findings_ = std::move(current);
     return findings_;
 }
@@ -161,10 +166,13 @@
         const auto trials =
             against->rounds - rule_of(suspect_kind::prompt_part).rounds;
         auto trial = against->last_loss + mark_lifetime_;
+        const bool is_proven = has_run_well(part);
         if (trials == 0)
-            trial = against->last_loss + first_trial_delay;
+            trial = against->last_loss +
+                    (is_proven ? proven_trial_delay : first_trial_delay);
         else if (trials == 1 && against->losses < single_trial_losses)
-            trial = against->last_loss + second_trial_delay;
+            trial = against->last_loss +
+                    (is_proven ? first_trial_delay : second_trial_delay);
         if (!last || trial > last->next_trial)
             last = poison_grounds{suspect_kind::prompt_part, part,
                                   against->losses, trial};
--- a/src/libcyclamenrun/outcomes/recent_runs.cpp
+++ b/src/libcyclamenrun/outcomes/recent_runs.cpp
@@ -1,5 +1,7 @@
 #include "recent_runs.hpp"
 
+#include <algorithm>
+
 namespace cyclamenrun
 {
 
@@ -10,11 +12,13 @@
 
 } // namespace
 
-void recent_runs::record(std::uint64_t part, time_point now)
+void recent_runs::record(std::uint64_t part, time_point began_at,
+                         time_point now)
 {
     if (!runs_.contains(part))
         make_room(now);
-    runs_[part] = now;
+    auto& last = runs_[part];
+    last = std::max(last, began_at);
 }
 
 std::optional<time_point> recent_runs::last(std::uint64_t part,
--- a/src/libcyclamenrun/outcomes/recent_runs.hpp
+++ b/src/libcyclamenrun/outcomes/recent_runs.hpp
@@ -15,8 +15,9 @@
 class recent_runs
 {
 public:
-    void record(std::uint64_t part, time_point now);
-    /** When the part ran last; empty: not lately. */
+    /** Records a run that began to write then. */
+    void record(std::uint64_t part, time_point began_at, time_point now);
+    /** When the part last began a run; empty: not lately. */
     std::optional<time_point> last(std::uint64_t part, time_point now) const;
     /** Whether the part is known to have run, lately or before. */
     bool contains(std::uint64_t part) const { return runs_.contains(part); }
@@ -28,7 +29,7 @@
     std::unordered_map<std::uint64_t, time_point> runs_;
 };
 
-/** How long a run shows that its parts do not crash upstreams. */
+/** How long a run is known that shows its parts not to crash upstreams. */
 inline constexpr milliseconds clearance_time{10'000};
 
 } // namespace cyclamenrun
--- a/tests/gateway/test_poison_fleet.cpp
+++ b/tests/gateway/test_poison_fleet.cpp
@@ -208,6 +208,33 @@
     }
 }
 
+void run_disturbed(poison_fleet& fleet)
+{
+    for (int i = 0; i < 20; ++i) {
+        if (fleet.pick(2) == 0)
+            disturb(fleet);
+        fleet.run(milliseconds(50 + fleet.pick(2950)),
+                  8.0 * static_cast<double>(fleet.pick(3)),
+                  3.0 * static_cast<double>(fleet.pick(3)));
+    }
+}
+
+// Guards against a sound part that one half of a cut fleet refuses for long: of
+// what crashes the upstreams that both share, it knows only what it sent
+// itself.
+TEST(poison_fleet, lets_sound_parts_go_on_while_cut_into_halves)
+{
+    poison_fleet::shape of;
+    of.gateways = 18;
+    of.upstreams = 25;
+    of.shared_parts = 11;
+    of.max_prefill = milliseconds(300);
+    of.begun_before = 0;
+    poison_fleet fleet(of, 6480740019160869770U);
+    run_disturbed(fleet);
+    expect_bounds(fleet);
+}
+
 // Guards against late sends of deadly parts and against sound parts that stay
 // convicted, whatever is lost, restarted, paused, added or cut off in between.
 RC_GTEST_PROP(poison_fleet, keeps_its_bounds_whatever_happens, ())
@@ -222,13 +249,7 @@
     of.max_prefill = milliseconds(*rc::gen::element(300, 2000));
     of.begun_before = *rc::gen::element(0, 1);
     poison_fleet fleet(of, seed);
-    for (int i = 0; i < 20; ++i) {
-        if (fleet.pick(2) == 0)
-            disturb(fleet);
-        fleet.run(milliseconds(50 + fleet.pick(2950)),
-                  8.0 * static_cast<double>(fleet.pick(3)),
-                  3.0 * static_cast<double>(fleet.pick(3)));
-    }
+    run_disturbed(fleet);
     RC_ASSERT(fleet.worst_late_sends() <= allowed_late_sends);
     RC_ASSERT(fleet.longest_false_conviction() <= poison_fleet::contact_time);
 }
--- a/tests/gateway/test_poison_guard.cpp
+++ b/tests/gateway/test_poison_guard.cpp
@@ -112,6 +112,28 @@
     EXPECT_EQ(admit(work, at(61'001)), poison_admission::allowed);
 }
 
+// Guards against a part that is excused by its last run however often upstreams
+// crash under it, and against suspecting it for one crash.
+TEST_F(poison_guards, excuse_a_part_that_ran_well_from_one_round_of_crashes)
+{
+    guard.record_success("u1", suspected_work(1, {7}), at(0), at(1000));
+    const auto crash_part = [this](int request, int ms) {
+        const suspected_work lost(static_cast<std::uint64_t>(request), {7});
+        guard.record_crash("c" + std::to_string(request),
+                           {lost, 0, run_stage::beginning, at(ms), at(ms + 50)},
+                           at(ms + 50));
+    };
+    const suspected_work next(100, {7});
+    crash_part(2, 2000);
+    EXPECT_EQ(admit(next, at(2100)), poison_admission::allowed);
+    crash_part(3, 2200);
+    EXPECT_EQ(admit(next, at(2300)), poison_admission::solo);
+    crash_part(4, 2400);
+    EXPECT_EQ(admit(next, at(2500)), poison_admission::refused);
+    // Its own good run of before makes a trial worth while soon.
+    EXPECT_EQ(admit(next, at(4000)), poison_admission::trial);
+}
+
 // Guards against logs that don't tell a part that ran well until a crash from
 // one that is new.
 TEST_F(poison_guards, count_the_parts_that_ran_well_lately)
