--- a/tests/gateway/test_poison_fleet.cpp
+++ b/tests/gateway/test_poison_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <string>
 
 namespace cyclamenrun::testing_support
 {
@@ -120,9 +121,11 @@
 }
 
 void expect_a_part_that_turns_deadly_to_be_convicted(
-    const poison_fleet::shape& of, double sound_rate, double deadly_rate)
+    const poison_fleet::shape& of, double sound_rate, double deadly_rate,
+    std::uint64_t seeds = 10)
 {
-    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
         poison_fleet fleet(of, seed);
         fleet.run(milliseconds(12'000), sound_rate, 0);
         const auto before = fleet.take_counts();
@@ -130,8 +133,7 @@
         fleet.run(2 * poison_fleet::contact_time, sound_rate, deadly_rate);
         (void)fleet.take_counts();
         fleet.run(milliseconds(15'000), sound_rate, deadly_rate);
-        EXPECT_GE(share_begun(fleet.take_counts()), share_begun(before) / 2)
-            << "seed " << seed;
+        EXPECT_GE(share_begun(fleet.take_counts()), share_begun(before) / 2);
         expect_bounds(fleet);
     }
 }
@@ -158,6 +160,18 @@
     expect_a_part_that_turns_deadly_to_be_convicted(of, 100, 8);
 }
 
+// Guards against the same where each prompt has several parts that are rare.
+TEST(poison_fleet, convicts_a_part_that_turns_deadly_among_rare_ones)
+{
+    poison_fleet::shape of;
+    of.upstreams = 12;
+    of.deadly_parts = 0;
+    of.shared_parts = 100;
+    of.other_parts = 4;
+    of.max_prefill = milliseconds(300);
+    expect_a_part_that_turns_deadly_to_be_convicted(of, 30, 4, 40);
+}
+
 // Guards against news of convictions that is too slow for a large fleet.
 TEST(poison_fleet, keeps_its_bounds_with_370_gateways)
 {
