--- a/tests/gateway/poison_fleet.cpp
+++ b/tests/gateway/poison_fleet.cpp
@@ -313,11 +313,9 @@
     for (std::size_t i = 0; i < nodes.size(); ++i) {
         for (const auto part : sound_) {
             const auto key = std::pair(i, part);
-            const auto grounds =
-                guard_of(i).grounds(suspected_work(1, {part}), now);
-            // Once a trial is due, the next request runs.
             const bool refuses =
-                in_touch(i) && grounds && now < grounds->next_trial;
+                in_touch(i) &&
+                guard_of(i).is_poison(suspected_work(1, {part}), now);
             if (!refuses) {
                 refused_since_.erase(key);
                 continue;
