Log answers that callers have not read when their connection is closed

The logs could not show the second hypothesis: a gateway closes connections with output that waits, a second after the end of an answer and when it stops, and logs neither. A session reports it now (caller_timed_out, with the bytes), and the end of a drain is logged with the requests that still run and the callers that lack the end of an answer (drain_finished, drain_timed_out). A request that a killed process leaves has no line, before and after.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -314,6 +314,11 @@
         log_event(log_severity::warning, log_event_name::caller_refused,
                   {{log_key::reason, name_of(problem)}});
     };
+    hooks.on_untaken = [](std::size_t bytes) {
+        log_event(log_severity::warning, log_event_name::caller_timed_out,
+                  {{log_key::detail, "the answer was not read to its end"},
+                   {log_key::bytes, bytes}});
+    };
     return hooks;
 }
 
@@ -465,6 +470,15 @@
     return to_string(ready_server_->address());
 }
 
+void gateway_process::log_drain(bool complete) const
+{
+    log_event(complete ? log_severity::info : log_severity::error,
+              complete ? log_event_name::drain_finished
+                       : log_event_name::drain_timed_out,
+              {{log_key::running, context_->running.size()},
+               {log_key::count, caller_server_->untaken_answers()}});
+}
+
 bool gateway_process::drain()
 {
     const auto started_at = steady_now();
@@ -486,6 +500,7 @@
         std::this_thread::sleep_for(stop_check_interval);
         on_loop([&] { idle = context_->running.empty(); });
     }
+    on_loop([&] { log_drain(idle); });
     return idle;
 }
 
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -66,6 +66,7 @@
     std::string state_text();
     void refresh_gauges();
     void tick();
+    void log_drain(bool complete) const;
     void check_settings();
     void apply_settings(const gateway_settings& settings);
     void on_loop(const std::function<void()>& work);
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -136,6 +136,15 @@
     }
 }
 
+std::size_t http_server::untaken_answers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& weak) {
+            const auto session = weak.lock();
+            return session && session->has_untaken_answer();
+        }));
+}
+
 std::size_t http_server::connections()
 {
     remove_closed();
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -32,6 +32,8 @@
     void close_idle();
     /** Open connections, those of which nothing was read included. */
     std::size_t connections();
+    /** Connections whose callers lack the last bytes of an ended answer. */
+    std::size_t untaken_answers() const;
     std::size_t unread_connections() const { return unread_.size(); }
 
 private:
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -427,6 +427,8 @@
         return;
     }
     if (closing_) {
+        if (has_untaken_answer() && hooks_->on_untaken)
+            hooks_->on_untaken(connection_->unsent_bytes());
         connection_->close();
         return;
     }
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -49,6 +49,11 @@
     std::function<bool()> closes_first_answers;
     /** Called for each request that is rejected. */
     std::function<void(http_problem)> on_rejected;
+    /**
+     * Called when a connection is closed because its caller has not taken the
+     * last bytes of its answers in time, with their number.
+     */
+    std::function<void(std::size_t)> on_untaken;
 };
 
 /**
@@ -69,6 +74,11 @@
     /** Closes the connection if no request is in progress. */
     void close_if_idle();
     bool open() const { return connection_->open(); }
+    /** True if an answer has ended whose last bytes the caller lacks. */
+    bool has_untaken_answer() const
+    {
+        return open() && !serving_ && connection_->unsent_bytes() > 0;
+    }
 
 private:
     friend class session_writer;
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -57,7 +57,8 @@
     log_event_row{log_event_name::caller_refused, "caller_refused",
                   "The data that a caller sent was not a valid request."},
     log_event_row{log_event_name::caller_timed_out, "caller_timed_out",
-                  "A caller was too slow to send or to read."},
+                  "A caller was too slow to send or to read. A gateway "
+                  "names the bytes that were not read."},
     log_event_row{log_event_name::connections_refused, "connections_refused",
                   "New connections of callers are closed unread, since the "
                   "process lacks what reason names; callers try another "
@@ -123,7 +124,8 @@
     log_event_row{log_event_name::drain_finished, "drain_finished",
                   "All running work has ended."},
     log_event_row{log_event_name::drain_timed_out, "drain_timed_out",
-                  "The drain timed out while work was still running."},
+                  "The drain timed out while work was still running. At a "
+                  "gateway count callers had not read their answers' end."},
     log_event_row{log_event_name::poison_marked, "poison_marked",
                   "A request was marked as a suspect because its upstream was "
                   "lost while serving it."},
