Show answers without framing that look complete without their end, which fails

Each test has a caller of an answer that ends with its connection. What the caller got on this code, each time with an orderly end:

- a gateway program that is killed, aborts, crashes, is killed during a stop or whose stop grace ends: the part of the stream that was sent;
- the same for a caller of HTTP/1.0, and with output that waits for the caller;
- a caller that reads the end of a stream a second late, or after SIGTERM: some 100 KB less than the stream, since the connection is closed with output that waits, also while the process lives;
- a caller that ends sending while it reads;
- an entry's caller that reads too slowly: what fits into the buffers.

Two pass and guard the fix: an answer that has ended stays whole when the process is killed just after, and an entry's answer that is written to its end.

--- a/tests/gateway/gateway_fixture.cpp
+++ b/tests/gateway/gateway_fixture.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::chrono::seconds wait_timeout{10};
+constexpr std::size_t max_answer_bytes = std::size_t(64) << 20;
 
 gateway_route route(const std::string& prefix, const std::string& service)
 {
@@ -47,11 +48,23 @@
     start();
 }
 
+test_caller::test_caller(const std::string& address, int receive_buffer)
+    : socket_(Poco::Net::SocketAddress(address).family())
+{
+    // Only a buffer that is set before the connection bounds its window.
+    socket_.setReceiveBufferSize(receive_buffer);
+    socket_.connect(Poco::Net::SocketAddress(address));
+    socket_.setNoDelay(true);
+    socket_.setReceiveTimeout(Poco::Timespan(wait_timeout.count(), 0));
+    start();
+}
+
 void test_caller::start()
 {
     answer_ = {};
     reader_ = std::make_unique<http_reader>(
-        http_message_kind::response, http_limits{},
+        http_message_kind::response,
+        http_limits{.body_bytes = max_answer_bytes},
         http_reader::hooks{
             [this](http_head&& head) { answer_.head = std::move(head); },
             [this](std::string_view bytes) { answer_.body += bytes; },
--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -89,12 +89,18 @@
 {
 public:
     explicit test_caller(const std::string& address);
+    /** `receive_buffer`: bytes that the operating system keeps unread. */
+    test_caller(const std::string& address, int receive_buffer);
 
     void send(const std::string& bytes);
+    /** Sends no more, but goes on reading. */
+    void end_sending() { socket_.shutdownSend(); }
     /** Reads one response, or the part of it that arrives. */
     caller_answer read();
     /** Reads until the body contains the text; false if it never does. */
     bool wait_for_body(const std::string& text);
+    /** Reads what has arrived of the response, at most some kilobytes. */
+    bool read_some() { return receive(); }
     void disconnect() { socket_.close(); }
 
 private:
--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -89,7 +89,7 @@
                   while (!may_answer)
                       std::this_thread::sleep_for(milliseconds(5));
                   if (request.head.target.starts_with("/s/"))
-                      break_off(request, reply);
+                      answer_stream(request, reply);
                   else
                       reply.answer(request, 200, "hello",
                                    names_limit ? "Server-Limit: 0\r\n" : "");
@@ -140,6 +140,20 @@
         return caller.read().status();
     }
 
+    /** Waits until the program serves no request. */
+    bool wait_until_idle() const
+    {
+        const auto deadline = steady_now() + std::chrono::seconds(10);
+        while (steady_now() < deadline) {
+            test_caller asker(ready_address);
+            asker.send("GET /state HTTP/1.1\r\nHost: g\r\n\r\n");
+            if (asker.read().body.find("\"running\":0,") != std::string::npos)
+                return true;
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        return false;
+    }
+
     void wait_for_answer(const std::string& key, unsigned status)
     {
         const auto deadline = steady_now() + std::chrono::seconds(10);
@@ -163,6 +177,8 @@
     fake_store store;
     std::atomic<bool> may_answer = true;
     std::atomic<bool> names_limit = false; ///< the upstream, of zero
+    /** How the upstream answers requests for streams. */
+    fake_upstream::script answer_stream = break_off;
     fake_upstream upstream;
     temporary_settings_file settings;
     std::unique_ptr<child_process> process;
