End answers without framing by a reset unless they were finished

An answer without a length or chunks is marked as complete by the orderly end of its connection, and that is also how the kernel ends the connections of a process that is gone. Whether the answer is whole was thus decided by whoever closed the socket: the kernel, the end of the stop grace, the timeout of a closing connection, a caller that closed its side.

A session now sets its connection to end by a reset as soon as it writes a head without framing, and takes that back once the last byte has been handed to the operating system and sending ends. The kernel keeps the option when the process dies, so it holds for each way to end. The option is taken back before the shutdown, so that a process that dies between the two calls leaves a whole answer whole; the tail in the kernel's buffer is still delivered.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -312,6 +312,9 @@
         request_keep_alive_ = false;
     if (closes_after_answer())
         head.fields.push_back({"Connection", "close"});
+    // The kernel ends the connections of a process that dies in an orderly way.
+    if (framing == http_framing::connection)
+        connection_->reset_unless_finished();
     connection_->send(response_text(head, framing, body_bytes));
 }
 
--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -44,6 +44,13 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, keepalive_probes);
 }
 
+/** With it, the operating system ends the connection by a reset. */
+void set_reset_on_close(int socket, bool resets)
+{
+    const linger option{resets ? 1 : 0, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 bool would_block(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -156,9 +163,7 @@
 {
     if (!open_)
         return;
-    const linger reset_on_close{1, 0};
-    ::setsockopt(socket_.impl()->sockfd(), SOL_SOCKET, SO_LINGER,
-                 &reset_on_close, sizeof reset_on_close);
+    set_reset_on_close(socket_.impl()->sockfd(), true);
     close();
 }
 
@@ -174,7 +179,24 @@
 {
     end_sending_ = true;
     if (open_ && unsent_bytes() == 0)
-        ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+        finish_sending();
+}
+
+void tcp_connection::reset_unless_finished()
+{
+    if (!open_)
+        return;
+    resets_on_close_ = true;
+    set_reset_on_close(socket_.impl()->sockfd(), true);
+}
+
+void tcp_connection::finish_sending()
+{
+    // In this order: a process that dies between the calls must not reset what
+    // it has completed.
+    if (std::exchange(resets_on_close_, false))
+        set_reset_on_close(socket_.impl()->sockfd(), false);
+    ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
 }
 
 void tcp_connection::end(connection_end reason)
@@ -256,7 +278,7 @@
     compact_output();
     update_interest();
     if (unsent_before > 0 && unsent_bytes() == 0 && end_sending_)
-        ::shutdown(socket_.impl()->sockfd(), SHUT_WR);
+        finish_sending();
     const bool drained =
         unsent_before > low_water_ && unsent_bytes() <= low_water_;
     const auto on = hooks_;
--- a/src/libcyclamenrun/http/tcp_connection.hpp
+++ b/src/libcyclamenrun/http/tcp_connection.hpp
@@ -82,6 +82,13 @@
     void abort();
     /** Shuts down sending once the output buffer is empty. */
     void end_sending();
+    /**
+     * From now on the connection ends with a reset, whatever ends it, also the
+     * end of the process, unless end_sending() was called and all output has
+     * been handed to the operating system. For output that its peer takes for
+     * complete if the connection ends in an orderly way.
+     */
+    void reset_unless_finished();
 
     bool open() const { return open_; }
     bool established() const { return !connecting_; }
@@ -101,6 +108,7 @@
     void finish_connecting();
     void read_some();
     void write_some();
+    void finish_sending();
     void end(connection_end reason);
     void update_interest();
     /** Removes sent bytes from the output. */
@@ -119,6 +127,7 @@
     bool paused_ = false;
     bool flush_pending_ = false;
     bool end_sending_ = false;
+    bool resets_on_close_ = false;
 };
 
 } // namespace cyclamenrun
