Reset an entry's answer without framing that was not written to its end

A caller of an entry that read too slowly took a part of an answer as complete: the write timed out after what fits into the buffers, and the connection was closed in an orderly way, which is the end of an answer without framing. The death of the entry's process looked the same. The writer sets the connection to end by a reset before it sends the head, and takes that back once all is written.

unconfirmed_answers.are_reset_when_the_caller_reads_too_slowly failed before and passes. That a killed entry breaks such an answer off follows from the same option of the socket and has no test of its own with an entry's process.

--- a/src/libcyclamenrun/entry/http_caller_writer.cpp
+++ b/src/libcyclamenrun/entry/http_caller_writer.cpp
@@ -15,6 +15,27 @@
 namespace
 {
 
+/**
+ * Makes the connection of a request end with a reset, also if this process
+ * dies, until the answer is finished: the kernel would end it in an orderly
+ * way.
+ */
+class reset_unless_finished
+{
+public:
+    explicit reset_unless_finished(Poco::Net::HTTPServerRequest& request)
+        : socket_(
+              dynamic_cast<Poco::Net::HTTPServerRequestImpl&>(request).socket())
+    {
+        socket_.setLinger(true, 0);
+    }
+
+    void finish() { socket_.setLinger(false, 0); }
+
+private:
+    Poco::Net::StreamSocket& socket_;
+};
+
 /**
  * Appends one server-sent event. It has an id line only if the caller can
  * resume after it.
@@ -122,10 +143,14 @@
             static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
         response_.setContentType(content_type);
         response_.setKeepAlive(false);
+        reset_unless_finished ending(request_);
         auto& stream = response_.send();
         stream.write(body.data(), static_cast<std::streamsize>(body.size()));
         stream.flush();
-        return stream.good();
+        if (!stream.good())
+            return false;
+        ending.finish();
+        return true;
     } catch (const Poco::Exception&) {
         return false;
     }
