Keep a closing connection while its caller reads the end of its answer

A caller that read the end of a whole answer a second late lost it: some 100 KB of a large stream, and all that the kernel's buffers had no room for of other answers. A closing connection was closed after a second, with output that waits or not. That second is meant for what the caller still sends.

It is kept now while the caller takes output, with a pause of at most the idle timeout, unless the process holds more than it may. One that is given up is reset, also where a length or chunks would show the loss.

slow_callers.get_the_end_of_a_stream_late and untaken_answers.reach_a_caller_that_reads_with_pauses failed before and pass.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -396,7 +396,10 @@
     closing_ = true;
     drop_request();
     connection_->end_sending();
-    set_deadline(reactor_->awake_now() + linger_time);
+    const auto now = reactor_->awake_now();
+    untaken_bytes_ = connection_->unsent_bytes();
+    reader_deadline_ = now + limits_.idle_timeout;
+    set_deadline(now + linger_time);
 }
 
 void http_session::close_if_idle()
@@ -429,13 +432,34 @@
         set_deadline(std::max(deadline_, now + limits_.idle_timeout));
         return;
     }
-    if (closing_) {
-        if (has_untaken_answer() && hooks_->on_untaken)
-            hooks_->on_untaken(connection_->unsent_bytes());
+    if (!closing_)
+        close_gracefully();
+    else if (caller_still_reads(now))
+        set_deadline(now + linger_time);
+    else
+        close_late();
+}
+
+bool http_session::caller_still_reads(time_point now)
+{
+    const auto unsent = connection_->unsent_bytes();
+    const bool has_read = unsent < std::exchange(untaken_bytes_, unsent);
+    if (has_read)
+        reader_deadline_ = now + limits_.idle_timeout;
+    const auto& input = *reactor_->input();
+    const bool has_room = unsent == 0 || input.held() <= input.limit();
+    return has_room && (has_read || (unsent > 0 && now < reader_deadline_));
+}
+
+void http_session::close_late()
+{
+    if (!has_untaken_answer()) {
         connection_->close();
         return;
     }
-    close_gracefully();
+    if (hooks_->on_untaken)
+        hooks_->on_untaken(connection_->unsent_bytes());
+    connection_->abort();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -110,6 +110,13 @@
     void complete_answer();
     void next_request();
     void close_gracefully();
+    /**
+     * Whether a closing connection is kept, since its caller has taken a part
+     * of its answer lately. Not if the process holds more than it may.
+     */
+    bool caller_still_reads(time_point now);
+    /** Closes a closing connection, whether its caller has read all or not. */
+    void close_late();
     bool closes_after_answer() const;
     bool closes_first_answer() const;
     /** Sets when the caller has timed out, in awake time. */
@@ -128,9 +135,12 @@
     bool request_keep_alive_ = true;
     bool serving_ = false;
     bool closing_ = false;
-    bool awaits_output_ = false; ///< the next request waits for unsent bytes
-    std::size_t lingered_ = 0;   ///< bytes read since closing began
-    bool head_only_ = false;     ///< the current request is a HEAD
+    bool awaits_output_ = false;    ///< the next request waits for unsent bytes
+    std::size_t lingered_ = 0;      ///< bytes read since closing began
+    std::size_t untaken_bytes_ = 0; ///< of the answer, at the last check
+    /** Until then a caller that takes nothing may go on reading. */
+    time_point reader_deadline_;
+    bool head_only_ = false; ///< the current request is a HEAD
     http_framing framing_ = http_framing::none; ///< of the current answer
     /** Of the current answer; writers of other answers have no effect. */
     std::uint64_t answer_number_ = 0;
