Wait for callers that read the end of an answer before a process stops

A gateway that stopped counted a request as done once its answer was written to the connection, and exited with output that waited: the caller of a large stream lost its end. The drain now lasts until no caller lacks the end of an answer, or until the grace is nearly over.

slow_callers.get_the_end_of_a_stream_from_a_process_that_stops failed before and passes.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -498,7 +498,10 @@
     bool idle = false;
     while (!idle && steady_now() < drain_deadline) {
         std::this_thread::sleep_for(stop_check_interval);
-        on_loop([&] { idle = context_->running.empty(); });
+        on_loop([&] {
+            idle = context_->running.empty() &&
+                   caller_server_->untaken_answers() == 0;
+        });
     }
     on_loop([&] { log_drain(idle); });
     return idle;
