Answer requests that outlast a gateway's stop grace before it exits

A caller whose request still ran when the grace was nearly over got no answer: the process closed its connection, and logged that the caller had left. The request now gets the refusal that is true of it (502 upstream_lost where it may have run, 503 stopping where it has not), or its answer is broken off, before the process exits.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -461,37 +461,4 @@
         continuation_->engine_leaving(attempt_->upstream(), leaves_at);
 }
 
-// End of the request.
-
-void exchange::expire()
-{
-    if (conclusion_.over())
-        return;
-    // The upstream may never respond; later requests should avoid it.
-    if (awaits_response() && conclusion_.has_watched_attempt())
-        context_.upstreams.record_failure(attempt_->upstream().id,
-                                          context_.reactor->now());
-    conclusion_.expire();
-}
-
-void exchange::on_caller_disconnected()
-{
-    if (!conclusion_.over())
-        conclusion_.caller_left();
-}
-
-void exchange::end()
-{
-    const auto self = std::exchange(self_, nullptr);
-    context_.running.erase(this);
-    if (attempt_)
-        attempt_->cancel();
-    release_attempt();
-    permit_.release();
-    if (continuation_)
-        continuation_->cancel();
-    if (search_)
-        search_->cancel();
-}
-
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -38,6 +38,8 @@
 
     void start();
     void on_caller_disconnected();
+    /** Ends a request that still runs when its process is about to exit. */
+    void end_at_exit();
     /** Handles an upstream that leaves; `leaves_at` is empty if unknown. */
     void upstream_leaving(const std::string& upstream_id,
                           std::optional<time_point> leaves_at);
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <future>
 #include <random>
-#include <thread>
 #include <utility>
 
 namespace cyclamenrun
@@ -24,9 +23,6 @@
 constexpr milliseconds lease_margin{400};
 /** Interval at which expired leases and records are handled. */
 constexpr milliseconds tick_interval{100};
-/** The drain ends this long before the end of the stop grace. */
-constexpr milliseconds stop_margin{700};
-constexpr milliseconds stop_check_interval{20};
 /** Time in which other gateways hear of what this one has learnt. */
 constexpr milliseconds peer_news_time{300};
 
@@ -60,12 +56,6 @@
     return hosts;
 }
 
-milliseconds stop_grace(const gateway_settings& settings)
-{
-    return std::chrono::duration_cast<milliseconds>(
-        std::chrono::duration<double>(settings.stop_grace_s));
-}
-
 } // namespace
 
 gateway_process::gateway_process(const gateway_settings& settings,
@@ -93,9 +83,8 @@
         directory_->stop();
         relays_.reset();
         context_->crashes->stop();
-        for (auto* running :
-             std::vector(context_->running.begin(), context_->running.end()))
-            running->shared_from_this()->on_caller_disconnected();
+        for (const auto& each : running_requests())
+            each->on_caller_disconnected();
     });
     // Ends the loop's threads before the members that they use are destroyed.
     loop_.reset();
@@ -428,15 +417,21 @@
     export_rejected_messages(metrics);
 }
 
-void gateway_process::upstream_leaving(const std::string& id,
-                                       std::optional<time_point> leaves_at)
+std::vector<std::shared_ptr<exchange>> gateway_process::running_requests() const
 {
-    log_event(log_severity::info, log_event_name::upstream_leaving,
-              {{log_key::upstream, id}});
     std::vector<std::shared_ptr<exchange>> running;
     running.reserve(context_->running.size());
     for (auto* each : context_->running)
         running.push_back(each->shared_from_this());
+    return running;
+}
+
+void gateway_process::upstream_leaving(const std::string& id,
+                                       std::optional<time_point> leaves_at)
+{
+    log_event(log_severity::info, log_event_name::upstream_leaving,
+              {{log_key::upstream, id}});
+    auto running = running_requests();
     // If the budget does not suffice for all, the most work is saved first.
     std::stable_sort(running.begin(), running.end(),
                      [](const auto& left, const auto& right) {
@@ -470,41 +465,4 @@
     return to_string(ready_server_->address());
 }
 
-void gateway_process::log_drain(bool complete) const
-{
-    log_event(complete ? log_severity::info : log_severity::error,
-              complete ? log_event_name::drain_finished
-                       : log_event_name::drain_timed_out,
-              {{log_key::running, context_->running.size()},
-               {log_key::count, caller_server_->untaken_answers()}});
-}
-
-bool gateway_process::drain()
-{
-    const auto started_at = steady_now();
-    const auto drain_deadline =
-        started_at +
-        std::max(stop_grace(settings_) - stop_margin, milliseconds(0));
-    on_loop([this, drain_deadline] {
-        context_->stopping = true;
-        context_->stop_at = drain_deadline;
-    });
-    std::this_thread::sleep_until(
-        std::min(started_at + settings_.balancer_wait, drain_deadline));
-    on_loop([this] {
-        caller_server_->stop_accepting();
-        caller_server_->close_idle();
-    });
-    bool idle = false;
-    while (!idle && steady_now() < drain_deadline) {
-        std::this_thread::sleep_for(stop_check_interval);
-        on_loop([&] {
-            idle = context_->running.empty() &&
-                   caller_server_->untaken_answers() == 0;
-        });
-    }
-    on_loop([&] { log_drain(idle); });
-    return idle;
-}
-
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/gateway_process.hpp
+++ b/src/libcyclamenrun/gateway/gateway_process.hpp
@@ -41,8 +41,9 @@
     /**
      * Performs a planned stop. The gateway reports not ready at once, accepts
      * requests for as long as the balancer needs to notice, and then waits for
-     * the running requests. Returns false if requests still run when the grace
-     * in the settings is about to end.
+     * the running requests and for callers that still read. Returns false if
+     * the grace in the settings ends before; requests that still run are
+     * refused, or their answers broken off.
      */
     bool drain();
 
@@ -59,6 +60,8 @@
     session_hooks ready_hooks();
     session_limits limits() const;
 
+    /** Keeps them alive while they are told something. */
+    std::vector<std::shared_ptr<exchange>> running_requests() const;
     void upstream_leaving(const std::string& id,
                           std::optional<time_point> leaves_at);
     bool ready() const;
@@ -66,7 +69,11 @@
     std::string state_text();
     void refresh_gauges();
     void tick();
+    /** True if nothing runs and all callers have read their answers. */
+    bool is_drained() const;
     void log_drain(bool complete) const;
+    /** Ends the requests that outlast the stop grace. */
+    void end_running();
     void check_settings();
     void apply_settings(const gateway_settings& settings);
     void on_loop(const std::function<void()>& work);
--- a/tests/gateway/test_ended_gateways.cpp
+++ b/tests/gateway/test_ended_gateways.cpp
@@ -112,6 +112,24 @@
     EXPECT_NE(process->wait(), 0);
 }
 
+// Guards against a request without an answer: the process exits while the
+// request runs.
+TEST_F(ended_gateways, refuse_requests_that_outlast_the_stop_grace)
+{
+    shorten_grace();
+    may_answer = false;
+    test_caller caller(address);
+    caller.send(request_text("k1"));
+    upstream.wait_for(3);
+    process->signal(SIGTERM);
+    const auto answer = caller.read();
+    may_answer = true;
+    EXPECT_EQ(answer.status(), 502U);
+    EXPECT_TRUE(answer.whole);
+    EXPECT_TRUE(wait_for_log("\"event\":\"drain_timed_out\""));
+    EXPECT_TRUE(wait_for_log("\"reason\":\"upstream_lost\""));
+}
+
 TEST_F(ended_gateways, break_off_their_streams_when_killed_during_a_stop)
 {
     test_caller caller(address);
