Conclude that one version serves only from a view as new as the request

The class: a negative that is concluded from a view whose age nobody checks. What the conclusion needs is a read that was sent after the question. A request whose stream nobody knows, and that one version could have begun, now waits for such a read (directory_view) and looks again; it is refused if none returns in 1.5 s, and at once while the directory is known to be away. The feed reads soon then, at most five times a second, and does not wait for records.

Two faults beside it, found by the tests: - After the history was deleted, versions that came and went in between were never seen. The watch of the versions begins anew then. - Versions were remembered once a second, so a route with a timeout below that could count a version that serves as gone (a resumed stream then went on at the newer one). They are recorded before each conclusion.

--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -43,6 +43,9 @@
                : idle_wait;
 }
 
+/** Upstreams are listed for longer than this. */
+constexpr milliseconds min_listed_time{1000};
+
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
 
@@ -163,6 +166,18 @@
     on.items = [this](std::vector<upstream_change>&& changes, bool whole) {
         apply_upstreams(std::move(changes), whole);
     };
+    on.lost = [this](directory_problem problem) {
+        context_.view.mark_lost();
+        lost(upstream_feed_name, problem);
+    };
+    on.received = [this](const directory_page<upstream_change>&, bool whole,
+                         boot_time sent_at) {
+        if (whole)
+            note_missed_records(sent_at);
+    };
+    on.confirmed = [this](boot_time sent_at) {
+        context_.view.confirm(sent_at);
+    };
     on.pause = [pause = settings.upstream_pause] { return pause; };
     auto relayed = relay_hooks<upstream_change>(upstream_feed_name);
     relayed.read = read_upstreams;
@@ -177,6 +192,17 @@
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
         context_.reactor, feed, timing, std::move(on));
     upstreams_->start();
+    context_.view.set_hook([weak = std::weak_ptr(upstreams_)] {
+        if (const auto follower = weak.lock())
+            follower->read_soon();
+    });
+}
+
+void directory_watch::note_missed_records(boot_time newest_as_of)
+{
+    const auto& last = context_.view.as_of();
+    if (last && newest_as_of - *last > min_listed_time)
+        context_.versions.restart_watch(context_.reactor->now());
 }
 
 void directory_watch::retry_feeds()
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -76,6 +76,11 @@
      */
     void retry_feeds();
     void apply_upstreams(std::vector<upstream_change>&& changes, bool whole);
+    /**
+     * The newest records were read again, since the history was deleted:
+     * upstreams may have come and gone since the last read.
+     */
+    void note_missed_records(boot_time newest_as_of);
     void lost(std::string_view feed, directory_problem problem);
     void regained(std::string_view feed, duration outage);
     void unreadable(std::string_view feed,
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -69,8 +69,15 @@
     /** Finds out where the stream began, then dispatches the request. */
     void find_origin();
     void handle_origin(const std::optional<stream_origin>& known);
-    /** The only place where the stream can have begun, if there is one. */
+    /**
+     * The only place where the stream can have begun, if there is one, as far
+     * as this process has received the directory's records.
+     */
     std::optional<stream_origin> only_origin() const;
+    /** Goes on at that place once no record can be missing, or refuses. */
+    void confirm_only_origin();
+    /** Sends the request to where the stream began, if its route allows. */
+    void continue_at(const stream_origin& origin);
     /** Fixes the stream's version at its first event. */
     void fix_version();
     /** Refuses the request if no other upstream may continue its stream. */
--- a/src/libcyclamenrun/gateway/exchange_versions.cpp
+++ b/src/libcyclamenrun/gateway/exchange_versions.cpp
@@ -36,22 +36,41 @@
 
 void exchange::handle_origin(const std::optional<stream_origin>& known)
 {
-    const auto origin = known ? known : only_origin();
-    if (!origin) {
+    if (known)
+        continue_at(*known);
+    else if (only_origin())
+        confirm_only_origin();
+    else
         conclusion_.refuse(gateway_refusal::version_unknown);
-        return;
-    }
+}
+
+void exchange::confirm_only_origin()
+{
+    context_.confirm_directory_view([weak = weak_from_this()](bool confirmed) {
+        const auto self = weak.lock();
+        if (!self || self->conclusion_.over())
+            return;
+        const auto origin = confirmed ? self->only_origin() : std::nullopt;
+        if (origin)
+            self->continue_at(*origin);
+        else
+            self->conclusion_.refuse(gateway_refusal::version_unknown);
+    });
+}
+
+void exchange::continue_at(const stream_origin& origin)
+{
     const auto& services = served_.admitted.route->services;
     const bool is_routed =
         std::any_of(services.begin(), services.end(), [&](const auto& each) {
-            return each.service == origin->service;
+            return each.service == origin.service;
         });
     if (!is_routed) {
         conclusion_.refuse(gateway_refusal::version_gone);
         return;
     }
-    served_.version = origin->version;
-    set_service(origin->service);
+    served_.version = origin.version;
+    set_service(origin.service);
     dispatch();
 }
 
@@ -60,6 +79,7 @@
     const auto& route = *served_.admitted.route;
     if (route.services.size() != 1)
         return std::nullopt;
+    context_.record_versions();
     // No stream of this route that its caller still resumes is older.
     const auto& service = route.services.front().service;
     const auto version = context_.versions.only_version(
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -95,14 +95,47 @@
             read_at(steady_now());
     }
 
+    /**
+     * Reads as soon as the rate of reads allows, without waiting for new
+     * records: somebody needs to know whether there are any.
+     */
+    void read_soon()
+    {
+        reads_soon_ = true;
+        if (!reading_ && !lost_since_)
+            read_at(earliest_read());
+    }
+
 private:
     using page = directory_page<Item>;
 
+    /** Bounds the rate of reads by read_soon(). */
+    static constexpr milliseconds min_read_interval{200};
+
     milliseconds pause() const
     {
         return on_.pause ? on_.pause() : milliseconds(0);
     }
 
+    time_point earliest_read() const
+    {
+        return std::max(steady_now(), read_started_at_ + min_read_interval);
+    }
+
+    time_point next_regular_read() const
+    {
+        if (relayed_)
+            return steady_now();
+        return reads_soon_ ? earliest_read() : read_started_at_ + pause();
+    }
+
+    milliseconds next_wait() const
+    {
+        if (reads_soon_)
+            return milliseconds(0);
+        return on_.wait ? on_.wait() : timing_.wait;
+    }
+
     void read()
     {
         reading_ = true;
@@ -112,7 +145,8 @@
             if (const auto self = weak.lock())
                 self->handle_answer(std::move(result));
         };
-        const auto wait = on_.wait ? on_.wait() : timing_.wait;
+        const auto wait = next_wait();
+        reads_soon_ = false;
         if (offset_)
             feed_->read_from(*offset_, wait,
                              read_started_at_ + wait + timing_.answer_timeout,
@@ -144,7 +178,7 @@
         deliver_items(std::move(*result));
         if (on_.confirmed)
             on_.confirmed(sent_at);
-        read_at(relayed_ ? steady_now() : read_started_at_ + pause());
+        read_at(next_regular_read());
     }
 
     void deliver_items(page&& received)
@@ -196,6 +230,7 @@
     std::optional<std::uint64_t> offset_;
     bool reading_ = false;
     bool relayed_ = false;
+    bool reads_soon_ = false;
     time_point next_read_{};
     boot_time sent_at_{};
     time_point read_started_at_{};
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -16,6 +16,8 @@
 
 /** Versions of upstreams are remembered by the second. */
 constexpr milliseconds version_record_interval{1000};
+/** The read in progress ends first, and the next one follows its pause. */
+constexpr milliseconds directory_view_timeout{1500};
 
 } // namespace
 
@@ -172,12 +174,25 @@
     origins.set_hooks(std::move(on));
 }
 
-void gateway_context::record_versions()
+void gateway_context::record_versions_if_due()
 {
     const auto now = reactor->now();
     if (now < next_version_record)
         return;
     next_version_record = now + version_record_interval;
+    record_versions();
+}
+
+void gateway_context::confirm_directory_view(directory_view::handler on_known)
+{
+    const auto wait = view.wait_for(boot_now(), std::move(on_known));
+    reactor->post_timeout(reactor->awake_now() + directory_view_timeout,
+                          [this, wait] { view.give_up(wait); });
+}
+
+void gateway_context::record_versions()
+{
+    const auto now = reactor->now();
     upstreams.for_each([&](const upstream_record& record) {
         versions.record(record.service, record.version, now);
     });
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 #include "backup_policy.hpp"
 #include "configuration_lease.hpp"
 #include "crash_detector.hpp"
+#include "directory_view.hpp"
 #include "engine_clients.hpp"
 #include "evacuated_domains.hpp"
 #include "exported_metrics.hpp"
@@ -98,8 +99,15 @@
      * of gateways that may run, for one that knows no others yet.
      */
     void share_origins(std::vector<std::string> seeds);
-    /** Remembers the versions of the upstreams that are there now. */
+    /** Remembers the versions of the upstreams that are listed now. */
     void record_versions();
+    /** Does that each second, since a stream may outlive its upstreams. */
+    void record_versions_if_due();
+    /**
+     * Calls `on_known` with true once all records have been received that the
+     * directory holds now, or with false if that takes too long.
+     */
+    void confirm_directory_view(directory_view::handler on_known);
     /** Software version of an upstream's process; empty: unknown. */
     std::string version_of(const upstream_record& upstream) const;
     /** Tables that this gateway shares with the others. */
@@ -140,6 +148,7 @@
     evacuated_domains evacuated;
     repeat_loans loans;
     service_versions versions;
+    directory_view view; ///< of the upstreams
     stream_origins origins;
     upstream_choice choice;
     poison_guard poison;
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -448,7 +448,7 @@
     directory_->tick();
     context_->update_gateway_count();
     context_->remove_warm();
-    context_->record_versions();
+    context_->record_versions_if_due();
     context_->poison.tick(context_->reactor->now());
     check_settings();
     context_->reactor->post_at(context_->reactor->now() + tick_interval,
--- a/src/libcyclamenrun/gateway/service_versions.cpp
+++ b/src/libcyclamenrun/gateway/service_versions.cpp
@@ -33,12 +33,18 @@
         services_.erase(service);
 }
 
+void service_versions::restart_watch(time_point now)
+{
+    for (auto& [name, history] : services_)
+        history.watched_since = now;
+}
+
 std::optional<std::string>
 service_versions::only_version(const std::string& service, milliseconds time,
                                time_point now) const
 {
     const auto found = services_.find(service);
-    if (found == services_.end() || now - found->second.first_seen < time)
+    if (found == services_.end() || now - found->second.watched_since < time)
         return std::nullopt;
     std::optional<std::string> only;
     for (const auto& [version, last_seen] : found->second.last_seen) {
--- a/src/libcyclamenrun/gateway/service_versions.hpp
+++ b/src/libcyclamenrun/gateway/service_versions.hpp
@@ -21,6 +21,9 @@
     void record(const std::string& service, const std::string& version,
                 time_point now);
 
+    /** Records may have been missed before `now`. */
+    void restart_watch(time_point now);
+
     /**
      * The one version that a service has had for this time. Empty if it had
      * several, or if this process has not watched it for so long.
@@ -33,7 +36,7 @@
 
 private:
     struct service_history {
-        time_point first_seen;
+        time_point watched_since;
         std::map<std::string, time_point> last_seen; ///< by version
     };
 
