Let the output of slow callers wait in each run of their tests

slow_callers.see_that_the_end_of_a_stream_is_lost_with_the_process failed once beside other tests (the caller got the whole stream). The kernel frees its buffer in large steps, so that at the end of the stream nothing had to wait in the gateway. The upstream now goes on sending until the gateway holds 64 KB for the caller, which reads nothing meanwhile; a check says so before the test goes on. The checks of the tests stay.

--- a/tests/gateway/gateway_fixture.hpp
+++ b/tests/gateway/gateway_fixture.hpp
@@ -99,8 +99,6 @@
     caller_answer read();
     /** Reads until the body contains the text; false if it never does. */
     bool wait_for_body(const std::string& text);
-    /** Reads what has arrived of the response, at most some kilobytes. */
-    bool read_some() { return receive(); }
     void disconnect() { socket_.close(); }
 
 private:
--- a/tests/gateway/gateway_program.hpp
+++ b/tests/gateway/gateway_program.hpp
@@ -145,15 +145,20 @@
     {
         const auto deadline = steady_now() + std::chrono::seconds(10);
         while (steady_now() < deadline) {
-            test_caller asker(ready_address);
-            asker.send("GET /state HTTP/1.1\r\nHost: g\r\n\r\n");
-            if (asker.read().body.find("\"running\":0,") != std::string::npos)
+            if (program_state().find("\"running\":0,") != std::string::npos)
                 return true;
             std::this_thread::sleep_for(milliseconds(5));
         }
         return false;
     }
 
+    std::string program_state() const
+    {
+        test_caller asker(ready_address);
+        asker.send("GET /state HTTP/1.1\r\nHost: g\r\n\r\n");
+        return asker.read().body;
+    }
+
     void wait_for_answer(const std::string& key, unsigned status)
     {
         const auto deadline = steady_now() + std::chrono::seconds(10);
--- a/tests/gateway/test_ended_gateways.cpp
+++ b/tests/gateway/test_ended_gateways.cpp
@@ -192,7 +192,7 @@
     EXPECT_EQ(answer.body, large_event(1));
 }
 
-/** A caller that reads an unframed answer until its exchange has ended. */
+/** A caller of an ended stream whose last bytes wait in the gateway. */
 class slow_callers : public ended_gateways
 {
 protected:
@@ -201,30 +201,35 @@
         answer_stream = [this](const arrived_request& request,
                                upstream_reply& reply) {
             reply.begin_unframed(request);
-            reply.send(stream);
+            do {
+                const auto event = large_event(++events);
+                reply.send(event);
+                stream += event;
+            } while (held_bytes() < waiting_bytes);
             reply.close();
-            sent = true;
         };
     }
 
+    /** Begins the stream and waits for its end, but does not read it. */
     void begin(test_caller& caller)
     {
         caller.send(request_text("k1", "/s/x"));
-        while (!sent)
-            ASSERT_TRUE(caller.read_some());
-        while (!idle())
-            ASSERT_TRUE(caller.read_some());
+        upstream.wait_for(2);
+        ASSERT_TRUE(wait_until_idle());
+        ASSERT_GE(held_bytes(), waiting_bytes / 2);
     }
 
-    bool idle() const
+    /** Bytes that the gateway holds, those for the caller included. */
+    std::size_t held_bytes() const
     {
-        test_caller asker(ready_address);
-        asker.send("GET /state HTTP/1.1\r\nHost: g\r\n\r\n");
-        return asker.read().body.find("\"running\":0,") != std::string::npos;
+        const std::string name = "\"input_bytes\":";
+        const auto state = program_state();
+        return std::stoul(state.substr(state.find(name) + name.size()));
     }
 
-    const std::string stream = large_stream();
-    std::atomic<bool> sent = false;
+    static constexpr std::size_t waiting_bytes = std::size_t(64) << 10;
+    std::uint64_t events = 0;
+    std::string stream; ///< sent by the upstream
 };
 
 // Guards against a whole stream whose end is dropped: its caller still reads
