Soak gateway programs with signals, restarts and changes drawn from a seed

Three gateway programs that know each other, three upstreams of two software versions; SIGKILL, SIGABRT, SIGTERM once, twice and before SIGKILL, pauses, kills in pauses, SIGHUP with a new configuration, a version that joins and leaves, in series that overlap. Eight callers keep their connections open until the process is gone, resume streams at any gateway, and judge each answer by its end: whole and of one version, or visibly broken off, or a refusal that is true; what must not repeat runs once.

--- /dev/null
+++ b/tests/gateway/program_soak.hpp
@@ -0,0 +1,100 @@
+#ifndef CYCLAMENRUN_TESTS_PROGRAM_SOAK_HPP
+#define CYCLAMENRUN_TESTS_PROGRAM_SOAK_HPP
+
+#include "gateway_program.hpp"
+
+#include <deque>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+
+namespace cyclamenrun::testing_support
+{
+
+/** What callers of a soak saw. */
+struct soak_report {
+    int whole = 0;      ///< answers to their end
+    int broken_off = 0; ///< visibly incomplete
+    int resumed = 0;    ///< streams that went on after a break
+    int refused = 0;
+    std::vector<std::string> violations;
+};
+
+/**
+ * Gateway programs before upstreams of two software versions, disturbed by
+ * signals, restarts and changes in series that a seed draws. Callers keep their
+ * connections open until the process is gone and judge each answer by its end.
+ */
+class program_soak
+{
+public:
+    static constexpr std::size_t gateways = 3;
+    static constexpr int last_event = 8;
+
+    explicit program_soak(unsigned seed);
+    ~program_soak();
+    program_soak(const program_soak&) = delete;
+    program_soak& operator=(const program_soak&) = delete;
+
+    /** Disturbs the programs for this time, lets them recover, and reports. */
+    soak_report run(milliseconds time);
+
+private:
+    struct program {
+        std::unique_ptr<temporary_settings_file> settings;
+        std::unique_ptr<child_process> process;
+        std::string address;
+    };
+    struct action {
+        time_point at;
+        std::function<void()> act;
+    };
+    /** A caller's stream over all its tries. */
+    struct stream_so_far {
+        std::string first_id;
+        std::string body;
+        int next_event = 1;
+        bool complete = false;
+    };
+
+    void start(std::size_t index);
+    void publish_configuration();
+    void list(const std::string& id, const fake_upstream& upstream,
+              const std::string& version, const std::string& state);
+    void respond(const std::string& version, const arrived_request& request,
+                 upstream_reply& reply);
+    void disturb();
+    void run_due_actions();
+    void later(milliseconds delay, std::function<void()> act);
+
+    void call(std::mt19937_64 random);
+    /** Sends one request on a connection; false if that must be closed. */
+    bool request_once(std::mt19937_64& random, test_caller& caller,
+                      stream_so_far& stream);
+    void judge_plain(const caller_answer& answer, const std::string& id,
+                     bool repeatable);
+    void judge_stream(const caller_answer& answer, stream_so_far& stream);
+    void violate(const std::string& what);
+    std::string address_of(std::size_t index);
+    std::string text_of(const std::string& path, const std::string& id,
+                        const stream_so_far& stream) const;
+
+    std::mt19937_64 random_;
+    fake_store store_;
+    std::mutex mutex_;
+    soak_report report_;
+    std::map<std::string, int> runs_; ///< of requests that must not repeat
+    int last_id_ = 0;
+    int configuration_version_ = 0;
+    std::atomic<bool> ending_ = false;
+    std::deque<action> actions_;
+    fake_upstream first_;
+    fake_upstream second_;
+    fake_upstream newer_;
+    std::array<program, gateways> programs_;
+};
+
+} // namespace cyclamenrun::testing_support
+
+#endif // CYCLAMENRUN_TESTS_PROGRAM_SOAK_HPP
