--- a/tests/gateway/program_soak.cpp
+++ b/tests/gateway/program_soak.cpp
@@ -231,6 +231,7 @@
 soak_report program_soak::run(milliseconds time)
 {
     std::vector<std::thread> threads;
+    threads.reserve(callers);
     for (int i = 0; i < callers; ++i)
         threads.emplace_back(
             [this, seed = random_()] { call(std::mt19937_64(seed)); });
--- a/tests/gateway/test_ended_gateways.cpp
+++ b/tests/gateway/test_ended_gateways.cpp
@@ -1,16 +1,10 @@
 #include "gateway_program.hpp"
 
-#include "http_text.hpp"
-
-#include <gmock/gmock.h>
-
 namespace cyclamenrun::testing_support
 {
 namespace
 {
 
-using testing::StartsWith;
-
 constexpr std::size_t large_stream_bytes = std::size_t(12) << 20;
 constexpr int small_receive_buffer = 4096;
 
--- a/tests/gateway/test_odd_entries.cpp
+++ b/tests/gateway/test_odd_entries.cpp
@@ -53,7 +53,9 @@
           std::string("\\u0000"), std::string("\\ud800"),
           std::string("\xc3\x28"), std::string(200'000, 'v')}) {
         for (const auto* field : {"version", "zone", "service"})
-            add(entry_with(address + ",\"" + field + "\":\"" + text + "\""));
+            add(entry_with(
+                std::string(address).append(",\"").append(field).append(
+                    "\":\"" + text + "\"")));
         odd.push_back({text.substr(0, 200), entry_with(address)});
     }
     for (const auto* text : {"", "{", "[]", "7", "\"x\"", "null", "{}"})
