Join the served connections' threads of a fake upstream, and renew records in a test

Under the thread sanitizer two tests ended in its runtime (CHECK failed in MapThreadTrace): it has room for a few thousand threads that are not joined, and a fake upstream joined its connections' threads only at its own end. The soak and connection_surges.cost_little_processor_time, which is older, reached that.

stale_views.resume_streams_that_only_one_version_can_have_begun failed in two of four runs there: its store had no heartbeats, so that a read that began just before the request was held for 3 s. The test renews a record all the time now, as upstreams do; four of four runs at once pass.

--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/NetException.h>
 #include <array>
 #include <chrono>
+#include <memory>
 
 namespace cyclamenrun::testing_support
 {
@@ -167,15 +168,34 @@
 
 void fake_upstream::accept()
 {
+    // One for each of threads_, true once it has served its connection.
+    std::vector<std::shared_ptr<std::atomic<bool>>> served;
+    // Sanitizers have room for a few thousand threads that are not joined.
+    const auto join_served = [&] {
+        for (std::size_t i = served.size(); i-- > 0;) {
+            if (!*served[i])
+                continue;
+            threads_[i].join();
+            const auto at = static_cast<std::ptrdiff_t>(i);
+            threads_.erase(threads_.begin() + at);
+            served.erase(served.begin() + at);
+        }
+    };
     try {
         while (!stopping_) {
             auto socket = listener_.acceptConnection();
             if (stopping_)
                 break;
             socket.setNoDelay(true);
+            join_served();
+            const auto ended = std::make_shared<std::atomic<bool>>(false);
             const std::scoped_lock lock(mutex_);
             sockets_.push_back(socket);
-            threads_.emplace_back([this, socket] { serve(socket); });
+            served.push_back(ended);
+            threads_.emplace_back([this, socket, ended] {
+                serve(socket);
+                *ended = true;
+            });
         }
     } catch (const Poco::Exception&) {
         // crash() has shut the listener down.
--- a/tests/gateway/test_stale_views.cpp
+++ b/tests/gateway/test_stale_views.cpp
@@ -1,5 +1,7 @@
 #include "gateway_program.hpp"
 
+#include <future>
+
 namespace cyclamenrun::testing_support
 {
 namespace
@@ -109,9 +111,11 @@
     std::this_thread::sleep_for(2 * watch_time);
     test_caller caller(address);
     send_resume(caller);
+    auto reading = std::async([&caller] { return caller.read(); });
     // Upstreams renew their records all the time, which ends a read.
-    put_upstream("ready");
-    const auto answer = caller.read();
+    while (reading.wait_for(milliseconds(100)) != std::future_status::ready)
+        put_upstream("ready");
+    const auto answer = reading.get();
     EXPECT_EQ(answer.status(), 200U);
     EXPECT_EQ(answer.body, event_text(5));
 }
