--- a/review/standins/engine.hpp
+++ b/review/standins/engine.hpp
@@ -8,6 +8,7 @@
 #include "store.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace review
 {
@@ -27,6 +28,37 @@
            "\n\n";
 }
 
+/** Copies of runs' memory that runners hold: "IP:PORT/ID". */
+class copies
+{
+public:
+    void add(const std::string& name)
+    {
+        const std::scoped_lock lock(mutex_);
+        names_.insert(name);
+    }
+    /** Uses a copy; false if there is none. */
+    bool use(const std::string& name)
+    {
+        const std::scoped_lock lock(mutex_);
+        return names_.erase(name) > 0;
+    }
+
+private:
+    std::mutex mutex_;
+    std::set<std::string> names_;
+};
+
+/** The time in which a runner worked on a request. */
+struct run {
+    std::string id;
+    std::string path;
+    std::string runner;
+    time_point began;
+    time_point ended;
+    bool goes_on = false; ///< from the memory of a run before
+};
+
 struct engine_settings {
     std::string id;
     std::string service;
@@ -36,6 +68,14 @@
     int event_ms = 30;      ///< time for each
     int slots = 24;
     int memory_tokens = 34267;
+    /** Where copies of runs are kept; null: the runner makes none. */
+    copies* backups = nullptr;
+    /**
+     * If it returns true, the answer is lost after `lost_after` events: its
+     * channel is reset, and the request runs to its end.
+     */
+    std::function<bool()> loses_answer = {};
+    int lost_after = 15;
 };
 
 class engine
@@ -61,8 +101,8 @@
         end(true);
     }
     const engine_settings& settings() const { return settings_; }
-    /** Requests that this runner ran: id and path. */
-    std::vector<std::pair<std::string, std::string>> runs() const
+    /** Requests that this runner ran or runs. */
+    std::vector<run> runs() const
     {
         const std::scoped_lock lock(mutex_);
         return runs_;
@@ -144,28 +184,72 @@
         }
         return stream(request, id, to);
     }
+    /** The event before the first one of a run that goes on; 0: a new run. */
+    static int events_before(const message& request)
+    {
+        return std::atoi(request.field("Last-Event-Id").c_str());
+    }
     bool stream(const message& request, const std::string& id, connection& to)
     {
+        const auto from = request.field("Kv-From");
+        if (!from.empty() &&
+            (settings_.backups == nullptr || !settings_.backups->use(from)))
+            return to.send(response_text(
+                503, "Attempt-Id: " + id + "\r\nNot-Executed: 1\r\n", ""));
+        std::size_t number = 0;
         {
             const std::scoped_lock lock(mutex_);
-            runs_.emplace_back(id, request.path());
-            active_[id] =
-                std::atoi(request.field("Token-Usage").c_str()) + 4;
+            number = runs_.size();
+            runs_.push_back({id, request.path(), settings_.id,
+                             clock_type::now(), time_point::max(),
+                             !from.empty()});
+            active_[id] = std::atoi(request.field("Token-Usage").c_str()) + 4;
         }
         log_.write("runner " + settings_.id + " of service " +
                    settings_.service + " runs " + id + " " + request.path() +
-                   ", Expect-Instance " + request.field("Expect-Instance"));
+                   ", Expect-Instance " + request.field("Expect-Instance") +
+                   (from.empty() ? "" : ", Kv-From " + from) +
+                   (request.field("Last-Event-Id").empty()
+                        ? ""
+                        : ", Last-Event-Id " + request.field("Last-Event-Id")));
+        const bool complete = generate(request, id, to);
+        log_.write("runner " + settings_.id + " has ended its work on " + id);
+        const std::scoped_lock lock(mutex_);
+        runs_[number].ended = clock_type::now();
+        active_.erase(id);
+        return complete;
+    }
+    bool generate(const message& request, const std::string& id,
+                  connection& to)
+    {
+        const bool loses =
+            settings_.loses_answer && settings_.loses_answer();
+        const auto backup = request.field("Kv-Backup");
+        const int first = events_before(request) + 1;
         bool open = to.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
                             "\r\nResponse-Seal: " + settings_.id + "." + id +
                             "\r\nContent-Type: text/event-stream\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n");
-        for (int i = 1; open && !ended_ && i <= settings_.events; ++i) {
+        bool lost = false;
+        for (int i = first; (open || lost) && !ended_ && i <= settings_.events;
+             ++i) {
             sleep_ms(settings_.event_ms);
+            if (!backup.empty() && settings_.backups != nullptr && i % 5 == 0)
+                settings_.backups->add(backup + "/" + id);
+            if (lost)
+                continue;
             open = !to.peer_gone() && to.send(chunk(event_text(i)));
+            if (open && loses && i == settings_.lost_after) {
+                log_.write("runner " + settings_.id + " loses its answer to " +
+                           id + ", by a reset; it runs on");
+                to.reset();
+                open = false;
+                lost = true;
+            }
         }
         const bool complete = open && !ended_ && to.send("0\r\n\r\n");
-        const std::scoped_lock lock(mutex_);
-        active_.erase(id);
+        if (complete && !backup.empty() && settings_.backups != nullptr)
+            settings_.backups->use(backup + "/" + id);
         return complete;
     }
 
@@ -175,7 +259,7 @@
     std::int64_t born_;
     int sequence_ = 0;
     mutable std::mutex mutex_;
-    std::vector<std::pair<std::string, std::string>> runs_;
+    std::vector<run> runs_;
     std::map<std::string, int> active_; ///< tokens of each run
     std::atomic<bool> ended_ = false;
     std::unique_ptr<server> server_;
--- a/review/standins/programs.hpp
+++ b/review/standins/programs.hpp
@@ -140,7 +140,8 @@
 /** Settings as deploy/gateway.toml.in renders them. */
 inline std::string gateway_settings(const network& net, int number,
                                     const std::string& zone,
-                                    const std::vector<int>& seeds)
+                                    const std::vector<int>& seeds,
+                                    int store_host = 1)
 {
     const auto at = [&](int port) {
         return "\"" + endpoint{net.host(number), net.port(port)}.text() + "\"";
@@ -155,7 +156,7 @@
            "\nready_listen = " + at(ready_port) +
            "\nmetrics_listen = " + at(metrics_port) +
            "\nmemory_mb = 110\n\n[directory]\naddress = \"" +
-           endpoint{net.host(1), net.port(store_port)}.text() +
+           endpoint{net.host(store_host), net.port(store_port)}.text() +
            "\"\nconfiguration_lease_ms = 5000\n\n[loads]\nlisten = " +
            at(first_internal_port) + "\nmonitor_port = " +
            std::to_string(net.port(first_internal_port)) +
@@ -167,7 +168,8 @@
 }
 
 /** Settings as deploy/monitor.toml.in renders them. */
-inline std::string monitor_settings(const network& net, int number)
+inline std::string monitor_settings(const network& net, int number,
+                                    int store_host = 1)
 {
     const auto at = [&](int port) {
         return "\"" + endpoint{net.host(number), net.port(port)}.text() + "\"";
@@ -177,7 +179,7 @@
            "\nengine = " + at(engine_port) +
            "\nmetrics_listen = " + at(metrics_port) +
            "\n\n[directory]\naddress = \"" +
-           endpoint{net.host(1), net.port(store_port)}.text() + "\"\n";
+           endpoint{net.host(store_host), net.port(store_port)}.text() + "\"\n";
 }
 
 /** Writes settings and starts a program with them. */
