--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -150,7 +150,7 @@
                     }
                     sleep_ms(50); // a runner may be about to run it
                     const std::scoped_lock lock(mutex);
-                    if (!kept || !ran.contains(id))
+                    if (ending || !kept || !ran.contains(id))
                         break;
                     ++lost[number];
                     log.write("client " + id + ": passed on by gateway " +
@@ -193,6 +193,8 @@
         }
     }
     ending = true;
+    // First, since a stream without a runner waits for its whole time budget.
+    edges.clear();
     for (const auto& each : runners)
         each->crash();
     for (auto& each : clients)
@@ -209,7 +211,6 @@
     }
     log.write(verdict);
     std::cout << verdict << '\n';
-    edges.clear();
     programs.clear();
     if (answered < 100)
         return 2;
--- a/review/standins/programs.hpp
+++ b/review/standins/programs.hpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <memory>
 #include <random>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace review
@@ -91,6 +92,8 @@
         pid_ = ::fork();
         if (pid_ != 0)
             return;
+        // Ends with the case, also if that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out =
             ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, 1);
