Deliver the results of searches and checks from the reactor

What callers saw: in a release, a gateway's process ended by itself (heap corrupted) and took with it what it had passed on from kept connections.

Cause: copy_turn_search::start() requests candidates; without any it called `none` at once. The mover's handler drops the search, whose only owner it is, and start() went on with schedule_request_more() on freed memory; its timer holds a weak pointer into the freed block. It happens when the only destination of a move has just answered that it has no room, since that one is left out once.

The same shape stood on related paths: load_probe::start() reported at once without engines, crash_detector::check() for a crash that is known. Their callers survived since nothing of the owner was used after the call.

Change: results are posted, so that no hook is called before the call that asks has returned. upstream_attempt holds itself while it reports, exchange::start() likewise, and the hooks of a copy turn search hold its mover by a weak pointer.

--- a/src/libcyclamenrun/gateway/copy_turn_search.cpp
+++ b/src/libcyclamenrun/gateway/copy_turn_search.cpp
@@ -71,10 +71,15 @@
 {
     if (over_ || !requested_.empty())
         return;
-    over_ = true;
-    // Copied, since the call may destroy the owner of this search.
-    const auto none = on_.none;
-    none();
+    // Posted, since the call may destroy the owner of this search, which may
+    // be inside start().
+    context_.reactor->post([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->over_ || !self->requested_.empty())
+            return;
+        self->over_ = true;
+        self->on_.none();
+    });
 }
 
 void copy_turn_search::schedule_request_more()
@@ -161,9 +166,7 @@
     std::erase_if(requested_, [&](const requested_engine& each) {
         return each.engine.id != best->id;
     });
-    // Copied, since the call may destroy the owner of this search.
-    const auto found = on_.found;
-    found(*best);
+    on_.found(*best);
 }
 
 void copy_turn_search::end()
--- a/src/libcyclamenrun/gateway/copy_turn_search.hpp
+++ b/src/libcyclamenrun/gateway/copy_turn_search.hpp
@@ -19,6 +19,9 @@
  * granted, and releases the others. The monitor of an engine that leaves or has
  * no room refuses. If gateways chose by load reports alone, many copies would
  * queue at the same engine until their sources are reclaimed.
+ *
+ * `found` and `none` are called from the reactor, never inside start(), and may
+ * destroy the owner of the search.
  */
 class copy_turn_search : public std::enable_shared_from_this<copy_turn_search>
 {
--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -41,8 +41,9 @@
 void crash_detector::record_loss(const upstream_record& upstream,
                                  lost_request request)
 {
-    check(upstream, [this, upstream,
-                     request = std::move(request)](upstream_liveness found) {
+    // At once, so that the next requests are judged by a crash that is known.
+    check_now(upstream, [this, upstream, request = std::move(request)](
+                            upstream_liveness found) {
         if (found == upstream_liveness::crashed)
             on_crash_(upstream, request);
     });
@@ -50,6 +51,19 @@
 
 void crash_detector::check(const upstream_record& upstream,
                            result_handler on_result)
+{
+    check_now(upstream,
+              [weak = weak_from_this(),
+               on_result = std::move(on_result)](upstream_liveness found) {
+                  const auto self = weak.lock();
+                  if (self)
+                      self->reactor_->post(
+                          [on_result, found] { on_result(found); });
+              });
+}
+
+void crash_detector::check_now(const upstream_record& upstream,
+                               result_handler on_result)
 {
     remove_expired();
     // A crash of its predecessor under the same id tells nothing of it.
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -56,7 +56,7 @@
     void record_loss(const upstream_record& upstream, lost_request request);
     /**
      * Finds out whether an upstream that ended a connection has crashed.
-     * `on_result` is called once, possibly at once, unless stop() is called.
+     * `on_result` is called once, from the reactor, unless stop() is called.
      */
     void check(const upstream_record& upstream, result_handler on_result);
     /** Ends all checks without a result. */
@@ -74,6 +74,8 @@
         time_point next_check{};
     };
 
+    /** As check(); a result that is known is reported inside the call. */
+    void check_now(const upstream_record& upstream, result_handler on_result);
     void start_check(const std::string& upstream_id);
     void schedule_check(const std::string& upstream_id);
     void handle_alive(const std::string& upstream_id);
--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -50,7 +50,8 @@
 
 void exchange::start()
 {
-    self_ = shared_from_this();
+    const auto alive = shared_from_this();
+    self_ = alive;
     context_.running.insert(this);
     auto facts = context_.dialect->read_request(served_.request.head);
     if (!facts) {
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -127,15 +127,20 @@
 void generation_mover::search_destination(const upstream_record& source)
 {
     copy_turn_search::hooks on;
-    on.candidates = [this, source, refused_by = std::exchange(refused_by_, {})](
+    on.candidates = [weak = weak_from_this(), source,
+                     refused_by = std::exchange(refused_by_, {})](
                         std::vector<std::string> exclude, std::size_t count) {
+        const auto self = weak.lock();
+        if (!self || self->over_)
+            return std::vector<upstream_record>();
         exclude.push_back(source.id);
         // Skipped only once, since it may be the only destination left.
         exclude.push_back(refused_by);
-        return on_.candidates(source, exclude, count);
+        return self->on_.candidates(source, exclude, count);
     };
-    on.cost = [this, source](const upstream_record& engine) {
-        return on_.cost(source, engine);
+    on.cost = [weak = weak_from_this(), source](const upstream_record& engine) {
+        const auto self = weak.lock();
+        return self && !self->over_ ? self->on_.cost(source, engine) : 0.0;
     };
     on.found = [weak = weak_from_this(), source](const upstream_record& to) {
         const auto self = weak.lock();
--- a/src/libcyclamenrun/gateway/load_probe.cpp
+++ b/src/libcyclamenrun/gateway/load_probe.cpp
@@ -36,8 +36,12 @@
                                    });
     for (const auto& engine : engines_)
         query(engine);
-    if (engines_.empty())
-        finish();
+    if (!engines_.empty())
+        return;
+    context_.reactor->post([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->finish();
+    });
 }
 
 void load_probe::query(const upstream_record& engine)
--- a/src/libcyclamenrun/gateway/load_probe.hpp
+++ b/src/libcyclamenrun/gateway/load_probe.hpp
@@ -20,7 +20,10 @@
 class load_probe : public std::enable_shared_from_this<load_probe>
 {
 public:
-    /** `done` is called once, after all replies or a timeout. */
+    /**
+     * `done` is called once, after all replies or a timeout; from the reactor,
+     * never inside start().
+     */
     load_probe(gateway_context& context, std::vector<upstream_record> engines,
                std::function<void()> done);
 
--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -211,6 +211,7 @@
 
 void upstream_attempt::end_response(receipt_end how)
 {
+    const auto self = shared_from_this();
     if (std::exchange(over_, true))
         return;
     keep_or_close();
@@ -221,6 +222,7 @@
 
 void upstream_attempt::lose(attempt_loss loss)
 {
+    const auto self = shared_from_this();
     if (std::exchange(over_, true))
         return;
     if (connection_)
--- a/tests/gateway/test_copy_turn_search.cpp
+++ b/tests/gateway/test_copy_turn_search.cpp
@@ -285,6 +285,40 @@
     EXPECT_TRUE(waiting.received(ends_turn));
 }
 
+// Guards against a process that ends by a corrupted heap: a search without
+// candidates reports inside start(), its owner drops it, and start() goes on.
+TEST_F(copy_turn_searches, report_that_there_is_none_after_start_has_returned)
+{
+    bool in_start = true;
+    bool inside_start = false;
+    copy_turn_search::hooks on;
+    on.candidates = [](const std::vector<std::string>&, std::size_t) {
+        return std::vector<upstream_record>();
+    };
+    on.none = [&] {
+        inside_start = in_start;
+        result = "none";
+        search.reset();
+    };
+    search = std::make_shared<copy_turn_search>(*context, "r1", 100,
+                                                std::move(on));
+    search->start();
+    in_start = false;
+    EXPECT_EQ(wait_for_result(), "none");
+    EXPECT_FALSE(inside_start);
+    // The timers of a search that was dropped have no effect.
+    run_for(milliseconds(200));
+}
+
+// Guards against a result for an owner that has ended the search meanwhile.
+TEST_F(copy_turn_searches, report_nothing_after_their_end)
+{
+    begin();
+    search->end();
+    run_for(milliseconds(200));
+    EXPECT_TRUE(result.empty());
+}
+
 // Guards against a failed move when the monitor of the only engine has crashed:
 // a copy that competes with others is better than none.
 TEST_F(copy_turn_searches, use_an_engine_without_a_monitor_as_a_last_resort)
--- a/tests/gateway/test_crash_detector.cpp
+++ b/tests/gateway/test_crash_detector.cpp
@@ -125,6 +125,24 @@
     EXPECT_TRUE(wait_for_reports(21));
 }
 
+// Guards against a request that ends inside its own call: a crash that is known
+// already would be reported before check() has returned.
+TEST_F(crash_detectors, report_a_known_crash_after_the_call_has_returned)
+{
+    upstream.crash();
+    lose("crashed");
+    ASSERT_TRUE(wait_for_reports(1));
+    bool in_call = true;
+    std::promise<bool> reported_inside;
+    run([&] {
+        detector->check(record, [&](upstream_liveness) {
+            reported_inside.set_value(in_call);
+        });
+        in_call = false;
+    });
+    EXPECT_FALSE(reported_inside.get_future().get());
+}
+
 // Guards against a healthy process that is taken for crashed since its
 // predecessor under the same id was.
 TEST_F(crash_detectors, start_anew_with_another_process_under_the_same_id)
