Continue a lost stream elsewhere only after its run has ended

What callers saw: nothing at once; but a stream whose connection was lost went on from its backup while its first runner worked on it for 1.8 s more, so that one request ran twice at the same time.

Cause: the result of the crash check was dropped. The exchange resumed at the backup whether the engine had crashed, was alive or had not answered, and ordered nothing, whereas a move orders its source to stop first.

Change: what continues a run elsewhere takes an `ended_run`, which says how it is known that the run has ended. run_stop finds that out for a lost run: it orders the engine to stop and to copy its memory, and reads the engine's list of runs when the reply proves nothing (no such run, refused, none). An engine that can't be reached is gone. It repeats for 5 s; then the stream is cut. A run that was stopped goes on from its copy or its backup. The same holds for losses that the gateway makes itself, for engines that leave, for resumable streams that begin anew with a last event id, and for a move whose source has ended its stream without a confirmed stop. A copy order whose connection can't be established fails as `unreachable`.

--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -52,14 +52,13 @@
 void crash_detector::check(const upstream_record& upstream,
                            result_handler on_result)
 {
-    check_now(upstream,
-              [weak = weak_from_this(),
-               on_result = std::move(on_result)](upstream_liveness found) {
-                  const auto self = weak.lock();
-                  if (self)
-                      self->reactor_->post(
-                          [on_result, found] { on_result(found); });
-              });
+    check_now(
+        upstream, [weak = weak_from_this(),
+                   on_result = std::move(on_result)](upstream_liveness found) {
+            const auto self = weak.lock();
+            if (self)
+                self->reactor_->post([on_result, found] { on_result(found); });
+        });
 }
 
 void crash_detector::check_now(const upstream_record& upstream,
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -123,7 +123,8 @@
     void handle_loss(attempt_loss loss);
     /** Goes on once it is known whether the upstream has crashed. */
     void await_crash_check(const upstream_record& upstream);
-    void continue_after_loss(attempt_result result);
+    void continue_after_loss(const upstream_record& upstream,
+                             attempt_result result, bool has_crashed);
     /** Sets the timeout for the start of the response. */
     void arm_response_timeout();
     void handle_response_timeout();
--- a/src/libcyclamenrun/gateway/exchange_losses.cpp
+++ b/src/libcyclamenrun/gateway/exchange_losses.cpp
@@ -89,7 +89,7 @@
         context_.record_crash(id);
     if (loss == attempt_loss::not_sent || !may_have_crashed) {
         permit_.release();
-        continue_after_loss(result);
+        continue_after_loss(upstream, result, false);
         return;
     }
     context_.crashes->record_loss(
@@ -114,22 +114,27 @@
 void exchange::await_crash_check(const upstream_record& upstream)
 {
     // Once only: the check may have no result for long.
-    const auto go_on = [weak = weak_from_this(),
-                        done = std::make_shared<bool>(false)] {
-        const auto self = weak.lock();
-        if (!self || std::exchange(*done, true) || self->conclusion_.over())
-            return;
-        self->permit_.release();
-        self->continue_after_loss(attempt_result::lost);
-    };
+    const auto go_on =
+        [weak = weak_from_this(), upstream,
+         done = std::make_shared<bool>(false)](upstream_liveness found) {
+            const auto self = weak.lock();
+            if (!self || std::exchange(*done, true) || self->conclusion_.over())
+                return;
+            self->permit_.release();
+            self->continue_after_loss(upstream, attempt_result::lost,
+                                      found == upstream_liveness::crashed);
+        };
     const auto& reactor = context_.reactor;
-    reactor->post_timeout(reactor->awake_now() + max_crash_check, go_on);
-    context_.crashes->check(upstream, [go_on](upstream_liveness) { go_on(); });
+    reactor->post_timeout(reactor->awake_now() + max_crash_check,
+                          [go_on] { go_on(upstream_liveness::unknown); });
+    context_.crashes->check(upstream, go_on);
 }
 
-void exchange::continue_after_loss(attempt_result result)
+void exchange::continue_after_loss(const upstream_record& upstream,
+                                   attempt_result result, bool has_crashed)
 {
-    if (result != attempt_result::lost || !continuation_->resume_at_backup())
+    if (result != attempt_result::lost ||
+        !continuation_->resume_after_loss(upstream, has_crashed))
         continue_after(result);
 }
 
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -15,6 +15,12 @@
  */
 constexpr milliseconds max_wait_for_cold_room{1000};
 
+/**
+ * Time after which a lost run that can't be stopped is given up. Callers
+ * abandon a stream after a pause of some seconds.
+ */
+constexpr milliseconds max_wait_for_end{5000};
+
 } // namespace
 
 generation_continuation::generation_continuation(gateway_context& context,
@@ -96,21 +102,9 @@
         const auto* current = on_.current();
         return current != nullptr && current->id == source.id;
     };
-    on.destination =
-        [this](
-            const upstream_record& source,
-            const std::string& refused_by) -> std::optional<upstream_record> {
-        const auto to = context_.choice.for_move(
-            served_.service, make_placement_request(source),
-            {source.id, refused_by}, context_.reactor->now());
-        if (!to)
-            return std::nullopt;
-        // Counted at once, so that the next move of a generation of this
-        // engine accounts for the memory.
-        context_.upstreams.expect_dispatch(to->record.id,
-                                           served_.facts.prompt_tokens,
-                                           context_.reactor->now());
-        return to->record;
+    on.destination = [this](const upstream_record& source,
+                            const std::string& refused_by) {
+        return choose_destination(source, {source.id, refused_by});
     };
     on.candidates = [this](const upstream_record& source,
                            const std::vector<std::string>& exclude,
@@ -128,8 +122,8 @@
     on.resume = [this](const upstream_record& to, const continuation& from) {
         resume_at(to, from);
     };
-    on.lost = [this] {
-        if (resume_at_backup())
+    on.lost = [this](const upstream_record& source) {
+        if (resume_after_loss(source, false))
             return;
         // Copied, since the call may destroy the exchange and this object.
         const auto lost = on_.lost;
@@ -196,7 +190,7 @@
         resume_at(upstream_record(*source), from);
         return;
     }
-    if (resume_at_backup())
+    if (resume_at_backup({run_end::stopped}))
         return;
     // Copied, since the call may destroy the exchange and this object.
     const auto lost = on_.lost;
@@ -252,22 +246,103 @@
     return false;
 }
 
-bool generation_continuation::resume_at_backup()
+std::optional<upstream_record> generation_continuation::usable_backup() const
 {
-    const auto backup = std::exchange(backup_, std::nullopt);
+    const auto* state =
+        backup_ ? context_.upstreams.find(backup_->id) : nullptr;
+    if (state == nullptr || state->record != *backup_ ||
+        context_.choice.is_evacuated(*backup_))
+        return std::nullopt;
+    return backup_;
+}
+
+bool generation_continuation::resume_at_backup(const ended_run& ended)
+{
+    const auto backup = usable_backup();
+    backup_.reset();
     const auto now = context_.reactor->now();
-    if (!backup || now >= served_.admitted.deadline || is_convicted())
+    if (!backup || now >= served_.admitted.deadline || is_convicted() ||
+        !conclusion_.reserve_repeat())
         return false;
-    const auto* state = context_.upstreams.find(backup->id);
-    if (state == nullptr || state->record != *backup ||
-        context_.choice.is_evacuated(*backup) || !conclusion_.reserve_repeat())
-        return false;
-    conclusion_.record_attempt("lost", "from_backup");
+    conclusion_.record_attempt(name_of(ended.how), "from_backup");
     conclusion_.recorder().resumed_from_backup(served_.service, backup->id);
     resume_at(*backup, {backup->address, served_.facts.id});
     return true;
 }
 
+bool generation_continuation::resume_after_loss(const upstream_record& source,
+                                                bool has_crashed)
+{
+    const auto* traits = served_.profile.engine();
+    // A run of which the caller has nothing isn't continued but begun again.
+    if (!conclusion_.answer().begun() || traits == nullptr)
+        return false;
+    if (has_crashed)
+        return resume_at_backup({run_end::process_gone});
+    auto destination = usable_backup();
+    if (!destination)
+        destination = choose_destination(source, {source.id});
+    const bool can_go_on = destination || served_.admitted.route->resumable;
+    if (!can_go_on || is_convicted() || !conclusion_.reserve_repeat())
+        return false;
+    stop_run(source, traits->moves ? destination : std::nullopt);
+    return true;
+}
+
+void generation_continuation::stop_run(
+    const upstream_record& source,
+    const std::optional<upstream_record>& destination)
+{
+    conclusion_.record_attempt("lost", "stop_first");
+    run_stop::hooks on;
+    on.ended = [this](const ended_run& ended) { handle_stopped(ended); };
+    on.given_up = [this] {
+        stop_.reset();
+        // Copied, since the call may destroy the exchange and this object.
+        const auto out_of_control = on_.out_of_control;
+        out_of_control();
+    };
+    stop_ = std::make_shared<run_stop>(
+        context_, served_.facts.id, source, destination,
+        std::min(context_.reactor->now() + max_wait_for_end,
+                 served_.admitted.deadline),
+        std::move(on));
+    stop_->start();
+}
+
+void generation_continuation::handle_stopped(const ended_run& ended)
+{
+    const auto stop = std::exchange(stop_, nullptr);
+    const bool is_at_source = ended.holder && ended.memory &&
+                              ended.holder->address == ended.memory->source;
+    // An engine that loses connections is the last choice.
+    if ((!ended.memory || is_at_source) && resume_at_backup(ended))
+        return;
+    if (ended.memory && conclusion_.reserve_repeat()) {
+        conclusion_.record_attempt(name_of(ended.how), "from_copy");
+        resume_at(*ended.holder, *ended.memory);
+        return;
+    }
+    // Copied, since the call may destroy the exchange and this object.
+    const auto lost = on_.lost;
+    lost();
+}
+
+std::optional<upstream_record> generation_continuation::choose_destination(
+    const upstream_record& source, const std::vector<std::string>& excluded)
+{
+    const auto now = context_.reactor->now();
+    const auto to = context_.choice.for_move(
+        served_.service, make_placement_request(source), excluded, now);
+    if (!to)
+        return std::nullopt;
+    // Counted at once, so that the next move of a generation of this engine
+    // accounts for the memory.
+    context_.upstreams.expect_dispatch(to->record.id,
+                                       served_.facts.prompt_tokens, now);
+    return to->record;
+}
+
 bool generation_continuation::is_convicted() const
 {
     return context_.poison.is_poison(served_.work, context_.reactor->now());
@@ -277,6 +352,8 @@
 {
     if (mover_)
         mover_->cancel();
+    if (stop_)
+        stop_->cancel();
 }
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -1,8 +1,10 @@
 #ifndef CYCLAMENRUN_GENERATION_CONTINUATION_HPP
 #define CYCLAMENRUN_GENERATION_CONTINUATION_HPP
 
+#include "ended_run.hpp"
 #include "generation_mover.hpp"
 #include "request_conclusion.hpp"
+#include "run_stop.hpp"
 
 #include <functional>
 #include <memory>
@@ -34,8 +36,10 @@
         std::function<bool(const upstream_record&, const continuation&)> send;
         /** Calls a function later, unless the request has ended by then. */
         std::function<void(time_point, std::function<void()>)> post_at;
-        /** The run was lost, and nothing continues it. */
+        /** The run has ended, and nothing continues it. */
         std::function<void()> lost;
+        /** The run is lost and may still go on: nothing may continue it. */
+        std::function<void()> out_of_control;
     };
 
     generation_continuation(gateway_context& context, served_request& served,
@@ -60,12 +64,30 @@
     bool stop_ordered() const { return mover_ && mover_->stop_ordered(); }
     /** True if the source's stream ended because the generation is moved. */
     bool source_ended() { return mover_ && mover_->source_ended(); }
-    /** Continue the run; false if that is not possible. */
+    /**
+     * Continues the run where it was stopped, after its destination has turned
+     * it away; false if that is not possible.
+     */
     bool resume_at_source();
-    bool resume_at_backup();
+    /**
+     * Continues the run after its connection is lost, once it has ended there;
+     * false if nothing can continue it. `has_crashed`: the engine is known to
+     * be gone.
+     */
+    bool resume_after_loss(const upstream_record& source, bool has_crashed);
     void cancel();
 
 private:
+    bool resume_at_backup(const ended_run& ended);
+    /** The backup, if it may still be used. */
+    std::optional<upstream_record> usable_backup() const;
+    /** Engine to which the memory of a stopped run is copied. */
+    std::optional<upstream_record>
+    choose_destination(const upstream_record& source,
+                       const std::vector<std::string>& excluded);
+    void stop_run(const upstream_record& source,
+                  const std::optional<upstream_record>& destination);
+    void handle_stopped(const ended_run& ended);
     /** True if the generation would crash the engine where it goes on. */
     bool is_convicted() const;
     std::shared_ptr<generation_mover> make_mover();
@@ -97,6 +119,7 @@
     request_conclusion& conclusion_;
     hooks on_;
     std::shared_ptr<generation_mover> mover_;
+    std::shared_ptr<run_stop> stop_; ///< of a run that was lost
     /** Engine that holds a backup of the current run. */
     std::optional<upstream_record> backup_;
     /** Memory from which the current attempt continues. */
--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -18,6 +18,8 @@
         return "evacuated";
     case move_failure::uncertain:
         return "uncertain";
+    case move_failure::unreachable:
+        return "unreachable";
     }
     return "uncertain";
 }
@@ -78,9 +80,12 @@
     if (over_)
         return;
     if (!outcome) {
-        // An order that was not sent has stopped nothing.
-        if (outcome.error() == call_failure::unreachable)
+        if (outcome.error() == call_failure::unreachable) {
+            // An order that was not sent has stopped nothing.
             stop_ordered_ = false;
+            fail(move_failure::unreachable, {});
+            return;
+        }
         fail(stop_ordered_ ? move_failure::uncertain : move_failure::no_room,
              handle_);
         return;
--- a/src/libcyclamenrun/gateway/generation_move.hpp
+++ b/src/libcyclamenrun/gateway/generation_move.hpp
@@ -27,6 +27,7 @@
      * generation may or may not still run.
      */
     uncertain,
+    unreachable, ///< No connection to the source could be established.
 };
 
 std::string_view name_of(move_failure failure);
@@ -55,6 +56,8 @@
                     time_point deadline, hooks on);
 
     void start();
+    /** Sends only the second order: the generation's connection is lost. */
+    void stop_at_once() { send_order(true); }
     /** Abandons the move and frees the copied memory. */
     void cancel();
 
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -269,7 +269,7 @@
     }
     if (std::exchange(source_ended_, false)) {
         const auto lost = on_.lost;
-        lost();
+        lost(source);
         return;
     }
     retry_later(source);
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -72,7 +72,7 @@
         /** Resumes the stopped generation there from this memory. */
         std::function<void(const upstream_record&, const continuation&)> resume;
         /** The generation ended at the source and its memory is lost. */
-        std::function<void()> lost;
+        std::function<void(const upstream_record& source)> lost;
         /** Result of one move; empty: the generation resumes at `to`. */
         std::function<void(const upstream_record& source,
                            const upstream_record& to,
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -38,6 +38,10 @@
             handle_order(request, reply);
             return;
         }
+        if (request.head.target == "/report") {
+            reply.answer(request, 200, report());
+            return;
+        }
         if (request.head.method == "DELETE") {
             reply.answer(request, 200, "{}");
             return;
@@ -49,6 +53,14 @@
     std::atomic<int> hold_before = 1000;
     /** Closes the connection of a new run in the middle of this event. */
     std::atomic<int> break_before = 1000;
+    /** Resets the connection of a new run before this event, and runs on. */
+    std::atomic<int> lose_before = 1000;
+    /** Orders find no run, also while it goes on. */
+    std::atomic<bool> denies_runs = false;
+    /** Ends a run whose connection was reset. */
+    std::atomic<bool> ends_lost_runs = false;
+    /** True while a run whose connection was reset goes on. */
+    std::atomic<bool> runs_on = false;
     /** Streams end with their connection. */
     std::atomic<bool> unframed = false;
     /** Streams say that the engine leaves. */
@@ -72,6 +84,10 @@
         ++orders;
         const bool stop =
             request.body.find("\"last\":true") != std::string::npos;
+        if (run_over_ || denies_runs) {
+            reply.answer(request, 404, "{}");
+            return;
+        }
         if (!has_room) {
             reply.answer(request, 503, "{}");
             return;
@@ -101,29 +117,55 @@
             reply.close();
     }
 
+    std::string report() const
+    {
+        return R"({"active":0,"queued":0,"kv_used":0,"kv_total":1000,"runs":[)" +
+               (runs_on ? "[\"" + lost_id_ + "\",10,3,5]" : std::string()) +
+               "]}";
+    }
+
+    /** Goes on without a caller until an order or the test ends the run. */
+    void run_on(const arrived_request& request, upstream_reply& reply)
+    {
+        lost_id_ = request.field("Attempt-Id");
+        runs_on = true;
+        reply.reset();
+        wait_until([&] { return stopped_ || ends_lost_runs; });
+        runs_on = false;
+        run_over_ = !stopped_;
+        ended_ = true;
+    }
+
     void stream(const arrived_request& request, upstream_reply& reply)
     {
         const auto from = request.field("Last-Event-Id");
         const int first = from.empty() ? 1 : std::stoi(from) + 1;
         ended_ = false;
+        run_over_ = false;
         if (unframed)
             reply.begin_unframed(request);
         else
             reply.begin_stream(request, says_leaving ? leaving_field : "");
         for (int id = first; id <= last_event; ++id) {
             wait_until([&] { return id < hold_before || stopped_; });
+            if (from.empty() && id >= lose_before) {
+                run_on(request, reply);
+                return;
+            }
             if (stopped_ || (from.empty() && id >= break_before)) {
                 // An incomplete event, which no caller may receive. A stream
                 // without framing ends after an event, as if it were complete.
                 if (!unframed)
                     reply.send("8\r\nid: 99\nd\r\n");
                 reply.close();
+                run_over_ = !stopped_;
                 ended_ = true;
                 return;
             }
             reply.event(id);
         }
         reply.end_stream();
+        run_over_ = true;
         ended_ = true;
     }
 
@@ -138,6 +180,8 @@
 
     std::atomic<bool> stopped_ = false;
     std::atomic<bool> ended_ = true;
+    std::atomic<bool> run_over_ = false; ///< not by an order
+    std::string lost_id_;                ///< of the run that goes on
 };
 
 /** The script of an upstream that is this engine. */
--- a/tests/gateway/test_copy_turn_search.cpp
+++ b/tests/gateway/test_copy_turn_search.cpp
@@ -300,8 +300,8 @@
         result = "none";
         search.reset();
     };
-    search = std::make_shared<copy_turn_search>(*context, "r1", 100,
-                                                std::move(on));
+    search =
+        std::make_shared<copy_turn_search>(*context, "r1", 100, std::move(on));
     search->start();
     in_start = false;
     EXPECT_EQ(wait_for_result(), "none");
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -218,6 +218,69 @@
     EXPECT_EQ(resumed, 1U);
 }
 
+// Guards against two runs of one stream: its connection is lost, its engine
+// works on it, and it goes on at another engine.
+TEST_F(generations, a_lost_stream_goes_on_after_its_run_was_stopped)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->lose_before = 5;
+    auto& source = add_engine("e1", first);
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    auto& other = add_engine("e2", std::make_shared<generating_engine>());
+    first->hold_before = 1000;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(first->orders, 1);
+    EXPECT_FALSE(first->runs_on);
+    const auto resumed = streams(other);
+    ASSERT_EQ(resumed.size(), 1U);
+    EXPECT_EQ(resumed[0].field("Kv-From"), to_string(source.address()) + "/h1");
+    EXPECT_EQ(resumed[0].field("Last-Event-Id"), "4");
+}
+
+// Guards against two runs of one stream: the engine answers that there is no
+// such run, and lists it.
+TEST_F(generations, a_backup_waits_for_the_end_of_a_run_that_can_not_be_stopped)
+{
+    start();
+    std::vector<std::shared_ptr<generating_engine>> engines;
+    for (const auto* id : {"e1", "e2"}) {
+        engines.push_back(std::make_shared<generating_engine>());
+        engines.back()->break_before = 5;
+        add_engine(id, engines.back()).rejects_load_requests = false;
+    }
+    // A crash that was seen enables backups for later generations.
+    EXPECT_FALSE(send_request("/gen/x").whole);
+    for (const auto& each : engines) {
+        each->break_before = 1000;
+        each->lose_before = 5;
+        each->denies_runs = true;
+    }
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    std::this_thread::sleep_for(milliseconds(500));
+    EXPECT_TRUE(engines[0]->runs_on || engines[1]->runs_on);
+    const auto arrived = [&] {
+        std::size_t count = 0;
+        for (const auto& upstream : upstreams)
+            count += streams(*upstream).size();
+        return count;
+    };
+    EXPECT_EQ(arrived(), 2U);
+    for (const auto& each : engines)
+        each->ends_lost_runs = true;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(arrived(), 3U);
+}
+
 // Guards against a refusal written into the body of a stream: the stream breaks
 // after the configuration's lease has expired, so it may not be retried. The
 // answer must end visibly incomplete.
