Confirm the configuration by complete answers of the directory only

What callers saw: requests with keys that had been revoked over 5 s before ran for up to 2.3 s, at gateways that had missed over 1 MB of configurations.

Cause: the directory says where its records end, and batch_page() dropped it. Each answer counted as all that the directory held: feed_follower renewed the lease with the first part of what was missed, and a monitor passed such a part on as a complete answer. The view of the upstreams' records was confirmed in the same way.

Change: a page says whether it is partial. A partial one confirms nothing, and the next read follows at once; a monitor answers no call with one, but reads on. An answer says on the wire that it is complete. A gateway that gets one that does not, from a monitor of an older build, reads the directory itself for 5 s.

--- a/src/libcyclamenrun/gateway/directory_feed.hpp
+++ b/src/libcyclamenrun/gateway/directory_feed.hpp
@@ -43,8 +43,8 @@
     /**
      * When the call that returned this page was sent. Set if one read may take
      * several calls, such as to a second relay; otherwise the start of the
-     * read counts. This page and those before it hold every record that the
-     * directory had at that time.
+     * read counts. Unless it is partial, this page and those before it hold
+     * every record that the directory had at that time.
      */
     std::optional<boot_time> sent_at = {};
     /**
@@ -52,6 +52,11 @@
      * the next call may follow at once.
      */
     bool relayed = false;
+    /**
+     * True if the directory held later records than these, or may have: the
+     * page is full, or the relay that read it does not say.
+     */
+    bool partial = false;
 };
 
 /** An unparsed configuration, as the directory stores it. */
--- a/src/libcyclamenrun/gateway/directory_messages.cpp
+++ b/src/libcyclamenrun/gateway/directory_messages.cpp
@@ -82,6 +82,7 @@
 {
     v1::DirectoryAnswer answer;
     answer.set_next(page.next_offset);
+    answer.set_complete(!page.partial);
     for (const auto& item : page.items)
         add_item(item, answer);
     return answer;
@@ -160,6 +161,7 @@
         return tl::unexpected(*problem);
     directory_page<upstream_change> page;
     page.next_offset = answer.next();
+    page.partial = !answer.complete();
     for (const auto& change : answer.changes()) {
         upstream_change item{change.id(), std::nullopt};
         if (change.has_record())
@@ -179,6 +181,7 @@
         return tl::unexpected(*problem);
     directory_page<configuration_record> page;
     page.next_offset = answer.next();
+    page.partial = !answer.complete();
     for (const auto& evacuation : answer.evacuations())
         page.items.push_back(evacuation_change{evacuation.failure_domain(),
                                                !evacuation.ended()});
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -55,7 +55,8 @@
         std::function<milliseconds()> wait;
         /**
          * The directory has answered a call sent at `sent_at`: every record
-         * that it held then has been received.
+         * that it held then has been received. Not called for a partial page,
+         * which is followed by the next read at once.
          */
         std::function<void(boot_time sent_at)> confirmed;
         /** Called when the directory becomes unavailable. */
@@ -173,12 +174,13 @@
             on_.unreadable(result->unreadable);
         const auto sent_at = result->sent_at.value_or(sent_at_);
         relayed_ = result->relayed;
+        const bool partial = result->partial;
         if (on_.received)
             on_.received(*result, !offset_.has_value(), sent_at);
         deliver_items(std::move(*result));
-        if (on_.confirmed)
+        if (on_.confirmed && !partial)
             on_.confirmed(sent_at);
-        read_at(next_regular_read());
+        read_at(partial ? steady_now() : next_regular_read());
     }
 
     void deliver_items(page&& received)
--- a/src/libcyclamenrun/gateway/read_coalescer.hpp
+++ b/src/libcyclamenrun/gateway/read_coalescer.hpp
@@ -35,10 +35,10 @@
  * Answers the calls of many readers of one feed with as few reads of the
  * directory as possible.
  *
- * A call is answered only by a read that was sent after the call arrived. The
- * caller then knows every record that the directory held when the call was
- * sent, whatever the delays in between, so a lease can be renewed from the
- * caller's own clock alone.
+ * A call is answered only by a read that was sent after the call arrived, and
+ * that reached the end of the directory's records. The caller then knows every
+ * record that the directory held when the call was sent, whatever the delays in
+ * between, so a lease can be renewed from the caller's own clock alone.
  *
  * Does no I/O; the current time is passed in.
  */
@@ -118,7 +118,10 @@
         return result;
     }
 
-    /** Ends the read; returns the answers to the calls that it covers. */
+    /**
+     * Ends the read; returns the answers to the calls that it covers. A partial
+     * page answers none: the next read is due at once.
+     */
     std::vector<answer>
     end_read(const tl::expected<page, directory_problem>& result,
              time_point now)
@@ -131,6 +134,10 @@
             history_.extend(*result);
         else
             history_.restart(*result);
+        if (result->partial) {
+            not_before_ = now;
+            return {};
+        }
         std::map<std::optional<std::uint64_t>, outcome> outcomes;
         std::vector<answer> answers;
         for (const auto& [id, call] : calls_) {
--- a/src/libcyclamenrun/gateway/relayed_feed.hpp
+++ b/src/libcyclamenrun/gateway/relayed_feed.hpp
@@ -103,6 +103,11 @@
      * just started reads many pages first.
      */
     static constexpr milliseconds newest_relay_timeout{3000};
+    /**
+     * Time for which the directory is read without relays after one has not
+     * said that its answer is complete, as monitors of older builds do.
+     */
+    static constexpr milliseconds unsure_relay_pause{5000};
     /** Wait for a monitor that responds, after the first of many pages. */
     static constexpr milliseconds relay_response_timeout{1000};
 
@@ -131,7 +136,8 @@
 
     void begin(const std::shared_ptr<call>& pending)
     {
-        relays_ = on_.relays ? on_.relays() : nullptr;
+        const bool uses_relays = on_.relays && steady_now() >= no_relays_until_;
+        relays_ = uses_relays ? on_.relays() : nullptr;
         if (relays_)
             pending->hosts = relays_->usable_hosts();
         if (relays_ && pending->hosts.empty() && waits_for_relays(*pending))
@@ -194,6 +200,13 @@
             return;
         }
         auto read = on_.read(*answer);
+        if (read && read->partial) {
+            no_relays_until_ = steady_now() + unsure_relay_pause;
+            pending->hosts.clear();
+            pending->tried = 0;
+            call_directory(pending);
+            return;
+        }
         if (read) {
             read->sent_at = sent_at;
             read->relayed = true;
@@ -312,6 +325,7 @@
     hooks on_;
     std::shared_ptr<relay_clients> relays_;
     time_point next_direct_at_{};
+    time_point no_relays_until_{}; ///< a relay's answer may have been a part
 };
 
 } // namespace cyclamenrun
--- a/tests/gateway/test_directory_messages.cpp
+++ b/tests/gateway/test_directory_messages.cpp
@@ -42,6 +42,19 @@
     EXPECT_FALSE(read->items[1].record);
 }
 
+// Guards against a part that a gateway takes for all records, also when a
+// monitor of an older build does not say what its answer is.
+TEST(directory_messages, say_whether_they_are_complete)
+{
+    auto answer = good_answer();
+    EXPECT_FALSE(read_upstreams(answer)->partial);
+    answer.clear_complete();
+    EXPECT_TRUE(read_upstreams(answer)->partial);
+    directory_page<upstream_change> page;
+    page.partial = true;
+    EXPECT_TRUE(read_upstreams(answer_of(page))->partial);
+}
+
 // Guards against an answer that no gateway can read because of one record whose
 // names are no text.
 TEST(directory_messages, arrive_with_names_that_are_no_text)
--- a/tests/gateway/test_feed_follower.cpp
+++ b/tests/gateway/test_feed_follower.cpp
@@ -148,6 +148,19 @@
 
 // The directory is unavailable for a while. The follower keeps the known
 // records, continues at its offset, and reports the outage once.
+// Guards against a lease that is renewed by the first part of what a gateway
+// has missed, while the rest takes away keys.
+TEST(feed_follower, confirms_nothing_while_the_directory_holds_later_records)
+{
+    auto part = page({2}, 2);
+    part.partial = true;
+    std::vector<scripted_feed::call> calls;
+    const auto record = follow(page({1}, 1), {part, page({3}, 3)}, calls);
+    EXPECT_EQ(record.items, (std::vector<int>{1, 2, 3}));
+    EXPECT_EQ(record.received_pages, 3);
+    EXPECT_EQ(record.confirmed_count, 2);
+}
+
 TEST(feed_follower, keeps_its_offset_through_an_outage)
 {
     std::vector<scripted_feed::call> calls;
--- a/tests/gateway/test_read_coalescer.cpp
+++ b/tests/gateway/test_read_coalescer.cpp
@@ -201,6 +201,24 @@
 // A relay that has just started, or has dropped old changes, does not know
 // which changes a caller has missed. It must report that, or the caller never
 // gets them.
+// Guards against gateways that take a part of the directory's records for all,
+// after their monitor has missed more than one answer holds.
+TEST_F(coalesced_reads, answer_no_call_with_a_part)
+{
+    const auto call = add_call(5);
+    (void)begin();
+    auto part = read_from(5, {change("b")});
+    part.partial = true;
+    EXPECT_TRUE(end(part).empty());
+    EXPECT_EQ(reads.calls(), 1U);
+    ASSERT_TRUE(reads.next_read());
+    EXPECT_LE(*reads.next_read(), now);
+    const auto answers = read(read_from(6, {change("c")}));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].call, call);
+    EXPECT_EQ((*answers[0].result)->items.size(), 2U);
+}
+
 TEST_F(coalesced_reads, report_when_the_history_is_incomplete)
 {
     add_call(4);
