Send nothing to an upstream before the directory has listed it

What callers saw: answers of a service that no configuration names for their route, by an engine that had got the address of a crashed one.

Cause: upstream_registry::update_identity() gave the id that a monitor reports at an address the record of its predecessor there, service included, and offered it until the directory listed it. start_search::handle_grant() took whatever engine was current at an address.

Change: an upstream that only a monitor has reported has no service and gets no work; its predecessor, which would be rejected, gets none either. A start grant is used only for an engine of the service that was asked for, and engines whose address another one uses are dropped from a search.

--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -115,6 +115,7 @@
     std::erase_if(requested_, [&](const requested_engine& each) {
         const auto* state = context_.upstreams.find(each.engine.id);
         const bool usable = state != nullptr && !state->leaving &&
+                            !state->superseded &&
                             !context_.choice.is_evacuated(state->record) &&
                             !context_.notices.is_resting(each.engine.id, now);
         if (!usable)
@@ -208,9 +209,10 @@
     }
     found->responded = true;
     found->occupancy = occupancy;
-    // The engine may have restarted since the start request.
+    // The engine may have restarted since the start request, or one of another
+    // service may have got its address.
     const auto* current = context_.upstreams.find_at(found->engine.address);
-    if (current != nullptr)
+    if (current != nullptr && current->record.service == found->engine.service)
         found->engine = current->record;
     if (all_responded()) {
         choose();
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -273,6 +273,8 @@
     const bool is_new = !upstreams_.contains(id);
     if (is_new && on_.unlisted)
         on_.unlisted(record);
+    // The address may have been assigned to an upstream of another service.
+    record.service.clear();
     const auto found = upstreams_.try_emplace(id).first;
     if (is_new) {
         found->second.record = record;
--- a/src/libcyclamenrun/gateway/upstream_registry.hpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.hpp
@@ -33,8 +33,8 @@
     bool superseded = false;
     /**
      * Set while only a monitor, and not the directory, has reported the
-     * upstream. The upstream is removed at this time unless the directory lists
-     * it by then.
+     * upstream. Its service is not known and empty. The upstream is removed at
+     * this time unless the directory lists it by then.
      */
     std::optional<time_point> monitor_only_until;
     /**
@@ -113,8 +113,8 @@
         std::function<void(const upstream_record&)> listed = {};
         /**
          * Called before an upstream is added that only a monitor has reported;
-         * may be empty. Of its record only the id, service and address are
-         * certain.
+         * may be empty. Of its record only the id and address are certain; the
+         * rest is its predecessor's.
          */
         std::function<void(const upstream_record&)> unlisted = {};
     };
@@ -152,9 +152,10 @@
     void remove_unlisted(time_point now);
     /**
      * Handles a monitor's report of the engine id that currently responds at
-     * an address. A restarted engine is used at once: the directory lists it
-     * seconds later and its predecessor until then, and requests sent to the
-     * predecessor would be rejected. Ignores ids that were removed recently.
+     * an address. Its predecessor gets no new work: requests sent to it would
+     * be rejected. The engine itself gets none until the directory lists it,
+     * since its id does not tell which service it belongs to. Ignores ids that
+     * were removed recently.
      */
     void update_identity(const ip_endpoint& address, const std::string& id,
                          time_point now);
--- a/src/libcyclamenrun/gateway/upstream_registry_sets.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry_sets.cpp
@@ -19,8 +19,10 @@
 std::set<std::string> upstream_registry::services() const
 {
     std::set<std::string> result;
-    for (const auto& [id, upstream] : upstreams_)
-        result.insert(upstream.record.service);
+    for (const auto& [id, upstream] : upstreams_) {
+        if (!upstream.record.service.empty())
+            result.insert(upstream.record.service);
+    }
     return result;
 }
 
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -375,8 +375,33 @@
     EXPECT_EQ(second_engine->arrived().size(), 1U);
 }
 
+// Guards against a request of one service that is sent to an engine of another
+// one: its address is that of an engine that is gone, and its id tells nothing.
+TEST_F(start_searches, use_no_process_that_the_directory_does_not_list)
+{
+    const auto reports_successor =
+        monitor("127.0.0.1", [&](const v1::MonitorRequest& request) -> notice {
+            if (!wants_start(request))
+                return std::nullopt;
+            auto grant = start_given(request.start_wanted().id());
+            grant.mutable_engine()->set_address(
+                to_string(first_engine->address()));
+            grant.mutable_engine()->set_id("e9");
+            return grant;
+        });
+    const auto grants =
+        monitor("127.0.0.2", [](const v1::MonitorRequest& request) -> notice {
+            if (!wants_start(request))
+                return std::nullopt;
+            return start_given(request.start_wanted().id());
+        });
+    EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    EXPECT_TRUE(first_engine->arrived().empty());
+    EXPECT_EQ(second_engine->arrived().size(), 1U);
+}
+
 // Guards against a request addressed to a previous process: the engine has
-// restarted, and the directory still has the record of its predecessor, whose
+// restarted, and the record of its predecessor remains in the directory, whose
 // requests the new process rejects.
 TEST_F(start_searches, use_the_current_process_of_a_restarted_engine)
 {
@@ -391,7 +416,17 @@
             return grant;
         });
     const auto waits = monitor("127.0.0.2", make_all_wait());
-    EXPECT_EQ(send_request("/gen/x").status(), 200U);
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    upstream_record listed;
+    listed.id = "e9";
+    listed.service = "model";
+    listed.address = first_engine->address();
+    listed.failure_domain = domain;
+    listed.slots = 8;
+    listed.started_ms = 9;
+    publish_record(listed);
+    EXPECT_EQ(caller.read().status(), 200U);
     ASSERT_EQ(first_engine->arrived().size(), 1U);
     EXPECT_EQ(first_engine->arrived().front().field("Expect-Instance"), "e9");
 }
