Lose an answer whose head ends with the connection

What callers would see: a 200 with an empty body, although the runner had stopped in the middle of its answer's head.

Cause: POCO's session takes the end of the connection for the end of the head. No length was known then, and an answer without framing and without bytes is accepted as unconfirmed by calls that allow such answers.

Change: http_exchange loses an answer whose connection ends while its head is read. Gateways and http_client have a reader of their own, which ends a head at its empty line only.

Result: the new test cuts two heads at each of their bytes; none counts.

--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -203,6 +203,10 @@
     Poco::Net::HTTPResponse response;
     response.setFieldLimit(max_header_fields);
     body_ = &session_->receiveResponse(response);
+    // The session takes the end of the connection for the end of the head.
+    if (socket_->closed_by_peer())
+        throw Poco::Net::NoMessageException(
+            "the connection closed before the end of the head");
     // Passes on exceptions of the socket, so that they can be classified.
     body_->exceptions(std::ios::badbit);
     if (response.hasContentLength())
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -81,6 +81,28 @@
     }
 }
 
+// Guards against an empty answer that counts: the sender has stopped in the
+// middle of the head, so that no length is known.
+TEST(http_exchange, an_answer_that_ends_in_its_head_is_lost)
+{
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-A: b\r\n"
+          "Content-Length: 400\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-A: b\r\n\r\n"}) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            const scripted_server server(
+                scripted_server::reply(head.substr(0, length)));
+            http_exchange exchange(server.address(), {}, steady_now);
+            http_request sent{"POST", "/x", "text/plain",
+                              "body", {},   steady_now() + long_limit};
+            sent.accepts_unframed = true;
+            const auto answer = exchange.run(sent);
+            ASSERT_FALSE(answer) << head.substr(0, length);
+            EXPECT_TRUE(answer.error().may_have_run);
+        }
+    }
+}
+
 // Guards against a lost answer, and against one that claims to be whole: an
 // answer without framing is accepted on request, as unconfirmed.
 TEST(http_exchange, an_answer_without_framing_is_unconfirmed)
