Refuse what can't end in a stop, and await requests that are being sent

What callers saw: in a planned stop, requests that came late got 502 at its end, among them some that may not be repeated. A request that was being sent when nothing else ran got no answer.

Cause: exchange::start() refused only streams that can't be resumed and would outlast the process; is_drained() did not count requests that are being read.

Change: streams that may be resumed are refused likewise, and other requests if the usual response time of their route exceeds what the process has left.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -80,13 +80,7 @@
     served_.profile =
         request_profile(served_.routes, served_.admitted, served_.facts);
     conclusion_.admit();
-    // This process would exit before the stream ends; another gateway can
-    // complete it.
-    const bool outlasts_this_process =
-        context_.stop_at && served_.profile.is_unresumable_stream() &&
-        context_.reactor->now() + served_.profile.expected_duration() >
-            *context_.stop_at;
-    if (outlasts_this_process) {
+    if (outlasts_process()) {
         conclusion_.refuse(gateway_refusal::stopping);
         return;
     }
@@ -105,6 +99,19 @@
         dispatch();
 }
 
+bool exchange::outlasts_process() const
+{
+    if (!context_.stop_at)
+        return false;
+    const auto& route = *served_.admitted.route;
+    const auto expected =
+        route.shape == answer_shape::event_stream
+            ? served_.profile.expected_duration()
+            : context_.route_response_times.usual_bound(route.name)
+                  .value_or(milliseconds(0));
+    return context_.reactor->now() + expected > *context_.stop_at;
+}
+
 // Choice of an upstream.
 
 void exchange::dispatch()
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -60,6 +60,11 @@
     }
 
 private:
+    /**
+     * True if this process exits before the answer can end: another gateway can
+     * serve the request.
+     */
+    bool outlasts_process() const;
     upstream_search::hooks search_hooks();
     generation_continuation::hooks continuation_hooks();
 
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -138,10 +138,21 @@
 
 std::size_t http_server::untaken_answers() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(sessions_.begin(), sessions_.end(), [](const auto& weak) {
+    return count_sessions(&http_session::has_untaken_answer);
+}
+
+std::size_t http_server::incomplete_requests() const
+{
+    return count_sessions(&http_session::is_receiving);
+}
+
+std::size_t http_server::count_sessions(bool (http_session::*matches)()
+                                            const) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        sessions_.begin(), sessions_.end(), [matches](const auto& weak) {
             const auto session = weak.lock();
-            return session && session->has_untaken_answer();
+            return session && ((*session).*matches)();
         }));
 }
 
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -34,9 +34,12 @@
     std::size_t connections();
     /** Connections whose callers lack the last bytes of an ended answer. */
     std::size_t untaken_answers() const;
+    /** Requests of which a part was received. */
+    std::size_t incomplete_requests() const;
     std::size_t unread_connections() const { return unread_.size(); }
 
 private:
+    std::size_t count_sessions(bool (http_session::*matches)() const) const;
     void accept(const Poco::Net::StreamSocket& socket);
     void add(const Poco::Net::StreamSocket& socket);
     void add_unread(const Poco::Net::StreamSocket& socket);
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -74,6 +74,11 @@
     /** Closes the connection if no request is in progress. */
     void close_if_idle();
     bool open() const { return connection_->open(); }
+    /** True while the caller sends a request. */
+    bool is_receiving() const
+    {
+        return open() && !serving_ && !closing_ && reader_->in_message();
+    }
     /** True if an answer has ended whose last bytes the caller lacks. */
     bool has_untaken_answer() const
     {
--- a/tests/gateway/test_request_forwarding.cpp
+++ b/tests/gateway/test_request_forwarding.cpp
@@ -195,5 +195,53 @@
     EXPECT_TRUE(clean);
 }
 
+// Guards against a connection that ends without an answer: its request was
+// being sent when the stop began, and nothing else ran.
+TEST_F(request_forwarding, serves_a_request_that_is_being_sent_in_a_stop)
+{
+    settings.stop_grace_s = 4;
+    settings.balancer_wait = milliseconds(100);
+    start();
+    add("u1", answer_with_body);
+    test_caller caller(gateway->address());
+    const auto text = request("/plain/x");
+    caller.send(text.substr(0, text.size() - 2));
+    bool clean = false;
+    std::thread stop([&] { clean = gateway->drain(); });
+    std::this_thread::sleep_for(milliseconds(600));
+    caller.send(text.substr(text.size() - 2));
+    const auto answer = caller.read();
+    stop.join();
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_TRUE(clean);
+}
+
+// Guards against a 502 at the end of a stop: requests that come late and
+// usually take longer than the process has left are passed on.
+TEST_F(request_forwarding, refuses_what_can_not_end_before_the_process_exits)
+{
+    constexpr milliseconds usual{900};
+    settings.stop_grace_s = 3;
+    settings.balancer_wait = milliseconds(100);
+    start();
+    auto& upstream = add(
+        "u1", [usual](const arrived_request& request, upstream_reply& reply) {
+            std::this_thread::sleep_for(usual);
+            reply.answer(request, 200, "slow");
+        });
+    EXPECT_EQ(send_request("/plain/x").status(), 200U);
+    test_caller late(gateway->address());
+    const auto text = request("/plain/x");
+    late.send(text.substr(0, text.size() - 2));
+    std::thread stop([&] { (void)gateway->drain(); });
+    std::this_thread::sleep_for(milliseconds(1800));
+    late.send(text.substr(text.size() - 2));
+    const auto answer = late.read();
+    stop.join();
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_NE(answer.field("Retry-After"), "");
+    EXPECT_EQ(upstream.arrived().size(), 1U);
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
