--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -274,12 +274,14 @@
                                                 bool has_crashed)
 {
     const auto* traits = served_.profile.engine();
-    // A run of which the caller has nothing isn't continued but begun again.
-    if (!conclusion_.answer().begun() || traits == nullptr)
+    if (traits == nullptr)
         return false;
     if (has_crashed)
         return resume_at_backup({run_end::process_gone});
     auto destination = usable_backup();
+    // A run of which the caller has nothing may as well begin again.
+    if (!destination && !conclusion_.answer().begun())
+        return false;
     if (!destination)
         destination = choose_destination(source, {source.id});
     const bool can_go_on = destination || served_.admitted.route->resumable;
--- a/tests/gateway/test_request_forwarding.cpp
+++ b/tests/gateway/test_request_forwarding.cpp
@@ -207,8 +207,13 @@
     const auto text = request("/plain/x");
     caller.send(text.substr(0, text.size() - 2));
     bool clean = false;
-    std::thread stop([&] { clean = gateway->drain(); });
+    std::atomic<bool> ended = false;
+    std::thread stop([&] {
+        clean = gateway->drain();
+        ended = true;
+    });
     std::this_thread::sleep_for(milliseconds(600));
+    EXPECT_FALSE(ended);
     caller.send(text.substr(text.size() - 2));
     const auto answer = caller.read();
     stop.join();
--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -389,11 +389,13 @@
             grant.mutable_engine()->set_id("e9");
             return grant;
         });
-    const auto grants =
-        monitor("127.0.0.2", [](const v1::MonitorRequest& request) -> notice {
+    const auto grants_later = monitor(
+        "127.0.0.2",
+        [asked = 0](const v1::MonitorRequest& request) mutable -> notice {
             if (!wants_start(request))
                 return std::nullopt;
-            return start_given(request.start_wanted().id());
+            const auto& id = request.start_wanted().id();
+            return asked++ == 0 ? start_waits(id) : start_given(id);
         });
     EXPECT_EQ(send_request("/gen/x").status(), 200U);
     EXPECT_TRUE(first_engine->arrived().empty());
