--- a/src/libcyclamenrun/gateway/exchange_hooks.cpp
+++ b/src/libcyclamenrun/gateway/exchange_hooks.cpp
@@ -54,7 +54,7 @@
         if (const auto self = weak.lock())
             self->continue_after(attempt_result::lost);
     };
-    on.out_of_control = [weak = weak_from_this()] {
+    on.unstoppable = [weak = weak_from_this()] {
         if (const auto self = weak.lock())
             self->conclusion_.conclude(attempt_step::cut);
     };
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -301,8 +301,8 @@
     on.given_up = [this] {
         stop_.reset();
         // Copied, since the call may destroy the exchange and this object.
-        const auto out_of_control = on_.out_of_control;
-        out_of_control();
+        const auto unstoppable = on_.unstoppable;
+        unstoppable();
     };
     stop_ = std::make_shared<run_stop>(
         context_, served_.facts.id, source, destination,
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -39,7 +39,7 @@
         /** The run has ended, and nothing continues it. */
         std::function<void()> lost;
         /** The run is lost and may still go on: nothing may continue it. */
-        std::function<void()> out_of_control;
+        std::function<void()> unstoppable;
     };
 
     generation_continuation(gateway_context& context, served_request& served,
--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -14,10 +14,9 @@
 {
 
 /**
- * Time in which an unconfirmed upstream must renew its record. It counts from
- * when this gateway learns that the record is missing. Live upstreams renew
- * within two seconds of the end of an outage of the directory, and the gateway
- * learns of the missing record only after that end.
+ * Time in which an unconfirmed upstream must renew its record, from when this
+ * gateway learns that it is missing, which is after the end of an outage of the
+ * directory. Live upstreams renew within two seconds of that end.
  */
 constexpr milliseconds unconfirmed_timeout{1900};
 /**
@@ -29,9 +28,8 @@
 constexpr milliseconds load_lifetime{1500};
 /**
  * An upstream to which no connection could be made is tried again after this
- * time. Without the delay, while this VM is cut off, each further request
- * would wait for a full connection timeout, although its caller could have
- * used another gateway.
+ * time. Without it, while this VM is cut off, each further request would wait
+ * for a connection timeout, although its caller could use another gateway.
  */
 constexpr milliseconds unreachable_retry_delay{600};
 /**
