--- a/src/libcyclamenrun/gateway/ended_run.hpp
+++ b/src/libcyclamenrun/gateway/ended_run.hpp
@@ -21,9 +21,8 @@
 std::string_view name_of(run_end how);
 
 /**
- * A run that has ended at its upstream. Whatever continues a run elsewhere
- * takes this as an argument, since a run whose connection is lost may still go
- * on.
+ * A run that has ended at its upstream. Resuming a backup takes this as an
+ * argument, since a run whose connection is lost may still go on.
  */
 struct ended_run {
     run_end how;
