--- a/tests/gateway/test_start_search.cpp
+++ b/tests/gateway/test_start_search.cpp
@@ -403,8 +403,8 @@
 }
 
 // Guards against a request addressed to a previous process: the engine has
-// restarted, and the record of its predecessor remains in the directory, whose
-// requests the new process rejects.
+// restarted, and the directory still lists its predecessor, whose requests the
+// new process rejects.
 TEST_F(start_searches, use_the_current_process_of_a_restarted_engine)
 {
     const auto reports_successor =
