Log requests that are dropped at a close, and processes that end by themselves

After a loss the log could not tell whether a caller had left, whether its connection was closed with a request on it, or whether the process had ended by itself.

- `request_dropped`: bytes of a request arrived on a connection that was being closed, and are not read; with the reason of the close.
- `drain_timed_out` has the number of requests that had been received in part.
The running ones have a line each already, by their refusal or their cut.

How the process before ended can't be known at a start: VMs keep nothing. It is told by the last line of the log before `process_started`: `process_stopped`, `process_failed`, or neither if it was killed.

No logic changes. Test: ended_gateways.log_the_signal_that_ends_them.

--- a/src/libcyclamenrun/daemon/daemon_main.cpp
+++ b/src/libcyclamenrun/daemon/daemon_main.cpp
@@ -1,6 +1,7 @@
 #include "daemon_main.hpp"
 
 #include "build_info.hpp"
+#include "failure_report.hpp"
 #include "log_event.hpp"
 #include "logging.hpp"
 #include "rejected_messages.hpp"
@@ -37,6 +38,7 @@
     if (check_only)
         return exit_code::ok;
     start_logging(*log, standard_output_writer());
+    report_own_failures(log->process);
     process_rejected_messages().set_reporter(log_rejected_message);
     log_event(
         log_severity::info, log_event_name::process_started,
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -308,6 +308,10 @@
                   {{log_key::detail, "the answer was not read to its end"},
                    {log_key::bytes, bytes}});
     };
+    hooks.on_dropped = [](close_reason reason) {
+        log_event(log_severity::warning, log_event_name::request_dropped,
+                  {{log_key::reason, name_of(reason)}});
+    };
     return hooks;
 }
 
--- a/src/libcyclamenrun/gateway/gateway_process_stop.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process_stop.cpp
@@ -62,7 +62,8 @@
               complete ? log_event_name::drain_finished
                        : log_event_name::drain_timed_out,
               {{log_key::running, context_->running.size()},
-               {log_key::count, caller_server_->untaken_answers()}});
+               {log_key::count, caller_server_->untaken_answers()},
+               {log_key::incomplete, caller_server_->incomplete_requests()}});
 }
 
 void gateway_process::end_running()
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -163,6 +163,7 @@
 void http_session::read(std::string_view bytes)
 {
     if (closing_) {
+        report_dropped();
         lingered_ += bytes.size();
         if (lingered_ > std::max(min_linger_bytes, limits_.message.body_bytes))
             connection_->close();
@@ -258,6 +259,7 @@
     drop_request();
     // Closes the connection, since the start of the next request is unknown.
     request_keep_alive_ = false;
+    closed_for_ = close_reason::rejection;
     serving_ = true;
     http_head head;
     head.status = status_of(problem);
@@ -361,7 +363,7 @@
     on_disconnect_ = nullptr;
     on_drained_ = nullptr;
     if (closes_after_answer()) {
-        close_gracefully();
+        close_gracefully(closed_for_);
         return;
     }
     set_deadline(reactor_->awake_now() + limits_.idle_timeout);
@@ -391,9 +393,12 @@
     handle_read_result(read);
 }
 
-void http_session::close_gracefully()
+void http_session::close_gracefully(close_reason reason)
 {
     closing_ = true;
+    closed_for_ = reason;
+    if (reader_->pending_bytes() > 0)
+        report_dropped();
     drop_request();
     connection_->end_sending();
     const auto now = reactor_->awake_now();
@@ -402,10 +407,19 @@
     set_deadline(now + linger_time);
 }
 
+void http_session::report_dropped()
+{
+    // The rest of a rejected request is no request.
+    if (closed_for_ == close_reason::rejection ||
+        std::exchange(reported_dropped_, true) || !hooks_->on_dropped)
+        return;
+    hooks_->on_dropped(closed_for_);
+}
+
 void http_session::close_if_idle()
 {
     if (!serving_ && !closing_ && !reader_->in_message())
-        close_gracefully();
+        close_gracefully(close_reason::stopping);
 }
 
 void http_session::set_deadline(time_point deadline)
@@ -433,7 +447,7 @@
         return;
     }
     if (!closing_)
-        close_gracefully();
+        close_gracefully(close_reason::idle_timeout);
     else if (caller_still_reads(now))
         set_deadline(now + linger_time);
     else
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_HTTP_SESSION_HPP
 
 #include "answer_writer.hpp"
+#include "close_reason.hpp"
 #include "http_reader.hpp"
 #include "tcp_connection.hpp"
 
@@ -54,6 +55,11 @@
      * last bytes of its answers in time, with their number.
      */
     std::function<void(std::size_t)> on_untaken;
+    /**
+     * Called once for a connection that is closed while its caller sends: the
+     * bytes are not read as a request.
+     */
+    std::function<void(close_reason)> on_dropped;
 };
 
 /**
@@ -114,7 +120,9 @@
                     std::size_t body_bytes);
     void complete_answer();
     void next_request();
-    void close_gracefully();
+    void close_gracefully(close_reason reason);
+    /** Reports that bytes of a request are not read. */
+    void report_dropped();
     /**
      * Whether a closing connection is kept, since its caller has taken a part
      * of its answer lately. Not if the process holds more than it may.
@@ -140,6 +148,8 @@
     bool request_keep_alive_ = true;
     bool serving_ = false;
     bool closing_ = false;
+    close_reason closed_for_ = close_reason::last_answer;
+    bool reported_dropped_ = false;
     bool awaits_output_ = false;    ///< the next request waits for unsent bytes
     std::size_t lingered_ = 0;      ///< bytes read since closing began
     std::size_t untaken_bytes_ = 0; ///< of the answer, at the last check
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -23,6 +23,9 @@
                   "A planned shutdown has begun."},
     log_event_row{log_event_name::process_stopped, "process_stopped",
                   "The process exits."},
+    log_event_row{log_event_name::process_failed, "process_failed",
+                  "The process ends by itself, by the signal that is named; "
+                  "its requests end without an answer."},
     log_event_row{log_event_name::log_lines_dropped, "log_lines_dropped",
                   "Log lines were dropped because the budget was used up or "
                   "the reader is slow; counts by severity."},
@@ -59,6 +62,10 @@
     log_event_row{log_event_name::caller_timed_out, "caller_timed_out",
                   "A caller was too slow to send or to read. A gateway "
                   "names the bytes that were not read."},
+    log_event_row{log_event_name::request_dropped, "request_dropped",
+                  "Bytes of a request arrived on a connection that was being "
+                  "closed and were not read as a request; reason says why it "
+                  "was closed."},
     log_event_row{log_event_name::connections_refused, "connections_refused",
                   "New connections of callers are closed unread, since the "
                   "process lacks what reason names; callers try another "
@@ -125,7 +132,8 @@
                   "All running work has ended."},
     log_event_row{log_event_name::drain_timed_out, "drain_timed_out",
                   "The drain timed out while work was still running. At a "
-                  "gateway count callers had not read their answers' end."},
+                  "gateway count callers had not read their answers' end, and "
+                  "incomplete requests had been received in part."},
     log_event_row{log_event_name::poison_marked, "poison_marked",
                   "A request was marked as a suspect because its upstream was "
                   "lost while serving it."},
--- a/src/libcyclamenrun/observability/log_field.cpp
+++ b/src/libcyclamenrun/observability/log_field.cpp
@@ -33,6 +33,7 @@
     key_row{log_key::framing, "framing"},
     key_row{log_key::generation, "generation"},
     key_row{log_key::incarnation, "incarnation"},
+    key_row{log_key::incomplete, "incomplete"},
     key_row{log_key::infos, "infos"},
     key_row{log_key::kind, "kind"},
     key_row{log_key::left_out, "left_out"},
--- a/src/libcyclamenrun/observability/log_field.hpp
+++ b/src/libcyclamenrun/observability/log_field.hpp
@@ -35,6 +35,7 @@
     framing,
     generation,
     incarnation,
+    incomplete,
     infos,
     kind,
     left_out,
--- a/tests/gateway/test_ended_gateways.cpp
+++ b/tests/gateway/test_ended_gateways.cpp
@@ -96,6 +96,16 @@
     expect_broken_off_by(SIGSEGV);
 }
 
+// Guards against an end without a trace: nothing in the log tells a process
+// that has ended by itself from one that was killed.
+TEST_F(ended_gateways, log_the_signal_that_ends_them)
+{
+    process->signal(SIGABRT);
+    EXPECT_EQ(process->wait(), -SIGABRT);
+    EXPECT_TRUE(
+        wait_for_log(R"("event":"process_failed","signal":"SIGABRT"})"));
+}
+
 TEST_F(ended_gateways, break_off_streams_that_outlast_the_stop_grace)
 {
     shorten_grace();
