--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -1,6 +1,7 @@
 #include "http_session.hpp"
 
 #include "http_text.hpp"
+#include "session_writer.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -69,65 +70,6 @@
 
 } // namespace
 
-/** Writes one answer of a session. Has no effect once the answer has ended. */
-class session_writer final : public answer_writer
-{
-public:
-    session_writer(std::shared_ptr<http_session> session,
-                   std::uint64_t answer_number)
-        : session_(std::move(session)), answer_number_(answer_number)
-    {
-    }
-
-    void write_whole(http_head head, std::string_view body,
-                     http_framing framing) override
-    {
-        if (current())
-            session_->write_whole(std::move(head), body, framing);
-    }
-    void begin(http_head head, http_framing framing) override
-    {
-        if (current())
-            session_->begin(std::move(head), framing);
-    }
-    void write_piece(std::string_view bytes) override
-    {
-        if (current())
-            session_->write_piece(bytes);
-    }
-    void finish() override
-    {
-        if (current())
-            session_->finish();
-    }
-    void abort() override
-    {
-        if (current())
-            session_->abort();
-    }
-    std::size_t unsent_bytes() const override
-    {
-        return session_->connection_->unsent_bytes();
-    }
-    void on_drained(std::size_t low_water,
-                    std::function<void()> drained) override
-    {
-        if (!current())
-            return;
-        session_->connection_->set_low_water(low_water);
-        session_->on_drained_ = std::move(drained);
-    }
-
-private:
-    bool current() const
-    {
-        return session_->answer_number_ == answer_number_ && session_->serving_;
-    }
-
-    std::shared_ptr<http_session> session_;
-    std::uint64_t answer_number_;
-};
-
 http_session::http_session(std::shared_ptr<link_reactor> reactor,
                            std::shared_ptr<tcp_connection> connection,
                            std::shared_ptr<const session_hooks> hooks)
