Show requests that a stop loses or passes on without an end, which fails

- An order that takes longer than the usual answers of its route is passed on when nothing bounds it by the exit: 502 at the end of the grace.
So is a stream of which only half would end before the exit.

The request of serves_a_request_that_is_being_sent_in_a_stop has 1.5 s to its deadline now instead of 9 s: what may outlast the process is to be refused, and that test is about a request that can end. It asks for the same answer as before.

--- a/tests/gateway/test_request_forwarding.cpp
+++ b/tests/gateway/test_request_forwarding.cpp
@@ -9,6 +9,14 @@
 
 class request_forwarding : public gateway_fixture
 {
+protected:
+    /** The request with this many milliseconds to its deadline. */
+    static std::string with_deadline(std::string text, const std::string& left)
+    {
+        const std::string usual = "Deadline-Ms: 9000";
+        return text.replace(text.find(usual), usual.size(),
+                            "Deadline-Ms: " + left);
+    }
 };
 
 void answer_with_body(const arrived_request& request, upstream_reply& reply)
@@ -204,7 +212,7 @@
     start();
     add("u1", answer_with_body);
     test_caller caller(gateway->address());
-    const auto text = request("/plain/x");
+    const auto text = with_deadline(request("/plain/x"), "1500");
     caller.send(text.substr(0, text.size() - 2));
     bool clean = false;
     std::atomic<bool> ended = false;
@@ -248,5 +256,101 @@
     EXPECT_EQ(upstream.arrived().size(), 1U);
 }
 
+// Guards against a 502 at the end of a stop: an order takes longer than its
+// route's usual answers and longer than the process has left.
+TEST_F(request_forwarding, refuses_in_a_stop_what_may_not_end_in_it)
+{
+    settings.stop_grace_s = 3;
+    settings.balancer_wait = milliseconds(100);
+    start();
+    std::atomic<bool> slow = false;
+    auto& upstream = add(
+        "u1", [&slow](const arrived_request& request, upstream_reply& reply) {
+            if (slow)
+                std::this_thread::sleep_for(milliseconds(2500));
+            reply.answer(request, 200, "hello");
+        });
+    EXPECT_EQ(send_request("/plain/x").status(), 200U);
+    slow = true;
+    test_caller late(gateway->address());
+    const auto text = request("/plain/x");
+    late.send(text.substr(0, text.size() - 2));
+    std::thread stop([&] { (void)gateway->drain(); });
+    std::this_thread::sleep_for(milliseconds(1000));
+    late.send(text.substr(text.size() - 2));
+    const auto answer = late.read();
+    stop.join();
+    EXPECT_EQ(answer.status(), 503U);
+    EXPECT_NE(answer.field("Retry-After"), "");
+    EXPECT_EQ(upstream.arrived().size(), 1U);
+}
+
+// Guards against a stream that a stop cuts: half of the streams with its limit
+// of tokens would end before the process does.
+TEST_F(request_forwarding, refuses_streams_in_a_stop_by_their_longest_duration)
+{
+    settings.stop_grace_s = 4;
+    settings.balancer_wait = milliseconds(2000);
+    start();
+    auto& upstream = add(
+        "u1",
+        [](const arrived_request& request, upstream_reply& reply) {
+            reply.begin_stream(request);
+            reply.event(1);
+            reply.end_stream();
+        },
+        "model");
+    std::thread stop([&] { (void)gateway->drain(); });
+    while (readiness() == 200U)
+        std::this_thread::sleep_for(milliseconds(5));
+    const auto answer_for = [this](const std::string& tokens) {
+        auto text = request("/gen/x");
+        const std::string usual = "100,4000";
+        text.replace(text.find(usual), usual.size(), "100," + tokens);
+        test_caller caller(gateway->address());
+        caller.send(text);
+        return caller.read().status();
+    };
+    EXPECT_EQ(answer_for("600"), 503U);
+    EXPECT_EQ(answer_for("100"), 200U);
+    stop.join();
+    EXPECT_EQ(upstream.arrived().size(), 1U);
+}
+
+// Guards against a lost request: it follows a stream whose head went out
+// before the stop, so that nothing told its caller of the stop.
+TEST_F(request_forwarding,
+       serves_the_request_after_a_stream_that_ends_in_a_stop)
+{
+    settings.balancer_wait = milliseconds(50);
+    start();
+    std::atomic<bool> may_end = false;
+    add("u1", answer_with_body);
+    add(
+        "u2",
+        [&](const arrived_request& request, upstream_reply& reply) {
+            reply.begin_stream(request);
+            reply.event(1);
+            while (!may_end)
+                std::this_thread::sleep_for(milliseconds(5));
+            reply.end_stream();
+        },
+        "model");
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    EXPECT_TRUE(caller.wait_for_body("data"));
+    bool clean = false;
+    std::thread stop([&] { clean = gateway->drain(); });
+    std::this_thread::sleep_for(milliseconds(300));
+    may_end = true;
+    EXPECT_TRUE(caller.read().whole);
+    caller.send(with_deadline(request("/plain/x"), "1000"));
+    const auto answer = caller.read();
+    stop.join();
+    EXPECT_EQ(answer.status(), 200U);
+    EXPECT_EQ(answer.field("Connection"), "close");
+    EXPECT_TRUE(clean);
+}
+
 } // namespace
 } // namespace cyclamenrun::testing_support
