Answer requests that have arrived when their connections are closed

What callers saw: in a planned stop, a request on a kept connection got no answer though it had arrived; the first request of a connection, and one in the listener's queue, were reset.

Cause: what is closed as idle was judged by what the process had read. Bytes that waited in the socket were read after the close and thrown away (close_if_idle), or reset (unread_connection, the queue of a listener that is closed). A gateway with little processor time reads late.

Change: an idle connection is closed only if nothing waits in its socket; otherwise it is read, and its request answered. Unread connections with input are taken, and a listener that stops accepts its queue first.

--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -92,7 +92,8 @@
     const auto now = reactor_->awake_now();
     std::erase_if(unread_, [&](const auto& entry) {
         const auto& until = entry.second->silent_until();
-        if (now < (pressure ? until.under_pressure : until.usual))
+        if (now < (pressure ? until.under_pressure : until.usual) ||
+            entry.second->has_unread_bytes())
             return false;
         entry.second->reset();
         return true;
@@ -128,8 +129,13 @@
 void http_server::close_idle()
 {
     remove_closed();
-    for (const auto& [id, connection] : std::exchange(unread_, {}))
-        connection->reset();
+    for (const auto& [id, connection] : std::map(unread_)) {
+        if (connection->has_unread_bytes())
+            read_first(id);
+        else
+            connection->reset();
+    }
+    unread_.clear();
     for (const auto& weak : std::vector(sessions_)) {
         if (const auto session = weak.lock())
             session->close_if_idle();
@@ -141,6 +147,11 @@
     return count_sessions(&http_session::has_untaken_answer);
 }
 
+std::size_t http_server::serving_connections() const
+{
+    return count_sessions(&http_session::is_serving);
+}
+
 std::size_t http_server::incomplete_requests() const
 {
     return count_sessions(&http_session::is_receiving);
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -34,6 +34,8 @@
     std::size_t connections();
     /** Connections whose callers lack the last bytes of an ended answer. */
     std::size_t untaken_answers() const;
+    /** Connections on which requests are in progress or may follow. */
+    std::size_t serving_connections() const;
     /** Requests of which a part was received. */
     std::size_t incomplete_requests() const;
     std::size_t unread_connections() const { return unread_.size(); }
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -225,6 +225,11 @@
         on_disconnect();
 }
 
+bool http_session::has_next_input() const
+{
+    return reader_->pending_bytes() > 0 || connection_->has_unread_bytes();
+}
+
 bool http_session::closes_after_answer() const
 {
     return !request_keep_alive_ || (hooks_->stopping && hooks_->stopping());
@@ -360,7 +365,7 @@
 
 void http_session::close_if_idle()
 {
-    if (!serving_ && !closing_ && !reader_->in_message())
+    if (!serving_ && !closing_ && !reader_->in_message() && !has_next_input())
         close_gracefully(close_reason::stopping);
 }
 
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -85,6 +85,8 @@
     {
         return open() && !serving_ && !closing_ && reader_->in_message();
     }
+    /** True while requests are in progress or may be on their way. */
+    bool is_serving() const { return open() && !closing_; }
     /** True if an answer has ended whose last bytes the caller lacks. */
     bool has_untaken_answer() const
     {
@@ -130,6 +132,8 @@
     bool caller_still_reads(time_point now);
     /** Closes a closing connection, whether its caller has read all or not. */
     void close_late();
+    /** Whether bytes have arrived behind the current request. */
+    bool has_next_input() const;
     bool closes_after_answer() const;
     bool closes_first_answer() const;
     /** Sets when the caller has timed out, in awake time. */
--- a/src/libcyclamenrun/http/tcp_acceptor.cpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.cpp
@@ -74,6 +74,9 @@
     if (!std::exchange(accepting_, false))
         return;
     const auto self = shared_from_this();
+    // The connections in its queue are reset when a listener is closed.
+    while (!reactor_->stopping() && accept_one()) {
+    }
     reactor_->unwatch(watch_);
     socket_.close();
 }
@@ -81,6 +84,10 @@
 void tcp_acceptor::ready(bool, bool)
 {
     for (int i = 0; i < max_accepts_per_wakeup && accepting_; ++i) {
+        if (gate_.present() && gate_.must_wait()) {
+            resume_after(gate_pause);
+            return;
+        }
         if (!accept_one())
             return;
     }
@@ -88,10 +95,6 @@
 
 bool tcp_acceptor::accept_one()
 {
-    if (gate_.present() && gate_.must_wait()) {
-        resume_after(gate_pause);
-        return false;
-    }
     const int fd = accept_from(socket_.impl()->sockfd());
     if (fd < 0) {
         const int error = errno;
--- a/src/libcyclamenrun/http/tcp_connection.cpp
+++ b/src/libcyclamenrun/http/tcp_connection.cpp
@@ -1,5 +1,7 @@
 #include "tcp_connection.hpp"
 
+#include "socket_input.hpp"
+
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 #include <algorithm>
@@ -167,6 +169,11 @@
     close();
 }
 
+bool tcp_connection::has_unread_bytes() const
+{
+    return open_ && has_input(socket_.impl()->sockfd());
+}
+
 bool tcp_connection::has_unacknowledged_bytes() const
 {
     int queued = 0;
--- a/src/libcyclamenrun/http/tcp_connection.hpp
+++ b/src/libcyclamenrun/http/tcp_connection.hpp
@@ -93,6 +93,8 @@
     bool open() const { return open_; }
     bool established() const { return !connecting_; }
     std::size_t unsent_bytes() const { return output_.size() - sent_; }
+    /** True if bytes have arrived that were not read yet. */
+    bool has_unread_bytes() const;
     /** True if the peer's host has not acknowledged all bytes. */
     bool has_unacknowledged_bytes() const;
     /** Sets the low-water mark of the output; initially none is left. */
--- a/src/libcyclamenrun/http/unread_connection.cpp
+++ b/src/libcyclamenrun/http/unread_connection.cpp
@@ -1,5 +1,7 @@
 #include "unread_connection.hpp"
 
+#include "socket_input.hpp"
+
 #include <Poco/Net/StreamSocketImpl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -53,6 +55,11 @@
     socket.close();
 }
 
+bool unread_connection::has_unread_bytes() const
+{
+    return has_input(socket_.impl()->sockfd());
+}
+
 Poco::Net::StreamSocket unread_connection::release()
 {
     const auto self = shared_from_this();
--- a/src/libcyclamenrun/http/unread_connection.hpp
+++ b/src/libcyclamenrun/http/unread_connection.hpp
@@ -43,6 +43,8 @@
     /** Stops watching the socket and returns it. */
     Poco::Net::StreamSocket release();
     const deadlines& silent_until() const { return silent_until_; }
+    /** True if bytes have arrived, which may be a whole request. */
+    bool has_unread_bytes() const;
 
     void ready(bool readable, bool writable) override;
     void flush() override {}
