Keep a connection in a stop until its caller has been told of its end

What callers saw: the request after a stream that ended in a stop got no answer, and neither did pipelined requests that had been read behind another one. A caller can't repeat an order then, as it can't know whether it was read.

Cause: whether a connection closes after an answer was decided twice, at its head and at its end. An answer whose head went out before the stop announced nothing, and its connection was closed with its last byte. Pipelined requests were dropped although they had arrived before the answer announced anything.

Change: the head decides, and the end follows it. An answer in a stop announces the close only if nothing has arrived behind its request. A connection whose last answer announced nothing is kept for half a second for a next request, whose answer does, or until the drain ends.

closing_connections.answer_one_more_request_after_a_long_answer, answer_pipelined_requests_that_have_arrived and request_forwarding.serves_the_request_after_a_stream_that_ends_in_a_stop failed before (no answer) and pass.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -34,6 +34,11 @@
  * waits. Otherwise a caller that reads nothing could add answers without end.
  */
 constexpr std::size_t max_untaken_bytes = std::size_t(64) << 10;
+/**
+ * How long a connection is kept in a stop for the next request, if its last
+ * answer did not announce the end of the connection.
+ */
+constexpr milliseconds last_request_time{500};
 constexpr milliseconds retry_after_no_room{1000};
 /** Memory of a field beside its text. */
 constexpr std::size_t field_bytes = sizeof(http_field);
@@ -230,9 +235,14 @@
     return reader_->pending_bytes() > 0 || connection_->has_unread_bytes();
 }
 
+bool http_session::stops() const
+{
+    return hooks_->stopping && hooks_->stopping();
+}
+
 bool http_session::closes_after_answer() const
 {
-    return !request_keep_alive_ || (hooks_->stopping && hooks_->stopping());
+    return !request_keep_alive_ || (stops() && !has_next_input());
 }
 
 bool http_session::closes_first_answer() const
@@ -259,7 +269,8 @@
     framing_ = framing;
     if (framing == http_framing::connection || closes_first_answer())
         request_keep_alive_ = false;
-    if (closes_after_answer())
+    announced_close_ = closes_after_answer();
+    if (announced_close_)
         head.fields.push_back({"Connection", "close"});
     // The kernel ends the connections of a process that dies in an orderly way.
     if (framing == http_framing::connection)
@@ -309,11 +320,12 @@
     serving_ = false;
     on_disconnect_ = nullptr;
     on_drained_ = nullptr;
-    if (closes_after_answer()) {
+    if (announced_close_) {
         close_gracefully(closed_for_);
         return;
     }
-    set_deadline(reactor_->awake_now() + limits_.idle_timeout);
+    set_deadline(reactor_->awake_now() +
+                 (stops() ? last_request_time : limits_.idle_timeout));
     // Deferred, since the answer may be written from within a reader hook.
     reactor_->post([weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -394,7 +406,8 @@
         return;
     }
     if (!closing_)
-        close_gracefully(close_reason::idle_timeout);
+        close_gracefully(stops() ? close_reason::stopping
+                                 : close_reason::idle_timeout);
     else if (caller_still_reads(now))
         set_deadline(now + linger_time);
     else
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -134,6 +134,7 @@
     void close_late();
     /** Whether bytes have arrived behind the current request. */
     bool has_next_input() const;
+    bool stops() const;
     bool closes_after_answer() const;
     bool closes_first_answer() const;
     /** Sets when the caller has timed out, in awake time. */
@@ -150,6 +151,7 @@
     std::unique_ptr<http_reader> reader_;
     caller_request request_;
     bool request_keep_alive_ = true;
+    bool announced_close_ = false; ///< by the current answer
     bool serving_ = false;
     bool closing_ = false;
     close_reason closed_for_ = close_reason::last_answer;
