Refuse in a stop what may not end before the process exits

What callers saw: a request that came late in a stop and took longer than the usual answers of its route got 502 when the process exited, orders among them; streams were cut at the exit.

Cause: whether a request ends in time was judged by its route's usual response time, and by the mean length of streams. Neither bounds anything; a route without an answer yet had no usual time at all.

Change: once the listener is closed, a request is passed on only if its deadline ends before the process does, since then it has its answer in any case; others are refused at once as not run. While callers still arrive at their usual rate, plain requests are judged as before, and streams by their longest duration, as moves judge them.

request_forwarding.refuses_in_a_stop_what_may_not_end_in_it (502 before, passed on; 503 now) and refuses_streams_in_a_stop_by_their_longest_duration (200 before) failed and pass.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -103,10 +103,14 @@
 {
     if (!context_.stop_at)
         return false;
+    // Usual times bound nothing. They suffice while callers still arrive at
+    // their usual rate, since a refusal costs each of them a retry.
+    if (context_.listener_closed)
+        return served_.admitted.deadline > *context_.stop_at;
     const auto& route = *served_.admitted.route;
     const auto expected =
         route.shape == answer_shape::event_stream
-            ? served_.profile.expected_duration()
+            ? served_.profile.longest_duration()
             : context_.route_response_times.usual_bound(route.name)
                   .value_or(milliseconds(0));
     return context_.reactor->now() + expected > *context_.stop_at;
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -167,6 +167,8 @@
     time_point next_version_record{};
     /** When a planned stop ends this process, even with requests running. */
     std::optional<time_point> stop_at;
+    /** In a stop, no new connection is taken any more. */
+    bool listener_closed = false;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/gateway_process_stop.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process_stop.cpp
@@ -36,6 +36,7 @@
         std::min(started_at + settings_.balancer_wait, drain_deadline));
     on_loop([this] {
         caller_server_->stop_accepting();
+        context_->listener_closed = true;
         caller_server_->close_idle();
     });
     bool drained = false;
--- a/src/libcyclamenrun/gateway/request_profile.cpp
+++ b/src/libcyclamenrun/gateway/request_profile.cpp
@@ -89,9 +89,9 @@
     return route_->shape == answer_shape::event_stream && !route_->resumable;
 }
 
-milliseconds request_profile::expected_duration() const
+milliseconds request_profile::longest_duration() const
 {
-    return max_output_tokens_ * time_per_token / 2;
+    return max_output_tokens_ * slow_time_per_token;
 }
 
 std::uint64_t request_profile::memory_tokens(milliseconds running) const
@@ -105,7 +105,7 @@
 {
     const auto notice =
         engine_leaves_at ? time_left(*engine_leaves_at, now) : default_notice;
-    return max_output_tokens_ * slow_time_per_token > notice;
+    return longest_duration() > notice;
 }
 
 bool request_profile::allows_backup() const
--- a/src/libcyclamenrun/gateway/request_profile.hpp
+++ b/src/libcyclamenrun/gateway/request_profile.hpp
@@ -43,11 +43,8 @@
 
     /** True for a stream that cannot be resumed after a disconnect. */
     bool is_unresumable_stream() const;
-    /**
-     * Time from the first to the last part, assuming half of the maximum
-     * output.
-     */
-    milliseconds expected_duration() const;
+    /** Time from the first to the last part for the maximum output. */
+    milliseconds longest_duration() const;
     /** Memory at the engine after this running time, in tokens. */
     std::uint64_t memory_tokens(milliseconds running) const;
     /** True if the generation may not end before its engine is removed. */
