Announce the end of connections at an entry that stops, and answer a last request

What callers saw at entries, the same as at gateways: an answer in a planned stop said Keep-Alive, and the next request on its connection got none if the process had ended meanwhile, within 20 ms of the last answer.

Cause: the drain ended with the last running request, counted from its dispatch to its result; requests that were being read or on their way counted for nothing, and no answer said that its connection would end. The server of callers was stopped before the drain: connections that waited for a thread were dropped, and new ones stayed in the listener's queue without an answer until the exit.

Change: answers say close from the start of the stop. Requests count from their head to the end of their answer. The drain refuses new work, as before, on new connections too, and ends when no request has come for half a second; then the server is stopped.

--- a/src/libcyclamenrun/entry/caller_http_handler.cpp
+++ b/src/libcyclamenrun/entry/caller_http_handler.cpp
@@ -115,6 +115,7 @@
         answer_health(path, response);
         return {};
     }
+    const entry_core::request_count counted(core_);
     if (method == "GET" && path == "/v1/generations")
         return resume(request, response);
     if (method != "POST")
@@ -156,7 +157,7 @@
         return tl::unexpected(made.error());
     http_caller_writer writer(
         request, response,
-        {request_id_, parsed->service, format, parsed->stream});
+        {request_id_, parsed->service, format, parsed->stream}, stopping());
     core_.serve(*caller, std::move(*made), writer);
     return {};
 }
@@ -179,8 +180,8 @@
                                   core_.settings().limits, core_.now());
     if (!made)
         return tl::unexpected(made.error());
-    http_caller_writer writer(request, response,
-                              {request_id_, service_name, {}, false});
+    http_caller_writer writer(
+        request, response, {request_id_, service_name, {}, false}, stopping());
     core_.serve(*caller, std::move(*made), writer);
     return {};
 }
@@ -207,6 +208,8 @@
         "{\"ticket\":" + json_quoted(ticket_authority::to_text(*minted)) +
         ",\"expires_in_ms\":" + std::to_string(lifetime) + "}";
     response.setContentType("application/json");
+    if (core_.stopping())
+        response.setKeepAlive(false);
     response.sendBuffer(body.data(), body.size());
     return {};
 }
@@ -230,11 +233,16 @@
                             ? completion_format::chat
                             : completion_format::completions;
     http_caller_writer writer(request, response,
-                              {request_id_, {}, format, true});
+                              {request_id_, {}, format, true}, stopping());
     core_.serve(*caller, std::move(*made), writer);
     return {};
 }
 
+std::function<bool()> caller_http_handler::stopping() const
+{
+    return [this] { return core_.stopping(); };
+}
+
 outcome<std::string> caller_http_handler::read_body(http_request& request) const
 {
     const auto too_large =
--- a/src/libcyclamenrun/entry/caller_http_handler.hpp
+++ b/src/libcyclamenrun/entry/caller_http_handler.hpp
@@ -6,6 +6,7 @@
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -44,6 +45,7 @@
                          http_response& response);
     outcome<void> resume(http_request& request, http_response& response);
     outcome<std::string> read_body(http_request& request) const;
+    std::function<bool()> stopping() const;
     void answer_health(const std::string& path, http_response& response);
 
     entry_core& core_;
--- a/src/libcyclamenrun/entry/entry_process.cpp
+++ b/src/libcyclamenrun/entry/entry_process.cpp
@@ -47,6 +47,11 @@
 constexpr milliseconds peer_answer_timeout{1'000};
 constexpr milliseconds revisions_timeout{1'000};
 constexpr milliseconds drain_poll_interval{20};
+/**
+ * Time without a request after which a drain ends. Callers whose last answer
+ * did not announce the end of the connection may send one more.
+ */
+constexpr milliseconds last_request_time{500};
 
 entry_core_settings core_settings_of(const entry_settings& settings)
 {
@@ -343,21 +348,36 @@
     log_event(log_severity::info, log_event_name::drain_started);
     core_->mark_not_ready();
     std::this_thread::sleep_for(settings_.drain.balancer_wait);
-    callers_->stop();
+    // Callers that still connect are refused; the queue of a listener that
+    // nobody accepts from would hold them without an answer.
     core_->start_draining();
     const auto deadline = steady_now() + settings_.drain.timeout;
-    while (core_->active_requests() > 0) {
-        if (steady_now() >= deadline) {
-            log_event(log_severity::error, log_event_name::drain_timed_out,
-                      {{log_key::running, core_->active_requests()}});
-            return false;
-        }
-        std::this_thread::sleep_for(drain_poll_interval);
+    if (!wait_for_requests(deadline)) {
+        log_event(log_severity::error, log_event_name::drain_timed_out,
+                  {{log_key::running, core_->active_requests()}});
+        return false;
     }
+    callers_->stop();
     log_event(log_severity::info, log_event_name::drain_finished);
     return true;
 }
 
+bool entry_process::wait_for_requests(time_point deadline) const
+{
+    auto begun = core_->begun_requests();
+    auto quiet_at = steady_now() + last_request_time;
+    while (core_->active_requests() > 0 || steady_now() < quiet_at) {
+        if (steady_now() >= deadline)
+            return core_->active_requests() == 0;
+        std::this_thread::sleep_for(drain_poll_interval);
+        const auto latest = core_->begun_requests();
+        if (core_->active_requests() > 0 || latest != begun)
+            quiet_at = steady_now() + last_request_time;
+        begun = latest;
+    }
+    return true;
+}
+
 void entry_process::add_dump_sections()
 {
     dump_.add_section("process", [this](Poco::JSON::Object& section) {
--- a/src/libcyclamenrun/entry/entry_process.hpp
+++ b/src/libcyclamenrun/entry/entry_process.hpp
@@ -49,13 +49,15 @@
 
     /**
      * Performs a planned stop: reports not ready, waits for the load balancer
-     * to react, refuses new callers, and waits until the running requests are
-     * answered. Returns false if this takes longer than the drain timeout in
-     * the settings.
+     * to react, refuses new work, and waits until the running requests are
+     * answered and none has come for a while. Returns false if this takes
+     * longer than the drain timeout in the settings.
      */
     bool drain();
 
 private:
+    /** Returns false if requests are still running at the deadline. */
+    bool wait_for_requests(time_point deadline) const;
     void start_configuration_sources();
     void enable_peer_recovery();
     void serve_operators();
--- a/src/libcyclamenrun/entry/http_caller_writer.cpp
+++ b/src/libcyclamenrun/entry/http_caller_writer.cpp
@@ -52,8 +52,10 @@
 
 http_caller_writer::http_caller_writer(Poco::Net::HTTPServerRequest& request,
                                        Poco::Net::HTTPServerResponse& response,
-                                       answer_format format)
-    : request_(request), response_(response), format_(std::move(format))
+                                       answer_format format,
+                                       std::function<bool()> stopping)
+    : request_(request), response_(response), format_(std::move(format)),
+      stopping_(std::move(stopping))
 {
     response_.set("X-Request-Id", format_.request_id);
 }
@@ -127,6 +129,7 @@
         response_.setStatusAndReason(
             static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
         response_.setContentType(content_type);
+        announce_close();
         response_.sendBuffer(body.data(), body.size());
         return true;
     } catch (const Poco::Exception&) {
@@ -156,6 +159,12 @@
     }
 }
 
+void http_caller_writer::announce_close()
+{
+    if (stopping_ && stopping_())
+        response_.setKeepAlive(false);
+}
+
 bool http_caller_writer::start_events()
 {
     if (stream_ != nullptr)
@@ -164,6 +173,7 @@
         response_.setContentType("text/event-stream");
         response_.set("Cache-Control", "no-store");
         response_.setChunkedTransferEncoding(true);
+        announce_close();
         stream_ = &response_.send();
         return true;
     } catch (const Poco::Exception&) {
--- a/src/libcyclamenrun/entry/http_caller_writer.hpp
+++ b/src/libcyclamenrun/entry/http_caller_writer.hpp
@@ -4,6 +4,7 @@
 #include "caller_request.hpp"
 #include "caller_writer.hpp"
 
+#include <functional>
 #include <iosfwd>
 #include <string>
 
@@ -33,9 +34,11 @@
 class http_caller_writer : public caller_writer
 {
 public:
+    /** While `stopping` returns true, answers end their connection. */
     http_caller_writer(Poco::Net::HTTPServerRequest& request,
                        Poco::Net::HTTPServerResponse& response,
-                       answer_format format);
+                       answer_format format,
+                       std::function<bool()> stopping = {});
 
     bool tokens(const write_tokens& tokens) override;
     bool end(const write_end& end) override;
@@ -49,6 +52,7 @@
     /** Sends a body that ends with the connection. */
     bool send_unframed(int status, const std::string& content_type,
                        const std::string& body);
+    void announce_close();
     bool start_events();
     bool write_event(const std::string& event);
     std::string token_chunk(const std::string& text) const;
@@ -59,6 +63,7 @@
     Poco::Net::HTTPServerRequest& request_;
     Poco::Net::HTTPServerResponse& response_;
     answer_format format_;
+    std::function<bool()> stopping_;
     std::ostream* stream_ = nullptr;
 };
 
--- a/tests/processes/deployment.hpp
+++ b/tests/processes/deployment.hpp
@@ -80,6 +80,10 @@
     std::string state_at(const entry_process& entry,
                          const std::string& upstream) const;
 
+    /** A request with the team's key. */
+    http_request caller_request(const std::string& method,
+                                const std::string& path,
+                                const std::string& body) const;
     /** Starts a generation with an answer of `output_tokens` tokens. */
     caller_stream generate(const entry_process& entry,
                            const std::string& prompt,
@@ -121,10 +125,6 @@
     void start_agent(upstream_processes& upstream);
     std::string write_file(const std::string& name, const std::string& text);
     std::string common_settings(const std::string& name) const;
-    http_request caller_request(const std::string& method,
-                                const std::string& path,
-                                const std::string& body) const;
-
     Poco::TemporaryFile folder_;
     std::string team_key_;
     std::string operator_key_;
