End the closing of connections in time, and keep those whose caller still reads

- A timer of the idle timeout that fires within the half second of a last request set the idle timeout anew: a quiet caller could hold a stop to its deadline.
- A pipelined request that waits for the output before it was dropped half a second after that output was written, though its caller read on.
- An answer that ended in the stop without notice, just before idle connections are closed, had no half second.
- A caller that always has a request on its way was never told of the stop.
- Bytes that arrive in the iteration of a deadline were not read.
- A listener that stops accepted its queue without a bound, and left the rest after the error of one connection.

Change: check_deadline() extends by the idle timeout only while a request is served; a connection with output is kept while its caller reads; one with unread bytes is read first. close_if_idle() leaves connections that close soon by themselves, and sets a time from which an answer announces the close whatever has arrived. The acceptor takes at most a backlog.

The fifth and sixth have no test.

--- a/src/libcyclamenrun/gateway/gateway_process_stop.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process_stop.cpp
@@ -54,7 +54,7 @@
 {
     return context_->running.empty() &&
            caller_server_->untaken_answers() == 0 &&
-           caller_server_->serving_connections() == 0;
+           caller_server_->kept_connections() == 0;
 }
 
 void gateway_process::log_drain(bool complete) const
--- a/src/libcyclamenrun/http/http_server.cpp
+++ b/src/libcyclamenrun/http/http_server.cpp
@@ -147,9 +147,9 @@
     return count_sessions(&http_session::has_untaken_answer);
 }
 
-std::size_t http_server::serving_connections() const
+std::size_t http_server::kept_connections() const
 {
-    return count_sessions(&http_session::is_serving);
+    return count_sessions(&http_session::is_kept);
 }
 
 std::size_t http_server::incomplete_requests() const
--- a/src/libcyclamenrun/http/http_server.hpp
+++ b/src/libcyclamenrun/http/http_server.hpp
@@ -28,14 +28,17 @@
     ip_endpoint address() const { return acceptor_->address(); }
     void start();
     void stop_accepting();
-    /** Closes connections on which no request is in progress. */
+    /**
+     * Closes connections on which no request is in progress or has arrived, see
+     * http_session::close_if_idle().
+     */
     void close_idle();
     /** Open connections, those of which nothing was read included. */
     std::size_t connections();
     /** Connections whose callers lack the last bytes of an ended answer. */
     std::size_t untaken_answers() const;
     /** Connections on which requests are in progress or may follow. */
-    std::size_t serving_connections() const;
+    std::size_t kept_connections() const;
     /** Requests of which a part was received. */
     std::size_t incomplete_requests() const;
     std::size_t unread_connections() const { return unread_.size(); }
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -39,6 +39,8 @@
  * answer did not announce the end of the connection.
  */
 constexpr milliseconds last_request_time{500};
+/** Until bytes that have arrived are read, at the latest. */
+constexpr milliseconds read_delay{1};
 constexpr milliseconds retry_after_no_room{1000};
 /** Memory of a field beside its text. */
 constexpr std::size_t field_bytes = sizeof(http_field);
@@ -242,7 +244,11 @@
 
 bool http_session::closes_after_answer() const
 {
-    return !request_keep_alive_ || (stops() && !has_next_input());
+    if (!request_keep_alive_)
+        return true;
+    const bool may_wait =
+        !last_request_until_ || reactor_->awake_now() < *last_request_until_;
+    return stops() && !(may_wait && has_next_input());
 }
 
 bool http_session::closes_first_answer() const
@@ -324,6 +330,7 @@
         close_gracefully(closed_for_);
         return;
     }
+    watch_untaken_bytes();
     set_deadline(reactor_->awake_now() +
                  (stops() ? last_request_time : limits_.idle_timeout));
     // Deferred, since the answer may be written from within a reader hook.
@@ -360,10 +367,14 @@
         report_dropped();
     drop_request();
     connection_->end_sending();
-    const auto now = reactor_->awake_now();
+    watch_untaken_bytes();
+    set_deadline(reactor_->awake_now() + linger_time);
+}
+
+void http_session::watch_untaken_bytes()
+{
     untaken_bytes_ = connection_->unsent_bytes();
-    reader_deadline_ = now + limits_.idle_timeout;
-    set_deadline(now + linger_time);
+    reader_deadline_ = reactor_->awake_now() + limits_.idle_timeout;
 }
 
 void http_session::report_dropped()
@@ -377,7 +388,14 @@
 
 void http_session::close_if_idle()
 {
-    if (!serving_ && !closing_ && !reader_->in_message() && !has_next_input())
+    if (closing_)
+        return;
+    const auto kept_until = reactor_->awake_now() + last_request_time;
+    last_request_until_ = kept_until;
+    // The last answer did not announce the close, and has ended lately.
+    const bool closes_soon = deadline_ <= kept_until;
+    if (!serving_ && !closes_soon && !reader_->in_message() &&
+        !has_next_input())
         close_gracefully(close_reason::stopping);
 }
 
@@ -401,17 +419,31 @@
     if (!connection_->open())
         return;
     const auto now = reactor_->awake_now();
-    if (deadline_ > now || serving_) {
+    if (serving_) {
         set_deadline(std::max(deadline_, now + limits_.idle_timeout));
         return;
     }
-    if (!closing_)
-        close_gracefully(stops() ? close_reason::stopping
-                                 : close_reason::idle_timeout);
-    else if (caller_still_reads(now))
+    if (deadline_ > now) {
+        set_deadline(deadline_);
+        return;
+    }
+    if (closing_) {
+        if (caller_still_reads(now))
+            set_deadline(now + linger_time);
+        else
+            close_late();
+        return;
+    }
+    const bool has_arrived = !awaits_output_ && connection_->has_unread_bytes();
+    const bool waits_for_output =
+        connection_->unsent_bytes() > 0 && caller_still_reads(now);
+    if (has_arrived)
+        set_deadline(now + read_delay);
+    else if (waits_for_output)
         set_deadline(now + linger_time);
     else
-        close_late();
+        close_gracefully(stops() ? close_reason::stopping
+                                 : close_reason::idle_timeout);
 }
 
 bool http_session::caller_still_reads(time_point now)
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -44,7 +44,10 @@
                                      std::shared_ptr<answer_writer>)>
         serve;
     std::function<session_limits()> limits;
-    /** While it returns true, connections close after the current answer. */
+    /**
+     * While it returns true, connections close after the first answer behind
+     * which no request has arrived.
+     */
     std::function<bool()> stopping;
     /** While it returns true, connections close after their first answer. */
     std::function<bool()> closes_first_answers;
@@ -77,7 +80,10 @@
     http_session& operator=(const http_session&) = delete;
 
     void start();
-    /** Closes the connection if no request is in progress. */
+    /**
+     * Closes the connection if no request is in progress, none has arrived, and
+     * its caller has not been answered lately without notice of the stop.
+     */
     void close_if_idle();
     bool open() const { return connection_->open(); }
     /** True while the caller sends a request. */
@@ -85,8 +91,8 @@
     {
         return open() && !serving_ && !closing_ && reader_->in_message();
     }
-    /** True while requests are in progress or may be on their way. */
-    bool is_serving() const { return open() && !closing_; }
+    /** True while a request is in progress or may follow. */
+    bool is_kept() const { return open() && !closing_; }
     /** True if an answer has ended whose last bytes the caller lacks. */
     bool has_untaken_answer() const
     {
@@ -123,11 +129,13 @@
     void complete_answer();
     void next_request();
     void close_gracefully(close_reason reason);
+    /** From now on caller_still_reads() tells whether the caller does. */
+    void watch_untaken_bytes();
     /** Reports that bytes of a request are not read. */
     void report_dropped();
     /**
-     * Whether a closing connection is kept, since its caller has taken a part
-     * of its answer lately. Not if the process holds more than it may.
+     * Whether a connection is kept, since its caller has taken a part of its
+     * answer lately. Not if the process holds more than it may.
      */
     bool caller_still_reads(time_point now);
     /** Closes a closing connection, whether its caller has read all or not. */
@@ -167,6 +175,8 @@
     std::uint64_t answer_number_ = 0;
     session_hooks::disconnect_handler on_disconnect_;
     std::function<void()> on_drained_;
+    /** In a stop: until then arrived requests delay the announced close. */
+    std::optional<time_point> last_request_until_;
     time_point deadline_;
     /** Time of the pending timer; timers set for other times are ignored. */
     std::optional<time_point> timer_at_;
--- a/src/libcyclamenrun/http/tcp_acceptor.cpp
+++ b/src/libcyclamenrun/http/tcp_acceptor.cpp
@@ -75,7 +75,9 @@
         return;
     const auto self = shared_from_this();
     // The connections in its queue are reset when a listener is closed.
-    while (!reactor_->stopping() && accept_one()) {
+    for (int i = 0; i < gated_backlog && !reactor_->stopping(); ++i) {
+        if (!accept_one())
+            break;
     }
     reactor_->unwatch(watch_);
     socket_.close();
@@ -98,6 +100,8 @@
     const int fd = accept_from(socket_.impl()->sockfd());
     if (fd < 0) {
         const int error = errno;
+        if (error == ECONNABORTED || error == EINTR)
+            return true;
         if (out_of_descriptors(error) && reject_one())
             return true;
         if (out_of_resources(error))
--- a/tests/http/test_closing_connections.cpp
+++ b/tests/http/test_closing_connections.cpp
@@ -41,7 +41,11 @@
             }
             return session_hooks::disconnect_handler();
         };
-        hooks.limits = [] { return session_limits(); };
+        hooks.limits = [this] {
+            session_limits limits;
+            limits.idle_timeout = idle_timeout;
+            return limits;
+        };
         hooks.stopping = [this] { return stopping.load(); };
         hooks.on_dropped = [this](close_reason reason) { dropped = reason; };
         on_loop([&] {
@@ -143,6 +147,23 @@
                text.find("hello") != std::string::npos;
     }
 
+    /** Starts an answer that does not announce the stop. */
+    StreamSocket connect_and_hold()
+    {
+        auto socket = connect();
+        send(socket, held_request_text);
+        read_until(socket, "\r\n\r\n");
+        return socket;
+    }
+
+    std::size_t kept_connections()
+    {
+        std::size_t count = 0;
+        on_loop([&] { count = server->kept_connections(); });
+        return count;
+    }
+
+    milliseconds idle_timeout{15000};
     std::atomic<bool> stopping = false;
     std::atomic<std::optional<close_reason>> dropped;
     std::shared_ptr<answer_writer> held;
@@ -215,9 +236,7 @@
 TEST_F(closing_connections, answer_one_more_request_after_a_long_answer)
 {
     start();
-    auto socket = connect();
-    send(socket, held_request_text);
-    read_until(socket, "\r\n\r\n");
+    auto socket = connect_and_hold();
     on_loop([this] {
         stop();
         held->finish();
@@ -233,9 +252,7 @@
 TEST_F(closing_connections, answer_pipelined_requests_that_have_arrived)
 {
     start();
-    auto socket = connect();
-    send(socket, held_request_text);
-    read_until(socket, "\r\n\r\n");
+    auto socket = connect_and_hold();
     send(socket, request_text + request_text);
     on_loop([this] {
         stop();
@@ -247,5 +264,91 @@
     EXPECT_NE(text.find("200", first), std::string::npos);
 }
 
+// Guards against a lost request: the answer before it ended in the stop, just
+// before idle connections are closed.
+TEST_F(closing_connections, answer_one_more_request_after_a_late_answer)
+{
+    start();
+    auto socket = connect_and_hold();
+    stopping = true;
+    on_loop([this] { held->finish(); });
+    read_until(socket, "0\r\n\r\n");
+    on_loop([this] { stop(); });
+    send(socket, request_text);
+    EXPECT_TRUE(gets_last_answer(socket));
+}
+
+// Guards against a lost request: its caller reads the long answer before it
+// more slowly than a connection is kept in a stop.
+TEST_F(closing_connections, answer_a_pipelined_request_of_a_slow_reader)
+{
+    constexpr std::size_t bytes = std::size_t(12) << 20;
+    start();
+    auto socket = connect_and_hold();
+    send(socket, request_text);
+    on_loop([this] {
+        stop();
+        held->write_piece(std::string(bytes, 'x'));
+        held->finish();
+    });
+    std::this_thread::sleep_for(milliseconds(1200));
+    const auto text = read_until(socket, "hello");
+    EXPECT_GT(text.size(), bytes);
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_NE(text.find("hello"), std::string::npos);
+}
+
+// Guards against a stop that lasts until its deadline: a caller whose answer
+// did not announce the stop sends nothing more.
+TEST_F(closing_connections, end_soon_when_their_callers_send_nothing)
+{
+    idle_timeout = milliseconds(2000);
+    start();
+    auto socket = connect_and_hold();
+    std::this_thread::sleep_for(milliseconds(1600));
+    on_loop([this] {
+        stop();
+        held->finish();
+    });
+    const auto stopped = steady_now();
+    EXPECT_EQ(read_until(socket, "never"), "0\r\n\r\n");
+    EXPECT_LT(steady_now() - stopped, milliseconds(1500));
+}
+
+// Guards against a stop that lasts until its deadline: a caller always has the
+// next request on its way.
+TEST_F(closing_connections, end_soon_when_their_callers_pipeline_on)
+{
+    start();
+    auto socket = connect_and_hold();
+    std::string series;
+    for (int i = 0; i < 200; ++i)
+        series += request_text;
+    std::atomic<bool> ended = false;
+    std::thread sender([&] {
+        const auto until = steady_now() + milliseconds(4000);
+        try {
+            while (!ended && steady_now() < until) {
+                socket.sendBytes(series.data(),
+                                 static_cast<int>(series.size()));
+                std::this_thread::sleep_for(milliseconds(1));
+            }
+        } catch (const Poco::Exception&) {
+            ended = true;
+        }
+    });
+    on_loop([this] {
+        stop();
+        held->finish();
+    });
+    const auto stopped = steady_now();
+    const auto text = read_until(socket, "Connection: close");
+    const auto took = steady_now() - stopped;
+    ended = true;
+    sender.join();
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_LT(took, milliseconds(2000));
+}
+
 } // namespace
 } // namespace cyclamenrun
