Do not wait for a slow log reader when a process ends by itself

The handler of a fatal signal wrote its line with a blocking write: a full pipe would have kept the process, and its callers' connections, from ending.

--- a/src/libcyclamenrun/daemon/failure_report.cpp
+++ b/src/libcyclamenrun/daemon/failure_report.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <ctime>
 #include <exception>
+#include <poll.h>
 #include <string>
 #include <unistd.h>
 
@@ -66,8 +67,12 @@
         append(std::string_view(digits.data(), count));
     }
     void append_time();
+    /** Not if the reader is so slow that the write would wait. */
     void write() const
     {
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
+            return;
         [[maybe_unused]] const auto written =
             ::write(STDOUT_FILENO, bytes_.data(), size_);
     }
