Bound what refused callers and slow requests may delay of an entry's stop

Each request restarted the half second in which an entry that stops waits for a last one: a caller that returns at once after its refusal held the stop until drain.timeout, and so did a balancer that checks another path. The half second was also measured by a clock that goes on while the process is paused.

Change: admitted requests restart it, refused ones don't; requests that are being read delay the end by two seconds at most. It is counted in polls.

--- a/src/libcyclamenrun/entry/entry_core.cpp
+++ b/src/libcyclamenrun/entry/entry_core.cpp
@@ -142,10 +142,12 @@
         result.caller_disconnected = !writer.refuse(*result.refused);
         return result;
     }
+    ++active_;
     relay relay(request, settings_.relay, relay_hooks_for(caller));
     relay_runner runner(links_, runner_hooks(request.service), clock_);
     metrics_caller_writer measured(writer, metrics_, clock_, started_at);
     result = runner.run(relay, measured);
+    --active_;
     if (!resumes)
         teams_.finish(request.team);
     record_outcome(metrics_, request, result, started_at, clock_());
--- a/src/libcyclamenrun/entry/entry_core.hpp
+++ b/src/libcyclamenrun/entry/entry_core.hpp
@@ -100,25 +100,25 @@
     bool ready() const { return !stopping_ && configuration_.ready(); }
     bool stopping() const { return stopping_; }
 
-    /** Counts a caller's request until the end of its answer. */
+    /** Counts a caller's request from its head until it was handled. */
     class request_count
     {
     public:
         explicit request_count(entry_core& core) : core_(core)
         {
-            ++core_.active_;
-            ++core_.begun_;
+            ++core_.handled_;
         }
-        ~request_count() { --core_.active_; }
+        ~request_count() { --core_.handled_; }
         request_count(const request_count&) = delete;
         request_count& operator=(const request_count&) = delete;
 
     private:
         entry_core& core_;
     };
+    /** Requests that are being read, served or refused. */
+    int handled_requests() const { return handled_; }
+    /** Requests that were admitted and have no whole answer yet. */
     int active_requests() const { return active_; }
-    /** Requests since the start, active ones included. */
-    std::uint64_t begun_requests() const { return begun_; }
 
     configuration_store& configuration() { return configuration_; }
     const configuration_revisions& revisions() const { return revisions_; }
@@ -175,7 +175,7 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> draining_ = false;
     std::atomic<int> active_ = 0;
-    std::atomic<std::uint64_t> begun_ = 0;
+    std::atomic<int> handled_ = 0;
     agent_links links_;
 };
 
--- a/src/libcyclamenrun/entry/entry_process.cpp
+++ b/src/libcyclamenrun/entry/entry_process.cpp
@@ -48,10 +48,13 @@
 constexpr milliseconds revisions_timeout{1'000};
 constexpr milliseconds drain_poll_interval{20};
 /**
- * Time without a request after which a drain ends. Callers whose last answer
- * did not announce the end of the connection may send one more.
+ * Polls without an active request after which a drain ends: callers whose last
+ * answer did not announce the end of the connection may send one more. Polls
+ * and not time, which also passes while the process is paused.
  */
-constexpr milliseconds last_request_time{500};
+constexpr int last_request_polls = 25;
+/** Polls in which requests that are being read may delay that further. */
+constexpr int last_read_polls = 100;
 
 entry_core_settings core_settings_of(const entry_settings& settings)
 {
@@ -364,16 +367,16 @@
 
 bool entry_process::wait_for_requests(time_point deadline) const
 {
-    auto begun = core_->begun_requests();
-    auto quiet_at = steady_now() + last_request_time;
-    while (core_->active_requests() > 0 || steady_now() < quiet_at) {
-        if (steady_now() >= deadline)
-            return core_->active_requests() == 0;
+    for (int polls = 0; polls < last_request_polls ||
+                        (core_->handled_requests() > 0 &&
+                         polls < last_request_polls + last_read_polls);
+         ++polls) {
+        if (core_->active_requests() > 0) {
+            if (steady_now() >= deadline)
+                return false;
+            polls = 0;
+        }
         std::this_thread::sleep_for(drain_poll_interval);
-        const auto latest = core_->begun_requests();
-        if (core_->active_requests() > 0 || latest != begun)
-            quiet_at = steady_now() + last_request_time;
-        begun = latest;
     }
     return true;
 }
--- a/src/libcyclamenrun/entry/entry_process.hpp
+++ b/src/libcyclamenrun/entry/entry_process.hpp
@@ -50,8 +50,8 @@
     /**
      * Performs a planned stop: reports not ready, waits for the load balancer
      * to react, refuses new work, and waits until the running requests are
-     * answered and none has come for a while. Returns false if this takes
-     * longer than the drain timeout in the settings.
+     * answered and a last one may have come on their connections. Returns false
+     * if this takes longer than the drain timeout in the settings.
      */
     bool drain();
 
--- a/tests/processes/test_entry_stops.cpp
+++ b/tests/processes/test_entry_stops.cpp
@@ -3,6 +3,7 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 #include <array>
+#include <atomic>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -107,5 +108,33 @@
     EXPECT_EQ(system.entry(0).process->wait(), 0);
 }
 
+// Guards against a stop that lasts until its deadline: callers that are refused
+// come back at once.
+TEST_F(entry_stops, end_while_refused_callers_return)
+{
+    std::atomic<bool> ended = false;
+    std::thread returning([&] {
+        const auto until = steady_now() + std::chrono::seconds(20);
+        while (!ended && steady_now() < until) {
+            try {
+                Poco::Net::StreamSocket socket(
+                    Poco::Net::SocketAddress(system.entry(0).address));
+                const std::string text = "GET /x HTTP/1.1\r\nHost: e\r\n\r\n";
+                socket.sendBytes(text.data(), static_cast<int>(text.size()));
+                std::array<char, 4096> answer{};
+                socket.receiveBytes(answer.data(), answer.size());
+            } catch (const Poco::Exception&) {
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+        }
+    });
+    stop();
+    const auto stopped = steady_now();
+    EXPECT_EQ(system.entry(0).process->wait(), 0);
+    EXPECT_LT(steady_now() - stopped, std::chrono::seconds(10));
+    ended = true;
+    returning.join();
+}
+
 } // namespace
 } // namespace cyclamenrun
