Judge the soak's losses after its run, and its stops by their grace

Losses are judged after the run, by the times at which upstreams ended. A program that runs at the end of its grace, or ends with work cut in planned work, is a violation. Disturbances are due each 2 ms. A kill excuses nothing that ended before it.

--- a/tests/gateway/loss_judge.cpp
+++ b/tests/gateway/loss_judge.cpp
@@ -12,9 +12,6 @@
 constexpr milliseconds crossing_time{200};
 /** Requests sent later in a stop must not be passed on if they outlast it. */
 constexpr milliseconds late_in_stop{3000};
-/** Between a kill and what the caller has seen of it. */
-constexpr milliseconds observation_slack{100};
-
 /** In the order of the enum. */
 constexpr std::array<std::string_view, 6> names{
     "lost",           "process_killed", "crossed_close",
@@ -39,7 +36,7 @@
 
 loss_verdict judge_loss(const broken_request& request, const process_life& life)
 {
-    if (life.killed && request.ended + observation_slack >= *life.killed)
+    if (life.killed && request.ended >= *life.killed)
         return loss_verdict::process_killed;
     if (!request.reached_upstream &&
         request.ended < request.sent + crossing_time)
--- a/tests/gateway/program_soak.cpp
+++ b/tests/gateway/program_soak.cpp
@@ -139,13 +139,13 @@
     const auto request_id = request.field("Attempt-Id");
     {
         const std::scoped_lock lock(mutex_);
-        reached_[request_id].over = false;
+        reached_[request_id].ended.reset();
         if (target.starts_with("/n/"))
             ++runs_[request_id];
     }
     const at_end over([this, request_id] {
         const std::scoped_lock lock(mutex_);
-        reached_[request_id].over = true;
+        reached_[request_id].ended = steady_now();
     });
     const bool unframed = target.ends_with("unframed");
     if (!target.starts_with("/s/")) {
@@ -203,13 +203,10 @@
     const auto end = steady_now() + time;
     while (steady_now() < end) {
         disturb();
-        std::this_thread::sleep_for(milliseconds(30 + draw(random_, 300)));
-        run_due_actions();
-    }
-    while (!actions_.empty()) {
-        std::this_thread::sleep_for(milliseconds(20));
-        run_due_actions();
+        wait(milliseconds(30 + draw(random_, 300)));
     }
+    while (!actions_.empty())
+        wait(milliseconds(20));
     std::this_thread::sleep_for(recovery_time);
     ending_ = true;
     for (auto& each : threads)
@@ -217,6 +214,8 @@
     for (std::size_t i = 0; i < gateways; ++i)
         judge_end(i);
     const std::scoped_lock lock(mutex_);
+    for (const auto& each : broken_)
+        judge_loss_of(each);
     for (const auto& [id, count] : runs_)
         if (count > 1)
             report_.violations.push_back(id + " ran more than once");
@@ -277,8 +276,10 @@
     caller.send(text_of(path, id, kind < 2 ? stream : stream_so_far{}));
     const auto sent = steady_now();
     const auto answer = caller.read();
-    if (!answer.whole)
-        judge_loss_of(id, address, sent);
+    if (!answer.whole) {
+        const std::scoped_lock lock(mutex_);
+        broken_.push_back({id, address, sent, steady_now()});
+    }
     if (answer.malformed)
         violate(id + " got bytes that are no answer");
     if (kind < 2)
@@ -289,28 +290,26 @@
            !answer.head.ends_with_connection;
 }
 
-void program_soak::judge_loss_of(const std::string& id,
-                                 const std::string& address, time_point sent)
+void program_soak::judge_loss_of(const broken_answer& broken)
 {
-    const std::scoped_lock lock(mutex_);
-    const auto run = reached_.find(id);
-    const broken_request request{sent,
-                                 steady_now(),
-                                 sent + time_budget,
-                                 run != reached_.end(),
-                                 false,
-                                 run != reached_.end() && !run->second.over};
-    const auto& life = lives_[address];
-    const auto verdict = judge_loss(request, life);
+    const auto run = reached_.find(broken.id);
+    const bool reached = run != reached_.end();
+    const bool at_work =
+        reached && (!run->second.ended || *run->second.ended > broken.ended);
+    const auto& life = lives_[broken.address];
+    const auto verdict =
+        judge_loss({broken.sent, broken.ended, broken.sent + time_budget,
+                    reached, false, at_work},
+                   life);
     ++report_.breaks[verdict];
     if (verdict != loss_verdict::lost)
         return;
     const auto after = [&](time_point from) {
-        return std::to_string(time_since(from, request.ended).count()) + " ms";
+        return std::to_string(time_since(from, broken.ended).count()) + " ms";
     };
     report_.violations.push_back(
-        id + " is lost " + after(sent) + " after it was sent, " +
-        (request.reached_upstream ? "passed on" : "not passed on") +
+        broken.id + " is lost " + after(broken.sent) + " after it was sent, " +
+        (reached ? "passed on" : "not passed on") +
         (life.stop_sent ? ", " + after(*life.stop_sent) + " after SIGTERM"
                         : ""));
 }
--- a/tests/gateway/program_soak.hpp
+++ b/tests/gateway/program_soak.hpp
@@ -67,7 +67,14 @@
     };
     /** A request at an upstream. */
     struct upstream_run {
-        bool over = false;
+        std::optional<time_point> ended;
+    };
+    /** A request that ended without a whole answer. */
+    struct broken_answer {
+        std::string id;
+        std::string address; ///< of the program
+        time_point sent;
+        time_point ended;
     };
     struct action {
         time_point at;
@@ -103,8 +110,9 @@
     void release();
     /** Judges how the program has ended and what it has written. */
     void judge_end(std::size_t index);
-    void judge_loss_of(const std::string& id, const std::string& address,
-                       time_point sent);
+    void judge_loss_of(const broken_answer& broken);
+    /** Lets the disturbances go on for this time. */
+    void wait(milliseconds time);
     void run_due_actions();
     void later(milliseconds delay, std::function<void()> act);
 
@@ -128,6 +136,7 @@
     std::map<std::string, int> runs_; ///< of requests that must not repeat
     std::map<std::string, upstream_run> reached_; ///< by request id
     std::map<std::string, process_life> lives_;   ///< by caller address
+    std::vector<broken_answer> broken_;
     int last_release_ = 2;
     int last_id_ = 0;
     int configuration_version_ = 0;
--- a/tests/gateway/program_soak_disturbances.cpp
+++ b/tests/gateway/program_soak_disturbances.cpp
@@ -56,23 +56,23 @@
     case 2:
         pause(index, delay);
         return;
-    case 8: // paused in its stop, while idle connections are closed
+    case 3: // paused in its stop, while idle connections are closed
         stop(index);
         later(milliseconds(draw(random_, 40)),
               [this, index, delay] { pause(index, delay); });
         later(delay, [this, index] { restart_after_stop(index); });
         return;
-    case 3:
+    case 4:
         slow_down(index, 4 * delay);
         return;
-    case 4:
+    case 5:
         reload(index);
         publish_configuration();
         return;
-    case 5:
+    case 6:
         release();
         return;
-    case 6:
+    case 7:
         list("i-new", newer_, "v2", "ready");
         return;
     default:
@@ -82,6 +82,16 @@
     }
 }
 
+void program_soak::wait(milliseconds time)
+{
+    constexpr milliseconds step{2};
+    const auto end = steady_now() + time;
+    while (steady_now() < end) {
+        run_due_actions();
+        std::this_thread::sleep_for(step);
+    }
+}
+
 void program_soak::kill(std::size_t index, int signal)
 {
     auto& each = programs_.at(index);
@@ -114,8 +124,10 @@
     // Another disturbance may have started it again.
     if (!life.stop_sent)
         return;
-    if (each.process->end_status() ||
-        steady_now() > *life.stop_sent + stop_grace)
+    const bool overruns = steady_now() > *life.stop_sent + stop_grace;
+    if (overruns && !each.process->end_status())
+        violate("a program runs at the end of its grace");
+    if (overruns || each.process->end_status())
         restart(index);
     else
         later(check_interval, [this, index] { restart_after_stop(index); });
@@ -178,7 +190,9 @@
     const auto errors = each.process->errors();
     const std::scoped_lock lock(mutex_);
     const auto& life = lives_[each.address];
-    const bool orderly = status == 0 || status == 5;
+    // In planned work a drain has time for all that runs.
+    const bool orderly =
+        status == 0 || (mode_ == soak_mode::all && status == 5);
     if (status && !life.killed && !(life.stop_sent && orderly))
         report_.violations.push_back(
             "a program ended by itself: " + std::to_string(*status) + errors);
