Await the end of a lost run at an engine that replies late

What callers saw: nothing at once. A stream whose connection was lost went on from its backup while its first engine, which is slow, still worked on it.

A call that expired said timed_out whether its connection was established or not, so the two could not be told apart.

Change: a call that expires before its connection is established is `unreachable`, as nothing of it was sent. Only that ends the wait for a lost run as gone; a query that was sent and has no answer is repeated until the time for it is up. An order that could not be sent is followed by a query, as one that expired was, so that one lost packet doesn't make an engine gone.

--- a/src/libcyclamenrun/gateway/run_stop.cpp
+++ b/src/libcyclamenrun/gateway/run_stop.cpp
@@ -87,8 +87,6 @@
     move_.reset();
     if (kept)
         end({run_end::stopped, kept, source_});
-    else if (failure == move_failure::unreachable)
-        end({run_end::process_gone});
     else
         query_runs(failure == move_failure::not_running);
 }
@@ -108,9 +106,8 @@
 void run_stop::handle_runs(const call_outcome& outcome, bool denied)
 {
     if (!outcome) {
-        const bool is_gone = outcome.error() == call_failure::unreachable ||
-                             outcome.error() == call_failure::timed_out;
-        if (is_gone)
+        // An engine that has the query and is slow may work on the run.
+        if (outcome.error() == call_failure::unreachable)
             end({run_end::process_gone});
         else
             repeat();
--- a/src/libcyclamenrun/http/http_client.cpp
+++ b/src/libcyclamenrun/http/http_client.cpp
@@ -60,11 +60,18 @@
         reactor_->awake_deadline(deadline), [weak = weak_from_this(), number] {
             const auto self = weak.lock();
             if (self && self->call_number_ == number && self->busy())
-                self->finish(tl::unexpected(call_failure::timed_out));
+                self->expire();
         });
     send_call();
 }
 
+void http_client::expire()
+{
+    const bool was_sent = !connection_ || connection_->established();
+    finish(tl::unexpected(was_sent ? call_failure::timed_out
+                                   : call_failure::unreachable));
+}
+
 void http_client::send_call()
 {
     if (!connection_ || !connection_->open())
--- a/src/libcyclamenrun/http/http_client.hpp
+++ b/src/libcyclamenrun/http/http_client.hpp
@@ -75,6 +75,8 @@
 
 private:
     void send_call();
+    /** Ends the call at its deadline. */
+    void expire();
     void open_connection();
     void read(std::string_view bytes);
     void connection_ended(connection_end reason);
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -34,6 +34,9 @@
 
     void respond(const arrived_request& request, upstream_reply& reply)
     {
+        if (request.head.target == "/kv-move" ||
+            request.head.target == "/report")
+            std::this_thread::sleep_for(milliseconds(reply_delay_ms));
         if (request.head.target == "/kv-move") {
             handle_order(request, reply);
             return;
@@ -57,6 +60,8 @@
     std::atomic<int> lose_before = 1000;
     /** Orders find no run, also while it goes on. */
     std::atomic<bool> denies_runs = false;
+    /** By how much orders and queries wait before they are executed. */
+    std::atomic<int> reply_delay_ms = 0;
     /** Ends a run whose connection was reset. */
     std::atomic<bool> ends_lost_runs = false;
     /** True while a run whose connection was reset goes on. */
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -281,6 +281,45 @@
     EXPECT_EQ(arrived(), 3U);
 }
 
+// Guards against two runs of one stream: its engine accepts connections,
+// replies late to orders and queries, and works on.
+TEST_F(generations, a_backup_waits_for_an_engine_that_replies_late)
+{
+    start();
+    std::vector<std::shared_ptr<generating_engine>> engines;
+    for (const auto* id : {"e1", "e2"}) {
+        engines.push_back(std::make_shared<generating_engine>());
+        engines.back()->break_before = 5;
+        add_engine(id, engines.back()).rejects_load_requests = false;
+    }
+    // A crash that was seen enables backups for later generations.
+    EXPECT_FALSE(send_request("/gen/x").whole);
+    for (const auto& each : engines) {
+        each->break_before = 1000;
+        each->lose_before = 5;
+        each->denies_runs = true;
+    }
+    test_caller caller(gateway->address());
+    for (const auto& each : engines)
+        each->reply_delay_ms = 1500;
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    std::this_thread::sleep_for(milliseconds(2000));
+    EXPECT_TRUE(engines[0]->runs_on || engines[1]->runs_on);
+    const auto arrived = [&] {
+        return streams(*upstreams[0]).size() + streams(*upstreams[1]).size();
+    };
+    EXPECT_EQ(arrived(), 2U);
+    for (const auto& each : engines) {
+        each->ends_lost_runs = true;
+        each->reply_delay_ms = 0;
+    }
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(arrived(), 3U);
+}
+
 // Guards against a refusal written into the body of a stream: the stream breaks
 // after the configuration's lease has expired, so it may not be retried. The
 // answer must end visibly incomplete.
