Treat an engine that is listed elsewhere than it was reported as another process

What callers would see: a gateway that ends by itself, with all of its requests.

Cause: a monitor's report puts an engine that the directory does not list yet into the index of addresses. If the directory then listed the engine at another address, the first address kept naming it. Once the engine was removed, the next load or identity from the first address looked it up with map::at, which threw on the loop's thread, where nothing catches. The directory and the monitors are two sources, each sound by itself, so no fuzz target reaches it: they fuzz decisions and parsers, not the registry.

Change: such an engine is replaced as any other process under a known id; what was learnt of the first address, idle connections included, is dropped with it.

--- a/src/libcyclamenrun/gateway/upstream_registry.cpp
+++ b/src/libcyclamenrun/gateway/upstream_registry.cpp
@@ -181,9 +181,10 @@
 bool upstream_registry::replaces_process(const upstream_record& record) const
 {
     const auto found = upstreams_.find(record.id);
+    if (found != upstreams_.end() && found->second.monitor_only_until)
+        return found->second.record.address != record.address;
     if (found != upstreams_.end())
-        return !found->second.monitor_only_until &&
-               is_other_process(found->second.record, record);
+        return is_other_process(found->second.record, record);
     const auto erased = erased_records_.find(record.id);
     return erased != erased_records_.end() &&
            is_other_process(erased->second, record);
--- a/tests/gateway/test_upstream_registry.cpp
+++ b/tests/gateway/test_upstream_registry.cpp
@@ -198,6 +198,26 @@
     EXPECT_EQ(registry.available("s").front()->record.id, "next");
 }
 
+// Guards against a process that ends by itself: an engine was listed at another
+// address than its monitor had reported, and was removed; the next datagram
+// about the first address found no engine and threw.
+TEST_F(upstream_registry_test, forgets_where_a_listed_engine_was_reported)
+{
+    const auto reported_at = record("x", 80).address;
+    put(record("before", 80));
+    registry.update_identity(reported_at, "after", at(0));
+    put(record("after", 81));
+    EXPECT_EQ(registry.find_at(record("x", 81).address)->record.id, "after");
+    EXPECT_EQ(registry.find_at(reported_at), nullptr);
+    remove("after");
+    EXPECT_NO_THROW(registry.update_load(reported_at, {}, at(10)));
+    EXPECT_NO_THROW(registry.update_identity(reported_at, "next", at(10)));
+    // The directory's next record decides who is there.
+    put(record("before", 80));
+    EXPECT_EQ(registry.find_at(reported_at)->record.id, "before");
+    EXPECT_EQ(usable(), 1U);
+}
+
 TEST_F(upstream_registry_test, ignores_identities_for_unknown_addresses)
 {
     registry.update_identity(record("x").address, "after", at(0));
