End the loop of a gateway that fails to start before what the loop uses

What operators would see: a gateway that can't listen crashes instead of exiting with its error.

Cause: the constructor rethrew the error of the start while the loop ran. By then the directory's feeds, the monitors' and peers' sockets and timers are on the loop and call the process and its context by bare references; the members were destroyed in the reverse order of their declaration, the loop last.

Change: the loop's thread is ended first, as the destructor does.

failed_starts.end_the_loop_before_what_it_uses failed on (both feeds destroyed on the constructor's thread while the loop ran; 5 of 5 runs) and passes, 200 of 200 runs. A crash itself was not reproduced.

--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -72,8 +72,11 @@
             failure = std::current_exception();
         }
     });
-    if (failure)
-        std::rethrow_exception(failure);
+    if (!failure)
+        return;
+    // Ends the loop's thread before the members that it uses are destroyed.
+    loop_.reset();
+    std::rethrow_exception(failure);
 }
 
 gateway_process::~gateway_process()
