Learn only gateways that are named by an IP address

What callers would see: a gateway that stands still.

Cause: a datagram of a peer names other gateways, and any text was taken for a host. A datagram to a host that is no IP address makes Poco look up its name, and that call blocks the only thread of the gateway for as long as the name server takes.

Change: hosts that are no IP addresses are ignored, as the schema says.

The time of a look-up without a name server was not measured.

--- a/src/libcyclamenrun/gateway/peer_exchange.cpp
+++ b/src/libcyclamenrun/gateway/peer_exchange.cpp
@@ -4,6 +4,7 @@
 #include "message_reader.hpp"
 #include "peers.pb.h"
 
+#include <Poco/Net/IPAddress.h>
 #include <algorithm>
 #include <utility>
 
@@ -41,6 +42,13 @@
 /** In one of so many probes a seed is asked that is not known as a peer. */
 constexpr unsigned seed_probe_period = 4;
 
+/** A datagram to anything else would wait for a look-up of its name. */
+bool is_ip_address(const std::string& host)
+{
+    Poco::Net::IPAddress address;
+    return !host.empty() && Poco::Net::IPAddress::tryParse(host, address);
+}
+
 bool is_direct(const v1::PeerMessage& message)
 {
     return message.loans_size() > 0 || message.origins_size() > 0;
@@ -242,7 +250,7 @@
     const auto limit = silence_timeout();
     for (const auto& named : message.peers()) {
         const milliseconds age(named.age_ms());
-        if (age < limit)
+        if (age < limit && is_ip_address(named.host()))
             (void)find_or_add(named.host(), awake_time(now) - age);
     }
 }
--- a/tests/gateway/test_peer_exchange.cpp
+++ b/tests/gateway/test_peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "peers.pb.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <map>
 #include <rapidcheck/gtest.h>
@@ -168,6 +169,24 @@
     EXPECT_EQ(fleet.nodes[0].exchange->gateway_count(), 4U);
 }
 
+// Guards against a gateway that stands still: a name that is no address is
+// looked up in the domain name system, and its only thread waits for that.
+TEST(peer_exchange, learns_only_gateways_with_addresses)
+{
+    peer_fleet fleet(2, 1);
+    fleet.run_for(milliseconds(2000));
+    auto& receiver = *fleet.nodes[0].exchange;
+    v1::PeerMessage message;
+    message.set_incarnation(7);
+    for (const auto* host : {"10.9.9.8", "10.9.9.x", "gateway.example", "",
+                             "2001:db8::1", "10.9.9.8:80", "[2001:db8::1]"})
+        message.add_peers()->set_host(host);
+    (void)receiver.receive("10.9.9.9", message.SerializeAsString(), fleet.now);
+    EXPECT_THAT(receiver.known_hosts(),
+                testing::UnorderedElementsAre(fleet.nodes[1].host, "10.9.9.9",
+                                              "10.9.9.8", "2001:db8::1"));
+}
+
 // Guards against traffic without end: acknowledgements that answer each other.
 TEST(peer_exchange, an_idle_fleet_sends_only_its_probes)
 {
