Go on without a thread for the lines of a log that is not read

What callers would see: a gateway that ends by itself, with all of its requests.

Cause: lines that standard output does not take at once are written by a thread that is started for the first of them. Where the process may start no more threads, std::thread throws std::system_error, from whatever logged the line: on the loop's thread nothing catches it.

Change: the lines stay in the queue; the next line writes it or tries again.

line_output.keeps_lines_without_a_thread_to_write_them, in a process without room for a stack, failed on ("Resource temporarily unavailable" thrown out of put()) and passes, 10 of 10 runs.

--- a/src/libcyclamenrun/observability/line_output.cpp
+++ b/src/libcyclamenrun/observability/line_output.cpp
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <climits>
 #include <poll.h>
+#include <system_error>
 #include <unistd.h>
 
 namespace cyclamenrun
@@ -57,8 +58,14 @@
     write_some();
     if (queue_.empty())
         return true;
-    if (!writer_.joinable())
-        writer_ = std::thread([this] { write_rest(); });
+    try {
+        if (!writer_.joinable())
+            writer_ = std::thread([this] { write_rest(); });
+    } catch (const std::system_error&) {
+        // No thread is to be had now. The next line writes the queue, or tries
+        // again.
+        return true;
+    }
     changed_.notify_one();
     return true;
 }
--- a/tests/product/test_logging.cpp
+++ b/tests/product/test_logging.cpp
@@ -9,7 +9,9 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <deque>
+#include <fstream>
 #include <glog/logging.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -17,6 +19,7 @@
 #include <poll.h>
 #include <rapidcheck/gtest.h>
 #include <sstream>
+#include <sys/resource.h>
 #include <thread>
 #include <type_traits>
 #include <unistd.h>
@@ -198,6 +201,37 @@
     }
 }
 
+/** Writes to a full pipe in a process that can't start a thread. */
+[[noreturn]] void write_without_threads()
+{
+    const unread_pipe pipe;
+    line_output output(pipe.writing_end());
+    const std::string line(999, 'x');
+    std::ifstream memory("/proc/self/statm");
+    rlim_t pages = 0;
+    memory >> pages;
+    // Less than the stack of a thread is left.
+    constexpr rlim_t left = 1 << 20;
+    const auto most = pages * static_cast<rlim_t>(::getpagesize()) + left;
+    const rlimit limit{most, most};
+    if (::setrlimit(RLIMIT_AS, &limit) != 0)
+        std::_Exit(2);
+    bool accepted = true;
+    for (int i = 0; i < 100; ++i)
+        accepted = output.put(log_severity::error, line) && accepted;
+    const auto lines = pipe.read_lines(60);
+    accepted = output.put(log_severity::error, "after") && accepted;
+    std::_Exit(accepted && lines.size() >= 60 ? 0 : 1);
+}
+
+// Guards against a process that ends by itself: its log is not read, and it has
+// no thread for the lines that wait.
+TEST(line_output, keeps_lines_without_a_thread_to_write_them)
+{
+    testing::FLAGS_gtest_death_test_style = "threadsafe";
+    EXPECT_EXIT(write_without_threads(), testing::ExitedWithCode(0), "");
+}
+
 TEST(line_output, a_closed_reader_does_not_block)
 {
     std::array<int, 2> ends{};
