Notice any change of a gateway's settings file without a signal

Seen from outside: a changed settings file took effect without SIGHUP only if the directory's address differed. A file that was read half written (complete enough to parse, with a new address and the rest missing) was applied with defaults and never again, so that a gateway could stop with a grace that is not its own.

Cause: check_settings() compared the address only.

Change: settings are compared as a whole. Whatever was read last is applied, so that a half written file is replaced by the whole one within a second.

The other tests of the file show what was searched and found sound before the change: reloads each 50 ms among two stores and an unusable file with requests and a stream of 1.5 s in flight, SIGHUP and SIGTERM repeated in a stop, 20 SIGHUP before a process is ready.

--- a/src/libcyclamenrun/gateway/gateway_process_settings.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process_settings.cpp
@@ -20,7 +20,7 @@
     next_settings_check_ = now + settings_check_interval;
     // A file that can't be parsed may be half written: it is read again later.
     const auto read = read_settings_();
-    if (!read || read->directory == settings_.directory)
+    if (!read || *read == settings_)
         return;
     apply_settings(*read);
     log_event(log_severity::info, log_event_name::settings_reloaded);
--- a/src/libcyclamenrun/observability/logging.hpp
+++ b/src/libcyclamenrun/observability/logging.hpp
@@ -17,6 +17,8 @@
     log_severity min_severity = log_severity::info;
     double lines_per_s = default_log_lines_per_s;
 
+    bool operator==(const log_settings&) const = default;
+
     /**
      * More than twice the peak of a gateway in the largest supported
      * installation.
--- a/src/libcyclamenrun/settings/gateway_settings.hpp
+++ b/src/libcyclamenrun/settings/gateway_settings.hpp
@@ -61,6 +61,8 @@
     double stop_grace_s = 8; ///< time for a planned stop
     /** Time between reporting not ready and closing the listener. */
     milliseconds balancer_wait{2500};
+
+    bool operator==(const gateway_settings&) const = default;
 };
 
 /** Rows whose targets are members of `settings`, which must outlive them. */
