Keep upstreams when an outage of the directory ends at another address

Seen from outside: the store is down, the settings name another one, whose list lacks upstreams that could not renew their records meanwhile. A gateway took them for gone at once and refused requests, though they were back within two seconds.

Cause: feed_follower knows of an outage only by its own failed calls. The follower of the new address begins without one, so that `regained` is not called and the first list removes what it lacks.

Change: a follower that takes over gets the time since which the one before has had no answer. Its first answer ends that outage: missing upstreams count as unconfirmed, as after any outage, and directory_regained is logged.

--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -49,6 +49,14 @@
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
 
+/** An outage goes on until the follower that takes over has an answer. */
+template <typename Follower>
+std::optional<time_point>
+lost_since_of(const std::shared_ptr<Follower>& follower)
+{
+    return follower ? follower->lost_since() : std::nullopt;
+}
+
 } // namespace
 
 directory_watch::directory_watch(gateway_context& context,
@@ -152,9 +160,10 @@
         context_.reactor, v1::DIRECTORY_FEED_CONFIGURATIONS,
         platform_.configurations(context_.reactor, settings.directory),
         context_.random, std::move(relayed));
+    const auto lost_since = lost_since_of(configurations_);
     configurations_ = std::make_shared<feed_follower<configuration_record>>(
         context_.reactor, feed, timing, std::move(on));
-    configurations_->start();
+    configurations_->start(lost_since);
 }
 
 void directory_watch::follow_upstreams(const gateway_settings& settings)
@@ -189,9 +198,10 @@
         context_.reactor, v1::DIRECTORY_FEED_UPSTREAMS,
         platform_.upstreams(context_.reactor, settings.directory),
         context_.random, std::move(relayed));
+    const auto lost_since = lost_since_of(upstreams_);
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
         context_.reactor, feed, timing, std::move(on));
-    upstreams_->start();
+    upstreams_->start(lost_since);
     context_.view.set_hook([weak = std::weak_ptr(upstreams_)] {
         if (const auto follower = weak.lock())
             follower->read_soon();
--- a/src/libcyclamenrun/gateway/feed_follower.hpp
+++ b/src/libcyclamenrun/gateway/feed_follower.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -81,7 +82,18 @@
     {
     }
 
-    void start() { read(); }
+    /**
+     * `lost_since`: since when another follower, of which this one takes the
+     * place, has had no answer of the directory.
+     */
+    void start(std::optional<time_point> lost_since = {})
+    {
+        lost_since_ = lost_since;
+        read();
+    }
+
+    /** Since when the directory has been unavailable; empty if it is not. */
+    std::optional<time_point> lost_since() const { return lost_since_; }
 
     /** True if a relay answered the last successful call. */
     bool relayed() const { return relayed_; }
--- a/tests/gateway/test_changed_settings.cpp
+++ b/tests/gateway/test_changed_settings.cpp
@@ -41,6 +41,25 @@
     }
 };
 
+// Guards against upstreams that are taken for gone when the store has been
+// down and another takes its place: their records may have expired meanwhile,
+// and are renewed within two seconds.
+TEST_F(changed_settings, upstreams_outlast_an_outage_that_ends_at_another_store)
+{
+    fake_store other;
+    put_into(other, false);
+    store.set_fault_mode(fake_store::fault_mode::disconnecting);
+    ASSERT_TRUE(wait_for_log("directory_lost"));
+    settings.write(gateway_settings_text(other));
+    process->signal(SIGHUP);
+    ASSERT_TRUE(wait_for_log("settings_reloaded"));
+    while (other.count_of("/log-newest?topic=keyed.servers") == 0)
+        std::this_thread::sleep_for(milliseconds(1));
+    EXPECT_EQ(count_failures_for(milliseconds(600)), 0);
+    put_into(other, true);
+    EXPECT_EQ(count_failures_for(milliseconds(2500)), 0);
+}
+
 // Guards against requests and streams that a series of reloads ends.
 TEST_F(changed_settings, requests_end_whole_across_a_series_of_reloads)
 {
