Read each request under the limits in force when it begins

Seen from outside: on a connection that was open when the configuration raised max_body_bytes or max_header_bytes, requests that it allows got 413 or 431 for as long as the connection was kept, and the connection was closed. Callers don't repeat either. A limit that fell was never enforced there.

Cause: http_reader has the limits with which it was made. http_session fetched new ones, at the end of the answer before, and used the timeouts only.

Change: the session fetches the limits at the first byte of a request and hands them to the reader. A request that has begun keeps them, so that it ends under the configuration under which it began.

--- a/src/libcyclamenrun/http/http_reader.cpp
+++ b/src/libcyclamenrun/http/http_reader.cpp
@@ -221,6 +221,15 @@
         parser_->skip_body();
 }
 
+void http_reader::set_limits(const http_limits& limits)
+{
+    if (in_message() || limits == limits_)
+        return;
+    limits_ = limits;
+    if (!complete())
+        start();
+}
+
 void http_reader::expect_no_body()
 {
     no_body_ = true;
--- a/src/libcyclamenrun/http/http_reader.hpp
+++ b/src/libcyclamenrun/http/http_reader.hpp
@@ -21,6 +21,8 @@
     /** Of the head; also of a chunk-size line and of the trailer. */
     std::size_t header_bytes = std::size_t(16) << 10;
     std::size_t body_bytes = std::size_t(4) << 20;
+
+    bool operator==(const http_limits&) const = default;
 };
 
 /**
@@ -59,6 +61,9 @@
      */
     tl::expected<void, http_problem> end_of_connection();
 
+    /** Sets the limits on messages that have not begun. */
+    void set_limits(const http_limits& limits);
+
     /** Expects responses without a body, as answers to HEAD are. */
     void expect_no_body();
 
--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -123,10 +123,17 @@
         return;
     }
     if (!reader_->in_message())
-        request_.arrived = reactor_->now();
+        begin_request();
     handle_read_result(reader_->feed(bytes));
 }
 
+void http_session::begin_request()
+{
+    request_.arrived = reactor_->now();
+    limits_ = hooks_->limits();
+    reader_->set_limits(limits_.message);
+}
+
 void http_session::buffer(std::string_view bytes)
 {
     (void)reader_->feed(bytes);
@@ -351,8 +358,7 @@
         connection_->set_low_water(max_untaken_bytes / 2);
         return;
     }
-    limits_ = hooks_->limits();
-    request_.arrived = reactor_->now();
+    begin_request();
     const auto read = reader_->next_message();
     if (!reader_->complete() || reader_->pending_bytes() < min_pipelined_bytes)
         connection_->pause_reading(false);
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -24,7 +24,7 @@
     held_bytes held = {};
 };
 
-/** Limits on a caller's requests, fetched again before each request. */
+/** Limits on a caller's requests, fetched again when a request begins. */
 struct session_limits {
     http_limits message;
     /** Time without data from the caller while a head is incomplete. */
@@ -103,6 +103,8 @@
     friend class session_writer;
 
     void read(std::string_view bytes);
+    /** Fetches the limits on the request that begins. */
+    void begin_request();
     void handle_head(http_head&& head);
     void handle_read_result(const tl::expected<void, http_problem>& result);
     void serve();
