Keep idle connections for the newest idle timeout if it is longer

Seen from outside: callers reuse connections within the idle timeout of the configuration. When it rises, connections that were idle were closed at the old one, while their callers took them for open; a request on one of them got no answer.

Cause: the deadline of an idle connection is set when it becomes idle.

Change: at that deadline the session asks for the limits again and waits for the rest of a longer timeout. A shorter one leaves idle connections alone: they are kept for the time under which they became idle. Half a request has no longer time, and a stop ends connections as before.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -106,7 +106,8 @@
             [this](http_head&& head) { handle_head(std::move(head)); },
             [this](std::string_view bytes) { request_.body += bytes; },
             {}});
-    set_deadline(reactor_->awake_now() + limits_.idle_timeout);
+    idle_since_ = reactor_->awake_now();
+    set_deadline(idle_since_ + limits_.idle_timeout);
 }
 
 void http_session::read(std::string_view bytes)
@@ -338,7 +339,8 @@
         return;
     }
     watch_untaken_bytes();
-    set_deadline(reactor_->awake_now() +
+    idle_since_ = reactor_->awake_now();
+    set_deadline(idle_since_ +
                  (stops() ? last_request_time : limits_.idle_timeout));
     // Deferred, since the answer may be written from within a reader hook.
     reactor_->post([weak = weak_from_this()] {
@@ -405,6 +407,12 @@
         close_gracefully(close_reason::stopping);
 }
 
+bool http_session::is_idle() const
+{
+    return !serving_ && !closing_ && !reader_->complete() &&
+           !reader_->in_message();
+}
+
 void http_session::set_deadline(time_point deadline)
 {
     deadline_ = deadline;
@@ -441,12 +449,15 @@
         return;
     }
     const bool has_arrived = !awaits_output_ && connection_->has_unread_bytes();
+    const auto idle_deadline = idle_since_ + hooks_->limits().idle_timeout;
     const bool waits_for_output =
         connection_->unsent_bytes() > 0 && caller_still_reads(now);
     if (has_arrived)
         set_deadline(now + read_delay);
     else if (waits_for_output)
         set_deadline(now + linger_time);
+    else if (is_idle() && !stops() && idle_deadline > now)
+        set_deadline(idle_deadline);
     else
         close_gracefully(stops() ? close_reason::stopping
                                  : close_reason::idle_timeout);
--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -147,6 +147,8 @@
     bool stops() const;
     bool closes_after_answer() const;
     bool closes_first_answer() const;
+    /** Whether no request is in progress or waits. */
+    bool is_idle() const;
     /** Sets when the caller has timed out, in awake time. */
     void set_deadline(time_point deadline);
     void check_deadline();
@@ -179,6 +181,7 @@
     std::function<void()> on_drained_;
     /** In a stop: until then arrived requests delay the announced close. */
     std::optional<time_point> last_request_until_;
+    time_point idle_since_; ///< awake time of the last answer, or of the start
     time_point deadline_;
     /** Time of the pending timer; timers set for other times are ignored. */
     std::optional<time_point> timer_at_;
--- a/tests/gateway/test_changed_configurations.cpp
+++ b/tests/gateway/test_changed_configurations.cpp
@@ -157,6 +157,22 @@
     EXPECT_EQ(caller.read().status(), 200U);
 }
 
+// Guards against connections closed while their callers take them for open:
+// callers reuse them within the newest idle timeout.
+TEST_F(changed_configurations, a_longer_idle_timeout_holds_at_idle_callers)
+{
+    gateway_limits limits;
+    limits.idle_timeout = milliseconds(600);
+    start_with(limits);
+    test_caller caller(gateway->address());
+    caller.send(request("/plain/x"));
+    EXPECT_EQ(caller.read().status(), 200U);
+    apply(with({}));
+    std::this_thread::sleep_for(milliseconds(1300));
+    caller.send(request("/plain/x"));
+    EXPECT_EQ(caller.read().status(), 200U);
+}
+
 // Guards against connections closed within the idle timeout under which they
 // became idle, which their callers rely on.
 TEST_F(changed_configurations, a_shorter_idle_timeout_leaves_idle_callers_alone)
