--- a/src/libcyclamenrun/http/http_session.hpp
+++ b/src/libcyclamenrun/http/http_session.hpp
@@ -24,7 +24,7 @@
     held_bytes held = {};
 };
 
-/** Limits on a caller's requests, fetched again before each request. */
+/** Limits on a caller's requests, fetched again when a request begins. */
 struct session_limits {
     http_limits message;
     /** Time without data from the caller while a head is incomplete. */
@@ -103,6 +103,8 @@
     friend class session_writer;
 
     void read(std::string_view bytes);
+    /** Fetches the limits on the request that begins. */
+    void begin_request();
     void handle_head(http_head&& head);
     void handle_read_result(const tl::expected<void, http_problem>& result);
     void serve();
@@ -145,6 +147,8 @@
     bool stops() const;
     bool closes_after_answer() const;
     bool closes_first_answer() const;
+    /** Whether no request is in progress or waits. */
+    bool is_idle() const;
     /** Sets when the caller has timed out, in awake time. */
     void set_deadline(time_point deadline);
     void check_deadline();
@@ -177,6 +181,7 @@
     std::function<void()> on_drained_;
     /** In a stop: until then arrived requests delay the announced close. */
     std::optional<time_point> last_request_until_;
+    time_point idle_since_; ///< awake time of the last answer, or of the start
     time_point deadline_;
     /** Time of the pending timer; timers set for other times are ignored. */
     std::optional<time_point> timer_at_;
