Refuse in a stop a waiting stream that would outlast the process

What callers saw: a stream that waited for a start when SIGTERM came was passed on at a grant late in the stop, and cut when the process ended.

Cause: only a request that arrives in a stop is asked whether it can end in it.

Evidence: streams_in_stops.that_wait_are_refused_once_they_can_not_end failed on (plain build): grace 3 s, the start is granted 1 s after the stop began; the caller got four events and a break 2.3 s after it.

Change: a stream that has not run is refused as `stopping` when its start requests are repeated, or at the latest before it is sent, once its longest duration exceeds what the process has left.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -137,6 +137,8 @@
         conclusion_.refuse(gateway_refusal::no_configuration);
         return false;
     }
+    if (refuse_if_stopping())
+        return false;
     const auto admission = permit_.admit();
     if (may_run(admission))
         return true;
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -93,8 +93,9 @@
     void dispatch();
     /**
      * Returns whether the request may be sent to an upstream now. Otherwise
-     * refuses it: the lease on the configuration has expired, or upstreams have
-     * crashed under the request.
+     * refuses it: the lease on the configuration has expired, this process
+     * exits before the answer can end, or upstreams have crashed under the
+     * request.
      */
     bool may_send();
     /** Begins the dispatch again after `poison_wait`. */
@@ -148,6 +149,11 @@
     void record_rejected_response(attempt_loss loss, const std::string& id);
 
     // End of the request.
+    /**
+     * Refuses a stream that has waited and would outlast the process now, if it
+     * has not run. Returns whether it did.
+     */
+    bool refuse_if_stopping();
     void expire();
     /** Releases all that the request uses, after its final answer. */
     void end();
--- a/src/libcyclamenrun/gateway/exchange_end.cpp
+++ b/src/libcyclamenrun/gateway/exchange_end.cpp
@@ -24,6 +24,21 @@
         conclusion_.caller_left();
 }
 
+bool exchange::refuse_if_stopping()
+{
+    const bool is_stream =
+        served_.admitted.route->shape == answer_shape::event_stream;
+    if (!context_.stop_at || !is_stream || conclusion_.over() ||
+        !conclusion_.may_refuse())
+        return false;
+    const auto ends_at =
+        context_.reactor->now() + served_.profile.longest_duration();
+    if (ends_at <= *context_.stop_at)
+        return false;
+    conclusion_.refuse(gateway_refusal::stopping);
+    return true;
+}
+
 void exchange::end_at_exit()
 {
     if (!conclusion_.over())
--- a/src/libcyclamenrun/gateway/exchange_hooks.cpp
+++ b/src/libcyclamenrun/gateway/exchange_hooks.cpp
@@ -20,6 +20,10 @@
         return !self || self->conclusion_.refuse_if_evacuated() ||
                self->conclusion_.refuse_without_room();
     };
+    on.refuse_if_stopping = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        return !self || self->refuse_if_stopping();
+    };
     on.found = [weak = weak_from_this()](const upstream_record& upstream) {
         if (const auto self = weak.lock())
             self->send(upstream, std::nullopt);
--- a/src/libcyclamenrun/gateway/start_search.cpp
+++ b/src/libcyclamenrun/gateway/start_search.cpp
@@ -87,6 +87,11 @@
 
 void start_search::repeat_requests()
 {
+    if (over_)
+        return;
+    // Copied, since the call may destroy the exchange.
+    const auto repeats = on_.repeats;
+    repeats();
     if (over_)
         return;
     drop_unusable();
--- a/src/libcyclamenrun/gateway/start_search.hpp
+++ b/src/libcyclamenrun/gateway/start_search.hpp
@@ -40,6 +40,11 @@
          * on unless it is cancelled.
          */
         std::function<void()> passed_over;
+        /**
+         * The requests are about to be repeated; the search goes on unless it
+         * is cancelled.
+         */
+        std::function<void()> repeats;
         /** No monitor responded within the timeout. */
         std::function<void()> no_response;
         /** All requested engines rest or leave, and there are no others. */
--- a/src/libcyclamenrun/gateway/upstream_search.cpp
+++ b/src/libcyclamenrun/gateway/upstream_search.cpp
@@ -101,6 +101,10 @@
         conclusion_.refuse(gateway_refusal::share_spent,
                            served_.admitted.route->objective);
     };
+    on.repeats = [this] {
+        const auto self = shared_from_this();
+        on_.refuse_if_stopping();
+    };
     on.no_response = [this] { handle_no_response(); };
     on.none_usable = [this] {
         const auto self = shared_from_this();
--- a/src/libcyclamenrun/gateway/upstream_search.hpp
+++ b/src/libcyclamenrun/gateway/upstream_search.hpp
@@ -26,6 +26,8 @@
         std::function<bool()> may_send;
         /** Refuses the request if all upstreams are at their limit. */
         std::function<bool()> refuse_without_room;
+        /** Refuses the request if this process exits before it can end. */
+        std::function<bool()> refuse_if_stopping;
         /** Sends the request. */
         std::function<void(const upstream_record&)> found;
         /** Begins the dispatch again. */
