Wait for the copy of a lost run that was ordered to stop

What callers saw: a stream whose connection was lost was cut although its engine lives, had stopped the run as ordered, and was copying its memory.

Cause: run_stop gave the order 1 s, though its reply follows the copy. After that the run is no longer listed, so it counted as ended without a memory.

Change: the order has 3 s, as those of moves. After 1 s without a reply a query checks whether the engine can still be reached, so that the wait for one that is gone isn't longer; nothing is sent to one that is evacuated or rests.

--- a/src/libcyclamenrun/gateway/run_stop.cpp
+++ b/src/libcyclamenrun/gateway/run_stop.cpp
@@ -9,8 +9,12 @@
 namespace
 {
 
-/** The reply follows the copy of the run's memory. */
-constexpr milliseconds order_timeout{1000};
+/** The reply follows the copy of the run's memory, which may wait for others.
+ */
+constexpr milliseconds order_timeout{3000};
+/** Time without a reply after which it is checked whether the engine is gone.
+ */
+constexpr milliseconds order_check_delay{1000};
 constexpr milliseconds query_timeout{300};
 constexpr milliseconds repeat_interval{100};
 
@@ -77,8 +81,39 @@
                 self->handle_failure(failure, kept);
         };
     move_ = std::make_shared<generation_move>(
-        context_, request_id_, source_, *destination_, now + order_timeout, on);
+        context_, request_id_, source_, *destination_,
+        std::min(now + order_timeout, give_up_at_), on);
     move_->stop_at_once();
+    context_.reactor->post_timeout(
+        context_.reactor->awake_now() + order_check_delay,
+        [weak = weak_from_this(), watched = std::weak_ptr(move_)] {
+            const auto self = weak.lock();
+            const auto move = watched.lock();
+            if (self && !self->over_ && move && move == self->move_)
+                self->check_source();
+        });
+}
+
+void run_stop::check_source()
+{
+    if (context_.choice.is_evacuated(source_) ||
+        context_.notices.is_resting(source_.id, context_.reactor->now()))
+        return;
+    context_.engine_client_pool.idle_client(source_)->call(
+        context_.dialect->load_call(), {},
+        context_.reactor->now() + query_timeout,
+        [weak = weak_from_this(),
+         watched = std::weak_ptr(move_)](const call_outcome& outcome) {
+            const auto self = weak.lock();
+            const auto move = watched.lock();
+            const bool is_awaited =
+                self && !self->over_ && move && move == self->move_;
+            if (!is_awaited || outcome ||
+                outcome.error() != call_failure::unreachable)
+                return;
+            move->cancel();
+            self->end({run_end::process_gone});
+        });
 }
 
 void run_stop::handle_failure(move_failure failure,
--- a/src/libcyclamenrun/gateway/run_stop.hpp
+++ b/src/libcyclamenrun/gateway/run_stop.hpp
@@ -44,6 +44,8 @@
     void order_stop();
     void handle_failure(move_failure failure,
                         const std::optional<continuation>& kept);
+    /** Ends the wait for the reply to an order if the engine is gone. */
+    void check_source();
     /** `denied`: the engine has replied that there is no such run. */
     void query_runs(bool denied);
     void handle_runs(const call_outcome& outcome, bool denied);
--- a/tests/gateway/test_generations.cpp
+++ b/tests/gateway/test_generations.cpp
@@ -281,6 +281,27 @@
     EXPECT_EQ(arrived(), 3U);
 }
 
+// Guards against a stream that is cut although its memory arrives: its lost run
+// was stopped, and the copy takes longer than a reply usually does.
+TEST_F(generations, a_lost_stream_waits_for_the_copy_of_its_stopped_run)
+{
+    start();
+    const auto first = std::make_shared<generating_engine>();
+    first->hold_before = 5;
+    first->lose_before = 5;
+    first->on_stop = [] { std::this_thread::sleep_for(milliseconds(1800)); };
+    add_engine("e1", first).rejects_load_requests = false;
+    test_caller caller(gateway->address());
+    caller.send(request("/gen/x"));
+    ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
+    auto& other = add_engine("e2", std::make_shared<generating_engine>());
+    first->hold_before = 1000;
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.whole);
+    EXPECT_EQ(answer.body, events(1, generating_engine::last_event));
+    EXPECT_EQ(streams(other).size(), 1U);
+}
+
 // Guards against two runs of one stream: its engine accepts connections,
 // replies late to orders and queries, and works on.
 TEST_F(generations, a_backup_waits_for_an_engine_that_replies_late)
