Ask in one place whether a request outlasts the process

Streams that wait were judged by a second rule beside outlasts_process(). All now go through refuse_if_stopping(): at the start, before each dispatch, at each repeat of start requests and before the send.

--- a/src/libcyclamenrun/gateway/exchange.cpp
+++ b/src/libcyclamenrun/gateway/exchange.cpp
@@ -80,10 +80,8 @@
     served_.profile =
         request_profile(served_.routes, served_.admitted, served_.facts);
     conclusion_.admit();
-    if (outlasts_process()) {
-        conclusion_.refuse(gateway_refusal::stopping);
+    if (refuse_if_stopping())
         return;
-    }
     context_.reactor->post_at(served_.admitted.deadline,
                               [weak = weak_from_this()] {
                                   if (const auto self = weak.lock())
@@ -208,9 +206,8 @@
         return false;
     }
     // The stop may have begun while the request waited.
-    if (!conclusion_.answer().begun() && outlasts_process()) {
+    if (refuse_if_stopping()) {
         end_start(upstream);
-        conclusion_.refuse(gateway_refusal::stopping);
         return false;
     }
     if (!fits || !conclusion_.draw_send()) {
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -150,8 +150,8 @@
 
     // End of the request.
     /**
-     * Refuses a stream that has waited and would outlast the process now, if it
-     * has not run. Returns whether it did.
+     * Refuses a request that would outlast the process, if it has not run.
+     * Returns whether it did.
      */
     bool refuse_if_stopping();
     void expire();
--- a/src/libcyclamenrun/gateway/exchange_end.cpp
+++ b/src/libcyclamenrun/gateway/exchange_end.cpp
@@ -26,14 +26,7 @@
 
 bool exchange::refuse_if_stopping()
 {
-    const bool is_stream =
-        served_.admitted.route->shape == answer_shape::event_stream;
-    if (!context_.stop_at || !is_stream || conclusion_.over() ||
-        !conclusion_.may_refuse())
-        return false;
-    const auto ends_at =
-        context_.reactor->now() + served_.profile.longest_duration();
-    if (ends_at <= *context_.stop_at)
+    if (conclusion_.over() || !conclusion_.may_refuse() || !outlasts_process())
         return false;
     conclusion_.refuse(gateway_refusal::stopping);
     return true;
--- a/src/libcyclamenrun/gateway/run_stop.cpp
+++ b/src/libcyclamenrun/gateway/run_stop.cpp
@@ -9,11 +9,9 @@
 namespace
 {
 
-/** The reply follows the copy of the run's memory, which may wait for others.
- */
+/** The reply follows the copy of the run's memory, which may wait. */
 constexpr milliseconds order_timeout{3000};
-/** Time without a reply after which it is checked whether the engine is gone.
- */
+/** Time without a reply until it is checked whether the engine is gone. */
 constexpr milliseconds order_check_delay{1000};
 constexpr milliseconds query_timeout{300};
 constexpr milliseconds repeat_interval{100};
