Read the settings of a stop on the loop that applies changed ones

drain() read the grace on the main thread while the loop may apply a changed settings file: a data race, found by reading. It has no test of its own.

--- a/src/libcyclamenrun/gateway/gateway_process_stop.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process_stop.cpp
@@ -25,15 +25,18 @@
 bool gateway_process::drain()
 {
     const auto started_at = steady_now();
-    const auto drain_deadline =
-        started_at +
-        std::max(stop_grace(settings_) - stop_margin, milliseconds(0));
-    on_loop([this, drain_deadline] {
+    auto drain_deadline = started_at;
+    auto closes_at = started_at;
+    // On the loop, which applies changed settings.
+    on_loop([&] {
+        drain_deadline +=
+            std::max(stop_grace(settings_) - stop_margin, milliseconds(0));
+        closes_at =
+            std::min(started_at + settings_.balancer_wait, drain_deadline);
         context_->stopping = true;
         context_->stop_at = drain_deadline;
     });
-    std::this_thread::sleep_until(
-        std::min(started_at + settings_.balancer_wait, drain_deadline));
+    std::this_thread::sleep_until(closes_at);
     on_loop([this] {
         caller_server_->stop_accepting();
         context_->listener_closed = true;
