Take an outage that either feed of the directory has noticed for one of both

What callers saw: refusals after the directory's address had changed in an outage, as before, if only the configurations' feed had noticed the outage by then: the upstreams' feed waits in a long read.

--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -49,14 +49,6 @@
 constexpr std::string_view configuration_feed_name = "configurations";
 constexpr std::string_view upstream_feed_name = "upstreams";
 
-/** An outage goes on until the follower that takes over has an answer. */
-template <typename Follower>
-std::optional<time_point>
-lost_since_of(const std::shared_ptr<Follower>& follower)
-{
-    return follower ? follower->lost_since() : std::nullopt;
-}
-
 } // namespace
 
 directory_watch::directory_watch(gateway_context& context,
@@ -68,8 +60,18 @@
 void directory_watch::follow(const gateway_settings& settings)
 {
     context_.evacuated.follow_other_log();
-    follow_configurations(settings);
-    follow_upstreams(settings);
+    // An outage goes on until the followers that take over have an answer.
+    const auto out_since = lost_since();
+    follow_configurations(settings, out_since);
+    follow_upstreams(settings, out_since);
+}
+
+std::optional<time_point> directory_watch::lost_since() const
+{
+    // One feed may not have noticed yet what the other has.
+    if (configurations_ && configurations_->lost_since())
+        return configurations_->lost_since();
+    return upstreams_ ? upstreams_->lost_since() : std::nullopt;
 }
 
 void directory_watch::stop()
@@ -131,7 +133,8 @@
     };
 }
 
-void directory_watch::follow_configurations(const gateway_settings& settings)
+void directory_watch::follow_configurations(const gateway_settings& settings,
+                                            std::optional<time_point> out_since)
 {
     feed_timing timing;
     timing.wait = settings.configuration_wait;
@@ -160,13 +163,13 @@
         context_.reactor, v1::DIRECTORY_FEED_CONFIGURATIONS,
         platform_.configurations(context_.reactor, settings.directory),
         context_.random, std::move(relayed));
-    const auto lost_since = lost_since_of(configurations_);
     configurations_ = std::make_shared<feed_follower<configuration_record>>(
         context_.reactor, feed, timing, std::move(on));
-    configurations_->start(lost_since);
+    configurations_->start(out_since);
 }
 
-void directory_watch::follow_upstreams(const gateway_settings& settings)
+void directory_watch::follow_upstreams(const gateway_settings& settings,
+                                       std::optional<time_point> out_since)
 {
     feed_timing timing;
     timing.wait = settings.upstream_wait;
@@ -198,10 +201,9 @@
         context_.reactor, v1::DIRECTORY_FEED_UPSTREAMS,
         platform_.upstreams(context_.reactor, settings.directory),
         context_.random, std::move(relayed));
-    const auto lost_since = lost_since_of(upstreams_);
     upstreams_ = std::make_shared<feed_follower<upstream_change>>(
         context_.reactor, feed, timing, std::move(on));
-    upstreams_->start(lost_since);
+    upstreams_->start(out_since);
     context_.view.set_hook([weak = std::weak_ptr(upstreams_)] {
         if (const auto follower = weak.lock())
             follower->read_soon();
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace cyclamenrun
@@ -59,8 +60,12 @@
     bool relayed() const;
 
 private:
-    void follow_configurations(const gateway_settings& settings);
-    void follow_upstreams(const gateway_settings& settings);
+    /** Since when the directory has been unavailable to one of its feeds. */
+    std::optional<time_point> lost_since() const;
+    void follow_configurations(const gateway_settings& settings,
+                               std::optional<time_point> out_since);
+    void follow_upstreams(const gateway_settings& settings,
+                          std::optional<time_point> out_since);
     template <typename Hooks>
     void add_common_hooks(Hooks& hooks, std::string_view feed);
     void apply_configurations(std::vector<configuration_record>&& records);
