--- a/tests/http/test_http_client.cpp
+++ b/tests/http/test_http_client.cpp
@@ -46,7 +46,7 @@
             head.target = "/";
             client->call(
                 std::move(head), "", loop.reactor()->now() + milliseconds(300),
-                [&](call_outcome outcome) { done.set_value(outcome); });
+                [&](const call_outcome& outcome) { done.set_value(outcome); });
         });
         const auto outcome = done.get_future().get();
         return outcome ? call_failure::malformed : outcome.error();
