--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -400,7 +400,7 @@
         return;
     const auto kept_until = reactor_->awake_now() + last_request_time;
     last_request_until_ = kept_until;
-    // The last answer did not announce the close, and has ended lately.
+    // It is closed by its deadline; its last answer may not have announced it.
     const bool closes_soon = deadline_ <= kept_until;
     if (!serving_ && !closes_soon && !reader_->in_message() &&
         !has_next_input())
