Make the test of a log without a thread independent of the address space

The test limits the process's address space to what it has plus 1 MiB, so that no thread can start; the sanitizer maps memory of its own for what the test does next, and ends the process.

The test now sets a default stack size that no address space has room for, so that only the start of a thread fails, by the same error of pthread_create(). It also asserts that a thread can't be started, which it did not before.

--- a/tests/product/test_logging.cpp
+++ b/tests/product/test_logging.cpp
@@ -11,15 +11,15 @@
 #include <csignal>
 #include <cstdlib>
 #include <deque>
-#include <fstream>
 #include <glog/logging.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <mutex>
 #include <poll.h>
+#include <pthread.h>
 #include <rapidcheck/gtest.h>
 #include <sstream>
-#include <sys/resource.h>
+#include <system_error>
 #include <thread>
 #include <type_traits>
 #include <unistd.h>
@@ -207,15 +207,17 @@
     const unread_pipe pipe;
     line_output output(pipe.writing_end());
     const std::string line(999, 'x');
-    std::ifstream memory("/proc/self/statm");
-    rlim_t pages = 0;
-    memory >> pages;
-    // Less than the stack of a thread is left.
-    constexpr rlim_t left = 1 << 20;
-    const auto most = pages * static_cast<rlim_t>(::getpagesize()) + left;
-    const rlimit limit{most, most};
-    if (::setrlimit(RLIMIT_AS, &limit) != 0)
+    // No address space has room for such a stack.
+    pthread_attr_t attributes;
+    if (::pthread_attr_init(&attributes) != 0 ||
+        ::pthread_attr_setstacksize(&attributes, std::size_t(1) << 60) != 0 ||
+        ::pthread_setattr_default_np(&attributes) != 0)
         std::_Exit(2);
+    try {
+        std::thread([] {}).join();
+        std::_Exit(3);
+    } catch (const std::system_error&) {
+    }
     bool accepted = true;
     for (int i = 0; i < 100; ++i)
         accepted = output.put(log_severity::error, line) && accepted;
