Read answers at agents and entries with the reader that gateways use

What callers saw: a 200 with a part of an answer. An answer with a trailer, which is sound, counted as lost.

Cause: http_exchange left the framing to POCO's client session, which reports an invalid size, the last chunk and a closed connection alike, and guessed the end from the last five bytes on the socket.

http_exchange now feeds its socket's bytes to http_reader, which has bounds for heads, chunk sizes, extensions and trailers, and for framing beside the body; 1xx heads are counted. Its type http_head is renamed: it shared a name, not a layout, with the one of http_reader, whose header is now used beside it.

--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -56,7 +56,7 @@
 }
 
 /** An engine that answers 4xx or 503 has not started the work. */
-tl::unexpected<engine_error> status_error(const http_head& head)
+tl::unexpected<engine_error> status_error(const answer_head& head)
 {
     const int status = head.status;
     const bool may_have_run =
@@ -74,7 +74,7 @@
         engine_error{engine_failure::malformed, 0, true, std::move(detail)});
 }
 
-std::uint64_t epoch_of(const http_head& head)
+std::uint64_t epoch_of(const answer_head& head)
 {
     const auto found = head.headers.find("x-engine-epoch");
     if (found == head.headers.end())
@@ -253,7 +253,7 @@
     return std::move(*answer);
 }
 
-std::uint64_t engine_client::record_head(const http_head& head)
+std::uint64_t engine_client::record_head(const answer_head& head)
 {
     const auto epoch = epoch_of(head);
     if (epoch != 0)
--- a/src/libcyclamenrun/outside/engine_client.hpp
+++ b/src/libcyclamenrun/outside/engine_client.hpp
@@ -133,7 +133,7 @@
 private:
     tl::expected<http_answer, engine_error> call(const http_request& request);
     /** Records the epoch and the notice of an answer; returns the epoch. */
-    std::uint64_t record_head(const http_head& head);
+    std::uint64_t record_head(const answer_head& head);
 
     std::string address_;
     exchange_limits limits_;
--- a/src/libcyclamenrun/outside/http_deadline_socket.cpp
+++ b/src/libcyclamenrun/outside/http_deadline_socket.cpp
@@ -13,9 +13,6 @@
 namespace
 {
 
-/** Size of the last chunk of a chunked body: `0`, CR, LF, CR, LF. */
-constexpr std::size_t tail_bytes = 5;
-
 bool would_block(int error)
 {
     return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
@@ -53,11 +50,8 @@
         wait_until_ready(SELECT_READ);
         const auto count =
             ::recv(sockfd(), buffer, length, flags | MSG_DONTWAIT);
-        if (count >= 0) {
-            record_received({static_cast<const char*>(buffer),
-                             static_cast<std::size_t>(count)});
+        if (count >= 0)
             return static_cast<int>(count);
-        }
         if (!would_block(errno))
             throw Poco::Net::NetException("receive", errno);
     }
@@ -75,12 +69,4 @@
         throw Poco::TimeoutException("deadline or response timeout reached");
 }
 
-void http_deadline_socket::record_received(std::string_view bytes)
-{
-    closed_by_peer_ = bytes.empty();
-    tail_.append(
-        bytes.substr(bytes.size() - std::min(bytes.size(), tail_bytes)));
-    tail_.erase(0, tail_.size() - std::min(tail_.size(), tail_bytes));
-}
-
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/outside/http_deadline_socket.hpp
+++ b/src/libcyclamenrun/outside/http_deadline_socket.hpp
@@ -4,8 +4,6 @@
 #include "awake_clock.hpp"
 
 #include <Poco/Net/StreamSocketImpl.h>
-#include <string>
-#include <string_view>
 
 namespace cyclamenrun
 {
@@ -25,21 +23,13 @@
     int sendBytes(const void* buffer, int length, int flags = 0) override;
     int receiveBytes(void* buffer, int length, int flags = 0) override;
 
-    /** Whether a read has found the connection closed by the peer. */
-    bool closed_by_peer() const { return closed_by_peer_; }
-    /** The last 5 bytes read, to compare with the end of a chunked body. */
-    std::string_view tail() const { return tail_; }
-
 private:
     void wait_until_ready(int mode);
-    void record_received(std::string_view bytes);
 
     time_point deadline_;
     milliseconds response_timeout_;
     clock_function clock_;
     awake_clock awake_;
-    bool closed_by_peer_ = false;
-    std::string tail_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -2,18 +2,15 @@
 
 #include "cancellation.hpp"
 #include "http_deadline_socket.hpp"
+#include "http_reader.hpp"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <Poco/String.h>
 #include <algorithm>
 #include <array>
-#include <istream>
+#include <sstream>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -23,14 +20,22 @@
 namespace
 {
 
-constexpr int max_header_fields = 64;
-constexpr std::size_t read_buffer_bytes = 1024;
-constexpr std::string_view last_chunk = "0\r\n\r\n";
+constexpr std::size_t max_header_fields = 64;
+constexpr std::size_t max_header_bytes = std::size_t(16) << 10;
+constexpr int max_interim_heads = 8;
+constexpr std::size_t read_buffer_bytes = std::size_t(8) << 10;
 
 constexpr std::array<std::string_view, 7> failure_names{
     "connect_failed", "lost_before_answer", "lost_mid_answer", "malformed",
     "timed_out",      "cancelled",          "too_large"};
 
+/** Whether another head follows the one with this status. */
+bool is_interim(int status)
+{
+    constexpr int switching_protocols = 101;
+    return status >= 100 && status < 200 && status != switching_protocols;
+}
+
 /**
  * A duplicate descriptor of a connection. Shutting it down ends the reads of
  * the thread that owns the original descriptor and may close it at any time.
@@ -60,7 +65,7 @@
     return failure_names.at(static_cast<std::size_t>(failure));
 }
 
-upstream_notice notice_of(const http_head& head)
+upstream_notice notice_of(const answer_head& head)
 {
     constexpr int unavailable = 503;
     upstream_notice notice;
@@ -83,7 +88,7 @@
         cancellation_->detach(attachment_);
 }
 
-tl::expected<http_head, http_error>
+tl::expected<answer_head, http_error>
 http_exchange::start(const http_request& request, cancellation* cancel)
 {
     if (cancel && cancel->cancelled())
@@ -103,32 +108,23 @@
                                     "cancelled before the request was sent"));
     try {
         send(request);
-        return receive_head();
     } catch (...) {
-        return tl::unexpected(current_error(http_failure::lost_before_answer));
+        return tl::unexpected(current_error());
     }
+    return receive_head();
 }
 
 tl::expected<std::string_view, http_error> http_exchange::read()
 {
-    try {
-        buffer_.resize(read_buffer_bytes);
-        body_->read(buffer_.data(), 1);
-        auto count = static_cast<std::size_t>(body_->gcount());
-        if (count != 0)
-            count += static_cast<std::size_t>(
-                body_->readsome(buffer_.data() + 1, read_buffer_bytes - 1));
-        received_ += count;
-        buffer_.resize(count);
-    } catch (...) {
-        return tl::unexpected(current_error(http_failure::lost_mid_answer));
+    while (received_.empty() && !reader_->complete()) {
+        if (auto result = receive(); !result)
+            return tl::unexpected(std::move(result.error()));
     }
-    if (received_ > limits_.max_answer_bytes)
+    returned_ = std::exchange(received_, {});
+    if (returned_.empty() && !accepts_end())
         return tl::unexpected(
-            error(http_failure::too_large, "the body is too large"));
-    if (buffer_.empty() && !accepts_end())
-        return tl::unexpected(current_error(http_failure::lost_mid_answer));
-    return std::string_view(buffer_);
+            error(loss(), "nothing shows that the answer is whole"));
+    return std::string_view(returned_);
 }
 
 tl::expected<http_answer, http_error>
@@ -156,16 +152,12 @@
         std::min(time_left(deadline, clock_()), limits_.connect_timeout);
     if (wait.count() == 0)
         return false;
-    socket_ =
-        new http_deadline_socket(deadline, limits_.response_timeout, clock_);
-    Poco::Net::StreamSocket socket(socket_);
-    socket.connect(Poco::Net::SocketAddress(address_),
-                   Poco::Timespan(wait.count() * Poco::Timespan::MILLISECONDS));
-    socket.setNoDelay(true);
-    session_ = std::make_unique<Poco::Net::HTTPClientSession>(socket);
-    // With keep-alive the session reconnects and sends the request again when
-    // a write fails, so that a call could run twice.
-    session_->setKeepAlive(false);
+    connection_.emplace(
+        new http_deadline_socket(deadline, limits_.response_timeout, clock_));
+    connection_->connect(
+        Poco::Net::SocketAddress(address_),
+        Poco::Timespan(wait.count() * Poco::Timespan::MILLISECONDS));
+    connection_->setNoDelay(true);
     return true;
 }
 
@@ -174,7 +166,8 @@
     if (!cancel)
         return;
     cancellation_ = cancel;
-    auto handle = std::make_shared<shutdown_handle>(socket_->sockfd());
+    auto handle =
+        std::make_shared<shutdown_handle>(connection_->impl()->sockfd());
     attachment_ = cancel->attach([handle] { handle->shut_down(); });
 }
 
@@ -189,59 +182,89 @@
     if (!request.content_type.empty())
         message.setContentType(request.content_type);
     message.setContentLength(static_cast<std::streamsize>(request.body.size()));
+    std::ostringstream text;
+    message.write(text);
+    text << request.body;
     accepts_unframed_ = request.accepts_unframed;
     sent_ = true;
-    auto& out = session_->sendRequest(message);
-    out.exceptions(std::ios::badbit);
-    out.write(request.body.data(),
-              static_cast<std::streamsize>(request.body.size()));
-    out.flush();
+    const auto bytes = std::move(text).str();
+    connection_->sendBytes(bytes.data(), static_cast<int>(bytes.size()));
 }
 
-http_head http_exchange::receive_head()
+tl::expected<answer_head, http_error> http_exchange::receive_head()
 {
-    Poco::Net::HTTPResponse response;
-    response.setFieldLimit(max_header_fields);
-    body_ = &session_->receiveResponse(response);
-    // The session takes the end of the connection for the end of the head.
-    if (socket_->closed_by_peer())
-        throw Poco::Net::NoMessageException(
-            "the connection closed before the end of the head");
-    // Passes on exceptions of the socket, so that they can be classified.
-    body_->exceptions(std::ios::badbit);
-    if (response.hasContentLength())
-        content_length_ =
-            static_cast<std::size_t>(response.getContentLength64());
-    chunked_ = response.getChunkedTransferEncoding();
-    http_head head{response.getStatus(), response.getContentType(), {}};
-    for (const auto& [name, value] : response)
-        head.headers[Poco::toLower(name)] = value;
-    return head;
+    http_reader::hooks on_read;
+    on_read.head = [this](http_head&& head) { handle_head(head); };
+    on_read.body = [this](std::string_view bytes) { received_ += bytes; };
+    reader_ = std::make_unique<http_reader>(
+        http_message_kind::response,
+        http_limits{max_header_bytes, limits_.max_answer_bytes}, on_read);
+    while (!has_head_) {
+        if (auto result = receive(); !result)
+            return tl::unexpected(std::move(result.error()));
+    }
+    return head_;
 }
 
-/**
- * The session reports the end of a body and a closed connection in the same
- * way, so the announced length or the last chunk is looked for here.
- */
-bool http_exchange::framed_end_received() const
+tl::expected<void, http_error> http_exchange::receive()
+{
+    std::array<char, read_buffer_bytes> bytes{};
+    std::size_t count = 0;
+    try {
+        count = static_cast<std::size_t>(connection_->receiveBytes(
+            bytes.data(), static_cast<int>(bytes.size())));
+    } catch (...) {
+        return tl::unexpected(current_error());
+    }
+    if (count == 0)
+        return handle_end_of_connection();
+    auto result = reader_->feed({bytes.data(), count});
+    while (result && reader_->complete() && !has_head_) {
+        if (++interim_heads_ > max_interim_heads)
+            return tl::unexpected(
+                error(http_failure::too_large, "too many interim heads"));
+        result = reader_->next_message();
+    }
+    if (!result)
+        return tl::unexpected(problem_error(result.error()));
+    if (head_.headers.size() > max_header_fields)
+        return tl::unexpected(
+            error(http_failure::malformed, "the head has too many fields"));
+    return {};
+}
+
+/** It completes only an answer without framing. */
+tl::expected<void, http_error> http_exchange::handle_end_of_connection()
+{
+    const auto result = reader_->end_of_connection();
+    if (result && reader_->complete() && has_head_)
+        return {};
+    if (cancellation_ && cancellation_->cancelled())
+        return tl::unexpected(
+            error(http_failure::cancelled, "cancelled while waiting"));
+    return tl::unexpected(
+        error(loss(), "the connection closed before the end of the answer"));
+}
+
+void http_exchange::handle_head(const http_head& head)
 {
-    if (content_length_)
-        return received_ == *content_length_;
-    return chunked_ && !socket_->closed_by_peer() &&
-           socket_->tail() == last_chunk;
+    head_ = {};
+    head_.status = static_cast<int>(head.status);
+    for (const auto& field : head.fields)
+        head_.headers[Poco::toLower(field.name)] = field.value;
+    const auto type = head_.headers.find("content-type");
+    if (type != head_.headers.end())
+        head_.content_type = type->second;
+    framing_ = head.body_framing();
+    has_head_ = !is_interim(head_.status);
 }
 
 answer_integrity http_exchange::integrity() const
 {
-    answer_receipt receipt;
-    receipt.framing = http_framing::connection;
-    if (chunked_)
-        receipt.framing = http_framing::chunked;
-    if (content_length_)
-        receipt.framing = http_framing::length;
-    receipt.end =
-        framed_end_received() ? receipt_end::framed : receipt_end::closed;
-    return integrity_of(receipt);
+    const bool closed = framing_ == http_framing::connection ||
+                        reader_ == nullptr || !reader_->complete();
+    return integrity_of(
+        {framing_, closed ? receipt_end::closed : receipt_end::framed});
 }
 
 bool http_exchange::accepts_end() const
@@ -256,28 +279,36 @@
     return {failure, sent_, std::move(detail)};
 }
 
-/** Maps the current exception to an error; `lost` is for a lost connection. */
-http_error http_exchange::current_error(http_failure lost) const
+http_error http_exchange::problem_error(http_problem problem) const
+{
+    std::string detail(name_of(problem));
+    if (is_oversized(problem))
+        return error(http_failure::too_large, std::move(detail));
+    if (has_head_ || problem == http_problem::truncated)
+        return error(loss(), std::move(detail));
+    return error(http_failure::malformed, std::move(detail));
+}
+
+/** Maps the current exception of the socket to an error. */
+http_error http_exchange::current_error() const
 {
     if (cancellation_ && cancellation_->cancelled())
         return error(http_failure::cancelled, "cancelled while waiting");
-    if (!std::current_exception())
-        return error(lost, "the connection closed before the end of the body");
     try {
         throw;
     } catch (const Poco::TimeoutException& cause) {
         return error(http_failure::timed_out, cause.displayText());
-    } catch (const Poco::Net::NoMessageException& cause) {
-        return error(lost, cause.displayText());
-    } catch (const Poco::Net::MessageException& cause) {
-        return error(http_failure::malformed, cause.displayText());
-    } catch (const Poco::IOException& cause) {
-        return error(lost, cause.displayText());
     } catch (const Poco::Exception& cause) {
-        return error(http_failure::malformed, cause.displayText());
+        return error(loss(), cause.displayText());
     } catch (const std::exception& cause) {
-        return error(lost, cause.what());
+        return error(loss(), cause.what());
     }
 }
 
+http_failure http_exchange::loss() const
+{
+    return has_head_ ? http_failure::lost_mid_answer
+                     : http_failure::lost_before_answer;
+}
+
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -3,12 +3,12 @@
 
 #include "answer_integrity.hpp"
 #include "clock.hpp"
+#include "http_problem.hpp"
 #include "upstream_notices.hpp"
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 #include <cstdint>
 #include <functional>
-#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,7 +20,8 @@
 {
 
 class cancellation;
-class http_deadline_socket;
+class http_reader;
+struct http_head;
 
 /** Why an exchange failed. */
 enum class http_failure : std::uint8_t {
@@ -63,18 +64,18 @@
     bool accepts_unframed = false;
 };
 
-struct http_head {
+struct answer_head {
     int status = 0;
     std::string content_type;
     std::map<std::string, std::string> headers; ///< names in lower case
 };
 
 /** What an upstream says of itself in the head of an answer. */
-upstream_notice notice_of(const http_head& head);
+upstream_notice notice_of(const answer_head& head);
 using notice_handler = std::function<void(const upstream_notice&)>;
 
 struct http_answer {
-    http_head head;
+    answer_head head;
     std::string body;
     answer_integrity integrity = answer_integrity::whole;
 };
@@ -95,8 +96,8 @@
     http_exchange& operator=(const http_exchange&) = delete;
 
     /** Sends the request and waits for status and headers. Call once. */
-    tl::expected<http_head, http_error> start(const http_request& request,
-                                              cancellation* cancel = nullptr);
+    tl::expected<answer_head, http_error> start(const http_request& request,
+                                                cancellation* cancel = nullptr);
 
     /**
      * Waits for the next bytes of the body. An empty view means the end of the
@@ -114,24 +115,32 @@
     bool connect(time_point deadline);
     void attach(cancellation* cancel);
     void send(const http_request& request);
-    http_head receive_head();
-    bool framed_end_received() const;
+    tl::expected<answer_head, http_error> receive_head();
+    /** Starts the message after a 1xx head. */
+    tl::expected<void, http_error> skip_interim_head();
+    /** Waits for bytes and feeds the reader with them. */
+    tl::expected<void, http_error> receive();
+    tl::expected<void, http_error> handle_end_of_connection();
+    void handle_head(const http_head& head);
     bool accepts_end() const;
     http_error error(http_failure failure, std::string detail) const;
-    http_error current_error(http_failure lost) const;
+    http_error problem_error(http_problem problem) const;
+    http_error current_error() const;
+    http_failure loss() const;
 
     std::string address_;
     exchange_limits limits_;
     clock_function clock_;
-    std::unique_ptr<Poco::Net::HTTPClientSession> session_;
-    http_deadline_socket* socket_ = nullptr; ///< owned by the session
-    std::istream* body_ = nullptr;
+    std::optional<Poco::Net::StreamSocket> connection_;
+    std::unique_ptr<http_reader> reader_;
     cancellation* cancellation_ = nullptr;
     std::uint64_t attachment_ = 0;
-    std::string buffer_;
-    std::size_t received_ = 0;
-    std::optional<std::size_t> content_length_;
-    bool chunked_ = false;
+    answer_head head_; ///< the latest
+    http_framing framing_ = http_framing::length;
+    std::string received_; ///< part of the body that read() has not returned
+    std::string returned_; ///< by the last read()
+    int interim_heads_ = 0;
+    bool has_head_ = false; ///< of the answer itself
     bool accepts_unframed_ = false;
     bool sent_ = false;
 };
--- a/src/libcyclamenrun/outside/platform_log_client.cpp
+++ b/src/libcyclamenrun/outside/platform_log_client.cpp
@@ -33,7 +33,7 @@
                               : log_failure::unavailable;
 }
 
-milliseconds retry_after_of(const http_head& head)
+milliseconds retry_after_of(const answer_head& head)
 {
     const auto found = head.headers.find("retry-after");
     if (found == head.headers.end())
--- a/src/libcyclamenrun/outside/weight_store_client.cpp
+++ b/src/libcyclamenrun/outside/weight_store_client.cpp
@@ -20,7 +20,7 @@
 constexpr std::array<std::string_view, 4> failure_names{
     "unavailable", "not_found", "timed_out", "cancelled"};
 
-std::int64_t retry_after_ms(const http_head& head)
+std::int64_t retry_after_ms(const answer_head& head)
 {
     const auto found = head.headers.find("retry-after");
     if (found == head.headers.end())
@@ -62,7 +62,7 @@
         const bool limited =
             answer && answer->head.status == rate_limited_status;
         const auto delay =
-            retry_delay(answer ? answer->head : http_head{}, attempt);
+            retry_delay(answer ? answer->head : answer_head{}, attempt);
         if (clock_() + delay >= deadline)
             return tl::unexpected(limited ? weight_store_failure::timed_out
                                           : weight_store_failure::unavailable);
@@ -72,7 +72,7 @@
 }
 
 /** Retry-After plus an exponential delay with random jitter, bounded. */
-milliseconds weight_store_client::retry_delay(const http_head& head,
+milliseconds weight_store_client::retry_delay(const answer_head& head,
                                               int attempt) const
 {
     const auto doubled = base_delay_ms << std::min(attempt, max_doublings);
--- a/src/libcyclamenrun/outside/weight_store_client.hpp
+++ b/src/libcyclamenrun/outside/weight_store_client.hpp
@@ -47,7 +47,7 @@
     fetch(const std::string& name, time_point deadline);
 
 private:
-    milliseconds retry_delay(const http_head& head, int attempt) const;
+    milliseconds retry_delay(const answer_head& head, int attempt) const;
 
     std::string address_;
     exchange_limits limits_;
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -103,6 +103,47 @@
     }
 }
 
+// Guards against a part of an answer that counts as whole: the sender has
+// stopped in a chunk, between two, or in the trailer.
+TEST(http_exchange, a_chunked_answer_that_ends_at_any_byte_is_lost)
+{
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body :
+         {"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+          "3;x=y\r\nabc\r\n0\r\nX-A: b\r\nX-B: c\r\n\r\n",
+          "a\r\n0\r\n\r\n0\r\n\r\n\r\n0\r\n\r\n"}) {
+        EXPECT_TRUE(exchange_with_reply(head + body)) << body;
+        for (std::size_t length = 0; length < body.size(); ++length) {
+            const scripted_server server(
+                scripted_server::reply(head + body.substr(0, length)));
+            http_exchange exchange(server.address(), {}, steady_now);
+            const auto answer = exchange.run(
+                {"POST", "/x", "", "", {}, steady_now() + long_limit, true});
+            ASSERT_FALSE(answer) << body.substr(0, length);
+            EXPECT_TRUE(answer.error().may_have_run);
+        }
+    }
+}
+
+// Guards against a part of an answer that counts as whole: an invalid chunk
+// size is taken for the last chunk.
+TEST(http_exchange, an_answer_with_an_invalid_chunk_size_is_lost)
+{
+    for (const std::string size : {"zz0", "-0", " 0", "", "0x0", "g"}) {
+        const auto answer = exchange_with_reply(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n" +
+            size + "\r\n0\r\n\r\n");
+        EXPECT_FALSE(answer) << size;
+        const auto last = exchange_with_reply(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n" +
+            size + "\r\n\r\n");
+        EXPECT_FALSE(last) << size;
+    }
+}
+
 // Guards against a lost answer, and against one that claims to be whole: an
 // answer without framing is accepted on request, as unconfirmed.
 TEST(http_exchange, an_answer_without_framing_is_unconfirmed)
