Bound the answers that an agent reads at one time

What callers saw (a report of another operator): a runner sends bytes that are no answer without end; the process that called it keeps them all, and the requests of its other callers end with it.

Cause: each call kept up to 16 MiB of answer, though the gate refuses more than 4 MiB, and nothing bounded their sum. The allocator then kept freed buffers of up to 32 MiB for each thread: with the sum bounded the peak was still 250 MB.

Runs that collect an answer now share an input_budget, the module that bounds gateways, behind a lock (shared_input_budget); one that finds no room fails as no_room, with an unknown outcome. A runner's answer is read to the gate's bound. The agent maps buffers of 128 KiB or more, so that freed ones leave the process.

--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,10 +1,23 @@
 #include "agent_process.hpp"
 #include "daemon_main.hpp"
 
+#include <malloc.h>
+
 using namespace cyclamenrun;
 
+namespace
+{
+
+/** Buffers of this size or more are mapped, and unmapped when freed. */
+constexpr int mapped_buffer_bytes = 128 << 10;
+
+} // namespace
+
 int main(int argc, char** argv)
 {
+    // Otherwise the allocator raises the bound and each thread keeps the
+    // buffers of the longest answers that it has read.
+    ::mallopt(M_MMAP_THRESHOLD, mapped_buffer_bytes);
     agent_settings settings;
     daemon_program program;
     program.name = "cyclamenrun-agent";
--- a/src/libcyclamenrun/agent/agent_process.cpp
+++ b/src/libcyclamenrun/agent/agent_process.cpp
@@ -7,6 +7,7 @@
 #include "message_reader.hpp"
 #include "order_worker.hpp"
 #include "platform_log_client.hpp"
+#include "shared_input_budget.hpp"
 #include "state_dump_sections.hpp"
 #include "upstream_driver.hpp"
 
@@ -58,6 +59,7 @@
         static_cast<std::uint32_t>(settings.upstream.max_running);
     driver.http.connect_timeout = settings.upstream.connect_timeout;
     driver.http.response_timeout = settings.upstream.idle_timeout;
+    driver.http.input = std::make_shared<shared_input_budget>();
     return driver;
 }
 
--- a/src/libcyclamenrun/agent/upstream_driver.cpp
+++ b/src/libcyclamenrun/agent/upstream_driver.cpp
@@ -55,11 +55,20 @@
         return not_run(refusal_reason::no_upstream, detail, milliseconds(1000));
     if (error.failure == http_failure::timed_out)
         return outcome_unknown(refusal_reason::deadline_passed, detail);
-    if (error.failure == http_failure::too_large)
+    if (error.failure == http_failure::too_large ||
+        error.failure == http_failure::no_room)
         return outcome_unknown(refusal_reason::answer_too_large, detail);
     return outcome_unknown(refusal_reason::upstream_lost, detail);
 }
 
+/** The gate refuses longer answers, so no more of them is read. */
+exchange_limits runner_limits(const upstream_driver_settings& settings)
+{
+    auto limits = settings.http;
+    limits.max_answer_bytes = settings.max_call_answer_bytes;
+    return limits;
+}
+
 bool may_be_engine_loss(engine_failure failure)
 {
     return failure == engine_failure::connect_failed ||
@@ -98,7 +107,7 @@
                                  clock_function clock)
     : settings_(std::move(settings)), clock_(std::move(clock)),
       engine_(settings_.address, settings_.http, clock_),
-      runner_(settings_.address, settings_.http, clock_),
+      runner_(settings_.address, runner_limits(settings_), clock_),
       threads_(2, static_cast<int>(settings_.max_running) * 2 + 8,
                idle_thread_seconds)
 {
--- a/src/libcyclamenrun/agent/upstream_driver.hpp
+++ b/src/libcyclamenrun/agent/upstream_driver.hpp
@@ -26,6 +26,8 @@
     upstream_kind kind = upstream_kind::model;
     std::uint32_t max_running = 64;
     exchange_limits http;
+    /** Bound on a runner's answer, which is kept until it is whole. */
+    std::size_t max_call_answer_bytes = gate_settings{}.max_answer_bytes;
     /** Interval between polls of an engine without runs. */
     milliseconds idle_poll_interval{5'000};
     /** Interval between polls of an engine that has runs or doesn't answer. */
--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -44,6 +44,7 @@
     case http_failure::cancelled:
         return engine_failure::cancelled;
     case http_failure::too_large:
+    case http_failure::no_room:
         return engine_failure::too_large;
     }
     return engine_failure::malformed;
@@ -220,7 +221,8 @@
     return ids;
 }
 
-tl::expected<engine_load, engine_error> engine_client::load(time_point deadline)
+tl::expected<engine_load, engine_error>
+engine_client::load(time_point deadline)
 {
     const auto answer = call({"GET", "/v1/load", "", "", {}, deadline});
     if (!answer)
@@ -237,7 +239,8 @@
     if (!running || !waiting || !used || !total)
         return malformed("a member of the load is missing or invalid");
     return engine_load{static_cast<std::uint32_t>(*running),
-                       static_cast<std::uint32_t>(*waiting), *used, *total};
+                              static_cast<std::uint32_t>(*waiting), *used,
+                              *total};
 }
 
 tl::expected<http_answer, engine_error>
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -3,6 +3,7 @@
 #include "cancellation.hpp"
 #include "http_deadline_socket.hpp"
 #include "http_reader.hpp"
+#include "shared_input_budget.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
@@ -25,9 +26,9 @@
 constexpr int max_interim_heads = 8;
 constexpr std::size_t read_buffer_bytes = std::size_t(8) << 10;
 
-constexpr std::array<std::string_view, 7> failure_names{
+constexpr std::array<std::string_view, 8> failure_names{
     "connect_failed", "lost_before_answer", "lost_mid_answer", "malformed",
-    "timed_out",      "cancelled",          "too_large"};
+    "timed_out",      "cancelled",          "too_large",       "no_room"};
 
 /** Whether another head follows the one with this status. */
 bool is_interim(int status)
@@ -134,6 +135,7 @@
     if (!head)
         return tl::unexpected(std::move(head.error()));
     http_answer answer{std::move(*head), {}};
+    shared_held_bytes held(limits_.input);
     for (;;) {
         const auto bytes = read();
         if (!bytes)
@@ -142,6 +144,10 @@
             answer.integrity = integrity();
             return answer;
         }
+        if (held.update(answer.body.size() + bytes->size()))
+            return tl::unexpected(
+                error(http_failure::no_room,
+                      "the process holds too many bytes of answers"));
         answer.body.append(*bytes);
     }
 }
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -21,6 +21,7 @@
 
 class cancellation;
 class http_reader;
+class shared_input_budget;
 struct http_head;
 
 /** Why an exchange failed. */
@@ -32,6 +33,7 @@
     timed_out, ///< deadline passed, or a read or write took response_timeout
     cancelled,
     too_large,
+    no_room, ///< the process holds too many bytes of answers
 };
 
 std::string_view name_of(http_failure failure);
@@ -48,6 +50,8 @@
     /** The longest wait of one read or write. */
     milliseconds response_timeout = milliseconds(30000);
     std::size_t max_answer_bytes = std::size_t(16) << 20;
+    /** Counts the answers that run() collects; null: not counted. */
+    std::shared_ptr<shared_input_budget> input = {};
 };
 
 struct http_request {
--- a/tests/support/endless_server.hpp
+++ b/tests/support/endless_server.hpp
@@ -4,9 +4,9 @@
 #include "scripted_server.hpp"
 
 #include <atomic>
-#include <cstdint>
 #include <list>
 #include <string>
+#include <sys/socket.h>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -65,26 +65,32 @@
         stopping_ = true;
         Poco::Net::StreamSocket(socket_.address()).close();
         thread_.join();
-        for (auto& sender : senders_)
-            sender.join();
+        for (auto& [connection, thread] : senders_) {
+            ::shutdown(connection.impl()->sockfd(), SHUT_RDWR);
+            thread.join();
+        }
     }
 
     endless_server(const endless_server&) = delete;
     endless_server& operator=(const endless_server&) = delete;
 
     std::string address() const { return socket_.address().toString(); }
-    /** Bytes sent on all connections. */
-    std::uint64_t sent() const { return sent_; }
 
 private:
+    struct sender {
+        Poco::Net::StreamSocket connection;
+        std::thread thread;
+    };
+
     void serve()
     {
         while (!stopping_) {
             auto connection = socket_.acceptConnection();
             if (!stopping_)
-                senders_.emplace_back([this, connection]() mutable {
-                    send_until_closed(connection);
-                });
+                senders_.push_back(
+                    {connection, std::thread([this, connection]() mutable {
+                         send_until_closed(connection);
+                     })});
         }
     }
 
@@ -94,12 +100,10 @@
         while (block.size() < block_bytes)
             block += answer_.repeated;
         try {
-            connection.setSendTimeout(Poco::Timespan(1, 0));
             scripted_server::receive_request(connection);
             scripted_server::send(connection, answer_.beginning);
             while (!stopping_)
-                sent_ += static_cast<std::uint64_t>(connection.sendBytes(
-                    block.data(), static_cast<int>(block.size())));
+                scripted_server::send(connection, block);
         } catch (const Poco::Exception&) {
             return; // the client closed the connection
         }
@@ -110,8 +114,7 @@
     endless_answer answer_;
     Poco::Net::ServerSocket socket_;
     std::atomic<bool> stopping_ = false;
-    std::atomic<std::uint64_t> sent_ = 0;
-    std::list<std::thread> senders_;
+    std::list<sender> senders_;
     std::thread thread_;
 };
 
