Give types of different modules different names

A program that links both keeps one of two functions of the same name, such as a destructor, and runs it on the layout of the other: it corrupts its heap and may end by itself. No program linked both; a source that included both headers did not compile.

--- a/src/libcyclamenrun/entry/entry_core.cpp
+++ b/src/libcyclamenrun/entry/entry_core.cpp
@@ -418,8 +418,9 @@
     const auto known = routes_.members().find(agent.upstream);
     // A request is not marked if the loss has another cause: the VM was
     // already leaving, or its whole failure domain is cut off.
-    const bool explained = !known || known->state == upstream_state::leaving ||
-                           known->state == upstream_state::gone ||
+    const bool explained = !known ||
+                           known->state == upstream_condition::leaving ||
+                           known->state == upstream_condition::gone ||
                            routes_.members().is_cut_off(known->failure_domain);
     if (explained)
         return;
--- a/src/libcyclamenrun/membership/candidate.hpp
+++ b/src/libcyclamenrun/membership/candidate.hpp
@@ -17,7 +17,7 @@
     std::string failure_domain;
     std::string region;
     std::uint64_t incarnation = 0; ///< 0: no report received yet
-    upstream_state state = upstream_state::joining;
+    upstream_condition state = upstream_condition::joining;
     /** Cached hash64(upstream); 0: computed at each use. */
     std::uint64_t hash = 0;
 };
--- a/src/libcyclamenrun/membership/route_table.cpp
+++ b/src/libcyclamenrun/membership/route_table.cpp
@@ -73,11 +73,11 @@
     });
     const bool any_unsuspected = std::any_of(
         candidates.begin(), candidates.end(), [](const candidate& each) {
-            return each.state != upstream_state::suspect;
+            return each.state != upstream_condition::suspect;
         });
     if (any_unsuspected)
         std::erase_if(candidates, [](const candidate& each) {
-            return each.state == upstream_state::suspect;
+            return each.state == upstream_condition::suspect;
         });
     return candidates;
 }
--- a/src/libcyclamenrun/membership/upstream_view.cpp
+++ b/src/libcyclamenrun/membership/upstream_view.cpp
@@ -13,14 +13,14 @@
 
 } // namespace
 
-std::string_view name_of(upstream_state state)
+std::string_view name_of(upstream_condition state)
 {
     return state_names.at(static_cast<std::size_t>(state));
 }
 
-bool accepts_work(upstream_state state)
+bool accepts_work(upstream_condition state)
 {
-    return state <= upstream_state::suspect;
+    return state <= upstream_condition::suspect;
 }
 
 void upstream_view::on_listed(const vm& listed)
@@ -56,17 +56,18 @@
     return true;
 }
 
-upstream_state upstream_view::state() const
+upstream_condition upstream_view::state() const
 {
     if (!in_list_)
-        return upstream_state::gone;
+        return upstream_condition::gone;
     if (agent_leaving_ || listed_.state == vm_state::leaving)
-        return upstream_state::leaving;
+        return upstream_condition::leaving;
     if (!ready_)
-        return upstream_state::unready;
+        return upstream_condition::unready;
     if (failure_suspicion_.suspected())
-        return upstream_state::suspect;
-    return incarnation_ == 0 ? upstream_state::joining : upstream_state::live;
+        return upstream_condition::suspect;
+    return incarnation_ == 0 ? upstream_condition::joining
+                             : upstream_condition::live;
 }
 
 bool upstream_view::is_forgotten(time_point now) const
--- a/src/libcyclamenrun/membership/upstream_view.hpp
+++ b/src/libcyclamenrun/membership/upstream_view.hpp
@@ -14,7 +14,7 @@
 {
 
 /** An upstream's state at an entry. The first three may receive new work. */
-enum class upstream_state : std::uint8_t {
+enum class upstream_condition : std::uint8_t {
     joining, ///< listed, but no report received yet
     live,
     suspect, ///< probably failed: used only if no other upstream is usable
@@ -23,10 +23,10 @@
     unready, ///< its agent responds, but the upstream itself does not
 };
 
-std::string_view name_of(upstream_state state);
+std::string_view name_of(upstream_condition state);
 
 /** Whether an upstream in this state may receive new work. */
-bool accepts_work(upstream_state state);
+bool accepts_work(upstream_condition state);
 
 /** The state that an agent reports with each answer and heartbeat. */
 struct agent_report {
@@ -56,7 +56,7 @@
     const suspicion& failure_suspicion() const { return failure_suspicion_; }
     const vm& listed() const { return listed_; }
     std::uint64_t incarnation() const { return incarnation_; }
-    upstream_state state() const;
+    upstream_condition state() const;
     /** Whether the upstream left the list and its view is to be dropped. */
     bool is_forgotten(time_point now) const;
 
--- a/src/libcyclamenrun/outcomes/gate.cpp
+++ b/src/libcyclamenrun/outcomes/gate.cpp
@@ -59,7 +59,7 @@
                           session.readers.end());
 }
 
-session_limits limits_of(const gate_settings& settings)
+session_table_limits limits_of(const gate_settings& settings)
 {
     return {settings.max_sessions, settings.max_readers_per_session,
             settings.replay_window_tokens};
--- a/src/libcyclamenrun/outcomes/session_table.hpp
+++ b/src/libcyclamenrun/outcomes/session_table.hpp
@@ -26,7 +26,7 @@
 };
 
 /** Limits of a session_table. */
-struct session_limits {
+struct session_table_limits {
     std::size_t max_sessions = 0;
     std::size_t max_readers_per_session = 0;
     /** Number of tokens kept for resumption behind the slowest reader. */
@@ -43,7 +43,7 @@
 class session_table
 {
 public:
-    explicit session_table(session_limits limits) : limits_(limits) {}
+    explicit session_table(session_table_limits limits) : limits_(limits) {}
 
     bool full() const { return sessions_.size() >= limits_.max_sessions; }
     std::pair<work_id, work_session&> add(const link::Dispatch& request,
@@ -88,7 +88,7 @@
 
     void trim(work_session& session);
 
-    session_limits limits_;
+    session_table_limits limits_;
     std::map<work_id, work_session> sessions_;
     std::unordered_map<std::string, work_id> by_request_;
     std::unordered_map<reader_id, reader_position> readers_;
--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -221,7 +221,7 @@
     return ids;
 }
 
-tl::expected<engine_load, engine_error>
+tl::expected<engine_load_report, engine_error>
 engine_client::load(time_point deadline)
 {
     const auto answer = call({"GET", "/v1/load", "", "", {}, deadline});
@@ -238,7 +238,7 @@
                                 number_limits::memory_tokens);
     if (!running || !waiting || !used || !total)
         return malformed("a member of the load is missing or invalid");
-    return engine_load{static_cast<std::uint32_t>(*running),
+    return engine_load_report{static_cast<std::uint32_t>(*running),
                               static_cast<std::uint32_t>(*waiting), *used,
                               *total};
 }
--- a/src/libcyclamenrun/outside/engine_client.hpp
+++ b/src/libcyclamenrun/outside/engine_client.hpp
@@ -66,7 +66,7 @@
 };
 
 /** Load as the engine reports it, which lags its actual load. */
-struct engine_load {
+struct engine_load_report {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint64_t memory_tokens_used = 0;
@@ -122,7 +122,7 @@
     /** Returns the ids of all requests at the engine, running or waiting. */
     tl::expected<std::vector<std::string>, engine_error>
     runs(time_point deadline);
-    tl::expected<engine_load, engine_error> load(time_point deadline);
+    tl::expected<engine_load_report, engine_error> load(time_point deadline);
 
     /**
      * The engine's epoch, which changes when it restarts, from its last answer
--- a/tests/membership/test_membership.cpp
+++ b/tests/membership/test_membership.cpp
@@ -56,7 +56,7 @@
         return ids;
     }
 
-    upstream_state state_of(const std::string& id) const
+    upstream_condition state_of(const std::string& id) const
     {
         return members.find(id)->state;
     }
@@ -77,13 +77,13 @@
 TEST_F(membership_test, stops_new_work_when_the_agent_reports_leaving)
 {
     reply("vm-0");
-    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::live);
     reply("vm-0", 1, true);
     EXPECT_FALSE(candidate_ids().contains("vm-0"));
     reply("vm-0", 1, false); // sent before the drain began
     now += milliseconds(10'000);
     apply_list();
-    EXPECT_EQ(state_of("vm-0"), upstream_state::leaving);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::leaving);
     EXPECT_FALSE(candidate_ids().contains("vm-0"));
     reply("vm-0", 2, false);
     EXPECT_TRUE(candidate_ids().contains("vm-0"))
@@ -112,7 +112,7 @@
     listed(0).state = vm_state::leaving;
     apply_list();
     EXPECT_EQ(members.on_list(old, now), list_result::kept_for_older);
-    EXPECT_EQ(state_of("vm-0"), upstream_state::leaving);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::leaving);
     now += milliseconds(30'000);
     EXPECT_EQ(members.on_list(old, now), list_result::taken)
         << "a restarted list service";
@@ -132,27 +132,29 @@
     reply("vm-0");
     members.on_connection_lost("vm-0", now);
     members.on_connection_lost("vm-0", now);
-    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::live);
     members.on_missed_heartbeat("vm-0", now);
-    EXPECT_EQ(state_of("vm-0"), upstream_state::suspect);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::suspect);
     reply("vm-0");
-    EXPECT_EQ(state_of("vm-0"), upstream_state::suspect) << "may be buffered";
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::suspect)
+        << "may be buffered";
     reply("vm-0");
-    EXPECT_EQ(state_of("vm-0"), upstream_state::live);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::live);
 
     for (int i = 0; i < 20; ++i)
         members.on_failure("vm-1", now);
-    EXPECT_EQ(state_of("vm-1"), upstream_state::joining);
+    EXPECT_EQ(state_of("vm-1"), upstream_condition::joining);
     now += suspicion::failure_window;
     members.on_connection_lost("vm-1", now);
-    EXPECT_EQ(state_of("vm-1"), upstream_state::joining) << "failures expired";
+    EXPECT_EQ(state_of("vm-1"), upstream_condition::joining)
+        << "failures expired";
     members.on_failure("vm-1", now);
-    EXPECT_EQ(state_of("vm-1"), upstream_state::suspect);
+    EXPECT_EQ(state_of("vm-1"), upstream_condition::suspect);
 
     // A frozen process keeps its connections open and only misses heartbeats.
     for (std::uint32_t i = 0; i < suspicion::missed_heartbeats_to_suspect; ++i)
         members.on_missed_heartbeat("vm-2", now);
-    EXPECT_EQ(state_of("vm-2"), upstream_state::suspect);
+    EXPECT_EQ(state_of("vm-2"), upstream_condition::suspect);
 }
 
 // The upstreams of a failure domain that is cut off become suspects together.
@@ -183,7 +185,7 @@
     apply_list();
     EXPECT_TRUE(candidate_ids().contains("vm-9"));
     EXPECT_FALSE(candidate_ids().contains("vm-0"));
-    EXPECT_EQ(state_of("vm-0"), upstream_state::gone);
+    EXPECT_EQ(state_of("vm-0"), upstream_condition::gone);
     now += settings().forget_after;
     apply_list();
     EXPECT_FALSE(members.find("vm-0").has_value());
