--- a/tests/support/endless_server.hpp
+++ b/tests/support/endless_server.hpp
@@ -4,6 +4,7 @@
 #include "scripted_server.hpp"
 
 #include <atomic>
+#include <cstdint>
 #include <list>
 #include <string>
 #include <sys/socket.h>
@@ -75,6 +76,7 @@
     endless_server& operator=(const endless_server&) = delete;
 
     std::string address() const { return socket_.address().toString(); }
+    std::uint16_t port() const { return socket_.address().port(); }
 
 private:
     struct sender {
