--- a/src/libcyclamenrun/outside/engine_client.cpp
+++ b/src/libcyclamenrun/outside/engine_client.cpp
@@ -134,7 +134,8 @@
 
 engine_client::engine_client(std::string address, exchange_limits limits,
                              clock_function clock)
-    : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
+    : address_(std::move(address)), limits_(std::move(limits)),
+      clock_(std::move(clock))
 {
 }
 
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -79,7 +79,8 @@
 
 http_exchange::http_exchange(std::string address, exchange_limits limits,
                              clock_function clock)
-    : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
+    : address_(std::move(address)), limits_(std::move(limits)),
+      clock_(std::move(clock))
 {
 }
 
--- a/src/libcyclamenrun/outside/platform_log_client.cpp
+++ b/src/libcyclamenrun/outside/platform_log_client.cpp
@@ -124,8 +124,8 @@
     std::string address, const std::string& log, exchange_limits limits,
     milliseconds call_timeout, clock_function clock, cancellation* stop)
     : address_(std::move(address)), path_("/v1/logs/" + log + "/records"),
-      limits_(limits), call_timeout_(call_timeout), clock_(std::move(clock)),
-      stop_(stop)
+      limits_(std::move(limits)), call_timeout_(call_timeout),
+      clock_(std::move(clock)), stop_(stop)
 {
 }
 
--- a/src/libcyclamenrun/outside/runner_client.cpp
+++ b/src/libcyclamenrun/outside/runner_client.cpp
@@ -20,7 +20,8 @@
 
 runner_client::runner_client(std::string address, exchange_limits limits,
                              clock_function clock)
-    : address_(std::move(address)), limits_(limits), clock_(std::move(clock))
+    : address_(std::move(address)), limits_(std::move(limits)),
+      clock_(std::move(clock))
 {
 }
 
--- a/src/libcyclamenrun/outside/vm_list_client.cpp
+++ b/src/libcyclamenrun/outside/vm_list_client.cpp
@@ -60,7 +60,7 @@
 vm_list_client::vm_list_client(std::string address, exchange_limits limits,
                                milliseconds call_timeout, clock_function clock,
                                cancellation* stop)
-    : address_(std::move(address)), limits_(limits),
+    : address_(std::move(address)), limits_(std::move(limits)),
       call_timeout_(call_timeout), clock_(std::move(clock)), stop_(stop)
 {
 }
--- a/src/libcyclamenrun/outside/weight_store_client.cpp
+++ b/src/libcyclamenrun/outside/weight_store_client.cpp
@@ -43,8 +43,9 @@
                                          clock_function clock,
                                          random_function random,
                                          wait_function wait)
-    : address_(std::move(address)), limits_(limits), clock_(std::move(clock)),
-      random_(std::move(random)), wait_(std::move(wait))
+    : address_(std::move(address)), limits_(std::move(limits)),
+      clock_(std::move(clock)), random_(std::move(random)),
+      wait_(std::move(wait))
 {
 }
 
