--- a/tests/outside/test_endless_answers.cpp
+++ b/tests/outside/test_endless_answers.cpp
@@ -67,6 +67,7 @@
     limits.input = std::make_shared<shared_input_budget>(std::size_t(8) << 20);
     std::array<std::size_t, exchanges> refused{};
     std::vector<std::thread> threads;
+    threads.reserve(exchanges);
     for (auto& count : refused)
         threads.emplace_back([&server, &limits, &count] {
             for (int call = 0; call < 5; ++call) {
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <thread>
+#include <utility>
 
 namespace cyclamenrun
 {
@@ -21,7 +22,7 @@
 send_request(const std::string& address, milliseconds limit = long_limit,
              exchange_limits limits = {}, cancellation* cancel = nullptr)
 {
-    http_exchange exchange(address, limits, steady_now);
+    http_exchange exchange(address, std::move(limits), steady_now);
     return exchange.run(
         {"POST", "/x", "text/plain", "body", {}, steady_now() + limit}, cancel);
 }
@@ -31,7 +32,7 @@
 exchange_with_reply(const std::string& reply, exchange_limits limits = {})
 {
     const scripted_server server(scripted_server::reply(reply));
-    return send_request(server.address(), long_limit, limits);
+    return send_request(server.address(), long_limit, std::move(limits));
 }
 
 struct bad_answer {
--- a/tests/processes/test_endless_answers.cpp
+++ b/tests/processes/test_endless_answers.cpp
@@ -13,7 +13,6 @@
 {
 
 using testing_support::deployment;
-using testing_support::endless_answer;
 using testing_support::endless_answers;
 using testing_support::endless_server;
 using testing_support::read_refusal;
