Take no answer from a call that was cancelled

What callers would see: a part of an answer, as unconfirmed. Cancelling a call shuts its connection down; an answer without framing then ended as if its sender had closed.

Also removes a declaration without a definition.

--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -243,12 +243,13 @@
 /** It completes only an answer without framing. */
 tl::expected<void, http_error> http_exchange::handle_end_of_connection()
 {
-    const auto result = reader_->end_of_connection();
-    if (result && reader_->complete() && has_head_)
-        return {};
+    // A cancelled call has shut its connection down itself.
     if (cancellation_ && cancellation_->cancelled())
         return tl::unexpected(
             error(http_failure::cancelled, "cancelled while waiting"));
+    const auto result = reader_->end_of_connection();
+    if (result && reader_->complete() && has_head_)
+        return {};
     return tl::unexpected(
         error(loss(), "the connection closed before the end of the answer"));
 }
--- a/src/libcyclamenrun/outside/http_exchange.hpp
+++ b/src/libcyclamenrun/outside/http_exchange.hpp
@@ -120,8 +120,6 @@
     void attach(cancellation* cancel);
     void send(const http_request& request);
     tl::expected<answer_head, http_error> receive_head();
-    /** Starts the message after a 1xx head. */
-    tl::expected<void, http_error> skip_interim_head();
     /** Waits for bytes and feeds the reader with them. */
     tl::expected<void, http_error> receive();
     tl::expected<void, http_error> handle_end_of_connection();
--- a/tests/outside/test_http_exchange.cpp
+++ b/tests/outside/test_http_exchange.cpp
@@ -260,6 +260,30 @@
     EXPECT_FALSE(later.error().may_have_run);
 }
 
+// Guards against a part of an answer that counts as unconfirmed: the process
+// itself has ended its connection.
+TEST(http_exchange, a_cancelled_answer_without_framing_is_no_answer)
+{
+    std::promise<void> begun;
+    const scripted_server server([&](Poco::Net::StreamSocket& connection) {
+        scripted_server::receive_request(connection);
+        scripted_server::send(connection, "HTTP/1.1 200 OK\r\n\r\nabc");
+        begun.set_value();
+        scripted_server::wait_for_close(connection);
+    });
+    cancellation cancel;
+    std::thread other([&] {
+        begun.get_future().wait();
+        cancel.cancel();
+    });
+    http_exchange exchange(server.address(), {}, steady_now);
+    const auto answer = exchange.run(
+        {"POST", "/x", "", "", {}, steady_now() + long_limit, true}, &cancel);
+    other.join();
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.error().failure, http_failure::cancelled);
+}
+
 // Guards against a process that stops late: if the end of one call detached
 // another call from their common cancellation, cancelling would not wake the
 // other call, and its thread would wait until its deadline.
