--- a/tests/gateway/flooded_gateway.hpp
+++ b/tests/gateway/flooded_gateway.hpp
@@ -1,10 +1,10 @@
 #ifndef CYCLAMENRUN_TESTS_FLOODED_GATEWAY_HPP
 #define CYCLAMENRUN_TESTS_FLOODED_GATEWAY_HPP
 
+#include "../support/peak_memory.hpp"
 #include "../support/sanitizer.hpp"
 #include "gateway_program.hpp"
 
-#include <fstream>
 #include <functional>
 #include <sstream>
 #include <thread>
@@ -223,12 +223,7 @@
     /** Largest memory of the gateway process so far. */
     std::size_t peak_mb() const
     {
-        std::ifstream status("/proc/" + std::to_string(process->pid()) +
-                             "/status");
-        for (std::string line; std::getline(status, line);)
-            if (line.starts_with("VmHWM:"))
-                return std::stoul(line.substr(6)) / 1024;
-        return 0;
+        return testing_support::peak_mb(process->pid());
     }
 
     /** Checks the growth of the process's memory since `before_mb`. */
--- a/tests/processes/test_endless_answers.cpp
+++ b/tests/processes/test_endless_answers.cpp
@@ -1,11 +1,10 @@
 #include "../support/endless_server.hpp"
+#include "../support/peak_memory.hpp"
 #include "../support/sanitizer.hpp"
 #include "deployment.hpp"
 
-#include <fstream>
 #include <future>
 #include <gtest/gtest.h>
-#include <sstream>
 
 namespace cyclamenrun
 {
@@ -15,24 +14,10 @@
 using testing_support::deployment;
 using testing_support::endless_answers;
 using testing_support::endless_server;
+using testing_support::peak_mb;
 using testing_support::read_refusal;
 using testing_support::sanitized;
 
-/** Returns the most memory that a process has had resident, in megabytes. */
-std::uint64_t peak_mb(int pid)
-{
-    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (!line.starts_with("VmHWM:"))
-            continue;
-        std::istringstream text(line.substr(line.find(':') + 1));
-        std::uint64_t kilobytes = 0;
-        text >> kilobytes;
-        return kilobytes / 1024;
-    }
-    return 0;
-}
-
 // Guards against an agent that ends by itself, and the calls of other callers
 // with it: its runner answers many calls with bytes without end.
 TEST(agent_program, survives_a_runner_that_sends_bytes_without_end)
