Show that a stream goes on elsewhere while its runner works on

A review case: a runner resets a stream's connection and the order to stop it; the report that does not list the run yet is taken for its end.

--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Starts the case: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+cd "$(dirname "$0")" || exit 2
+program=../build-2/grey_case
+[ -x "$program" ] && [ -x ../../target/bin/cyclamenrun-gateway ] || exit 2
+timeout -k 1 118 "$program" "$(cd ../.. && pwd)" "$PWD"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
