--- a/review/standins-2/grey_case.cpp
+++ b/review/standins-2/grey_case.cpp
@@ -41,7 +41,7 @@
     system.start(configuration_text());
     if (!system.wait_until_ready()) {
         record("not ready");
-        return 2;
+        system.finish(2);
     }
     std::this_thread::sleep_for(ms(3000));
     if (!given.trouble)
@@ -63,10 +63,11 @@
                 peer.send(stream_request("/tag/1", id, 1460, 120, 6000));
                 const auto got = peer.read(now() + ms(7000));
                 whole += got.complete && got.status == 200;
-                record(std::string("client: ") + id + " sent at " +
-                       std::to_string(since_start(sent)) + " -> status " +
-                       std::to_string(got.status) +
-                       (got.complete ? " complete" : " broken off: " + got.how));
+                record(
+                    std::string("client: ") + id + " sent at " +
+                    std::to_string(since_start(sent)) + " -> status " +
+                    std::to_string(got.status) +
+                    (got.complete ? " complete" : " broken off: " + got.how));
             }
         });
     for (int i = 0; given.trouble && now() + spell < send_until; ++i) {
@@ -118,6 +119,6 @@
     std::printf("streams %d, whole %d, went on elsewhere %d, TWICE %d\n",
                 streams, whole.load(), went_on, twice);
     if (whole < streams / 2)
-        return 2;
-    return twice > 0 ? 1 : 0;
+        system.finish(2);
+    system.finish(twice > 0 ? 1 : 0);
 }
--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -32,6 +32,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -45,7 +46,10 @@
 using ms = std::chrono::milliseconds;
 using time_point = clock_type::time_point;
 
-inline time_point now() { return clock_type::now(); }
+inline time_point now()
+{
+    return clock_type::now();
+}
 inline const time_point& start_time()
 {
     static const time_point start = now();
@@ -82,12 +86,16 @@
     std::mutex mutex_;
     std::ofstream file_;
 };
-inline void record(const std::string& text) { recorder::get().line(text); }
+inline void record(const std::string& text)
+{
+    recorder::get().line(text);
+}
 
 inline std::string lower(std::string text)
 {
     for (auto& each : text)
-        each = static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
+        each =
+            static_cast<char>(std::tolower(static_cast<unsigned char>(each)));
     return text;
 }
 
@@ -175,8 +183,11 @@
     }
     void close()
     {
-        if (fd_ >= 0)
-            ::close(fd_);
+        if (fd_ < 0)
+            return;
+        if (on_close)
+            on_close();
+        ::close(fd_);
         fd_ = -1;
     }
     bool is_open() const { return fd_ >= 0; }
@@ -184,6 +195,7 @@
     bool timed_out() const { return timed_out_; }
 
     std::string buffer;
+    std::function<void()> on_close;
 
 private:
     int fd_;
@@ -272,11 +284,36 @@
 
     server(const std::string& host, handler serve, int port = 0)
         : host_(host), serve_(std::move(serve))
+    {
+        listen(port);
+        std::thread([this] { accept(); }).detach();
+    }
+    int port() const { return port_; }
+    std::string address() const { return host_ + ":" + std::to_string(port_); }
+
+    /** Ends as a process that crashes: no listener, and no open channel. */
+    void crash()
+    {
+        const std::scoped_lock lock(mutex_);
+        ::shutdown(listener_, SHUT_RDWR);
+        ::close(listener_);
+        for (const int fd : open_)
+            ::shutdown(fd, SHUT_RDWR);
+    }
+    /** Listens at the same address again. */
+    void restart()
+    {
+        listen(port_);
+        std::thread([this] { accept(); }).detach();
+    }
+
+private:
+    void listen(int port)
     {
         listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int one = 1;
         ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-        auto address = address_of(host, port);
+        auto address = address_of(host_, port);
         if (::bind(listener_, reinterpret_cast<sockaddr*>(&address),
                    sizeof address) != 0 ||
             ::listen(listener_, 1024) != 0) {
@@ -286,26 +323,32 @@
         socklen_t size = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
         port_ = ntohs(address.sin_port);
-        std::thread([this] { accept(); }).detach();
     }
-    int port() const { return port_; }
-    std::string address() const { return host_ + ":" + std::to_string(port_); }
-
-private:
     void accept()
     {
+        const int listener = listener_;
         for (;;) {
-            const int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
             if (fd < 0)
                 return;
+            {
+                const std::scoped_lock lock(mutex_);
+                open_.insert(fd);
+            }
             std::thread([this, fd] {
                 channel peer(fd);
+                peer.on_close = [this, fd] {
+                    const std::scoped_lock lock(mutex_);
+                    open_.erase(fd);
+                };
                 serve_(peer);
             }).detach();
         }
     }
     std::string host_;
     handler serve_;
+    std::mutex mutex_;
+    std::set<int> open_; ///< descriptors of the open channels
     int listener_ = -1;
     int port_ = 0;
 };
@@ -347,7 +390,8 @@
     return text;
 }
 
-/** The platform's store: the log with its keyed topics, as far as it is read. */
+/** The platform's store: the log with its keyed topics, as far as it is read.
+ */
 class store
 {
 public:
@@ -448,9 +492,9 @@
 
 /**
  * A model runner. It reads a prompt for `first_ms`, then makes an event of 4
- * tokens each `event_ms`, until `tokens out` / 4 events are made. It drops a run
- * whose channel its caller closes. GET /report tells the state of `report_lag`
- * ago, and the present one to the monitor beside it.
+ * tokens each `event_ms`, until `tokens out` / 4 events are made. It drops a
+ * run whose channel its caller closes. GET /report tells the state of
+ * `report_lag` ago, and the present one to the monitor beside it.
  */
 class model_runner
 {
@@ -466,6 +510,8 @@
      */
     std::function<bool(bool last)> no_room;
     std::atomic<bool> draining = false;
+    /** True if this request crashes the runner as it begins to run. */
+    std::function<bool(const request&)> crashes;
     ms copy_time{80}; ///< of a run's memory, while the run goes on
     ms first_ms{150};
     ms event_ms{40};
@@ -487,8 +533,30 @@
         return all;
     }
 
+    /** Ends all runs and channels; start_again() is a new incarnation. */
+    void crash()
+    {
+        down = true;
+        {
+            const std::scoped_lock lock(mutex_);
+            for (const auto& each : runs_)
+                if (!each->ended)
+                    each->ended = now();
+        }
+        server_.crash();
+    }
+    void start_again()
+    {
+        ++born;
+        down = false;
+        server_.restart();
+    }
+
     const std::string id;
     const std::string host;
+    std::atomic<bool> down = false;
+    /** Of the present incarnation, which has the id of the one before. */
+    std::atomic<std::int64_t> born = 1760000000000;
 
 private:
     void serve(channel& peer)
@@ -501,8 +569,8 @@
             only_reports = only_reports && (is_report || is_health);
             reports += is_report ? 1 : 0;
             if (is_health) {
-                if (!peer.send(answer_text(200, "",
-                                           "Instance-Id: " + id + "\r\n")))
+                if (!peer.send(
+                        answer_text(200, "", "Instance-Id: " + id + "\r\n")))
                     return;
                 continue;
             }
@@ -520,8 +588,8 @@
                 const auto text = report(as_of);
                 if (!is_monitor)
                     record(id + " GET /report -> " + text);
-                if (!peer.send(answer_text(200, text,
-                                           "Content-Type: application/json\r\n")))
+                if (!peer.send(answer_text(
+                        200, text, "Content-Type: application/json\r\n")))
                     return;
             } else if (call->target == "/kv-move") {
                 if (!move(*call, peer))
@@ -557,10 +625,11 @@
         return "{\"stage\":\"unified\",\"models\":[{\"name\":\"m\",\"version\":"
                "1,\"adapters\":[]}],\"busy\":false,\"sequence\":0,\"queued\":0,"
                "\"active\":" +
-               std::to_string(active) + ",\"kv_used\":" +
-               std::to_string(active * 1500) +
-               ",\"kv_total\":34267,\"handles\":0,\"state\":\"" + std::string(draining ? "draining" : "ready") + "\",\"next\":0,\"runs\":[" +
-               rows + "]}";
+               std::to_string(active) +
+               ",\"kv_used\":" + std::to_string(active * 1500) +
+               ",\"kv_total\":34267,\"handles\":0,\"state\":\"" +
+               std::string(draining ? "draining" : "ready") +
+               "\",\"next\":0,\"runs\":[" + rows + "]}";
     }
 
     /** Copies at once; with `last` the run stops first. */
@@ -580,7 +649,9 @@
                 found->ended = now();
         }
         record(id + " POST /kv-move " + call.body + " -> " +
-               (!found ? "404" : rejects ? "503" : "200"));
+               (!found    ? "404"
+                : rejects ? "503"
+                          : "200"));
         if (!found)
             return peer.send(answer_text(404, "{}"));
         if (rejects && !last)
@@ -599,15 +670,17 @@
         own->id = call.field("Attempt-Id");
         const auto expected = call.field("Expect-Instance");
         if (!expected.empty() && expected != id)
-            return peer.send(answer_text(421, "", "Instance-Id: " + id + "\r\n"));
+            return peer.send(
+                answer_text(421, "", "Instance-Id: " + id + "\r\n"));
         const auto resumed = call.field("Last-Event-Id");
         own->first_event = resumed.empty() ? 1 : std::stoi(resumed) + 1;
         own->last_made = own->first_event - 1;
         own->began = now();
         const auto usage = call.field("Token-Usage");
         const auto comma = usage.find(',');
-        const int tokens =
-            comma == std::string::npos ? 40 : std::stoi(usage.substr(comma + 1));
+        const int tokens = comma == std::string::npos
+                               ? 40
+                               : std::stoi(usage.substr(comma + 1));
         const int last_event = std::max(1, tokens / 4);
         {
             const std::scoped_lock lock(mutex_);
@@ -617,11 +690,18 @@
                std::to_string(own->first_event) + " to " +
                std::to_string(last_event) + " Deadline-Ms " +
                call.field("Deadline-Ms") +
-               (call.field("Kv-From").empty() ? ""
-                                              : " Kv-From " + call.field("Kv-From")));
-        const auto reset_after =
-            reset_stream_after && resumed.empty() ? reset_stream_after(call)
-                                                  : std::nullopt;
+               (call.field("Kv-From").empty()
+                    ? ""
+                    : " Kv-From " + call.field("Kv-From")));
+        const auto reset_after = reset_stream_after && resumed.empty()
+                                     ? reset_stream_after(call)
+                                     : std::nullopt;
+        if (crashes && crashes(call)) {
+            peer.closed_within(ms(20)); // reading its prompt
+            record(id + " crashes under " + own->id);
+            crash();
+            return false;
+        }
         const bool whole = generate(call, peer, *own, last_event, reset_after);
         {
             const std::scoped_lock lock(mutex_);
@@ -641,8 +721,7 @@
         const auto pause = [&](time_point until) {
             // A run whose caller has closed the channel is dropped; one whose
             // channel the runner itself has reset goes on.
-            const auto left =
-                std::chrono::duration_cast<ms>(until - now());
+            const auto left = std::chrono::duration_cast<ms>(until - now());
             if (left.count() <= 0)
                 return true;
             if (!sends) {
@@ -667,8 +746,9 @@
                 peer.close();
                 return false;
             }
-            const auto text = "id: " + std::to_string(event) + "\ndata: token " +
-                              std::to_string(event) + " of " + own.id + "\n\n";
+            const auto text = "id: " + std::to_string(event) +
+                              "\ndata: token " + std::to_string(event) +
+                              " of " + own.id + "\n\n";
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             if (sends && !peer.send(size + text + "\r\n"))
@@ -726,16 +806,16 @@
     {
         while (const auto call = read_request(peer, now() + ms(60000))) {
             if (call->target == "/healthz") {
-                if (!peer.send(answer_text(200, "",
-                                           "Instance-Id: " + id + "\r\n")))
+                if (!peer.send(
+                        answer_text(200, "", "Instance-Id: " + id + "\r\n")))
                     return;
                 continue;
             }
             const auto expected = call->field("Expect-Instance");
             if (!expected.empty() && expected != id) {
                 record(id + " is not " + expected + ": 421");
-                if (!peer.send(answer_text(421, "",
-                                           "Instance-Id: " + id + "\r\n")))
+                if (!peer.send(
+                        answer_text(421, "", "Instance-Id: " + id + "\r\n")))
                     return;
                 continue;
             }
@@ -785,7 +865,8 @@
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto peer = address_of(address.substr(0, colon),
                                std::stoi(address.substr(colon + 1)));
-        if (::connect(fd, reinterpret_cast<sockaddr*>(&peer), sizeof peer) != 0) {
+        if (::connect(fd, reinterpret_cast<sockaddr*>(&peer), sizeof peer) !=
+            0) {
             ::close(fd);
             return;
         }
@@ -804,7 +885,7 @@
         answer result;
         const auto fail = [&] {
             result.ended = now();
-            result.how = !channel_ ? "not connected"
+            result.how = !channel_               ? "not connected"
                          : channel_->timed_out() ? "time-out"
                          : channel_->was_reset() ? "reset"
                                                  : "closed";
@@ -910,6 +991,17 @@
             ::kill(pid_, number);
     }
     int status() const { return status_; }
+    /** Resident memory in bytes; 0 if the program has ended. */
+    std::size_t memory()
+    {
+        if (!running())
+            return 0;
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+        std::size_t total = 0;
+        std::size_t resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+    }
 
 private:
     pid_t pid_ = -1;
@@ -928,9 +1020,9 @@
             for (const int kind : {SOCK_STREAM, SOCK_DGRAM}) {
                 const int fd = ::socket(AF_INET, kind, 0);
                 auto address = address_of(host, port);
-                is_free = is_free &&
-                          ::bind(fd, reinterpret_cast<sockaddr*>(&address),
-                                 sizeof address) == 0;
+                is_free =
+                    is_free && ::bind(fd, reinterpret_cast<sockaddr*>(&address),
+                                      sizeof address) == 0;
                 ::close(fd);
             }
         }
@@ -1003,17 +1095,19 @@
                 hosts[static_cast<std::size_t>(gateways + i)]));
         gateway_hosts_.assign(hosts.begin(), hosts.begin() + gateways);
     }
-    ~deployment()
+    /**
+     * Ends all programs and this one. The threads of the stand-ins go on until
+     * the end, so nothing that they use is destroyed.
+     */
+    [[noreturn]] void finish(int code)
     {
         ending_ = true;
         if (beats_.joinable())
             beats_.join();
         programs_.clear();
-        const auto command = "rm -rf '" + folder_ + "'";
-        if (std::getenv("KEEP") == nullptr)
-            (void)!std::system(command.c_str());
-        else
-            std::fprintf(stderr, "kept %s\n", folder_.c_str());
+        remove_folder();
+        std::fflush(nullptr);
+        std::_Exit(code);
     }
 
     /** Lists the runners, writes the configuration, starts the programs. */
@@ -1082,6 +1176,11 @@
     {
         return gateway_hosts_[i] + ":" + std::to_string(front_port_);
     }
+    /** All programs, by name: gateway-0, monitor-i-1 and so on. */
+    const std::map<std::string, std::unique_ptr<program>>& programs() const
+    {
+        return programs_;
+    }
     program& gateway(std::size_t i)
     {
         return *programs_.at("gateway-" + std::to_string(i));
@@ -1117,39 +1216,51 @@
         const std::scoped_lock lock(listing_);
         ++sequence_;
         for (const auto& each : models)
-            directory.put("keyed.servers", each->id,
-                          "{\"service\":\"redactor\",\"address\":\"" +
-                              each->address() +
-                              "\",\"zone\":\"mendoza-a\",\"version\":\"v1\","
-                              "\"slots\":24,\"state\":\"" +
-                              (each->draining ? "draining" : "ready") +
-                              "\",\"cold_left_ms\":0,\"stage\":\"unified\","
-                              "\"models\":[{\"name\":\"m\",\"version\":1,"
-                              "\"adapters\":[]}],\"sequence\":" +
-                              std::to_string(sequence_) + ",\"born\":1760000000000}");
+            if (!each->down)
+                directory.put(
+                    "keyed.servers", each->id,
+                    "{\"service\":\"redactor\",\"address\":\"" +
+                        each->address() +
+                        "\",\"zone\":\"mendoza-a\",\"version\":\"v1\","
+                        "\"slots\":24,\"state\":\"" +
+                        (each->draining ? "draining" : "ready") +
+                        "\",\"cold_left_ms\":0,\"stage\":\"unified\","
+                        "\"models\":[{\"name\":\"m\",\"version\":1,"
+                        "\"adapters\":[]}],\"sequence\":" +
+                        std::to_string(sequence_) +
+                        ",\"born\":" + std::to_string(each->born) + "}");
         for (const auto& each : plain)
-            directory.put("keyed.servers", each->id,
-                          "{\"service\":\"registro\",\"address\":\"" +
-                              each->address() +
-                              "\",\"zone\":\"mendoza-a\",\"version\":\"v1\","
-                              "\"slots\":6,\"state\":\"ready\","
-                              "\"cold_left_ms\":0,\"sequence\":" +
-                              std::to_string(sequence_) +
-                              ",\"born\":1760000000000}");
+            directory.put(
+                "keyed.servers", each->id,
+                "{\"service\":\"registro\",\"address\":\"" + each->address() +
+                    "\",\"zone\":\"mendoza-a\",\"version\":\"v1\","
+                    "\"slots\":6,\"state\":\"ready\","
+                    "\"cold_left_ms\":0,\"sequence\":" +
+                    std::to_string(sequence_) + ",\"born\":1760000000000}");
         for (const auto& [id, text] : other_entries)
             directory.put("keyed.servers", id, text);
     }
 
 private:
+    void remove_folder() const
+    {
+        if (std::getenv("KEEP") != nullptr) {
+            std::fprintf(stderr, "kept %s\n", folder_.c_str());
+            return;
+        }
+        const auto command = "rm -rf '" + folder_ + "'";
+        (void)!std::system(command.c_str());
+    }
+
     void start_monitor(const model_runner& beside)
     {
         const auto file = folder_ + "/monitor-" + beside.id + ".toml";
-        std::ofstream(file) << "name = \"side-" << beside.id << "\"\nlisten = \""
-                            << beside.host << ":" << port_ << "\"\nengine = \""
-                            << beside.address() << "\"\nmetrics_listen = \""
-                            << beside.host << ":" << metrics_port_
-                            << "\"\n\n[directory]\naddress = \""
-                            << directory.address() << "\"\n";
+        std::ofstream(file)
+            << "name = \"side-" << beside.id << "\"\nlisten = \"" << beside.host
+            << ":" << port_ << "\"\nengine = \"" << beside.address()
+            << "\"\nmetrics_listen = \"" << beside.host << ":" << metrics_port_
+            << "\"\n\n[directory]\naddress = \"" << directory.address()
+            << "\"\n";
         programs_["monitor-" + beside.id] = std::make_unique<program>(
             std::vector<std::string>{options_.repository +
                                          "/target/bin/cyclamenrun-monitor",
@@ -1172,7 +1283,8 @@
     int ready_port_ = 0;
 };
 
-/** A configuration after the sheet of Amianto Sur, as the operator writes it. */
+/** A configuration after the sheet of Amianto Sur, as the operator writes it.
+ */
 inline std::string configuration_text()
 {
     return "{\"version\":7,\"routes\":["
@@ -1214,13 +1326,14 @@
                                  const std::string& body = "",
                                  int deadline_ms = 2500)
 {
-    return method + " " + path + " HTTP/1.1\r\nHost: ficu95.example\r\n"
-           "Attempt-Id: " + id + "\r\nDeadline-Ms: " +
-           std::to_string(deadline_ms) +
+    return method + " " + path +
+           " HTTP/1.1\r\nHost: ficu95.example\r\n"
+           "Attempt-Id: " +
+           id + "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
            "\r\nAuthorization: Bearer key-1\r\n" +
-           (method == "GET" ? std::string()
-                            : "Content-Length: " + std::to_string(body.size()) +
-                                  "\r\n") +
+           (method == "GET"
+                ? std::string()
+                : "Content-Length: " + std::to_string(body.size()) + "\r\n") +
            "\r\n" + body;
 }
 
@@ -1229,11 +1342,12 @@
                                   const std::string& id, int prompt_tokens,
                                   int output_tokens, int deadline_ms)
 {
-    return "POST " + path + " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " +
-           id + "\r\nModel: m\r\nToken-Usage: " + std::to_string(prompt_tokens) +
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " + id +
+           "\r\nModel: m\r\nToken-Usage: " + std::to_string(prompt_tokens) +
            "," + std::to_string(output_tokens) + "\r\nPrompt-Prefix: " + id +
-           ":" + std::to_string(prompt_tokens) + "\r\nDeadline-Ms: " +
-           std::to_string(deadline_ms) +
+           ":" + std::to_string(prompt_tokens) +
+           "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
            "\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{}";
 }
 
