--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -398,6 +398,9 @@
     store() : server_("127.0.0.1", [this](channel& peer) { serve(peer); }) {}
     std::string address() const { return server_.address(); }
 
+    /** While it is true, calls get no answer, and channels no later one. */
+    std::atomic<bool> silent = false;
+
     void put(const std::string& topic, const std::string& key,
              const std::string& value)
     {
@@ -423,6 +426,8 @@
     void serve(channel& peer)
     {
         while (const auto call = read_request(peer, now() + ms(60000))) {
+            if (stays_silent())
+                return;
             const auto topic = query_value(call->target, "topic");
             std::string body;
             if (call->target.starts_with("/log-newest"))
@@ -430,11 +435,22 @@
             else if (call->target.starts_with("/log-read"))
                 body = read(topic, query_value(call->target, "from"),
                             query_value(call->target, "wait_ms"));
+            if (stays_silent())
+                return;
             if (!peer.send(answer_text(200, body)))
                 return;
         }
     }
 
+    /** Waits for the end of a silence; false if there is none. */
+    bool stays_silent() const
+    {
+        const bool was_silent = silent;
+        while (silent)
+            std::this_thread::sleep_for(ms(5));
+        return was_silent;
+    }
+
     std::string newest(const std::string& topic)
     {
         const std::scoped_lock lock(mutex_);
@@ -557,6 +573,8 @@
     std::atomic<bool> down = false;
     /** Of the present incarnation, which has the id of the one before. */
     std::atomic<std::int64_t> born = 1760000000000;
+    /** Of the software of the present incarnation: v1, v2 and so on. */
+    std::atomic<int> version = 1;
 
 private:
     void serve(channel& peer)
@@ -629,7 +647,8 @@
                ",\"kv_used\":" + std::to_string(active * 1500) +
                ",\"kv_total\":34267,\"handles\":0,\"state\":\"" +
                std::string(draining ? "draining" : "ready") +
-               "\",\"next\":0,\"runs\":[" + rows + "]}";
+               "\",\"next\":0,\"born\":" + std::to_string(born) +
+               ",\"runs\":[" + rows + "]}";
     }
 
     /** Copies at once; with `last` the run stops first. */
@@ -740,6 +759,8 @@
                   "\r\nResponse-Seal: seal-" + id + "-" + own.id +
                   "\r\nContent-Type: text/event-stream\r\n"
                   "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        // What two versions of the software write doesn't fit together.
+        const auto made_by = " by v" + std::to_string(version);
         auto next = now();
         for (int event = own.first_event; event <= last_event; ++event) {
             if (stopped()) {
@@ -748,7 +769,7 @@
             }
             const auto text = "id: " + std::to_string(event) +
                               "\ndata: token " + std::to_string(event) +
-                              " of " + own.id + "\n\n";
+                              " of " + own.id + made_by + "\n\n";
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
             if (sends && !peer.send(size + text + "\r\n"))
@@ -1214,21 +1235,25 @@
     void list_runners()
     {
         const std::scoped_lock lock(listing_);
+        // Nobody reaches a store that is silent.
+        if (directory.silent)
+            return;
         ++sequence_;
         for (const auto& each : models)
             if (!each->down)
-                directory.put(
-                    "keyed.servers", each->id,
-                    "{\"service\":\"redactor\",\"address\":\"" +
-                        each->address() +
-                        "\",\"zone\":\"mendoza-a\",\"version\":\"v1\","
-                        "\"slots\":24,\"state\":\"" +
-                        (each->draining ? "draining" : "ready") +
-                        "\",\"cold_left_ms\":0,\"stage\":\"unified\","
-                        "\"models\":[{\"name\":\"m\",\"version\":1,"
-                        "\"adapters\":[]}],\"sequence\":" +
-                        std::to_string(sequence_) +
-                        ",\"born\":" + std::to_string(each->born) + "}");
+                directory.put("keyed.servers", each->id,
+                              "{\"service\":\"redactor\",\"address\":\"" +
+                                  each->address() +
+                                  "\",\"zone\":\"mendoza-a\",\"version\":\"v" +
+                                  std::to_string(each->version) +
+                                  "\","
+                                  "\"slots\":24,\"state\":\"" +
+                                  (each->draining ? "draining" : "ready") +
+                                  "\",\"cold_left_ms\":0,\"stage\":\"unified\","
+                                  "\"models\":[{\"name\":\"m\",\"version\":1,"
+                                  "\"adapters\":[]}],\"sequence\":" +
+                                  std::to_string(sequence_) + ",\"born\":" +
+                                  std::to_string(each->born) + "}");
         for (const auto& each : plain)
             directory.put(
                 "keyed.servers", each->id,
