--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -314,11 +314,20 @@
         const int one = 1;
         ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
         auto address = address_of(host_, port);
-        if (::bind(listener_, reinterpret_cast<sockaddr*>(&address),
-                   sizeof address) != 0 ||
-            ::listen(listener_, 1024) != 0) {
+        // Another program may have the port for a moment when a runner that has
+        // crashed starts again.
+        int tries = port == 0 ? 1 : 200;
+        while (::bind(listener_, reinterpret_cast<sockaddr*>(&address),
+                      sizeof address) != 0) {
+            if (--tries == 0) {
+                std::perror("bind");
+                std::_Exit(2);
+            }
+            std::this_thread::sleep_for(ms(10));
+        }
+        if (::listen(listener_, 1024) != 0) {
             std::perror("listen");
-            std::exit(2);
+            std::_Exit(2);
         }
         socklen_t size = sizeof address;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
@@ -716,7 +725,10 @@
                                      ? reset_stream_after(call)
                                      : std::nullopt;
         if (crashes && crashes(call)) {
-            peer.closed_within(ms(20)); // reading its prompt
+            // It begins to run: its head is sent, and no event.
+            peer.closed_within(first_ms);
+            send_head(peer, *own);
+            peer.closed_within(ms(80));
             record(id + " crashes under " + own->id);
             crash();
             return false;
@@ -732,6 +744,14 @@
         return whole && peer.is_open();
     }
 
+    void send_head(channel& peer, const run& own) const
+    {
+        peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + own.id +
+                  "\r\nResponse-Seal: seal-" + id + "-" + own.id +
+                  "\r\nContent-Type: text/event-stream\r\n"
+                  "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
     /** Returns true if all events were made and sent. */
     bool generate(const request&, channel& peer, run& own, int last_event,
                   std::optional<int> reset_after)
@@ -755,10 +775,7 @@
         };
         if (!pause(own.began + first_ms))
             return false;
-        peer.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + own.id +
-                  "\r\nResponse-Seal: seal-" + id + "-" + own.id +
-                  "\r\nContent-Type: text/event-stream\r\n"
-                  "Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        send_head(peer, own);
         // What two versions of the software write doesn't fit together.
         const auto made_by = " by v" + std::to_string(version);
         auto next = now();
