--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0: the same without the disruption.
 export TROUBLE=${TROUBLE:-1}
 cd "$(dirname "$0")" || exit 2
-program=../standins-2/bin/part_case
+program=../standins-2/bin/deadly_case
 [ -x "$program" ] && [ -x ../../target/bin/cyclamenrun-gateway ] || exit 2
 timeout -k 1 118 "$program" "$(cd ../.. && pwd)" "$PWD"
 code=$?
--- a/review/standins-2/standins.hpp
+++ b/review/standins-2/standins.hpp
@@ -537,6 +537,7 @@
     std::atomic<bool> draining = false;
     /** True if this request crashes the runner as it begins to run. */
     std::function<bool(const request&)> crashes;
+    std::function<void(const request&)> on_crash;
     ms copy_time{80}; ///< of a run's memory, while the run goes on
     ms first_ms{150};
     ms event_ms{40};
@@ -729,8 +730,13 @@
             peer.closed_within(first_ms);
             send_head(peer, *own);
             peer.closed_within(ms(80));
+            // Another one may have crashed it meanwhile.
+            if (down.exchange(true))
+                return false;
             record(id + " crashes under " + own->id);
             crash();
+            if (on_crash)
+                on_crash(call);
             return false;
         }
         const bool whole = generate(call, peer, *own, last_event, reset_after);
@@ -1384,13 +1390,16 @@
                                   const std::string& id, int prompt_tokens,
                                   int output_tokens, int deadline_ms)
 {
+    // No two requests have the same body.
+    const auto body = "{\"prompt\":\"" + id + "\"}";
     return "POST " + path +
            " HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: " + id +
            "\r\nModel: m\r\nToken-Usage: " + std::to_string(prompt_tokens) +
            "," + std::to_string(output_tokens) + "\r\nPrompt-Prefix: " + id +
            ":" + std::to_string(prompt_tokens) +
            "\r\nDeadline-Ms: " + std::to_string(deadline_ms) +
-           "\r\nAuthorization: Bearer key-1\r\nContent-Length: 2\r\n\r\n{}";
+           "\r\nAuthorization: Bearer key-1\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace standins
