Take only proof for the end of a run whose connection is lost

What callers saw: nothing at once.

Cause: an order without a reply led to the engine's load report, and a run that the report does not list was taken for ended. The report is hundreds of milliseconds old. Without a destination no order was sent, and the report alone decided. An unreachable call was taken for a process that is gone, though it may only mean that a connection was not established within 300 ms, or that this process has no descriptor left.

Change: ended_run has no public constructor any more. It is made from what proves an end (a refused connection, a reply to an order, a report asked for after the loss plus the largest age of reports, a silent host), and all that continues a run takes one. run_stop repeats the order until it has one. If no engine has room, the order names one that has none: the run stops all the same. While a run is lost, the gateway listens to the monitor on its host.

--- a/src/libcyclamenrun/gateway/crash_detector.cpp
+++ b/src/libcyclamenrun/gateway/crash_detector.cpp
@@ -80,7 +80,7 @@
         is_new ? checks_.size() >= max_checks
                : known->second.waiting.size() >= max_waiting_handlers;
     if (is_full) {
-        on_result(upstream_liveness::unknown);
+        on_result(upstream_liveness::unchecked);
         return;
     }
     auto& found = checks_[upstream.id];
@@ -134,7 +134,7 @@
     if (!started.connection) {
         const auto asked = std::exchange(started.checked, {});
         checks_.erase(found);
-        answer(asked, upstream_liveness::unknown);
+        answer(asked, upstream_liveness::unchecked);
         return;
     }
     reactor_->post_timeout(reactor_->awake_now() + check_lifetime,
--- a/src/libcyclamenrun/gateway/crash_detector.hpp
+++ b/src/libcyclamenrun/gateway/crash_detector.hpp
@@ -20,7 +20,8 @@
 enum class upstream_liveness : std::uint8_t {
     alive,
     crashed,
-    unknown, ///< it did not respond
+    unknown,   ///< its host did not respond
+    unchecked, ///< no check could be made
 };
 
 /** A request whose connection to an upstream broke. */
--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -130,7 +130,7 @@
     /** Goes on once it is known whether the upstream has crashed. */
     void await_crash_check(const upstream_record& upstream);
     void continue_after_loss(const upstream_record& upstream,
-                             attempt_result result, bool has_crashed);
+                             attempt_result result, upstream_liveness found);
     /** Sets the timeout for the start of the response. */
     void arm_response_timeout();
     void handle_response_timeout();
--- a/src/libcyclamenrun/gateway/exchange_losses.cpp
+++ b/src/libcyclamenrun/gateway/exchange_losses.cpp
@@ -89,7 +89,7 @@
         context_.record_crash(id);
     if (loss == attempt_loss::not_sent || !may_have_crashed) {
         permit_.release();
-        continue_after_loss(upstream, result, false);
+        continue_after_loss(upstream, result, upstream_liveness::unchecked);
         return;
     }
     context_.crashes->record_loss(
@@ -121,8 +121,7 @@
             if (!self || std::exchange(*done, true) || self->conclusion_.over())
                 return;
             self->permit_.release();
-            self->continue_after_loss(upstream, attempt_result::lost,
-                                      found == upstream_liveness::crashed);
+            self->continue_after_loss(upstream, attempt_result::lost, found);
         };
     const auto& reactor = context_.reactor;
     reactor->post_timeout(reactor->awake_now() + max_crash_check,
@@ -131,10 +130,11 @@
 }
 
 void exchange::continue_after_loss(const upstream_record& upstream,
-                                   attempt_result result, bool has_crashed)
+                                   attempt_result result,
+                                   upstream_liveness found)
 {
     if (result != attempt_result::lost ||
-        !continuation_->resume_after_loss(upstream, has_crashed))
+        !continuation_->resume_after_loss(upstream, found))
         continue_after(result);
 }
 
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -28,6 +28,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -155,6 +156,8 @@
     std::shared_ptr<crash_detector> crashes;
     /** Null in a deployment without monitors. */
     std::shared_ptr<monitor_link> monitors;
+    /** Hosts of the engines at which a run is lost and may go on. */
+    std::multiset<std::string> lost_run_hosts;
     /** Gateways that the monitors know; until one reports, a safe guess. */
     unsigned monitored_gateways = 8;
     /** Null in a deployment whose gateways do not know each other. */
--- a/src/libcyclamenrun/gateway/gateway_dialect.hpp
+++ b/src/libcyclamenrun/gateway/gateway_dialect.hpp
@@ -62,6 +62,8 @@
 
     /** Head of the call that queries an engine's load. */
     virtual http_head load_call() const = 0;
+    /** A reply tells the load of so long ago at most. */
+    virtual milliseconds max_load_age() const = 0;
     virtual tl::expected<engine_load, call_failure>
     read_load(const http_reply& reply) const = 0;
 };
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -228,6 +228,8 @@
         hosts.merge(context_->upstreams.hosts_in_use(name));
     for (auto& host : relays_->chosen_hosts())
         hosts.insert(std::move(host));
+    hosts.insert(context_->lost_run_hosts.begin(),
+                 context_->lost_run_hosts.end());
     return hosts;
 }
 
--- a/src/libcyclamenrun/gateway/generation_continuation.cpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.cpp
@@ -119,11 +119,11 @@
                                          context_.reactor->now());
     };
     on.drop_source = [this] { on_.drop_attempt(); };
-    on.resume = [this](const upstream_record& to, const continuation& from) {
-        resume_at(to, from);
+    on.resume = [this](const ended_run& run) {
+        resume_at(run, *run.holder(), *run.memory());
     };
     on.lost = [this](const upstream_record& source) {
-        if (resume_after_loss(source, false))
+        if (resume_after_loss(source, upstream_liveness::unchecked))
             return;
         // Copied, since the call may destroy the exchange and this object.
         const auto lost = on_.lost;
@@ -141,11 +141,12 @@
     return on;
 }
 
-void generation_continuation::resume_at(const upstream_record& upstream,
+void generation_continuation::resume_at(const ended_run& run,
+                                        const upstream_record& upstream,
                                         const continuation& from)
 {
     if (context_.choice.is_evacuated(upstream)) {
-        resume_outside(upstream, from);
+        resume_outside(run, upstream, from);
         return;
     }
     const auto now = context_.reactor->now();
@@ -156,12 +157,13 @@
         wait = std::max(wait, poison_wait);
     const bool may_go_on = admission != poison_admission::refused;
     if (may_go_on && wait == milliseconds::zero()) {
-        send_continuation(upstream, from);
+        send_continuation(run, upstream, from);
         return;
     }
     if (may_go_on && now + wait < served_.admitted.deadline) {
-        on_.post_at(now + wait,
-                    [this, upstream, from] { resume_at(upstream, from); });
+        on_.post_at(now + wait, [this, run, upstream, from] {
+            resume_at(run, upstream, from);
+        });
         return;
     }
     // Copied, since the call may destroy the exchange and this object.
@@ -181,16 +183,17 @@
     return nullptr;
 }
 
-void generation_continuation::resume_outside(const upstream_record& evacuated,
+void generation_continuation::resume_outside(const ended_run& run,
+                                             const upstream_record& evacuated,
                                              const continuation& from)
 {
     // The source of a move still holds the memory of the stopped run.
     const auto* source = usable_source(from);
     if (source != nullptr && source->id != evacuated.id) {
-        resume_at(upstream_record(*source), from);
+        resume_at(run, upstream_record(*source), from);
         return;
     }
-    if (resume_at_backup({run_end::stopped}))
+    if (resume_at_backup(run))
         return;
     // Copied, since the call may destroy the exchange and this object.
     const auto lost = on_.lost;
@@ -211,10 +214,12 @@
     return now + wait <= *cold_room_until_ ? wait : milliseconds(0);
 }
 
-void generation_continuation::send_continuation(const upstream_record& upstream,
+void generation_continuation::send_continuation(const ended_run& run,
+                                                const upstream_record& upstream,
                                                 const continuation& from)
 {
     cold_room_until_.reset();
+    continued_ = run;
     // Copied, since the call may destroy the exchange and this object.
     const auto send = on_.send;
     if (!send(upstream, from))
@@ -226,7 +231,7 @@
 
 bool generation_continuation::resume_at_source()
 {
-    if (!from_)
+    if (!from_ || !continued_)
         return false;
     // The engine that stopped the generation may still hold its memory.
     const auto from = *from_;
@@ -240,7 +245,7 @@
             return false;
         const auto record = state->record;
         conclusion_.record_attempt("turned_away", "back_to_source");
-        resume_at(record, from);
+        resume_at(ended_run(*continued_), record, from);
         return true;
     }
     return false;
@@ -264,26 +269,26 @@
     if (!backup || now >= served_.admitted.deadline || is_convicted() ||
         !conclusion_.reserve_repeat())
         return false;
-    conclusion_.record_attempt(name_of(ended.how), "from_backup");
+    conclusion_.record_attempt(name_of(ended.how()), "from_backup");
     conclusion_.recorder().resumed_from_backup(served_.service, backup->id);
-    resume_at(*backup, {backup->address, served_.facts.id});
+    resume_at(ended, *backup, {backup->address, served_.facts.id});
     return true;
 }
 
 bool generation_continuation::resume_after_loss(const upstream_record& source,
-                                                bool has_crashed)
+                                                upstream_liveness found)
 {
     const auto* traits = served_.profile.engine();
     if (traits == nullptr)
         return false;
-    if (has_crashed)
-        return resume_at_backup({run_end::process_gone});
+    if (const auto ended = ended_run::from_check(found))
+        return resume_at_backup(*ended);
     auto destination = usable_backup();
     // A run of which the caller has nothing may as well begin again.
     if (!destination && !conclusion_.answer().begun())
         return false;
     if (!destination)
-        destination = choose_destination(source, {source.id});
+        destination = choose_stop_destination(source);
     const bool can_go_on = destination || served_.admitted.route->resumable;
     if (!can_go_on || is_convicted() || !conclusion_.reserve_repeat())
         return false;
@@ -291,6 +296,16 @@
     return true;
 }
 
+std::optional<upstream_record>
+generation_continuation::choose_stop_destination(const upstream_record& source)
+{
+    if (auto destination = choose_destination(source, {source.id}))
+        return destination;
+    return context_.choice.any_fitting(served_.service, {source.id},
+                                       context_.version_of(source),
+                                       context_.reactor->now());
+}
+
 void generation_continuation::stop_run(
     const upstream_record& source,
     const std::optional<upstream_record>& destination)
@@ -300,6 +315,7 @@
     on.ended = [this](const ended_run& ended) { handle_stopped(ended); };
     on.given_up = [this] {
         stop_.reset();
+        conclusion_.recorder().lost_run_ended(served_.service, std::nullopt);
         // Copied, since the call may destroy the exchange and this object.
         const auto unstoppable = on_.unstoppable;
         unstoppable();
@@ -315,14 +331,16 @@
 void generation_continuation::handle_stopped(const ended_run& ended)
 {
     const auto stop = std::exchange(stop_, nullptr);
-    const bool is_at_source = ended.holder && ended.memory &&
-                              ended.holder->address == ended.memory->source;
+    conclusion_.recorder().lost_run_ended(served_.service, ended.how());
+    const auto& memory = ended.memory();
+    const bool is_at_source =
+        memory && ended.holder()->address == memory->source;
     // An engine that loses connections is the last choice.
-    if ((!ended.memory || is_at_source) && resume_at_backup(ended))
+    if ((!memory || is_at_source) && resume_at_backup(ended))
         return;
-    if (ended.memory && conclusion_.reserve_repeat()) {
-        conclusion_.record_attempt(name_of(ended.how), "from_copy");
-        resume_at(*ended.holder, *ended.memory);
+    if (memory && conclusion_.reserve_repeat()) {
+        conclusion_.record_attempt(name_of(ended.how()), "from_copy");
+        resume_at(ended, *ended.holder(), *memory);
         return;
     }
     // Copied, since the call may destroy the exchange and this object.
--- a/src/libcyclamenrun/gateway/generation_continuation.hpp
+++ b/src/libcyclamenrun/gateway/generation_continuation.hpp
@@ -71,16 +71,22 @@
     bool resume_at_source();
     /**
      * Continues the run after its connection is lost, once it has ended there;
-     * false if nothing can continue it. `has_crashed`: the engine is known to
-     * be gone.
+     * false if nothing can continue it. `found`: by a check of its engine.
      */
-    bool resume_after_loss(const upstream_record& source, bool has_crashed);
+    bool resume_after_loss(const upstream_record& source,
+                           upstream_liveness found);
     void cancel();
 
 private:
     bool resume_at_backup(const ended_run& ended);
     /** The backup, if it may still be used. */
     std::optional<upstream_record> usable_backup() const;
+    /**
+     * Engine named in the order to stop a lost run, with room for its memory if
+     * there is one: the order stops the run even if the copy fails.
+     */
+    std::optional<upstream_record>
+    choose_stop_destination(const upstream_record& source);
     /** Engine to which the memory of a stopped run is copied. */
     std::optional<upstream_record>
     choose_destination(const upstream_record& source,
@@ -100,18 +106,20 @@
      * room at a cold upstream. If the upstream's failure domain is evacuated,
      * the run continues elsewhere or is lost.
      */
-    void resume_at(const upstream_record& upstream, const continuation& from);
+    void resume_at(const ended_run& run, const upstream_record& upstream,
+                   const continuation& from);
     /** Time after which to try again; zero: send now, with room or without. */
     milliseconds wait_for_cold_room(const std::string& upstream_id);
     /** Continues a run that its destination may no longer get. */
-    void resume_outside(const upstream_record& evacuated,
+    void resume_outside(const ended_run& run, const upstream_record& evacuated,
                         const continuation& from);
     /**
      * The upstream at which this request ran and that holds the memory, if it
      * may be sent to; null: none.
      */
     const upstream_record* usable_source(const continuation& from) const;
-    void send_continuation(const upstream_record& upstream,
+    void send_continuation(const ended_run& run,
+                           const upstream_record& upstream,
                            const continuation& from);
 
     gateway_context& context_;
@@ -124,6 +132,8 @@
     std::optional<upstream_record> backup_;
     /** Memory from which the current attempt continues. */
     std::optional<continuation> from_;
+    /** The run that the last continuation was sent to continue. */
+    std::optional<ended_run> continued_;
     /** Until when it waits for room at a cold upstream; empty: it does not. */
     std::optional<time_point> cold_room_until_;
 };
--- a/src/libcyclamenrun/gateway/generation_move.cpp
+++ b/src/libcyclamenrun/gateway/generation_move.cpp
@@ -62,7 +62,7 @@
             return;
         }
         free_copy();
-        fail(evacuated ? move_failure::evacuated : move_failure::no_budget, {});
+        fail(evacuated ? move_failure::evacuated : move_failure::no_budget);
         return;
     }
     context_.reactor->post_at(now + rest, [weak = weak_from_this()] {
@@ -83,11 +83,10 @@
         if (outcome.error() == call_failure::unreachable) {
             // An order that was not sent has stopped nothing.
             stop_ordered_ = false;
-            fail(move_failure::unreachable, {});
+            fail(move_failure::unreachable);
             return;
         }
-        fail(stop_ordered_ ? move_failure::uncertain : move_failure::no_room,
-             handle_);
+        fail(stop_ordered_ ? move_failure::uncertain : move_failure::no_room);
         return;
     }
     const auto reply = context_.dialect->read_move(*outcome);
@@ -96,14 +95,16 @@
         handle_copied(reply);
         return;
     case move_reply::kind::not_running:
-        fail(move_failure::not_running, {});
+        fail(move_failure::not_running);
         return;
     case move_reply::kind::under_way:
     case move_reply::kind::no_room:
-        fail(move_failure::no_room, reply.handle);
+        fail(move_failure::no_room,
+             stop_ordered_ ? ended_run::from_order(reply, source_, destination_)
+                           : std::nullopt);
         return;
     case move_reply::kind::invalid_reply:
-        fail(move_failure::uncertain, reply.handle);
+        fail(move_failure::uncertain);
         return;
     }
 }
@@ -115,19 +116,29 @@
         send_stop_order();
         return;
     }
+    const auto ended = ended_run::from_order(reply, source_, destination_);
+    if (!ended) {
+        fail(move_failure::uncertain);
+        return;
+    }
     over_ = true;
     const auto on = std::exchange(on_, {});
-    on.stopped({source_.address, handle_});
+    on.stopped(*ended);
 }
 
-void generation_move::fail(move_failure failure, const std::string& handle)
+void generation_move::fail(move_failure failure,
+                           const std::optional<ended_run>& at_source)
 {
     over_ = true;
-    std::optional<continuation> kept;
-    if (stop_ordered_ && !handle.empty())
-        kept = continuation{source_.address, handle};
     const auto on = std::exchange(on_, {});
-    on.failed(failure, kept);
+    on.failed(failure, at_source);
+}
+
+std::optional<continuation> generation_move::copy() const
+{
+    if (handle_.empty())
+        return std::nullopt;
+    return continuation{source_.address, handle_};
 }
 
 void generation_move::cancel()
--- a/src/libcyclamenrun/gateway/generation_move.hpp
+++ b/src/libcyclamenrun/gateway/generation_move.hpp
@@ -1,10 +1,12 @@
 #ifndef CYCLAMENRUN_GENERATION_MOVE_HPP
 #define CYCLAMENRUN_GENERATION_MOVE_HPP
 
+#include "ended_run.hpp"
 #include "gateway_context.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cyclamenrun
@@ -44,10 +46,11 @@
     struct hooks {
         /** Whether the continuation can be sent once the source has stopped. */
         std::function<bool()> may_stop;
-        /** The source stopped; the generation may resume from here. */
-        std::function<void(continuation)> stopped;
-        /** `kept`: memory at the source; set only after the stop order. */
-        std::function<void(move_failure, std::optional<continuation> kept)>
+        /** The source stopped; the generation may resume elsewhere. */
+        std::function<void(const ended_run&)> stopped;
+        /** `at_source`: set if the source stopped and can resume. */
+        std::function<void(move_failure,
+                           const std::optional<ended_run>& at_source)>
             failed;
     };
 
@@ -64,6 +67,8 @@
     /** True if the source may have stopped the generation or may yet do so. */
     bool stop_ordered() const { return stop_ordered_; }
     const upstream_record& destination() const { return destination_; }
+    /** Memory of the last copy, if one was made. */
+    std::optional<continuation> copy() const;
 
 private:
     void send_order(bool stop_first);
@@ -71,7 +76,8 @@
     void send_stop_order();
     void handle_reply(call_outcome outcome);
     void handle_copied(const move_reply& reply);
-    void fail(move_failure failure, const std::string& handle);
+    void fail(move_failure failure,
+              const std::optional<ended_run>& at_source = std::nullopt);
     void free_copy();
 
     gateway_context& context_;
--- a/src/libcyclamenrun/gateway/generation_mover.cpp
+++ b/src/libcyclamenrun/gateway/generation_mover.cpp
@@ -164,16 +164,15 @@
     ++moves_;
     on_.step(move_step::ordered, to);
     generation_move::hooks on;
-    on.stopped = [weak = weak_from_this(), source,
-                  to](const continuation& from) {
+    on.stopped = [weak = weak_from_this(), source, to](const ended_run& ended) {
         if (const auto self = weak.lock())
-            self->handle_stopped(from, source, to);
+            self->handle_stopped(ended, source, to);
     };
     on.failed = [weak = weak_from_this(),
                  source](move_failure failure,
-                         const std::optional<continuation>& kept) {
+                         const std::optional<ended_run>& at_source) {
         if (const auto self = weak.lock())
-            self->handle_failure(failure, kept, source);
+            self->handle_failure(failure, at_source, source);
     };
     on.may_stop = [weak = weak_from_this()] {
         const auto self = weak.lock();
@@ -185,7 +184,7 @@
     move_->start();
 }
 
-void generation_mover::handle_stopped(const continuation& from,
+void generation_mover::handle_stopped(const ended_run& ended,
                                       const upstream_record& source,
                                       const upstream_record& to)
 {
@@ -194,7 +193,7 @@
     if (over_)
         return;
     on_.move_ended(source, to, std::nullopt);
-    pending_ = resume_point{from, to};
+    pending_ = ended;
     resume_after_last_events();
 }
 
@@ -216,13 +215,13 @@
 {
     if (over_ || !pending_)
         return;
-    const auto step = *std::exchange(pending_, std::nullopt);
+    const auto ended = *std::exchange(pending_, std::nullopt);
     if (!std::exchange(source_ended_, false))
         on_.drop_source();
     refused_by_.clear();
     // Copied, since the call may destroy the exchange and this mover.
     const auto resume = on_.resume;
-    resume(step.to, step.from);
+    resume(ended);
 }
 
 bool generation_mover::source_ended()
@@ -246,7 +245,7 @@
 }
 
 void generation_mover::handle_failure(move_failure failure,
-                                      const std::optional<continuation>& kept,
+                                      const std::optional<ended_run>& at_source,
                                       const upstream_record& source)
 {
     release_turns();
@@ -256,14 +255,13 @@
     on_.move_ended(source, move->destination(), failure);
     if (failure == move_failure::no_room)
         refused_by_ = move->destination().id;
-    if (kept && failure == move_failure::uncertain && !source_ended_) {
-        wait_for_stop(*kept, source);
+    const auto copy = move->copy();
+    if (copy && failure == move_failure::uncertain) {
+        handle_uncertain_stop(*copy, source);
         return;
     }
-    if (kept) {
-        // The generation is stopped, but the source still holds its memory and
-        // can resume it.
-        pending_ = resume_point{*kept, source};
+    if (at_source) {
+        pending_ = at_source;
         resume_after_last_events();
         return;
     }
@@ -275,10 +273,16 @@
     retry_later(source);
 }
 
-void generation_mover::wait_for_stop(const continuation& kept,
-                                     const upstream_record& source)
+void generation_mover::handle_uncertain_stop(const continuation& copy,
+                                             const upstream_record& source)
 {
-    unconfirmed_ = resume_point{kept, source};
+    const auto ended = ended_run::from_stream_end(copy, source);
+    if (source_ended_) {
+        pending_ = ended;
+        resume_after_last_events();
+        return;
+    }
+    unconfirmed_ = ended;
     context_.reactor->post_timeout(
         context_.reactor->awake_now() + last_events_timeout,
         [weak = weak_from_this(), source] {
--- a/src/libcyclamenrun/gateway/generation_mover.hpp
+++ b/src/libcyclamenrun/gateway/generation_mover.hpp
@@ -2,6 +2,7 @@
 #define CYCLAMENRUN_GENERATION_MOVER_HPP
 
 #include "copy_turn_search.hpp"
+#include "ended_run.hpp"
 #include "gateway_context.hpp"
 #include "generation_move.hpp"
 
@@ -69,8 +70,8 @@
             cost;
         /** Drops the source's connection after its last events. */
         std::function<void()> drop_source;
-        /** Resumes the stopped generation there from this memory. */
-        std::function<void(const upstream_record&, const continuation&)> resume;
+        /** Resumes the stopped generation from its memory. */
+        std::function<void(const ended_run&)> resume;
         /** The generation ended at the source and its memory is lost. */
         std::function<void(const upstream_record& source)> lost;
         /** Result of one move; empty: the generation resumes at `to`. */
@@ -108,12 +109,13 @@
     void handle_no_destination(const upstream_record& source);
     void start(const upstream_record& source, const upstream_record& to);
     void release_turns();
-    void handle_stopped(const continuation& from, const upstream_record& source,
+    void handle_stopped(const ended_run& ended, const upstream_record& source,
                         const upstream_record& to);
     void handle_failure(move_failure failure,
-                        const std::optional<continuation>& kept,
+                        const std::optional<ended_run>& at_source,
                         const upstream_record& source);
-    void wait_for_stop(const continuation& kept, const upstream_record& source);
+    void handle_uncertain_stop(const continuation& copy,
+                               const upstream_record& source);
     void resume_after_last_events();
     void resume();
     void retry_later(const upstream_record& source);
@@ -132,18 +134,13 @@
     bool over_ = false;
     std::string refused_by_; ///< last destination that had no room
     unsigned moves_ = 0;
-    /** Where a stopped generation resumes after the source's last events. */
-    struct resume_point {
-        continuation from;
-        upstream_record to;
-    };
-    std::optional<resume_point> pending_;
+    /** A stopped generation, which resumes after the source's last events. */
+    std::optional<ended_run> pending_;
     /**
      * Set while the stop order was sent but its reply is lost. If the source's
-     * stream ends now, the order was executed and the generation resumes from
-     * here.
+     * stream ends now, the order was executed.
      */
-    std::optional<resume_point> unconfirmed_;
+    std::optional<ended_run> unconfirmed_;
 };
 
 } // namespace cyclamenrun
--- a/src/libcyclamenrun/gateway/request_recorder.cpp
+++ b/src/libcyclamenrun/gateway/request_recorder.cpp
@@ -157,6 +157,13 @@
                    {log_key::reason, result}});
 }
 
+void request_recorder::lost_run_ended(const std::string& service,
+                                      std::optional<run_end> end)
+{
+    metrics_.count(exported_metric::lost_runs,
+                   {service, std::string(end ? name_of(*end) : "unknown")});
+}
+
 void request_recorder::resumed_from_backup(const std::string& service,
                                            const std::string& upstream)
 {
--- a/src/libcyclamenrun/gateway/request_recorder.hpp
+++ b/src/libcyclamenrun/gateway/request_recorder.hpp
@@ -87,6 +87,8 @@
     /** Without a failure the generation continues at `to`. */
     void move_ended(const std::string& service, const std::string& from,
                     const std::string& to, std::optional<move_failure> failure);
+    /** `end`: how the end of a lost run became known; empty: it did not. */
+    void lost_run_ended(const std::string& service, std::optional<run_end> end);
     void resumed_from_backup(const std::string& service,
                              const std::string& upstream);
 
--- a/src/libcyclamenrun/gateway/upstream_choice.cpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.cpp
@@ -83,17 +83,16 @@
            (!version->empty() || versions_.names_none(upstream.service, now));
 }
 
-bool upstream_choice::any_fits(const std::string& service,
-                               const std::vector<std::string>& excluded,
-                               const std::optional<std::string>& version,
-                               time_point now) const
+std::optional<upstream_record> upstream_choice::any_fitting(
+    const std::string& service, const std::vector<std::string>& excluded,
+    const std::optional<std::string>& version, time_point now) const
 {
-    const auto all = upstreams_.available(service);
-    return std::any_of(all.begin(), all.end(), [&](const auto* upstream) {
-        return !contains(excluded, upstream->record.id) &&
-               !is_evacuated(upstream->record) &&
-               fits(upstream->record, version, now);
-    });
+    for (const auto* upstream : upstreams_.available(service))
+        if (!contains(excluded, upstream->record.id) &&
+            !is_evacuated(upstream->record) &&
+            fits(upstream->record, version, now))
+            return upstream->record;
+    return std::nullopt;
 }
 
 bool upstream_choice::is_usable(const std::string& id, time_point now) const
--- a/src/libcyclamenrun/gateway/upstream_choice.hpp
+++ b/src/libcyclamenrun/gateway/upstream_choice.hpp
@@ -82,7 +82,14 @@
     bool any_fits(const std::string& service,
                   const std::vector<std::string>& excluded,
                   const std::optional<std::string>& version,
-                  time_point now) const;
+                  time_point now) const
+    {
+        return any_fitting(service, excluded, version, now).has_value();
+    }
+    /** One of these upstreams, whether it has room or not. */
+    std::optional<upstream_record> any_fitting(
+        const std::string& service, const std::vector<std::string>& excluded,
+        const std::optional<std::string>& version, time_point now) const;
 
     /**
      * Returns the upstream that takes a request first if all that fit rest or
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -25,6 +25,11 @@
     exported_metric_row{exported_metric::backups, "cyclamenrun_backups_total",
                         exported_kind::counter, "service",
                         "Generations of which a backup copy was kept."},
+    exported_metric_row{
+        exported_metric::lost_runs, "cyclamenrun_lost_runs_total",
+        exported_kind::counter, "service,end",
+        "Generations whose connection was lost and that could go on without "
+        "it, by how their end became known, or `unknown`."},
     exported_metric_row{
         exported_metric::first_part_time, "cyclamenrun_first_part_seconds",
         exported_kind::histogram, "route",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -15,6 +15,7 @@
     attempts,
     moves,
     backups,
+    lost_runs,
     first_part_time,
     longest_pause,
     answer_time,
--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -106,11 +106,14 @@
 fake_upstream::~fake_upstream()
 {
     stopping_ = true;
+    const bool is_accepting = accepts_.exchange(true);
+    accepts_.notify_all();
     // Poco's listeners set SO_REUSEPORT, so another listener can share the port
     // and take a connection that was meant to wake the acceptor.
     while (!acceptor_ended_) {
         try {
-            Poco::Net::StreamSocket(listener_.address()).close();
+            if (is_accepting)
+                Poco::Net::StreamSocket(listener_.address()).close();
         } catch (const Poco::Exception&) {
             // Tries again: only a connection ends the acceptor.
         }
@@ -146,6 +149,21 @@
     ::shutdown(listener_.impl()->sockfd(), SHUT_RDWR);
 }
 
+void fake_upstream::fill_connection_queue()
+{
+    accepts_ = false;
+    const Poco::Timespan timeout(0, 100'000);
+    try {
+        for (;;) {
+            Poco::Net::StreamSocket socket;
+            socket.connect(listener_.address(), timeout);
+            queued_.push_back(socket);
+        }
+    } catch (const Poco::TimeoutException&) {
+        return; // the queue is full
+    }
+}
+
 ip_endpoint fake_upstream::address() const
 {
     const auto address = listener_.address();
@@ -186,6 +204,11 @@
             auto socket = listener_.acceptConnection();
             if (stopping_)
                 break;
+            if (!accepts_) {
+                queued_.push_back(socket);
+                accepts_.wait(false);
+                break;
+            }
             socket.setNoDelay(true);
             join_served();
             const auto ended = std::make_shared<std::atomic<bool>>(false);
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -96,6 +96,12 @@
     bool crashed() const { return crashed_; }
     /** Refuses new connections, as a process does that is about to end. */
     void stop_listening();
+    /**
+     * Keeps new connections from being established, as a process does that
+     * accepts none and whose queue of connections is full. The upstream accepts
+     * no connection any more.
+     */
+    void fill_connection_queue();
     /** Number of connections accepted so far. */
     std::size_t connections() const
     {
@@ -122,6 +128,8 @@
     std::atomic<bool> stopping_ = false;
     std::atomic<bool> crashed_ = false;
     std::atomic<bool> acceptor_ended_ = false;
+    std::atomic<bool> accepts_ = true;
+    std::vector<Poco::Net::StreamSocket> queued_; ///< never accepted
     std::thread acceptor_;
 };
 
--- a/tests/gateway/generating_engine.hpp
+++ b/tests/gateway/generating_engine.hpp
@@ -62,6 +62,8 @@
     std::atomic<bool> denies_runs = false;
     /** By how much orders and queries wait before they are executed. */
     std::atomic<int> reply_delay_ms = 0;
+    /** Reports tell the state of so long ago. */
+    std::atomic<int> report_lag_ms = 0;
     /** Ends a run whose connection was reset. */
     std::atomic<bool> ends_lost_runs = false;
     /** True while a run whose connection was reset goes on. */
@@ -82,6 +84,8 @@
     std::function<void()> on_copied;
     /** Called when a stop order arrives, before the reply. */
     std::function<void()> on_stop;
+    /** Called when a request arrives that resumes a stream. */
+    std::function<void()> on_resume;
 
 private:
     void handle_order(const arrived_request& request, upstream_reply& reply)
@@ -124,8 +128,10 @@
 
     std::string report() const
     {
+        const auto as_of = steady_now() - milliseconds(report_lag_ms);
+        const bool is_listed = runs_on && began_at_.load() <= as_of;
         return R"({"active":0,"queued":0,"kv_used":0,"kv_total":1000,"runs":[)" +
-               (runs_on ? "[\"" + lost_id_ + "\",10,3,5]" : std::string()) +
+               (is_listed ? "[\"" + lost_id_ + "\",10,3,5]" : std::string()) +
                "]}";
     }
 
@@ -145,6 +151,10 @@
     {
         const auto from = request.field("Last-Event-Id");
         const int first = from.empty() ? 1 : std::stoi(from) + 1;
+        if (from.empty())
+            began_at_ = steady_now();
+        else if (on_resume)
+            on_resume();
         ended_ = false;
         run_over_ = false;
         if (unframed)
@@ -187,6 +197,7 @@
     std::atomic<bool> ended_ = true;
     std::atomic<bool> run_over_ = false; ///< not by an order
     std::string lost_id_;                ///< of the run that goes on
+    std::atomic<time_point> began_at_{}; ///< of the last new run
 };
 
 /** The script of an upstream that is this engine. */
