Keep poison marks in the platform's store

Cause: marks lived in the memory of gateways only. Beside it, a gateway that starts later would have taken the next crash of an upstream's id for an earlier one, since the id of a loss counted replacements seen by that gateway.

Change: mark_keeper writes the losses and clearances that this gateway recorded to a keyed topic, reads them when it starts, and removes what was cleared or has expired. An append whose answer names no offset is not acknowledged and repeated; one without an answer is written once more later.

--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -41,6 +41,7 @@
         platform.dialect = std::make_shared<platform::http_dialect>();
         platform.configurations = platform::make_configuration_feed;
         platform.upstreams = platform::make_upstream_feed;
+        platform.marks = platform::make_mark_log;
         platform.read_configuration = platform::read_configuration;
         gateway_process process(settings, platform, [&] {
             return read_gateway_settings(settings_file);
--- a/src/libcyclamenrun/gateway/directory_watch.cpp
+++ b/src/libcyclamenrun/gateway/directory_watch.cpp
@@ -62,6 +62,9 @@
     context_.evacuated.follow_other_log();
     // An outage goes on until the followers that take over have an answer.
     const auto out_since = lost_since();
+    if (platform_.marks)
+        context_.keep_marks(
+            platform_.marks(context_.reactor, settings.directory));
     follow_configurations(settings, out_since);
     follow_upstreams(settings, out_since);
 }
--- a/src/libcyclamenrun/gateway/directory_watch.hpp
+++ b/src/libcyclamenrun/gateway/directory_watch.hpp
@@ -5,6 +5,7 @@
 #include "feed_follower.hpp"
 #include "gateway_context.hpp"
 #include "gateway_settings.hpp"
+#include "mark_log.hpp"
 #include "relay_clients.hpp"
 #include "relayed_feed.hpp"
 
@@ -27,6 +28,10 @@
     std::function<std::shared_ptr<upstream_feed>(std::shared_ptr<link_reactor>,
                                                  const ip_endpoint&)>
         upstreams;
+    /** Creates the log that keeps poison marks; may be empty: none does. */
+    std::function<std::shared_ptr<mark_log>(std::shared_ptr<link_reactor>,
+                                            const ip_endpoint&)>
+        marks = {};
     /** Parses a configuration text that a monitor has relayed. */
     configuration_reader read_configuration;
 };
--- a/src/libcyclamenrun/gateway/gateway_context.cpp
+++ b/src/libcyclamenrun/gateway/gateway_context.cpp
@@ -42,6 +42,10 @@
                    {log_key::fingerprint, fingerprint_text(fingerprint)}});
         end_poison_requests();
     };
+    on.recorded = [this](const std::vector<mark_key>& changed) {
+        if (kept_marks)
+            kept_marks->record_change(changed);
+    };
     poison.set_hooks(std::move(on));
     crashes = std::make_shared<crash_detector>(
         reactor,
@@ -51,6 +55,26 @@
     prepare_identity_checks();
 }
 
+void gateway_context::keep_marks(std::shared_ptr<mark_log> log)
+{
+    mark_keeper::hooks on;
+    on.gateways = [this] { return limits.gateway_count(); };
+    on.written = [this](bool acknowledged) {
+        metrics.count(exported_metric::mark_writes,
+                      {acknowledged ? "kept" : "failed"});
+    };
+    on.read = [this](std::size_t readable, std::size_t unreadable) {
+        log_event(log_severity::info, log_event_name::marks_read,
+                  {{log_key::count, readable}});
+        if (unreadable > 0)
+            metrics.count(exported_metric::unreadable_records, {"marks"},
+                          static_cast<double>(unreadable));
+    };
+    kept_marks = std::make_shared<mark_keeper>(reactor, std::move(log), poison,
+                                               random, std::move(on));
+    kept_marks->start();
+}
+
 void gateway_context::prepare_identity_checks()
 {
     identity_checks::hooks on;
--- a/src/libcyclamenrun/gateway/gateway_context.hpp
+++ b/src/libcyclamenrun/gateway/gateway_context.hpp
@@ -13,6 +13,7 @@
 #include "gateway_routes.hpp"
 #include "identity_checks.hpp"
 #include "link_reactor.hpp"
+#include "mark_keeper.hpp"
 #include "monitor_link.hpp"
 #include "peer_link.hpp"
 #include "poison_guard.hpp"
@@ -129,6 +130,8 @@
     void handle_crash(const upstream_record& upstream,
                       const lost_request& lost);
 
+    /** Keeps the poison marks there from now on. */
+    void keep_marks(std::shared_ptr<mark_log> log);
     /** Prepares the checks of upstreams whose addresses are contested. */
     void prepare_identity_checks();
 
@@ -159,6 +162,8 @@
     stream_origins origins;
     upstream_choice choice;
     poison_guard poison;
+    /** Null in a deployment that keeps no marks. */
+    std::shared_ptr<mark_keeper> kept_marks;
     std::shared_ptr<crash_detector> crashes;
     std::shared_ptr<identity_checks> identities;
     /** Null in a deployment without monitors. */
--- a/src/libcyclamenrun/gateway/gateway_process.cpp
+++ b/src/libcyclamenrun/gateway/gateway_process.cpp
@@ -127,6 +127,7 @@
         context_->versions.record(record.service, record.version,
                                   context_->reactor->now());
         context_->record_cold(record);
+        context_->poison.record_start(record.id, record.started_ms);
     };
     upstream_hooks.unlisted = [this](const upstream_record& record) {
         context_->presume_cold(record, cold_source::presumed);
@@ -465,6 +466,8 @@
     context_->remove_warm();
     context_->record_versions_if_due();
     context_->poison.tick(context_->reactor->now());
+    if (context_->kept_marks)
+        context_->kept_marks->tick(context_->reactor->now());
     check_settings();
     context_->reactor->post_at(context_->reactor->now() + tick_interval,
                                [this] { tick(); });
--- a/src/libcyclamenrun/gateway/poison_guard.cpp
+++ b/src/libcyclamenrun/gateway/poison_guard.cpp
@@ -73,8 +73,14 @@
 {
     const auto version = marks_.version();
     apply(requests, now, change_marks);
-    if (marks_.version() != version && on_.changed)
+    if (marks_.version() == version)
+        return;
+    if (on_.changed)
         on_.changed();
+    const auto recorded = on_.recorded ? marks_.changed_since(version, now)
+                                       : std::vector<mark_key>();
+    if (!recorded.empty())
+        on_.recorded(recorded);
 }
 
 void poison_guard::report_convictions(
@@ -94,10 +100,13 @@
 
 /**
  * All gateways report one crash as the same loss: an upstream that starts again
- * has a new id, or a replacement is recorded.
+ * has a new id or another start, or a replacement is recorded.
  */
 std::uint64_t poison_guard::loss_of(const std::string& upstream) const
 {
+    const auto start = starts_.find(upstream);
+    if (start != starts_.end())
+        return hash64(upstream, static_cast<std::uint64_t>(start->second));
     const auto found = replacements_.find(upstream);
     return hash64(upstream, found != replacements_.end() ? found->second : 0);
 }
@@ -110,6 +119,16 @@
     ++replacements_[upstream];
 }
 
+void poison_guard::record_start(const std::string& upstream,
+                                std::int64_t started_ms)
+{
+    if (started_ms == 0)
+        return;
+    if (starts_.size() >= max_replacements && !starts_.contains(upstream))
+        starts_.erase(starts_.begin());
+    starts_[upstream] = started_ms;
+}
+
 void poison_guard::record_crash(const std::string& upstream, lost_run run,
                                 time_point now)
 {
@@ -185,6 +204,12 @@
     return shared;
 }
 
+std::vector<link::PoisonMark> poison_guard::lasting_marks(const mark_key& key,
+                                                          time_point now) const
+{
+    return marks_.lasting_marks(key, now);
+}
+
 void poison_guard::merge(const v1::PeerMessage& message, time_point now)
 {
     std::vector<std::uint64_t> requests;
--- a/src/libcyclamenrun/gateway/poison_guard.hpp
+++ b/src/libcyclamenrun/gateway/poison_guard.hpp
@@ -30,6 +30,9 @@
         std::function<void()> changed;
         /** Requests with this fingerprint, or part, are refused from now on. */
         std::function<void(suspect_kind, std::uint64_t fingerprint)> convicted;
+        /** Marks that were changed here, not by other gateways; may be empty.
+         */
+        std::function<void(const std::vector<mark_key>&)> recorded = {};
     };
 
     explicit poison_guard(std::mt19937_64& random);
@@ -51,12 +54,17 @@
         return marks_.grounds(work, now);
     }
 
-    /** Records a run at an upstream that has crashed; sets its loss. */
     /**
      * Another process uses the id of the upstream: its crash is another loss.
      * Gateways agree on that as far as they have seen the same replacements.
      */
     void record_replacement(const std::string& upstream);
+    /**
+     * The process that uses the id started then. All gateways agree on its
+     * loss, also those that start later.
+     */
+    void record_start(const std::string& upstream, std::int64_t started_ms);
+    /** Records a run at an upstream that has crashed; sets its loss. */
     void record_crash(const std::string& upstream, lost_run run,
                       time_point now);
     /** Records a run that has gone on for `settling_time` since then. */
@@ -73,6 +81,11 @@
 
     /** The marks as a table that gateways share. */
     peer_table table();
+    /** Takes marks over that another process has recorded. */
+    void merge(const v1::PeerMessage& message, time_point now);
+    /** The marks that are kept under a key; empty: none any more. */
+    std::vector<link::PoisonMark> lasting_marks(const mark_key& key,
+                                                time_point now) const;
     std::size_t size() const { return marks_.size(); }
     /** How many parts of this work have run well here lately. */
     std::size_t count_recent_parts(const suspected_work& work,
@@ -103,7 +116,6 @@
                 Change change_marks);
     void report_convictions(const std::vector<std::uint64_t>& requests,
                             time_point now);
-    void merge(const v1::PeerMessage& message, time_point now);
     /** Records the answers that ended just before their upstream crashed. */
     void accuse_settling(std::uint64_t loss, time_point now);
 
@@ -113,6 +125,8 @@
     std::vector<settling_run> settling_;
     /** How often another process has taken an upstream's id. */
     std::unordered_map<std::string, std::uint64_t> replacements_;
+    /** Start of the process that uses an upstream's id, if it is known. */
+    std::unordered_map<std::string, std::int64_t> starts_;
     std::vector<std::uint64_t> convicted_parts_; ///< as last reported
     hooks on_;
 };
--- a/src/libcyclamenrun/gateway/poison_permit.cpp
+++ b/src/libcyclamenrun/gateway/poison_permit.cpp
@@ -5,8 +5,10 @@
 
 poison_admission poison_permit::admit()
 {
-    const auto admission =
-        context_.poison.admit(served_.work, claim_, context_.reactor->now());
+    const auto now = context_.reactor->now();
+    if (context_.kept_marks && !context_.kept_marks->may_send(now))
+        return poison_admission::wait;
+    const auto admission = context_.poison.admit(served_.work, claim_, now);
     on_trial_ = admission == poison_admission::trial;
     served_.solo = on_trial_ || admission == poison_admission::solo;
     return admission;
--- a/src/libcyclamenrun/links/message_reader.cpp
+++ b/src/libcyclamenrun/links/message_reader.cpp
@@ -133,6 +133,7 @@
     number_row{"cyclamenrun.v1.ProcessRevision.heard_ms_ago", time_span},
     number_row{"cyclamenrun.v1.PeerMessage.incarnation", opaque},
     number_row{"cyclamenrun.v1.PeerMessage.receiver_incarnation", opaque},
+    number_row{"cyclamenrun.v1.KeptMarks.written_at_ms", unix_time},
     number_row{"cyclamenrun.v1.UpstreamLimit.limit", rate},
     number_row{"cyclamenrun.v1.UpstreamLimit.age_ms", time_span},
     number_row{"cyclamenrun.v1.RepeatLoan.amount", rate},
--- a/src/libcyclamenrun/observability/exported_metric.cpp
+++ b/src/libcyclamenrun/observability/exported_metric.cpp
@@ -171,6 +171,11 @@
                         "cyclamenrun_requests_crashed_total",
                         exported_kind::counter, "service",
                         "Attempts that ended because their upstream crashed."},
+    exported_metric_row{
+        exported_metric::mark_writes, "cyclamenrun_mark_writes_total",
+        exported_kind::counter, "result",
+        "Writes of poison marks to the platform's store: `kept` if it has "
+        "acknowledged them, or `failed`."},
     exported_metric_row{
         exported_metric::input_rejected, "cyclamenrun_input_rejected_total",
         exported_kind::counter, "sender,reason",
--- a/src/libcyclamenrun/observability/exported_metric.hpp
+++ b/src/libcyclamenrun/observability/exported_metric.hpp
@@ -51,6 +51,7 @@
     poison_parts,
     solo_runs,
     crashes_seen,
+    mark_writes,
     input_rejected,
     input_bytes,
     dropped_log_lines,
--- a/src/libcyclamenrun/observability/log_event_name.cpp
+++ b/src/libcyclamenrun/observability/log_event_name.cpp
@@ -216,6 +216,10 @@
                   "The platform's directory does not respond."},
     log_event_row{log_event_name::directory_regained, "directory_regained",
                   "The platform's directory responds again."},
+    log_event_row{log_event_name::marks_read, "marks_read",
+                  "The poison marks that outlasted the gateways before were "
+                  "read from the platform's store; count is that of their "
+                  "records."},
     log_event_row{
         log_event_name::lease_ended, "lease_ended",
         "The lease on the configuration has expired; the process serves "
--- a/src/libcyclamenrun/observability/log_event_name.hpp
+++ b/src/libcyclamenrun/observability/log_event_name.hpp
@@ -83,6 +83,7 @@
     evacuation_ended,
     directory_lost,
     directory_regained,
+    marks_read,
     lease_ended,
     lease_renewed,
     record_unreadable,
--- a/src/libcyclamenrun/outcomes/poison_register.hpp
+++ b/src/libcyclamenrun/outcomes/poison_register.hpp
@@ -3,6 +3,7 @@
 
 #include "clock.hpp"
 #include "lost_run.hpp"
+#include "mark_key.hpp"
 #include "part_clearance.hpp"
 #include "part_findings.hpp"
 #include "poison_rule.hpp"
@@ -126,6 +127,12 @@
     std::uint64_t version() const { return version_; }
     std::vector<link::PoisonMark> marks_since(std::uint64_t version,
                                               time_point now) const;
+    /** What has changed after a version, solo runs aside. */
+    std::vector<mark_key> changed_since(std::uint64_t version,
+                                        time_point now) const;
+    /** The marks that are kept under a key; empty: none any more. */
+    std::vector<link::PoisonMark> lasting_marks(const mark_key& key,
+                                                time_point now) const;
     /** Marks in the order of their changes. */
     struct mark_batch {
         std::vector<link::PoisonMark> marks;
--- a/tests/gateway/fake_store.cpp
+++ b/tests/gateway/fake_store.cpp
@@ -101,6 +101,8 @@
         reply.wait_for_close();
     else if (current_fault_mode == fault_mode::disconnecting)
         reply.close();
+    else if (uri.getPath() == "/log-append")
+        serve_append(query, request, reply);
     else if (uri.getPath() == "/log-newest")
         serve_newest(query, request, reply);
     else
@@ -133,6 +135,50 @@
     reply.answer(request, 200, body);
 }
 
+void fake_store::serve_append(const std::map<std::string, std::string>& query,
+                              const arrived_request& request,
+                              upstream_reply& reply)
+{
+    std::unique_lock lock(mutex_);
+    auto& records = topics_[query.at("topic")].records;
+    const auto first = records.size();
+    std::string_view bytes = request.body;
+    const auto take = [&](std::size_t count) {
+        const auto taken = bytes.substr(0, count);
+        bytes.remove_prefix(taken.size());
+        return std::string(taken);
+    };
+    const auto number = [](const std::string& text) {
+        std::size_t value = 0;
+        for (const char byte : text)
+            value = value << 8U | static_cast<unsigned char>(byte);
+        return value;
+    };
+    while (!bytes.empty()) {
+        const auto size = number(take(4));
+        const auto key = take(number(take(1)));
+        records.push_back({key, take(size - 1 - key.size())});
+    }
+    const auto end = records.size();
+    lock.unlock();
+    changed_.notify_all();
+    reply.answer(request, 200,
+                 acknowledges
+                     ? "{\"offset\":" + std::to_string(first) +
+                           ",\"end_offset\":" + std::to_string(end) + "}"
+                     : "");
+}
+
+std::map<std::string, std::string> fake_store::newest(const std::string& topic)
+{
+    const std::scoped_lock lock(mutex_);
+    std::map<std::string, std::string> values;
+    for (const auto& each : topics_[topic].records)
+        values[each.key] = each.value;
+    std::erase_if(values, [](const auto& each) { return each.second.empty(); });
+    return values;
+}
+
 std::size_t fake_store::count_of(const std::string& target) const
 {
     const auto calls = server_.arrived();
--- a/tests/gateway/fake_store.hpp
+++ b/tests/gateway/fake_store.hpp
@@ -3,6 +3,7 @@
 
 #include "fake_upstream.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -44,6 +45,10 @@
     void set_fault_mode(fault_mode next);
     /** Sets the number of records on a page of the newest records. */
     void set_page_size(std::size_t records);
+    /** If false, appends are kept and answered without an offset. */
+    std::atomic<bool> acknowledges = true;
+    /** The newest records of a topic that have a value. */
+    std::map<std::string, std::string> newest(const std::string& topic);
     /** Number of calls so far, refused ones included. */
     std::size_t calls() const { return server_.arrived().size(); }
     /** Number of calls whose target starts with `target`. */
@@ -69,6 +74,8 @@
     void handle_request(const arrived_request& request, upstream_reply& reply);
     void serve_read(const std::map<std::string, std::string>& query,
                     const arrived_request& request, upstream_reply& reply);
+    void serve_append(const std::map<std::string, std::string>& query,
+                      const arrived_request& request, upstream_reply& reply);
     void serve_newest(const std::map<std::string, std::string>& query,
                       const arrived_request& request, upstream_reply& reply);
 
