Reject answers whose status is none

What callers saw: on a gateway, a caller whose upstream answered with a status below 100, or 101, waited for the rest of its time and got 504; one of 600 or more was passed on.

Cause: each reader of heads had its own notion of interim heads, and none rejected what is no status. The client for calls of the processes' own took any interim head for the answer.

Change: http_reader rejects statuses outside 100 to 599, and 101, as malformed. is_interim is one function, and http_client reads on after interim heads, eight at most.

--- a/src/libcyclamenrun/gateway/upstream_attempt.cpp
+++ b/src/libcyclamenrun/gateway/upstream_attempt.cpp
@@ -170,8 +170,7 @@
 {
     if (over_)
         return;
-    // A 1xx response precedes the final response.
-    const bool interim = head.status < 200;
+    const bool interim = is_interim(head.status);
     facts_ = dialect_.read_response(head);
     peer_keeps_open_ = head.keep_alive;
     // Upstreams return the request id in every success. A success without an id
--- a/src/libcyclamenrun/http/http_client.cpp
+++ b/src/libcyclamenrun/http/http_client.cpp
@@ -8,6 +8,14 @@
 namespace cyclamenrun
 {
 
+namespace
+{
+
+/** Bounds what a peer may send before its answer. */
+constexpr unsigned max_interim_heads = 8;
+
+} // namespace
+
 std::string_view name_of(call_failure failure)
 {
     switch (failure) {
@@ -52,6 +60,7 @@
         head.method == "GET" ? http_framing::none : http_framing::length;
     request_ = request_text(head, framing, body.size()) + body;
     reply_ = {};
+    interim_heads_ = 0;
     peer_keep_alive_ = true;
     on_answer_ = std::move(on_answer);
     self_ = shared_from_this();
@@ -119,7 +128,7 @@
         close();
         return;
     }
-    const auto read = reader_->feed(bytes);
+    const auto read = skip_interim_heads(reader_->feed(bytes));
     if (!read || !count_reply()) {
         const bool malformed = !read && !is_oversized(read.error());
         finish(tl::unexpected(malformed ? call_failure::malformed
@@ -135,12 +144,25 @@
     finish(std::move(reply_));
 }
 
+tl::expected<void, http_problem>
+http_client::skip_interim_heads(tl::expected<void, http_problem> read)
+{
+    while (read && reader_->complete() && is_interim(reply_.status)) {
+        if (++interim_heads_ > max_interim_heads)
+            return tl::unexpected(http_problem::malformed);
+        reply_ = {};
+        read = reader_->next_message();
+    }
+    return read;
+}
+
 void http_client::connection_ended(connection_end reason)
 {
     connection_.reset();
     if (!busy())
         return;
     if (reason == connection_end::finished && reader_->head_complete() &&
+        !is_interim(reply_.status) &&
         integrity_of({framing_, receipt_end::closed}) !=
             answer_integrity::broken_off) {
         finish(std::move(reply_));
--- a/src/libcyclamenrun/http/http_client.hpp
+++ b/src/libcyclamenrun/http/http_client.hpp
@@ -80,6 +80,9 @@
     void open_connection();
     void read(std::string_view bytes);
     void connection_ended(connection_end reason);
+    /** Reads on after heads that precede the answer. */
+    tl::expected<void, http_problem>
+    skip_interim_heads(tl::expected<void, http_problem> read);
     void finish(call_outcome outcome);
     /** Counts what is held of the reply; false if a bound is exceeded. */
     bool count_reply();
@@ -96,6 +99,7 @@
     http_framing framing_ = http_framing::none; ///< of the reply
     answer_handler on_answer_;
     std::uint64_t call_number_ = 0;
+    unsigned interim_heads_ = 0; ///< read before the answer
     bool peer_keep_alive_ = true;
 };
 
--- a/src/libcyclamenrun/http/http_head.hpp
+++ b/src/libcyclamenrun/http/http_head.hpp
@@ -44,6 +44,22 @@
 /** Whether the comma-separated `list` contains `word`, ignoring ASCII case. */
 bool has_list_word(std::string_view list, std::string_view word);
 
+/**
+ * Whether `status` may stand in a response. 101 may not: it answers a request
+ * for an upgrade, which no process here makes.
+ */
+inline bool is_valid_status(unsigned status)
+{
+    constexpr unsigned switching_protocols = 101;
+    return status >= 100 && status < 600 && status != switching_protocols;
+}
+
+/** Whether another head follows the one with this valid status. */
+inline bool is_interim(unsigned status)
+{
+    return status < 200;
+}
+
 /** Whether `status` is 2xx. */
 inline bool is_success(unsigned status)
 {
--- a/src/libcyclamenrun/http/http_reader.cpp
+++ b/src/libcyclamenrun/http/http_reader.cpp
@@ -109,8 +109,13 @@
         sink_.start_line().method = std::string(view_of(method));
         sink_.start_line().target = std::string(view_of(target));
     }
-    void on_response_impl(int status, text reason, int, error_code&) override
+    void on_response_impl(int status, text reason, int,
+                          error_code& error) override
     {
+        if (!is_valid_status(static_cast<unsigned>(status))) {
+            error = beast_http::error::bad_status;
+            return;
+        }
         sink_.start_line().status = static_cast<unsigned>(status);
         sink_.start_line().reason = std::string(view_of(reason));
     }
--- a/src/libcyclamenrun/outside/http_exchange.cpp
+++ b/src/libcyclamenrun/outside/http_exchange.cpp
@@ -30,13 +30,6 @@
     "connect_failed", "lost_before_answer", "lost_mid_answer", "malformed",
     "timed_out",      "cancelled",          "too_large",       "no_room"};
 
-/** Whether another head follows the one with this status. */
-bool is_interim(int status)
-{
-    constexpr int switching_protocols = 101;
-    return status >= 100 && status < 200 && status != switching_protocols;
-}
-
 /**
  * A duplicate descriptor of a connection. Shutting it down ends the reads of
  * the thread that owns the original descriptor and may close it at any time.
@@ -264,7 +257,7 @@
     if (type != head_.headers.end())
         head_.content_type = type->second;
     framing_ = head.body_framing();
-    has_head_ = !is_interim(head_.status);
+    has_head_ = !is_interim(head.status);
 }
 
 answer_integrity http_exchange::integrity() const
