--- a/src/libcyclamenrun/outcomes/mark_key.hpp
+++ b/src/libcyclamenrun/outcomes/mark_key.hpp
@@ -1,8 +1,8 @@
 #ifndef CYCLAMENRUN_MARK_KEY_HPP
 #define CYCLAMENRUN_MARK_KEY_HPP
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace cyclamenrun
 {
@@ -18,7 +18,16 @@
     mark_kind kind = mark_kind::request;
     std::uint64_t fingerprint = 0;
 
-    auto operator<=>(const mark_key&) const = default;
+    friend bool operator==(const mark_key& left, const mark_key& right)
+    {
+        return left.kind == right.kind && left.fingerprint == right.fingerprint;
+    }
+
+    friend bool operator<(const mark_key& left, const mark_key& right)
+    {
+        return std::tie(left.kind, left.fingerprint) <
+               std::tie(right.kind, right.fingerprint);
+    }
 };
 
 } // namespace cyclamenrun
