Refuse requests without room by 503, not 413

Callers do not repeat a 413.

Cause: http_session answered a process that holds too many messages like a body over the configured limit.

Evidence: bounded_input.a_request_without_room_is_refused_until_there_is_some fails on the code before.

Change: 503 with the Retry-After that was there already. The request has not run, so callers may repeat it.

--- a/src/libcyclamenrun/http/http_session.cpp
+++ b/src/libcyclamenrun/http/http_session.cpp
@@ -51,8 +51,9 @@
     case http_problem::header_too_long:
         return 431;
     case http_problem::body_too_long:
-    case http_problem::no_room:
         return 413;
+    case http_problem::no_room:
+        return 503;
     case http_problem::malformed:
     case http_problem::truncated:
     case http_problem::framing_too_long:
--- a/tests/gateway/test_bounded_input.cpp
+++ b/tests/gateway/test_bounded_input.cpp
@@ -272,6 +272,36 @@
     check_memory(before);
 }
 
+// Guards against a proper request that is refused for its size, and for good,
+// since others fill the process: its caller may come again.
+TEST_F(bounded_input, a_request_without_room_is_refused_until_there_is_some)
+{
+    std::vector<std::unique_ptr<test_caller>> callers;
+    const auto body = "300000\r\n" + std::string(3 * mib, 'x') + "\r\n";
+    for (int i = 0; i < 8; ++i) {
+        callers.push_back(std::make_unique<test_caller>(address));
+        callers.back()->send(chunked_request() + body);
+    }
+    std::vector<unsigned> statuses;
+    for (const auto& each : callers) {
+        try {
+            each->send("0\r\n\r\n");
+        } catch (const Poco::Exception&) {
+            // It was rejected.
+        }
+        const auto answer = each->read();
+        statuses.push_back(answer.status());
+        EXPECT_EQ(answer.status() == 503, !answer.field("Retry-After").empty());
+    }
+    EXPECT_THAT(statuses, Each(testing::AnyOf(200U, 503U)));
+    EXPECT_THAT(statuses, testing::Contains(503U));
+    callers.clear();
+    EXPECT_TRUE(wait_until_released());
+    test_caller again(address);
+    again.send(chunked_request() + body + "0\r\n\r\n");
+    EXPECT_EQ(again.read().status(), 200U);
+}
+
 // Guards against many callers that hold incomplete requests, each within its
 // own bound: together they get what the process may hold, and others are
 // served meanwhile.
