--- a/tests/gateway/test_process_watch.cpp
+++ b/tests/gateway/test_process_watch.cpp
@@ -98,14 +98,14 @@
                 if (start_ == listed_start)
                     listed_ended_at_ = now_;
                 if (*rc::gen::arbitrary<bool>())
-                    watch.record_loss(at(now_));
+                    watch_.record_loss(at(now_));
             } else {
                 is_running_ = true;
                 ++start_;
             }
             break;
         case 1:
-            watch.record_loss(at(now_));
+            watch_.record_loss(at(now_));
             break;
         default:
             if (is_running_)
@@ -121,7 +121,7 @@
         return !listed_ended_at_ || now_ <= *listed_ended_at_ + max_trust;
     }
 
-    process_standing standing() const { return watch.standing(at(now_)); }
+    process_standing standing() const { return watch_.standing(at(now_)); }
 
 private:
     static time_point at(int ms) { return time_point{} + milliseconds(ms); }
@@ -131,11 +131,11 @@
         while (!underway_.empty() && underway_.begin()->first <= until) {
             const auto [arrival, start] = *underway_.begin();
             underway_.erase(underway_.begin());
-            watch.record_report(start, at(arrival - max_delay));
+            watch_.record_report(start, at(arrival - max_delay));
         }
     }
 
-    process_watch watch{listed_start};
+    process_watch watch_{listed_start};
     int now_ = 1000;
     std::int64_t start_ = listed_start;
     bool is_running_ = true;
@@ -180,7 +180,7 @@
     {
         version = of_version;
         started_ms = listed_start;
-        const auto engine = std::make_shared<generating_engine>();
+        auto engine = std::make_shared<generating_engine>();
         engine->started_ms = listed_start;
         add(id, script_of(engine), "model").rejects_load_requests = false;
         return engine;
