Lock the unserved connections of a fake upstream

Cause: by reading. The test's thread and that of the acceptor appended to one vector without a lock. The product has no part in it.

Change: one function appends under the mutex.

--- a/tests/gateway/fake_upstream.cpp
+++ b/tests/gateway/fake_upstream.cpp
@@ -149,6 +149,12 @@
     ::shutdown(listener_.impl()->sockfd(), SHUT_RDWR);
 }
 
+void fake_upstream::keep_unserved(const Poco::Net::StreamSocket& socket)
+{
+    const std::scoped_lock lock(mutex_);
+    queued_.push_back(socket);
+}
+
 void fake_upstream::fill_connection_queue()
 {
     accepts_ = false;
@@ -157,7 +163,7 @@
         for (;;) {
             Poco::Net::StreamSocket socket;
             socket.connect(listener_.address(), timeout);
-            queued_.push_back(socket);
+            keep_unserved(socket);
         }
     } catch (const Poco::TimeoutException&) {
         return; // the queue is full
@@ -205,7 +211,7 @@
             if (stopping_)
                 break;
             if (!accepts_) {
-                queued_.push_back(socket);
+                keep_unserved(socket);
                 accepts_.wait(false);
                 break;
             }
--- a/tests/gateway/fake_upstream.hpp
+++ b/tests/gateway/fake_upstream.hpp
@@ -116,6 +116,8 @@
 
 private:
     void accept();
+    /** Keeps a connection open that nobody serves. */
+    void keep_unserved(const Poco::Net::StreamSocket& socket);
     void serve(Poco::Net::StreamSocket socket);
 
     script respond_;
@@ -129,7 +131,7 @@
     std::atomic<bool> crashed_ = false;
     std::atomic<bool> acceptor_ended_ = false;
     std::atomic<bool> accepts_ = true;
-    std::vector<Poco::Net::StreamSocket> queued_; ///< never accepted
+    std::vector<Poco::Net::StreamSocket> queued_; ///< under mutex_
     std::thread acceptor_;
 };
 
