--- a/src/libcyclamenrun/gateway/exchange.hpp
+++ b/src/libcyclamenrun/gateway/exchange.hpp
@@ -105,9 +105,9 @@
     void dispatch_later();
     /**
      * Sends the request, or ends it if the budget does not allow the repeat or
-     * the upstream's version does not fit. A request that needs one version is
-     * sent once the upstream's process is known to be the listed one. Returns
-     * false if it ended, which may destroy this object.
+     * the upstream's version does not fit. Before a request that needs one
+     * version, the upstream's process is asked for its start unless it has just
+     * named it. Returns false if it ended, which may destroy this object.
      */
     bool send(const upstream_record& upstream,
               const std::optional<continuation>& resume_from);
--- a/src/libcyclamenrun/gateway/identity_checks.cpp
+++ b/src/libcyclamenrun/gateway/identity_checks.cpp
@@ -12,8 +12,8 @@
 constexpr milliseconds call_timeout{1000};
 constexpr milliseconds first_interval{1000};
 constexpr milliseconds max_interval{8000};
-/** Time without a check after which the next one is again the first. */
-constexpr milliseconds memory_of_checks{30000};
+/** Time without a check after which the interval is the first one again. */
+constexpr milliseconds interval_reset_time{30000};
 
 } // namespace
 
@@ -44,7 +44,7 @@
 {
     std::erase_if(checks_, [now = reactor_->now()](const auto& entry) {
         const auto& each = entry.second;
-        return !each.pending && now >= each.next_at + memory_of_checks;
+        return !each.pending && now >= each.next_at + interval_reset_time;
     });
 }
 
--- a/src/libcyclamenrun/gateway/mark_keeper.cpp
+++ b/src/libcyclamenrun/gateway/mark_keeper.cpp
@@ -20,9 +20,9 @@
 constexpr milliseconds first_retry_delay{200};
 constexpr milliseconds max_retry_delay{5000};
 /** Longest time after which a call without an answer may be executed. */
-constexpr milliseconds late_execution{10'000};
+constexpr milliseconds max_execution_delay{10'000};
 /** Longest wait of requests for the marks that were kept. */
-constexpr milliseconds read_patience{1000};
+constexpr milliseconds max_read_wait{1000};
 constexpr milliseconds expiry_check_interval{10'000};
 /** All gateways remove an expired record, each at another time. */
 constexpr double expiry_probability = 0.05;
@@ -41,7 +41,7 @@
 
 void mark_keeper::start()
 {
-    known_by_ = reactor_->now() + read_patience;
+    known_by_ = reactor_->now() + max_read_wait;
     read();
 }
 
@@ -158,7 +158,7 @@
     retry_delay_ =
         std::clamp(retry_delay_ * 2, first_retry_delay, max_retry_delay);
     schedule_write(retry_delay_);
-    reactor_->post_at(reactor_->now() + late_execution,
+    reactor_->post_at(reactor_->now() + max_execution_delay,
                       [weak = weak_from_this(), keys] {
                           if (const auto self = weak.lock())
                               self->record_change(keys);
--- a/src/libcyclamenrun/gateway/process_watch.cpp
+++ b/src/libcyclamenrun/gateway/process_watch.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-/** Within this time of a report no other process can have started. */
+/** A process takes longer to end and to be replaced. */
 constexpr milliseconds confirmation_lifetime{400};
 
 } // namespace
--- a/tests/gateway/test_process_watch.cpp
+++ b/tests/gateway/test_process_watch.cpp
@@ -186,11 +186,11 @@
         return engine;
     }
 
-    /** Keeps new requests away from an engine that works on. */
-    void evacuate_engine(std::size_t index, bool evacuated)
+    /** A draining engine gets no new requests and works on. */
+    void set_draining(std::size_t index, bool draining)
     {
         auto record = records[index];
-        record.draining = evacuated;
+        record.draining = draining;
         publish_record(record);
         std::this_thread::sleep_for(milliseconds(50));
     }
@@ -199,12 +199,12 @@
      */
     std::unique_ptr<test_caller> begin_stream(const std::string& path)
     {
-        evacuate_engine(1, true);
+        set_draining(1, true);
         first->hold_before = 5;
         auto caller = std::make_unique<test_caller>(gateway->address());
         caller->send(request(path));
         EXPECT_TRUE(caller->wait_for_body(events(1, 4)));
-        evacuate_engine(1, false);
+        set_draining(1, false);
         return caller;
     }
 
@@ -263,7 +263,7 @@
     auto caller = begin_stream("/res/x");
     const auto id = "r" + std::to_string(last_id);
     caller.reset();
-    evacuate_engine(0, true);
+    set_draining(0, true);
     replace_second();
     EXPECT_EQ(resume(id).status(), 503U);
     EXPECT_EQ(streams_at(1), 0U);
@@ -273,7 +273,7 @@
 // at the software that the directory names for it.
 TEST_F(reused_ids, a_stream_of_a_replaced_process_is_not_continued_elsewhere)
 {
-    evacuate_engine(0, true);
+    set_draining(0, true);
     replace_second();
     second->hold_before = 5;
     test_caller caller(gateway->address());
@@ -281,7 +281,7 @@
     ASSERT_TRUE(caller.wait_for_body(events(1, 4)));
     const auto id = "r" + std::to_string(last_id);
     std::this_thread::sleep_for(milliseconds(100));
-    evacuate_engine(0, false);
+    set_draining(0, false);
     second->break_before = 5;
     second->hold_before = 1000;
     caller.read();
